--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! To come.
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,116 @@
+//! The command line.
+
+use eyre::{bail, eyre, Result};
+use getopts::Options;
+
+const HELP: &str = "usage: shaleline [FLAGS] COMMAND
+
+  fleet put FILE             set models, adapters, services and accelerators
+  template put FILE          create or replace a template
+  template remove NAME       remove a template that nothing is made from
+  org put FILE               create or change an organisation
+  org remove NAME            remove an organisation and its tokens
+  token new ORG              make a caller's token; it is shown once
+  token revoke ORG HASH      withdraw a token
+  operator put NAME ROLE     make an operator: read, all, or organisation:NAME
+  operator remove NAME       remove an operator
+  drain NAME                 no new work for an instance or upstream
+  undrain NAME               allow it again
+  show                       the configuration in force
+  state                      a daemon's state
+  members                    the daemons that are alive
+  upstreams                  the upstreams
+  hash TOKEN                 the hash of a token, for --admin-hash; asks nobody
+
+Files are TOML, or JSON where the name ends in .json.
+";
+
+/// A command to run and whom to ask.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Where a daemon answers operators, `IP:PORT`.
+    pub admin: String,
+    /// The operator's token.
+    pub token: String,
+    /// How long to wait until a change is in force everywhere, in milliseconds.
+    pub wait: u64,
+    /// The version that a change is made from; the current one if none is given.
+    pub base: Option<u64>,
+    /// The change's id; drawn if none is given.
+    pub change: Option<String>,
+    /// The command's words.
+    pub words: Vec<String>,
+}
+
+/// What the command line asks for.
+pub enum Parsed {
+    /// To show this text.
+    Help(String),
+    /// To run a command.
+    Run(Run),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "show this text");
+    options.optopt(
+        "",
+        "admin",
+        "IP:PORT of a daemon for operators (or SHALELINE_ADMIN)",
+        "ADDR",
+    );
+    options.optopt(
+        "",
+        "token",
+        "operator's token (or SHALELINE_TOKEN)",
+        "TOKEN",
+    );
+    options.optopt(
+        "",
+        "wait",
+        "wait so many ms until in force on all daemons (default 5000)",
+        "MS",
+    );
+    options.optopt(
+        "",
+        "base",
+        "version that the change is made from (default: the current one)",
+        "N",
+    );
+    options.optopt("", "change-id", "id of the change (default: drawn)", "ID");
+    options
+}
+
+/// Reads the command line and the environment.
+pub fn parse(args: &[String]) -> Result<Parsed> {
+    let options = options();
+    let matches = options.parse(args)?;
+    if matches.opt_present("help") || matches.free.is_empty() {
+        return Ok(Parsed::Help(options.usage(HELP)));
+    }
+    let local = matches.free[0] == "hash";
+    let setting = |flag: &str, variable: &str| {
+        let given = matches
+            .opt_str(flag)
+            .or_else(|| std::env::var(variable).ok());
+        match given {
+            Some(value) => Ok(value),
+            None if local => Ok(String::new()),
+            None => Err(eyre!("--{flag} or {variable} must be given")),
+        }
+    };
+    let wait = matches.opt_get_default("wait", 5_000)?;
+    let base = matches.opt_get::<u64>("base")?;
+    let admin = setting("admin", "SHALELINE_ADMIN")?;
+    if !local && admin.parse::<std::net::SocketAddr>().is_err() {
+        bail!("--admin: {admin:?} is no IP:PORT");
+    }
+    Ok(Parsed::Run(Run {
+        admin,
+        token: setting("token", "SHALELINE_TOKEN")?,
+        wait,
+        base,
+        change: matches.opt_str("change-id"),
+        words: matches.free,
+    }))
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,94 @@
+//! What each command does.
+
+use crate::args::Run;
+use crate::client::Client;
+use crate::file;
+use eyre::{bail, eyre, Result};
+use serde_json::{json, Value};
+use shaleline_config::{Fleet, Op, Operator, Organisation, Role, Template};
+use shaleline_types::{Org, TemplateName, TokenHash};
+
+/// Runs a command and returns what to show.
+pub async fn run(run: &Run) -> Result<String> {
+    let words: Vec<&str> = run.words.iter().map(String::as_str).collect();
+    let client = Client::new(run);
+    let page = match words.as_slice() {
+        ["hash", token] => return Ok(TokenHash::from_token(token).as_hex().to_owned()),
+        ["show"] => Some("/admin/config"),
+        ["state"] => Some("/admin/state"),
+        ["members"] => Some("/admin/members"),
+        ["upstreams"] => Some("/admin/upstreams"),
+        _ => None,
+    };
+    if let Some(page) = page {
+        return pretty(&client.get(page).await?);
+    }
+    match words.as_slice() {
+        ["token", "new", org] => new_token(&client, org).await,
+        ["operator", "put", name, role] => put_operator(&client, name, role).await,
+        _ => pretty(&client.change(to_op(&words)?).await?),
+    }
+}
+
+fn to_op(words: &[&str]) -> Result<Op> {
+    Ok(match words {
+        ["fleet", "put", path] => Op::PutFleet(file::read::<Fleet>(path)?),
+        ["template", "put", path] => Op::PutTemplate(file::read::<Template>(path)?),
+        ["template", "remove", name] => Op::RemoveTemplate(TemplateName::from_text(name)?),
+        ["org", "put", path] => Op::PutOrganisation(file::read::<Organisation>(path)?),
+        ["org", "remove", name] => Op::RemoveOrganisation(Org::from_text(name)?),
+        ["token", "revoke", org, hash] => Op::RevokeToken {
+            org: Org::from_text(org)?,
+            token: TokenHash::from_hex(hash).ok_or_else(|| eyre!("{hash:?} is no hash"))?,
+        },
+        ["operator", "remove", name] => Op::RemoveOperator((*name).to_owned()),
+        ["drain", target] => drain(target, true),
+        ["undrain", target] => drain(target, false),
+        _ => bail!("no command {:?}; see --help", words.join(" ")),
+    })
+}
+
+fn drain(target: &str, on: bool) -> Op {
+    Op::Drain {
+        target: target.to_owned(),
+        on,
+    }
+}
+
+/// 192 random bits. The token never leaves this process but to the screen; the daemons
+/// see its hash.
+fn draw_token() -> String {
+    let parts: [u64; 3] = rand::random();
+    format!("sl-{:016x}{:016x}{:016x}", parts[0], parts[1], parts[2])
+}
+
+async fn new_token(client: &Client<'_>, org: &str) -> Result<String> {
+    let token = draw_token();
+    let op = Op::AddToken {
+        org: Org::from_text(org)?,
+        token: TokenHash::from_token(&token),
+    };
+    let answer = client.change(op).await?;
+    pretty(&json!({"token": token, "answer": answer}))
+}
+
+async fn put_operator(client: &Client<'_>, name: &str, role: &str) -> Result<String> {
+    let role = match role.split_once(':') {
+        None if role == "read" => Role::Read,
+        None if role == "all" => Role::All,
+        Some(("organisation", org)) => Role::Organisation(Org::from_text(org)?),
+        _ => bail!("{role:?} is no role: read, all, or organisation:NAME"),
+    };
+    let token = draw_token();
+    let operator = Operator {
+        name: name.to_owned(),
+        role,
+        token: TokenHash::from_token(&token),
+    };
+    let answer = client.change(Op::PutOperator(operator)).await?;
+    pretty(&json!({"token": token, "answer": answer}))
+}
+
+fn pretty(value: &Value) -> Result<String> {
+    Ok(serde_json::to_string_pretty(value)?)
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,190 @@
+//! The administration API.
+
+use crate::answer::error_response;
+use crate::auth::{self, Who};
+use crate::caller::{healthz, readyz, Local};
+use crate::core::Core;
+use crate::dump;
+use crate::emit::emit;
+use actix_web::web::{Data, Json, ServiceConfig};
+use actix_web::{web, HttpRequest, HttpResponse};
+use serde::Deserialize;
+use serde_json::json;
+use shaleline_config::{Change, Op, Verdict};
+use shaleline_log::Priority;
+use shaleline_types::{ChangeId, Error, ErrorKind, LogEvent, Offset, Result};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an operator's call waits for the log.
+const LOG_WAIT: Duration = Duration::from_secs(10);
+const MOST_WAIT: u64 = 60_000;
+const POLL: Duration = Duration::from_millis(25);
+
+pub(crate) fn routes(config: &mut ServiceConfig) {
+    config
+        .route("/admin/changes", web::post().to(change))
+        .route("/admin/config", web::get().to(config_page))
+        .route("/admin/state", web::get().to(state))
+        .route("/admin/members", web::get().to(members))
+        .route("/admin/upstreams", web::get().to(upstreams))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz))
+        .route("/metrics", web::get().to(metrics));
+}
+
+/// A change as an operator asks for it; who asks follows from the token.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeRequest {
+    id: ChangeId,
+    #[serde(default)]
+    base: Option<Offset>,
+    op: Op,
+    /// How long to wait until the change is in force on all live daemons, in
+    /// milliseconds.
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn metrics(local: Data<Local>) -> HttpResponse {
+    let text = local.core.metrics.to_text();
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(text)
+}
+
+fn reader(local: &Local, request: &HttpRequest) -> Result<Who> {
+    let who = auth::operator(&local.core, request)?;
+    who.check_read()?;
+    Ok(who)
+}
+
+async fn state(local: Data<Local>, request: HttpRequest) -> HttpResponse {
+    match reader(&local, &request) {
+        Ok(_) => HttpResponse::Ok().json(dump::state(&local.core)),
+        Err(e) => error_response(&e, local.core.new_request()),
+    }
+}
+
+async fn members(local: Data<Local>, request: HttpRequest) -> HttpResponse {
+    match reader(&local, &request) {
+        Ok(_) => HttpResponse::Ok().json(dump::members(&local.core)),
+        Err(e) => error_response(&e, local.core.new_request()),
+    }
+}
+
+async fn upstreams(local: Data<Local>, request: HttpRequest) -> HttpResponse {
+    match reader(&local, &request) {
+        Ok(_) => HttpResponse::Ok().json(dump::upstreams(&local.core)),
+        Err(e) => error_response(&e, local.core.new_request()),
+    }
+}
+
+/// The configuration in force here. Whoever may read one organisation sees only that.
+async fn config_page(local: Data<Local>, request: HttpRequest) -> HttpResponse {
+    match auth::operator(&local.core, &request) {
+        Ok(who) => HttpResponse::Ok().json(dump::config(&local.core, &who.role)),
+        Err(e) => error_response(&e, local.core.new_request()),
+    }
+}
+
+async fn change(
+    local: Data<Local>,
+    request: HttpRequest,
+    body: std::result::Result<Json<ChangeRequest>, actix_web::Error>,
+) -> HttpResponse {
+    let id = local.core.new_request();
+    match try_change(&local.core, &request, body).await {
+        Ok(response) => response,
+        Err(error) => error_response(&error, id),
+    }
+}
+
+async fn try_change(
+    core: &Arc<Core>,
+    request: &HttpRequest,
+    body: std::result::Result<Json<ChangeRequest>, actix_web::Error>,
+) -> Result<HttpResponse> {
+    let who = auth::operator(core, request)?;
+    let body = body.map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))?;
+    let asked = body.into_inner();
+    if !who.role.may_change(asked.op.org()) {
+        return Err(Error::new(
+            ErrorKind::Forbidden,
+            "this role may not make the change",
+        ));
+    }
+    let object = asked.op.object();
+    let change = Change {
+        id: asked.id.clone(),
+        by: who.name.clone(),
+        base: asked.base,
+        op: asked.op,
+    };
+    let verdict = submit(core, change).await?;
+    let from = asked.base.map_or("nothing".to_owned(), |b| b.to_string());
+    let detail = format!(
+        "{object} by {} from version {from}, change {}",
+        who.name, asked.id
+    );
+    match verdict {
+        Verdict::Accepted(offset) => {
+            emit(LogEvent::ChangeAccepted, &format!("{detail}, at {offset}"));
+            let behind = wait_in_force(core, offset, asked.wait_ms).await;
+            Ok(HttpResponse::Ok().json(json!({
+                "accepted_at": offset,
+                "object": object,
+                "in_force_on_all": behind.is_empty(),
+                "not_confirmed": behind,
+            })))
+        }
+        Verdict::Refused(refusal) => {
+            let error = Error::from(refusal);
+            emit(LogEvent::ChangeRefused, &format!("{detail}: {error}"));
+            Err(error)
+        }
+    }
+}
+
+/// Appends a change and waits for the replay's verdict. A call that gives up waiting is
+/// answered with the advice to repeat it under the same id, which is harmless.
+async fn submit(core: &Arc<Core>, change: Change) -> Result<Verdict> {
+    let judged = core.config.with(|c| c.judged(&change.id).cloned());
+    if let Some(verdict) = judged {
+        return Ok(verdict);
+    }
+    if core.is_log_away() {
+        return Err(ErrorKind::LogUnavailable.into());
+    }
+    let pending = core.config.submit(Priority::Config, change);
+    match tokio::time::timeout(LOG_WAIT, pending.done).await {
+        Ok(Ok(done)) => Ok(done.verdict),
+        Ok(Err(_)) | Err(_) => {
+            if core.config.withdraw(Priority::Config, pending.ticket) {
+                return Err(ErrorKind::LogUnavailable.into());
+            }
+            Err(Error::new(
+                ErrorKind::OutcomeUnknown,
+                "the log gave no answer; repeat the change under the same id",
+            ))
+        }
+    }
+}
+
+/// Waits until all live daemons have applied `offset`; returns those that have not.
+async fn wait_in_force(core: &Arc<Core>, offset: Offset, wait_ms: u64) -> Vec<String> {
+    let until = core.now().plus(wait_ms.min(MOST_WAIT));
+    loop {
+        core.refresh_view();
+        let behind: Vec<String> = {
+            let members = core.members();
+            let behind = members.behind(offset);
+            behind.iter().map(|m| m.id.instance.to_string()).collect()
+        };
+        if behind.is_empty() || core.now() >= until {
+            return behind;
+        }
+        actix_rt::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/answer.rs
@@ -0,0 +1,47 @@
+//! From errors to HTTP answers.
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use serde_json::{json, Value};
+use shaleline_types::{Error, Outcome, RequestId};
+
+/// Says whether the request ran.
+pub(crate) const OUTCOME: &str = "x-shaleline-outcome";
+
+/// The request's id, for support.
+pub(crate) const REQUEST: &str = "x-shaleline-request";
+
+/// When to come back, in milliseconds, beside the standard header in seconds.
+const RETRY_MS: &str = "retry-after-ms";
+
+/// The body that tells of an error.
+pub(crate) fn error_body(error: &Error, id: RequestId) -> Value {
+    let answer = error.kind().answer();
+    json!({"error": {
+        "type": answer.code,
+        "code": answer.code,
+        "message": error.detail(),
+        "outcome": answer.outcome.as_str(),
+        "request_id": id.to_string(),
+        "retry_after_ms": error.retry().map(|r| r.0),
+    }})
+}
+
+/// The whole answer for an error.
+pub(crate) fn error_response(error: &Error, id: RequestId) -> HttpResponse {
+    let answer = error.kind().answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    mark(&mut response, answer.outcome, id);
+    if let Some(after) = error.retry() {
+        response.insert_header(("retry-after", after.0.div_ceil(1_000).to_string()));
+        response.insert_header((RETRY_MS, after.0.to_string()));
+    }
+    response.json(error_body(error, id))
+}
+
+/// Adds the headers that every answer bears.
+pub(crate) fn mark(response: &mut HttpResponseBuilder, outcome: Outcome, id: RequestId) {
+    response.insert_header((OUTCOME, outcome.as_str()));
+    response.insert_header((REQUEST, id.to_string()));
+}
--- /dev/null
+++ b/crates/daemon/src/call.rs
@@ -0,0 +1,251 @@
+//! Calls to plain services.
+
+use crate::answer::{error_response, mark};
+use crate::auth;
+use crate::caller::{read_body, Local};
+use crate::core::{Core, InFlight};
+use crate::drive::limits;
+use crate::keyed;
+use actix_web::http::StatusCode;
+use actix_web::web::{Data, Path, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use serde::Deserialize;
+use shaleline_config::Tenant;
+use shaleline_platform::{SendError, ServiceAnswer, ServiceCall, Services};
+use shaleline_route::{Ask, End, Route, RouteAction, RouteEvent};
+use shaleline_types::{Error, ErrorKind, Millis, Outcome, RequestId, Result, Service, Upstream};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// The longest key that a caller may use.
+const MOST_KEY: usize = 256;
+
+#[derive(Deserialize)]
+pub(crate) struct ServicePath {
+    name: String,
+    #[serde(default)]
+    tail: String,
+}
+
+/// Answers `/v1/services/NAME/...`.
+pub(crate) async fn service(
+    local: Data<Local>,
+    request: HttpRequest,
+    path: Path<ServicePath>,
+    payload: Payload,
+) -> HttpResponse {
+    let id = local.core.new_request();
+    match try_service(&local, &request, &path, payload, id).await {
+        Ok(response) => response,
+        Err(error) => {
+            let code = error.kind().answer().code;
+            local.core.metrics.count_request("service", code);
+            error_response(&error, id)
+        }
+    }
+}
+
+async fn try_service(
+    local: &Local,
+    request: &HttpRequest,
+    path: &ServicePath,
+    payload: Payload,
+    id: RequestId,
+) -> Result<HttpResponse> {
+    local.core.check_admission()?;
+    let tenant = auth::caller(&local.core, request)?;
+    let unknown = || {
+        Error::new(
+            ErrorKind::UnknownService,
+            format!("no service {:?}", path.name),
+        )
+    };
+    if !tenant.services.contains(&path.name) {
+        return Err(unknown());
+    }
+    let view = local.core.view();
+    let spec = view.fleet.service(&path.name).ok_or_else(unknown)?;
+    let call = ServiceCall {
+        method: request.method().to_string(),
+        path: with_query(&path.tail, request.query_string()),
+        mime: header(request, "content-type"),
+        key: header(request, "idempotency-key"),
+        body: read_body(&local.core, payload).await?,
+    };
+    let job = Job {
+        tenant,
+        service: spec.name.clone(),
+        repeatable: spec.repeatable && call.key.is_none(),
+        call,
+        id,
+    };
+    match &job.call.key {
+        Some(key) if key.is_empty() || key.len() > MOST_KEY => Err(Error::new(
+            ErrorKind::BadRequest,
+            format!("an idempotency key has 1 to {MOST_KEY} characters"),
+        )),
+        Some(_) => keyed::run(local, request, &job).await,
+        None => run(local, &job).await,
+    }
+}
+
+fn with_query(path: &str, query: &str) -> String {
+    if query.is_empty() {
+        return path.to_owned();
+    }
+    format!("{path}?{query}")
+}
+
+fn header(request: &HttpRequest, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+/// A checked call.
+pub(crate) struct Job {
+    pub(crate) tenant: Arc<Tenant>,
+    pub(crate) service: Service,
+    pub(crate) repeatable: bool,
+    pub(crate) call: ServiceCall,
+    pub(crate) id: RequestId,
+}
+
+/// Makes a call without a key. It is repeated only where the service allows that.
+async fn run(local: &Local, job: &Job) -> Result<HttpResponse> {
+    let mut permit = Permit::ask(&local.core, job);
+    loop {
+        let (attempt, upstream) = permit.granted().await?;
+        let sent = send(&local.core, &*local.services, job, &upstream);
+        let sent = tokio::select! {
+            sent = sent => sent,
+            () = permit.superseded() => continue,
+        };
+        match sent {
+            Ok(answer) => {
+                permit.end(attempt, End::Whole);
+                local.core.metrics.count_request("service", "ok");
+                return Ok(answer_response(&answer, job.id));
+            }
+            Err(SendError::NotSent) => permit.end(attempt, End::NotSent),
+            Err(SendError::Refused) => permit.end(attempt, End::Refused),
+            Err(SendError::Broken) => permit.end(attempt, End::Broken),
+        }
+    }
+}
+
+/// Sends the call to an upstream.
+pub(crate) async fn send(
+    core: &Core,
+    services: &dyn Services,
+    job: &Job,
+    upstream: &Upstream,
+) -> std::result::Result<ServiceAnswer, SendError> {
+    let address = core
+        .directory
+        .read()
+        .expect("no holder panics")
+        .address(upstream);
+    let Some(address) = address else {
+        return Err(SendError::NotSent);
+    };
+    services.call(&address, &job.call).await
+}
+
+/// The answer of a service as the caller gets it.
+fn answer_response(answer: &ServiceAnswer, id: RequestId) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    mark(&mut response, Outcome::Run, id);
+    response
+        .content_type(answer.mime.clone())
+        .body(answer.body.clone())
+}
+
+/// A request's place in the router, given back when dropped.
+pub(crate) struct Permit {
+    core: Arc<Core>,
+    id: RequestId,
+    actions: mpsc::UnboundedReceiver<RouteAction>,
+    open: bool,
+    _in_flight: InFlight,
+}
+
+impl Permit {
+    pub(crate) fn ask(core: &Arc<Core>, job: &Job) -> Self {
+        let tenant = &job.tenant;
+        let id = job.id;
+        let actions = core.register(id);
+        let ask = Ask {
+            id,
+            org: tenant.org.clone(),
+            route: Route::Service(job.service.clone()),
+            priority: tenant.priority,
+            weight: tenant.weight,
+            cost: 1,
+            prefix: Vec::new(),
+            due: core.now().plus(tenant.patience),
+            repeatable: job.repeatable,
+            limits: limits(tenant),
+        };
+        let permit = Self {
+            core: Arc::clone(core),
+            id,
+            actions,
+            open: true,
+            _in_flight: core.enter(),
+        };
+        core.route(RouteEvent::Arrive(ask));
+        permit
+    }
+
+    /// Waits for an upstream.
+    pub(crate) async fn granted(&mut self) -> Result<(u32, Upstream)> {
+        loop {
+            match self.actions.recv().await {
+                Some(RouteAction::Send {
+                    attempt, upstream, ..
+                }) => return Ok((attempt, upstream)),
+                Some(RouteAction::Refuse { kind, retry, .. }) => {
+                    self.open = false;
+                    return Err(refusal(kind, retry));
+                }
+                Some(RouteAction::Cancel { .. }) => {}
+                None => return Err(ErrorKind::Internal.into()),
+            }
+        }
+    }
+
+    /// Resolves when the router takes the running attempt back.
+    async fn superseded(&mut self) {
+        loop {
+            match self.actions.recv().await {
+                Some(RouteAction::Cancel { .. }) => return,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    pub(crate) fn end(&mut self, attempt: u32, end: End) {
+        let id = self.id;
+        self.open &= !matches!(end, End::Whole | End::Cancelled);
+        self.core.route(RouteEvent::Ended { id, attempt, end });
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.open {
+            self.core.route(RouteEvent::CallerGone(self.id));
+        }
+        self.core.unregister(self.id);
+    }
+}
+
+fn refusal(kind: ErrorKind, retry: Option<Millis>) -> Error {
+    let error = Error::from(kind);
+    match retry {
+        Some(retry) => error.with_retry(retry),
+        None => error,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,345 @@
+//! What the parts of a daemon share.
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::emit::emit;
+use crate::guarded::guarded;
+use crate::journal::{Journal, SharedBudget};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use eyre::Result;
+use rand::Rng;
+use shaleline_config::{ConfigMachine, View};
+use shaleline_log::{AppendBudget, Machine};
+use shaleline_once::OnceMachine;
+use shaleline_peer::{Member, MemberId, MemberSettings, Members};
+use shaleline_place::{CellMachine, Demand};
+use shaleline_route::{RouteAction, RouteEvent, Router, RouterSettings, ShareBook};
+use shaleline_types::{Error, ErrorKind, LogEvent, Millis, Model, Offset, RequestId, WriterId};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use tokio::sync::mpsc;
+
+/// How long the log must be silent before it counts as away.
+const LOG_AWAY: u64 = 500;
+
+/// How long another daemon's report of demand counts.
+const DEMAND_AGE: u64 = 15_000;
+
+type ActionSender = mpsc::UnboundedSender<RouteAction>;
+
+/// What a daemon's threads share.
+pub struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) writer: WriterId,
+    pub(crate) clock: Clock,
+    pub(crate) config: Journal<ConfigMachine>,
+    pub(crate) cell: Journal<CellMachine>,
+    pub(crate) once: Vec<Journal<OnceMachine>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) demand: Mutex<Demand>,
+    pub(crate) directory: RwLock<Directory>,
+    router: Mutex<Router>,
+    requests: Mutex<HashMap<RequestId, ActionSender>>,
+    members: Mutex<Members>,
+    view: RwLock<Arc<View>>,
+    remote_demand: Mutex<BTreeMap<WriterId, (Millis, BTreeMap<Model, f64>)>>,
+    budget: SharedBudget,
+    next_request: AtomicU64,
+    in_flight: AtomicUsize,
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    behind_since: AtomicU64,
+    log_failing: AtomicU64,
+}
+
+impl Core {
+    pub(crate) fn new(settings: Settings) -> Result<Arc<Self>> {
+        let mut rng = rand::rng();
+        let writer = WriterId(rng.random());
+        let clock = Clock::new();
+        let me = Member {
+            id: MemberId {
+                instance: settings.instance.clone(),
+                born: Clock::wall().0,
+            },
+            writer,
+            centre: settings.centre.clone(),
+            peer: settings.peer.to_string(),
+            caller: settings.listen.to_string(),
+            beat: 0,
+            config: Offset(0),
+            leaving: false,
+        };
+        let router = Router::new(
+            RouterSettings {
+                queue: settings.queue,
+                stall: settings.stall,
+                ..RouterSettings::new(settings.centre.clone())
+            },
+            ShareBook::joining(settings.instance.as_str(), clock.now()),
+        );
+        let budget = AppendBudget::new(settings.log_rate, clock.now());
+        let budget = Arc::new(Mutex::new(budget));
+        let shard = |i| Journal::new(&format!("once-{i}"), writer, &budget, false);
+        Ok(Arc::new(Self {
+            writer,
+            clock,
+            config: Journal::new("config", writer, &budget, true),
+            cell: Journal::new(&format!("cell-{}", settings.cell), writer, &budget, true),
+            once: (0..settings.shards).map(shard).collect(),
+            metrics: Metrics::new()?,
+            demand: Mutex::new(Demand::default()),
+            directory: RwLock::new(Directory::default()),
+            router: Mutex::new(router),
+            requests: Mutex::new(HashMap::new()),
+            members: Mutex::new(Members::new(MemberSettings::default(), me)),
+            view: RwLock::new(Arc::new(View::default())),
+            remote_demand: Mutex::new(BTreeMap::new()),
+            budget,
+            next_request: AtomicU64::new(rng.random::<u64>() >> 1),
+            in_flight: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            behind_since: AtomicU64::new(0),
+            log_failing: AtomicU64::new(0),
+            settings,
+        }))
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn demand(&self) -> MutexGuard<'_, Demand> {
+        self.demand.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().expect("no holder panics"))
+    }
+
+    /// Resolves the configuration anew if it has moved on.
+    pub(crate) fn refresh_view(&self) {
+        let next = self.config.next();
+        if self.view().next == next {
+            return;
+        }
+        let view = self
+            .config
+            .with_state(|s| View::from_machine(s.machine(), s.next()));
+        let mut kept = self.view.write().expect("no holder panics");
+        assert!(
+            kept.next <= view.next,
+            "an accepted configuration never reverts"
+        );
+        self.members().set_config(view.next);
+        *kept = Arc::new(view);
+    }
+
+    pub(crate) fn new_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Registers a request and returns where its actions arrive.
+    pub(crate) fn register(&self, id: RequestId) -> mpsc::UnboundedReceiver<RouteAction> {
+        let (tell, told) = mpsc::unbounded_channel();
+        self.requests
+            .lock()
+            .expect("no holder panics")
+            .insert(id, tell);
+        told
+    }
+
+    pub(crate) fn unregister(&self, id: RequestId) {
+        self.requests.lock().expect("no holder panics").remove(&id);
+    }
+
+    /// Gives the router an event and hands its actions to the requests they are about.
+    pub(crate) fn route(&self, event: RouteEvent) {
+        let now = self.now();
+        let mut router = self.router();
+        let actions = guarded("router", || router.step(event, now));
+        drop(router);
+        self.hand_out(actions.unwrap_or_default());
+    }
+
+    pub(crate) fn hand_out(&self, actions: Vec<RouteAction>) {
+        if actions.is_empty() {
+            return;
+        }
+        let requests = self.requests.lock().expect("no holder panics");
+        for action in actions {
+            let id = match &action {
+                RouteAction::Send { id, .. }
+                | RouteAction::Cancel { id, .. }
+                | RouteAction::Refuse { id, .. } => *id,
+            };
+            if let Some(tell) = requests.get(&id) {
+                let _ = tell.send(action);
+            }
+        }
+    }
+
+    /// Counts a request as in flight while the returned guard lives.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.members().set_leaving();
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_refusing(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes how an exchange with the log went.
+    pub(crate) fn note_log(&self, ok: bool) {
+        let now = self.now().0.max(1);
+        if ok {
+            let since = self.log_failing.swap(0, Ordering::Relaxed);
+            if since > 0 && now.saturating_sub(since) >= LOG_AWAY {
+                emit(LogEvent::LogBack, "");
+            }
+        } else if self
+            .log_failing
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok()
+        {
+            emit(LogEvent::LogLost, "");
+        }
+    }
+
+    /// Whether the log is known to be away.
+    pub(crate) fn is_log_away(&self) -> bool {
+        let since = self.log_failing.load(Ordering::Relaxed);
+        since > 0 && self.now().0.saturating_sub(since) >= LOG_AWAY
+    }
+
+    /// Notes whether other daemons have applied more of the configuration.
+    pub(crate) fn note_behind(&self, behind: bool) {
+        if !behind {
+            self.behind_since.store(0, Ordering::Relaxed);
+            return;
+        }
+        let now = self.now().0.max(1);
+        let _ = self
+            .behind_since
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    pub(crate) fn behind_for(&self) -> u64 {
+        match self.behind_since.load(Ordering::Relaxed) {
+            0 => 0,
+            since => self.now().0.saturating_sub(since),
+        }
+    }
+
+    /// Whether requests may be admitted; else why not.
+    pub(crate) fn check_admission(&self) -> shaleline_types::Result<()> {
+        if self.refusing.load(Ordering::Relaxed) {
+            return Err(ErrorKind::Leaving.into());
+        }
+        if let Some(halt) = self.config.halt() {
+            return Err(Error::new(ErrorKind::Halted, halt.to_string()));
+        }
+        if !self.config.is_caught_up() || self.behind_for() > self.settings.lag.0 {
+            return Err(ErrorKind::NotReady.into());
+        }
+        Ok(())
+    }
+
+    /// Whether the balancer should send work here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.check_admission().is_ok()
+    }
+
+    pub(crate) fn note_remote_demand(&self, writer: WriterId, rates: BTreeMap<Model, f64>) {
+        let now = self.now();
+        let mut all = self.remote_demand.lock().expect("no holder panics");
+        all.insert(writer, (now, rates));
+        all.retain(|_, (at, _)| now.since(*at) < DEMAND_AGE);
+    }
+
+    /// What other daemons' callers ask for, summed.
+    pub(crate) fn remote_demand(&self) -> BTreeMap<Model, f64> {
+        let now = self.now();
+        let all = self.remote_demand.lock().expect("no holder panics");
+        let mut sum = BTreeMap::new();
+        for (at, rates) in all.values() {
+            if now.since(*at) >= DEMAND_AGE {
+                continue;
+            }
+            for (model, rate) in rates {
+                *sum.entry(model.clone()).or_default() += rate;
+            }
+        }
+        sum
+    }
+
+    /// Divides the log's appends and the limits among the daemons that live.
+    pub(crate) fn share_out(&self) {
+        let (names, me): (Vec<String>, String) = {
+            let members = self.members();
+            let names = members.alive().map(|m| m.id.instance.to_string());
+            (names.collect(), members.me().id.instance.to_string())
+        };
+        let count = names.len().max(1) as u64;
+        let rate = (self.settings.log_rate / count).max(1);
+        self.budget.lock().expect("no holder panics").set_rate(rate);
+        let mut names: Vec<&str> = names.iter().map(String::as_str).collect();
+        if !names.contains(&me.as_str()) {
+            names.push(&me);
+        }
+        let now = self.now();
+        self.router().shares().set_members(&names, now);
+    }
+
+    /// The name of the daemon that `key` belongs to, by rendezvous over those that live.
+    pub(crate) fn owner_of(&self, key: &str) -> Option<Member> {
+        let members = self.members();
+        let names: Vec<&str> = members.alive().map(|m| m.id.instance.as_str()).collect();
+        let first = *shaleline_types::rank(key, names).first()?;
+        let owner = members.alive().find(|m| m.id.instance.as_str() == first);
+        owner.cloned()
+    }
+
+    /// Whether this daemon is the one that `key` belongs to.
+    pub(crate) fn is_owner_of(&self, key: &str) -> bool {
+        self.owner_of(key).is_some_and(|m| m.writer == self.writer)
+    }
+}
+
+/// Counts a request as in flight.
+pub(crate) struct InFlight(Arc<Core>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Whether anything of a journal is still on its way to the log.
+pub(crate) fn is_flushed<M: Machine>(journal: &Journal<M>) -> bool {
+    journal.pending() == 0
+}
--- /dev/null
+++ b/crates/daemon/src/directory.rs
@@ -0,0 +1,41 @@
+//! Where upstreams answer and what they hold, from the list and the reports.
+
+use shaleline_place::{EngineReport, Item};
+use shaleline_platform::InstanceKind;
+use shaleline_types::{DataCentre, Millis, Upstream};
+use std::collections::BTreeMap;
+
+/// One upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) address: String,
+    pub(crate) kind: InstanceKind,
+    pub(crate) centre: DataCentre,
+    pub(crate) service: Option<String>,
+    /// The last report, and when it came.
+    pub(crate) report: Option<EngineReport>,
+    pub(crate) heard: Option<Millis>,
+}
+
+/// All upstreams by name.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    pub(crate) entries: BTreeMap<Upstream, Entry>,
+}
+
+impl Directory {
+    pub(crate) fn address(&self, upstream: &Upstream) -> Option<String> {
+        self.entries.get(upstream).map(|e| e.address.clone())
+    }
+
+    /// The version of a model, or of an adapter on top, that an engine holds ready; the
+    /// wanted one if it does.
+    pub(crate) fn item_on(&self, upstream: &Upstream, wanted: &Item) -> Option<Item> {
+        let report = self.entries.get(upstream)?.report.as_ref()?;
+        if report.holds(wanted) {
+            return Some(wanted.clone());
+        }
+        let serving = report.resident.iter().filter(|r| r.item.serves_as(wanted));
+        serving.map(|r| r.item.clone()).max()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/member_actor.rs
@@ -0,0 +1,187 @@
+//! Exchanges heartbeats, and takes a peer's state where the log can't be reached.
+
+use crate::core::Core;
+use crate::emit::emit;
+use crate::journal::Journal;
+use actix::prelude::*;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use shaleline_log::{pick_snapshot, Machine, StoredRecord};
+use shaleline_peer::{DemandReport, MemberEvent, PeerApiClient, RelayRequest};
+use shaleline_platform::{InstanceKind, InstanceList};
+use shaleline_types::{LogEvent, Offset};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ROUND: Duration = Duration::from_millis(1_000);
+const CALL: Duration = Duration::from_millis(800);
+const LIST_ROUNDS: u64 = 2;
+
+/// Rounds between two reports of demand to the cell's owner.
+const DEMAND_ROUNDS: u64 = 3;
+
+/// The actor of membership.
+pub(crate) struct MemberActor {
+    pub(crate) core: Arc<Core>,
+    pub(crate) list: Rc<dyn InstanceList>,
+}
+
+impl Actor for MemberActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        let rounds = rounds(Arc::clone(&self.core), Rc::clone(&self.list));
+        ctx.spawn(rounds.into_actor(self));
+    }
+}
+
+/// Clients of other daemons, kept while they are used.
+#[derive(Default)]
+pub(crate) struct Peers {
+    clients: HashMap<String, HttpClient>,
+}
+
+impl Peers {
+    pub(crate) fn client(&mut self, address: &str) -> Option<HttpClient> {
+        if let Some(client) = self.clients.get(address) {
+            return Some(client.clone());
+        }
+        let builder = HttpClientBuilder::default().request_timeout(CALL);
+        let client = builder.build(format!("http://{address}")).ok()?;
+        self.clients.insert(address.to_owned(), client.clone());
+        Some(client)
+    }
+
+    fn keep(&mut self, used: &[String]) {
+        self.clients.retain(|address, _| used.contains(address));
+    }
+}
+
+async fn rounds(core: Arc<Core>, list: Rc<dyn InstanceList>) {
+    let mut peers = Peers::default();
+    let mut listed = core.settings.seeds.clone();
+    let mut round = 0;
+    loop {
+        round += 1;
+        if round % LIST_ROUNDS == 1 {
+            refresh_list(&core, &list, &mut listed).await;
+        }
+        let message = core.members().beat();
+        let targets = core.members().targets(&listed);
+        let calls = targets.iter().filter_map(|t| peers.client(t));
+        let calls = calls.map(|client| beat(&core, client, message.clone()));
+        futures_util::future::join_all(calls).await;
+        settle(&core);
+        follow_peers(&core, &mut peers).await;
+        if round % DEMAND_ROUNDS == 0 {
+            tell_demand(&core, &mut peers).await;
+        }
+        let known: Vec<String> = core.members().alive().map(|m| m.peer.clone()).collect();
+        peers.keep(&known);
+        actix_rt::time::sleep(ROUND).await;
+    }
+}
+
+async fn refresh_list(core: &Arc<Core>, list: &Rc<dyn InstanceList>, listed: &mut Vec<String>) {
+    let Ok(all) = list.list().await else {
+        return;
+    };
+    let daemons = all.into_iter().filter(|l| l.kind == InstanceKind::Daemon);
+    *listed = daemons.map(|l| l.address).collect();
+    listed.extend(core.settings.seeds.iter().cloned());
+    listed.sort_unstable();
+    listed.dedup();
+}
+
+async fn beat(core: &Arc<Core>, client: HttpClient, message: shaleline_peer::Heartbeat) {
+    let secret = core.settings.secret.clone();
+    if let Ok(answer) = client.heartbeat(secret, message).await {
+        let now = core.now();
+        core.members().on_answer(&answer, now);
+    }
+}
+
+/// Draws the conclusions of a round.
+pub(crate) fn settle(core: &Arc<Core>) {
+    let now = core.now();
+    let (events, furthest, own) = {
+        let mut members = core.members();
+        members.tick(now);
+        (
+            members.take_events(),
+            members.furthest(),
+            members.me().config,
+        )
+    };
+    for event in &events {
+        match event {
+            MemberEvent::Joined(id) => emit(LogEvent::MemberJoined, id.instance.as_str()),
+            MemberEvent::Left(id) => emit(LogEvent::MemberLeft, id.instance.as_str()),
+        }
+    }
+    core.share_out();
+    core.note_behind(furthest > own);
+}
+
+/// A daemon that is behind, or has no state at all because the log is away, takes a
+/// peer's state with the offset it reaches.
+async fn follow_peers(core: &Arc<Core>, peers: &mut Peers) {
+    if !core.is_log_away() {
+        return;
+    }
+    let others: Vec<String> = {
+        let members = core.members();
+        let me = members.me().id.clone();
+        let others = members.alive().filter(|m| m.id != me);
+        others.map(|m| m.peer.clone()).collect()
+    };
+    for address in others.iter().take(2) {
+        if let Some(client) = peers.client(address) {
+            take_state(core, &client, &core.config).await;
+            take_state(core, &client, &core.cell).await;
+        }
+    }
+}
+
+async fn take_state<M: Machine>(core: &Arc<Core>, client: &HttpClient, journal: &Journal<M>) {
+    let request = RelayRequest {
+        stream: journal.stream().clone(),
+        next: journal.next(),
+    };
+    let secret = core.settings.secret.clone();
+    let Ok(chunks) = client.relay(secret, request).await else {
+        return;
+    };
+    let record = |(i, text): (usize, String)| StoredRecord {
+        offset: Offset(i as u64),
+        text,
+    };
+    let records: Vec<StoredRecord> = chunks.into_iter().enumerate().map(record).collect();
+    if let Some(snapshot) = pick_snapshot(&records) {
+        if journal.restore(&snapshot, true) {
+            let detail = format!("stream {} to {}", journal.stream(), snapshot.covers());
+            emit(LogEvent::PeerBoot, &detail);
+        }
+    }
+}
+
+/// Tells the owner of the cell what this daemon's callers ask for.
+async fn tell_demand(core: &Arc<Core>, peers: &mut Peers) {
+    let owner = core.cell.with(|c| c.lease().holder().map(|h| h.writer));
+    let Some(owner) = owner.filter(|w| *w != core.writer) else {
+        return;
+    };
+    let rates = core.demand().own_rates(core.now());
+    let member = core.members().alive().find(|m| m.writer == owner).cloned();
+    let Some(member) = member.filter(|_| !rates.is_empty()) else {
+        return;
+    };
+    if let Some(client) = peers.client(&member.peer) {
+        let report = DemandReport {
+            writer: core.writer,
+            rates,
+        };
+        let _ = client.demand(core.settings.secret.clone(), report).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream_actor.rs
@@ -0,0 +1,201 @@
+//! Follows the list of instances and the upstreams' reports.
+
+use crate::core::Core;
+use crate::directory::Entry;
+use crate::emit::emit;
+use actix::prelude::*;
+use shaleline_place::{Item, SlotState};
+use shaleline_platform::{Engines, InstanceKind, InstanceList, Listed, UpstreamReport};
+use shaleline_route::{Load, Route, RouteEvent, Site};
+use shaleline_types::{LogEvent, Service, Upstream};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+const POLL: Duration = Duration::from_millis(250);
+const LIST_POLLS: u64 = 4;
+
+/// How long an upstream may not report before it is taken out.
+const SILENT: u64 = 3_000;
+
+/// The actor of upstreams.
+pub(crate) struct UpstreamActor {
+    pub(crate) core: Arc<Core>,
+    pub(crate) list: Rc<dyn InstanceList>,
+    pub(crate) engines: Rc<dyn Engines>,
+}
+
+impl Actor for UpstreamActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        let core = Arc::clone(&self.core);
+        let polls = polls(core, Rc::clone(&self.list), Rc::clone(&self.engines));
+        ctx.spawn(polls.into_actor(self));
+    }
+}
+
+async fn polls(core: Arc<Core>, list: Rc<dyn InstanceList>, engines: Rc<dyn Engines>) {
+    let mut leaving = BTreeSet::new();
+    let mut round = 0_u64;
+    loop {
+        if round % LIST_POLLS == 0 {
+            if let Ok(listed) = list.list().await {
+                take_list(&core, &listed, &mut leaving);
+            }
+        }
+        round += 1;
+        let targets: Vec<(Upstream, String)> = {
+            let directory = core.directory.read().expect("no holder panics");
+            let pair = |(n, e): (&Upstream, &Entry)| (n.clone(), e.address.clone());
+            directory.entries.iter().map(pair).collect()
+        };
+        let asked = targets.iter().map(|(_, address)| engines.report(address));
+        let reports = futures_util::future::join_all(asked).await;
+        for ((name, _), report) in targets.iter().zip(reports) {
+            match report {
+                Ok(report) => take_report(&core, name, report),
+                Err(_) => take_silence(&core, name),
+            }
+        }
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+/// Takes the list over. Whatever it marks as leaving, or an operator drains, gets no new
+/// work; whatever it no longer shows is gone.
+fn take_list(core: &Arc<Core>, listed: &[Listed], leaving: &mut BTreeSet<Upstream>) {
+    let upstreams = listed.iter().filter(|l| l.kind != InstanceKind::Daemon);
+    let mut shown = BTreeSet::new();
+    let view = core.view();
+    for line in upstreams {
+        let Ok(name) = Upstream::from_text(&line.name) else {
+            continue;
+        };
+        note_entry(core, &name, line);
+        let on = line.leaving || view.drained.contains(&line.name);
+        let changed = if on {
+            leaving.insert(name.clone())
+        } else {
+            leaving.remove(&name)
+        };
+        if changed {
+            if on {
+                emit(LogEvent::UpstreamLeaving, name.as_str());
+            }
+            let upstream = name.clone();
+            core.route(RouteEvent::Leaving { upstream, on });
+        }
+        shown.insert(name);
+    }
+    let gone: Vec<Upstream> = {
+        let mut directory = core.directory.write().expect("no holder panics");
+        let names = directory.entries.keys().filter(|n| !shown.contains(*n));
+        let gone: Vec<Upstream> = names.cloned().collect();
+        directory.entries.retain(|n, _| shown.contains(n));
+        gone
+    };
+    for name in gone {
+        leaving.remove(&name);
+        core.route(RouteEvent::Removed(name));
+    }
+}
+
+fn note_entry(core: &Arc<Core>, name: &Upstream, line: &Listed) {
+    let mut directory = core.directory.write().expect("no holder panics");
+    let fresh = || Entry {
+        address: line.address.clone(),
+        kind: line.kind,
+        centre: line.centre.clone(),
+        service: line.service.clone(),
+        report: None,
+        heard: None,
+    };
+    let entry = directory.entries.entry(name.clone()).or_insert_with(fresh);
+    if entry.address != line.address {
+        *entry = fresh();
+    }
+}
+
+fn take_report(core: &Arc<Core>, name: &Upstream, report: UpstreamReport) {
+    let now = core.now();
+    let site = {
+        let mut directory = core.directory.write().expect("no holder panics");
+        let Some(entry) = directory.entries.get_mut(name) else {
+            return;
+        };
+        entry.heard = Some(now);
+        entry.report.clone_from(&report.engine);
+        Site {
+            centre: entry.centre.clone(),
+            routes: routes(core, name, entry),
+        }
+    };
+    let memory = report.engine.as_ref().map_or(0, |e| e.memory.0);
+    if report.used > memory {
+        emit(LogEvent::Overcommit, name.as_str());
+    }
+    let upstream = name.clone();
+    core.route(RouteEvent::Serves { upstream, site });
+    if !report.cache.blocks.is_empty() {
+        core.route(RouteEvent::Cached {
+            upstream: name.clone(),
+            blocks: report.cache.blocks,
+        });
+    }
+    let load = Load {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        leaving: report.leaving,
+    };
+    let upstream = name.clone();
+    core.route(RouteEvent::Report { upstream, load });
+}
+
+/// What an upstream serves: an engine whatever it holds ready and is not ordered to drop.
+fn routes(core: &Arc<Core>, name: &Upstream, entry: &Entry) -> Vec<Route> {
+    if entry.kind == InstanceKind::Service {
+        let service = entry.service.as_deref().map(Service::from_text);
+        return service.into_iter().flatten().map(Route::Service).collect();
+    }
+    let resident = entry.report.iter().flat_map(|r| r.resident.iter());
+    let unloading: BTreeSet<Item> = core.cell.with(|cell| {
+        let slots = cell.engines().get(name).map(|b| &b.slots);
+        let going = slots.into_iter().flatten();
+        let going = going.filter(|(_, s)| s.state == SlotState::Unloading);
+        going.map(|(i, _)| i.clone()).collect()
+    });
+    let ready = resident
+        .map(|r| &r.item)
+        .filter(|i| !unloading.contains(*i));
+    let route = |i: &Item| Route::Model {
+        model: i.model.clone(),
+        adapter: i.adapter.clone(),
+    };
+    ready.map(route).collect()
+}
+
+/// An upstream that has been silent for too long is taken out until it reports again.
+fn take_silence(core: &Arc<Core>, name: &Upstream) {
+    let now = core.now();
+    let silent = {
+        let directory = core.directory.read().expect("no holder panics");
+        let heard = directory.entries.get(name).and_then(|e| e.heard);
+        heard.is_some_and(|at| now.since(at) > SILENT)
+    };
+    if silent {
+        if let Some(entry) = core
+            .directory
+            .write()
+            .expect("no holder panics")
+            .entries
+            .get_mut(name)
+        {
+            entry.heard = None;
+            entry.report = None;
+        }
+        core.route(RouteEvent::Removed(name.clone()));
+    }
+}
--- /dev/null
+++ b/crates/dialect/src/http.rs
@@ -0,0 +1,181 @@
+//! Instances, engines and plain services over HTTP.
+
+use awc::error::SendRequestError;
+use awc::{Client, ClientBuilder, Connector};
+use eventsource_stream::Eventsource;
+use futures_util::future::LocalBoxFuture;
+use futures_util::StreamExt;
+use shaleline_place::Order;
+use shaleline_platform::{
+    Engines, Generate, InstanceList, ListError, Listed, Piece, PieceStream, SendError,
+    ServiceAnswer, ServiceCall, Services, UpstreamReport,
+};
+use shaleline_types::RequestId;
+use std::time::Duration;
+
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_millis(1_000);
+
+/// How long a short call may take.
+const SHORT: Duration = Duration::from_millis(1_500);
+
+/// How long a request may take in all. Hanging ones are given up far earlier, by the
+/// router.
+const LONG: Duration = Duration::from_secs(600);
+
+const CONFLICT: u16 = 409;
+const SERVICE_LIMIT: usize = 4 << 20;
+const REPORT_LIMIT: usize = 4 << 20;
+
+/// The platform over HTTP. One for each thread, because its connections are.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    platform: String,
+}
+
+impl HttpPlatform {
+    /// Speaks to the log and the list at `platform`, an `IP:PORT`.
+    #[must_use]
+    pub fn new(platform: &str) -> Self {
+        let connector = Connector::new().timeout(CONNECT).limit(0);
+        let client = ClientBuilder::new()
+            .connector(connector)
+            .timeout(LONG)
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            platform: platform.to_owned(),
+        }
+    }
+
+    pub(crate) fn client(&self) -> &Client {
+        &self.client
+    }
+
+    pub(crate) fn platform(&self) -> &str {
+        &self.platform
+    }
+}
+
+fn send_error(error: &SendRequestError) -> SendError {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => SendError::NotSent,
+        _ => SendError::Broken,
+    }
+}
+
+fn status_error(status: u16) -> SendError {
+    if status == CONFLICT {
+        SendError::Refused
+    } else {
+        SendError::Broken
+    }
+}
+
+impl InstanceList for HttpPlatform {
+    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Listed>, ListError>> {
+        Box::pin(async move {
+            let url = format!("http://{}/instances", self.platform);
+            let sent = self.client.get(url).timeout(SHORT).send().await;
+            let mut answer = sent.map_err(|_| ListError)?;
+            let body = answer.json::<Vec<Listed>>().limit(REPORT_LIMIT).await;
+            body.map_err(|_| ListError)
+        })
+    }
+}
+
+impl Engines for HttpPlatform {
+    fn report<'a>(
+        &'a self,
+        address: &'a str,
+    ) -> LocalBoxFuture<'a, Result<UpstreamReport, SendError>> {
+        Box::pin(async move {
+            let url = format!("http://{address}/v1/report");
+            let sent = self.client.get(url).timeout(SHORT).send().await;
+            let mut answer = sent.map_err(|e| send_error(&e))?;
+            let body = answer.json::<UpstreamReport>().limit(REPORT_LIMIT).await;
+            body.map_err(|_| SendError::Broken)
+        })
+    }
+
+    fn order<'a>(
+        &'a self,
+        address: &'a str,
+        order: &'a Order,
+    ) -> LocalBoxFuture<'a, Result<(), SendError>> {
+        Box::pin(async move {
+            let url = format!("http://{address}/v1/orders");
+            let sent = self.client.post(url).timeout(SHORT).send_json(order).await;
+            let answer = sent.map_err(|e| send_error(&e))?;
+            if answer.status().is_success() {
+                return Ok(());
+            }
+            Err(status_error(answer.status().as_u16()))
+        })
+    }
+
+    fn generate<'a>(
+        &'a self,
+        address: &'a str,
+        request: &'a Generate,
+    ) -> LocalBoxFuture<'a, Result<PieceStream, SendError>> {
+        Box::pin(async move {
+            let url = format!("http://{address}/v1/generate");
+            let sent = self.client.post(url).send_json(request).await;
+            let answer = sent.map_err(|e| send_error(&e))?;
+            if !answer.status().is_success() {
+                return Err(status_error(answer.status().as_u16()));
+            }
+            let events = answer.eventsource().map(|event| {
+                let event = event.map_err(|_| SendError::Broken)?;
+                serde_json::from_str::<Piece>(&event.data).map_err(|_| SendError::Broken)
+            });
+            Ok(events.boxed_local())
+        })
+    }
+
+    fn cancel<'a>(
+        &'a self,
+        address: &'a str,
+        id: RequestId,
+        attempt: u32,
+    ) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move {
+            let url = format!("http://{address}/v1/cancel?id={}&attempt={attempt}", id.0);
+            let _ = self.client.post(url).timeout(SHORT).send().await;
+        })
+    }
+}
+
+impl Services for HttpPlatform {
+    fn call<'a>(
+        &'a self,
+        address: &'a str,
+        call: &'a ServiceCall,
+    ) -> LocalBoxFuture<'a, Result<ServiceAnswer, SendError>> {
+        Box::pin(async move {
+            let method = call.method.parse().map_err(|_| SendError::NotSent)?;
+            let url = format!("http://{address}/call/{}", call.path);
+            let mut request = self.client.request(method, url).force_close();
+            if let Some(mime) = &call.mime {
+                request = request.insert_header(("content-type", mime.as_str()));
+            }
+            if let Some(key) = &call.key {
+                request = request.insert_header(("idempotency-key", key.as_str()));
+            }
+            let sent = request.send_body(call.body.clone()).await;
+            let mut answer = sent.map_err(|e| send_error(&e))?;
+            let body = answer.body().limit(SERVICE_LIMIT).await;
+            let body = body.map_err(|_| SendError::Broken)?;
+            let mime = answer.headers().get("content-type");
+            let mime = mime.and_then(|m| m.to_str().ok()).unwrap_or_default();
+            Ok(ServiceAnswer {
+                status: answer.status().as_u16(),
+                mime: mime.to_owned(),
+                body: body.to_vec(),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/log/src/state.rs
@@ -0,0 +1,131 @@
+//! The replayed state of one stream.
+
+use crate::record::VersionOnly;
+use crate::{Halt, Record, RECORD_VERSION};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use shaleline_types::{Millis, Offset, Safeguard, WriterId};
+use std::collections::BTreeMap;
+
+/// How many records a silent writer's last identity is remembered for. A lost append
+/// that takes effect later than this is outside of what is promised (`docs/LOG.md`).
+const WRITER_WINDOW: u64 = 200_000;
+
+/// The largest step that one record's clock may move the stream's time by, so that one
+/// wrong clock can't expire everything at once.
+const MAX_TIME_STEP: u64 = 600_000;
+
+/// Where and when a record stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// The record's offset.
+    pub offset: Offset,
+    /// The stream's time: the writers' clocks, never running backwards.
+    pub time: Millis,
+    /// Who wrote the record.
+    pub writer: WriterId,
+}
+
+/// A state that is replayed from a stream. `apply` must be deterministic: it is the
+/// only judge of whether a record is valid.
+pub trait Machine: Default + Serialize + DeserializeOwned {
+    /// What its records say.
+    type Body: Serialize + DeserializeOwned + Clone;
+    /// What the writer of a record learns.
+    type Verdict;
+
+    /// Applies one record and returns the verdict on it.
+    fn apply(&mut self, at: Position, body: &Self::Body) -> Self::Verdict;
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct LastSeen {
+    seq: u64,
+    offset: Offset,
+}
+
+/// A machine with all that its replay depends on; the content of a snapshot.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct State<M> {
+    next: Offset,
+    time: Millis,
+    writers: BTreeMap<WriterId, LastSeen>,
+    machine: M,
+}
+
+impl<M: Machine> State<M> {
+    /// The offset of the next record to apply.
+    #[must_use]
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// The stream's time.
+    #[must_use]
+    pub fn time(&self) -> Millis {
+        self.time
+    }
+
+    /// The machine.
+    #[must_use]
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// How many writers' identities are remembered.
+    #[must_use]
+    pub fn writers(&self) -> usize {
+        self.writers.len()
+    }
+
+    /// Applies the record at `self.next()`. `None` for a repeated record.
+    pub(crate) fn apply(
+        &mut self,
+        text: &str,
+    ) -> Result<Option<(Record<M::Body>, M::Verdict)>, Halt> {
+        let version = serde_json::from_str::<VersionOnly>(text).map_err(|_| Halt::Malformed)?;
+        if version.v > RECORD_VERSION {
+            return Err(Halt::Newer(version.v));
+        }
+        let record: Record<M::Body> = serde_json::from_str(text).map_err(|_| Halt::Malformed)?;
+        let offset = self.next;
+        self.next = offset.plus(1);
+        if self.is_repeat(&record) && Safeguard::RecordIdentity.active() {
+            return Ok(None);
+        }
+        let last = LastSeen {
+            seq: record.id.seq,
+            offset,
+        };
+        self.writers.insert(record.id.writer, last);
+        self.forget_writers();
+        let latest = self.time.plus(MAX_TIME_STEP);
+        if self.time == Millis(0) {
+            self.time = record.at;
+        }
+        self.time = self.time.max(record.at.min(latest));
+        let at = Position {
+            offset,
+            time: self.time,
+            writer: record.id.writer,
+        };
+        let verdict = self.machine.apply(at, &record.body);
+        Ok(Some((record, verdict)))
+    }
+
+    fn is_repeat(&self, record: &Record<M::Body>) -> bool {
+        let last = self.writers.get(&record.id.writer);
+        last.is_some_and(|l| l.seq >= record.id.seq)
+    }
+
+    /// Drops writers that have been silent for the window, a few thousand records apart
+    /// so that the scan costs next to nothing.
+    fn forget_writers(&mut self) {
+        let Some(floor) = self.next.0.checked_sub(WRITER_WINDOW) else {
+            return;
+        };
+        if self.next.0 % 4_096 == 0 {
+            self.writers.retain(|_, l| l.offset.0 >= floor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/baseline.rs
@@ -0,0 +1,163 @@
+//! Baselines that the policy has to beat, kept in the tree so that they stay comparable.
+
+use crate::{EngineBook, Item, Plan, Policy, SlotState, Step};
+use shaleline_types::{Megabytes, Millis, Model, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Spreads replicas round robin once and never moves anything.
+#[derive(Debug, Default)]
+pub struct StaticPlanner {
+    targets: Option<BTreeMap<Upstream, Vec<(Item, Megabytes)>>>,
+}
+
+impl StaticPlanner {
+    /// First one replica of everything, largest first, then more in the same order while
+    /// memory lasts.
+    fn assign(plan: Plan<'_>) -> BTreeMap<Upstream, Vec<(Item, Megabytes)>> {
+        let mut free: BTreeMap<&Upstream, u64> =
+            plan.books.iter().map(|(e, b)| (e, b.memory.0)).collect();
+        let mut targets: BTreeMap<Upstream, Vec<(Item, Megabytes)>> = BTreeMap::new();
+        let mut bases: Vec<(&Item, Megabytes)> = plan
+            .wanted
+            .bases()
+            .map(|(i, _)| (i, plan.wanted.whole_size(i)))
+            .collect();
+        bases.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        let mut placed = true;
+        while placed {
+            placed = false;
+            for (base, whole) in &bases {
+                let lacks = |e: &Upstream| {
+                    !targets
+                        .get(e)
+                        .is_some_and(|t| t.iter().any(|(i, _)| i == *base))
+                };
+                let fits = free.iter().filter(|(e, f)| **f >= whole.0 && lacks(e));
+                let Some(engine) = fits.max_by_key(|(_, f)| **f).map(|(e, _)| *e) else {
+                    continue;
+                };
+                placed = true;
+                if let Some(f) = free.get_mut(engine) {
+                    *f -= whole.0;
+                }
+                let list = targets.entry(engine.clone()).or_default();
+                let own = plan.wanted.size(base).unwrap_or_default();
+                list.push(((*base).clone(), own));
+                list.extend(plan.wanted.adapters(base).map(|(i, m)| (i.clone(), m)));
+            }
+        }
+        targets
+    }
+}
+
+impl Policy for StaticPlanner {
+    fn plan(&mut self, plan: Plan<'_>, _now: Millis) -> Vec<Step> {
+        let targets = self.targets.get_or_insert_with(|| Self::assign(plan));
+        let mut steps = Vec::new();
+        for (engine, book) in plan.books {
+            let items = targets.get(engine).map_or(&[][..], Vec::as_slice);
+            let next = items.iter().find(|(i, _)| book.state_of(i).is_none());
+            if let Some((item, size)) = next.filter(|_| !book.is_busy()) {
+                steps.push(Step::Load {
+                    engine: engine.clone(),
+                    item: item.clone(),
+                    size: *size,
+                });
+            }
+        }
+        steps.truncate(plan.loads);
+        steps
+    }
+}
+
+/// Loads a model when it is asked for and none is loaded, and drops what was used least
+/// recently. It gives no thought to staying reachable.
+#[derive(Debug, Default)]
+pub struct LruPlanner;
+
+impl LruPlanner {
+    fn stalest(book: &EngineBook, plan: Plan<'_>) -> Option<Item> {
+        let bare = |i: &&Item| book.holds(i) && !(i.is_base() && book.carries_adapter(i));
+        let age = |i: &&Item| (plan.demand.last_use(&i.model), i.is_base());
+        book.slots.keys().filter(bare).min_by_key(age).cloned()
+    }
+
+    fn needs(plan: Plan<'_>, now: Millis) -> Vec<(Item, Megabytes)> {
+        let mut needs = Vec::new();
+        for (base, size) in plan.wanted.bases() {
+            let recent = now.since(plan.demand.last_use(&base.model)) < 5_000;
+            if recent && plan.demand.last_use(&base.model) > Millis(0) {
+                needs.push((base.clone(), size));
+                needs.extend(plan.wanted.adapters(base).map(|(i, m)| (i.clone(), m)));
+            }
+        }
+        needs
+    }
+}
+
+impl Policy for LruPlanner {
+    fn plan(&mut self, plan: Plan<'_>, now: Millis) -> Vec<Step> {
+        let mut steps: Vec<Step> = Vec::new();
+        let mut used: BTreeSet<Upstream> = BTreeSet::new();
+        let recent: BTreeSet<Model> = Self::needs(plan, now)
+            .into_iter()
+            .map(|(i, _)| i.model)
+            .collect();
+        for (item, size) in Self::needs(plan, now) {
+            let present = |b: &EngineBook| {
+                matches!(
+                    b.state_of(&item),
+                    Some(SlotState::Resident | SlotState::Loading)
+                )
+            };
+            if plan.books.values().any(present) {
+                continue;
+            }
+            let idle = |(e, b): &(&Upstream, &EngineBook)| {
+                !b.is_busy() && !used.contains(*e) && (item.is_base() || b.holds(&item.to_base()))
+            };
+            let open: Vec<(&Upstream, &EngineBook)> = plan.books.iter().filter(idle).collect();
+            let step = open
+                .iter()
+                .find(|(_, b)| b.free() >= size)
+                .map(|(e, _)| Step::Load {
+                    engine: (*e).clone(),
+                    item: item.clone(),
+                    size,
+                })
+                .or_else(|| evict(plan, &open, &recent));
+            if let Some(step) = step {
+                used.insert(step.engine().clone());
+                steps.push(step);
+            }
+        }
+        let is_load = |s: &Step| matches!(s, Step::Load { .. });
+        let mut loads = plan.loads;
+        steps.retain(|s| {
+            let keep = !is_load(s) || loads > 0;
+            loads = loads.saturating_sub(usize::from(is_load(s)));
+            keep
+        });
+        steps
+    }
+}
+
+/// Drops the item used least recently over all open engines, if it is not in use now.
+fn evict(
+    plan: Plan<'_>,
+    open: &[(&Upstream, &EngineBook)],
+    recent: &BTreeSet<Model>,
+) -> Option<Step> {
+    let victims = open.iter().filter_map(|(e, b)| {
+        let item = LruPlanner::stalest(b, plan)?;
+        Some((plan.demand.last_use(&item.model), *e, item))
+    });
+    let (_, engine, item) = victims
+        .filter(|(_, _, i)| !recent.contains(&i.model))
+        .min_by_key(|(at, ..)| *at)?;
+    Some(Step::Unload {
+        engine: engine.clone(),
+        item,
+        retired: true,
+    })
+}
--- /dev/null
+++ b/crates/place/src/fluid.rs
@@ -0,0 +1,119 @@
+//! Demand spread over replicas like a fluid: what each engine would carry at best.
+
+use crate::{EngineBook, Plan, PlanSettings};
+use shaleline_types::{Millis, Model, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rounds of balancing; the spread changes by little after a few.
+const ROUNDS: usize = 8;
+
+/// How demand spreads over the engines that hold each model.
+#[derive(Debug, Default)]
+pub(crate) struct Fluid {
+    share: BTreeMap<(Upstream, Model), f64>,
+    load: BTreeMap<Upstream, f64>,
+    capacity: BTreeMap<Upstream, f64>,
+    excess: BTreeMap<Model, f64>,
+}
+
+impl Fluid {
+    /// The work a second that the engine would carry.
+    pub(crate) fn load(&self, engine: &Upstream) -> f64 {
+        self.load.get(engine).copied().unwrap_or(0.0)
+    }
+
+    /// The work a second that the engine could take on.
+    pub(crate) fn spare(&self, engine: &Upstream) -> f64 {
+        let capacity = self.capacity.get(engine).copied().unwrap_or(0.0);
+        (capacity - self.load(engine)).max(0.0)
+    }
+
+    /// The work a second of a model that its engines can't carry within the target.
+    pub(crate) fn excess(&self, model: &Model) -> f64 {
+        self.excess.get(model).copied().unwrap_or(0.0)
+    }
+
+    /// The work a second of a model on one engine.
+    pub(crate) fn share(&self, engine: &Upstream, model: &Model) -> f64 {
+        let key = (engine.clone(), model.clone());
+        self.share.get(&key).copied().unwrap_or(0.0)
+    }
+}
+
+/// Spreads each model's demand so that its engines end up equally used. Capacities count
+/// only up to the default target share.
+pub(crate) fn spread(plan: Plan<'_>, now: Millis) -> Fluid {
+    let target = PlanSettings::default().target;
+    let mut fluid = Fluid::default();
+    let mut holders: BTreeMap<&Model, Vec<&Upstream>> = BTreeMap::new();
+    for (engine, book) in plan.books {
+        let Some(view) = plan.views.get(engine).filter(|v| v.alive) else {
+            continue;
+        };
+        if book.leaving {
+            continue;
+        }
+        fluid
+            .capacity
+            .insert(engine.clone(), view.capacity * target);
+        for model in models(book) {
+            holders.entry(model).or_default().push(engine);
+        }
+    }
+    let names: BTreeSet<&Model> = plan.wanted.bases().map(|(i, _)| &i.model).collect();
+    let rates: BTreeMap<&Model, f64> = names
+        .iter()
+        .map(|m| (*m, plan.demand.rate(m, now)))
+        .collect();
+    for _ in 0..ROUNDS {
+        for (model, engines) in &holders {
+            let rate = rates.get(model).copied().unwrap_or(0.0);
+            level(&mut fluid, model, engines, rate);
+        }
+    }
+    for model in names {
+        let rate = rates.get(model).copied().unwrap_or(0.0);
+        let engines = holders.get(model).map_or(&[][..], Vec::as_slice);
+        let excess = excess_of(&fluid, model, engines, rate);
+        fluid.excess.insert(model.clone(), excess);
+    }
+    fluid
+}
+
+fn models(book: &EngineBook) -> BTreeSet<&Model> {
+    let ready = book.slots.keys().filter(|i| i.is_base() && book.holds(i));
+    ready.map(|i| &i.model).collect()
+}
+
+/// Spreads one model's demand over its engines, given what the other models put there.
+fn level(fluid: &mut Fluid, model: &Model, engines: &[&Upstream], rate: f64) {
+    for engine in engines {
+        let old = fluid.share.remove(&((*engine).clone(), model.clone()));
+        if let Some(load) = fluid.load.get_mut(*engine) {
+            *load -= old.unwrap_or(0.0);
+        }
+    }
+    let room: Vec<f64> = engines.iter().map(|e| fluid.spare(e).max(1e-6)).collect();
+    let total: f64 = room.iter().sum();
+    for (engine, room) in engines.iter().zip(&room) {
+        let share = rate * room / total;
+        *fluid.load.entry((*engine).clone()).or_default() += share;
+        fluid
+            .share
+            .insert(((*engine).clone(), model.clone()), share);
+    }
+}
+
+fn excess_of(fluid: &Fluid, model: &Model, engines: &[&Upstream], rate: f64) -> f64 {
+    if engines.is_empty() {
+        return rate;
+    }
+    let over = |engine: &&Upstream| {
+        let load = fluid.load(engine);
+        let capacity = fluid.capacity.get(*engine).copied().unwrap_or(0.0);
+        let share = fluid.share(engine, model);
+        let part = if load > 0.0 { share / load } else { 0.0 };
+        (load - capacity).max(0.0) * part
+    };
+    engines.iter().map(over).sum()
+}
--- /dev/null
+++ b/crates/place/src/machine.rs
@@ -0,0 +1,451 @@
+//! The replayed ledger of a cell.
+
+use crate::{EngineBook, Item, Slot, SlotState};
+use serde::{Deserialize, Serialize};
+use shaleline_lease::{Lease, LeaseBody, LeaseVerdict};
+use shaleline_log::{Machine, Position};
+use shaleline_types::{Megabytes, Offset, Safeguard, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a record says about a cell. All but the lease's bear the owner's fencing number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CellBody {
+    /// About the ownership of the cell.
+    Lease(LeaseBody),
+    /// An engine, or a new life of one, was met with this content.
+    Adopt {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// Its life.
+        incarnation: u64,
+        /// What its accelerator holds.
+        memory: Megabytes,
+        /// Whether it refuses old fencing numbers.
+        checks: bool,
+        /// What it reports to hold, with sizes.
+        resident: BTreeMap<Item, Megabytes>,
+    },
+    /// An order to load is about to be sent.
+    Load {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// What to load.
+        item: Item,
+        /// The memory it takes.
+        size: Megabytes,
+    },
+    /// An order to unload is about to be sent.
+    Unload {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// What to unload.
+        item: Item,
+        /// Whether nobody may use the item any more, so that the last one may go.
+        retired: bool,
+    },
+    /// An order without an answer is about to be sent again.
+    Resend {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// What the order is about.
+        item: Item,
+    },
+    /// The engine reported how an order ended.
+    Settled {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// What the order was about.
+        item: Item,
+        /// The order's number.
+        order: Offset,
+        /// Whether it was carried out.
+        done: bool,
+    },
+    /// An engine that checks numbers has seen the ledger's own, so older orders are dead
+    /// and this is what it holds.
+    Touched {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// Its life.
+        incarnation: u64,
+        /// What it reports to hold, with sizes.
+        resident: BTreeMap<Item, Megabytes>,
+    },
+    /// The engine no longer holds an item that the ledger has as ready.
+    Missing {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// What is missing.
+        item: Item,
+    },
+    /// The engine is leaving, or no longer is.
+    Leaving {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+        /// Whether it is leaving.
+        on: bool,
+    },
+    /// The engine is gone for good.
+    Gone {
+        /// The owner's fencing number.
+        fence: Offset,
+        /// The engine.
+        engine: Upstream,
+    },
+}
+
+/// The verdict on a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CellVerdict {
+    /// About the ownership.
+    Lease(LeaseVerdict),
+    /// The order may be sent under this number.
+    Granted(Offset),
+    /// Noted.
+    Noted,
+    /// The writer is not the owner under that number.
+    NotOwner,
+    /// It would promise more memory than there is.
+    NoMemory,
+    /// It would take the last replica.
+    LastReplica,
+    /// Without effect for another reason.
+    Void,
+}
+
+/// Who owns a cell and what its engines hold in the worst case.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellMachine {
+    lease: Lease,
+    engines: BTreeMap<Upstream, EngineBook>,
+}
+
+impl CellMachine {
+    /// The ownership.
+    #[must_use]
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// The ledger of each engine.
+    #[must_use]
+    pub fn engines(&self) -> &BTreeMap<Upstream, EngineBook> {
+        &self.engines
+    }
+
+    /// How many engines hold the item ready, or another version of it.
+    #[must_use]
+    pub fn replicas(&self, item: &Item) -> usize {
+        let serves = |b: &&EngineBook| {
+            let ready =
+                |(i, s): (&Item, &Slot)| i.serves_as(item) && s.state == SlotState::Resident;
+            b.slots.iter().any(ready)
+        };
+        self.engines.values().filter(serves).count()
+    }
+
+    /// How many loads are open, which is what the weight store counts.
+    #[must_use]
+    pub fn loading(&self) -> usize {
+        let slots = self.engines.values().flat_map(|b| b.slots.values());
+        slots.filter(|s| s.state == SlotState::Loading).count()
+    }
+
+    fn adopt(&mut self, engine: &Upstream, fresh: EngineBook) -> CellVerdict {
+        let mut fresh = fresh;
+        if let Some(old) = self.engines.get(engine) {
+            if old.incarnation == fresh.incarnation {
+                return CellVerdict::Void;
+            }
+            keep_ghosts(old, &mut fresh);
+        }
+        self.engines.insert(engine.clone(), fresh);
+        CellVerdict::Noted
+    }
+
+    fn load(&mut self, at: Offset, engine: &Upstream, item: &Item, size: Megabytes) -> CellVerdict {
+        let Some(book) = self.engines.get_mut(engine) else {
+            return CellVerdict::Void;
+        };
+        if book.leaving || book.is_busy() || book.barred.contains(item) {
+            return CellVerdict::Void;
+        }
+        let needs_base = !item.is_base();
+        if needs_base && !book.holds(&item.to_base()) {
+            return CellVerdict::Void;
+        }
+        let ghost = match book.state_of(item) {
+            None => false,
+            Some(SlotState::Ghost) => true,
+            Some(_) => return CellVerdict::Void,
+        };
+        let counted = if ghost { book.slots[item].size.0 } else { 0 };
+        if book.used().0.saturating_sub(counted).saturating_add(size.0) > book.memory.0 {
+            return CellVerdict::NoMemory;
+        }
+        let slot = Slot {
+            size,
+            state: SlotState::Loading,
+            order: at,
+            doubt: ghost,
+        };
+        book.slots.insert(item.clone(), slot);
+        let used: u64 = book.slots.values().map(|s| s.size.0).sum();
+        assert!(
+            used <= book.memory.0 || !Safeguard::WorstCase.active(),
+            "no memory is promised beyond what the accelerator holds"
+        );
+        CellVerdict::Granted(at)
+    }
+
+    fn unload(&mut self, at: Offset, engine: &Upstream, item: &Item, retired: bool) -> CellVerdict {
+        let last = self.replicas(item) <= 1;
+        if last && !retired && Safeguard::LastReplica.active() {
+            return CellVerdict::LastReplica;
+        }
+        let Some(book) = self.engines.get_mut(engine) else {
+            return CellVerdict::Void;
+        };
+        if book.is_busy() || (item.is_base() && book.carries_adapter(item)) {
+            return CellVerdict::Void;
+        }
+        match book.slots.get_mut(item) {
+            Some(slot) if slot.state == SlotState::Resident && !slot.doubt => {
+                slot.state = SlotState::Unloading;
+                slot.order = at;
+                CellVerdict::Granted(at)
+            }
+            _ => CellVerdict::Void,
+        }
+    }
+
+    fn resend(&mut self, engine: &Upstream, item: &Item) -> CellVerdict {
+        let Some(book) = self.engines.get_mut(engine) else {
+            return CellVerdict::Void;
+        };
+        let checks = book.checks;
+        match book.slots.get_mut(item) {
+            Some(slot) if matches!(slot.state, SlotState::Loading | SlotState::Unloading) => {
+                slot.doubt |= !checks;
+                CellVerdict::Granted(slot.order)
+            }
+            _ => CellVerdict::Void,
+        }
+    }
+
+    fn settle(&mut self, engine: &Upstream, item: &Item, order: Offset, done: bool) -> CellVerdict {
+        let Some(book) = self.engines.get_mut(engine) else {
+            return CellVerdict::Void;
+        };
+        let Some(slot) = book.slots.get_mut(item).filter(|s| s.order == order) else {
+            return CellVerdict::Void;
+        };
+        match (slot.state, done) {
+            (SlotState::Loading, true) => slot.state = SlotState::Resident,
+            (SlotState::Unloading, false) => slot.state = SlotState::Resident,
+            (SlotState::Loading, false) if slot.doubt => slot.state = SlotState::Ghost,
+            (SlotState::Loading, false) => {
+                book.slots.remove(item);
+            }
+            (SlotState::Unloading, true) => {
+                if slot.doubt {
+                    book.barred.insert(item.clone());
+                }
+                book.slots.remove(item);
+            }
+            (SlotState::Resident | SlotState::Ghost, _) => return CellVerdict::Void,
+        }
+        CellVerdict::Noted
+    }
+
+    fn missing(&mut self, engine: &Upstream, item: &Item) -> CellVerdict {
+        let Some(book) = self.engines.get_mut(engine) else {
+            return CellVerdict::Void;
+        };
+        match book.slots.get_mut(item) {
+            Some(slot) if slot.state == SlotState::Resident && slot.doubt => {
+                slot.state = SlotState::Ghost;
+            }
+            Some(slot) if slot.state == SlotState::Resident => {
+                book.slots.remove(item);
+            }
+            _ => return CellVerdict::Void,
+        }
+        CellVerdict::Noted
+    }
+
+    /// Old orders are dead, so ghosts that the engine does not report are gone.
+    fn touched(
+        &mut self,
+        at: Offset,
+        engine: &Upstream,
+        incarnation: u64,
+        resident: &BTreeMap<Item, Megabytes>,
+    ) -> CellVerdict {
+        let same = |b: &&mut EngineBook| b.checks && b.incarnation == incarnation;
+        let Some(book) = self.engines.get_mut(engine).filter(same) else {
+            return CellVerdict::Void;
+        };
+        book.slots
+            .retain(|i, s| s.state != SlotState::Ghost || resident.contains_key(i));
+        for (item, slot) in &mut book.slots {
+            slot.doubt = false;
+            if resident.contains_key(item) && slot.state == SlotState::Ghost {
+                slot.state = SlotState::Resident;
+            }
+        }
+        for (item, size) in resident {
+            let slot = || adopted(at, *size);
+            book.slots.entry(item.clone()).or_insert_with(slot);
+        }
+        book.barred.clear();
+        book.touched = true;
+        CellVerdict::Noted
+    }
+
+    fn apply_owned(&mut self, at: Offset, body: &CellBody) -> CellVerdict {
+        match body {
+            CellBody::Lease(_) => CellVerdict::Void,
+            CellBody::Adopt {
+                engine,
+                incarnation,
+                memory,
+                checks,
+                resident,
+                ..
+            } => {
+                let slots = resident.iter().map(|(i, m)| (i.clone(), adopted(at, *m)));
+                let book = EngineBook {
+                    incarnation: *incarnation,
+                    memory: *memory,
+                    checks: *checks,
+                    leaving: false,
+                    adopted: at,
+                    touched: false,
+                    slots: slots.collect(),
+                    barred: BTreeSet::new(),
+                };
+                self.adopt(engine, book)
+            }
+            CellBody::Load {
+                engine, item, size, ..
+            } => self.load(at, engine, item, *size),
+            CellBody::Unload {
+                engine,
+                item,
+                retired,
+                ..
+            } => self.unload(at, engine, item, *retired),
+            CellBody::Resend { engine, item, .. } => self.resend(engine, item),
+            CellBody::Settled {
+                engine,
+                item,
+                order,
+                done,
+                ..
+            } => self.settle(engine, item, *order, *done),
+            CellBody::Touched {
+                engine,
+                incarnation,
+                resident,
+                ..
+            } => self.touched(at, engine, *incarnation, resident),
+            CellBody::Missing { engine, item, .. } => self.missing(engine, item),
+            CellBody::Leaving { engine, on, .. } => match self.engines.get_mut(engine) {
+                Some(book) => {
+                    book.leaving = *on;
+                    CellVerdict::Noted
+                }
+                None => CellVerdict::Void,
+            },
+            CellBody::Gone { engine, .. } => match self.engines.remove(engine) {
+                Some(_) => CellVerdict::Noted,
+                None => CellVerdict::Void,
+            },
+        }
+    }
+}
+
+fn adopted(at: Offset, size: Megabytes) -> Slot {
+    Slot {
+        size,
+        state: SlotState::Resident,
+        order: at,
+        doubt: false,
+    }
+}
+
+/// A new life of an engine may still be reached by old orders, so what they could load
+/// stays counted until an engine that checks numbers has seen a newer one.
+fn keep_ghosts(old: &EngineBook, fresh: &mut EngineBook) {
+    for (item, slot) in &old.slots {
+        let open = matches!(slot.state, SlotState::Loading | SlotState::Ghost) || slot.doubt;
+        if !open {
+            continue;
+        }
+        let ghost = Slot {
+            state: SlotState::Ghost,
+            doubt: true,
+            ..slot.clone()
+        };
+        let kept = fresh.slots.entry(item.clone()).or_insert(ghost);
+        kept.doubt = true;
+    }
+    fresh.barred.clone_from(&old.barred);
+    let unloading = old
+        .slots
+        .iter()
+        .filter(|(_, s)| s.state == SlotState::Unloading);
+    fresh.barred.extend(unloading.map(|(i, _)| i.clone()));
+}
+
+impl CellBody {
+    /// The fencing number that the writer claims to own the cell under.
+    fn fence(&self) -> Option<Offset> {
+        match self {
+            Self::Lease(_) => None,
+            Self::Adopt { fence, .. }
+            | Self::Load { fence, .. }
+            | Self::Unload { fence, .. }
+            | Self::Resend { fence, .. }
+            | Self::Settled { fence, .. }
+            | Self::Touched { fence, .. }
+            | Self::Missing { fence, .. }
+            | Self::Leaving { fence, .. }
+            | Self::Gone { fence, .. } => Some(*fence),
+        }
+    }
+}
+
+impl Machine for CellMachine {
+    type Body = CellBody;
+    type Verdict = CellVerdict;
+
+    fn apply(&mut self, at: Position, body: &CellBody) -> CellVerdict {
+        if let CellBody::Lease(body) = body {
+            return CellVerdict::Lease(self.lease.apply(at.offset, at.writer, body));
+        }
+        let owns = self.lease.fence_of(at.writer);
+        if owns.is_none() || owns != body.fence() {
+            return CellVerdict::NotOwner;
+        }
+        self.apply_owned(at.offset, body)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,41 @@
+//! Plain services.
+
+use crate::SendError;
+use futures_util::future::LocalBoxFuture;
+
+/// A call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceCall {
+    /// The HTTP method.
+    pub method: String,
+    /// The path below the service's root, with its query.
+    pub path: String,
+    /// The content type, if any.
+    pub mime: Option<String>,
+    /// The caller's idempotency key, if any.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A plain service's whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub mime: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Plain services, each replica by its address.
+pub trait Services {
+    /// Makes a call on a connection of its own, so that a failure to connect is told
+    /// apart from any later one.
+    fn call<'a>(
+        &'a self,
+        address: &'a str,
+        call: &'a ServiceCall,
+    ) -> LocalBoxFuture<'a, Result<ServiceAnswer, SendError>>;
+}
--- /dev/null
+++ b/crates/route/src/ask.rs
@@ -0,0 +1,198 @@
+//! What goes into the router and what comes out.
+
+use crate::Limits;
+use shaleline_types::{
+    Adapter, DataCentre, ErrorKind, Millis, Model, Org, RequestId, Service, Upstream,
+};
+use std::fmt;
+
+/// Counts the sends of one request, from 1.
+pub type AttemptNumber = u32;
+
+/// What a request is for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Route {
+    /// A model, or an adapter on top of it.
+    Model {
+        /// The model.
+        model: Model,
+        /// The adapter, if one is asked for.
+        adapter: Option<Adapter>,
+    },
+    /// A plain service.
+    Service(Service),
+}
+
+impl fmt::Display for Route {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Model {
+                model,
+                adapter: None,
+            } => write!(f, "models/{model}"),
+            Self::Model {
+                model,
+                adapter: Some(adapter),
+            } => write!(f, "models/{model}+{adapter}"),
+            Self::Service(service) => write!(f, "services/{service}"),
+        }
+    }
+}
+
+/// A request that asks for an upstream.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The request.
+    pub id: RequestId,
+    /// Whose it is.
+    pub org: Org,
+    /// What it is for.
+    pub route: Route,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The organisation's share among those of its priority.
+    pub weight: u64,
+    /// The work it asks for: prompt and answer tokens, at least 1.
+    pub cost: u64,
+    /// Hashes of the prompt's growing prefixes, see [`crate::prefix_chain`].
+    pub prefix: Vec<u64>,
+    /// When its first token or answer is due.
+    pub due: Millis,
+    /// Whether it may be sent again after it may have run.
+    pub repeatable: bool,
+    /// The limits of its organisation.
+    pub limits: Limits,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// The connection failed before a byte of the request was written.
+    NotSent,
+    /// The upstream said that it did not run it.
+    Refused,
+    /// It failed after the request was written.
+    Broken,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// What an upstream last said of itself. It lags.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// How many requests run.
+    pub running: usize,
+    /// How many wait.
+    pub waiting: usize,
+    /// How many it runs at once within its target.
+    pub slots: usize,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Where an upstream stands and what it serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Site {
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// What it serves now.
+    pub routes: Vec<Route>,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum RouteEvent {
+    /// A request arrived.
+    Arrive(Ask),
+    /// The first byte of an answer came.
+    FirstByte {
+        /// The request.
+        id: RequestId,
+        /// The attempt it answers.
+        attempt: AttemptNumber,
+    },
+    /// More of an answer came.
+    Progress {
+        /// The request.
+        id: RequestId,
+        /// The attempt it answers.
+        attempt: AttemptNumber,
+    },
+    /// A send ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// The attempt that ended.
+        attempt: AttemptNumber,
+        /// How.
+        end: End,
+    },
+    /// The caller went away.
+    CallerGone(RequestId),
+    /// An upstream reported its load.
+    Report {
+        /// The upstream.
+        upstream: Upstream,
+        /// What it said.
+        load: Load,
+    },
+    /// An upstream is there and serves these routes.
+    Serves {
+        /// The upstream.
+        upstream: Upstream,
+        /// Where and what.
+        site: Site,
+    },
+    /// An upstream is to get no new work, or may again.
+    Leaving {
+        /// The upstream.
+        upstream: Upstream,
+        /// Whether it is leaving.
+        on: bool,
+    },
+    /// An upstream is gone.
+    Removed(Upstream),
+    /// An upstream may hold these prefixes in its cache.
+    Cached {
+        /// The upstream.
+        upstream: Upstream,
+        /// Hashes from [`crate::prefix_chain`].
+        blocks: Vec<u64>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouteAction {
+    /// Send the request.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// The attempt this is.
+        attempt: AttemptNumber,
+        /// Where to.
+        upstream: Upstream,
+    },
+    /// Give up a send whose answer no longer counts.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// Where it was sent.
+        upstream: Upstream,
+    },
+    /// Tell the caller that it failed, now.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        kind: ErrorKind,
+        /// When to come back, where that is known better than by kind.
+        retry: Option<Millis>,
+    },
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,64 @@
+//! The choice among the upstreams that have room.
+
+use crate::upstream::Back;
+use crate::Ask;
+use shaleline_types::{DataCentre, Upstream};
+
+/// How upstreams are chosen. The others are baselines to measure against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Choice {
+    /// By expected time: own sends over reported load, prefixes, data centre.
+    #[default]
+    Expected,
+    /// In turn.
+    RoundRobin,
+    /// The least reported load, nothing added.
+    Reported,
+}
+
+/// What a request there costs in comparison, in milliseconds.
+const BLOCK_MS: f64 = 8.0;
+const OTHER_CENTRE_MS: f64 = 1.0;
+const FULL_MS: f64 = 400.0;
+
+/// Weighs upstreams for one request; the lowest value is the best.
+pub(crate) struct Chooser<'a> {
+    pub(crate) choice: Choice,
+    pub(crate) home: &'a DataCentre,
+    pub(crate) turn: u64,
+}
+
+impl Chooser<'_> {
+    pub(crate) fn cost(
+        &self,
+        name: &Upstream,
+        back: &Back,
+        ask: &Ask,
+        index: usize,
+        of: usize,
+    ) -> f64 {
+        match self.choice {
+            Choice::Expected => self.expected(back, ask),
+            Choice::Reported => (back.load.running + back.load.waiting) as f64,
+            Choice::RoundRobin => {
+                let _ = name;
+                let of = of.max(1);
+                ((index + of - (self.turn as usize % of)) % of) as f64
+            }
+        }
+    }
+
+    fn expected(&self, back: &Back, ask: &Ask) -> f64 {
+        let cold = ask
+            .prefix
+            .len()
+            .saturating_sub(back.hints.matched(&ask.prefix));
+        let fill = back.busy() as f64 / back.slots() as f64;
+        let far = if back.site.centre == *self.home {
+            0.0
+        } else {
+            OTHER_CENTRE_MS
+        };
+        cold as f64 * BLOCK_MS + fill * fill * FULL_MS + far
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,35 @@
+//! Admission, fair queues, limits, choice of upstream, retries and breakers.
+//!
+//! [`Router`] is the decision: it takes a [`RouteEvent`] and the time and returns
+//! [`RouteAction`]s. It holds no clock and no socket; the daemon and the experiments
+//! drive the same code.
+//!
+//! * An [`Ask`] is admitted against its organisation's [`Limits`], of which each daemon
+//!   has a share ([`ShareBook`]).
+//! * What can't start at once waits in a queue per route; urgent work first, then
+//!   weighted fair by organisation. What can't meet its target is refused at once.
+//! * An upstream is chosen by what it reports, what this daemon has sent it since, and
+//!   which prefixes it may hold ([`prefix_chain`]).
+//! * An answer counts only for the attempt that it was made for.
+//!
+//! The ways that were weighed are in `docs/ROUTING.md`.
+
+mod ask;
+mod breaker;
+mod choose;
+mod limit;
+mod prefix;
+mod queue;
+mod retry;
+mod router;
+mod share;
+mod stats;
+mod upstream;
+
+pub use ask::{Ask, AttemptNumber, End, Load, Route, RouteAction, RouteEvent, Site};
+pub use choose::Choice;
+pub use limit::{LimitKind, Limits};
+pub use prefix::{prefix_chain, BLOCK_CHARS};
+pub use router::{Router, RouterSettings};
+pub use share::{share_of, ShareBook};
+pub use stats::{RouterStats, UpstreamStats};
--- /dev/null
+++ b/crates/route/src/queue.rs
@@ -0,0 +1,133 @@
+//! What waits for a route: urgent work first, then by organisation.
+
+use shaleline_types::{Millis, Org, RequestId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// One waiting request.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) id: RequestId,
+    pub(crate) due: Millis,
+}
+
+/// The head of one organisation's line.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Head<'a> {
+    pub(crate) priority: u8,
+    pub(crate) org: &'a Org,
+    pub(crate) id: RequestId,
+}
+
+/// The lines of one route.
+#[derive(Debug, Default)]
+pub(crate) struct RouteQueue {
+    lines: BTreeMap<(u8, Org), VecDeque<Waiting>>,
+    len: usize,
+    /// The mean time between two departures while something waited.
+    interval: Option<f64>,
+    last_departure: Option<Millis>,
+}
+
+impl RouteQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub(crate) fn push(&mut self, priority: u8, org: &Org, waiting: Waiting, first: bool) {
+        let line = self.lines.entry((priority, org.clone())).or_default();
+        if first {
+            line.push_front(waiting);
+        } else {
+            line.push_back(waiting);
+        }
+        self.len += 1;
+    }
+
+    /// The heads of the most urgent class.
+    pub(crate) fn heads(&self) -> impl Iterator<Item = Head<'_>> {
+        let class = self.lines.keys().next().map(|(p, _)| *p);
+        let urgent = self
+            .lines
+            .iter()
+            .filter(move |((p, _), _)| Some(*p) == class);
+        urgent.filter_map(|((priority, org), line)| {
+            let id = line.front()?.id;
+            Some(Head {
+                priority: *priority,
+                org,
+                id,
+            })
+        })
+    }
+
+    /// How many wait that would be served before a new request of this class, counting
+    /// only a fair share of each other organisation's line.
+    pub(crate) fn ahead(&self, priority: u8, org: &Org) -> usize {
+        let own = self
+            .lines
+            .get(&(priority, org.clone()))
+            .map_or(0, VecDeque::len);
+        let before = |((p, o), line): (&(u8, Org), &VecDeque<Waiting>)| {
+            if *p < priority {
+                line.len()
+            } else if *p == priority && o != org {
+                line.len().min(own + 1)
+            } else {
+                0
+            }
+        };
+        own + self.lines.iter().map(before).sum::<usize>()
+    }
+
+    pub(crate) fn remove(&mut self, priority: u8, org: &Org, id: RequestId) -> bool {
+        let key = (priority, org.clone());
+        let Some(line) = self.lines.get_mut(&key) else {
+            return false;
+        };
+        let Some(index) = line.iter().position(|w| w.id == id) else {
+            return false;
+        };
+        line.remove(index);
+        self.len -= 1;
+        if self.len == 0 {
+            self.last_departure = None;
+        }
+        if line.is_empty() {
+            self.lines.remove(&key);
+        }
+        true
+    }
+
+    /// Notes that a request left for an upstream.
+    pub(crate) fn on_departure(&mut self, now: Millis) {
+        if let Some(last) = self.last_departure {
+            let gap = now.since(last) as f64;
+            let mean = self.interval.map_or(gap, |m| m * 0.9 + gap * 0.1);
+            self.interval = Some(mean);
+        }
+        self.last_departure = (!self.is_empty()).then_some(now);
+    }
+
+    /// How long a request with so many ahead of it will wait, as far as is known.
+    pub(crate) fn expected_wait(&self, ahead: usize, now: Millis) -> Option<Millis> {
+        let mean = self.interval?;
+        let silent = self.last_departure.map_or(0, |l| now.since(l)) as f64;
+        let mean = if ahead > 0 { mean.max(silent) } else { mean };
+        Some(Millis((mean * (ahead + 1) as f64) as u64))
+    }
+
+    /// The requests whose time to start has passed.
+    pub(crate) fn overdue(&self, now: Millis) -> Vec<RequestId> {
+        let waiting = self.lines.values().flatten();
+        waiting.filter(|w| w.due <= now).map(|w| w.id).collect()
+    }
+
+    /// All that wait.
+    pub(crate) fn ids(&self) -> Vec<RequestId> {
+        self.lines.values().flatten().map(|w| w.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,593 @@
+//! The decision itself.
+
+use crate::choose::{Choice, Chooser};
+use crate::limit::Limiter;
+use crate::queue::{RouteQueue, Waiting};
+use crate::retry::RetryBudget;
+use crate::upstream::{Back, Flight};
+use crate::{
+    Ask, AttemptNumber, End, LimitKind, Limits, Route, RouteAction, RouteEvent, RouterStats,
+    ShareBook, Site, UpstreamStats,
+};
+use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
+use std::collections::BTreeMap;
+
+/// What an operator sets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// This daemon's data centre.
+    pub home: DataCentre,
+    /// How many requests may wait for one route.
+    pub queue: usize,
+    /// How long a send may go without a first byte, while nothing else comes from the
+    /// upstream either, before it counts as hanging.
+    pub stall: Millis,
+    /// How many times a request is sent at the most.
+    pub attempts: AttemptNumber,
+    /// How upstreams are chosen.
+    pub choice: Choice,
+    /// Whether requests that can't meet their target are refused early.
+    pub shed: bool,
+}
+
+impl RouterSettings {
+    /// The defaults for a daemon in this data centre.
+    #[must_use]
+    pub fn new(home: DataCentre) -> Self {
+        Self {
+            home,
+            queue: 2_000,
+            stall: Millis(2_000),
+            attempts: 3,
+            choice: Choice::Expected,
+            shed: true,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Open {
+    ask: Ask,
+    attempt: AttemptNumber,
+    at: Option<Upstream>,
+    tried: Vec<Upstream>,
+    first: bool,
+}
+
+/// Admits, queues, sends, retries and refuses.
+#[derive(Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    shares: ShareBook,
+    limiter: Limiter,
+    open: BTreeMap<RequestId, Open>,
+    queues: BTreeMap<Route, RouteQueue>,
+    backs: BTreeMap<Upstream, Back>,
+    budget: RetryBudget,
+    turn: u64,
+    stats: RouterStats,
+}
+
+impl Router {
+    /// A router that knows no upstream yet.
+    #[must_use]
+    pub fn new(settings: RouterSettings, shares: ShareBook) -> Self {
+        Self {
+            settings,
+            shares,
+            limiter: Limiter::default(),
+            open: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            backs: BTreeMap::new(),
+            budget: RetryBudget::default(),
+            turn: 0,
+            stats: RouterStats::default(),
+        }
+    }
+
+    /// The shares of the limits.
+    pub fn shares(&mut self) -> &mut ShareBook {
+        &mut self.shares
+    }
+
+    /// Lends another daemon what this one does not use of a limit.
+    pub fn lend(&mut self, org: &Org, kind: LimitKind, limits: &Limits, now: Millis) -> u64 {
+        let in_use = match kind {
+            LimitKind::Concurrency => self.limiter.running(org),
+            LimitKind::Rate | LimitKind::Tokens => 0,
+        };
+        self.shares.lend(org, kind, limits, in_use, now)
+    }
+
+    /// Counters and gauges.
+    #[must_use]
+    pub fn stats(&self) -> RouterStats {
+        RouterStats {
+            waiting: self.queues.values().map(RouteQueue::len).sum(),
+            open: self.open.len(),
+            ..self.stats.clone()
+        }
+    }
+
+    /// What is known of each upstream.
+    #[must_use]
+    pub fn upstreams(&self, now: Millis) -> Vec<UpstreamStats> {
+        let one = |(name, back): (&Upstream, &Back)| UpstreamStats {
+            name: name.to_string(),
+            centre: back.site.centre.to_string(),
+            routes: back.routes.iter().map(Route::to_string).collect(),
+            flights: back.flights.len(),
+            busy: back.busy(),
+            slots: back.slots(),
+            leaving: back.is_leaving(),
+            healthy: back.breaker.gate(now) == crate::breaker::Gate::Open,
+        };
+        self.backs.iter().map(one).collect()
+    }
+
+    /// The names of the upstreams known.
+    pub fn names(&self) -> impl Iterator<Item = &Upstream> {
+        self.backs.keys()
+    }
+
+    /// Whether some upstream serves the route and takes new work.
+    #[must_use]
+    pub fn is_served(&self, route: &Route) -> bool {
+        let serves = |b: &Back| !b.is_leaving() && b.routes.contains(route);
+        self.backs.values().any(serves)
+    }
+
+    /// Takes an event and says what to do.
+    pub fn step(&mut self, event: RouteEvent, now: Millis) -> Vec<RouteAction> {
+        let mut out = Vec::new();
+        match event {
+            RouteEvent::Arrive(ask) => self.arrive(ask, now, &mut out),
+            RouteEvent::FirstByte { id, attempt } => self.on_byte(id, attempt, true, now),
+            RouteEvent::Progress { id, attempt } => self.on_byte(id, attempt, false, now),
+            RouteEvent::Ended { id, attempt, end } => self.ended(id, attempt, end, now, &mut out),
+            RouteEvent::CallerGone(id) => self.caller_gone(id, now, &mut out),
+            RouteEvent::Report { upstream, load } => {
+                if let Some(back) = self.backs.get_mut(&upstream) {
+                    back.on_report(load);
+                }
+                self.pump(&upstream, now, &mut out);
+            }
+            RouteEvent::Serves { upstream, site } => {
+                self.serves(&upstream, site);
+                self.pump(&upstream, now, &mut out);
+            }
+            RouteEvent::Leaving { upstream, on } => {
+                if let Some(back) = self.backs.get_mut(&upstream) {
+                    back.leaving = on;
+                }
+                self.pump(&upstream, now, &mut out);
+            }
+            RouteEvent::Removed(upstream) => self.removed(&upstream, now, &mut out),
+            RouteEvent::Cached { upstream, blocks } => {
+                if let Some(back) = self.backs.get_mut(&upstream) {
+                    back.hints.note(&blocks);
+                }
+            }
+            RouteEvent::Tick => self.tick(now, &mut out),
+        }
+        out
+    }
+
+    fn serves(&mut self, upstream: &Upstream, site: Site) {
+        match self.backs.get_mut(upstream) {
+            Some(back) => back.set_site(site),
+            None => {
+                self.backs.insert(upstream.clone(), Back::new(site));
+            }
+        }
+    }
+
+    fn arrive(&mut self, ask: Ask, now: Millis, out: &mut Vec<RouteAction>) {
+        self.stats.arrived += 1;
+        let id = ask.id;
+        if let Err((_, wait)) = self.limiter.admit(&ask.org, &ask.limits, &self.shares, now) {
+            let wait = Millis(wait.0.max(1));
+            self.refuse(id, ErrorKind::RateLimited, Some(wait), out);
+            return;
+        }
+        let (org, priority) = (ask.org.clone(), ask.priority);
+        let queue = self.queues.get(&ask.route);
+        let (waiting, expected) = queue.map_or((0, None), |q| {
+            let ahead = q.ahead(priority, &org);
+            (q.len(), q.expected_wait(ahead, now).filter(|_| ahead > 0))
+        });
+        let full = waiting >= self.settings.queue;
+        let late = expected.map(|w| now.plus(w.0)).filter(|at| *at > ask.due);
+        if let Some(at) = late.filter(|_| self.settings.shed || full) {
+            self.limiter.finish(&org, 0);
+            let wait = Millis(at.since(ask.due).max(100));
+            self.refuse(id, ErrorKind::DeadlineUnmet, Some(wait), out);
+            return;
+        }
+        if full {
+            self.limiter.finish(&org, 0);
+            self.refuse(id, ErrorKind::Overloaded, expected, out);
+            return;
+        }
+        let open = Open {
+            ask,
+            attempt: 0,
+            at: None,
+            tried: Vec::new(),
+            first: false,
+        };
+        self.open.insert(id, open);
+        self.place(id, now, out);
+    }
+
+    fn refuse(
+        &mut self,
+        id: RequestId,
+        kind: ErrorKind,
+        retry: Option<Millis>,
+        out: &mut Vec<RouteAction>,
+    ) {
+        self.stats.refused += 1;
+        out.push(RouteAction::Refuse { id, kind, retry });
+    }
+
+    /// Sends a request at once if an upstream has room and nobody waits before it;
+    /// otherwise it waits.
+    fn place(&mut self, id: RequestId, now: Millis, out: &mut Vec<RouteAction>) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let ask = &open.ask;
+        let queue = self.queues.get(&ask.route);
+        let ahead = queue.map_or(0, |q| q.ahead(ask.priority, &ask.org));
+        let repeat = open.attempt > 0;
+        if ahead == 0 || repeat {
+            if let Some(upstream) = self.choose(open, now) {
+                self.send(id, &upstream, now, out);
+                return;
+            }
+        }
+        let waiting = Waiting { id, due: ask.due };
+        let (route, priority, org) = (ask.route.clone(), ask.priority, ask.org.clone());
+        let queue = self.queues.entry(route).or_default();
+        queue.push(priority, &org, waiting, repeat);
+    }
+
+    fn choose(&self, open: &Open, now: Millis) -> Option<Upstream> {
+        let ask = &open.ask;
+        let fits = |(_, b): &(&Upstream, &Back)| {
+            b.routes.contains(&ask.route) && b.has_room_for(&ask.org, now)
+        };
+        let able: Vec<(&Upstream, &Back)> = self.backs.iter().filter(fits).collect();
+        let fresh = |u: &Upstream| !open.tried.contains(u);
+        let chooser = Chooser {
+            choice: self.settings.choice,
+            home: &self.settings.home,
+            turn: self.turn,
+        };
+        let of = able.len();
+        let costs = able.iter().enumerate().map(|(i, (name, back))| {
+            let cost = chooser.cost(name, back, ask, i, of);
+            (!fresh(name), cost, *name)
+        });
+        let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
+        Some(best.2.clone())
+    }
+
+    fn send(
+        &mut self,
+        id: RequestId,
+        upstream: &Upstream,
+        now: Millis,
+        out: &mut Vec<RouteAction>,
+    ) {
+        let (Some(open), Some(back)) = (self.open.get_mut(&id), self.backs.get_mut(upstream))
+        else {
+            return;
+        };
+        assert!(
+            !back.is_leaving() || !Safeguard::LeavingStop.active(),
+            "a leaving upstream gets no new work"
+        );
+        self.turn += 1;
+        self.stats.sent += 1;
+        self.stats.retried += u64::from(open.attempt > 0);
+        open.attempt += 1;
+        open.first = false;
+        open.at = Some(upstream.clone());
+        open.tried.push(upstream.clone());
+        let flight = Flight {
+            org: open.ask.org.clone(),
+            sent: now,
+            answered: false,
+        };
+        let cost = open.ask.cost as f64 / open.ask.weight.max(1) as f64;
+        back.hints.note(&open.ask.prefix);
+        back.on_send(id, flight, cost);
+        out.push(RouteAction::Send {
+            id,
+            attempt: open.attempt,
+            upstream: upstream.clone(),
+        });
+    }
+
+    /// Whether an answer belongs to the attempt that counts now.
+    fn is_current(&mut self, id: RequestId, attempt: AttemptNumber) -> bool {
+        let current = self
+            .open
+            .get(&id)
+            .is_some_and(|o| o.attempt == attempt || !Safeguard::AttemptMatch.active());
+        self.stats.late += u64::from(!current);
+        current
+    }
+
+    fn on_byte(&mut self, id: RequestId, attempt: AttemptNumber, first: bool, now: Millis) {
+        if !self.is_current(id, attempt) {
+            return;
+        }
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.first |= first;
+        let Some(back) = open.at.as_ref().and_then(|u| self.backs.get_mut(u)) else {
+            return;
+        };
+        back.last_byte = now;
+        if let Some(flight) = back.flights.get_mut(&id) {
+            flight.answered = true;
+        }
+    }
+
+    fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptNumber,
+        end: End,
+        now: Millis,
+        out: &mut Vec<RouteAction>,
+    ) {
+        if !self.is_current(id, attempt) {
+            return;
+        }
+        let Some(upstream) = self.open.get_mut(&id).and_then(|o| o.at.take()) else {
+            return;
+        };
+        self.judge_upstream(&upstream, id, end, now);
+        match end {
+            End::Whole | End::Cancelled => self.close(id),
+            End::NotSent | End::Refused => self.again(id, ErrorKind::NoUpstream, now, out),
+            End::Broken => self.again_if_repeatable(id, now, out),
+        }
+        self.pump(&upstream, now, out);
+    }
+
+    fn judge_upstream(&mut self, upstream: &Upstream, id: RequestId, end: End, now: Millis) {
+        let Some(back) = self.backs.get_mut(upstream) else {
+            return;
+        };
+        back.on_end(id);
+        match end {
+            End::Whole => {
+                back.last_byte = now;
+                back.breaker.on_success();
+                self.budget.on_success();
+            }
+            End::NotSent | End::Broken => {
+                self.stats.opened += u64::from(back.breaker.on_failure(now));
+            }
+            End::Refused | End::Cancelled => back.breaker.on_neutral(),
+        }
+    }
+
+    fn close(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.limiter.finish(&open.ask.org, open.ask.cost);
+        }
+    }
+
+    fn give_up(&mut self, id: RequestId, kind: ErrorKind, out: &mut Vec<RouteAction>) {
+        if let Some(open) = self.open.remove(&id) {
+            self.limiter.finish(&open.ask.org, 0);
+            self.refuse(id, kind, None, out);
+        }
+    }
+
+    fn again_if_repeatable(&mut self, id: RequestId, now: Millis, out: &mut Vec<RouteAction>) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        if open.ask.repeatable {
+            self.again(id, ErrorKind::BrokenStream, now, out);
+        } else {
+            self.give_up(id, ErrorKind::UpstreamFailed, out);
+        }
+    }
+
+    /// Sends a request again, where attempts, budget and time allow it.
+    fn again(&mut self, id: RequestId, kind: ErrorKind, now: Millis, out: &mut Vec<RouteAction>) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let started = open.first;
+        let in_time = started || open.ask.due > now;
+        let left = open.attempt < self.settings.attempts;
+        if left && in_time && self.budget.take() {
+            self.place(id, now, out);
+        } else {
+            self.give_up(id, kind, out);
+        }
+    }
+
+    fn caller_gone(&mut self, id: RequestId, now: Millis, out: &mut Vec<RouteAction>) {
+        let Some(open) = self.open.remove(&id) else {
+            return;
+        };
+        self.limiter.finish(&open.ask.org, open.ask.cost);
+        let Some(upstream) = open.at else {
+            self.unqueue(&open.ask);
+            return;
+        };
+        if let Some(back) = self.backs.get_mut(&upstream) {
+            back.on_end(id);
+            back.breaker.on_neutral();
+        }
+        out.push(RouteAction::Cancel {
+            id,
+            attempt: open.attempt,
+            upstream: upstream.clone(),
+        });
+        self.pump(&upstream, now, out);
+    }
+
+    fn unqueue(&mut self, ask: &Ask) {
+        if let Some(queue) = self.queues.get_mut(&ask.route) {
+            queue.remove(ask.priority, &ask.org, ask.id);
+        }
+    }
+
+    fn removed(&mut self, upstream: &Upstream, now: Millis, out: &mut Vec<RouteAction>) {
+        let Some(back) = self.backs.remove(upstream) else {
+            return;
+        };
+        for id in back.flights.into_keys() {
+            if let Some(open) = self.open.get_mut(&id) {
+                open.at = None;
+                self.again_if_repeatable(id, now, out);
+            }
+        }
+    }
+
+    /// Serves what waits for this upstream, while it has room.
+    fn pump(&mut self, upstream: &Upstream, now: Millis, out: &mut Vec<RouteAction>) {
+        while let Some(id) = self.next_for(upstream, now) {
+            let Some(open) = self.open.get(&id) else {
+                return;
+            };
+            let (route, priority, org) = (
+                open.ask.route.clone(),
+                open.ask.priority,
+                open.ask.org.clone(),
+            );
+            if let Some(queue) = self.queues.get_mut(&route) {
+                queue.remove(priority, &org, id);
+                queue.on_departure(now);
+            }
+            self.send(id, upstream, now, out);
+        }
+    }
+
+    /// The most urgent request that may go there, the organisation served least first.
+    fn next_for(&self, upstream: &Upstream, now: Millis) -> Option<RequestId> {
+        let back = self.backs.get(upstream)?;
+        if !back.has_room(now) {
+            return None;
+        }
+        let queues = back.routes.iter().filter_map(|r| self.queues.get(r));
+        let heads = queues.flat_map(RouteQueue::heads);
+        let allowed = heads.filter(|h| back.has_room_for(h.org, now));
+        let best = allowed.min_by(|a, b| {
+            let start = |h: &crate::queue::Head<'_>| back.start_of(h.org);
+            a.priority
+                .cmp(&b.priority)
+                .then(start(a).total_cmp(&start(b)))
+                .then(a.id.cmp(&b.id))
+        })?;
+        Some(best.id)
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
+        self.refuse_overdue(now, out);
+        self.move_stalled(now, out);
+        let names: Vec<Upstream> = self.backs.keys().cloned().collect();
+        for name in names {
+            self.pump(&name, now, out);
+            if let Some(back) = self.backs.get_mut(&name) {
+                back.prune(now);
+            }
+        }
+        self.limiter.prune(now);
+        self.shares.prune(now);
+    }
+
+    /// What can no longer start in time gets its final answer now.
+    fn refuse_overdue(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
+        let overdue: Vec<RequestId> = self.queues.values().flat_map(|q| q.overdue(now)).collect();
+        for id in overdue {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let ask = open.ask.clone();
+            let served = self.is_served(&ask.route);
+            self.unqueue(&ask);
+            let kind = match (served, open_was_sent(self.open.get(&id))) {
+                (_, true) => ErrorKind::BrokenStream,
+                (true, false) => ErrorKind::DeadlineUnmet,
+                (false, false) => ErrorKind::NoUpstream,
+            };
+            self.give_up(id, kind, out);
+        }
+    }
+
+    /// Opens the breaker of an upstream from which nothing comes while requests hang, and
+    /// sends those elsewhere that may be repeated.
+    fn move_stalled(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
+        let mut stalled = Vec::new();
+        for (name, back) in &mut self.backs {
+            let silent = now.since(back.last_byte) >= self.settings.stall.0;
+            let hangs = |f: &Flight| !f.answered && now.since(f.sent) >= self.settings.stall.0;
+            if !silent || !back.flights.values().any(hangs) {
+                continue;
+            }
+            self.stats.opened += u64::from(back.breaker.trip(now));
+            let ids = back
+                .flights
+                .iter()
+                .filter(|(_, f)| hangs(f))
+                .map(|(id, _)| *id);
+            stalled.extend(ids.map(|id| (id, name.clone())));
+        }
+        for (id, upstream) in stalled {
+            self.move_one(id, &upstream, now, out);
+        }
+    }
+
+    fn move_one(
+        &mut self,
+        id: RequestId,
+        from: &Upstream,
+        now: Millis,
+        out: &mut Vec<RouteAction>,
+    ) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let elsewhere = self.choose(open, now).filter(|u| u != from);
+        let may_move = open.ask.repeatable && open.attempt < self.settings.attempts;
+        let Some(upstream) = elsewhere.filter(|_| may_move) else {
+            return;
+        };
+        let attempt = open.attempt;
+        if let Some(back) = self.backs.get_mut(from) {
+            back.on_end(id);
+        }
+        out.push(RouteAction::Cancel {
+            id,
+            attempt,
+            upstream: from.clone(),
+        });
+        self.send(id, &upstream, now, out);
+    }
+
+    /// Takes every waiting request back, for a daemon that stops and has waited enough.
+    pub fn refuse_waiting(&mut self, out: &mut Vec<RouteAction>) {
+        let ids: Vec<RequestId> = self.queues.values().flat_map(RouteQueue::ids).collect();
+        self.queues.clear();
+        for id in ids {
+            self.give_up(id, ErrorKind::Leaving, out);
+        }
+    }
+}
+
+fn open_was_sent(open: Option<&Open>) -> bool {
+    open.is_some_and(|o| o.attempt > 0 && o.first)
+}
--- /dev/null
+++ b/crates/route/src/share.rs
@@ -0,0 +1,167 @@
+//! The part of each organisation's limits that this daemon may use.
+//!
+//! A limit is divided over the live daemons without a rest, so that the parts add up to
+//! it. A part shrinks at once and grows late, so that the sum also holds while daemons
+//! do not yet agree on who is alive. What one daemon does not use it lends to another for
+//! a while; the lender counts a loan as longer than the borrower does.
+
+use crate::{LimitKind, Limits};
+use shaleline_types::{rank, Millis, Org};
+use std::collections::BTreeMap;
+
+/// How long a larger part must be due before it is used: longer than daemons take to
+/// agree on who is alive.
+const GROW_AFTER: u64 = 3_000;
+
+/// How long a loan lasts for the borrower, and how much longer the lender counts it.
+const LOAN_MS: u64 = 10_000;
+const LOAN_MARGIN: u64 = 2_000;
+
+/// The part of `limit` that the daemon `me` gets among `members`, which must include it.
+/// The parts of all members add up to the limit.
+#[must_use]
+pub fn share_of(limit: u64, key: &str, me: &str, members: &[&str]) -> u64 {
+    let count = members.len().max(1) as u64;
+    let ranked = rank(key, members.iter().copied());
+    let place = ranked.iter().position(|m| *m == me);
+    let extra = place.is_some_and(|p| (p as u64) < limit % count);
+    limit / count + u64::from(extra)
+}
+
+#[derive(Debug, Clone)]
+struct Loan {
+    amount: u64,
+    until: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
+}
+
+fn sum(loans: &[Loan], now: Millis) -> u64 {
+    let open = loans.iter().filter(|l| l.until > now);
+    open.map(|l| l.amount).sum()
+}
+
+/// The parts of all limits that this daemon may use.
+#[derive(Debug, Default)]
+pub struct ShareBook {
+    me: String,
+    members: Vec<String>,
+    /// Members to divide by, each with the time until which it still counts.
+    counted: BTreeMap<String, Millis>,
+    grown: Option<Millis>,
+    accounts: BTreeMap<(Org, LimitKind), Account>,
+}
+
+impl ShareBook {
+    /// The book of a daemon that is alone and may use everything at once; only for one
+    /// that knows it has no peers.
+    #[must_use]
+    pub fn alone(me: &str) -> Self {
+        Self {
+            me: me.to_owned(),
+            members: vec![me.to_owned()],
+            counted: BTreeMap::new(),
+            grown: Some(Millis(0)),
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// The book of a daemon that joins others: its part starts at nothing.
+    #[must_use]
+    pub fn joining(me: &str, now: Millis) -> Self {
+        Self {
+            grown: Some(now.plus(GROW_AFTER)),
+            ..Self::alone(me)
+        }
+    }
+
+    /// Takes note of who is alive. Whoever goes still counts for a while.
+    pub fn set_members(&mut self, members: &[&str], now: Millis) {
+        for gone in &self.members {
+            if !members.contains(&gone.as_str()) && *gone != self.me {
+                self.counted.insert(gone.clone(), now.plus(GROW_AFTER));
+            }
+        }
+        self.members = members.iter().map(|m| (*m).to_owned()).collect();
+        if !members.contains(&self.me.as_str()) {
+            self.members.push(self.me.clone());
+        }
+        self.counted.retain(|_, until| *until > now);
+    }
+
+    /// How many daemons the limits are divided by.
+    #[must_use]
+    pub fn divisor(&self, now: Millis) -> usize {
+        self.divided_by(now).len()
+    }
+
+    fn divided_by(&self, now: Millis) -> Vec<&str> {
+        let mut all: Vec<&str> = self.members.iter().map(String::as_str).collect();
+        let counted = self.counted.iter().filter(|(_, until)| **until > now);
+        all.extend(counted.map(|(m, _)| m.as_str()));
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// The part of a limit that this daemon may use now.
+    #[must_use]
+    pub fn part(&self, org: &Org, kind: LimitKind, limit: u64, now: Millis) -> u64 {
+        let own = match self.grown {
+            Some(at) if now < at => 0,
+            _ => share_of(limit, org.as_str(), &self.me, &self.divided_by(now)),
+        };
+        let Some(account) = self.accounts.get(&(org.clone(), kind)) else {
+            return own;
+        };
+        let plus = own + sum(&account.borrowed, now);
+        plus.saturating_sub(sum(&account.lent, now))
+    }
+
+    /// Lends part of what is idle. Returns what was lent; zero if nothing can be.
+    pub fn lend(
+        &mut self,
+        org: &Org,
+        kind: LimitKind,
+        limits: &Limits,
+        in_use: u64,
+        now: Millis,
+    ) -> u64 {
+        let own = self.part(org, kind, limits.get(kind), now);
+        let idle = own.saturating_sub(in_use);
+        let amount = idle.div_ceil(2);
+        if amount == 0 {
+            return 0;
+        }
+        let account = self.accounts.entry((org.clone(), kind)).or_default();
+        account.lent.retain(|l| l.until > now);
+        account.lent.push(Loan {
+            amount,
+            until: now.plus(LOAN_MS + LOAN_MARGIN),
+        });
+        amount
+    }
+
+    /// Takes a loan that was asked for at `asked`.
+    pub fn borrow(&mut self, org: &Org, kind: LimitKind, amount: u64, asked: Millis) {
+        if amount == 0 {
+            return;
+        }
+        let account = self.accounts.entry((org.clone(), kind)).or_default();
+        account.borrowed.retain(|l| l.until > asked);
+        account.borrowed.push(Loan {
+            amount,
+            until: asked.plus(LOAN_MS),
+        });
+    }
+
+    /// Forgets loans that have ended.
+    pub fn prune(&mut self, now: Millis) {
+        let open = |a: &Account| sum(&a.lent, now) + sum(&a.borrowed, now) > 0;
+        self.accounts.retain(|_, a| open(a));
+    }
+}
--- /dev/null
+++ b/crates/route/src/upstream.rs
@@ -0,0 +1,158 @@
+//! What the router knows of one upstream.
+
+use crate::breaker::{Breaker, Gate};
+use crate::prefix::PrefixHints;
+use crate::{Load, Route, Site};
+use shaleline_types::{Millis, Org, RequestId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many places an upstream has before it reported any.
+const DEFAULT_SLOTS: usize = 8;
+
+/// An organisation that has sent nothing for so long no longer counts as a neighbour.
+const NEIGHBOUR_MS: u64 = 30_000;
+
+/// A send in flight.
+#[derive(Debug, Clone)]
+pub(crate) struct Flight {
+    pub(crate) org: Org,
+    pub(crate) sent: Millis,
+    pub(crate) answered: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Fair {
+    finish: f64,
+    used: Millis,
+    flights: usize,
+}
+
+/// One upstream as this daemon sees it.
+#[derive(Debug)]
+pub(crate) struct Back {
+    pub(crate) site: Site,
+    pub(crate) routes: BTreeSet<Route>,
+    pub(crate) load: Load,
+    /// What the other daemons had running there when it reported.
+    others: usize,
+    pub(crate) flights: BTreeMap<RequestId, Flight>,
+    pub(crate) breaker: Breaker,
+    pub(crate) hints: PrefixHints,
+    /// Told by the list, by an operator or by the upstream itself.
+    pub(crate) leaving: bool,
+    pub(crate) last_byte: Millis,
+    fair: BTreeMap<Org, Fair>,
+    clock: f64,
+}
+
+impl Back {
+    pub(crate) fn new(site: Site) -> Self {
+        Self {
+            routes: site.routes.iter().cloned().collect(),
+            site,
+            load: Load::default(),
+            others: 0,
+            flights: BTreeMap::new(),
+            breaker: Breaker::default(),
+            hints: PrefixHints::default(),
+            leaving: false,
+            last_byte: Millis(0),
+            fair: BTreeMap::new(),
+            clock: 0.0,
+        }
+    }
+
+    pub(crate) fn set_site(&mut self, site: Site) {
+        self.routes = site.routes.iter().cloned().collect();
+        self.site = site;
+    }
+
+    /// Notes a report. What it counts beyond this daemon's own sends is the others'.
+    pub(crate) fn on_report(&mut self, load: Load) {
+        let reported = load.running + load.waiting;
+        self.others = reported.saturating_sub(self.flights.len());
+        self.load = load;
+    }
+
+    pub(crate) fn slots(&self) -> usize {
+        if self.load.slots == 0 {
+            DEFAULT_SLOTS
+        } else {
+            self.load.slots
+        }
+    }
+
+    /// How many requests it has, as far as is known.
+    pub(crate) fn busy(&self) -> usize {
+        self.flights.len() + self.others
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving || self.load.leaving
+    }
+
+    /// Whether one more request may be sent.
+    pub(crate) fn has_room(&self, now: Millis) -> bool {
+        if self.is_leaving() && shaleline_types::Safeguard::LeavingStop.active() {
+            return false;
+        }
+        match self.breaker.gate(now) {
+            Gate::Shut => false,
+            Gate::Probe => true,
+            Gate::Open => self.busy() < self.slots(),
+        }
+    }
+
+    /// Whether this organisation may take one more place. While others use the upstream,
+    /// a part of the places stays free of any one organisation.
+    pub(crate) fn has_room_for(&self, org: &Org, now: Millis) -> bool {
+        if !self.has_room(now) {
+            return false;
+        }
+        let neighbours = self
+            .fair
+            .iter()
+            .any(|(o, f)| o != org && now.since(f.used) < NEIGHBOUR_MS);
+        if !neighbours {
+            return true;
+        }
+        let own = self.fair.get(org).map_or(0, |f| f.flights);
+        let slots = self.slots();
+        own < slots - slots.div_ceil(4).min(slots - 1)
+    }
+
+    /// The virtual time at which the organisation's next request would start.
+    pub(crate) fn start_of(&self, org: &Org) -> f64 {
+        self.fair
+            .get(org)
+            .map_or(self.clock, |f| f.finish.max(self.clock))
+    }
+
+    pub(crate) fn on_send(&mut self, id: RequestId, flight: Flight, cost: f64) {
+        let start = self.start_of(&flight.org);
+        self.clock = self.clock.max(start);
+        let fair = self.fair.entry(flight.org.clone()).or_insert(Fair {
+            finish: start,
+            used: flight.sent,
+            flights: 0,
+        });
+        fair.finish = start + cost;
+        fair.used = flight.sent;
+        fair.flights += 1;
+        self.breaker.on_send();
+        self.flights.insert(id, flight);
+    }
+
+    pub(crate) fn on_end(&mut self, id: RequestId) -> Option<Flight> {
+        let flight = self.flights.remove(&id)?;
+        if let Some(fair) = self.fair.get_mut(&flight.org) {
+            fair.flights = fair.flights.saturating_sub(1);
+        }
+        Some(flight)
+    }
+
+    pub(crate) fn prune(&mut self, now: Millis) {
+        self.fair
+            .retain(|_, f| f.flights > 0 || now.since(f.used) < 2 * NEIGHBOUR_MS);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine_state.rs
@@ -0,0 +1,285 @@
+//! An engine without its server: memory, orders, prefix cache.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shaleline_place::{EngineReport, Item, Order, OrderEnd, OrderKind, Resident};
+use shaleline_platform::{CacheEvents, UpstreamReport};
+use shaleline_types::{DataCentre, Megabytes, Offset, Upstream};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const ORDERS_KEPT: usize = 256;
+const EVENTS_KEPT: usize = 256;
+
+/// One in so many cache events is never published.
+const EVENT_GAP: u32 = 8;
+
+/// How fast an engine is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Milliseconds to read one block of a prompt that is not cached.
+    pub block: f64,
+    /// Milliseconds of one step with one sequence.
+    pub step: f64,
+    /// Milliseconds that each further sequence adds to a step.
+    pub more: f64,
+}
+
+/// An engine to stand in.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    /// Its name.
+    pub name: Upstream,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// What its accelerator holds.
+    pub memory: Megabytes,
+    /// Whether it refuses old fencing numbers.
+    pub checks: bool,
+    /// How many sequences it runs at once.
+    pub slots: usize,
+    /// How many blocks its prefix cache holds.
+    pub blocks: usize,
+    /// How fast it is.
+    pub pace: Pace,
+}
+
+/// An engine's state.
+#[derive(Debug)]
+pub struct EngineState {
+    spec: EngineSpec,
+    incarnation: u64,
+    resident: BTreeMap<Item, Megabytes>,
+    loading: BTreeMap<Item, Megabytes>,
+    draining: BTreeSet<Item>,
+    orders: BTreeMap<Offset, OrderEnd>,
+    highest: Offset,
+    running: BTreeMap<Item, usize>,
+    waiting: usize,
+    cache: VecDeque<u64>,
+    events: VecDeque<u64>,
+    leaving: bool,
+    refused: u64,
+    rng: SmallRng,
+}
+
+impl EngineState {
+    /// A fresh engine.
+    #[must_use]
+    pub fn new(spec: EngineSpec, seed: u64) -> Self {
+        Self {
+            spec,
+            incarnation: 1,
+            resident: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            draining: BTreeSet::new(),
+            orders: BTreeMap::new(),
+            highest: Offset(0),
+            running: BTreeMap::new(),
+            waiting: 0,
+            cache: VecDeque::new(),
+            events: VecDeque::new(),
+            leaving: false,
+            refused: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Its specification.
+    #[must_use]
+    pub fn spec(&self) -> &EngineSpec {
+        &self.spec
+    }
+
+    /// Its life.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Starts a new life that holds nothing.
+    pub fn restart(&mut self) {
+        let refused = self.refused;
+        let seed = self.rng.random();
+        let incarnation = self.incarnation + 1;
+        *self = Self::new(self.spec.clone(), seed);
+        self.incarnation = incarnation;
+        self.refused = refused;
+    }
+
+    /// Says that it is leaving, or no longer is.
+    pub fn set_leaving(&mut self, on: bool) {
+        self.leaving = on;
+    }
+
+    /// Memory in use.
+    #[must_use]
+    pub fn used(&self) -> Megabytes {
+        let sizes = self.resident.values().chain(self.loading.values());
+        Megabytes(sizes.map(|m| m.0).sum())
+    }
+
+    /// How many orders would have overfilled its memory and were refused for it.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// Takes an order. Returns the item to load, if a load begins.
+    pub fn take(&mut self, order: &Order) -> Option<(Item, Megabytes)> {
+        if self.orders.contains_key(&order.number) {
+            return None;
+        }
+        if self.spec.checks && order.number < self.highest {
+            self.end_order(order.number, OrderEnd::Failed);
+            return None;
+        }
+        self.highest = self.highest.max(order.number);
+        match (order.kind, &order.item) {
+            (OrderKind::Touch, _) => self.end_order(order.number, OrderEnd::Done),
+            (OrderKind::Load, Some(item)) => return self.begin_load(order, item),
+            (OrderKind::Unload, Some(item)) => self.begin_unload(order.number, item),
+            (_, None) => self.end_order(order.number, OrderEnd::Failed),
+        }
+        None
+    }
+
+    fn begin_load(&mut self, order: &Order, item: &Item) -> Option<(Item, Megabytes)> {
+        if self.resident.contains_key(item) {
+            self.draining.remove(item);
+            self.end_order(order.number, OrderEnd::Done);
+            return None;
+        }
+        if self.loading.contains_key(item) {
+            return None;
+        }
+        if self.used().0 + order.size.0 > self.spec.memory.0 {
+            self.refused += 1;
+            self.end_order(order.number, OrderEnd::Failed);
+            return None;
+        }
+        self.loading.insert(item.clone(), order.size);
+        Some((item.clone(), order.size))
+    }
+
+    /// A load is through.
+    pub fn end_load(&mut self, incarnation: u64, number: Offset, item: &Item) {
+        if incarnation != self.incarnation {
+            return;
+        }
+        if let Some(size) = self.loading.remove(item) {
+            self.resident.insert(item.clone(), size);
+            self.end_order(number, OrderEnd::Done);
+        }
+    }
+
+    fn begin_unload(&mut self, number: Offset, item: &Item) {
+        let busy = self.running.get(item).is_some_and(|n| *n > 0);
+        if busy {
+            self.draining.insert(item.clone());
+            return;
+        }
+        self.resident.remove(item);
+        self.draining.remove(item);
+        self.end_order(number, OrderEnd::Done);
+    }
+
+    fn end_order(&mut self, number: Offset, end: OrderEnd) {
+        self.orders.insert(number, end);
+        while self.orders.len() > ORDERS_KEPT {
+            self.orders.pop_first();
+        }
+    }
+
+    /// Whether it would run a request for the item now.
+    #[must_use]
+    pub fn serves(&self, item: &Item) -> bool {
+        self.resident.contains_key(item) && !self.draining.contains(item)
+    }
+
+    /// A sequence waits for a place.
+    pub fn wait(&mut self) {
+        self.waiting += 1;
+    }
+
+    /// A sequence starts. Returns how many milliseconds its prompt takes.
+    pub fn start(&mut self, item: &Item, blocks: &[u64], total: usize) -> f64 {
+        self.waiting = self.waiting.saturating_sub(1);
+        *self.running.entry(item.clone()).or_default() += 1;
+        let cached = blocks.iter().take_while(|b| self.cache.contains(b)).count();
+        for block in blocks {
+            if !self.cache.contains(block) {
+                self.cache.push_back(*block);
+                self.publish(*block);
+            }
+        }
+        while self.cache.len() > self.spec.blocks {
+            self.cache.pop_front();
+        }
+        total.saturating_sub(cached) as f64 * self.spec.pace.block
+    }
+
+    fn publish(&mut self, block: u64) {
+        if self.rng.random_range(0..EVENT_GAP) != 0 {
+            self.events.push_back(block);
+        }
+        while self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    /// A sequence that waited goes away.
+    pub fn leave(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// A sequence ends.
+    pub fn end(&mut self, item: &Item) {
+        if let Some(n) = self.running.get_mut(item) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    /// How many sequences run.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.running.values().sum()
+    }
+
+    /// Milliseconds of a step with what runs now.
+    #[must_use]
+    pub fn step_ms(&self) -> f64 {
+        let others = self.busy().saturating_sub(1) as f64;
+        self.spec.pace.step + others * self.spec.pace.more
+    }
+
+    /// Its report.
+    pub fn report(&mut self) -> UpstreamReport {
+        let pair = |(item, size): (&Item, &Megabytes)| Resident {
+            item: item.clone(),
+            size: *size,
+        };
+        let ready = self
+            .resident
+            .iter()
+            .filter(|(i, _)| !self.draining.contains(*i));
+        let engine = EngineReport {
+            incarnation: self.incarnation,
+            memory: self.spec.memory,
+            checks: self.spec.checks,
+            leaving: self.leaving,
+            resident: ready.map(pair).collect(),
+            orders: self.orders.clone(),
+        };
+        UpstreamReport {
+            running: self.busy(),
+            waiting: self.waiting,
+            slots: self.spec.slots,
+            leaving: self.leaving,
+            used: self.used().0,
+            engine: Some(engine),
+            cache: CacheEvents {
+                blocks: self.events.drain(..).collect(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,27 @@
+//! Small stand-ins for the platform: log, weight store, instance list, engine, plain
+//! service. They answer at their interface and take faults on command; they model no
+//! network, process or cluster.
+//!
+//! [`Standins::start`] brings all of them up on loopback. Each server takes faults by
+//! `POST /fault`: [`LogFault`], [`EngineFault`], [`ServiceFault`]. [`MemoryLog`] is the
+//! log without its server, for tests and experiments.
+
+mod engine_server;
+mod engine_state;
+mod fault;
+mod log_state;
+mod platform_server;
+mod sample;
+mod service_server;
+mod start;
+mod store;
+mod text;
+
+pub use engine_state::{EngineSpec, EngineState, Pace};
+pub use fault::{EngineFault, LogFault, ServiceFault};
+pub use log_state::{AppendError, MemoryLog};
+pub use sample::Sample;
+pub use service_server::ServiceSpec;
+pub use start::{StandinSettings, Standins};
+pub use store::{StoreSpec, WeightStore};
+pub use text::{answer_text, token_text};
--- /dev/null
+++ b/crates/types/src/error.rs
@@ -0,0 +1,194 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A result whose error is the workspace's own [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Whether a request ran, as told to its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran and this is its whole answer.
+    Run,
+    /// It did not run and never will.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The word that stands in the `x-shaleline-outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The few categories that a caller decides by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Category {
+    /// The caller must change the request.
+    Caller,
+    /// The same request may succeed later.
+    Later,
+    /// The request may have run; repeating it is the caller's decision.
+    Doubt,
+    /// The system is at fault.
+    System,
+}
+
+/// What a caller is told for one kind of error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The stable word for the kind.
+    pub code: &'static str,
+    /// The HTTP status.
+    pub status: u16,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back, in milliseconds, where coming back makes sense.
+    pub retry: Option<Millis>,
+}
+
+macro_rules! kinds {
+    ($($kind:ident $code:literal $status:literal $outcome:ident $category:ident $retry:expr, $doc:literal;)+) => {
+        /// Everything that can go wrong, as a caller or operator sees it.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum ErrorKind {
+            $(#[doc = $doc] $kind,)+
+        }
+
+        impl ErrorKind {
+            /// Every kind, in the order of `docs/ERRORS.md`.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)+];
+
+            /// The answer for this kind.
+            #[must_use]
+            pub const fn answer(self) -> Answer {
+                let retry: Option<u64> = match self { $(Self::$kind => $retry,)+ };
+                let retry = match retry { Some(ms) => Some(Millis(ms)), None => None };
+                match self {
+                    $(Self::$kind => Answer {
+                        code: $code, status: $status, outcome: Outcome::$outcome, retry,
+                    },)+
+                }
+            }
+
+            /// The category a caller decides by.
+            #[must_use]
+            pub const fn classify(self) -> Category {
+                match self { $(Self::$kind => Category::$category,)+ }
+            }
+
+            /// What the kind means, in one sentence.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$kind => $doc,)+ }
+            }
+        }
+    };
+}
+
+kinds! {
+    BadRequest "bad-request" 400 NotRun Caller None, "The request is malformed.";
+    TooLarge "too-large" 413 NotRun Caller None, "The body is larger than the limit.";
+    Unauthenticated "unauthenticated" 401 NotRun Caller None, "The token is missing or wrong.";
+    Forbidden "forbidden" 403 NotRun Caller None, "The token's role does not allow this.";
+    UnknownModel "unknown-model" 404 NotRun Caller None, "The organisation has no such model or adapter.";
+    UnknownService "unknown-service" 404 NotRun Caller None, "The organisation has no such service.";
+    NotFound "not-found" 404 NotRun Caller None, "There is no such object.";
+    Conflict "conflict" 409 NotRun Caller None, "The object changed since the version this change was made from.";
+    Invalid "invalid" 422 NotRun Caller None, "The change does not check out.";
+    KeyConflict "key-conflict" 422 NotRun Caller None, "The idempotency key was used for another request.";
+    RateLimited "rate-limited" 429 NotRun Later Some(1_000), "The organisation is over one of its limits.";
+    Overloaded "overloaded" 503 NotRun Later Some(500), "The queue is full.";
+    DeadlineUnmet "deadline-unmet" 503 NotRun Later Some(500), "The request can't start within its target.";
+    NoUpstream "no-upstream" 503 NotRun Later Some(1_000), "No upstream serves this at the moment.";
+    NotReady "not-ready" 503 NotRun Later Some(1_000), "The daemon has no current configuration.";
+    Leaving "leaving" 503 NotRun Later Some(100), "The daemon is stopping.";
+    LogUnavailable "log-unavailable" 503 NotRun Later Some(5_000), "The platform's log can't be reached, so nothing may begin.";
+    JournalFull "journal-full" 503 NotRun Later Some(60_000), "The at-most-once journal holds as many keys as it may.";
+    UpstreamFailed "upstream-failed" 502 Unknown Doubt None, "The upstream failed after the request was sent.";
+    BrokenStream "broken-stream" 502 Unknown Doubt None, "The answer broke off and could not be resumed.";
+    TimedOut "timed-out" 504 Unknown Doubt None, "The upstream gave no answer in time.";
+    OutcomeUnknown "outcome-unknown" 409 Unknown Doubt None, "The request was begun earlier and its end is not known; it will not be run again.";
+    Halted "halted" 503 NotRun System Some(10_000), "A record of the log can't be understood; the daemon stopped applying.";
+    Internal "internal" 500 Unknown System None, "An invariant did not hold.";
+}
+
+/// An error with its kind, a sentence for people, and when to come back.
+///
+/// Opaque on purpose: decide by [`Error::kind`] or [`Error::classify`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Inner {
+    kind: ErrorKind,
+    detail: String,
+    retry: Option<Millis>,
+}
+
+impl Error {
+    /// Makes an error of `kind`; `detail` is shown to the caller and names no secret.
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self(Box::new(Inner {
+            kind,
+            detail: detail.into(),
+            retry: kind.answer().retry,
+        }))
+    }
+
+    /// States when to come back, where that is known better than by kind.
+    #[must_use]
+    pub fn with_retry(mut self, after: Millis) -> Self {
+        self.0.retry = Some(after);
+        self
+    }
+
+    /// The kind.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        self.0.kind
+    }
+
+    /// The category a caller decides by.
+    #[must_use]
+    pub fn classify(&self) -> Category {
+        self.0.kind.classify()
+    }
+
+    /// When to come back.
+    #[must_use]
+    pub fn retry(&self) -> Option<Millis> {
+        self.0.retry
+    }
+
+    /// The sentence for people.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        &self.0.detail
+    }
+}
+
+impl From<ErrorKind> for Error {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, kind.meaning())
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.0.kind.answer().code, self.0.detail)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/types/src/event.rs
@@ -0,0 +1,76 @@
+//! The numbered log events, catalogued for people in `docs/EVENTS.md`.
+
+/// How loud an event is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    /// An operator must act.
+    Error,
+    /// Something failed that the system handles.
+    Warn,
+    /// A change of state worth reading later.
+    Info,
+}
+
+macro_rules! events {
+    ($($name:ident $number:literal $level:ident $text:literal;)+) => {
+        /// A numbered log event. The number never changes meaning.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum LogEvent {
+            $(#[doc = $text] $name,)+
+        }
+
+        impl LogEvent {
+            /// Every event, in the order of `docs/EVENTS.md`.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// The stable number.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// How loud the event is.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)+ }
+            }
+
+            /// What happened, in one sentence.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+events! {
+    Started 1001 Info "The daemon started.";
+    Ready 1002 Info "The daemon has its configuration and admits requests.";
+    Stopping 1003 Info "The daemon was told to stop and finishes what is in flight.";
+    Stopped 1004 Info "The daemon has finished and stops.";
+    LogLost 2001 Warn "The platform's log does not answer.";
+    LogBack 2002 Info "The platform's log answers again.";
+    LogGap 2003 Error "Records were dropped from the log before any snapshot covered them.";
+    LogHalted 2004 Error "A record is newer than this daemon understands; it stops applying.";
+    SnapshotWritten 2005 Info "A snapshot was written.";
+    SnapshotLoaded 2006 Info "State was restored from a snapshot.";
+    PeerBoot 2007 Info "State was taken from a peer because the log is away.";
+    ChangeAccepted 3001 Info "A configuration change was accepted.";
+    ChangeRefused 3002 Warn "A configuration change was refused.";
+    LeaseTaken 4001 Info "This daemon became the owner.";
+    LeaseLost 4002 Warn "This daemon is no longer the owner.";
+    LeaseChallenged 4003 Info "An owner that seems gone was challenged.";
+    OrderSent 5001 Info "An order was sent to an engine.";
+    OrderSettled 5002 Info "An engine reported how an order ended.";
+    OrderDoubt 5003 Warn "An order got no answer and stays in doubt.";
+    Overcommit 5004 Error "An engine reports more memory in use than it has.";
+    KeyUnknown 6001 Warn "A keyed request has an unknown outcome.";
+    KeyAbandoned 6002 Info "A begun keyed request was given up before it was sent.";
+    MemberJoined 7001 Info "A daemon joined.";
+    MemberLeft 7002 Info "A daemon left or fell silent.";
+    UpstreamOpen 8001 Warn "A breaker opened for an upstream.";
+    UpstreamLeaving 8002 Info "An upstream is leaving and gets no new work.";
+    LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
+    InvariantBroken 9001 Error "An invariant did not hold; the decision was stopped.";
+}
