--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -33,7 +33,7 @@
 fn to_op(words: &[&str]) -> Result<Op> {
     Ok(match words {
         ["fleet", "put", path] => Op::PutFleet(file::read::<Fleet>(path)?),
-        ["template", "put", path] => Op::PutTemplate(file::read::<Template>(path)?),
+        ["template", "put", path] => Op::PutTemplate(Box::new(file::read::<Template>(path)?)),
         ["template", "remove", name] => Op::RemoveTemplate(TemplateName::from_text(name)?),
         ["org", "put", path] => Op::PutOrganisation(file::read::<Organisation>(path)?),
         ["org", "remove", name] => Op::RemoveOrganisation(Org::from_text(name)?),
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -11,7 +11,7 @@
     /// Sets the catalogue and the accelerators.
     PutFleet(Fleet),
     /// Creates or replaces a template, with all that is made from it.
-    PutTemplate(Template),
+    PutTemplate(Box<Template>),
     /// Removes a template that nothing is made from.
     RemoveTemplate(TemplateName),
     /// Creates or replaces an organisation.
--- a/crates/config/src/machine.rs
+++ b/crates/config/src/machine.rs
@@ -197,7 +197,7 @@
         match op {
             Op::PutFleet(fleet) => draft.fleet = fleet.clone(),
             Op::PutTemplate(t) => {
-                draft.templates.insert(t.name.clone(), t.clone());
+                draft.templates.insert(t.name.clone(), (**t).clone());
             }
             Op::PutOrganisation(o) => {
                 draft.orgs.insert(o.name.clone(), o.clone());
@@ -232,7 +232,7 @@
         match op {
             Op::PutFleet(fleet) => self.fleet = fleet.clone(),
             Op::PutTemplate(t) => {
-                self.templates.insert(t.name.clone(), t.clone());
+                self.templates.insert(t.name.clone(), (**t).clone());
             }
             Op::RemoveTemplate(name) => {
                 self.templates.remove(name);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -27,6 +27,12 @@
 /// How long another daemon's report of demand counts.
 const DEMAND_AGE: u64 = 15_000;
 
+/// What another daemon's callers ask for, and when it said so.
+struct RemoteDemand {
+    at: Millis,
+    rates: BTreeMap<Model, f64>,
+}
+
 type ActionSender = mpsc::UnboundedSender<RouteAction>;
 
 /// What a daemon's threads share.
@@ -44,7 +50,7 @@
     requests: Mutex<HashMap<RequestId, ActionSender>>,
     members: Mutex<Members>,
     view: RwLock<Arc<View>>,
-    remote_demand: Mutex<BTreeMap<WriterId, (Millis, BTreeMap<Model, f64>)>>,
+    remote_demand: Mutex<BTreeMap<WriterId, RemoteDemand>>,
     budget: SharedBudget,
     next_request: AtomicU64,
     in_flight: AtomicUsize,
@@ -277,8 +283,8 @@
     pub(crate) fn note_remote_demand(&self, writer: WriterId, rates: BTreeMap<Model, f64>) {
         let now = self.now();
         let mut all = self.remote_demand.lock().expect("no holder panics");
-        all.insert(writer, (now, rates));
-        all.retain(|_, (at, _)| now.since(*at) < DEMAND_AGE);
+        all.insert(writer, RemoteDemand { at: now, rates });
+        all.retain(|_, d| now.since(d.at) < DEMAND_AGE);
     }
 
     /// What other daemons' callers ask for, summed.
@@ -286,11 +292,8 @@
         let now = self.now();
         let all = self.remote_demand.lock().expect("no holder panics");
         let mut sum = BTreeMap::new();
-        for (at, rates) in all.values() {
-            if now.since(*at) >= DEMAND_AGE {
-                continue;
-            }
-            for (model, rate) in rates {
+        for demand in all.values().filter(|d| now.since(d.at) < DEMAND_AGE) {
+            for (model, rate) in &demand.rates {
                 *sum.entry(model.clone()).or_default() += rate;
             }
         }
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -248,7 +248,7 @@
     fn apply(&mut self, text: &str) -> Result<(), Halt> {
         let offset = self.next();
         match self.state.apply(text) {
-            Ok(Some((record, verdict))) => self.resolve(record.id, offset, verdict),
+            Ok(Some(done)) => self.resolve(done.id, offset, done.verdict),
             Ok(None) => {}
             Err(halt) => return self.stop(halt),
         }
--- a/crates/log/src/state.rs
+++ b/crates/log/src/state.rs
@@ -1,7 +1,7 @@
 //! The replayed state of one stream.
 
 use crate::record::VersionOnly;
-use crate::{Halt, Record, RECORD_VERSION};
+use crate::{Halt, Identity, Record, RECORD_VERSION};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Millis, Offset, Safeguard, WriterId};
@@ -38,6 +38,12 @@
     fn apply(&mut self, at: Position, body: &Self::Body) -> Self::Verdict;
 }
 
+/// A record that was applied for the first time.
+pub(crate) struct Applied<M: Machine> {
+    pub(crate) id: Identity,
+    pub(crate) verdict: M::Verdict,
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct LastSeen {
     seq: u64,
@@ -79,10 +85,7 @@
     }
 
     /// Applies the record at `self.next()`. `None` for a repeated record.
-    pub(crate) fn apply(
-        &mut self,
-        text: &str,
-    ) -> Result<Option<(Record<M::Body>, M::Verdict)>, Halt> {
+    pub(crate) fn apply(&mut self, text: &str) -> Result<Option<Applied<M>>, Halt> {
         let version = serde_json::from_str::<VersionOnly>(text).map_err(|_| Halt::Malformed)?;
         if version.v > RECORD_VERSION {
             return Err(Halt::Newer(version.v));
@@ -110,7 +113,10 @@
             writer: record.id.writer,
         };
         let verdict = self.machine.apply(at, &record.body);
-        Ok(Some((record, verdict)))
+        Ok(Some(Applied {
+            id: record.id,
+            verdict,
+        }))
     }
 
     fn is_repeat(&self, record: &Record<M::Body>) -> bool {
--- a/crates/types/examples/tables.rs
+++ b/crates/types/examples/tables.rs
@@ -20,6 +20,11 @@
     println!("\n| number | name | text | level |");
     println!("|---|---|---|---|");
     for event in LogEvent::ALL {
-        println!("| {} | {event:?} | {} | {:?} |", event.number(), event.text(), event.level());
+        println!(
+            "| {} | {event:?} | {} | {:?} |",
+            event.number(),
+            event.text(),
+            event.level()
+        );
     }
 }
