Add randomised fault runs over the decision code, and mend what they found

Ruled out: the checker itself was wrong in three places first (order of stale ends, slots before the first report, empty histories); those were mended in the harness alone.

--- /dev/null
+++ b/crates/bench/src/args.rs
@@ -0,0 +1,58 @@
+//! The command line.
+
+use crate::faults::{self, FaultArgs};
+use eyre::{bail, eyre, Result};
+use getopts::{Matches, Options};
+use shaleline_types::Safeguard;
+
+const HELP: &str = "usage: shaleline-bench COMMAND [FLAGS]
+
+  faults     randomised runs with the invariants checked
+";
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "show this text");
+    options.optflag("", "json", "print figures for machines");
+    options.optopt("", "seeds", "faults: how many seeds (default 200)", "N");
+    options.optopt("", "seed", "faults: this seed only", "N");
+    options.optopt(
+        "",
+        "without",
+        "faults: with this safeguard suspended",
+        "NAME",
+    );
+    options.optflag("", "list-safeguards", "faults: the safeguards");
+    options
+}
+
+/// Runs a command. Returns whether what it checks holds.
+pub fn run(args: &[String]) -> Result<bool> {
+    let options = options();
+    let matches = options.parse(args)?;
+    if matches.opt_present("help") || matches.free.is_empty() {
+        print!("{}", options.usage(HELP));
+        return Ok(true);
+    }
+    match matches.free[0].as_str() {
+        "faults" => faults::run(&fault_args(&matches)?),
+        other => bail!("no command {other:?}; see --help"),
+    }
+}
+
+fn fault_args(matches: &Matches) -> Result<FaultArgs> {
+    let without = matches.opt_str("without");
+    let find = |name: &String| {
+        let found = Safeguard::ALL.iter().find(|s| s.as_str() == name);
+        found
+            .copied()
+            .ok_or_else(|| eyre!("no safeguard {name:?}; see --list-safeguards"))
+    };
+    Ok(FaultArgs {
+        seeds: matches.opt_get_default("seeds", 200)?,
+        seed: matches.opt_get("seed")?,
+        without: without.as_ref().map(find).transpose()?,
+        list: matches.opt_present("list-safeguards"),
+        json: matches.opt_present("json"),
+    })
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,18 @@
-//! To come.
-fn main() {}
+//! Load, experiments and reports.
+
+use std::process::ExitCode;
+
+mod args;
+mod faults;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args::run(&args) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("shaleline-bench: {e:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/config/src/machine.rs
+++ b/crates/config/src/machine.rs
@@ -4,7 +4,9 @@
 use crate::{Change, Fleet, Op, Operator, Organisation, Refusal, Template, Tenant, Verdict};
 use serde::{Deserialize, Serialize};
 use shaleline_log::{Machine, Position};
-use shaleline_types::{ChangeId, ErrorKind, Offset, Org, Safeguard, TemplateName, TokenHash};
+use shaleline_types::{
+    ChangeId, ErrorKind, Offset, Org, Safeguard, TemplateName, TokenHash, WriterId,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How many change ids are remembered. A call repeated after so many later changes is
@@ -344,6 +346,16 @@
         self.remember(at.offset, &change.id, &verdict);
         verdict
     }
+
+    fn recall(&self, _writer: WriterId, change: &Change) -> Verdict {
+        let forgotten = || {
+            Verdict::Refused(Refusal {
+                kind: ErrorKind::OutcomeUnknown,
+                faults: vec!["the verdict is no longer remembered".to_owned()],
+            })
+        };
+        self.judged(&change.id).cloned().unwrap_or_else(forgotten)
+    }
 }
 
 fn invalid(faults: Vec<String>) -> Refusal {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -10,7 +10,7 @@
 use eyre::Result;
 use rand::Rng;
 use shaleline_config::{ConfigMachine, View};
-use shaleline_log::{AppendBudget, Machine};
+use shaleline_log::AppendBudget;
 use shaleline_once::OnceMachine;
 use shaleline_peer::{Member, MemberId, MemberSettings, Members};
 use shaleline_place::{CellMachine, Demand};
@@ -341,8 +341,3 @@
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Whether anything of a journal is still on its way to the log.
-pub(crate) fn is_flushed<M: Machine>(journal: &Journal<M>) -> bool {
-    journal.pending() == 0
-}
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -1,8 +1,9 @@
 //! Brings a daemon up and down.
 
 use crate::caller::{self, Local};
-use crate::core::{is_flushed, Core};
+use crate::core::Core;
 use crate::emit::emit;
+use crate::journal::Journal;
 use crate::log_actor::LogActor;
 use crate::member_actor::MemberActor;
 use crate::owner_actor::OwnerActor;
@@ -19,6 +20,7 @@
 use shaleline_dialect::HttpPlatform;
 use shaleline_log::LogService;
 use shaleline_platform::{Engines, InstanceList};
+use shaleline_route::{Drain, DrainAction, Unfinished};
 use shaleline_types::LogEvent;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -38,9 +40,6 @@
 /// How long a connection may take to send its request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long journals may take to empty at a stop.
-const FLUSH: Duration = Duration::from_secs(10);
-
 /// A daemon that is up.
 pub struct Daemon {
     /// Where it answers callers.
@@ -223,27 +222,30 @@
     }
 }
 
-/// A planned stop. First others learn of it while everything is still served; then what
+/// A planned stop: first others learn of it while everything is still served; then what
 /// comes is refused as not run; what is in flight ends; its records reach the log.
 async fn drain(core: &Arc<Core>, handles: &[ServerHandle]) {
     emit(LogEvent::Stopping, core.settings.instance.as_str());
-    core.begin_leaving();
-    actix_rt::time::sleep(Duration::from_millis(core.settings.grace.0)).await;
-    core.begin_refusing();
-    let limit = core.now().plus(core.settings.stop_limit.0);
-    while core.in_flight() > 0 && core.now() < limit {
-        actix_rt::time::sleep(POLL).await;
-    }
-    let limit = core.now().plus(FLUSH.as_millis() as u64);
-    while !all_flushed(core) && core.now() < limit {
-        actix_rt::time::sleep(POLL).await;
+    let mut drain = Drain::new(core.settings.grace, core.settings.stop_limit);
+    let mut action = drain.stop(core.now());
+    loop {
+        match action {
+            Some(DrainAction::Announce) => core.begin_leaving(),
+            Some(DrainAction::Refuse) => core.begin_refusing(),
+            Some(DrainAction::Exit) => break,
+            None => actix_rt::time::sleep(POLL).await,
+        }
+        action = drain.tick(unfinished(core), core.now());
     }
     for handle in handles {
         handle.stop(true).await;
     }
 }
 
-fn all_flushed(core: &Arc<Core>) -> bool {
-    let once = core.once.iter().all(is_flushed);
-    once && is_flushed(&core.config) && is_flushed(&core.cell)
+fn unfinished(core: &Arc<Core>) -> Unfinished {
+    let once: usize = core.once.iter().map(Journal::pending).sum();
+    Unfinished {
+        requests: core.in_flight(),
+        records: once + core.config.pending() + core.cell.pending(),
+    }
 }
--- a/crates/daemon/src/upstream_actor.rs
+++ b/crates/daemon/src/upstream_actor.rs
@@ -97,8 +97,11 @@
         gone
     };
     for name in gone {
-        leaving.remove(&name);
-        core.route(RouteEvent::Removed(name));
+        core.route(RouteEvent::Removed(name.clone()));
+        if leaving.remove(&name) {
+            let on = false;
+            core.route(RouteEvent::Leaving { upstream: name, on });
+        }
     }
 }
 
--- /dev/null
+++ b/crates/faults/src/route_run.rs
@@ -0,0 +1,385 @@
+//! Admission, routing and retries: upstreams fail, hang, leave and answer late.
+
+use crate::tally::{Invariant, Tally};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shaleline_route::{
+    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
+};
+use shaleline_types::{DataCentre, Millis, Org, RequestId, Service, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+
+const STEPS: u64 = 4_000;
+const SETTLE: u64 = 4_000;
+const UPSTREAMS: u64 = 4;
+const ORGS: u64 = 3;
+const ROUTES: u64 = 2;
+const SLOTS: usize = 4;
+const CONCURRENCY: u64 = 12;
+
+struct Asked {
+    org: Org,
+    repeatable: bool,
+    /// The attempt that counts, and where it is.
+    current: Option<(u32, Upstream)>,
+    /// Attempts that were given up.
+    old: Vec<u32>,
+    /// Whether some attempt may have run.
+    may_have_run: bool,
+    answers: u32,
+}
+
+struct Callers {
+    router: Router,
+    asked: BTreeMap<RequestId, Asked>,
+    leaving: BTreeSet<Upstream>,
+    next: u64,
+}
+
+pub(crate) fn run(seed: u64, tally: &mut Tally) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let centre = DataCentre::from_text("dc1").expect("the name is valid");
+    let settings = RouterSettings {
+        queue: 40,
+        ..RouterSettings::new(centre)
+    };
+    let mut callers = Callers {
+        router: Router::new(settings, ShareBook::alone("me")),
+        asked: BTreeMap::new(),
+        leaving: BTreeSet::new(),
+        next: 0,
+    };
+    for step in 0..STEPS + SETTLE {
+        tally.next_step();
+        let now = Millis(step * 10);
+        let settling = step >= STEPS;
+        let event = if settling {
+            callers.settle(&mut rng, step)
+        } else {
+            callers.event(&mut rng, now, tally)
+        };
+        if let Some(event) = event {
+            callers.step(event, now, tally);
+        }
+        callers.look(tally);
+    }
+    let left = callers.asked.values().filter(|a| a.answers == 0).count();
+    tally.check(Invariant::Settled, left == 0, || {
+        format!("{left} requests have no answer")
+    });
+}
+
+fn upstream(number: u64) -> Upstream {
+    Upstream::from_text(&format!("up-{number}")).expect("the name is valid")
+}
+
+fn route(number: u64) -> Route {
+    Route::Service(Service::from_text(&format!("s-{number}")).expect("the name is valid"))
+}
+
+fn site(number: u64) -> Site {
+    let routes = if number % 2 == 0 {
+        vec![route(0)]
+    } else {
+        vec![route(0), route(1)]
+    };
+    Site {
+        centre: DataCentre::from_text(&format!("dc{number}")).expect("the name is valid"),
+        routes,
+    }
+}
+
+impl Callers {
+    fn event(&mut self, rng: &mut SmallRng, now: Millis, tally: &mut Tally) -> Option<RouteEvent> {
+        let number = rng.random_range(0..UPSTREAMS);
+        let name = upstream(number);
+        Some(match rng.random_range(0..100) {
+            0..30 => self.arrive(rng, now),
+            30..60 => return self.some_end(rng, tally),
+            60..70 => return self.some_byte(rng),
+            70..72 => return self.stale_end(rng, tally),
+            72..76 => {
+                tally.fault();
+                return self.caller_gone(rng);
+            }
+            76..84 => RouteEvent::Serves {
+                upstream: name,
+                site: site(number),
+            },
+            84..90 => RouteEvent::Report {
+                upstream: name,
+                load: Load {
+                    running: rng.random_range(0..SLOTS + 2),
+                    waiting: 0,
+                    slots: SLOTS,
+                    leaving: false,
+                },
+            },
+            90..93 => {
+                tally.fault();
+                let on = rng.random_range(0..2) == 0;
+                if on {
+                    self.leaving.insert(name.clone());
+                } else {
+                    self.leaving.remove(&name);
+                }
+                RouteEvent::Leaving { upstream: name, on }
+            }
+            93..94 => {
+                tally.fault();
+                RouteEvent::Removed(name)
+            }
+            _ => RouteEvent::Tick,
+        })
+    }
+
+    /// After all faults every upstream serves and every send ends well.
+    fn settle(&mut self, rng: &mut SmallRng, step: u64) -> Option<RouteEvent> {
+        let number = step % UPSTREAMS;
+        let name = upstream(number);
+        match step % 5 {
+            0 => {
+                self.leaving.remove(&name);
+                let on = false;
+                Some(RouteEvent::Leaving { upstream: name, on })
+            }
+            1 => Some(RouteEvent::Serves {
+                upstream: name,
+                site: site(number),
+            }),
+            2 => Some(RouteEvent::Report {
+                upstream: name,
+                load: Load {
+                    slots: SLOTS,
+                    ..Load::default()
+                },
+            }),
+            3 => Some(RouteEvent::Tick),
+            _ => {
+                let (id, attempt) = self.in_flight(rng)?;
+                let end = End::Whole;
+                Some(RouteEvent::Ended { id, attempt, end })
+            }
+        }
+    }
+
+    fn arrive(&mut self, rng: &mut SmallRng, now: Millis) -> RouteEvent {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let org = Org::from_text(&format!("org-{}", rng.random_range(0..ORGS)));
+        let org = org.expect("the name is valid");
+        let repeatable = rng.random_range(0..2) == 0;
+        self.asked.insert(
+            id,
+            Asked {
+                org: org.clone(),
+                repeatable,
+                current: None,
+                old: Vec::new(),
+                may_have_run: false,
+                answers: 0,
+            },
+        );
+        RouteEvent::Arrive(Ask {
+            id,
+            org,
+            route: route(rng.random_range(0..ROUTES)),
+            priority: rng.random_range(0..3),
+            weight: 1,
+            cost: rng.random_range(1..50),
+            prefix: Vec::new(),
+            due: now.plus(rng.random_range(100..5_000)),
+            repeatable,
+            limits: Limits {
+                rate: 1_000,
+                concurrency: CONCURRENCY,
+                tokens: 1_000_000,
+            },
+        })
+    }
+
+    fn in_flight(&self, rng: &mut SmallRng) -> Option<(RequestId, u32)> {
+        let flights: Vec<(RequestId, u32)> = self
+            .asked
+            .iter()
+            .filter_map(|(id, a)| Some((*id, a.current.as_ref()?.0)))
+            .collect();
+        (!flights.is_empty()).then(|| flights[rng.random_range(0..flights.len())])
+    }
+
+    fn some_end(&mut self, rng: &mut SmallRng, tally: &mut Tally) -> Option<RouteEvent> {
+        let (id, attempt) = self.in_flight(rng)?;
+        let end = match rng.random_range(0..100) {
+            0..70 => End::Whole,
+            70..80 => End::NotSent,
+            80..85 => End::Refused,
+            _ => End::Broken,
+        };
+        if end != End::Whole {
+            tally.fault();
+        }
+        Some(RouteEvent::Ended { id, attempt, end })
+    }
+
+    fn some_byte(&mut self, rng: &mut SmallRng) -> Option<RouteEvent> {
+        let (id, attempt) = self.in_flight(rng)?;
+        Some(RouteEvent::FirstByte { id, attempt })
+    }
+
+    /// A late answer to an attempt that was given up.
+    fn stale_end(&mut self, rng: &mut SmallRng, tally: &mut Tally) -> Option<RouteEvent> {
+        let stale: Vec<(RequestId, u32)> = self
+            .asked
+            .iter()
+            .filter(|(_, a)| a.answers == 0)
+            .flat_map(|(id, a)| a.old.iter().map(|o| (*id, *o)))
+            .collect();
+        if stale.is_empty() {
+            return None;
+        }
+        tally.fault();
+        let (id, attempt) = stale[rng.random_range(0..stale.len())];
+        let end = End::Whole;
+        Some(RouteEvent::Ended { id, attempt, end })
+    }
+
+    fn caller_gone(&mut self, rng: &mut SmallRng) -> Option<RouteEvent> {
+        let open: Vec<RequestId> = self
+            .asked
+            .iter()
+            .filter(|(_, a)| a.answers == 0)
+            .map(|(id, _)| *id)
+            .collect();
+        if open.is_empty() {
+            return None;
+        }
+        let id = open[rng.random_range(0..open.len())];
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.answers = 1;
+            asked.current = None;
+        }
+        Some(RouteEvent::CallerGone(id))
+    }
+
+    fn step(&mut self, event: RouteEvent, now: Millis, tally: &mut Tally) {
+        let before = self.router.stats().open;
+        let stale = self.is_stale(&event);
+        if let RouteEvent::Ended { id, attempt, end } = &event {
+            self.note_end(*id, *attempt, *end);
+        }
+        let actions = self.router.step(event, now);
+        if stale {
+            let after = self.router.stats().open;
+            tally.check(
+                Invariant::OwnAnswer,
+                before == after && actions.is_empty(),
+                || "a late answer to an old attempt was taken for the answer".to_owned(),
+            );
+        }
+        for action in actions {
+            if let RouteAction::Send { upstream, .. } = &action {
+                self.check_places(upstream, now, tally);
+            }
+            self.act(action, tally);
+        }
+    }
+
+    /// Whoever was sent work has a place for it; a probe of one that hung may be one more.
+    fn check_places(&self, upstream: &Upstream, now: Millis, tally: &mut Tally) {
+        let all = self.router.upstreams(now);
+        for back in all.iter().filter(|b| b.name == upstream.as_str()) {
+            tally.check(Invariant::Limits, back.flights <= back.slots + 1, || {
+                format!(
+                    "{} has {} requests, {} places",
+                    back.name, back.flights, back.slots
+                )
+            });
+        }
+    }
+
+    fn is_stale(&self, event: &RouteEvent) -> bool {
+        let RouteEvent::Ended { id, attempt, .. } = event else {
+            return false;
+        };
+        self.asked
+            .get(id)
+            .is_some_and(|a| a.answers == 0 && a.old.contains(attempt))
+    }
+
+    /// The caller's side of an end: a whole answer to the current attempt is passed on.
+    fn note_end(&mut self, id: RequestId, attempt: u32, end: End) {
+        let Some(asked) = self.asked.get_mut(&id) else {
+            return;
+        };
+        let current = asked.current.as_ref().is_some_and(|(a, _)| *a == attempt);
+        if !current {
+            return;
+        }
+        asked.current = None;
+        asked.old.push(attempt);
+        asked.may_have_run |= matches!(end, End::Broken);
+        if end == End::Whole {
+            asked.answers += 1;
+            asked.old.clear();
+        }
+    }
+
+    fn act(&mut self, action: RouteAction, tally: &mut Tally) {
+        match action {
+            RouteAction::Send {
+                id,
+                attempt,
+                upstream,
+            } => {
+                let leaving = self.leaving.contains(&upstream);
+                tally.check(Invariant::Leaving, !leaving, || {
+                    format!("{upstream} got new work")
+                });
+                let Some(asked) = self.asked.get_mut(&id) else {
+                    return;
+                };
+                let again = asked.may_have_run && !asked.repeatable;
+                tally.check(Invariant::Once, !again, || {
+                    format!("request {id} was sent again")
+                });
+                tally.check(Invariant::Settled, asked.answers == 0, || {
+                    format!("request {id} was sent after its answer")
+                });
+                if let Some((old, _)) = asked.current.replace((attempt, upstream)) {
+                    asked.old.push(old);
+                }
+            }
+            RouteAction::Cancel { id, attempt, .. } => {
+                if let Some(asked) = self.asked.get_mut(&id) {
+                    asked.old.push(attempt);
+                    asked.may_have_run = true;
+                    asked.current = None;
+                }
+            }
+            RouteAction::Refuse { id, .. } => {
+                if let Some(asked) = self.asked.get_mut(&id) {
+                    asked.answers += 1;
+                    asked.current = None;
+                    let answers = asked.answers;
+                    tally.check(Invariant::Settled, answers == 1, || {
+                        format!("request {id} was answered {answers} times")
+                    });
+                }
+            }
+        }
+    }
+
+    fn look(&mut self, tally: &mut Tally) {
+        let mut by_org: BTreeMap<&Org, u64> = BTreeMap::new();
+        for asked in self.asked.values().filter(|a| a.answers == 0) {
+            *by_org.entry(&asked.org).or_default() += 1;
+        }
+        for (org, count) in by_org {
+            tally.check(Invariant::Limits, count <= CONCURRENCY, || {
+                format!("{org} has {count} requests at once, {CONCURRENCY} allowed")
+            });
+        }
+        self.asked
+            .retain(|_, a| a.answers == 0 || a.current.is_some());
+    }
+}
--- /dev/null
+++ b/crates/faults/src/tally.rs
@@ -0,0 +1,146 @@
+//! What the runs count.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+macro_rules! invariants {
+    ($($name:ident $code:literal;)+) => {
+        /// What must always hold.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum Invariant {
+            $(#[doc = $code] $name,)+
+        }
+
+        impl Invariant {
+            /// Every invariant.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// The invariant in words.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$name => $code,)+ }
+            }
+        }
+    };
+}
+
+invariants! {
+    Memory "no memory is promised beyond an accelerator's";
+    Reachable "a model that is reachable stays so";
+    OwnAnswer "an answer counts only for its own request and attempt";
+    NotRun "what was told as not run did not run";
+    Once "a request that must not be repeated runs at most once";
+    Leaving "a leaving upstream gets no new work";
+    PlannedStop "a planned stop cuts off nothing";
+    Config "an accepted configuration is in force everywhere and never reverts";
+    Log "a record takes effect once, in the same order everywhere";
+    Limits "an organisation's limits and an upstream's places hold";
+    Settled "every request is answered exactly once";
+}
+
+/// A violation and the seed that repeats it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The invariant.
+    pub invariant: Invariant,
+    /// The seed.
+    pub seed: u64,
+    /// The step.
+    pub step: u64,
+    /// What was seen.
+    pub text: String,
+}
+
+/// What one run or several did.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Outcome {
+    /// Steps run.
+    pub steps: u64,
+    /// Faults injected.
+    pub faults: u64,
+    /// Checks made.
+    pub checks: u64,
+    /// Checks that failed.
+    pub violations: u64,
+}
+
+/// Counts per invariant.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    seed: u64,
+    step: u64,
+    faults: u64,
+    counts: BTreeMap<Invariant, Outcome>,
+    violations: Vec<Violation>,
+}
+
+impl Tally {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn next_step(&mut self) {
+        self.step += 1;
+    }
+
+    pub(crate) fn fault(&mut self) {
+        self.faults += 1;
+    }
+
+    /// Checks an invariant; `text` is made only where it does not hold.
+    pub(crate) fn check(
+        &mut self,
+        invariant: Invariant,
+        holds: bool,
+        text: impl FnOnce() -> String,
+    ) {
+        let count = self.counts.entry(invariant).or_default();
+        count.checks += 1;
+        if !holds {
+            count.violations += 1;
+            self.violations.push(Violation {
+                invariant,
+                seed: self.seed,
+                step: self.step,
+                text: text(),
+            });
+        }
+    }
+
+    /// Credits the run's steps and faults to every invariant that it checked.
+    pub(crate) fn finish(mut self) -> Self {
+        for count in self.counts.values_mut() {
+            count.steps = self.step;
+            count.faults = self.faults;
+        }
+        self
+    }
+
+    /// Adds another run's counts.
+    pub fn add(&mut self, other: Self) {
+        for (invariant, more) in other.counts {
+            let count = self.counts.entry(invariant).or_default();
+            count.steps += more.steps;
+            count.faults += more.faults;
+            count.checks += more.checks;
+            count.violations += more.violations;
+        }
+        self.violations.extend(other.violations);
+    }
+
+    /// The counts of an invariant.
+    #[must_use]
+    pub fn outcome(&self, invariant: Invariant) -> Outcome {
+        self.counts.get(&invariant).cloned().unwrap_or_default()
+    }
+
+    /// All violations.
+    #[must_use]
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+}
--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -63,7 +63,6 @@
             return own_duty(input, fence);
         }
         if input.stopping || !input.preferred {
-            self.challenge = None;
             return None;
         }
         let Some(holder) = input.lease.holder() else {
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -151,6 +151,9 @@
         if current != Some(fence) {
             return LeaseVerdict::Void;
         }
+        if let Some(open) = self.open.iter().find(|c| c.by == by) {
+            return LeaseVerdict::Challenged(open.offset);
+        }
         self.open.push(OpenChallenge { offset, by });
         LeaseVerdict::Challenged(offset)
     }
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Millis, Offset, Safeguard, WriterId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 const MAX_BATCH: usize = 128;
@@ -52,9 +52,15 @@
     pub verdict: V,
 }
 
-struct Flight {
-    /// Text and ticket of each record, in order.
-    records: Vec<(String, Ticket)>,
+/// A record on its way.
+struct OnWay<B> {
+    text: String,
+    ticket: Ticket,
+    body: B,
+}
+
+struct Flight<B> {
+    records: Vec<OnWay<B>>,
     first_seq: u64,
     calling: bool,
     retry_at: Millis,
@@ -72,7 +78,9 @@
     tickets: u64,
     state: State<M>,
     queue: BTreeMap<(Priority, Ticket), M::Body>,
-    flight: Option<Flight>,
+    flight: Option<Flight<M::Body>>,
+    /// The records of the flight whose verdict is known.
+    resolved: BTreeSet<Ticket>,
     done: Vec<Committed<M::Verdict>>,
     halt: Option<Halt>,
     snapped: Offset,
@@ -89,6 +97,7 @@
             state: State::default(),
             queue: BTreeMap::new(),
             flight: None,
+            resolved: BTreeSet::new(),
             done: Vec::new(),
             halt: None,
             snapped: Offset(0),
@@ -161,7 +170,7 @@
         if idle || self.halt.is_some() {
             return None;
         }
-        let waits = |f: &Flight| f.calling || now < f.retry_at;
+        let waits = |f: &Flight<M::Body>| f.calling || now < f.retry_at;
         if self.flight.as_ref().is_some_and(waits) || !budget.take(now) {
             return None;
         }
@@ -170,10 +179,10 @@
         }
         let flight = self.flight.as_mut()?;
         flight.calling = true;
-        Some(flight.records.iter().map(|(t, _)| t.clone()).collect())
+        Some(flight.records.iter().map(|r| r.text.clone()).collect())
     }
 
-    fn form_batch(&mut self, wall: Millis) -> Flight {
+    fn form_batch(&mut self, wall: Millis) -> Flight<M::Body> {
         let first_seq = self.seq + 1;
         let mut records = Vec::new();
         while records.len() < MAX_BATCH {
@@ -191,8 +200,11 @@
                 at: wall,
                 body,
             };
-            let text = serde_json::to_string(&record).expect("records serialize");
-            records.push((text, ticket));
+            records.push(OnWay {
+                text: serde_json::to_string(&record).expect("records serialize"),
+                ticket,
+                body: record.body,
+            });
         }
         Flight {
             records,
@@ -213,7 +225,7 @@
         flight.retry_at = now.plus(flight.backoff);
         flight.backoff = (flight.backoff * 2).min(RETRY_LIMIT);
         if result == Appended::At(self.state.next()) {
-            let texts: Vec<String> = flight.records.iter().map(|(t, _)| t.clone()).collect();
+            let texts: Vec<String> = flight.records.iter().map(|r| r.text.clone()).collect();
             for text in texts {
                 if self.apply(&text).is_err() {
                     return;
@@ -276,16 +288,43 @@
         let Some(index) = id.seq.checked_sub(flight.first_seq) else {
             return;
         };
-        let Some((_, ticket)) = flight.records.get(index as usize) else {
+        let Some(record) = flight.records.get(index as usize) else {
             return;
         };
         self.done.push(Committed {
-            ticket: *ticket,
+            ticket: record.ticket,
             offset,
             verdict,
         });
+        self.resolved.insert(record.ticket);
         if index as usize + 1 == flight.records.len() {
             self.flight = None;
+            self.resolved.clear();
+        }
+    }
+
+    /// Settles those records on their way that the restored state holds already. Nothing
+    /// will ever be read back for them.
+    fn recall_flight(&mut self) {
+        let last = self.state.last_seq(self.writer);
+        let Some(flight) = self.flight.as_ref() else {
+            return;
+        };
+        let landed = (last + 1).saturating_sub(flight.first_seq) as usize;
+        for record in flight.records.iter().take(landed) {
+            if self.resolved.contains(&record.ticket) {
+                continue;
+            }
+            self.done.push(Committed {
+                ticket: record.ticket,
+                offset: self.state.next(),
+                verdict: self.state.machine().recall(self.writer, &record.body),
+            });
+            self.resolved.insert(record.ticket);
+        }
+        if landed >= flight.records.len() {
+            self.flight = None;
+            self.resolved.clear();
         }
     }
 
@@ -309,6 +348,7 @@
             return false;
         };
         self.state = state;
+        self.recall_flight();
         if matches!(self.halt, Some(Halt::Gap(_))) {
             self.halt = None;
         }
--- a/crates/log/src/state.rs
+++ b/crates/log/src/state.rs
@@ -36,6 +36,10 @@
 
     /// Applies one record and returns the verdict on it.
     fn apply(&mut self, at: Position, body: &Self::Body) -> Self::Verdict;
+
+    /// The verdict on a record of `writer` that this state holds already, because the
+    /// state came from a snapshot and the record was never applied here.
+    fn recall(&self, writer: WriterId, body: &Self::Body) -> Self::Verdict;
 }
 
 /// A record that was applied for the first time.
@@ -78,6 +82,11 @@
         &self.machine
     }
 
+    /// The last of a writer's records that the state holds.
+    pub(crate) fn last_seq(&self, writer: WriterId) -> u64 {
+        self.writers.get(&writer).map_or(0, |l| l.seq)
+    }
+
     /// How many writers' identities are remembered.
     #[must_use]
     pub fn writers(&self) -> usize {
--- a/crates/once/src/journal.rs
+++ b/crates/once/src/journal.rs
@@ -292,4 +292,25 @@
             OnceBody::Abandoned { key, attempt } => self.abandon(at, key, *attempt),
         }
     }
+
+    /// The permission to send is still this attempt's if the key's state says so: whoever
+    /// holds it has not been told yet, so it has not been used.
+    fn recall(&self, writer: WriterId, body: &OnceBody) -> OnceVerdict {
+        let OnceBody::Begun {
+            key,
+            attempt,
+            request,
+        } = body
+        else {
+            return OnceVerdict::Noted;
+        };
+        let own = KeyState::Begun {
+            writer,
+            attempt: *attempt,
+        };
+        if self.get(key) == Some(&own) {
+            return OnceVerdict::Granted;
+        }
+        self.known(key, request).unwrap_or(OnceVerdict::Void)
+    }
 }
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -71,6 +71,9 @@
     pub leaving: bool,
     /// What it holds ready.
     pub resident: Vec<Resident>,
+    /// What it is loading now.
+    #[serde(default)]
+    pub loading: Vec<Resident>,
     /// How recent orders ended, by number.
     pub orders: BTreeMap<Offset, OrderEnd>,
 }
@@ -82,9 +85,8 @@
         self.resident.iter().any(|r| r.item == *item)
     }
 
-    fn to_map(&self) -> BTreeMap<Item, Megabytes> {
-        let pair = |r: &Resident| (r.item.clone(), r.size);
-        self.resident.iter().map(pair).collect()
+    fn resident_sizes(&self) -> BTreeMap<Item, Megabytes> {
+        to_sizes(&self.resident)
     }
 }
 
@@ -206,7 +208,8 @@
         bodies
     }
 
-    /// An engine that checks numbers is shown the ledger's own after each adoption.
+    /// An engine that checks numbers is shown the ledger's own after each adoption. What an
+    /// older order made it load is waited for, so that nothing is left uncounted.
     fn touch(
         &mut self,
         fence: Offset,
@@ -219,11 +222,14 @@
             return None;
         }
         if report.orders.contains_key(&book.adopted) {
+            if !report.loading.is_empty() {
+                return None;
+            }
             return Some(CellBody::Touched {
                 fence,
                 engine: engine.clone(),
                 incarnation: book.incarnation,
-                resident: report.to_map(),
+                resident: report.resident_sizes(),
             });
         }
         let subject = Subject {
@@ -345,6 +351,10 @@
     }
 }
 
+fn to_sizes(items: &[Resident]) -> BTreeMap<Item, Megabytes> {
+    items.iter().map(|r| (r.item.clone(), r.size)).collect()
+}
+
 fn adoption(fence: Offset, engine: &Upstream, report: &EngineReport) -> CellBody {
     CellBody::Adopt {
         fence,
@@ -352,7 +362,8 @@
         incarnation: report.incarnation,
         memory: report.memory,
         checks: report.checks,
-        resident: report.to_map(),
+        resident: report.resident_sizes(),
+        loading: to_sizes(&report.loading),
     }
 }
 
--- a/crates/place/src/machine.rs
+++ b/crates/place/src/machine.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use shaleline_lease::{Lease, LeaseBody, LeaseVerdict};
 use shaleline_log::{Machine, Position};
-use shaleline_types::{Megabytes, Offset, Safeguard, Upstream};
+use shaleline_types::{Megabytes, Offset, Safeguard, Upstream, WriterId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a record says about a cell. All but the lease's bear the owner's fencing number.
@@ -27,6 +27,8 @@
         checks: bool,
         /// What it reports to hold, with sizes.
         resident: BTreeMap<Item, Megabytes>,
+        /// What it reports to be loading, with sizes.
+        loading: BTreeMap<Item, Megabytes>,
     },
     /// An order to load is about to be sent.
     Load {
@@ -184,7 +186,8 @@
         let Some(book) = self.engines.get_mut(engine) else {
             return CellVerdict::Void;
         };
-        if book.leaving || book.is_busy() || book.barred.contains(item) {
+        let unseen = book.checks && !book.touched;
+        if book.leaving || unseen || book.is_busy() || book.barred.contains(item) {
             return CellVerdict::Void;
         }
         let needs_base = !item.is_base();
@@ -312,7 +315,7 @@
             }
         }
         for (item, size) in resident {
-            let slot = || adopted(at, *size);
+            let slot = || adopted(at, *size, SlotState::Resident);
             book.slots.entry(item.clone()).or_insert_with(slot);
         }
         book.barred.clear();
@@ -329,9 +332,14 @@
                 memory,
                 checks,
                 resident,
+                loading,
                 ..
             } => {
-                let slots = resident.iter().map(|(i, m)| (i.clone(), adopted(at, *m)));
+                let ready =
+                    |(i, m): (&Item, &Megabytes)| (i.clone(), adopted(at, *m, SlotState::Resident));
+                let coming =
+                    |(i, m): (&Item, &Megabytes)| (i.clone(), adopted(at, *m, SlotState::Ghost));
+                let slots = loading.iter().map(coming).chain(resident.iter().map(ready));
                 let book = EngineBook {
                     incarnation: *incarnation,
                     memory: *memory,
@@ -383,10 +391,10 @@
     }
 }
 
-fn adopted(at: Offset, size: Megabytes) -> Slot {
+fn adopted(at: Offset, size: Megabytes, state: SlotState) -> Slot {
     Slot {
         size,
-        state: SlotState::Resident,
+        state,
         order: at,
         doubt: false,
     }
@@ -448,4 +456,15 @@
         }
         self.apply_owned(at.offset, body)
     }
+
+    /// What a record brought about shows in the ledger; only a claim has to be told.
+    fn recall(&self, writer: WriterId, body: &CellBody) -> CellVerdict {
+        match (body, self.lease.fence_of(writer)) {
+            (CellBody::Lease(LeaseBody::Claim { .. }), Some(fence)) => {
+                CellVerdict::Lease(LeaseVerdict::Taken(fence))
+            }
+            (CellBody::Lease(_), _) => CellVerdict::Lease(LeaseVerdict::Void),
+            _ => CellVerdict::Void,
+        }
+    }
 }
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -175,7 +175,8 @@
     fn new(plan: Plan<'a>, now: Millis, planner: &'a Planner) -> Self {
         let usable = |(e, b): (&'a Upstream, &'a EngineBook)| {
             let alive = plan.views.get(e).is_some_and(|v| v.alive);
-            (alive && !b.leaving && !b.is_busy()).then_some(e)
+            let seen = b.touched || !b.checks;
+            (alive && seen && !b.leaving && !b.is_busy()).then_some(e)
         };
         Self {
             open: plan.books.iter().filter_map(usable).collect(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod ask;
 mod breaker;
 mod choose;
+mod drain;
 mod limit;
 mod prefix;
 mod queue;
@@ -28,6 +29,7 @@
 
 pub use ask::{Ask, AttemptNumber, End, Load, Route, RouteAction, RouteEvent, Site};
 pub use choose::Choice;
+pub use drain::{Drain, DrainAction, Unfinished};
 pub use limit::{LimitKind, Limits};
 pub use prefix::{prefix_chain, BLOCK_CHARS};
 pub use router::{Router, RouterSettings};
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,7 +10,7 @@
     ShareBook, Site, UpstreamStats,
 };
 use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator sets.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +63,8 @@
     open: BTreeMap<RequestId, Open>,
     queues: BTreeMap<Route, RouteQueue>,
     backs: BTreeMap<Upstream, Back>,
+    /// Upstreams that were told to be leaving, whether they are known yet or not.
+    leaving: BTreeSet<Upstream>,
     budget: RetryBudget,
     turn: u64,
     stats: RouterStats,
@@ -79,6 +81,7 @@
             open: BTreeMap::new(),
             queues: BTreeMap::new(),
             backs: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             budget: RetryBudget::default(),
             turn: 0,
             stats: RouterStats::default(),
@@ -157,9 +160,7 @@
                 self.pump(&upstream, now, &mut out);
             }
             RouteEvent::Leaving { upstream, on } => {
-                if let Some(back) = self.backs.get_mut(&upstream) {
-                    back.leaving = on;
-                }
+                self.set_leaving(&upstream, on);
                 self.pump(&upstream, now, &mut out);
             }
             RouteEvent::Removed(upstream) => self.removed(&upstream, now, &mut out),
@@ -177,11 +178,26 @@
         match self.backs.get_mut(upstream) {
             Some(back) => back.set_site(site),
             None => {
-                self.backs.insert(upstream.clone(), Back::new(site));
+                let mut back = Back::new(site);
+                back.leaving = self.leaving.contains(upstream);
+                self.backs.insert(upstream.clone(), back);
             }
         }
     }
 
+    /// Remembered beyond the upstream's own entry: one that is told to be leaving before
+    /// it is known, or falls silent and comes back, is leaving all the same.
+    fn set_leaving(&mut self, upstream: &Upstream, on: bool) {
+        if on {
+            self.leaving.insert(upstream.clone());
+        } else {
+            self.leaving.remove(upstream);
+        }
+        if let Some(back) = self.backs.get_mut(upstream) {
+            back.leaving = on;
+        }
+    }
+
     fn arrive(&mut self, ask: Ask, now: Millis, out: &mut Vec<RouteAction>) {
         self.stats.arrived += 1;
         let id = ask.id;
--- a/crates/standin/src/engine_state.rs
+++ b/crates/standin/src/engine_state.rs
@@ -124,9 +124,10 @@
         self.refused
     }
 
-    /// Takes an order. Returns the item to load, if a load begins.
+    /// Takes an order. Returns the item to load, if a load begins. An engine that ignores
+    /// numbers carries out a late copy of an old order too.
     pub fn take(&mut self, order: &Order) -> Option<(Item, Megabytes)> {
-        if self.orders.contains_key(&order.number) {
+        if self.spec.checks && self.orders.contains_key(&order.number) {
             return None;
         }
         if self.spec.checks && order.number < self.highest {
@@ -190,6 +191,12 @@
         }
     }
 
+    /// Whether it holds or loads the item.
+    #[must_use]
+    pub fn holds(&self, item: &Item) -> bool {
+        self.resident.contains_key(item) || self.loading.contains_key(item)
+    }
+
     /// Whether it would run a request for the item now.
     #[must_use]
     pub fn serves(&self, item: &Item) -> bool {
@@ -268,6 +275,7 @@
             checks: self.spec.checks,
             leaving: self.leaving,
             resident: ready.map(pair).collect(),
+            loading: self.loading.iter().map(pair).collect(),
             orders: self.orders.clone(),
         };
         UpstreamReport {
