--- a/crates/faults/src/cell_run.rs
+++ b/crates/faults/src/cell_run.rs
@@ -98,6 +98,9 @@
     };
     for step in 0..STEPS {
         tally.next_step();
+        if !tally.is_clean() {
+            return;
+        }
         if step == STEPS * 3 / 4 {
             world.heal();
             cell.settling = true;
@@ -441,7 +444,7 @@
             events.push((claim.called, false, i, claim.event));
             events.push((claim.answered.unwrap_or(last), true, i, claim.event));
         }
-        if events.is_empty() {
+        if events.is_empty() || !tally.is_clean() {
             return;
         }
         events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
--- a/crates/faults/src/config_run.rs
+++ b/crates/faults/src/config_run.rs
@@ -17,7 +17,7 @@
 const NODES: usize = 4;
 const ORGS: u64 = 3;
 const STEPS: u64 = 4_000;
-const SETTLE: u64 = 60_000;
+const SETTLE: u64 = 2_000;
 
 /// The most operations of one object that the checker of histories is given.
 const MOST_OPERATIONS: usize = 60;
@@ -56,6 +56,9 @@
     }
     for step in 0..STEPS + SETTLE {
         tally.next_step();
+        if !tally.is_clean() {
+            return;
+        }
         if step == STEPS {
             world.heal();
         }
@@ -264,7 +267,7 @@
             events.push((asked.called, false, i, event));
             events.push((asked.answered.unwrap_or(last + 1), true, i, event));
         }
-        if events.is_empty() {
+        if events.is_empty() || !tally.is_clean() {
             return;
         }
         events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
--- a/crates/faults/src/log_run.rs
+++ b/crates/faults/src/log_run.rs
@@ -11,7 +11,7 @@
 
 const NODES: usize = 4;
 const STEPS: u64 = 3_000;
-const SETTLE: u64 = 60_000;
+const SETTLE: u64 = 2_000;
 
 /// Records what it is given and how often.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -50,6 +50,9 @@
     let mut sent = BTreeMap::new();
     for step in 0..STEPS + SETTLE {
         tally.next_step();
+        if !tally.is_clean() {
+            return;
+        }
         if step == STEPS {
             world.heal();
         }
--- a/crates/faults/src/once_run.rs
+++ b/crates/faults/src/once_run.rs
@@ -18,7 +18,7 @@
 const NODES: usize = 4;
 const KEYS: u64 = 6;
 const STEPS: u64 = 4_000;
-const SETTLE: u64 = 60_000;
+const SETTLE: u64 = 2_000;
 const MOST_OPERATIONS: usize = 60;
 
 /// One caller's request and how it was answered.
@@ -62,6 +62,9 @@
     let mut writers: Vec<WriterId> = world.nodes.iter().map(|n| n.writer).collect();
     for step in 0..STEPS + SETTLE {
         tally.next_step();
+        if !tally.is_clean() {
+            return;
+        }
         if step == STEPS {
             world.heal();
         }
@@ -368,7 +371,7 @@
             events.push((call.called, false, id, event));
             events.push((call.answered.unwrap_or(last + 1), true, id, event));
         }
-        if events.is_empty() {
+        if events.is_empty() || !tally.is_clean() {
             return;
         }
         events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
--- a/crates/faults/src/tally.rs
+++ b/crates/faults/src/tally.rs
@@ -87,6 +87,12 @@
         self.step += 1;
     }
 
+    /// Whether no check of this run has failed. A spoilt run need not go on, and its
+    /// histories may take the checker for ever.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.violations.is_empty()
+    }
+
     pub(crate) fn fault(&mut self) {
         self.faults += 1;
     }
