--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::faults::{self, FaultArgs};
+use crate::{overhead, slopes};
 use eyre::{bail, eyre, Result};
 use getopts::{Matches, Options};
 use shaleline_types::Safeguard;
@@ -8,6 +9,8 @@
 const HELP: &str = "usage: shaleline-bench COMMAND [FLAGS]
 
   faults     randomised runs with the invariants checked
+  slopes     what a unit of state, a message or a decision costs
+  overhead   what a daemon adds on the path
 ";
 
 fn options() -> Options {
@@ -36,6 +39,8 @@
     }
     match matches.free[0].as_str() {
         "faults" => faults::run(&fault_args(&matches)?),
+        "overhead" => overhead::run(matches.opt_present("json")),
+        "slopes" => slopes::run(matches.opt_present("json")),
         other => bail!("no command {other:?}; see --help"),
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,11 @@
 
 mod args;
 mod faults;
+mod fit;
+mod overhead;
+mod rig;
+mod slopes;
+mod spread;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/bench/src/spread.rs
@@ -0,0 +1,131 @@
+//! How many rounds of heartbeats news takes to reach every daemon, and what a round costs.
+
+use serde::Serialize;
+use shaleline_peer::{Member, MemberId, MemberSettings, Members};
+use shaleline_types::{DataCentre, Instance, Millis, Offset, WriterId};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+const ROUND_MS: u64 = 1_000;
+const WARM_UP: u64 = 120;
+const MOST_ROUNDS: u64 = 120;
+
+/// What was measured at a number of daemons.
+#[derive(Debug, Clone, Serialize)]
+pub struct Rounds {
+    /// How many daemons.
+    pub daemons: usize,
+    /// Rounds until every daemon knows that every other has applied an offset.
+    pub rounds: u64,
+    /// Bytes of messages and answers a second, sent by one daemon.
+    pub bytes: f64,
+    /// CPU a second at one daemon, in microseconds, reading and writing included.
+    pub cpu_us: f64,
+    /// Daemons that one believed gone at the end, though all live.
+    pub missed: usize,
+}
+
+fn member(number: usize) -> Member {
+    Member {
+        id: MemberId {
+            instance: Instance::from_text(&format!("entry-{number}")).expect("the name is valid"),
+            born: 1_700_000_000_000,
+        },
+        writer: WriterId(number as u64 + 1),
+        centre: DataCentre::from_text(&format!("dc{}", number % 27)).expect("the name is valid"),
+        peer: format!("10.0.{}.{}:7400", number / 250, number % 250),
+        caller: format!("10.0.{}.{}:7500", number / 250, number % 250),
+        beat: 0,
+        config: Offset(0),
+        leaving: false,
+    }
+}
+
+struct Net {
+    all: Vec<Members>,
+    by_address: BTreeMap<String, usize>,
+    listed: Vec<String>,
+    bytes: u64,
+    messages: u64,
+    busy: f64,
+}
+
+impl Net {
+    fn round(&mut self, now: Millis) {
+        for i in 0..self.all.len() {
+            let started = Instant::now();
+            let message = self.all[i].beat();
+            let text = serde_json::to_string(&message).unwrap_or_default();
+            let targets = self.all[i].targets(&self.listed);
+            for to in targets
+                .iter()
+                .filter_map(|t| self.by_address.get(t).copied())
+                .collect::<Vec<_>>()
+            {
+                let Ok(message) = serde_json::from_str(&text) else {
+                    continue;
+                };
+                let answer = self.all[to].on_heartbeat(&message, now);
+                let back = serde_json::to_string(&answer).unwrap_or_default();
+                self.bytes += (text.len() + back.len()) as u64;
+                self.messages += 1;
+                self.all[i].on_answer(&answer, now);
+            }
+            self.all[i].tick(now);
+            self.all[i].take_events();
+            self.busy += started.elapsed().as_secs_f64() * 1e6;
+        }
+    }
+}
+
+fn measure(daemons: usize) -> Rounds {
+    let members: Vec<Member> = (0..daemons).map(member).collect();
+    let mut net = Net {
+        by_address: members
+            .iter()
+            .enumerate()
+            .map(|(i, m)| (m.peer.clone(), i))
+            .collect(),
+        listed: members.iter().map(|m| m.peer.clone()).collect(),
+        all: members
+            .into_iter()
+            .map(|m| Members::new(MemberSettings::default(), m))
+            .collect(),
+        bytes: 0,
+        messages: 0,
+        busy: 0.0,
+    };
+    let mut now = Millis(0);
+    for _ in 0..WARM_UP {
+        now = now.plus(ROUND_MS);
+        net.round(now);
+    }
+    (net.bytes, net.busy) = (0, 0.0);
+    for members in &mut net.all {
+        members.set_config(Offset(1));
+    }
+    let mut rounds = 0;
+    while rounds < MOST_ROUNDS && net.all.iter().any(|m| !m.behind(Offset(0)).is_empty()) {
+        rounds += 1;
+        now = now.plus(ROUND_MS);
+        net.round(now);
+    }
+    let total = rounds.max(1) as f64 * daemons as f64;
+    Rounds {
+        daemons,
+        rounds,
+        bytes: net.bytes as f64 / total,
+        cpu_us: net.busy / total,
+        missed: net
+            .all
+            .iter()
+            .map(|m| daemons - m.alive().count())
+            .max()
+            .unwrap_or(0),
+    }
+}
+
+/// Measures at each number of daemons.
+pub fn run(sizes: &[usize]) -> Vec<Rounds> {
+    sizes.iter().map(|s| measure(*s)).collect()
+}
