--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::compare::{self, CompareArgs};
 use crate::faults::{self, FaultArgs};
 use crate::{overhead, slopes};
 use eyre::{bail, eyre, Result};
@@ -9,6 +10,7 @@
 const HELP: &str = "usage: shaleline-bench COMMAND [FLAGS]
 
   faults     randomised runs with the invariants checked
+  compare    policies side by side on the same traces
   slopes     what a unit of state, a message or a decision costs
   overhead   what a daemon adds on the path
 ";
@@ -17,6 +19,8 @@
     let mut options = Options::new();
     options.optflag("h", "help", "show this text");
     options.optflag("", "json", "print figures for machines");
+    options.optflag("", "quick", "compare: five seeds");
+    options.optopt("", "plots", "compare: write plots into this folder", "DIR");
     options.optopt("", "seeds", "faults: how many seeds (default 200)", "N");
     options.optopt("", "seed", "faults: this seed only", "N");
     options.optopt(
@@ -41,6 +45,11 @@
         "faults" => faults::run(&fault_args(&matches)?),
         "overhead" => overhead::run(matches.opt_present("json")),
         "slopes" => slopes::run(matches.opt_present("json")),
+        "compare" => compare::run(&CompareArgs {
+            quick: matches.opt_present("quick"),
+            json: matches.opt_present("json"),
+            plots: matches.opt_str("plots"),
+        }),
         other => bail!("no command {other:?}; see --help"),
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,12 +3,17 @@
 use std::process::ExitCode;
 
 mod args;
+mod compare;
 mod faults;
 mod fit;
+mod fleet;
 mod overhead;
+mod plot;
 mod rig;
 mod slopes;
 mod spread;
+mod trace;
+mod world;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
