Believe a daemon gone when a call to it fails, and ask directly who has a change in force

Now a failed call starts a suspicion of 1.5 s that the daemon may deny; news go first. Pulses of few bytes replace whole members. Who waits for a change asks those directly that have not confirmed it. Ruled out: more gossip (bytes), a longer silence (takeover within 5 s). Planning is bounded to a fiftieth of a core.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,12 +6,14 @@
 use crate::core::Core;
 use crate::dump;
 use crate::emit::emit;
+use crate::member_actor::{beat, Peers};
 use actix_web::web::{Data, Json, ServiceConfig};
 use actix_web::{web, HttpRequest, HttpResponse};
 use serde::Deserialize;
 use serde_json::json;
 use shaleline_config::{Change, Op, Verdict};
 use shaleline_log::Priority;
+use shaleline_peer::Member;
 use shaleline_types::{ChangeId, Error, ErrorKind, LogEvent, Offset, Result};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +21,10 @@
 /// How long an operator's call waits for the log.
 const LOG_WAIT: Duration = Duration::from_secs(10);
 const MOST_WAIT: u64 = 60_000;
-const POLL: Duration = Duration::from_millis(25);
+const POLL: Duration = Duration::from_millis(10);
+
+/// Daemons that are asked at once whether a change is in force.
+const ASKED_AT_ONCE: usize = 32;
 
 pub(crate) fn routes(config: &mut ServiceConfig) {
     config
@@ -172,19 +177,27 @@
     }
 }
 
-/// Waits until all live daemons have applied `offset`; returns those that have not.
+/// Waits until all live daemons have applied `offset`; returns those that have not. Those
+/// that have not said so are asked directly: their heartbeats would take many rounds.
 async fn wait_in_force(core: &Arc<Core>, offset: Offset, wait_ms: u64) -> Vec<String> {
     let until = core.now().plus(wait_ms.min(MOST_WAIT));
+    let mut peers = Peers::default();
     loop {
         core.refresh_view();
-        let behind: Vec<String> = {
-            let members = core.members();
-            let behind = members.behind(offset);
-            behind.iter().map(|m| m.id.instance.to_string()).collect()
-        };
+        let behind = behind(core, offset);
         if behind.is_empty() || core.now() >= until {
-            return behind;
+            return behind.iter().map(|m| m.id.instance.to_string()).collect();
         }
+        let message = core.members().beat();
+        let asked = behind.iter().take(ASKED_AT_ONCE);
+        let asked = asked.filter_map(|m| Some((&m.peer, peers.client(&m.peer)?)));
+        let calls = asked.map(|(to, client)| beat(core, to, client, message.clone()));
+        futures_util::future::join_all(calls).await;
         actix_rt::time::sleep(POLL).await;
     }
 }
+
+fn behind(core: &Arc<Core>, offset: Offset) -> Vec<Member> {
+    let members = core.members();
+    members.behind(offset).into_iter().cloned().collect()
+}
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -77,6 +77,7 @@
             beat: 0,
             config: Offset(0),
             leaving: false,
+            denials: 0,
         };
         let router = Router::new(
             RouterSettings {
@@ -277,7 +278,11 @@
 
     /// Whether the balancer should send work here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.check_admission().is_ok()
+        let drained = self
+            .view()
+            .drained
+            .contains(self.settings.instance.as_str());
+        !self.is_leaving() && !drained && self.check_admission().is_ok()
     }
 
     pub(crate) fn note_remote_demand(&self, writer: WriterId, rates: BTreeMap<Model, f64>) {
--- a/crates/daemon/src/member_actor.rs
+++ b/crates/daemon/src/member_actor.rs
@@ -6,7 +6,7 @@
 use actix::prelude::*;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use shaleline_log::{pick_snapshot, Machine, StoredRecord};
-use shaleline_peer::{DemandReport, MemberEvent, PeerApiClient, RelayRequest};
+use shaleline_peer::{DemandReport, Heartbeat, MemberEvent, PeerApiClient, RelayRequest};
 use shaleline_platform::{InstanceKind, InstanceList};
 use shaleline_types::{LogEvent, Offset};
 use std::collections::HashMap;
@@ -69,8 +69,8 @@
         }
         let message = core.members().beat();
         let targets = core.members().targets(&listed);
-        let calls = targets.iter().filter_map(|t| peers.client(t));
-        let calls = calls.map(|client| beat(&core, client, message.clone()));
+        let calls = targets.iter().filter_map(|t| Some((t, peers.client(t)?)));
+        let calls = calls.map(|(to, client)| beat(&core, to, client, message.clone()));
         futures_util::future::join_all(calls).await;
         settle(&core);
         follow_peers(&core, &mut peers).await;
@@ -94,11 +94,14 @@
     listed.dedup();
 }
 
-async fn beat(core: &Arc<Core>, client: HttpClient, message: shaleline_peer::Heartbeat) {
+/// Sends a message to one daemon and takes its answer, or notes that there was none.
+pub(crate) async fn beat(core: &Arc<Core>, to: &str, client: HttpClient, message: Heartbeat) {
     let secret = core.settings.secret.clone();
-    if let Ok(answer) = client.heartbeat(secret, message).await {
-        let now = core.now();
-        core.members().on_answer(&answer, now);
+    let answer = client.heartbeat(secret, message).await;
+    let now = core.now();
+    match answer {
+        Ok(answer) => core.members().on_answer(&answer, now),
+        Err(_) => core.members().on_failure(to, now),
     }
 }
 
--- a/crates/daemon/src/owner_actor.rs
+++ b/crates/daemon/src/owner_actor.rs
@@ -17,11 +17,14 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ROUND: Duration = Duration::from_millis(100);
 const PLAN_EVERY: u64 = 300;
 
+/// Planning takes at most one in so many parts of a core's time.
+const PLAN_PART: u64 = 50;
+
 /// An engine that has not reported for so long gets no loads.
 const SILENT: u64 = 2_000;
 
@@ -38,6 +41,8 @@
     dispatcher: Dispatcher,
     policy: Box<dyn Policy>,
     planned: Millis,
+    /// How long to wait for the next plan, so that planning takes a bounded part of a core.
+    pause: u64,
     store: f64,
     stored: Millis,
     owns: bool,
@@ -54,6 +59,7 @@
             dispatcher: Dispatcher::default(),
             policy: Box::new(Planner::new(settings)),
             planned: Millis(0),
+            pause: PLAN_EVERY,
             store: 0.0,
             stored: core.now(),
             owns: false,
@@ -103,9 +109,12 @@
             core.cell
                 .with(|cell| dispatcher.records(cell, &reports, now)),
         );
-        if now.since(duty.planned) >= PLAN_EVERY {
+        if now.since(duty.planned) >= duty.pause {
             duty.planned = now;
+            let started = Instant::now();
             let steps = duty.plan(core);
+            let took = started.elapsed().as_millis() as u64;
+            duty.pause = PLAN_EVERY.max(took * PLAN_PART);
             bodies.extend(duty.dispatcher.steps(&steps));
         }
         bodies
--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -5,7 +5,7 @@
 
 /// How long a challenge stays open before its challenger claims. Long enough for an
 /// owner that lives to read it and answer; short enough for a takeover within 5 s.
-const ANSWER_WAIT: Millis = Millis(1_500);
+const ANSWER_WAIT: Millis = Millis(1_000);
 
 /// How long a challenger waits for the verdict on its own record before it asks again.
 const VERDICT_WAIT: Millis = Millis(10_000);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,5 +13,5 @@
 mod members;
 
 pub use api::{DemandReport, LoanRequest, PeerApiClient, PeerApiServer, RelayRequest};
-pub use member::{Heartbeat, Member, MemberId};
+pub use member::{Heartbeat, Member, MemberId, Pulse};
 pub use members::{MemberEvent, MemberSettings, Members};
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -7,9 +7,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MemberId {
     /// The instance.
+    #[serde(rename = "i")]
     pub instance: Instance,
     /// When this life began, by the instance's wall clock in milliseconds. A later life
     /// of the same instance replaces an earlier one.
+    #[serde(rename = "b")]
     pub born: u64,
 }
 
@@ -32,13 +34,69 @@
     pub config: Offset,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// How often it has denied to be gone. Only it itself raises this, so that old news
+    /// from others can neither revive it nor keep it dead.
+    #[serde(default)]
+    pub denials: u32,
+}
+
+/// What changes about a daemon from round to round, in few bytes: short names on the
+/// wire, because a daemon has 2 KB a second for all of its control.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// The instance and its life.
+    #[serde(flatten)]
+    pub id: MemberId,
+    /// See [`Member::beat`].
+    #[serde(rename = "n")]
+    pub beat: u64,
+    /// See [`Member::config`].
+    #[serde(rename = "c")]
+    pub config: Offset,
+    /// See [`Member::leaving`].
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// See [`Member::denials`].
+    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
+    pub denials: u32,
+    /// Whether the teller suspects it to be gone.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl Member {
+    /// The part that changes.
+    #[must_use]
+    pub fn to_pulse(&self) -> Pulse {
+        Pulse {
+            id: self.id.clone(),
+            beat: self.beat,
+            config: self.config,
+            leaving: self.leaving,
+            denials: self.denials,
+            suspect: false,
+        }
+    }
 }
 
 /// A round's message and its answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender.
-    pub from: Member,
-    /// Others, of whom the sender heard most recently.
-    pub others: Vec<Member>,
+    #[serde(rename = "f")]
+    pub from: Pulse,
+    /// Others that the sender believes alive or leaving.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub others: Vec<Pulse>,
+    /// Daemons in full: the sender while it is new and now and then, and whom the other
+    /// side asked for.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub full: Vec<Member>,
+    /// Instances that the sender heard of and knows nothing else about.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub ask: Vec<Instance>,
 }
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -1,8 +1,24 @@
 //! Who is alive, as this daemon believes.
 
-use crate::{Heartbeat, Member, MemberId};
+use crate::{Heartbeat, Member, MemberId, Pulse};
 use shaleline_types::{stable_hash, Instance, Millis, Offset, WriterId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rounds for which a daemon counts as new and introduces itself in full.
+const NEW_BEATS: u64 = 10;
+
+/// Rounds between two introductions after that.
+const FULL_EVERY: u64 = 32;
+
+/// How often news is told: a few times, and more among many.
+const NEWS_BASE: u32 = 4;
+const NEWS_MORE: u32 = 3;
+
+/// Names of unknown daemons that are kept; more are nonsense and are dropped.
+const MOST_STRANGERS: usize = 1_024;
+
+/// How many unknown daemons a message asks about.
+const MOST_ASKED: usize = 4;
 
 /// What an operator sets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,9 +27,10 @@
     pub fanout: usize,
     /// How many others a message tells of.
     pub gossip: usize,
-    /// How long a daemon may be silent before it counts as gone.
-    pub silence: Millis,
-    /// How long a daemon that is gone is remembered, so that late news can't revive it.
+    /// How long a daemon to which a call failed may take to deny that it is gone.
+    pub suspicion: Millis,
+    /// How long a daemon may not be heard of at all; one that is gone is remembered for
+    /// twice as long, so that late news can't revive it.
     pub memory: Millis,
 }
 
@@ -21,9 +38,9 @@
     fn default() -> Self {
         Self {
             fanout: 2,
-            gossip: 6,
-            silence: Millis(3_000),
-            memory: Millis(60_000),
+            gossip: 5,
+            suspicion: Millis(1_500),
+            memory: Millis(300_000),
         }
     }
 }
@@ -37,11 +54,33 @@
     Left(MemberId),
 }
 
+/// What is believed of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Belief {
+    Alive,
+    /// A call to it failed; it has until the suspicion ends to deny.
+    Suspect(Millis),
+    Gone,
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     member: Member,
     heard: Millis,
-    alive: bool,
+    belief: Belief,
+}
+
+impl Known {
+    fn is_alive(&self) -> bool {
+        self.belief != Belief::Gone && !self.member.leaving
+    }
+
+    fn to_pulse(&self) -> Pulse {
+        Pulse {
+            suspect: self.belief != Belief::Alive,
+            ..self.member.to_pulse()
+        }
+    }
 }
 
 /// The daemons that this one knows of.
@@ -50,6 +89,10 @@
     settings: MemberSettings,
     me: Member,
     known: BTreeMap<Instance, Known>,
+    /// Instances that were heard of and are not known in full.
+    strangers: BTreeSet<Instance>,
+    /// Whom there is news of, and how often that is still to be told.
+    news: BTreeMap<Instance, u32>,
     events: Vec<MemberEvent>,
 }
 
@@ -61,6 +104,8 @@
             settings,
             me,
             known: BTreeMap::new(),
+            strangers: BTreeSet::new(),
+            news: BTreeMap::new(),
             events: Vec::new(),
         }
     }
@@ -84,22 +129,56 @@
     /// Begins a round: the message to send.
     pub fn beat(&mut self) -> Heartbeat {
         self.me.beat += 1;
-        self.message(None)
+        let introduce = self.me.beat < NEW_BEATS || self.me.beat % FULL_EVERY == 0;
+        let full = if introduce {
+            vec![self.me.clone()]
+        } else {
+            Vec::new()
+        };
+        self.message(None, full)
     }
 
-    fn message(&self, to: Option<&Instance>) -> Heartbeat {
-        let told = |k: &&Known| Some(&k.member.id.instance) != to && (k.alive || k.member.leaving);
-        let mut fresh: Vec<&Known> = self.known.values().filter(told).collect();
+    /// News go first, each a bounded number of times; the rest is filled in turn.
+    fn message(&mut self, to: Option<&Instance>, full: Vec<Member>) -> Heartbeat {
+        let most = self.settings.gossip;
+        let mut chosen: Vec<Instance> = self.news.keys().take(most).cloned().collect();
+        for instance in &chosen {
+            if let Some(left) = self.news.get_mut(instance) {
+                *left -= 1;
+            }
+        }
+        self.news.retain(|_, left| *left > 0);
         let round = self.me.beat.to_string();
-        let turn = |k: &Known| stable_hash(&[k.member.id.instance.as_str(), &round]);
-        fresh.sort_by_key(|k| turn(k));
-        let others = fresh.iter().take(self.settings.gossip);
+        let turn = |i: &Instance| stable_hash(&[i.as_str(), &round]);
+        let mut rest: Vec<&Instance> = self.known.keys().filter(|i| !chosen.contains(i)).collect();
+        rest.sort_by_cached_key(|i| turn(i));
+        let room = most - chosen.len();
+        chosen.extend(rest.into_iter().take(room).cloned());
+        if let Some(to) = to.filter(|t| self.doubts(t)) {
+            chosen.push(to.clone());
+        }
+        let pulses = chosen.iter().filter_map(|i| self.known.get(i));
         Heartbeat {
-            from: self.me.clone(),
-            others: others.map(|k| k.member.clone()).collect(),
+            from: self.me.to_pulse(),
+            others: pulses.map(Known::to_pulse).collect(),
+            full,
+            ask: self.strangers.iter().take(MOST_ASKED).cloned().collect(),
         }
     }
 
+    /// Whether the instance should be told that it is believed gone.
+    fn doubts(&self, instance: &Instance) -> bool {
+        let known = self.known.get(instance);
+        known.is_some_and(|k| k.belief != Belief::Alive)
+    }
+
+    /// Passes news of a daemon on, as often as it takes to reach all.
+    fn spread(&mut self, instance: &Instance) {
+        let size = self.known.len().max(1).ilog2();
+        self.news
+            .insert(instance.clone(), NEWS_BASE + NEWS_MORE * size);
+    }
+
     /// Whom this round's message goes to: some that are alive, in turn, and one of the
     /// listed addresses that nobody alive answers at.
     #[must_use]
@@ -126,61 +205,173 @@
 
     /// Takes a message and returns the answer.
     pub fn on_heartbeat(&mut self, message: &Heartbeat, now: Millis) -> Heartbeat {
-        self.learn(&message.from, now);
-        for other in &message.others {
-            self.learn(other, now);
-        }
-        self.message(Some(&message.from.id.instance))
+        self.take(message, now);
+        let asked = message.ask.iter().filter_map(|i| self.in_full(i));
+        let full = asked.take(MOST_ASKED).collect();
+        let to = message.from.id.instance.clone();
+        self.message(Some(&to), full)
     }
 
     /// Takes the answer to a message.
     pub fn on_answer(&mut self, answer: &Heartbeat, now: Millis) {
-        self.on_heartbeat(answer, now);
+        self.take(answer, now);
+    }
+
+    fn in_full(&self, instance: &Instance) -> Option<Member> {
+        if *instance == self.me.id.instance {
+            return Some(self.me.clone());
+        }
+        self.known.get(instance).map(|k| k.member.clone())
+    }
+
+    fn take(&mut self, message: &Heartbeat, now: Millis) {
+        for member in &message.full {
+            self.learn(member, now);
+        }
+        self.hear(&message.from, now);
+        for pulse in &message.others {
+            self.hear(pulse, now);
+        }
+    }
+
+    /// A call to the daemon at this address failed.
+    pub fn on_failure(&mut self, peer: &str, now: Millis) {
+        let failed = |k: &&mut Known| k.member.peer == peer && k.belief == Belief::Alive;
+        let Some(known) = self.known.values_mut().find(failed) else {
+            return;
+        };
+        known.belief = Belief::Suspect(now);
+        let instance = known.member.id.instance.clone();
+        self.spread(&instance);
+    }
+
+    /// Takes a pulse. Of one that is not known in full, more is asked for.
+    fn hear(&mut self, pulse: &Pulse, now: Millis) {
+        let instance = &pulse.id.instance;
+        if *instance == self.me.id.instance {
+            if pulse.suspect && pulse.id == self.me.id && pulse.denials >= self.me.denials {
+                self.me.denials = pulse.denials + 1;
+            }
+            return;
+        }
+        let known = self.known.get(instance);
+        match known.filter(|k| k.member.id == pulse.id) {
+            Some(known) => {
+                let news = Member {
+                    beat: pulse.beat,
+                    config: pulse.config,
+                    leaving: pulse.leaving,
+                    denials: pulse.denials,
+                    ..known.member.clone()
+                };
+                self.update(&news, pulse.suspect, now);
+            }
+            None if known.is_none_or(|k| k.member.id.born < pulse.id.born)
+                && !pulse.leaving
+                && !pulse.suspect =>
+            {
+                self.strangers.insert(instance.clone());
+            }
+            None => {}
+        }
     }
 
+    /// Takes news of the same life of a known daemon.
+    fn update(&mut self, news: &Member, suspect: bool, now: Millis) {
+        let instance = news.id.instance.clone();
+        let Some(known) = self.known.get_mut(&instance) else {
+            return;
+        };
+        let was_alive = known.is_alive();
+        let denied = news.denials > known.member.denials;
+        let mut changed = false;
+        if denied && !suspect {
+            changed = known.belief != Belief::Alive;
+            known.belief = Belief::Alive;
+        } else if suspect && news.denials >= known.member.denials && known.belief == Belief::Alive {
+            known.belief = Belief::Suspect(now);
+            changed = true;
+        }
+        let old = &mut known.member;
+        old.denials = old.denials.max(news.denials);
+        old.config = old.config.max(news.config);
+        if news.leaving && !old.leaving {
+            old.leaving = true;
+            changed = true;
+        }
+        if news.beat > old.beat {
+            old.beat = news.beat;
+            known.heard = now;
+        }
+        let is_alive = known.is_alive();
+        let id = news.id.clone();
+        match (was_alive, is_alive) {
+            (false, true) => self.events.push(MemberEvent::Joined(id)),
+            (true, false) => self.events.push(MemberEvent::Left(id)),
+            _ => {}
+        }
+        if changed {
+            self.spread(&instance);
+        }
+    }
+
+    /// Takes a daemon in full: a new one, or a new life.
     fn learn(&mut self, news: &Member, now: Millis) {
-        if news.id.instance == self.me.id.instance {
+        let instance = &news.id.instance;
+        if *instance == self.me.id.instance {
             return;
         }
-        let known = self.known.get(&news.id.instance);
-        let fresher = known.is_none_or(|k| {
-            let old = (k.member.id.born, k.member.beat);
-            (news.id.born, news.beat) > old
-        });
-        if !fresher {
+        let known = self.known.get(instance);
+        if known.is_some_and(|k| k.member.id == news.id) {
+            return self.update(news, false, now);
+        }
+        if known.is_some_and(|k| k.member.id.born > news.id.born) {
             return;
         }
-        let replaced = known.filter(|k| k.alive && k.member.id != news.id);
-        if let Some(old) = replaced {
+        if let Some(old) = known.filter(|k| k.is_alive()) {
             self.events.push(MemberEvent::Left(old.member.id.clone()));
         }
-        let was_alive = known.is_some_and(|k| k.alive && k.member.id == news.id);
-        let alive = !news.leaving;
-        match (was_alive, alive) {
-            (false, true) => self.events.push(MemberEvent::Joined(news.id.clone())),
-            (true, false) => self.events.push(MemberEvent::Left(news.id.clone())),
-            _ => {}
+        if !news.leaving {
+            self.events.push(MemberEvent::Joined(news.id.clone()));
         }
+        self.strangers.remove(instance);
         let entry = Known {
             member: news.clone(),
             heard: now,
-            alive,
+            belief: Belief::Alive,
         };
-        self.known.insert(news.id.instance.clone(), entry);
+        self.known.insert(instance.clone(), entry);
+        self.spread(&news.id.instance);
     }
 
-    /// Time passed: whoever was silent for too long counts as gone.
+    /// Time passed: whoever was suspected for too long, or not heard of for very long,
+    /// counts as gone.
     pub fn tick(&mut self, now: Millis) {
+        let settings = self.settings;
+        let mut gone = Vec::new();
         for known in self.known.values_mut() {
-            let silent = now.since(known.heard) > self.settings.silence.0;
-            if known.alive && silent {
-                known.alive = false;
-                self.events.push(MemberEvent::Left(known.member.id.clone()));
+            let silent = now.since(known.heard) > settings.memory.0;
+            let over = match known.belief {
+                Belief::Suspect(since) => now.since(since) >= settings.suspicion.0,
+                Belief::Alive => silent,
+                Belief::Gone => false,
+            };
+            if over {
+                if known.is_alive() {
+                    self.events.push(MemberEvent::Left(known.member.id.clone()));
+                }
+                known.belief = Belief::Gone;
+                gone.push(known.member.id.instance.clone());
             }
         }
-        let memory = self.settings.memory.0;
+        for instance in &gone {
+            self.spread(instance);
+        }
         self.known
-            .retain(|_, k| k.alive || now.since(k.heard) <= memory);
+            .retain(|_, k| k.is_alive() || now.since(k.heard) <= 2 * settings.memory.0);
+        if self.strangers.len() > MOST_STRANGERS {
+            self.strangers.clear();
+        }
     }
 
     /// The changes since the last call.
@@ -191,7 +382,11 @@
     /// All that are alive and not leaving; this daemon among them unless it is leaving.
     pub fn alive(&self) -> impl Iterator<Item = &Member> {
         let me = (!self.me.leaving).then_some(&self.me);
-        let others = self.known.values().filter(|k| k.alive).map(|k| &k.member);
+        let others = self
+            .known
+            .values()
+            .filter(|k| k.is_alive())
+            .map(|k| &k.member);
         me.into_iter().chain(others)
     }
 
