Tell a connection closed without an answer apart from one never made

Cause, found by scripts/faults.sh: the HTTP client reports a connection that closed without an answer as a failure to connect. So a keyed call that had run was told as not run, and a lost append as refused. Also from that script: a log that is back was noticed up to 5 s late (a long read was begun anew; now a short one follows a failure); a daemon just started challenged living owners (it now waits 4 s); a stop with the log away waited 600 s for its records (now 10 s).

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -237,6 +237,11 @@
         }
     }
 
+    /// Whether the last exchange with the log failed.
+    pub(crate) fn is_log_failing(&self) -> bool {
+        self.log_failing.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether the log is known to be away.
     pub(crate) fn is_log_away(&self) -> bool {
         let since = self.log_failing.load(Ordering::Relaxed);
--- a/crates/daemon/src/log_actor.rs
+++ b/crates/daemon/src/log_actor.rs
@@ -92,11 +92,8 @@
             let _ = tokio::time::timeout(RETRY, journal.woken()).await;
             continue;
         }
-        let wait = if journal.is_caught_up() {
-            READ_WAIT
-        } else {
-            Millis(0)
-        };
+        let calm = journal.is_caught_up() && !core.is_log_failing();
+        let wait = if calm { READ_WAIT } else { Millis(0) };
         match log.read(journal.stream(), journal.next(), wait).await {
             Ok(batch) => {
                 core.note_log(true);
--- a/crates/daemon/src/owner_actor.rs
+++ b/crates/daemon/src/owner_actor.rs
@@ -20,6 +20,9 @@
 use std::time::{Duration, Instant};
 
 const ROUND: Duration = Duration::from_millis(100);
+/// A daemon that has just started does not know yet who is alive, and challenges nobody.
+const SETTLED: Millis = Millis(4_000);
+
 const PLAN_EVERY: u64 = 300;
 
 /// Planning takes at most one in so many parts of a core's time.
@@ -185,6 +188,8 @@
 impl Duty {
     fn keep(&mut self, core: &Arc<Core>) -> Option<shaleline_lease::LeaseBody> {
         let preferred = core.is_owner_of(core.cell.stream().as_str());
+        let free = core.cell.with(|c| c.lease().holder().is_none());
+        let preferred = preferred && (free || core.now() >= SETTLED);
         let stopping = core.is_leaving();
         let now = core.now();
         core.cell.with(|cell| {
--- a/crates/dialect/src/http.rs
+++ b/crates/dialect/src/http.rs
@@ -1,6 +1,6 @@
 //! Instances, engines and plain services over HTTP.
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientBuilder, Connector};
 use eventsource_stream::Eventsource;
 use futures_util::future::LocalBoxFuture;
@@ -59,8 +59,12 @@
     }
 }
 
-fn send_error(error: &SendRequestError) -> SendError {
+/// Tells a failure before the first byte apart from any later one. The client calls a
+/// connection that closed without an answer a failure to connect too; by then the request
+/// may have run.
+pub(crate) fn send_error(error: &SendRequestError) -> SendError {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => SendError::Broken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => SendError::NotSent,
         _ => SendError::Broken,
     }
--- a/crates/dialect/src/log.rs
+++ b/crates/dialect/src/log.rs
@@ -1,9 +1,11 @@
 //! The log service's protocol: `POST /log/STREAM` and `GET /log/STREAM?from=N&wait=MS`.
 
+use crate::http::send_error;
 use crate::HttpPlatform;
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use shaleline_log::{Appended, LogError, LogService, ReadBatch};
+use shaleline_platform::SendError;
 use shaleline_types::{Millis, Offset, Stream};
 use std::time::Duration;
 
@@ -40,7 +42,7 @@
             let sent = self.client().post(url).send_json(&body).await;
             let mut answer = match sent {
                 Ok(answer) => answer,
-                Err(awc::error::SendRequestError::Connect(_)) => return Appended::Refused,
+                Err(e) if send_error(&e) == SendError::NotSent => return Appended::Refused,
                 Err(_) => return Appended::Lost,
             };
             if answer.status().as_u16() == TOO_MANY {
--- /dev/null
+++ b/crates/dialect/tests/send.rs
@@ -0,0 +1,67 @@
+//! Failures before the first byte are told apart from later ones.
+
+use shaleline_dialect::HttpPlatform;
+use shaleline_log::{Appended, LogService};
+use shaleline_platform::{SendError, ServiceCall, Services};
+use shaleline_types::Stream;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+
+/// A server that reads a request and closes without an answer.
+fn mute() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().take(2) {
+            let mut stream = stream.expect("a connection");
+            let mut head = [0; 512];
+            let _ = stream.read(&mut head);
+        }
+    });
+    address
+}
+
+/// An address where nobody listens.
+fn nobody() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    listener.local_addr().expect("an address")
+}
+
+fn call(address: SocketAddr) -> Result<u16, SendError> {
+    let call = ServiceCall {
+        method: "POST".to_owned(),
+        path: "confirm".to_owned(),
+        mime: None,
+        key: None,
+        body: b"x".to_vec(),
+    };
+    actix_rt::System::new().block_on(async {
+        let platform = HttpPlatform::new(&address.to_string());
+        platform
+            .call(&address.to_string(), &call)
+            .await
+            .map(|a| a.status)
+    })
+}
+
+fn append(address: SocketAddr) -> Appended {
+    let stream = Stream::from_text("config").expect("a valid name");
+    actix_rt::System::new().block_on(async {
+        let platform = HttpPlatform::new(&address.to_string());
+        platform.append(&stream, &["record".to_owned()]).await
+    })
+}
+
+#[test]
+fn nobody_there_means_not_sent() {
+    assert_eq!(call(nobody()), Err(SendError::NotSent));
+    assert_eq!(append(nobody()), Appended::Refused);
+}
+
+/// Found by scripts/faults.sh: the client reports a connection that closed without an
+/// answer as a failure to connect, and a call that had run was told as not run.
+#[test]
+fn regression_a_connection_closed_without_an_answer_may_have_run() {
+    assert_eq!(call(mute()), Err(SendError::Broken));
+    assert_eq!(append(mute()), Appended::Lost);
+}
--- a/crates/route/src/drain.rs
+++ b/crates/route/src/drain.rs
@@ -22,6 +22,10 @@
     Exit,
 }
 
+/// How long records may take to reach the log once no request is left. A key whose end
+/// does not get there is unknown to whoever repeats it, which is true.
+const RECORDS_WAIT: u64 = 10_000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Serving,
@@ -36,6 +40,8 @@
     grace: Millis,
     limit: Millis,
     phase: Phase,
+    /// Since when only records were left.
+    idle: Option<Millis>,
 }
 
 impl Drain {
@@ -47,6 +53,7 @@
             grace,
             limit,
             phase: Phase::Serving,
+            idle: None,
         }
     }
 
@@ -67,7 +74,10 @@
                 Some(DrainAction::Refuse)
             }
             Phase::Refusing(since) => {
-                let done = left.requests == 0 && left.records == 0;
+                let idle = (left.requests == 0).then(|| self.idle.unwrap_or(now));
+                self.idle = idle;
+                let flushed = left.records == 0;
+                let done = idle.is_some_and(|i| flushed || now.since(i) >= RECORDS_WAIT);
                 let over = now.since(since) >= self.limit.0;
                 if !done && !over && Safeguard::DrainStop.active() {
                     return None;
