--- a/crates/bench/src/rig.rs
+++ b/crates/bench/src/rig.rs
@@ -8,12 +8,12 @@
     Value as Param,
 };
 use shaleline_daemon::{Daemon, Settings as DaemonSettings};
-use shaleline_standin::{EngineSpec, Pace, StandinSettings, Standins};
+use shaleline_standin::{free_addresses, EngineSpec, Pace, StandinSettings, Standins};
 use shaleline_types::{
     DataCentre, InvalidName, Megabytes, Model, Org, TemplateName, TokenHash, Upstream,
 };
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const OPERATOR: &str = "bench-operator-token";
@@ -33,13 +33,6 @@
     changes: u64,
 }
 
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect::<Result<_, _>>()?;
-    let addresses = listeners.iter().map(TcpListener::local_addr);
-    Ok(addresses.collect::<Result<_, _>>()?)
-}
-
 fn engine(index: usize) -> Result<EngineSpec, InvalidName> {
     Ok(EngineSpec {
         name: Upstream::from_text(&format!("engine-{index}"))?,
--- a/crates/demo/src/check.rs
+++ b/crates/demo/src/check.rs
@@ -2,13 +2,13 @@
 
 use crate::client::{self, Called};
 use crate::deployment::Deployment;
-use crate::system::{free_addresses, System};
+use crate::system::System;
 use awc::Client;
 use eyre::{bail, ensure, eyre, Result};
 use futures_util::future::{join, join_all};
 use shaleline_config::{Fleet, Organisation, Value};
 use shaleline_place::Item;
-use shaleline_standin::{answer_text, Sample};
+use shaleline_standin::{answer_text, free_addresses, Sample};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -2,10 +2,10 @@
 
 use eyre::{eyre, Result};
 use shaleline_daemon::{Daemon, Settings};
-use shaleline_standin::{Sample, Standins};
+use shaleline_standin::{free_addresses, Sample, Standins};
 use shaleline_types::TokenHash;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 /// The operator's token of the demo; it guards nothing but this process's loopback.
 pub const OPERATOR: &str = "demo-operator-token";
@@ -87,11 +87,3 @@
         self.standins.stop();
     }
 }
-
-/// Addresses that are free now; daemons must know each other's before they start.
-pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect::<Result<_, _>>()?;
-    let addresses = listeners.iter().map(TcpListener::local_addr);
-    Ok(addresses.collect::<Result<_, _>>()?)
-}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -319,6 +319,7 @@
         let flight = Flight {
             org: open.ask.org.clone(),
             sent: now,
+            stall: stall_of(self.settings.stall, open.ask.due, now),
             answered: false,
         };
         let cost = open.ask.cost as f64 / open.ask.weight.max(1) as f64;
@@ -553,9 +554,10 @@
     fn move_stalled(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         let mut stalled = Vec::new();
         for (name, back) in &mut self.backs {
-            let silent = now.since(back.last_byte) >= self.settings.stall.0;
-            let hangs = |f: &Flight| !f.answered && now.since(f.sent) >= self.settings.stall.0;
-            if !silent || !back.flights.values().any(hangs) {
+            let quiet = now.since(back.last_byte);
+            let hangs =
+                |f: &Flight| !f.answered && now.since(f.sent) >= f.stall && quiet >= f.stall;
+            if !back.flights.values().any(hangs) {
                 continue;
             }
             self.stats.opened += u64::from(back.breaker.trip(now));
@@ -608,6 +610,15 @@
     }
 }
 
+/// The least silence that counts as hanging, however little time a request has.
+const LEAST_STALL: u64 = 200;
+
+/// Half of the time that a request has left, so that another upstream can still meet its
+/// target; never more than the setting.
+fn stall_of(setting: Millis, due: Millis, now: Millis) -> u64 {
+    setting.0.min((due.since(now) / 2).max(LEAST_STALL))
+}
+
 fn open_was_sent(open: Option<&Open>) -> bool {
     open.is_some_and(|o| o.attempt > 0 && o.first)
 }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Flight {
     pub(crate) org: Org,
     pub(crate) sent: Millis,
+    /// How long it may go without a first byte before it counts as hanging.
+    pub(crate) stall: u64,
     pub(crate) answered: bool,
 }
 
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -253,7 +253,11 @@
     let first = sent_to(&arrive(&mut r, ask(1, "o", 1)));
     assert_eq!(first[0].1, "a");
     add(&mut r, "b", 4);
-    let later = NOW.plus(2_100);
+    assert!(
+        r.step(RouteEvent::Tick, NOW.plus(499)).is_empty(),
+        "half of its time"
+    );
+    let later = NOW.plus(500);
     let actions = r.step(RouteEvent::Tick, later);
     assert!(matches!(&actions[0], RouteAction::Cancel { upstream, .. } if *upstream == up("a")));
     assert_eq!(sent_to(&actions), [(1, "b".to_owned())]);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! `POST /fault`: [`LogFault`], [`EngineFault`], [`ServiceFault`]. [`MemoryLog`] is the
 //! log without its server, for tests and experiments.
 
+mod address;
 mod engine_server;
 mod engine_state;
 mod fault;
@@ -17,6 +18,7 @@
 mod store;
 mod text;
 
+pub use address::free_addresses;
 pub use engine_state::{EngineSpec, EngineState, Pace};
 pub use fault::{EngineFault, LogFault, ServiceFault};
 pub use log_state::{AppendError, MemoryLog};
