--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -47,20 +47,12 @@
 }
 
 impl Sequence {
-    /// A sequence that has not started.
-    pub fn new(
-        daemon: usize,
-        id: RequestId,
-        attempt: u32,
-        item: Item,
-        priority: u8,
-        blocks: Vec<u64>,
-        left: u32,
-    ) -> Self {
+    /// A sequence that has not started, with so many tokens to come.
+    pub fn new(to: Sent, item: Item, priority: u8, blocks: Vec<u64>, left: u32) -> Self {
         Self {
-            daemon,
-            id,
-            attempt,
+            daemon: to.daemon,
+            id: to.id,
+            attempt: to.attempt,
             item,
             priority,
             blocks,
@@ -73,6 +65,17 @@
     }
 }
 
+/// Which send of which daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    /// The daemon.
+    pub daemon: usize,
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: u32,
+}
+
 /// What an engine tells of a sequence.
 #[derive(Debug, Clone, Copy)]
 pub enum Told {
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -56,87 +56,10 @@
 
 /// Measures and prints.
 pub fn run(as_json: bool) -> Result<bool> {
+    let mut slopes = state_slopes();
+    slopes.extend(decision_slopes());
     let figures = Figures {
-        slopes: vec![
-            measure(
-                "config: snapshot bytes per organisation",
-                "bytes",
-                &[100, 200, 400, 800],
-                config_bytes,
-            ),
-            measure(
-                "config: CPU per change, by organisations",
-                "us",
-                &[100, 200, 400, 800],
-                config_cpu,
-            ),
-            measure(
-                "config: restore of a snapshot, by organisations",
-                "us",
-                &[100, 200, 400, 800],
-                config_restore,
-            ),
-            measure(
-                "config: memory, by organisations",
-                "KB",
-                &[2_000, 4_000, 8_000, 16_000],
-                config_memory,
-            ),
-            measure(
-                "once: log bytes, by requests",
-                "bytes",
-                &[1_000, 2_000, 4_000, 8_000],
-                once_log,
-            ),
-            measure(
-                "once: CPU of replay, by requests",
-                "us",
-                &[5_000, 10_000, 20_000, 40_000],
-                once_cpu,
-            ),
-            measure(
-                "once: snapshot bytes, by keys",
-                "bytes",
-                &[5_000, 10_000, 20_000, 40_000],
-                once_bytes,
-            ),
-            measure(
-                "once: memory, by keys",
-                "KB",
-                &[10_000, 20_000, 30_000, 45_000],
-                once_memory,
-            ),
-            measure(
-                "cell: snapshot bytes, by engines",
-                "bytes",
-                &[50, 100, 200, 400],
-                cell_bytes,
-            ),
-            measure(
-                "cell: CPU of a plan, by engines",
-                "us",
-                &[12, 50, 100, 200, 444],
-                plan_cpu,
-            ),
-            measure(
-                "route: CPU per request, by upstreams that serve it",
-                "us",
-                &[4, 16, 64, 256],
-                route_cpu,
-            ),
-            measure(
-                "report: bytes, by items held",
-                "bytes",
-                &[2, 4, 8, 16],
-                report_bytes,
-            ),
-            measure(
-                "report: CPU to read, by items held",
-                "us",
-                &[2, 4, 8, 16],
-                report_cpu,
-            ),
-        ],
+        slopes,
         spread: spread::run(&[9, 50, 100, 200, 350]),
         in_force: actix_rt::System::new().block_on(in_force())?,
         cold_start_300_ms: config_restore(300) / 1_000.0,
@@ -149,6 +72,94 @@
     Ok(true)
 }
 
+fn state_slopes() -> Vec<Slope> {
+    vec![
+        measure(
+            "config: snapshot bytes per organisation",
+            "bytes",
+            &[100, 200, 400, 800],
+            config_bytes,
+        ),
+        measure(
+            "config: CPU per change, by organisations",
+            "us",
+            &[100, 200, 400, 800],
+            config_cpu,
+        ),
+        measure(
+            "config: restore of a snapshot, by organisations",
+            "us",
+            &[100, 200, 400, 800],
+            config_restore,
+        ),
+        measure(
+            "config: memory, by organisations",
+            "KB",
+            &[2_000, 4_000, 8_000, 16_000],
+            config_memory,
+        ),
+        measure(
+            "once: log bytes, by requests",
+            "bytes",
+            &[1_000, 2_000, 4_000, 8_000],
+            once_log,
+        ),
+        measure(
+            "once: CPU of replay, by requests",
+            "us",
+            &[5_000, 10_000, 20_000, 40_000],
+            once_cpu,
+        ),
+        measure(
+            "once: snapshot bytes, by keys",
+            "bytes",
+            &[5_000, 10_000, 20_000, 40_000],
+            once_bytes,
+        ),
+        measure(
+            "once: memory, by keys",
+            "KB",
+            &[10_000, 20_000, 30_000, 45_000],
+            once_memory,
+        ),
+    ]
+}
+
+fn decision_slopes() -> Vec<Slope> {
+    vec![
+        measure(
+            "cell: snapshot bytes, by engines",
+            "bytes",
+            &[50, 100, 200, 400],
+            cell_bytes,
+        ),
+        measure(
+            "cell: CPU of a plan, by engines",
+            "us",
+            &[12, 50, 100, 200, 444],
+            plan_cpu,
+        ),
+        measure(
+            "route: CPU per request, by upstreams that serve it",
+            "us",
+            &[4, 16, 64, 256],
+            route_cpu,
+        ),
+        measure(
+            "report: bytes, by items held",
+            "bytes",
+            &[2, 4, 8, 16],
+            report_bytes,
+        ),
+        measure(
+            "report: CPU to read, by items held",
+            "us",
+            &[2, 4, 8, 16],
+            report_cpu,
+        ),
+    ]
+}
+
 fn print(figures: &Figures) {
     for s in &figures.slopes {
         let f = s.fit;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -1,6 +1,6 @@
 //! One experiment: daemons' decision code against fakes, under a passed-in clock.
 
-use crate::fleet::{capacity, Engine, Message, Sequence, Told, SLOTS};
+use crate::fleet::{capacity, Engine, Message, Sent, Sequence, Told, SLOTS};
 use crate::trace::{Arrival, Deployment, Experiment, EVENT_AT, EVENT_FOR, LENGTH, ORGS};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -308,9 +308,11 @@
         };
         let arrival = &open.arrival;
         let sequence = Sequence::new(
-            daemon,
-            id,
-            attempt,
+            Sent {
+                daemon,
+                id,
+                attempt,
+            },
             Item::base(&model(arrival.model), 1),
             priority(arrival.org),
             blocks(arrival),
--- a/crates/config/tests/changes.rs
+++ b/crates/config/tests/changes.rs
@@ -1,6 +1,6 @@
 //! Changes: races, repeats, whole checks.
 
-use quickcheck::{Gen, QuickCheck};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shaleline_config::{
     AcceleratorSpec, AdapterSpec, Change, ConfigMachine, Fleet, ModelSpec, Op, Organisation, Param,
     ParamKind, Setting, Settings, Template, Value, Verdict, View,
@@ -137,8 +137,8 @@
     Value::Names(list.iter().map(|n| (*n).to_owned()).collect())
 }
 
-fn first_fault(values: Vec<(&str, Value)>) -> String {
-    let verdict = Log::new().put("c", None, org("o", &values));
+fn first_fault(values: &[(&str, Value)]) -> String {
+    let verdict = Log::new().put("c", None, org("o", values));
     match verdict {
         Verdict::Accepted(_) => "accepted".to_owned(),
         Verdict::Refused(r) => r.faults[0].clone(),
@@ -146,17 +146,17 @@
 }
 
 cases! { first_fault;
-    a_sound_organisation: vec![("models", names(&["small"]))] => "accepted",
-    an_unknown_parameter: vec![("colour", Value::Integer(1))]
+    a_sound_organisation: &[("models", names(&["small"]))] => "accepted",
+    an_unknown_parameter: &[("colour", Value::Integer(1))]
         => "organisation o: the template has no parameter colour",
-    a_number_out_of_bounds: vec![("priority", Value::Integer(10))]
+    a_number_out_of_bounds: &[("priority", Value::Integer(10))]
         => "organisation o: parameter priority is 10, outside 0 to 9",
-    a_value_of_the_wrong_kind: vec![("priority", names(&["x"]))]
+    a_value_of_the_wrong_kind: &[("priority", names(&["x"]))]
         => "organisation o: parameter priority has a value of the wrong kind",
-    too_many_names: vec![("models", names(&["a", "b", "c", "d", "e"]))]
+    too_many_names: &[("models", names(&["a", "b", "c", "d", "e"]))]
         => "organisation o: parameter models has 5 names, 4 allowed",
-    an_unknown_model: vec![("models", names(&["none"]))] => "organisation o: no model none",
-    an_adapter_without_its_model: vec![("adapters", names(&["tuned"]))]
+    an_unknown_model: &[("models", names(&["none"]))] => "organisation o: no model none",
+    an_adapter_without_its_model: &[("adapters", names(&["tuned"]))]
         => "organisation o: adapter tuned needs model small",
 }
 
@@ -252,15 +252,25 @@
     );
 }
 
+/// Which of five names are chosen.
+#[derive(Debug, Clone, Copy)]
+struct Chosen([bool; 5]);
+
+impl Arbitrary for Chosen {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self([(); 5].map(|()| bool::arbitrary(g)))
+    }
+}
+
 #[test]
 fn whatever_is_accepted_is_within_the_bounds() {
-    fn holds(priority: u64, models: Vec<bool>) -> bool {
+    fn holds(priority: u64, models: Chosen) -> bool {
         let mut log = Log::new();
         let list = ["small", "large", "none", "small", "large"];
         let chosen: Vec<&str> = list
             .iter()
-            .zip(&models)
-            .filter(|(_, on)| **on)
+            .zip(models.0)
+            .filter(|(_, on)| *on)
             .map(|(n, _)| *n)
             .collect();
         let values = [
@@ -273,7 +283,7 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(16, 7))
         .tests(300)
-        .quickcheck(holds as fn(u64, Vec<bool>) -> bool);
+        .quickcheck(holds as fn(u64, Chosen) -> bool);
 }
 
 #[test]
--- a/crates/faults/src/cell_run.rs
+++ b/crates/faults/src/cell_run.rs
@@ -387,7 +387,7 @@
                 }
             }
             Event::Replaced { node } => {
-                self.desks[node] = Desk::new(node, world.nodes[node].writer)
+                self.desks[node] = Desk::new(node, world.nodes[node].writer);
             }
             Event::Reverted { node } => tally.check(Invariant::Memory, false, || {
                 format!("the ledger of process {node} went back")
--- a/crates/log/tests/replica.rs
+++ b/crates/log/tests/replica.rs
@@ -116,8 +116,8 @@
     replica
 }
 
-fn stored(texts: Vec<String>) -> Vec<StoredRecord> {
-    batch(0, &texts).records
+fn stored(texts: &[String]) -> Vec<StoredRecord> {
+    batch(0, texts).records
 }
 
 #[test]
@@ -126,7 +126,7 @@
     let near = replica_of(&[1]).to_snapshot();
     let mut texts = far.to_chunks();
     texts.extend(near.to_chunks());
-    let picked = pick_snapshot(&stored(texts)).expect("a snapshot");
+    let picked = pick_snapshot(&stored(&texts)).expect("a snapshot");
     assert_eq!(picked.covers(), Offset(3));
 }
 
@@ -149,7 +149,7 @@
     let mut texts = torn.clone();
     texts.extend(small.to_chunks());
     assert_eq!(
-        pick_snapshot(&stored(texts)).map(|s| s.covers()),
+        pick_snapshot(&stored(&texts)).map(|s| s.covers()),
         Some(Offset(1))
     );
     let damaged: Vec<String> = small
@@ -157,7 +157,7 @@
         .iter()
         .map(|t| t.replace("total", "totul"))
         .collect();
-    assert_eq!(pick_snapshot(&stored(damaged)), None);
+    assert_eq!(pick_snapshot(&stored(&damaged)), None);
 }
 
 #[test]
