--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -1,18 +1,16 @@
 //! `compare`: policies side by side on the same traces.
 
 use crate::fleet::capacity;
-use crate::plot;
 use crate::trace::{
     arrivals, Arrival, Deployment, Experiment, EVENT_AT, EVENT_FOR, FLOODER, LENGTH,
 };
 use crate::world::{Ending, Outcome, Setup, World};
+use crate::{parallel, plot};
 use eyre::Result;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shaleline_place::{LruPlanner, PlanSettings, Planner, StaticPlanner};
 use shaleline_route::Choice;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 const QUICK_SEEDS: u64 = 5;
 const FULL_SEEDS: u64 = 15;
@@ -172,7 +170,7 @@
     seed: u64,
 }
 
-/// Runs every combination, on half of the cores. Each run depends on its seed alone.
+/// Runs every combination. Each run depends on its seed alone.
 fn run_all(seeds: u64) -> Vec<Run> {
     let mut jobs = Vec::new();
     for deployment in Deployment::ALL {
@@ -187,26 +185,7 @@
             }
         }
     }
-    let next = AtomicUsize::new(0);
-    let results = Mutex::new(Vec::new());
-    let threads = std::thread::available_parallelism()
-        .map_or(2, usize::from)
-        .div_ceil(2);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let index = next.fetch_add(1, Ordering::Relaxed);
-                let Some(job) = jobs.get(index) else {
-                    return;
-                };
-                let run = run_one(job);
-                results.lock().expect("no holder panics").push((index, run));
-            });
-        }
-    });
-    let mut results = results.into_inner().expect("no holder panics");
-    results.sort_by_key(|(index, _)| *index);
-    results.into_iter().map(|(_, run)| run).collect()
+    parallel::run_all(&jobs, run_one)
 }
 
 fn run_one(job: &Job) -> Run {
--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -1,10 +1,10 @@
 //! `faults`: randomised runs with the invariants checked.
 
+use crate::parallel;
 use eyre::Result;
 use shaleline_faults::{run as run_seed, Invariant, Subject, Tally};
 use shaleline_types::Safeguard;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
+use std::ops::RangeInclusive;
 
 /// The most violations that are printed one by one.
 const MOST_SHOWN: usize = 10;
@@ -39,7 +39,7 @@
         Some(seed) => seed..=seed,
         None => 1..=args.seeds,
     };
-    let tally = run_all(*seeds.start(), *seeds.end());
+    let tally = run_seeds(seeds);
     let _ = std::panic::take_hook();
     if args.json {
         println!("{}", serde_json::to_string_pretty(&tally)?);
@@ -49,38 +49,24 @@
     Ok(tally.violations().is_empty())
 }
 
-/// Runs every subject from every seed, on all cores. The sum does not depend on their
-/// order.
-fn run_all(first: u64, last: u64) -> Tally {
-    let next = AtomicU64::new(first);
-    let results: Mutex<Vec<(u64, Tally)>> = Mutex::new(Vec::new());
-    let threads = std::thread::available_parallelism()
-        .map_or(2, usize::from)
-        .div_ceil(2);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed > last {
-                    return;
-                }
-                let mut sum = Tally::default();
-                for subject in Subject::ALL {
-                    sum.add(run_seed(*subject, seed));
-                }
-                results.lock().expect("no holder panics").push((seed, sum));
-            });
-        }
-    });
-    let mut results = results.into_inner().expect("no holder panics");
-    results.sort_by_key(|(seed, _)| *seed);
+/// Runs every subject from every seed.
+fn run_seeds(seeds: RangeInclusive<u64>) -> Tally {
+    let seeds: Vec<u64> = seeds.collect();
     let mut tally = Tally::default();
-    for (_, sum) in results {
+    for sum in parallel::run_all(&seeds, |seed| run_subjects(*seed)) {
         tally.add(sum);
     }
     tally
 }
 
+fn run_subjects(seed: u64) -> Tally {
+    let mut sum = Tally::default();
+    for subject in Subject::ALL {
+        sum.add(run_seed(*subject, seed));
+    }
+    sum
+}
+
 fn print(tally: &Tally) {
     println!(
         "{:>10} {:>9} {:>11} {:>10}  invariant",
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,10 +4,12 @@
 
 mod args;
 mod compare;
+mod costs;
 mod faults;
 mod fit;
 mod fleet;
 mod overhead;
+mod parallel;
 mod plot;
 mod rig;
 mod slopes;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -1,29 +1,14 @@
 //! `slopes`: what a unit of state, a message or a decision costs, at four sizes or more.
 //! `docs/CAPACITY.md` works with these figures.
 
+use crate::costs;
 use crate::fit::{fit, Fit, Point};
-use crate::rig::{open_org, open_template, ops, Rig};
+use crate::rig::{open_template, Rig};
 use crate::spread;
 use awc::Client;
 use eyre::Result;
 use serde::Serialize;
-use shaleline_config::{Change, ConfigMachine, Op};
-use shaleline_lease::LeaseBody;
-use shaleline_log::{AppendBudget, Appended, Machine, Priority, Replica};
-use shaleline_once::{KeptAnswer, OnceBody, OnceKey, OnceMachine};
-use shaleline_place::{
-    CellBody, CellMachine, Demand, EngineReport, EngineView, Item, Plan, Planner, Policy, Resident,
-    Want, Wanted,
-};
-use shaleline_platform::{CacheEvents, UpstreamReport};
-use shaleline_route::{
-    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
-};
-use shaleline_types::{
-    ChangeId, DataCentre, Instance, Megabytes, Millis, Model, Offset, Org, RequestId, Upstream,
-    WriterId,
-};
-use std::collections::BTreeMap;
+use shaleline_config::Op;
 use std::time::Instant;
 
 /// One measured slope.
@@ -62,7 +47,7 @@
         slopes,
         spread: spread::run(&[9, 50, 100, 200, 350]),
         in_force: actix_rt::System::new().block_on(in_force())?,
-        cold_start_300_ms: config_restore(300) / 1_000.0,
+        cold_start_300_ms: costs::config_restore(300) / 1_000.0,
     };
     if as_json {
         println!("{}", serde_json::to_string_pretty(&figures)?);
@@ -78,49 +63,49 @@
             "config: snapshot bytes per organisation",
             "bytes",
             &[100, 200, 400, 800],
-            config_bytes,
+            costs::config_bytes,
         ),
         measure(
             "config: CPU per change, by organisations",
             "us",
             &[100, 200, 400, 800],
-            config_cpu,
+            costs::config_cpu,
         ),
         measure(
             "config: restore of a snapshot, by organisations",
             "us",
             &[100, 200, 400, 800],
-            config_restore,
+            costs::config_restore,
         ),
         measure(
             "config: memory, by organisations",
             "KB",
             &[2_000, 4_000, 8_000, 16_000],
-            config_memory,
+            costs::config_memory,
         ),
         measure(
             "once: log bytes, by requests",
             "bytes",
             &[1_000, 2_000, 4_000, 8_000],
-            once_log,
+            costs::once_log,
         ),
         measure(
             "once: CPU of replay, by requests",
             "us",
             &[5_000, 10_000, 20_000, 40_000],
-            once_cpu,
+            costs::once_cpu,
         ),
         measure(
             "once: snapshot bytes, by keys",
             "bytes",
             &[5_000, 10_000, 20_000, 40_000],
-            once_bytes,
+            costs::once_bytes,
         ),
         measure(
             "once: memory, by keys",
             "KB",
             &[10_000, 20_000, 30_000, 45_000],
-            once_memory,
+            costs::once_memory,
         ),
     ]
 }
@@ -131,31 +116,31 @@
             "cell: snapshot bytes, by engines",
             "bytes",
             &[50, 100, 200, 400],
-            cell_bytes,
+            costs::cell_bytes,
         ),
         measure(
             "cell: CPU of a plan, by engines",
             "us",
             &[12, 50, 100, 200, 444],
-            plan_cpu,
+            costs::plan_cpu,
         ),
         measure(
             "route: CPU per request, by upstreams that serve it",
             "us",
             &[4, 16, 64, 256],
-            route_cpu,
+            costs::route_cpu,
         ),
         measure(
             "report: bytes, by items held",
             "bytes",
             &[2, 4, 8, 16],
-            report_bytes,
+            costs::report_bytes,
         ),
         measure(
             "report: CPU to read, by items held",
             "us",
             &[2, 4, 8, 16],
-            report_cpu,
+            costs::report_cpu,
         ),
     ]
 }
@@ -203,382 +188,6 @@
     }
 }
 
-/// The shortest of several runs, in microseconds: what the work takes undisturbed.
-fn shortest(runs: usize, mut work: impl FnMut()) -> f64 {
-    let mut best = f64::MAX;
-    for _ in 0..runs {
-        let started = Instant::now();
-        work();
-        best = best.min(started.elapsed().as_secs_f64() * 1e6);
-    }
-    best
-}
-
-/// Applies records through a replica, as a daemon does.
-fn append<M: Machine>(replica: &mut Replica<M>, bodies: Vec<M::Body>) -> usize {
-    let mut budget = AppendBudget::new(1_000_000, Millis(0));
-    let mut bytes = 0;
-    let mut pending = bodies.into_iter().peekable();
-    while pending.peek().is_some() {
-        for body in pending.by_ref().take(64) {
-            replica.submit(Priority::Config, body);
-        }
-        let now = Millis(1);
-        if let Some(batch) = replica.next_append(now, now, &mut budget) {
-            bytes += batch.iter().map(String::len).sum::<usize>();
-            let at = replica.next();
-            replica.on_append(now, Appended::At(at));
-        }
-    }
-    replica.take_done();
-    bytes
-}
-
-fn change(number: usize, base: Option<Offset>, op: Op) -> Change {
-    Change {
-        id: ChangeId::from_text(&format!("change-{number}")).expect("the id is valid"),
-        by: "operator".to_owned(),
-        base,
-        op,
-    }
-}
-
-fn config_of(orgs: usize) -> Replica<ConfigMachine> {
-    let mut replica: Replica<ConfigMachine> = Replica::new(WriterId(1));
-    let setup = ops().expect("the rig's changes are valid");
-    let setup = setup
-        .into_iter()
-        .enumerate()
-        .map(|(i, op)| change(i, None, op));
-    append(&mut replica, setup.collect());
-    let org = |i: usize| {
-        let org = open_org(&format!("org-{i}")).expect("the name is valid");
-        change(10 + i, None, Op::PutOrganisation(org))
-    };
-    append(&mut replica, (0..orgs).map(org).collect());
-    assert!(
-        replica.machine().organisations().len() > orgs,
-        "all were accepted"
-    );
-    replica
-}
-
-fn config_bytes(orgs: usize) -> f64 {
-    config_of(orgs).to_snapshot().bytes() as f64
-}
-
-fn config_cpu(orgs: usize) -> f64 {
-    const CHANGES: usize = 20;
-    let mut replica = config_of(orgs);
-    let mut number = 100_000;
-    let work = || {
-        let mut bodies = Vec::new();
-        for i in 0..CHANGES {
-            number += 1;
-            let org = open_org(&format!("org-{i}")).expect("the name is valid");
-            let base = replica
-                .machine()
-                .base(&format!("organisation/{}", org.name));
-            bodies.push(change(number, base, Op::PutOrganisation(org)));
-        }
-        append(&mut replica, bodies);
-    };
-    shortest(5, work) / CHANGES as f64
-}
-
-fn config_restore(orgs: usize) -> f64 {
-    let snapshot = config_of(orgs).to_snapshot();
-    shortest(5, || {
-        let mut fresh: Replica<ConfigMachine> = Replica::new(WriterId(2));
-        assert!(fresh.restore(&snapshot), "the snapshot is sound");
-        let view = shaleline_config::View::from_machine(fresh.machine(), fresh.next());
-        assert!(view.tenants().count() > orgs, "all are resolved");
-    })
-}
-
-/// Resident memory of this process in kilobytes.
-fn resident_kb() -> f64 {
-    const PAGE_KB: f64 = 4.0;
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|p| p.parse::<f64>().ok());
-    pages.unwrap_or(0.0) * PAGE_KB
-}
-
-/// What a state takes in memory: several copies, so that the allocator's own pages do
-/// not count for much.
-fn memory_of<M: Machine>(replica: &Replica<M>) -> f64 {
-    const COPIES: usize = 4;
-    let snapshot = replica.to_snapshot();
-    let before = resident_kb();
-    let copies: Vec<_> = (0..COPIES).map(|_| snapshot.to_state::<M>()).collect();
-    let grown = (resident_kb() - before) / COPIES as f64;
-    assert!(copies.iter().all(Option::is_some), "the snapshot is sound");
-    grown
-}
-
-fn config_memory(orgs: usize) -> f64 {
-    let full = config_of(100);
-    let mut machine = serde_json::to_value(full.machine()).unwrap_or_default();
-    let one = machine["orgs"]["org-1"].clone();
-    for i in 0..orgs {
-        let name = format!("more-{i}");
-        let mut org = one.clone();
-        org["name"] = name.clone().into();
-        machine["orgs"][&name] = org;
-        machine["versions"][format!("organisation/{name}")] =
-            machine["versions"]["organisation/org-1"].clone();
-    }
-    let text = machine.to_string();
-    const COPIES: usize = 2;
-    let before = resident_kb();
-    let copies: Vec<ConfigMachine> = (0..COPIES)
-        .filter_map(|_| serde_json::from_str(&text).ok())
-        .collect();
-    let grown = (resident_kb() - before) / COPIES as f64;
-    assert!(copies.len() == COPIES, "the state parses");
-    grown
-}
-
-fn once_records(keys: usize) -> Vec<OnceBody> {
-    let org = Org::from_text("org").expect("the name is valid");
-    let mut bodies = Vec::new();
-    for i in 0..keys {
-        let key = OnceKey::from_parts(&org, "services/alerts", &i.to_string());
-        let attempt = RequestId(i as u64);
-        bodies.push(OnceBody::Begun {
-            key: key.clone(),
-            attempt,
-            request: "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef".to_owned(),
-        });
-        bodies.push(OnceBody::Finished {
-            key,
-            attempt,
-            answer: KeptAnswer {
-                status: 200,
-                mime: "application/json".to_owned(),
-                body: Some("{\"confirmed\":true,\"valve\":7,\"at\":\"04:10\"}".to_owned()),
-            },
-        });
-    }
-    bodies
-}
-
-fn once_of(keys: usize) -> Replica<OnceMachine> {
-    let mut replica = Replica::new(WriterId(1));
-    append(&mut replica, once_records(keys));
-    replica
-}
-
-fn once_log(keys: usize) -> f64 {
-    let mut replica: Replica<OnceMachine> = Replica::new(WriterId(1));
-    append(&mut replica, once_records(keys)) as f64
-}
-
-fn once_cpu(keys: usize) -> f64 {
-    let records = once_records(keys);
-    let mut best = f64::MAX;
-    for _ in 0..3 {
-        let bodies = records.clone();
-        let mut replica: Replica<OnceMachine> = Replica::new(WriterId(1));
-        let started = Instant::now();
-        append(&mut replica, bodies);
-        best = best.min(started.elapsed().as_secs_f64() * 1e6);
-    }
-    best
-}
-
-fn once_bytes(keys: usize) -> f64 {
-    once_of(keys).to_snapshot().bytes() as f64
-}
-
-fn once_memory(keys: usize) -> f64 {
-    memory_of(&once_of(keys))
-}
-
-fn engine_name(number: usize) -> Upstream {
-    Upstream::from_text(&format!("engine-{number:05}")).expect("the name is valid")
-}
-
-fn model_item(number: usize) -> Item {
-    let model = Model::from_text(&format!("model-{number:03}")).expect("the name is valid");
-    Item::base(&model, 1)
-}
-
-/// Models of which each engine holds four, as many as there are at the letter's size.
-const MODELS: usize = 220;
-const HELD: usize = 4;
-
-fn cell_of(engines: usize) -> Replica<CellMachine> {
-    let mut replica: Replica<CellMachine> = Replica::new(WriterId(1));
-    let claim = CellBody::Lease(LeaseBody::Claim {
-        instance: Instance::from_text("entry-1").expect("the name is valid"),
-        after: None,
-    });
-    append(&mut replica, vec![claim]);
-    let adopt = |i: usize| CellBody::Adopt {
-        fence: Offset(0),
-        engine: engine_name(i),
-        incarnation: 1,
-        memory: Megabytes(80_000),
-        checks: false,
-        resident: (0..HELD)
-            .map(|k| (model_item((i * HELD + k) % MODELS), Megabytes(15_000)))
-            .collect(),
-        loading: BTreeMap::new(),
-    };
-    append(&mut replica, (0..engines).map(adopt).collect());
-    replica
-}
-
-fn cell_bytes(engines: usize) -> f64 {
-    cell_of(engines).to_snapshot().bytes() as f64
-}
-
-fn plan_cpu(engines: usize) -> f64 {
-    let replica = cell_of(engines);
-    let centre =
-        |i: usize| DataCentre::from_text(&format!("dc{}", i % 3)).expect("the name is valid");
-    let view = |i: usize| EngineView {
-        centre: centre(i),
-        capacity: 2_000.0,
-        alive: true,
-    };
-    let views = (0..engines).map(|i| (engine_name(i), view(i))).collect();
-    let models = MODELS.min(engines * 2);
-    let want = |i: usize| Want {
-        item: model_item(i),
-        size: Megabytes(15_000),
-    };
-    let wanted = Wanted::from_wants((0..models).map(want));
-    let mut demand = Demand::default();
-    for i in 0..models {
-        let rate = engines as f64 * 1_000.0 / models as f64;
-        demand.note(
-            &model_item(i).model,
-            rate * (1 + i % 3) as f64 * 10.0,
-            Millis(1),
-        );
-    }
-    let mut planner = Planner::default();
-    shortest(5, || {
-        let plan = Plan {
-            books: replica.machine().engines(),
-            views: &views,
-            wanted: &wanted,
-            demand: &demand,
-            loads: 4,
-        };
-        std::hint::black_box(planner.plan(plan, Millis(1)));
-    })
-}
-
-fn route_cpu(upstreams: usize) -> f64 {
-    const REQUESTS: u64 = 2_000;
-    let centre = DataCentre::from_text("dc1").expect("the name is valid");
-    let mut router = Router::new(RouterSettings::new(centre.clone()), ShareBook::alone("me"));
-    let route = Route::Model {
-        model: model_item(1).model,
-        adapter: None,
-    };
-    let now = Millis(1_000);
-    for i in 0..upstreams {
-        let upstream = engine_name(i);
-        let site = Site {
-            centre: centre.clone(),
-            routes: vec![route.clone()],
-        };
-        router.step(
-            RouteEvent::Serves {
-                upstream: upstream.clone(),
-                site,
-            },
-            now,
-        );
-        let load = Load {
-            slots: 64,
-            ..Load::default()
-        };
-        router.step(RouteEvent::Report { upstream, load }, now);
-    }
-    let mut next = 0;
-    let work = || {
-        for _ in 0..REQUESTS {
-            next += 1;
-            let ask = ask(next, &route, now);
-            for action in router.step(RouteEvent::Arrive(ask), now) {
-                if let RouteAction::Send { id, attempt, .. } = action {
-                    router.step(RouteEvent::FirstByte { id, attempt }, now);
-                    let end = End::Whole;
-                    router.step(RouteEvent::Ended { id, attempt, end }, now);
-                }
-            }
-        }
-    };
-    shortest(5, work) / REQUESTS as f64
-}
-
-fn ask(number: u64, route: &Route, now: Millis) -> Ask {
-    const PLENTY: u64 = 1 << 40;
-    Ask {
-        id: RequestId(number),
-        org: Org::from_text("org").expect("the name is valid"),
-        route: route.clone(),
-        priority: 1,
-        weight: 1,
-        cost: 100,
-        prefix: vec![1, 2, 3, 4],
-        due: now.plus(10_000),
-        repeatable: true,
-        limits: Limits {
-            rate: PLENTY,
-            concurrency: PLENTY,
-            tokens: PLENTY,
-        },
-    }
-}
-
-fn report_of(items: usize) -> UpstreamReport {
-    let held = |i| Resident {
-        item: model_item(i),
-        size: Megabytes(15_000),
-    };
-    UpstreamReport {
-        running: 12,
-        waiting: 3,
-        slots: 32,
-        leaving: false,
-        used: 60_000,
-        engine: Some(EngineReport {
-            incarnation: 7,
-            memory: Megabytes(80_000),
-            checks: true,
-            leaving: false,
-            resident: (0..items).map(held).collect(),
-            loading: Vec::new(),
-            orders: BTreeMap::new(),
-        }),
-        cache: CacheEvents::default(),
-    }
-}
-
-fn report_bytes(items: usize) -> f64 {
-    serde_json::to_string(&report_of(items)).map_or(0.0, |t| t.len() as f64)
-}
-
-fn report_cpu(items: usize) -> f64 {
-    const READS: usize = 500;
-    let text = serde_json::to_string(&report_of(items)).unwrap_or_default();
-    let work = || {
-        for _ in 0..READS {
-            std::hint::black_box(serde_json::from_str::<UpstreamReport>(&text).is_ok());
-        }
-    };
-    shortest(5, work) / READS as f64
-}
-
 /// Changes with real daemons: until accepted, applied by all, and confirmed by all.
 async fn in_force() -> Result<Vec<InForce>> {
     const CHANGES: usize = 8;
--- a/crates/faults/src/cell_run.rs
+++ b/crates/faults/src/cell_run.rs
@@ -1,7 +1,7 @@
 //! Ownership, memory and orders: owners die and are paused, orders are lost, late and
 //! doubled, engines start anew.
 
-use crate::history::{LeaseEvent, LeaseSpec};
+use crate::history::{is_linearizable, LeaseEvent, LeaseSpec, Operation};
 use crate::tally::{Invariant, Tally};
 use crate::world::{Event, Retention, World};
 use rand::rngs::SmallRng;
@@ -15,8 +15,6 @@
 use shaleline_standin::{EngineSpec, EngineState, Pace};
 use shaleline_types::{DataCentre, Instance, Megabytes, Millis, Model, Offset, Upstream, WriterId};
 use std::collections::{BTreeMap, BTreeSet};
-use todc_utils::linearizability::history::{Action, History};
-use todc_utils::linearizability::WGLChecker;
 
 const NODES: usize = 3;
 const ENGINES: usize = 3;
@@ -434,30 +432,17 @@
     }
 
     fn check_claims(&self, last: u64, tally: &mut Tally) {
-        let mut events: Vec<(u64, bool, usize, LeaseEvent)> = Vec::new();
-        let answered = self
-            .claims
-            .iter()
-            .enumerate()
-            .filter(|(_, c)| c.answered.is_some());
-        for (i, claim) in answered.take(MOST_CLAIMS) {
-            events.push((claim.called, false, i, claim.event));
-            events.push((claim.answered.unwrap_or(last), true, i, claim.event));
-        }
-        if events.is_empty() || !tally.is_clean() {
+        if !tally.is_clean() {
             return;
         }
-        events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
-        let actions = events.into_iter().map(|(_, answer, i, event)| {
-            let action = if answer {
-                Action::Response(event)
-            } else {
-                Action::Call(event)
-            };
-            (i, action)
-        });
-        let history = History::from_actions(actions.collect());
-        let holds = WGLChecker::<LeaseSpec>::is_linearizable(history);
+        let answered = self.claims.iter().filter(|c| c.answered.is_some());
+        let operation = |claim: &Claim| Operation {
+            called: claim.called,
+            answered: claim.answered.unwrap_or(last),
+            event: claim.event,
+        };
+        let operations: Vec<_> = answered.take(MOST_CLAIMS).map(operation).collect();
+        let holds = is_linearizable::<LeaseSpec>(&operations);
         tally.check(Invariant::Memory, holds, || {
             "the claims are not linearizable".to_owned()
         });
--- a/crates/faults/src/config_run.rs
+++ b/crates/faults/src/config_run.rs
@@ -1,6 +1,6 @@
 //! Configuration: operators race for the same organisations through different daemons.
 
-use crate::history::{ConfigEvent, ConfigSpec};
+use crate::history::{is_linearizable, ConfigEvent, ConfigSpec, Operation};
 use crate::tally::{Invariant, Tally};
 use crate::world::{Event, Retention, World};
 use rand::rngs::SmallRng;
@@ -11,8 +11,6 @@
 use shaleline_log::{Priority, Ticket};
 use shaleline_types::{ChangeId, ErrorKind, Offset, Org, TemplateName, WriterId};
 use std::collections::BTreeMap;
-use todc_utils::linearizability::history::{Action, History};
-use todc_utils::linearizability::WGLChecker;
 
 const NODES: usize = 4;
 const ORGS: u64 = 3;
@@ -250,9 +248,12 @@
 
     /// The changes of one object are linearizable as compare-and-swap.
     fn check_history(&self, org: &Org, last: u64, tally: &mut Tally) {
-        let mut events: Vec<(u64, bool, usize, ConfigEvent)> = Vec::new();
+        if !tally.is_clean() {
+            return;
+        }
+        let mut operations = Vec::new();
         let own = self.asked.iter().filter(|a| a.change.op.org() == Some(org));
-        for (i, asked) in own.take(MOST_OPERATIONS).enumerate() {
+        for asked in own.take(MOST_OPERATIONS) {
             let base = asked.change.base.map_or(0, |b| b.0 + 1);
             let event = match &asked.verdict {
                 Some(Verdict::Accepted(at)) => ConfigEvent::Accepted {
@@ -264,23 +265,13 @@
                 }
                 _ => continue,
             };
-            events.push((asked.called, false, i, event));
-            events.push((asked.answered.unwrap_or(last + 1), true, i, event));
-        }
-        if events.is_empty() || !tally.is_clean() {
-            return;
+            operations.push(Operation {
+                called: asked.called,
+                answered: asked.answered.unwrap_or(last + 1),
+                event,
+            });
         }
-        events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
-        let actions = events.into_iter().map(|(_, answer, i, event)| {
-            let action = if answer {
-                Action::Response(event)
-            } else {
-                Action::Call(event)
-            };
-            (i, action)
-        });
-        let history = History::from_actions(actions.collect());
-        let holds = WGLChecker::<ConfigSpec>::is_linearizable(history);
+        let holds = is_linearizable::<ConfigSpec>(&operations);
         tally.check(Invariant::Config, holds, || {
             format!("the changes of {org} are not linearizable")
         });
--- a/crates/faults/src/history.rs
+++ b/crates/faults/src/history.rs
@@ -3,6 +3,8 @@
 //! An operation whose caller got no answer is resolved from the log or the service: if it
 //! took effect, it did so at some time after its call; if not, it is no operation.
 
+use todc_utils::linearizability::history::{Action, History};
+use todc_utils::linearizability::WGLChecker;
 use todc_utils::specifications::Specification;
 
 /// A change of one object, from a base version.
@@ -102,3 +104,30 @@
         }
     }
 }
+
+/// One operation of a history: when it was called and answered, and how it went.
+pub(crate) struct Operation<E> {
+    pub(crate) called: u64,
+    pub(crate) answered: u64,
+    pub(crate) event: E,
+}
+
+/// Whether a history is linearizable. An empty one is.
+pub(crate) fn is_linearizable<S: Specification>(operations: &[Operation<S::Operation>]) -> bool
+where
+    S::Operation: Copy,
+{
+    let mut actions = Vec::new();
+    for (process, o) in operations.iter().enumerate() {
+        actions.push((o.called, false, process, Action::Call(o.event)));
+        actions.push((o.answered, true, process, Action::Response(o.event)));
+    }
+    actions.sort_by_key(|(step, answer, process, _)| (*step, *answer, *process));
+    if actions.is_empty() {
+        return true;
+    }
+    let actions = actions
+        .into_iter()
+        .map(|(_, _, process, action)| (process, action));
+    WGLChecker::<S>::is_linearizable(History::from_actions(actions.collect()))
+}
--- a/crates/faults/src/once_run.rs
+++ b/crates/faults/src/once_run.rs
@@ -1,6 +1,6 @@
 //! Keyed requests: callers repeat, daemons die, answers are lost, the log is late.
 
-use crate::history::{OnceEvent, OnceSpec};
+use crate::history::{is_linearizable, OnceEvent, OnceSpec, Operation};
 use crate::tally::{Invariant, Tally};
 use crate::world::{Event, Retention, World};
 use rand::rngs::SmallRng;
@@ -12,8 +12,6 @@
 };
 use shaleline_types::{Org, Outcome, RequestId, WriterId};
 use std::collections::{BTreeMap, BTreeSet};
-use todc_utils::linearizability::history::{Action, History};
-use todc_utils::linearizability::WGLChecker;
 
 const NODES: usize = 4;
 const KEYS: u64 = 6;
@@ -357,34 +355,20 @@
     }
 
     fn check_history(&self, key: u64, last: u64, tally: &mut Tally) {
-        let mut events: Vec<(u64, bool, usize, OnceEvent)> = Vec::new();
-        let own = self.calls.iter().enumerate().filter(|(_, c)| c.key == key);
-        for (id, call) in own.take(MOST_OPERATIONS) {
-            let unanswered = || {
-                if self.attempt_ran(id) {
-                    OnceEvent::Ran(id as u64)
-                } else {
-                    OnceEvent::Nothing
-                }
-            };
-            let event = call.event.unwrap_or_else(unanswered);
-            events.push((call.called, false, id, event));
-            events.push((call.answered.unwrap_or(last + 1), true, id, event));
-        }
-        if events.is_empty() || !tally.is_clean() {
+        if !tally.is_clean() {
             return;
         }
-        events.sort_by_key(|(step, answer, i, _)| (*step, *answer, *i));
-        let actions = events.into_iter().map(|(_, answer, i, event)| {
-            let action = if answer {
-                Action::Response(event)
-            } else {
-                Action::Call(event)
-            };
-            (i, action)
-        });
-        let history = History::from_actions(actions.collect());
-        let holds = WGLChecker::<OnceSpec>::is_linearizable(history);
+        let own = self.calls.iter().enumerate().filter(|(_, c)| c.key == key);
+        let operation = |(id, call): (usize, &Call)| {
+            let ran = self.attempt_ran(id).then_some(OnceEvent::Ran(id as u64));
+            Operation {
+                called: call.called,
+                answered: call.answered.unwrap_or(last + 1),
+                event: call.event.or(ran).unwrap_or(OnceEvent::Nothing),
+            }
+        };
+        let operations: Vec<_> = own.take(MOST_OPERATIONS).map(operation).collect();
+        let holds = is_linearizable::<OnceSpec>(&operations);
         tally.check(Invariant::Once, holds, || {
             format!("the calls of key {key} are not linearizable")
         });
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 mod book;
 mod demand;
 mod dispatch;
+mod draft;
 mod fluid;
 mod item;
 mod machine;
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -16,17 +16,7 @@
 }
 trap finish EXIT
 
-passed=0
-step() { passed=$((passed + 1)); echo "ok $passed - $1"; }
-fail() { echo "not ok - $1"; tail -n 15 "$out"/*.log || true; echo "$passed passed, 1 failed"; exit 1; }
-until_true() { # seconds, what, command...
-  local limit=$((SECONDS + $1)) what=$2
-  shift 2
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$limit" ] || fail "$what"
-    sleep 0.05
-  done
-}
+source scripts/lib.sh
 now_ms() { date +%s%3N; }
 
 export SHALELINE_PEER_SECRET=faults-script-peer-secret SHALELINE_TOKEN=faults-script-operator
