Borrow the parts of limits that others do not use

Cause: a limit smaller than the number of daemons left some without any part, and they refused for ever; lending was there, borrowing was not. A limit that stood in the way is borrowed from two others in the next round; a daemon lends half of its own part at the most.

--- a/crates/daemon/src/member_actor.rs
+++ b/crates/daemon/src/member_actor.rs
@@ -6,7 +6,9 @@
 use actix::prelude::*;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use shaleline_log::{pick_snapshot, Machine, StoredRecord};
-use shaleline_peer::{DemandReport, Heartbeat, MemberEvent, PeerApiClient, RelayRequest};
+use shaleline_peer::{
+    DemandReport, Heartbeat, LoanRequest, MemberEvent, PeerApiClient, RelayRequest,
+};
 use shaleline_platform::{InstanceKind, InstanceList};
 use shaleline_types::{LogEvent, Offset};
 use std::collections::HashMap;
@@ -18,6 +20,10 @@
 const CALL: Duration = Duration::from_millis(800);
 const LIST_ROUNDS: u64 = 2;
 
+/// Limits that are borrowed in a round, and daemons that are asked for each.
+const MOST_BORROWED: usize = 8;
+const LENDERS: usize = 2;
+
 /// Rounds between two reports of demand to the cell's owner.
 const DEMAND_ROUNDS: u64 = 3;
 
@@ -74,6 +80,7 @@
         futures_util::future::join_all(calls).await;
         settle(&core);
         follow_peers(&core, &mut peers).await;
+        borrow(&core, &mut peers).await;
         if round % DEMAND_ROUNDS == 0 {
             tell_demand(&core, &mut peers).await;
         }
@@ -169,6 +176,38 @@
     }
 }
 
+/// Borrows parts of the limits that stood in the way since the last round. Whoever was
+/// refused meanwhile was told when to come back.
+async fn borrow(core: &Arc<Core>, peers: &mut Peers) {
+    let short = core.router().take_short();
+    let others: Vec<String> = {
+        let members = core.members();
+        let me = members.me().id.clone();
+        let others = members.alive().filter(|m| m.id != me);
+        others.map(|m| m.peer.clone()).collect()
+    };
+    if others.is_empty() {
+        return;
+    }
+    let turn = core.now().0 as usize / ROUND.as_millis() as usize;
+    for (i, (org, kind)) in short.into_iter().take(MOST_BORROWED).enumerate() {
+        for k in 0..LENDERS.min(others.len()) {
+            let Some(client) = peers.client(&others[(turn + i + k) % others.len()]) else {
+                continue;
+            };
+            let asked = core.now();
+            let request = LoanRequest {
+                org: org.clone(),
+                limit: kind.as_str().to_owned(),
+            };
+            let lent = client.lend(core.settings.secret.clone(), request).await;
+            if let Ok(amount) = lent {
+                core.router().shares().borrow(&org, kind, amount, asked);
+            }
+        }
+    }
+}
+
 /// Tells the owner of the cell what this daemon's callers ask for.
 async fn tell_demand(core: &Arc<Core>, peers: &mut Peers) {
     let owner = core.cell.with(|c| c.lease().holder().map(|h| h.writer));
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -39,12 +39,7 @@
 }
 
 fn limit_kind(text: &str) -> Option<LimitKind> {
-    match text {
-        "rate" => Some(LimitKind::Rate),
-        "concurrency" => Some(LimitKind::Concurrency),
-        "tokens" => Some(LimitKind::Tokens),
-        _ => None,
-    }
+    LimitKind::ALL.into_iter().find(|k| k.as_str() == text)
 }
 
 #[async_trait]
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -32,6 +32,16 @@
 impl LimitKind {
     /// Every limit.
     pub const ALL: [Self; 3] = [Self::Rate, Self::Concurrency, Self::Tokens];
+
+    /// The word for it between daemons.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Rate => "rate",
+            Self::Concurrency => "concurrency",
+            Self::Tokens => "tokens",
+        }
+    }
 }
 
 impl Limits {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -63,6 +63,8 @@
     open: BTreeMap<RequestId, Open>,
     queues: BTreeMap<Route, RouteQueue>,
     backs: BTreeMap<Upstream, Back>,
+    /// The limits that stood in a request's way since they were last asked for.
+    short: BTreeSet<(Org, LimitKind)>,
     /// Upstreams that were told to be leaving, whether they are known yet or not.
     leaving: BTreeSet<Upstream>,
     budget: RetryBudget,
@@ -82,6 +84,7 @@
             queues: BTreeMap::new(),
             backs: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            short: BTreeSet::new(),
             budget: RetryBudget::default(),
             turn: 0,
             stats: RouterStats::default(),
@@ -102,6 +105,12 @@
         self.shares.lend(org, kind, limits, in_use, now)
     }
 
+    /// The limits of which this daemon's part was too small since the last call: another
+    /// daemon may lend some.
+    pub fn take_short(&mut self) -> Vec<(Org, LimitKind)> {
+        std::mem::take(&mut self.short).into_iter().collect()
+    }
+
     /// Counters and gauges.
     #[must_use]
     pub fn stats(&self) -> RouterStats {
@@ -201,7 +210,8 @@
     fn arrive(&mut self, ask: Ask, now: Millis, out: &mut Vec<RouteAction>) {
         self.stats.arrived += 1;
         let id = ask.id;
-        if let Err((_, wait)) = self.limiter.admit(&ask.org, &ask.limits, &self.shares, now) {
+        if let Err((kind, wait)) = self.limiter.admit(&ask.org, &ask.limits, &self.shares, now) {
+            self.short.insert((ask.org.clone(), kind));
             let wait = Millis(wait.0.max(1));
             self.refuse(id, ErrorKind::RateLimited, Some(wait), out);
             return;
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -108,13 +108,18 @@
         all
     }
 
+    /// This daemon's own part, loans apart.
+    fn base(&self, org: &Org, limit: u64, now: Millis) -> u64 {
+        match self.grown {
+            Some(at) if now < at => 0,
+            _ => share_of(limit, org.as_str(), &self.me, &self.divided_by(now)),
+        }
+    }
+
     /// The part of a limit that this daemon may use now.
     #[must_use]
     pub fn part(&self, org: &Org, kind: LimitKind, limit: u64, now: Millis) -> u64 {
-        let own = match self.grown {
-            Some(at) if now < at => 0,
-            _ => share_of(limit, org.as_str(), &self.me, &self.divided_by(now)),
-        };
+        let own = self.base(org, limit, now);
         let Some(account) = self.accounts.get(&(org.clone(), kind)) else {
             return own;
         };
@@ -122,7 +127,8 @@
         plus.saturating_sub(sum(&account.lent, now))
     }
 
-    /// Lends part of what is idle. Returns what was lent; zero if nothing can be.
+    /// Lends part of what is idle, half of its own part at the most, so that one daemon's
+    /// flood can't take the others' parts away. Returns what was lent.
     pub fn lend(
         &mut self,
         org: &Org,
@@ -131,9 +137,14 @@
         in_use: u64,
         now: Millis,
     ) -> u64 {
-        let own = self.part(org, kind, limits.get(kind), now);
-        let idle = own.saturating_sub(in_use);
-        let amount = idle.div_ceil(2);
+        let idle = self
+            .part(org, kind, limits.get(kind), now)
+            .saturating_sub(in_use);
+        let base = self.base(org, limits.get(kind), now);
+        let most = if base == 1 { 1 } else { base / 2 };
+        let key = (org.clone(), kind);
+        let lent = self.accounts.get(&key).map_or(0, |a| sum(&a.lent, now));
+        let amount = idle.min(most.saturating_sub(lent));
         if amount == 0 {
             return 0;
         }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -283,6 +283,12 @@
         (*kind, *retry),
         (ErrorKind::RateLimited, Some(Millis(1_000)))
     );
+    assert_eq!(
+        r.take_short(),
+        [(org("o"), LimitKind::Rate)],
+        "some may be borrowed"
+    );
+    assert!(r.take_short().is_empty());
 }
 
 #[test]
@@ -342,6 +348,11 @@
         assert!(sum <= 100, "{sum} at {ms}");
     }
     assert_eq!(b.part(&org("o"), kind, 100, Millis(2_000)), 75);
+    assert_eq!(
+        a.lend(&org("o"), kind, &limits, 0, Millis(2_000)),
+        0,
+        "half at the most"
+    );
 }
 
 #[test]
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -90,6 +90,12 @@
   fail "an oversized body is refused"
 step "bad input gets its answer"
 
+"$bin/shaleline" org put examples/small/tiny.toml >/dev/null
+tiny=$(token tiny)
+until_true 15 "daemon 1 has a part of a small limit" answered 7210 "$tiny" frost
+until_true 30 "daemon 2 has a part of a small limit" answered 7220 "$tiny" frost
+step "a limit smaller than the number of daemons serves through each"
+
 confirm() { # port key
   curl -s -m 30 -D "$out/head-$1" "127.0.0.1:$1/v1/services/alerts/sprinkler" \
     -H "Authorization: Bearer $mraznik" -H "Idempotency-Key: $2" -d 'valve 7'
