Let one wait for superseded attempts serve both, and plan by the target that is set

Found in a last read: two copies of the same wait, a parameter that nothing used, and a planner that spread demand by the default target instead of its own setting (the same value today).

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -4,7 +4,7 @@
 use crate::auth;
 use crate::caller::{read_body, Local};
 use crate::core::{Core, InFlight};
-use crate::drive::limits;
+use crate::drive::{limits, superseded};
 use crate::keyed;
 use actix_web::http::StatusCode;
 use actix_web::web::{Data, Path, Payload};
@@ -118,7 +118,7 @@
         let sent = send(&local.core, &*local.services, job, &upstream);
         let sent = tokio::select! {
             sent = sent => sent,
-            () = permit.superseded() => continue,
+            () = superseded(&mut permit.actions) => continue,
         };
         match sent {
             Ok(answer) => {
@@ -215,17 +215,6 @@
         }
     }
 
-    /// Resolves when the router takes the running attempt back.
-    async fn superseded(&mut self) {
-        loop {
-            match self.actions.recv().await {
-                Some(RouteAction::Cancel { .. }) => return,
-                Some(_) => {}
-                None => std::future::pending().await,
-            }
-        }
-    }
-
     pub(crate) fn end(&mut self, attempt: u32, end: End) {
         let id = self.id;
         self.open &= !matches!(end, End::Whole | End::Cancelled);
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -304,7 +304,7 @@
 }
 
 /// Resolves when the router takes the running attempt back.
-async fn superseded(actions: &mut mpsc::UnboundedReceiver<RouteAction>) {
+pub(crate) async fn superseded(actions: &mut mpsc::UnboundedReceiver<RouteAction>) {
     loop {
         match actions.recv().await {
             Some(RouteAction::Cancel { .. }) => return,
--- a/crates/place/src/draft.rs
+++ b/crates/place/src/draft.rs
@@ -25,7 +25,7 @@
         };
         Self {
             open: plan.books.iter().filter_map(usable).collect(),
-            fluid: spread(plan, now),
+            fluid: spread(plan, planner.settings.target, now),
             plan,
             now,
             planner,
--- a/crates/place/src/fluid.rs
+++ b/crates/place/src/fluid.rs
@@ -1,6 +1,6 @@
 //! Demand spread over replicas like a fluid: what each engine would carry at best.
 
-use crate::{EngineBook, Plan, PlanSettings};
+use crate::{EngineBook, Plan};
 use shaleline_types::{Millis, Model, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -41,9 +41,8 @@
 }
 
 /// Spreads each model's demand so that its engines end up equally used. Capacities count
-/// only up to the default target share.
-pub(crate) fn spread(plan: Plan<'_>, now: Millis) -> Fluid {
-    let target = PlanSettings::default().target;
+/// only up to the target share.
+pub(crate) fn spread(plan: Plan<'_>, target: f64, now: Millis) -> Fluid {
     let mut fluid = Fluid::default();
     let mut holders: BTreeMap<&Model, Vec<&Upstream>> = BTreeMap::new();
     for (engine, book) in plan.books {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::upstream::Back;
 use crate::Ask;
-use shaleline_types::{DataCentre, Upstream};
+use shaleline_types::DataCentre;
 
 /// How upstreams are chosen. The others are baselines to measure against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -29,19 +29,11 @@
 }
 
 impl Chooser<'_> {
-    pub(crate) fn cost(
-        &self,
-        name: &Upstream,
-        back: &Back,
-        ask: &Ask,
-        index: usize,
-        of: usize,
-    ) -> f64 {
+    pub(crate) fn cost(&self, back: &Back, ask: &Ask, index: usize, of: usize) -> f64 {
         match self.choice {
             Choice::Expected => self.expected(back, ask),
             Choice::Reported => (back.load.running + back.load.waiting) as f64,
             Choice::RoundRobin => {
-                let _ = name;
                 let of = of.max(1);
                 ((index + of - (self.turn as usize % of)) % of) as f64
             }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -297,7 +297,7 @@
         };
         let of = able.len();
         let costs = able.iter().enumerate().map(|(i, (name, back))| {
-            let cost = chooser.cost(name, back, ask, i, of);
+            let cost = chooser.cost(back, ask, i, of);
             (!fresh(name), cost, *name)
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
