--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -9,9 +9,9 @@
     CellBody, CellMachine, Demand, EngineReport, EngineView, Item, Plan, Planner, Policy, Resident,
     Want, Wanted,
 };
-use shaleline_platform::{CacheEvents, UpstreamReport};
+use shaleline_border::{CacheEvents, UpstreamReport};
 use shaleline_route::{
-    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
+    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms,
 };
 use shaleline_types::{
     ChangeId, DataCentre, Instance, Megabytes, Millis, Model, Offset, Org, RequestId, Upstream,
@@ -347,6 +347,7 @@
         weight: 1,
         cost: 100,
         prefix: vec![1, 2, 3, 4],
+        sizes: Vec::new(),
         due: now.plus(10_000),
         repeatable: true,
         limits: Limits {
@@ -354,6 +355,7 @@
             concurrency: PLENTY,
             tokens: PLENTY,
         },
+        terms: Terms::default(),
     }
 }
 
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_json::json;
 use shaleline_place::Item;
-use shaleline_platform::Generate;
+use shaleline_border::Generate;
 use shaleline_types::{Model, RequestId};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -12,7 +12,7 @@
 };
 use shaleline_route::{
     Ask, Choice, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings,
-    ShareBook, Site,
+    ShareBook, Site, Terms,
 };
 use shaleline_types::{
     stable_hash, DataCentre, ErrorKind, Instance, Megabytes, Millis, Model, Offset, Org, RequestId,
@@ -241,9 +241,11 @@
             weight: 1,
             cost,
             prefix: blocks(arrival),
+            sizes: Vec::new(),
             due: now.plus(PATIENCE),
             repeatable: true,
             limits: self.limits(),
+            terms: Terms::default(),
         };
         let open = Open {
             arrival: arrival.clone(),
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -11,8 +11,8 @@
 use actix_web::{HttpRequest, HttpResponse};
 use serde::Deserialize;
 use shaleline_config::Tenant;
-use shaleline_platform::{SendError, ServiceAnswer, ServiceCall, Services};
-use shaleline_route::{Ask, End, Route, RouteAction, RouteEvent};
+use shaleline_border::{SendError, ServiceAnswer, ServiceCall, Services};
+use shaleline_route::{Ask, End, Route, RouteAction, RouteEvent, Terms};
 use shaleline_types::{Error, ErrorKind, Millis, Outcome, RequestId, Result, Service, Upstream};
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -183,9 +183,11 @@
             weight: tenant.weight,
             cost: 1,
             prefix: Vec::new(),
+            sizes: Vec::new(),
             due: core.now().plus(tenant.patience),
             repeatable: job.repeatable,
             limits: limits(tenant),
+            terms: Terms::default(),
         };
         let permit = Self {
             core: Arc::clone(core),
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -10,7 +10,7 @@
 use actix_web::{web, HttpRequest, HttpResponse};
 use futures_util::{stream, StreamExt};
 use serde_json::{json, Value};
-use shaleline_platform::{Engines, Services};
+use shaleline_border::{Engines, Services};
 use shaleline_types::{Error, ErrorKind, Outcome, RequestId, Result};
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -4,8 +4,8 @@
 use crate::core::{Core, InFlight};
 use futures_util::StreamExt;
 use shaleline_config::Tenant;
-use shaleline_platform::{Engines, Generate, Piece, PieceStream, SendError};
-use shaleline_route::{prefix_chain, Ask, End, Limits, Route, RouteAction, RouteEvent};
+use shaleline_border::{Engines, Generate, Piece, PieceStream, SendError};
+use shaleline_route::{prefix_chain, Ask, End, Limits, Route, RouteAction, RouteEvent, Terms};
 use shaleline_types::{Error, ErrorKind, LogEvent, Millis, RequestId, Upstream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -100,9 +100,11 @@
             weight: tenant.weight,
             cost: completion.cost(),
             prefix: prefix_chain(salt, &completion.prompt),
+            sizes: Vec::new(),
             due: now.plus(tenant.patience),
             repeatable: true,
             limits: limits(tenant),
+            terms: Terms::default(),
         };
         core.demand()
             .note(&completion.item.model, ask.cost as f64, now);
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -17,7 +17,7 @@
     Attempt, AttemptAction, AttemptEvent, KeptAnswer, KeyState, OnceBody, OnceKey, OnceMachine,
     OnceVerdict, SendEnd,
 };
-use shaleline_platform::{SendError, ServiceAnswer, Services};
+use shaleline_border::{SendError, ServiceAnswer, Services};
 use shaleline_route::End;
 use shaleline_types::{
     digest, Error, ErrorKind, LogEvent, Outcome, RequestId, Result, Upstream, WriterId,
--- a/crates/daemon/src/member_actor.rs
+++ b/crates/daemon/src/member_actor.rs
@@ -9,7 +9,7 @@
 use shaleline_peer::{
     DemandReport, Heartbeat, LoanRequest, MemberEvent, PeerApiClient, RelayRequest,
 };
-use shaleline_platform::{InstanceKind, InstanceList};
+use shaleline_border::{InstanceKind, InstanceList};
 use shaleline_types::{LogEvent, Offset};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/daemon/src/owner_actor.rs
+++ b/crates/daemon/src/owner_actor.rs
@@ -11,7 +11,7 @@
     CellBody, CellMachine, CellVerdict, Dispatcher, EngineReport, EngineView, Item, Plan,
     PlanSettings, Planner, Policy, Step, Want, Wanted,
 };
-use shaleline_platform::{Engines, InstanceKind};
+use shaleline_border::{Engines, InstanceKind};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -19,7 +19,7 @@
 use eyre::{Result, WrapErr};
 use shaleline_dialect::HttpPlatform;
 use shaleline_log::LogService;
-use shaleline_platform::{Engines, InstanceList};
+use shaleline_border::{Engines, InstanceList};
 use shaleline_route::{Drain, DrainAction, Unfinished};
 use shaleline_types::LogEvent;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/daemon/src/upstream_actor.rs
+++ b/crates/daemon/src/upstream_actor.rs
@@ -5,7 +5,7 @@
 use crate::emit::emit;
 use actix::prelude::*;
 use shaleline_place::{Item, SlotState};
-use shaleline_platform::{Engines, InstanceKind, InstanceList, Listed, UpstreamReport};
+use shaleline_border::{Engines, InstanceKind, InstanceList, Listed, UpstreamReport};
 use shaleline_route::{Load, Route, RouteEvent, Site};
 use shaleline_types::{LogEvent, Service, Upstream};
 use std::collections::BTreeSet;
--- a/crates/dialect/src/http.rs
+++ b/crates/dialect/src/http.rs
@@ -6,7 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::StreamExt;
 use shaleline_place::Order;
-use shaleline_platform::{
+use shaleline_border::{
     Engines, Generate, InstanceList, ListError, Listed, Piece, PieceStream, SendError,
     ServiceAnswer, ServiceCall, Services, UpstreamReport,
 };
--- a/crates/dialect/src/log.rs
+++ b/crates/dialect/src/log.rs
@@ -5,7 +5,7 @@
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use shaleline_log::{Appended, LogError, LogService, ReadBatch};
-use shaleline_platform::SendError;
+use shaleline_border::SendError;
 use shaleline_types::{Millis, Offset, Stream};
 use std::time::Duration;
 
--- a/crates/dialect/tests/send.rs
+++ b/crates/dialect/tests/send.rs
@@ -2,7 +2,7 @@
 
 use shaleline_dialect::HttpPlatform;
 use shaleline_log::{Appended, LogService};
-use shaleline_platform::{SendError, ServiceCall, Services};
+use shaleline_border::{SendError, ServiceCall, Services};
 use shaleline_types::Stream;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
--- /dev/null
+++ b/crates/edge/src/reply.rs
@@ -0,0 +1,130 @@
+//! Answers to callers: whole, or passed on piece by piece.
+
+use crate::gate::Busy;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::Response;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+
+/// An answer to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// What a relay puts into a streamed answer.
+#[derive(Debug)]
+pub enum Chunk {
+    /// The next bytes.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+}
+
+/// The error that makes an unfinished answer end without looking whole.
+#[derive(Debug)]
+pub struct Unfinished;
+
+impl fmt::Display for Unfinished {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for Unfinished {}
+
+/// The receiving end of a streamed answer. A sender that is dropped without
+/// [`Chunk::End`] breaks the answer off.
+#[derive(Debug)]
+pub struct ReplyStream {
+    chunks: mpsc::Receiver<Chunk>,
+    length: Option<u64>,
+}
+
+#[derive(Debug)]
+enum Source {
+    Whole(Option<Bytes>),
+    Stream(ReplyStream),
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub struct ReplyBody {
+    source: Source,
+    ended: bool,
+    /// Counts the request as being answered until its body is written.
+    pub(crate) busy: Option<Busy>,
+}
+
+impl ReplyBody {
+    /// A whole body.
+    #[must_use]
+    pub fn from_bytes(bytes: Bytes) -> Self {
+        let bytes = Some(bytes).filter(|b| !b.is_empty());
+        Self {
+            ended: bytes.is_none(),
+            source: Source::Whole(bytes),
+            busy: None,
+        }
+    }
+
+    /// A body that a relay fills, of `length` bytes where that is known.
+    #[must_use]
+    pub fn channel(depth: usize, length: Option<u64>) -> (mpsc::Sender<Chunk>, Self) {
+        let (sender, chunks) = mpsc::channel(depth);
+        let body = Self {
+            source: Source::Stream(ReplyStream { chunks, length }),
+            ended: false,
+            busy: None,
+        };
+        (sender, body)
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Unfinished;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+        let this = &mut *self;
+        if this.ended {
+            return Poll::Ready(None);
+        }
+        let next = match &mut this.source {
+            Source::Whole(bytes) => {
+                this.ended = true;
+                return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))));
+            }
+            Source::Stream(stream) => std::task::ready!(stream.chunks.poll_recv(cx)),
+        };
+        match next {
+            Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Some(Chunk::End) => {
+                this.ended = true;
+                Poll::Ready(None)
+            }
+            None => {
+                this.ended = true;
+                Poll::Ready(Some(Err(Unfinished)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Source::Stream(stream) => stream
+                .length
+                .map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_route::{
-    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
+    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms,
 };
 use shaleline_types::{DataCentre, Millis, Org, RequestId, Service, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -188,6 +188,7 @@
             weight: 1,
             cost: rng.random_range(1..50),
             prefix: Vec::new(),
+            sizes: Vec::new(),
             due: now.plus(rng.random_range(100..5_000)),
             repeatable,
             limits: Limits {
@@ -195,6 +196,7 @@
                 concurrency: CONCURRENCY,
                 tokens: 1_000_000,
             },
+            terms: Terms::default(),
         })
     }
 
--- /dev/null
+++ b/crates/fleet/src/catalog.rs
@@ -0,0 +1,41 @@
+//! What the engines of one service may hold.
+
+use serde::{Deserialize, Serialize};
+use shaleline_types::{Adapter, Megabytes, Millis, Model};
+use std::collections::BTreeMap;
+
+/// One model that must stay reachable.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelRule {
+    /// The memory that its weights take.
+    pub size: Megabytes,
+    /// The time of a load from the weight store.
+    pub store: Millis,
+    /// The time of a load from a copy on the engine's disk.
+    pub disk: Millis,
+    /// The time of a load from a copy in the engine's main memory.
+    pub warm: Millis,
+    /// Its adapters.
+    pub adapters: Vec<Adapter>,
+    /// The memory that each adapter takes.
+    pub adapter_size: Megabytes,
+}
+
+/// The models of a service and the room on one of its engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Catalog {
+    /// The models.
+    pub models: BTreeMap<Model, ModelRule>,
+    /// The memory of an engine for weights and adapters.
+    pub memory: Megabytes,
+    /// The adapters that an engine may hold.
+    pub places: usize,
+    /// The loads a second that the weight store allows over all engines.
+    pub rate: f64,
+    /// The requests that an engine runs at once.
+    pub slots: usize,
+    /// The main memory of an engine for copies of weights.
+    pub copies: Megabytes,
+    /// The disk of an engine for copies of weights.
+    pub disk: Megabytes,
+}
--- /dev/null
+++ b/crates/fleet/src/claim.rs
@@ -0,0 +1,264 @@
+//! The lease of the one planner, kept in the platform's log.
+//!
+//! A claim is a record appended on condition that the topic ends where the claimant saw
+//! it end. Its offset is the fencing token. The holder appends again to renew, on the same
+//! kind of condition, so a claim in between is noticed at once. A holder orders only
+//! within [`ClaimSettings::valid`] of the start of its last renewal; whoever wants to
+//! succeed it waits until that time and the lease have passed with nothing new at the
+//! topic's end. Only steady clocks of single processes are compared.
+
+use shaleline_types::Millis;
+
+/// What decides when a claim lapses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimSettings {
+    /// How often the holder renews.
+    pub renew: Millis,
+    /// How long the holder orders after the start of its last renewal.
+    pub valid: Millis,
+    /// How long must pass between the orders of two holders.
+    pub lease: Millis,
+    /// What the successor waits beyond that, for orders on their way.
+    pub slack: Millis,
+    /// How often the topic is read while nobody seems to hold it.
+    pub read: Millis,
+}
+
+impl ClaimSettings {
+    /// Figures for a platform that wants `lease` between two holders. A renewal may fail
+    /// once before the claim lapses.
+    #[must_use]
+    pub fn from_lease(lease: Millis) -> Self {
+        Self {
+            renew: Millis(800),
+            valid: Millis(1_800),
+            lease,
+            slack: Millis(400),
+            read: Millis(500),
+        }
+    }
+
+    fn wait(&self) -> u64 {
+        self.valid.0 + self.lease.0 + self.slack.0
+    }
+}
+
+/// The end of the topic as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimView {
+    /// Where the topic ends.
+    pub end: u64,
+    /// Who wrote the newest record, where there is one.
+    pub holder: Option<String>,
+    /// Whether that record gives the claim up.
+    pub released: bool,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimAction {
+    /// Read the newest record and the end of the topic.
+    Read,
+    /// Append a claim or a renewal on condition that the topic ends there.
+    Append {
+        /// The expected end.
+        end: u64,
+        /// The fencing token of the claim that is renewed; none for a new claim.
+        fence: Option<u64>,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Somebody else holds it, or nobody does.
+    Watching,
+    /// The end has not moved since then.
+    Waiting {
+        end: u64,
+        since: Millis,
+        wait: u64,
+    },
+    /// An append is under way.
+    Claiming { end: u64 },
+    /// This daemon holds it.
+    Holding {
+        fence: u64,
+        end: u64,
+        valid_from: Millis,
+    },
+}
+
+/// One daemon's part in the claim.
+#[derive(Debug)]
+pub struct Claim {
+    settings: ClaimSettings,
+    me: String,
+    state: State,
+    /// When the holder was last heard of by other means than the topic.
+    heard: Option<Millis>,
+    acted: Option<Millis>,
+    busy: bool,
+    /// Whether the end must be read before the next append.
+    recheck: bool,
+}
+
+/// The holder is taken to be silent after so many renewals that were not heard of.
+const SILENT_RENEWALS: u64 = 3;
+
+impl Claim {
+    /// A claim of a daemon whose name in this life is `me`.
+    #[must_use]
+    pub fn new(settings: ClaimSettings, me: String) -> Self {
+        Self {
+            settings,
+            me,
+            state: State::Watching,
+            heard: None,
+            acted: None,
+            busy: false,
+            recheck: false,
+        }
+    }
+
+    /// The fencing token, while this daemon may order.
+    #[must_use]
+    pub fn fence(&self, now: Millis) -> Option<u64> {
+        match self.state {
+            State::Holding {
+                fence, valid_from, ..
+            } if now.since(valid_from) < self.settings.valid.0 => Some(fence),
+            _ => None,
+        }
+    }
+
+    /// Whether this daemon holds the claim, valid or not.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        matches!(self.state, State::Holding { .. })
+    }
+
+    /// Notes that the holder was heard of, which spares reading the topic.
+    pub fn heard(&mut self, now: Millis) {
+        self.heard = Some(now);
+        if matches!(self.state, State::Waiting { .. }) {
+            self.state = State::Watching;
+        }
+    }
+
+    /// Gives the claim up.
+    pub fn step_down(&mut self) {
+        self.state = State::Watching;
+        self.heard = None;
+    }
+
+    /// What to do now, if anything. Each action is answered by one of the `on_` calls.
+    pub fn tick(&mut self, now: Millis) -> Option<ClaimAction> {
+        if self.busy {
+            return None;
+        }
+        let due = |every: u64, last: Option<Millis>| last.is_none_or(|l| now.since(l) >= every);
+        let action = match self.state {
+            _ if self.recheck => Some(ClaimAction::Read),
+            State::Watching => {
+                let silent = due(self.settings.renew.0 * SILENT_RENEWALS, self.heard);
+                (silent && due(self.settings.read.0, self.acted)).then_some(ClaimAction::Read)
+            }
+            State::Waiting { end, since, wait } if now.since(since) >= wait => {
+                self.state = State::Claiming { end };
+                Some(ClaimAction::Append { end, fence: None })
+            }
+            State::Waiting { .. } => {
+                due(self.settings.read.0, self.acted).then_some(ClaimAction::Read)
+            }
+            State::Claiming { .. } => {
+                due(self.settings.read.0, self.acted).then_some(ClaimAction::Read)
+            }
+            State::Holding { end, fence, .. } => due(self.settings.renew.0, self.acted)
+                .then_some(ClaimAction::Append {
+                    end,
+                    fence: Some(fence),
+                }),
+        };
+        if action.is_some() {
+            self.busy = true;
+            self.acted = Some(now);
+        }
+        action
+    }
+
+    /// The topic was read.
+    pub fn on_read(&mut self, view: &ClaimView, started: Millis, now: Millis) {
+        self.busy = false;
+        self.recheck = false;
+        let mine = view.holder.as_deref() == Some(self.me.as_str()) && !view.released;
+        match self.state {
+            // An append without an answer was done after all.
+            State::Claiming { end } if mine && view.end == end + 1 => {
+                self.hold(end, view.end, started);
+            }
+            State::Holding {
+                fence, valid_from, ..
+            } if mine => {
+                self.state = State::Holding {
+                    fence,
+                    end: view.end,
+                    valid_from,
+                };
+            }
+            State::Waiting { end, .. } if end == view.end => {}
+            _ => {
+                // What was seen is at least as old as the end of the read, not its start.
+                let wait = match (&view.holder, view.released) {
+                    (None, _) => 0,
+                    (_, true) => self.settings.lease.0 + self.settings.slack.0,
+                    _ => self.settings.wait(),
+                };
+                self.state = State::Waiting {
+                    end: view.end,
+                    since: now,
+                    wait,
+                };
+            }
+        }
+    }
+
+    /// An append was done; its record has this offset.
+    pub fn on_appended(&mut self, offset: u64, started: Millis) {
+        self.busy = false;
+        match self.state {
+            State::Claiming { .. } => self.hold(offset, offset + 1, started),
+            State::Holding { fence, .. } => {
+                self.state = State::Holding {
+                    fence,
+                    end: offset + 1,
+                    valid_from: started,
+                };
+            }
+            State::Watching | State::Waiting { .. } => {}
+        }
+    }
+
+    fn hold(&mut self, offset: u64, end: u64, started: Millis) {
+        self.state = State::Holding {
+            // A token of 0 could be taken for none.
+            fence: offset + 1,
+            end,
+            valid_from: started,
+        };
+    }
+
+    /// An append found the topic's end elsewhere: somebody appended, maybe this daemon
+    /// itself by a call that got no answer. The topic is read before anything else.
+    pub fn on_moved(&mut self) {
+        self.busy = false;
+        self.recheck = true;
+        if !self.is_holder() {
+            self.state = State::Watching;
+        }
+    }
+
+    /// A call failed. An append may have been done all the same.
+    pub fn on_failed(&mut self) {
+        self.busy = false;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine.rs
@@ -0,0 +1,259 @@
+//! What is believed of one engine.
+
+use crate::{Catalog, Order, OrderKind};
+use serde::{Deserialize, Serialize};
+use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What an engine says that it holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The models, each with its adapters.
+    pub models: BTreeMap<Model, BTreeSet<Adapter>>,
+    /// Adapters that are on their way.
+    pub coming: BTreeSet<(Model, Adapter)>,
+    /// The models of which a copy is in its main memory.
+    pub warm: BTreeSet<Model>,
+    /// The models of which a copy is on its disk.
+    pub disk: BTreeSet<Model>,
+    /// How many orders it has accepted.
+    pub seq: u64,
+    /// Whether an order is under way, where it says so.
+    pub busy: bool,
+}
+
+/// Where a sighting of an engine comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sighting {
+    /// Its entry in the platform's list, which may be older than what is known.
+    Listed,
+    /// Its own report, or what the planner told.
+    Reported,
+}
+
+/// An order that is not known to be carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Pending {
+    pub(crate) order: Order,
+    pub(crate) sent: Millis,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Where it stands.
+    pub centre: DataCentre,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    pub(crate) held: Held,
+    pub(crate) pending: Vec<Pending>,
+    /// Models that nobody should be sent to any more.
+    pub(crate) retiring: BTreeMap<Model, Millis>,
+    pub(crate) last_order: Millis,
+}
+
+/// A model that is said to be dropped soon gets nothing new for so long: by then the
+/// engine's entry tells whether it was.
+const RETIRE_MS: u64 = 3_000;
+
+/// Orders in doubt are forgotten after so long: a late one is carried out within 12 s.
+const DOUBT_MS: u64 = 15_000;
+
+impl Engine {
+    pub(crate) fn new(centre: DataCentre, held: Held) -> Self {
+        Self {
+            centre,
+            leaving: false,
+            held,
+            pending: Vec::new(),
+            retiring: BTreeMap::new(),
+            last_order: Millis(0),
+        }
+    }
+
+    /// What it was last known to hold.
+    #[must_use]
+    pub fn held(&self) -> &Held {
+        &self.held
+    }
+
+    /// Whether requests for the model may be sent there.
+    #[must_use]
+    pub fn serves(&self, model: &Model) -> bool {
+        self.held.models.contains_key(model) && !self.retiring.contains_key(model)
+    }
+
+    /// Whether requests for the adapter may be sent there.
+    #[must_use]
+    pub fn serves_adapter(&self, model: &Model, adapter: &Adapter) -> bool {
+        let held = self.held.models.get(model);
+        self.serves(model) && held.is_some_and(|a| a.contains(adapter))
+    }
+
+    /// The models to send requests for, each with its adapters.
+    pub fn serving(&self) -> impl Iterator<Item = (&Model, &BTreeSet<Adapter>)> {
+        let models = self.held.models.iter();
+        models.filter(|(m, _)| !self.retiring.contains_key(*m))
+    }
+
+    /// Whether it holds the model or is getting it.
+    pub(crate) fn will_serve(&self, model: &Model) -> bool {
+        self.serves(model) || self.is_pending(OrderKind::Load, model, None)
+    }
+
+    pub(crate) fn is_pending(
+        &self,
+        kind: OrderKind,
+        model: &Model,
+        adapter: Option<&Adapter>,
+    ) -> bool {
+        self.pending.iter().any(|p| {
+            p.order.kind == kind && p.order.model == *model && p.order.adapter.as_ref() == adapter
+        })
+    }
+
+    /// Whether an order is not known to be carried out.
+    #[must_use]
+    pub fn awaits(&self, order: &Order) -> bool {
+        self.pending.iter().any(|p| p.order == *order)
+    }
+
+    /// Whether an order about weights is open.
+    pub(crate) fn is_moving(&self) -> bool {
+        self.held.busy || self.pending.iter().any(|p| p.order.adapter.is_none())
+    }
+
+    /// Every model that may be in its memory, in the worst case.
+    pub(crate) fn worst_models(&self) -> BTreeSet<&Model> {
+        let loads = self.pending.iter().filter_map(|p| {
+            (p.order.kind == OrderKind::Load && p.order.adapter.is_none()).then_some(&p.order.model)
+        });
+        self.held.models.keys().chain(loads).collect()
+    }
+
+    /// Every adapter that may take a place, in the worst case.
+    pub(crate) fn worst_adapters(&self) -> BTreeSet<(&Model, &Adapter)> {
+        let held = self.held.models.iter();
+        let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
+        let coming = self.held.coming.iter().map(|(m, a)| (m, a));
+        let loads = self.pending.iter().filter_map(|p| {
+            let adapter = p.order.adapter.as_ref()?;
+            (p.order.kind == OrderKind::Load).then_some((&p.order.model, adapter))
+        });
+        held.chain(coming).chain(loads).collect()
+    }
+
+    /// The memory that may be taken, in the worst case.
+    pub(crate) fn worst_memory(&self, catalog: &Catalog) -> Megabytes {
+        let rule = |m: &Model| catalog.models.get(m);
+        let models = self.worst_models().into_iter();
+        let weights: u64 = models.filter_map(rule).map(|r| r.size.0).sum();
+        let adapters = self.worst_adapters().into_iter();
+        let adapters: u64 = adapters
+            .filter_map(|(m, _)| rule(m))
+            .map(|r| r.adapter_size.0)
+            .sum();
+        Megabytes(weights + adapters)
+    }
+
+    /// Takes in what was seen. What is older than what is known is passed over.
+    pub(crate) fn sight(&mut self, held: Held, from: Sighting, now: Millis) {
+        if held.seq < self.held.seq {
+            return;
+        }
+        let same = held.seq == self.held.seq;
+        let mut next = held;
+        if same && from == Sighting::Listed {
+            self.keep_known(&mut next);
+        }
+        if from == Sighting::Listed {
+            next.warm.extend(self.held.warm.iter().cloned());
+            next.disk.extend(self.held.disk.iter().cloned());
+            // An entry does not tell whether an order is under way.
+            next.busy = false;
+        }
+        next.disk.extend(next.models.keys().cloned());
+        self.held = next;
+        self.settle(now);
+    }
+
+    /// Between two orders, what was loaded stays: an entry of the same age that lacks it
+    /// is older than the report that showed it.
+    fn keep_known(&self, next: &mut Held) {
+        for (model, adapters) in &self.held.models {
+            let unloading = self.retiring.contains_key(model);
+            if unloading && !next.models.contains_key(model) {
+                continue;
+            }
+            let known = next.models.entry(model.clone()).or_default();
+            let dropped = |a: &&Adapter| self.is_pending(OrderKind::Unload, model, Some(a));
+            known.extend(adapters.iter().filter(|a| !dropped(a)).cloned());
+        }
+    }
+
+    /// Drops the orders that are known to be carried out or void.
+    fn settle(&mut self, now: Millis) {
+        let held = &self.held;
+        let is_open = |p: &Pending| {
+            let order = &p.order;
+            let adapters = held.models.get(&order.model);
+            let there = match &order.adapter {
+                Some(adapter) => adapters.is_some_and(|a| a.contains(adapter)),
+                None => adapters.is_some(),
+            };
+            let wanted = order.kind == OrderKind::Load;
+            let seen = held.seq > order.expect;
+            let done = seen && there == wanted;
+            !done && now.since(p.sent) < DOUBT_MS
+        };
+        self.pending.retain(is_open);
+        let pending = &self.pending;
+        let unloading = |m: &Model| {
+            pending.iter().any(|p| {
+                p.order.kind == OrderKind::Unload
+                    && p.order.adapter.is_none()
+                    && p.order.model == *m
+            })
+        };
+        self.retiring
+            .retain(|m, at| held.models.contains_key(m) && (unloading(m) || now.since(*at) < RETIRE_MS));
+    }
+
+    /// Notes that an order leaves. It counts at its worst from now on.
+    pub(crate) fn note_sent(&mut self, order: &Order, now: Millis) {
+        if order.kind == OrderKind::Unload && order.adapter.is_none() {
+            self.retiring.insert(order.model.clone(), now);
+        }
+        if let (OrderKind::Unload, Some(adapter)) = (order.kind, &order.adapter) {
+            if let Some(adapters) = self.held.models.get_mut(&order.model) {
+                adapters.remove(adapter);
+            }
+        }
+        self.last_order = now;
+        self.pending.push(Pending {
+            order: order.clone(),
+            sent: now,
+        });
+    }
+
+    /// Notes that an order was accepted.
+    pub(crate) fn note_accepted(&mut self, order: &Order) {
+        self.held.seq = self.held.seq.max(order.expect + 1);
+        // What the engine accepted in between voids other orders of the same condition.
+        let void = |p: &Pending| p.order.expect == order.expect && p.order != *order;
+        self.pending.retain(|p| !void(p));
+    }
+
+    /// Notes that an order was refused and will never be carried out.
+    pub(crate) fn note_refused(&mut self, order: &Order) {
+        self.pending.retain(|p| p.order != *order);
+        if order.kind == OrderKind::Unload && order.adapter.is_none() {
+            self.retiring.remove(&order.model);
+        }
+    }
+
+    /// Drops what is only in doubt and has grown old.
+    pub(crate) fn prune(&mut self, now: Millis) {
+        self.settle(now);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,135 @@
+//! All engines of one service, as far as is known.
+
+use crate::{Engine, Held, Order, OrderReply, Sighting};
+use shaleline_types::{Adapter, DataCentre, Millis, Model, Upstream};
+use std::collections::BTreeMap;
+
+/// The engines.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    pub(crate) engines: BTreeMap<Upstream, Engine>,
+}
+
+impl Fleet {
+    /// Takes in what an engine holds.
+    pub fn sight(
+        &mut self,
+        name: &Upstream,
+        centre: &DataCentre,
+        held: Held,
+        from: Sighting,
+        now: Millis,
+    ) {
+        match self.engines.get_mut(name) {
+            Some(engine) => engine.sight(held, from, now),
+            None => {
+                let mut engine = Engine::new(centre.clone(), Held::default());
+                engine.sight(held, from, now);
+                self.engines.insert(name.clone(), engine);
+            }
+        }
+    }
+
+    /// Takes in a report of an engine that is known.
+    pub fn report(&mut self, name: &Upstream, held: Held, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.sight(held, Sighting::Reported, now);
+        }
+    }
+
+    /// Notes that a model or adapter is not there, or soon won't be.
+    pub fn note_absent(
+        &mut self,
+        name: &Upstream,
+        model: &Model,
+        adapter: Option<&Adapter>,
+        now: Millis,
+    ) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        match adapter {
+            None => {
+                engine.retiring.insert(model.clone(), now);
+            }
+            Some(adapter) => {
+                if let Some(adapters) = engine.held.models.get_mut(model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+    }
+
+    /// Sets whether an engine is leaving.
+    pub fn set_leaving(&mut self, name: &Upstream, leaving: bool) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.leaving = leaving;
+        }
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn remove(&mut self, name: &Upstream) {
+        self.engines.remove(name);
+    }
+
+    /// Notes that an order leaves.
+    pub fn note_sent(&mut self, order: &Order, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(&order.engine) {
+            engine.note_sent(order, now);
+        }
+    }
+
+    /// Notes the answer to an order.
+    pub fn note_reply(&mut self, order: &Order, reply: OrderReply) {
+        let Some(engine) = self.engines.get_mut(&order.engine) else {
+            return;
+        };
+        match reply {
+            OrderReply::Accepted => engine.note_accepted(order),
+            OrderReply::Done | OrderReply::Lost => {}
+            OrderReply::Conflict
+            | OrderReply::Fenced
+            | OrderReply::Elsewhere
+            | OrderReply::Invalid => engine.note_refused(order),
+        }
+    }
+
+    /// Drops doubts that have grown old.
+    pub fn prune(&mut self, now: Millis) {
+        for engine in self.engines.values_mut() {
+            engine.prune(now);
+        }
+    }
+
+    /// One engine.
+    #[must_use]
+    pub fn get(&self, name: &Upstream) -> Option<&Engine> {
+        self.engines.get(name)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = (&Upstream, &Engine)> {
+        self.engines.iter()
+    }
+
+    /// How many engines serve the model, or will soon.
+    #[must_use]
+    pub fn replicas(&self, model: &Model) -> usize {
+        let serves = |e: &&Engine| !e.leaving && e.will_serve(model);
+        self.engines.values().filter(serves).count()
+    }
+
+    /// How many engines serve the model now.
+    #[must_use]
+    pub fn serving(&self, model: &Model) -> usize {
+        let serves = |e: &&Engine| !e.leaving && e.serves(model);
+        self.engines.values().filter(serves).count()
+    }
+
+    /// Whether an engine serves the adapter now.
+    #[must_use]
+    pub fn serves_adapter(&self, model: &Model, adapter: &Adapter) -> bool {
+        let serves = |e: &Engine| !e.leaving && e.serves_adapter(model, adapter);
+        self.engines.values().any(serves)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decides which engine holds which model and adapter, and which daemon may order it.
+//!
+//! * [`Claim`] is the lease of the one planner, kept in the platform's log: whoever
+//!   appends a record at the expected end of the topic holds it, and the record's offset
+//!   is the fencing token.
+//! * [`Fleet`] is what is believed of every engine, orders in doubt counted at their worst.
+//! * [`Planner`] proposes [`Order`]s from the fleet, the [`Catalog`] and the [`Demand`].
+//! * [`LoadWindow`] keeps loads from the weight store under its rate.
+//!
+//! Nothing here reads a clock or a socket. `docs/PLACEMENT.md` has the ways weighed.
+
+mod catalog;
+mod claim;
+mod demand;
+mod engine;
+mod fleet;
+mod order;
+mod planner;
+mod window;
+
+pub use catalog::{Catalog, ModelRule};
+pub use claim::{Claim, ClaimAction, ClaimSettings, ClaimView};
+pub use demand::{Demand, Rates};
+pub use engine::{Engine, Held, Sighting};
+pub use fleet::Fleet;
+pub use order::{Order, OrderKind, OrderReply};
+pub use planner::{PlanSettings, PlanView, Planner};
+pub use window::LoadWindow;
--- /dev/null
+++ b/crates/fleet/src/window.rs
@@ -0,0 +1,56 @@
+//! Keeps loads from the weight store under its rate.
+
+use shaleline_types::Millis;
+use std::collections::VecDeque;
+
+/// Loads that the store tolerates in a window beyond its rate.
+const EXTRA: f64 = 3.0;
+
+/// Loads kept in reserve for orders in doubt that are carried out late.
+const RESERVE: usize = 2;
+
+/// A sliding window over the loads begun.
+#[derive(Debug, Clone)]
+pub struct LoadWindow {
+    length: Millis,
+    over: f64,
+    begun: VecDeque<Millis>,
+    blocked: Millis,
+}
+
+impl LoadWindow {
+    /// A window of `length` in which the rate may be passed by the factor `over`.
+    #[must_use]
+    pub fn new(length: Millis, over: f64) -> Self {
+        Self {
+            length,
+            over,
+            begun: VecDeque::new(),
+            blocked: Millis(0),
+        }
+    }
+
+    /// Begins no load until then: a planner before may have used the whole window.
+    pub fn block(&mut self, until: Millis) {
+        self.blocked = self.blocked.max(until);
+    }
+
+    /// Notes a load that may begin now.
+    pub fn note(&mut self, now: Millis) {
+        self.begun.push_back(now);
+    }
+
+    /// How many loads may begin now at `rate` a second.
+    pub fn room(&mut self, rate: f64, now: Millis) -> usize {
+        // A little longer than the window, as orders travel and may be delayed.
+        let length = self.length.0 + self.length.0 / 4;
+        while self.begun.front().is_some_and(|t| now.since(*t) > length) {
+            self.begun.pop_front();
+        }
+        if now < self.blocked {
+            return 0;
+        }
+        let most = rate * (self.length.0 as f64 / 1_000.0) * self.over + EXTRA;
+        (most as usize).saturating_sub(RESERVE + self.begun.len())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,367 @@
+//! One send of a request to one upstream.
+
+use crate::journal::emit;
+use crate::refuse::log_end;
+use crate::relay;
+use crate::request::{Job, Permit};
+use crate::state::Gateway;
+use crate::{AnswerHead, Passage};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use shaleline_edge::{Exchange, Reply, ReplyBody, SendError};
+use shaleline_route::{AttemptNumber, End, Load, RouteAction, RouteEvent};
+use shaleline_types::{LogEvent, Upstream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The largest answer that is no stream.
+const MOST_BYTES: usize = 64 << 20;
+
+/// How long a connection is kept where the upstream does not say.
+const KEEP: Duration = Duration::from_secs(4);
+
+/// A kept connection is given up so much before the upstream closes it.
+const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// The tasks of one stream hold so many pieces between the upstream and the caller.
+const PIECES: usize = 8;
+
+/// How a send ended.
+pub(crate) enum Ended {
+    /// The caller has its answer, or is getting it.
+    Answered(Reply),
+    /// There is no answer; the router decides what comes next.
+    Unanswered(Permit),
+    /// The upstream answered with a failure, which the caller gets unless another
+    /// upstream does better.
+    Failed(Permit, Reply),
+}
+
+/// The head and what is known of its body.
+pub(crate) struct Opened {
+    pub(crate) exchange: Exchange,
+    pub(crate) answer: AnswerHead,
+    pub(crate) headers: HeaderMap,
+    pub(crate) status: StatusCode,
+}
+
+/// How long to keep a connection on which this answer came.
+pub(crate) fn keep_of(answer: &AnswerHead) -> Duration {
+    match answer.keep {
+        None => KEEP,
+        Some(keep) if keep > 2 * KEEP_MARGIN => keep - KEEP_MARGIN,
+        Some(keep) => keep / 2,
+    }
+}
+
+/// Why a send has no usable answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// See [`SendError::NotSent`].
+    NotSent,
+    /// See [`SendError::Broken`].
+    Broken,
+    /// The answer belongs to another request, is not signed, or is no upstream's body.
+    Garbled,
+    /// The upstream said that it did not run the request.
+    Refused(u16),
+    /// The request went elsewhere meanwhile, since this upstream hangs.
+    Moved,
+    /// Its time is over.
+    Late,
+}
+
+impl Failure {
+    pub(crate) const fn to_end(self) -> Option<End> {
+        match self {
+            Self::NotSent => Some(End::NotSent),
+            Self::Refused(_) => Some(End::Refused),
+            Self::Broken | Self::Garbled => Some(End::Broken),
+            Self::Moved | Self::Late => None,
+        }
+    }
+}
+
+impl From<SendError> for Failure {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent => Self::NotSent,
+            SendError::Broken => Self::Broken,
+        }
+    }
+}
+
+fn to_request(gw: &Gateway, job: &Job, upstream: &Upstream, resume: Option<&str>) -> Request<Full<Bytes>> {
+    let passage = Passage {
+        left: shaleline_types::Millis(job.deadline.since(gw.now()).max(1)),
+        upstream: upstream.clone(),
+        rank: job.rank(),
+        resume: resume.map(str::to_owned),
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    // The path came out of a parsed request line.
+    if let Ok(uri) = job.path.parse() {
+        *request.uri_mut() = uri;
+    }
+    *request.headers_mut() = gw.codec.forward(&job.headers, &passage);
+    request
+}
+
+/// Sends the request and waits for an answer's head that belongs to it.
+pub(crate) async fn open(
+    gw: &Gateway,
+    job: &Job,
+    upstream: &Upstream,
+    resume: Option<&str>,
+) -> Result<Opened, Failure> {
+    let Some(target) = gw.target(upstream) else {
+        return Err(Failure::NotSent);
+    };
+    let request = to_request(gw, job, upstream, resume);
+    let exchange = gw.pool.send(&target, request).await?;
+    let status = exchange.status();
+    let headers = exchange.head().headers();
+    let answer = gw.codec.answer(status, headers);
+    let headers = gw.codec.back(headers);
+    note_load(gw, upstream, &answer);
+    let own = answer.id.as_deref().is_none_or(|id| id == job.head.id);
+    let proven = answer.signed && answer.id.is_some();
+    if !own || answer.encoded || (status.is_success() && !proven) {
+        return Err(Failure::Garbled);
+    }
+    if answer.not_run {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            gw.note_missing(upstream, job);
+        }
+        drain(exchange, &answer).await;
+        return Err(Failure::Refused(status.as_u16()));
+    }
+    if !answer.signed && status.is_server_error() {
+        return Err(Failure::Garbled);
+    }
+    Ok(Opened {
+        exchange,
+        answer,
+        headers,
+        status,
+    })
+}
+
+/// Reads what is left of an answer, so that its connection can be kept.
+async fn drain(mut exchange: Exchange, answer: &AnswerHead) {
+    const SMALL: usize = 16_384;
+    if exchange.collect(SMALL).await.is_ok() {
+        exchange.finish(keep_of(answer));
+    }
+}
+
+fn note_load(gw: &Gateway, upstream: &Upstream, answer: &AnswerHead) {
+    // Engines' places are counted by the daemons' own notes, which do not lag as much.
+    let plain = gw.roster.borrow().get(upstream).is_some_and(|e| e.held.is_none());
+    if let (true, Some((running, waiting, slots))) = (plain, answer.load) {
+        gw.route(RouteEvent::Report {
+            upstream: upstream.clone(),
+            load: Load {
+                running,
+                waiting,
+                slots,
+                leaving: false,
+            },
+        });
+    }
+}
+
+/// Sends the request once and brings back its answer.
+pub(crate) async fn send(
+    gw: &Rc<Gateway>,
+    job: &Rc<Job>,
+    mut permit: Permit,
+    attempt: AttemptNumber,
+    upstream: &Upstream,
+) -> Ended {
+    permit.sends += 1;
+    permit.reached += 1;
+    let result = if job.rule.repeat.is_stream() {
+        let opened = first_piece(gw, job, &mut permit, upstream).await;
+        match opened {
+            Ok((opened, first)) => {
+                return stream(gw, job, permit, attempt, upstream, opened, first).await;
+            }
+            Err(failure) => Err(failure),
+        }
+    } else {
+        whole(gw, job, &mut permit, attempt, upstream).await
+    };
+    match result {
+        Ok((reply, status)) => finish(gw, job, permit, attempt, reply, status),
+        Err(failure) => {
+            note_failure(gw, job, &mut permit, attempt, upstream, failure);
+            Ended::Unanswered(permit)
+        }
+    }
+}
+
+pub(crate) fn note_failure(
+    gw: &Gateway,
+    job: &Job,
+    permit: &mut Permit,
+    attempt: AttemptNumber,
+    upstream: &Upstream,
+    failure: Failure,
+) {
+    if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
+        permit.reached -= 1;
+    }
+    if gw.lines.take(gw.now()) {
+        let detail = format!(
+            "id={} upstream={upstream} send={attempt} failure={failure:?} route={}",
+            job.head.id, job.rule.name
+        );
+        emit(LogEvent::SendFailed, &detail);
+    }
+    if let Some(end) = failure.to_end() {
+        permit.end(attempt, end);
+    }
+}
+
+/// Runs a step of a send until it is done, the router moves the request elsewhere, or its
+/// time is over.
+async fn guard<T>(
+    gw: &Gateway,
+    job: &Job,
+    permit: &mut Permit,
+    step: impl std::future::Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    let limit = gw.clock.instant(job.deadline);
+    tokio::select! {
+        result = step => result,
+        action = permit.next() => match action {
+            Some(RouteAction::Cancel { .. }) => Err(Failure::Moved),
+            _ => Err(Failure::Late),
+        },
+        () = tokio::time::sleep_until(limit) => Err(Failure::Late),
+    }
+}
+
+async fn whole(
+    gw: &Gateway,
+    job: &Job,
+    permit: &mut Permit,
+    attempt: AttemptNumber,
+    upstream: &Upstream,
+) -> Result<(Reply, StatusCode), Failure> {
+    let step = async {
+        let mut opened = open(gw, job, upstream, None).await?;
+        let body = opened.exchange.collect(MOST_BYTES).await?;
+        Ok((opened, body))
+    };
+    let (opened, body) = guard(gw, job, permit, step).await?;
+    permit.first_byte(attempt);
+    let Opened {
+        exchange,
+        answer,
+        headers,
+        status,
+    } = opened;
+    exchange.finish(keep_of(&answer));
+    let mut reply = Response::new(ReplyBody::from_bytes(body));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    Ok((reply, status))
+}
+
+/// Ends the request with an upstream's answer. A failure of its own is passed on, but
+/// what may be repeated is tried elsewhere first.
+fn finish(
+    gw: &Gateway,
+    job: &Job,
+    mut permit: Permit,
+    attempt: AttemptNumber,
+    reply: Reply,
+    status: StatusCode,
+) -> Ended {
+    if status.is_server_error() {
+        permit.end(attempt, End::Broken);
+        if job.is_idempotent() {
+            return Ended::Failed(permit, reply);
+        }
+        log_end(gw, job, &permit, LogEvent::RequestFailed, "upstream-answer");
+        gw.metrics.count_request("upstream-answer");
+        return Ended::Answered(reply);
+    }
+    permit.end(attempt, End::Whole);
+    gw.metrics.note_first(gw.now().since(job.arrived));
+    gw.metrics.count_request("ok");
+    log_end(gw, job, &permit, LogEvent::RequestEnded, "ok");
+    Ended::Answered(reply)
+}
+
+async fn first_piece(
+    gw: &Gateway,
+    job: &Job,
+    permit: &mut Permit,
+    upstream: &Upstream,
+) -> Result<(Opened, Option<Bytes>), Failure> {
+    let step = async {
+        let mut opened = open(gw, job, upstream, None).await?;
+        let first = opened.exchange.next().await?;
+        Ok((opened, first))
+    };
+    guard(gw, job, permit, step).await
+}
+
+async fn stream(
+    gw: &Rc<Gateway>,
+    job: &Rc<Job>,
+    permit: Permit,
+    attempt: AttemptNumber,
+    upstream: &Upstream,
+    mut opened: Opened,
+    first: Option<Bytes>,
+) -> Ended {
+    permit.first_byte(attempt);
+    if !opened.status.is_success() {
+        return failed_stream(gw, job, permit, attempt, opened, first).await;
+    }
+    gw.metrics.note_first(gw.now().since(job.arrived));
+    let (sender, body) = ReplyBody::channel(PIECES, None);
+    let mut reply = Response::new(body);
+    *reply.headers_mut() = std::mem::take(&mut opened.headers);
+    *reply.status_mut() = opened.status;
+    let relay = relay::Relay {
+        gw: Rc::clone(gw),
+        job: Rc::clone(job),
+        permit,
+        attempt,
+        upstream: upstream.clone(),
+        sender,
+    };
+    actix_rt::spawn(relay.run(opened, first));
+    Ended::Answered(reply)
+}
+
+/// A stream that the upstream answered with a failure has a short whole body.
+async fn failed_stream(
+    gw: &Gateway,
+    job: &Job,
+    mut permit: Permit,
+    attempt: AttemptNumber,
+    mut opened: Opened,
+    first: Option<Bytes>,
+) -> Ended {
+    let mut body = first.unwrap_or_default().to_vec();
+    match opened.exchange.collect(MOST_BYTES).await {
+        Ok(rest) => body.extend_from_slice(&rest),
+        Err(_) => {
+            permit.end(attempt, End::Broken);
+            return Ended::Unanswered(permit);
+        }
+    }
+    let mut reply = Response::new(ReplyBody::from_bytes(body.into()));
+    *reply.status_mut() = opened.status;
+    *reply.headers_mut() = opened.headers;
+    opened.exchange.finish(keep_of(&opened.answer));
+    finish(gw, job, permit, attempt, reply, opened.status)
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,230 @@
+//! Keeps up with the store: the configuration, the upstreams' entries, the other daemons.
+
+use crate::journal::emit;
+use crate::state::Gateway;
+use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
+use crate::Entry;
+use serde::{Deserialize, Serialize};
+use shaleline_types::{Instance, LogEvent, Millis, Upstream};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The pause after a failed call: at least so long, at most twice as long, so that daemons
+/// that lost the store together do not come back together.
+const PAUSE_MS: u64 = 150;
+
+/// The key of the configuration.
+const CONFIG_KEY: &str = "config";
+
+/// How a daemon is listed for the others.
+#[derive(Debug, Serialize, Deserialize)]
+struct MemberRecord {
+    address: SocketAddr,
+    life: u64,
+}
+
+/// Notes how a call to the store went, and logs when the store is lost or back.
+struct Link {
+    topic: &'static str,
+    failing: Option<Millis>,
+}
+
+impl Link {
+    const fn new(topic: &'static str) -> Self {
+        Self {
+            topic,
+            failing: None,
+        }
+    }
+
+    fn note<T>(&mut self, gw: &Gateway, result: &StoreResult<T>) {
+        let now = gw.now();
+        gw.metrics.count_store(self.topic, result.is_ok());
+        match result {
+            Err(StoreError::Gap) => emit(LogEvent::LogGap, &format!("topic={}", self.topic)),
+            Err(e) => {
+                gw.roster.borrow_mut().on_disturbed(now);
+                if self.failing.is_none() {
+                    self.failing = Some(now);
+                    let detail = format!("topic={} error={e:?}", self.topic);
+                    emit(LogEvent::LogLost, &detail);
+                }
+            }
+            Ok(_) => {
+                if let Some(since) = self.failing.take() {
+                    gw.roster.borrow_mut().on_disturbed(now);
+                    let away = now.since(since);
+                    emit(
+                        LogEvent::LogBack,
+                        &format!("topic={} away_ms={away}", self.topic),
+                    );
+                }
+            }
+        }
+    }
+}
+
+async fn pause(gw: &Gateway) {
+    let jitter = gw.draw() % PAUSE_MS;
+    tokio::time::sleep(Duration::from_millis(PAUSE_MS + jitter)).await;
+}
+
+/// Follows the configuration for as long as the process lives.
+pub(crate) async fn config(gw: Rc<Gateway>) {
+    let mut link = Link::new("config");
+    let mut next = None;
+    loop {
+        let result = match next {
+            None => gw.store.newest(Topic::Config).await,
+            Some(from) => {
+                let wait = gw.settings.policy.config_wait;
+                gw.store.tail(Topic::Config, from, wait).await
+            }
+        };
+        link.note(&gw, &result);
+        match result {
+            Ok(batch) => {
+                take_config(&gw, &batch);
+                // Before the first configuration there is nothing to wait at.
+                let empty = next.is_none() && batch.records.is_empty();
+                next = Some(batch.next);
+                if empty {
+                    pause(&gw).await;
+                }
+            }
+            Err(StoreError::Gap) => next = None,
+            Err(_) => pause(&gw).await,
+        }
+    }
+}
+
+fn take_config(gw: &Gateway, batch: &Batch) {
+    let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
+    let Some(value) = newest.and_then(|r| r.value.as_ref()) else {
+        return;
+    };
+    match gw.codec.table(value) {
+        Ok(table) => gw.set_table(table),
+        Err(e) => emit(LogEvent::TableRefused, &format!("reason={:?}", e.0)),
+    }
+}
+
+/// Follows the upstreams' entries for as long as the process lives.
+pub(crate) async fn upstreams(gw: Rc<Gateway>) {
+    let mut link = Link::new("upstreams");
+    let mut next = None;
+    loop {
+        let result = match next {
+            None => gw.store.newest(Topic::Upstreams).await,
+            Some(from) => gw.store.tail(Topic::Upstreams, from, Millis(0)).await,
+        };
+        link.note(&gw, &result);
+        match result {
+            Ok(batch) => {
+                take_entries(&gw, &batch, next.is_none());
+                next = Some(batch.next);
+                gw.listed.set(true);
+                let every = gw.settings.policy.read_every.0;
+                let jitter = gw.draw() % (every / 8 + 1);
+                tokio::time::sleep(Duration::from_millis(every - jitter)).await;
+            }
+            Err(StoreError::Gap) => next = None,
+            Err(_) => pause(&gw).await,
+        }
+    }
+}
+
+fn take_entries(gw: &Gateway, batch: &Batch, all: bool) {
+    let now = gw.now();
+    let mut changes = Vec::new();
+    if all {
+        let entries = batch.records.iter().filter_map(|r| entry_of(gw, r));
+        let entries = entries.filter_map(|(n, e)| Some((n, e?)));
+        changes = gw.roster.borrow_mut().on_all(entries.collect(), now);
+    } else {
+        for record in &batch.records {
+            let Some((name, entry)) = entry_of(gw, record) else {
+                continue;
+            };
+            let mut roster = gw.roster.borrow_mut();
+            changes.extend(match entry {
+                Some(entry) => roster.on_entry(&name, entry),
+                None => roster.on_removed(&name, now),
+            });
+        }
+    }
+    for change in changes {
+        gw.apply(change);
+    }
+}
+
+fn entry_of(gw: &Gateway, record: &Record) -> Option<(Upstream, Option<Entry>)> {
+    let name = match Upstream::from_text(&record.key) {
+        Ok(name) => name,
+        Err(e) => {
+            emit(LogEvent::EntrySkipped, &format!("reason=\"{e}\""));
+            return None;
+        }
+    };
+    let Some(value) = &record.value else {
+        return Some((name, None));
+    };
+    match gw.codec.entry(value) {
+        Ok(entry) => Some((name, Some(entry))),
+        Err(e) => {
+            let detail = format!("upstream={name} reason={:?}", e.0);
+            emit(LogEvent::EntrySkipped, &detail);
+            None
+        }
+    }
+}
+
+/// Lists this daemon for the others and learns of those listed before.
+pub(crate) async fn members(gw: Rc<Gateway>) {
+    let mut link = Link::new("members");
+    let record = MemberRecord {
+        address: gw.settings.listen.peers,
+        life: gw.me.life,
+    };
+    let value = serde_json::to_vec(&record).expect("an address and a number serialize");
+    loop {
+        let key = gw.me.instance.as_str();
+        let listed = gw.store.append(Topic::Members, key, &value, None).await;
+        link.note(&gw, &listed);
+        if listed.is_ok() {
+            break;
+        }
+        pause(&gw).await;
+    }
+    loop {
+        let all = gw.store.newest(Topic::Members).await;
+        link.note(&gw, &all);
+        match all {
+            Ok(batch) => {
+                batch.records.iter().for_each(|r| learn(&gw, r));
+                return;
+            }
+            Err(_) => pause(&gw).await,
+        }
+    }
+}
+
+fn learn(gw: &Gateway, record: &Record) {
+    let Ok(instance) = Instance::from_text(&record.key) else {
+        return;
+    };
+    let value = record.value.as_deref().unwrap_or_default();
+    match serde_json::from_slice::<MemberRecord>(value) {
+        Ok(member) if instance != gw.me.instance => {
+            let now = gw.now();
+            let mut peers = gw.peers.borrow_mut();
+            peers.learn(instance, member.address, member.life, now);
+        }
+        Ok(_) => {}
+        Err(e) => emit(
+            LogEvent::EntrySkipped,
+            &format!("member={instance} reason=\"{e}\""),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,49 @@
+//! Serves callers on the users' platform.
+//!
+//! A request's way, top down:
+//!
+//! 1. `request` reads it, finds its route in the [`Table`] and asks the router of
+//!    `shaleline_route` for an upstream.
+//! 2. `attempt` sends it and checks that the answer is its own; `relay` passes a stream on
+//!    and resumes it; `refuse` answers where no upstream did.
+//!
+//! Around it:
+//!
+//! * `follow` keeps up with the platform's [`Store`]; `roster` decides which upstreams
+//!   there are.
+//! * `gossip` and `peers` are what daemons tell each other.
+//! * `lead` holds the planner's claim and carries out the plan of `shaleline_fleet`.
+//! * `control` answers the balancer and shows metrics and state; `start` brings all up
+//!   and down.
+//!
+//! The platform's own words are met through [`Codec`] and [`Store`] alone.
+//! `docs/PLATFORM.md` has the design.
+
+mod attempt;
+mod clock;
+mod codec;
+mod control;
+mod events;
+mod follow;
+mod gossip;
+mod journal;
+mod lead;
+mod metrics;
+mod peers;
+mod refuse;
+mod relay;
+mod request;
+mod roster;
+mod settings;
+mod start;
+mod state;
+mod store;
+mod table;
+
+pub use codec::{AnswerHead, Call, Codec, Entry, Head, Malformed, Passage};
+pub use journal::start_journal;
+pub use settings::{Bounds, GatewaySettings, Listen, Policy};
+pub use start::{start, Running};
+pub use state::Border;
+pub use store::{Batch, Record, Store, StoreError, StoreResult, Topic};
+pub use table::{CallerLimits, Repeat, RouteRule, ServiceRule, Table};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,82 @@
+//! Counters and histograms by `opentelemetry`, in the Prometheus text format.
+
+use eyre::{Result, WrapErr};
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use std::fmt;
+
+/// What a gateway counts.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    store: Counter<u64>,
+    orders: Counter<u64>,
+    first: Histogram<f64>,
+    wait: Histogram<f64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .wrap_err("metrics")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("shaleline");
+        let dropped = meter.u64_observable_counter("shaleline_log_lines_dropped");
+        let dropped = dropped.with_callback(|o| o.observe(crate::journal::dropped(), &[]));
+        dropped.build();
+        let first = meter.f64_histogram("shaleline_first_byte_ms");
+        let wait = meter.f64_histogram("shaleline_wait_ms");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("shaleline_requests").build(),
+            store: meter.u64_counter("shaleline_store_calls").build(),
+            orders: meter.u64_counter("shaleline_orders").build(),
+            first: first.with_description("arrival to first byte").build(),
+            wait: wait.with_description("arrival to first send").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts an ended request by how it ended.
+    pub(crate) fn count_request(&self, code: &'static str) {
+        self.requests.add(1, &[KeyValue::new("code", code)]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn count_store(&self, call: &'static str, ok: bool) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("ok", ok)];
+        self.store.add(1, &labels);
+    }
+
+    /// Counts an order by what the engine answered.
+    pub(crate) fn count_order(&self, reply: &'static str) {
+        self.orders.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    pub(crate) fn note_first(&self, millis: u64) {
+        self.first.record(millis as f64, &[]);
+    }
+
+    pub(crate) fn note_wait(&self, millis: u64) {
+        self.wait.record(millis as f64, &[]);
+    }
+
+    pub(crate) fn to_text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_else(|e| format!("# metrics can't be encoded: {e}\n"))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refuse.rs
@@ -0,0 +1,113 @@
+//! The gateway's own answers, where no upstream gave one.
+
+use crate::journal::emit;
+use crate::request::{Job, Permit};
+use crate::state::Gateway;
+use bytes::Bytes;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Response, StatusCode};
+use shaleline_edge::{Reply, ReplyBody};
+use shaleline_types::{ErrorKind, LogEvent, Millis, Outcome};
+
+/// Why a request gets no upstream's answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    kind: ErrorKind,
+    retry: Option<Millis>,
+    reason: String,
+}
+
+impl Refusal {
+    pub(crate) fn new(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry: kind.answer().retry,
+            reason: kind.meaning().to_owned(),
+        }
+    }
+
+    /// Says why more exactly.
+    pub(crate) fn with_reason(mut self, reason: String) -> Self {
+        self.reason = reason;
+        self
+    }
+
+    /// Says when to come back, where that is known better than by kind.
+    pub(crate) fn with_retry(mut self, retry: Option<Millis>) -> Self {
+        self.retry = retry.or(self.retry);
+        self
+    }
+}
+
+fn reply(gw: &Gateway, id: &str, refusal: &Refusal) -> Reply {
+    let answer = refusal.kind.answer();
+    let body = serde_json::json!({
+        "error": answer.code,
+        "detail": refusal.reason,
+        "outcome": answer.outcome.as_str(),
+    });
+    let mut reply = Response::new(ReplyBody::from_bytes(Bytes::from(body.to_string())));
+    *reply.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *reply.headers_mut() = gw.codec.refusal(id, refusal.retry);
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    gw.metrics.count_request(answer.code);
+    reply
+}
+
+/// Refuses a request that has no place in the router.
+pub(crate) fn early(gw: &Gateway, id: &str, refusal: &Refusal) -> Reply {
+    if gw.lines.take(gw.now()) {
+        let code = refusal.kind.answer().code;
+        let detail = format!("id={id} code={code} reason={:?}", refusal.reason);
+        emit(LogEvent::RequestRefused, &detail);
+    }
+    reply(gw, id, refusal)
+}
+
+/// Answers a request that the router gave up. Where it may have run, nothing is promised.
+pub(crate) fn late(gw: &Gateway, job: &Job, permit: &Permit, refusal: Refusal) -> Reply {
+    let refusal = match (permit.reached, refusal.kind.answer().outcome) {
+        (0, Outcome::Unknown) => Refusal::new(ErrorKind::NoUpstream),
+        (1.., Outcome::NotRun) => Refusal::new(ErrorKind::UpstreamFailed),
+        _ => refusal,
+    };
+    let event = if refusal.kind.answer().outcome == Outcome::NotRun {
+        LogEvent::RequestRefused
+    } else {
+        LogEvent::RequestFailed
+    };
+    log_end(gw, job, permit, event, refusal.kind.answer().code);
+    reply(gw, &job.head.id, &refusal)
+}
+
+/// Answers a request whose time is over.
+pub(crate) fn timed_out(gw: &Gateway, job: &Job, permit: &Permit) -> Reply {
+    let kind = if permit.reached > 0 {
+        ErrorKind::TimedOut
+    } else {
+        ErrorKind::DeadlineUnmet
+    };
+    late(gw, job, permit, Refusal::new(kind))
+}
+
+/// Logs how a request ended.
+pub(crate) fn log_end(gw: &Gateway, job: &Job, permit: &Permit, event: LogEvent, code: &str) {
+    let now = gw.now();
+    if !gw.lines.take(now) {
+        return;
+    }
+    let detail = format!(
+        "id={} code={code} route={} kind={} config={} sends={} reached={} ms={} left_ms={}",
+        job.head.id,
+        job.rule.name,
+        job.rule.repeat.as_str(),
+        job.version,
+        permit.sends,
+        permit.reached,
+        now.since(job.arrived),
+        job.deadline.since(now),
+    );
+    emit(event, &detail);
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,149 @@
+//! Passes a stream on to its caller, and resumes it elsewhere where its route allows that.
+
+use crate::attempt::{self, keep_of, Failure, Opened};
+use crate::events::EventSplitter;
+use crate::refuse::log_end;
+use crate::request::{Job, Permit};
+use crate::state::Gateway;
+use crate::table::Repeat;
+use bytes::Bytes;
+use shaleline_edge::Chunk;
+use shaleline_route::{AttemptNumber, End, RouteAction};
+use shaleline_types::{LogEvent, Upstream};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// A stream on its way to its caller.
+pub(crate) struct Relay {
+    pub(crate) gw: Rc<Gateway>,
+    pub(crate) job: Rc<Job>,
+    pub(crate) permit: Permit,
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) upstream: Upstream,
+    pub(crate) sender: mpsc::Sender<Chunk>,
+}
+
+/// How the part of a stream that comes from one upstream ended.
+enum Part {
+    /// The upstream ended it.
+    Whole,
+    /// The upstream broke it off, or the router gave the upstream up.
+    Broken(Failure),
+    /// The caller left.
+    Left,
+    /// Its time is over.
+    Late,
+}
+
+impl Relay {
+    /// Passes the stream on to its end. Dropping the sender without an end breaks it off,
+    /// so that it never looks whole when it is not.
+    pub(crate) async fn run(mut self, opened: Opened, first: Option<Bytes>) {
+        let resumable = self.job.rule.repeat == Repeat::Stream { resumable: true };
+        let mut events = resumable.then(EventSplitter::default);
+        let mut part = self.pass(opened, first, &mut events).await;
+        while let (Part::Broken(failure), Some(splitter)) = (&part, &mut events) {
+            splitter.drop_torn();
+            let (failure, last) = (*failure, splitter.last_id().map(str::to_owned));
+            match self.resume(failure, last).await {
+                Some(opened) => part = self.pass(opened, None, &mut events).await,
+                None => break,
+            }
+        }
+        self.finish(&part).await;
+    }
+
+    async fn pass(
+        &mut self,
+        mut opened: Opened,
+        first: Option<Bytes>,
+        events: &mut Option<EventSplitter>,
+    ) -> Part {
+        let mut next = first;
+        let limit = self.gw.clock.instant(self.job.deadline);
+        loop {
+            if let Some(bytes) = next.take() {
+                self.permit.progress(self.attempt);
+                let whole = match events {
+                    Some(splitter) => splitter.push(&bytes),
+                    None => Some(bytes),
+                };
+                let Some(whole) = whole else {
+                    continue;
+                };
+                if self.sender.send(Chunk::Data(whole)).await.is_err() {
+                    return Part::Left;
+                }
+            }
+            let piece = tokio::select! {
+                piece = opened.exchange.next() => piece,
+                () = self.sender.closed() => return Part::Left,
+                () = tokio::time::sleep_until(limit) => return Part::Late,
+            };
+            match piece {
+                Ok(Some(bytes)) => next = Some(bytes),
+                Ok(None) => {
+                    let torn = events.as_ref().is_some_and(EventSplitter::is_torn);
+                    if torn {
+                        return Part::Broken(Failure::Garbled);
+                    }
+                    opened.exchange.finish(keep_of(&opened.answer));
+                    return Part::Whole;
+                }
+                Err(e) => return Part::Broken(e.into()),
+            }
+        }
+    }
+
+    /// Opens the stream at another upstream after the last whole event.
+    async fn resume(&mut self, failure: Failure, last: Option<String>) -> Option<Opened> {
+        let (gw, job) = (Rc::clone(&self.gw), Rc::clone(&self.job));
+        let (attempt, upstream) = (self.attempt, self.upstream.clone());
+        attempt::note_failure(&gw, &job, &mut self.permit, attempt, &upstream, failure);
+        let limit = gw.clock.instant(job.deadline);
+        loop {
+            let action = tokio::time::timeout_at(limit, self.permit.next()).await.ok()??;
+            let RouteAction::Send {
+                attempt, upstream, ..
+            } = action
+            else {
+                if matches!(action, RouteAction::Cancel { .. }) {
+                    continue;
+                }
+                return None;
+            };
+            (self.attempt, self.upstream) = (attempt, upstream.clone());
+            self.permit.sends += 1;
+            self.permit.reached += 1;
+            let opened = attempt::open(&gw, &job, &upstream, last.as_deref());
+            let failure = match tokio::time::timeout_at(limit, opened).await.ok()? {
+                Ok(opened) if opened.status.is_success() => return Some(opened),
+                Ok(_) => Failure::Broken,
+                Err(failure) => failure,
+            };
+            attempt::note_failure(&gw, &job, &mut self.permit, attempt, &upstream, failure);
+        }
+    }
+
+    async fn finish(mut self, part: &Part) {
+        let (event, code, end) = match part {
+            Part::Whole => (LogEvent::RequestEnded, "ok", Some(End::Whole)),
+            Part::Left => (LogEvent::RequestEnded, "caller-left", None),
+            Part::Late => (LogEvent::RequestFailed, "timed-out", None),
+            Part::Broken(_) => (
+                LogEvent::RequestFailed,
+                "broken-stream",
+                Some(End::Broken).filter(|_| !self.job.is_idempotent()),
+            ),
+        };
+        if let Some(end) = end {
+            self.permit.end(self.attempt, end);
+        }
+        if matches!(part, Part::Whole) {
+            // A caller that left just now has its whole answer all the same.
+            self.sender.send(Chunk::End).await.ok();
+        }
+        self.gw.metrics.count_request(code);
+        log_end(&self.gw, &self.job, &self.permit, event, code);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,401 @@
+//! A caller's request, from its first byte to its answer.
+//!
+//! Read in this order: [`Callers::handle`] here admits it, `attempt` sends it, `relay`
+//! passes a stream on, `refuse` answers where no upstream did.
+
+use crate::attempt::{self, Ended};
+use crate::refuse::{self, Refusal};
+use crate::state::Gateway;
+use crate::table::Repeat;
+use crate::{Head, RouteRule, Table};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::HOST;
+use hyper::{HeaderMap, Method, Request};
+use shaleline_edge::{Handler, Reply};
+use shaleline_route::{
+    Ask, AttemptNumber, End, Limits, Route, RouteAction, RouteEvent, Terms,
+};
+use shaleline_types::{stable_hash, ErrorKind, Millis, Org, RequestId, Service, Upstream};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// Requests whose target is no longer than this are served before others.
+const URGENT_TARGET: Millis = Millis(2_000);
+
+/// A request waits unsent for a fifth of its target: a refusal is worth something only
+/// within a quarter.
+const WAIT_PART: u64 = 5;
+
+/// But at least so long, for a place that frees at once.
+const LEAST_WAIT: u64 = 20;
+
+/// A send without a first byte counts as hanging after twice the target, within these
+/// bounds: a short target leaves time to try elsewhere, a long one is no reason to wait.
+const STALL_TARGETS: u64 = 2;
+const STALL_BOUNDS: (u64, u64) = (200, 3_000);
+
+/// A caller that names no time waits so long.
+const PATIENCE: Millis = Millis(60_000);
+
+/// An answer must leave so much before the caller's time is over.
+const MARGIN: u64 = 15;
+
+/// The platform names no organisations: all callers are one.
+const ORG: &str = "platform";
+
+/// Its limits are the platform's own.
+const LIMITS: Limits = Limits {
+    rate: 1 << 40,
+    concurrency: 1 << 40,
+    tokens: 1 << 40,
+};
+
+/// One request as it is sent.
+pub(crate) struct Job {
+    pub(crate) head: Head,
+    pub(crate) rule: RouteRule,
+    pub(crate) service: Service,
+    pub(crate) version: u64,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Millis,
+    /// When the caller's time or the route's is over, whichever is first.
+    pub(crate) deadline: Millis,
+}
+
+impl Job {
+    /// Whether it may be sent again after it may have run.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.rule.repeat.is_idempotent()
+    }
+
+    /// The rank at an engine: by the route's priority, and work with a long target after
+    /// all other.
+    pub(crate) fn rank(&self) -> Option<u8> {
+        self.head.model.as_ref()?;
+        let relaxed = u8::from(!self.is_urgent()) * 5;
+        Some((self.rule.priority + 1 + relaxed).min(9))
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.rule.target <= URGENT_TARGET
+    }
+
+    fn route(&self) -> Route {
+        match &self.head.model {
+            Some(model) => Route::Model {
+                model: model.clone(),
+                adapter: self.head.adapter.clone(),
+            },
+            None => Route::Service(self.service.clone()),
+        }
+    }
+
+    fn to_ask(&self, id: RequestId) -> Ask {
+        let (prefix, sizes) = self.prefix();
+        let (least, most) = STALL_BOUNDS;
+        let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
+        let wait = (self.rule.target.0 / WAIT_PART).max(LEAST_WAIT);
+        Ask {
+            id,
+            org: Org::from_text(ORG).expect("a valid name"),
+            route: self.route(),
+            priority: self.rule.priority,
+            weight: 1,
+            cost: (self.head.prompt + self.head.output).max(1),
+            prefix,
+            sizes,
+            due: self.deadline,
+            repeatable: self.is_idempotent(),
+            limits: LIMITS,
+            terms: Terms {
+                wait: Some(Millis(wait)),
+                attempts: Some(self.rule.attempts),
+                stall: self.is_idempotent().then_some(Millis(stall)),
+                urgent: self.is_urgent(),
+            },
+        }
+    }
+
+    /// The growing prefixes of the prompt. What an engine keeps, it keeps for a model and
+    /// adapter.
+    fn prefix(&self) -> (Vec<u64>, Vec<u32>) {
+        let mut last = stable_hash(&[&self.route().to_string()]);
+        let mut chain = Vec::with_capacity(self.head.parts.len());
+        let mut sizes = Vec::with_capacity(self.head.parts.len());
+        for (id, tokens) in &self.head.parts {
+            last = stable_hash(&[&last.to_string(), &id.to_string()]);
+            chain.push(last);
+            sizes.push(*tokens);
+        }
+        (chain, sizes)
+    }
+}
+
+/// A request's place in the router. Dropping it before the request has ended means that
+/// its caller has gone.
+pub(crate) struct Permit {
+    gw: Rc<Gateway>,
+    id: RequestId,
+    actions: mpsc::UnboundedReceiver<RouteAction>,
+    open: bool,
+    /// Sends that may have reached an upstream.
+    pub(crate) reached: u32,
+    pub(crate) sends: u32,
+}
+
+impl Permit {
+    fn ask(gw: &Rc<Gateway>, job: &Job) -> Self {
+        let (id, actions) = gw.register();
+        let permit = Self {
+            gw: Rc::clone(gw),
+            id,
+            actions,
+            open: true,
+            reached: 0,
+            sends: 0,
+        };
+        gw.route(RouteEvent::Arrive(job.to_ask(id)));
+        permit
+    }
+
+    /// What the router says next.
+    pub(crate) async fn next(&mut self) -> Option<RouteAction> {
+        let action = self.actions.recv().await;
+        if matches!(action, Some(RouteAction::Refuse { .. })) {
+            self.open = false;
+        }
+        action
+    }
+
+    pub(crate) fn first_byte(&self, attempt: AttemptNumber) {
+        let id = self.id;
+        self.gw.route(RouteEvent::FirstByte { id, attempt });
+    }
+
+    pub(crate) fn progress(&self, attempt: AttemptNumber) {
+        let id = self.id;
+        self.gw.route(RouteEvent::Progress { id, attempt });
+    }
+
+    pub(crate) fn end(&mut self, attempt: AttemptNumber, end: End) {
+        let id = self.id;
+        self.open &= !matches!(end, End::Whole | End::Cancelled);
+        self.gw.route(RouteEvent::Ended { id, attempt, end });
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.open {
+            self.gw.route(RouteEvent::CallerGone(self.id));
+        }
+        self.gw.unregister(self.id);
+    }
+}
+
+/// Serves callers.
+pub(crate) struct Callers(pub(crate) Rc<Gateway>);
+
+impl Handler for Callers {
+    fn handle(&self, request: Request<Incoming>) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let gw = Rc::clone(&self.0);
+        Box::pin(async move { answer(&gw, request).await })
+    }
+}
+
+async fn answer(gw: &Rc<Gateway>, request: Request<Incoming>) -> Reply {
+    let arrived = gw.now();
+    let head = match gw.codec.head(request.headers()) {
+        Ok(head) => head,
+        Err(e) => {
+            let refusal = Refusal::new(ErrorKind::BadRequest).with_reason(e.0);
+            return refuse::early(gw, "", &refusal);
+        }
+    };
+    let Some(table) = gw.table() else {
+        return refuse::early(gw, &head.id, &Refusal::new(ErrorKind::NotReady));
+    };
+    let id = head.id.clone();
+    match to_job(gw, &table, head, request, arrived).await {
+        Ok(job) => serve(gw, job).await,
+        Err(refusal) => refuse::early(gw, &id, &refusal),
+    }
+}
+
+fn host_of(request: &Request<Incoming>) -> &str {
+    let header = request.headers().get(HOST).and_then(|h| h.to_str().ok());
+    let host = header.or_else(|| request.uri().host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
+async fn to_job(
+    gw: &Gateway,
+    table: &Table,
+    head: Head,
+    request: Request<Incoming>,
+    arrived: Millis,
+) -> Result<Job, Refusal> {
+    let size = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+        name.as_str().len() + value.len() + 4
+    };
+    let head_size: usize = request.headers().iter().map(size).sum();
+    if head_size + request.uri().to_string().len() > table.limits.head {
+        return Err(Refusal::new(ErrorKind::HeadTooLarge));
+    }
+    let rule = table.find(host_of(&request), request.uri().path());
+    let rule = rule.ok_or_else(|| Refusal::new(ErrorKind::NotFound))?.clone();
+    let service = rule.pick(gw.draw()).cloned();
+    let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoUpstream))?;
+    let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
+    let deadline = arrived.plus(patience.0.saturating_sub(MARGIN));
+    let (parts, body) = request.into_parts();
+    let limit = gw.clock.instant(arrived.plus(table.limits.arrival.0.max(patience.0)));
+    let body = tokio::time::timeout_at(limit, read_body(body, table.limits.body)).await;
+    let body = body.map_err(|_| Refusal::new(ErrorKind::BodyLate))??;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    Ok(Job {
+        head,
+        rule,
+        service,
+        version: table.version,
+        method: parts.method,
+        path: path.to_owned(),
+        headers: parts.headers,
+        body,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::new(ErrorKind::TooLarge);
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            Refusal::new(ErrorKind::BadRequest).with_reason(e.to_string())
+        })?;
+        if let Ok(data) = frame.into_data() {
+            if whole.len() + data.len() > limit {
+                return Err(too_large());
+            }
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// Sends a request until it is answered or refused, in any case by its deadline.
+async fn serve(gw: &Rc<Gateway>, job: Job) -> Reply {
+    note_demand(gw, &job);
+    let job = Rc::new(job);
+    let mut permit = Permit::ask(gw, &job);
+    let limit = gw.clock.instant(job.deadline);
+    let mut spare = None;
+    loop {
+        let next = tokio::time::timeout_at(limit, permit.next()).await;
+        let (attempt, upstream) = match next {
+            Ok(Some(RouteAction::Send {
+                attempt, upstream, ..
+            })) => (attempt, upstream),
+            Ok(Some(RouteAction::Cancel { .. })) => continue,
+            Ok(Some(RouteAction::Refuse { kind, retry, .. })) => {
+                let refusal = Refusal::new(kind).with_retry(retry);
+                return spare.unwrap_or_else(|| refuse::late(gw, &job, &permit, refusal));
+            }
+            Ok(None) | Err(_) => {
+                return spare.unwrap_or_else(|| refuse::timed_out(gw, &job, &permit));
+            }
+        };
+        if permit.sends == 0 {
+            gw.metrics.note_wait(gw.now().since(job.arrived));
+        }
+        match attempt::send(gw, &job, permit, attempt, &upstream).await {
+            Ended::Answered(reply) => return reply,
+            Ended::Unanswered(back) => permit = back,
+            Ended::Failed(back, reply) => {
+                permit = back;
+                spare = Some(reply);
+            }
+        }
+    }
+}
+
+/// Counts what is asked for, and tells the planner of an adapter that nobody holds.
+fn note_demand(gw: &Gateway, job: &Job) {
+    let Some(model) = &job.head.model else {
+        return;
+    };
+    let now = gw.now();
+    let route = job.route();
+    let shared: u64 = job.head.parts.iter().map(|(_, t)| u64::from(*t)).sum();
+    let tokens = job.head.prompt.max(shared) as f64;
+    let cost = gw.router.borrow().token_cost(&route);
+    let adapter = job.head.adapter.as_ref();
+    gw.demand
+        .borrow_mut()
+        .note(model, adapter, tokens * cost, now);
+    let Some(adapter) = adapter else {
+        return;
+    };
+    let held = {
+        let fleets = gw.fleets.borrow();
+        let fleet = fleets.get(&job.service);
+        fleet.is_some_and(|f| f.serves_adapter(model, adapter))
+    };
+    if !held {
+        gw.want(model, adapter);
+    }
+}
+
+impl Gateway {
+    /// Asks the planner for an adapter, wherever the planner is.
+    fn want(&self, model: &shaleline_types::Model, adapter: &shaleline_types::Adapter) {
+        let now = self.now();
+        if self.claim.borrow().fence(now).is_some() {
+            let key = (model.clone(), adapter.clone());
+            self.wants.borrow_mut().insert(key, now);
+            self.plan_now.notify_one();
+            return;
+        }
+        let planner = self.peers.borrow().planner(now);
+        let message = crate::peers::Message::Want {
+            model: model.clone(),
+            adapter: adapter.clone(),
+        };
+        if planner.is_some() {
+            // The receiver lives as long as the process.
+            self.outbox.send((planner, message)).ok();
+        }
+    }
+
+    /// Takes back that an upstream holds what it said that it does not.
+    pub(crate) fn note_missing(&self, upstream: &Upstream, job: &Job) {
+        if let Some(model) = &job.head.model {
+            let now = self.now();
+            let adapter = job.head.adapter.as_ref();
+            self.with_fleet(upstream, |f| f.note_absent(upstream, model, adapter, now));
+        }
+    }
+}
+
+impl Repeat {
+    /// The word for logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Stream { resumable: true } => "stream-resumable",
+            Self::Stream { resumable: false } => "stream",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,90 @@
+//! What a gateway must be told before it starts.
+
+use shaleline_types::{DataCentre, Instance, Millis};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The addresses that a gateway listens on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether this daemon takes work.
+    pub ready: SocketAddr,
+    /// For other daemons; datagrams.
+    pub peers: SocketAddr,
+    /// For metrics and the state dump.
+    pub metrics: SocketAddr,
+}
+
+/// The bounds that the platform gives.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// The time within which a leaving upstream must get no new work.
+    pub drain: Millis,
+    /// The time from the request to stop to the kill.
+    pub grace: Millis,
+    /// The time that must pass between the orders of two planners.
+    pub lease: Millis,
+    /// The part of a service's requests that may be sent again, and what may come on
+    /// top, over all daemons, in `window`.
+    pub retry_ratio: f64,
+    /// See `retry_ratio`.
+    pub retry_extra: f64,
+    /// The window that loads from the weight store are counted in.
+    pub load_window: Millis,
+    /// By how much the store's rate may be passed in that window.
+    pub load_over: f64,
+}
+
+/// All settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// This instance.
+    pub instance: Instance,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's bounds.
+    pub bounds: Bounds,
+    /// How the gateway decides.
+    pub policy: Policy,
+}
+
+/// The figures that decide, each with its unit and where it comes from. They are the
+/// baselines' switches too: `docs/MEASUREMENTS.md` compares them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// How often the upstreams' entries are read: within the drain bound of 2 s a read
+    /// may fail once.
+    pub read_every: Millis,
+    /// How long a read of the configuration waits for a change.
+    pub config_wait: Millis,
+    /// How long a call to the store may take beyond what it waits.
+    pub store_timeout: Millis,
+    /// What a prompt token costs before anything was measured, in milliseconds: the data
+    /// sheet's 19.1 tokens a millisecond.
+    pub token: f64,
+    /// Whether this daemon may plan for the engines.
+    pub plans: bool,
+    /// How often daemons tell each other their load.
+    pub gossip_every: Millis,
+    /// How often the planner looks at the fleet.
+    pub plan_every: Millis,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            read_every: Millis(700),
+            config_wait: Millis(1_500),
+            store_timeout: Millis(700),
+            token: 0.052,
+            plans: true,
+            gossip_every: Millis(250),
+            plan_every: Millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,151 @@
+//! Brings a gateway up, and down again.
+
+use crate::control::Control;
+use crate::journal::emit;
+use crate::request::Callers;
+use crate::state::{Border, Gateway};
+use crate::{follow, gossip, lead, GatewaySettings};
+use eyre::{Result, WrapErr};
+use shaleline_edge::{Gate, Handler, Listener};
+use shaleline_route::{Drain, DrainAction, RouteEvent, Unfinished};
+use shaleline_types::{LogEvent, Millis, Upstream};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// How often waiting and hanging requests are looked at.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Every so many ticks, what is old is dropped.
+const HOUSEKEEPING: u32 = 100;
+
+/// The balancer asks once a second and takes a daemon out after two misses.
+const SERVE_ON: Millis = Millis(2_300);
+
+/// What is left of the grace time for the process to end.
+const END_MARGIN: u64 = 250;
+
+/// Limits of the sockets that only the platform and operators use.
+const CONTROL_IDLE: Duration = Duration::from_secs(30);
+const CONTROL_HEAD: usize = 8_192;
+
+/// A running gateway.
+pub struct Running {
+    gw: Rc<Gateway>,
+}
+
+impl std::fmt::Debug for Running {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Running").finish_non_exhaustive()
+    }
+}
+
+fn listen(address: SocketAddr, gate: &Gate, handler: Rc<dyn Handler>) -> Result<SocketAddr> {
+    let listener = Listener::bind(address, gate.clone());
+    let listener = listener.wrap_err_with(|| format!("can't listen on {address}"))?;
+    let bound = listener.address()?;
+    actix_rt::spawn(listener.run(handler));
+    Ok(bound)
+}
+
+/// Starts a gateway on the current thread's runtime.
+///
+/// # Errors
+/// Where an address can't be bound. Metrics are not worth a refusal to serve: where their
+/// address is taken, that is logged.
+pub async fn start(settings: GatewaySettings, border: Border) -> Result<Running> {
+    let (outbox, messages) = mpsc::unbounded_channel();
+    let listens = settings.listen.clone();
+    let gw = Gateway::new(settings, border, outbox)?;
+    let detail = format!(
+        "instance={} life={:016x} centre={} callers={}",
+        gw.me.instance, gw.me.life, gw.settings.centre, listens.callers
+    );
+    emit(LogEvent::Started, &detail);
+    let socket = UdpSocket::bind(listens.peers).await;
+    let socket = Rc::new(socket.wrap_err("can't bind the peers' address")?);
+    let control = Gate::new(CONTROL_IDLE, CONTROL_HEAD);
+    listen(listens.callers, &gw.gate, Rc::new(Callers(Rc::clone(&gw))))?;
+    listen(listens.ready, &control, Rc::new(Control(Rc::clone(&gw))))?;
+    let metrics = listen(listens.metrics, &control, Rc::new(Control(Rc::clone(&gw))));
+    if let Err(e) = metrics {
+        emit(LogEvent::SettingsRefused, &format!("reason=\"{e:#}\""));
+    }
+    actix_rt::spawn(follow::config(Rc::clone(&gw)));
+    actix_rt::spawn(follow::upstreams(Rc::clone(&gw)));
+    actix_rt::spawn(follow::members(Rc::clone(&gw)));
+    actix_rt::spawn(gossip::receive(Rc::clone(&gw), Rc::clone(&socket)));
+    actix_rt::spawn(gossip::send(Rc::clone(&gw), socket, messages));
+    actix_rt::spawn(lead::run(Rc::clone(&gw)));
+    actix_rt::spawn(tick(Rc::clone(&gw)));
+    Ok(Running { gw })
+}
+
+async fn tick(gw: Rc<Gateway>) {
+    let mut count = 0_u32;
+    let mut ready = false;
+    loop {
+        tokio::time::sleep(TICK).await;
+        gw.route(RouteEvent::Tick);
+        let changes = gw.roster.borrow_mut().tick(gw.now());
+        for change in changes {
+            gw.apply(change);
+        }
+        if ready != gw.is_ready() {
+            ready = gw.is_ready();
+            if ready {
+                emit(LogEvent::Ready, "");
+            }
+        }
+        count = count.wrapping_add(1);
+        if count % HOUSEKEEPING == 0 {
+            gw.pool.prune();
+            drop_gone(&gw);
+        }
+    }
+}
+
+/// Forgets upstreams that are gone once nothing is at work there.
+fn drop_gone(gw: &Gateway) {
+    let idle = |n: &Upstream| {
+        let unlisted = gw.roster.borrow().get(n).is_none();
+        let load = gw.router.borrow().own_load(n);
+        unlisted && load.is_none_or(|l| l.running == 0)
+    };
+    let names: Vec<Upstream> = gw.router.borrow().names().cloned().collect();
+    for name in names.into_iter().filter(idle) {
+        gw.route(RouteEvent::Removed(name));
+    }
+}
+
+impl Running {
+    /// Stops as planned: the balancer learns of it, what is in flight ends, idle
+    /// connections close; in any case before the platform kills the process.
+    pub async fn stop(self) {
+        let gw = self.gw;
+        gw.stopping.set(true);
+        gw.plan_now.notify_one();
+        emit(LogEvent::Stopping, &format!("in_flight={}", gw.gate.busy()));
+        let grace = gw.settings.bounds.grace;
+        let limit = Millis(grace.since(SERVE_ON).saturating_sub(END_MARGIN));
+        let mut drain = Drain::new(SERVE_ON, limit);
+        let mut action = drain.stop(gw.now());
+        loop {
+            match action {
+                Some(DrainAction::Announce) => gw.gate.begin_closing(),
+                Some(DrainAction::Refuse) => gw.gate.close(),
+                Some(DrainAction::Exit) => break,
+                None => {}
+            }
+            tokio::time::sleep(TICK).await;
+            let left = Unfinished {
+                requests: gw.gate.busy(),
+                records: 0,
+            };
+            action = drain.tick(left, gw.now());
+        }
+        emit(LogEvent::Stopped, &format!("in_flight={}", gw.gate.busy()));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,350 @@
+//! What the tasks of a gateway share. All of them run on one thread.
+
+use crate::clock::Clock;
+use crate::journal::{emit, LineBudget};
+use crate::metrics::Metrics;
+use crate::peers::{Message, Peers, Sender};
+use crate::roster::{Change, Roster};
+use crate::{Codec, GatewaySettings, Store, Table};
+use eyre::Result;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shaleline_edge::{Gate, Pool, PoolSettings, Target};
+use shaleline_fleet::{Claim, ClaimSettings, Demand, Fleet, Sighting};
+use shaleline_route::{
+    Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
+};
+use shaleline_types::{LogEvent, Millis, Model, RequestId, Service, Upstream};
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Notify};
+
+/// How long a connection to an upstream may take to open; in a data centre it takes a
+/// few milliseconds, and a lost packet is sent again after some hundred.
+const CONNECT: Duration = Duration::from_millis(600);
+
+/// How long bytes may stay unacknowledged before a connection counts as dead.
+const DEAD: Duration = Duration::from_millis(2_000);
+
+/// Connections to one upstream where nothing is known of its limit.
+const CONNECTIONS: usize = 60;
+
+/// The limits before any configuration is known.
+const IDLE: Duration = Duration::from_secs(10);
+const HEAD: usize = 16_384;
+
+/// The part of the retry budget that is used: what others use meanwhile is not known.
+const BUDGET_USED: f64 = 0.6;
+
+/// An engine takes so many requests beyond its slots before it sheds.
+const ENGINE_QUEUE: usize = 60;
+
+/// The state of a gateway.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) me: Sender,
+    pub(crate) codec: Box<dyn Codec>,
+    pub(crate) store: Box<dyn Store>,
+    pub(crate) pool: Pool,
+    pub(crate) gate: Gate,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) lines: LineBudget,
+    pub(crate) router: RefCell<Router>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
+    pub(crate) demand: RefCell<Demand>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) claim: RefCell<Claim>,
+    /// Adapters that somebody waits for, with when that was last said.
+    pub(crate) wants: RefCell<BTreeMap<(Model, shaleline_types::Adapter), Millis>>,
+    /// Wakes the planner.
+    pub(crate) plan_now: Notify,
+    /// Messages to send to other daemons at once.
+    pub(crate) outbox: mpsc::UnboundedSender<(Option<std::net::SocketAddr>, Message)>,
+    pub(crate) rng: RefCell<SmallRng>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) listed: Cell<bool>,
+    table: RefCell<Option<Rc<Table>>>,
+    requests: RefCell<HashMap<RequestId, mpsc::UnboundedSender<RouteAction>>>,
+    next: Cell<u64>,
+}
+
+/// The parts that differ by platform.
+pub struct Border {
+    /// Translates messages.
+    pub codec: Box<dyn Codec>,
+    /// The store.
+    pub store: Box<dyn Store>,
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        border: Border,
+        outbox: mpsc::UnboundedSender<(Option<std::net::SocketAddr>, Message)>,
+    ) -> Result<Rc<Self>> {
+        let mut rng = SmallRng::from_os_rng();
+        let life = rng.random();
+        let clock = Clock::new();
+        let now = clock.now();
+        let me = Sender {
+            instance: settings.instance.clone(),
+            life,
+        };
+        let router = RouterSettings {
+            token: settings.policy.token,
+            ..RouterSettings::new(settings.centre.clone())
+        };
+        let name = settings.instance.as_str();
+        let claim = ClaimSettings::from_lease(settings.bounds.lease);
+        Ok(Rc::new(Self {
+            router: RefCell::new(Router::new(router, ShareBook::alone(name))),
+            claim: RefCell::new(Claim::new(claim, format!("{name}/{life:016x}"))),
+            me,
+            codec: border.codec,
+            store: border.store,
+            pool: Pool::new(PoolSettings {
+                connect: CONNECT,
+                dead: DEAD,
+                most: CONNECTIONS,
+            }),
+            gate: Gate::new(IDLE, HEAD),
+            clock,
+            metrics: Metrics::new()?,
+            lines: LineBudget::new(now),
+            roster: RefCell::new(Roster::default()),
+            fleets: RefCell::new(BTreeMap::new()),
+            demand: RefCell::new(Demand::default()),
+            peers: RefCell::new(Peers::default()),
+            wants: RefCell::new(BTreeMap::new()),
+            plan_now: Notify::new(),
+            outbox,
+            rng: RefCell::new(rng),
+            stopping: Cell::new(false),
+            listed: Cell::new(false),
+            table: RefCell::new(None),
+            requests: RefCell::new(HashMap::new()),
+            next: Cell::new(0),
+            settings,
+        }))
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> Option<Rc<Table>> {
+        Ref::clone(&self.table.borrow()).clone()
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && self.listed.get() && !self.stopping.get()
+    }
+
+    /// Puts a version of the configuration in force, unless it is no newer.
+    pub(crate) fn set_table(&self, table: Table) {
+        let old = self.table.borrow().as_ref().map(|t| t.version);
+        if old.is_some_and(|v| v >= table.version) {
+            return;
+        }
+        let idle = Duration::from_millis(table.limits.idle.0);
+        self.gate.set_limits(idle, table.limits.head);
+        let detail = format!(
+            "version={} before={} routes={}",
+            table.version,
+            old.unwrap_or(0),
+            table.rules.len()
+        );
+        emit(LogEvent::TableInForce, &detail);
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        let names: Vec<Upstream> = self.roster.borrow().iter().map(|(n, _)| n.clone()).collect();
+        for name in names {
+            self.apply(Change::Present(name));
+        }
+    }
+
+    /// Hands a change of the list of upstreams to the router and the fleet.
+    pub(crate) fn apply(&self, change: Change) {
+        match change {
+            Change::Present(name) => self.apply_entry(&name),
+            Change::Gone(name) => {
+                emit(LogEvent::UpstreamGone, &format!("upstream={name}"));
+                for fleet in self.fleets.borrow_mut().values_mut() {
+                    fleet.remove(&name);
+                }
+                self.route(RouteEvent::Leaving {
+                    upstream: name,
+                    on: true,
+                });
+            }
+        }
+    }
+
+    fn apply_entry(&self, name: &Upstream) {
+        let now = self.now();
+        let (entry, leaving) = {
+            let roster = self.roster.borrow();
+            let Some(entry) = roster.get(name) else {
+                return;
+            };
+            (entry.clone(), roster.is_leaving(name))
+        };
+        if let Some(held) = entry.held.clone() {
+            let mut fleets = self.fleets.borrow_mut();
+            let fleet = fleets.entry(entry.service.clone()).or_default();
+            fleet.sight(name, &entry.centre, held, Sighting::Listed, now);
+            fleet.set_leaving(name, leaving);
+        }
+        let was = self.router.borrow().is_leaving(name);
+        if leaving && was == Some(false) {
+            emit(LogEvent::UpstreamLeaving, &format!("upstream={name}"));
+        }
+        self.publish(name);
+        if was.is_none() {
+            let slots = match entry.held {
+                Some(_) => entry.slots + ENGINE_QUEUE,
+                None => entry.slots,
+            };
+            let load = Load {
+                slots,
+                ..Load::default()
+            };
+            self.route(RouteEvent::Report {
+                upstream: name.clone(),
+                load,
+            });
+        }
+        self.route(RouteEvent::Leaving {
+            upstream: name.clone(),
+            on: leaving,
+        });
+    }
+
+    /// Tells the router what an upstream serves now.
+    pub(crate) fn publish(&self, name: &Upstream) {
+        let Some(site) = self.site(name) else {
+            return;
+        };
+        self.route(RouteEvent::Serves {
+            upstream: name.clone(),
+            site,
+        });
+    }
+
+    fn site(&self, name: &Upstream) -> Option<Site> {
+        let roster = self.roster.borrow();
+        let entry = roster.get(name)?;
+        let mut routes = Vec::new();
+        if entry.held.is_none() {
+            routes.push(Route::Service(entry.service.clone()));
+        }
+        let fleets = self.fleets.borrow();
+        let fleet = fleets.get(&entry.service);
+        let serving = fleet.and_then(|f| f.get(name)).map(|e| e.serving());
+        for (model, adapters) in serving.into_iter().flatten() {
+            let route = |adapter| Route::Model {
+                model: model.clone(),
+                adapter,
+            };
+            routes.push(route(None));
+            routes.extend(adapters.iter().map(|a| route(Some(a.clone()))));
+        }
+        Some(Site {
+            centre: entry.centre.clone(),
+            routes,
+        })
+    }
+
+    /// Where an upstream listens.
+    pub(crate) fn target(&self, name: &Upstream) -> Option<Target> {
+        let roster = self.roster.borrow();
+        let entry = roster.get(name)?;
+        Some(Target {
+            name: name.clone(),
+            address: entry.address,
+        })
+    }
+
+    /// Gives the router an event and hands its actions to the requests they are about.
+    pub(crate) fn route(&self, event: RouteEvent) {
+        let actions = self.router.borrow_mut().step(event, self.now());
+        let requests = self.requests.borrow();
+        for action in actions {
+            let id = match &action {
+                RouteAction::Send { id, .. }
+                | RouteAction::Cancel { id, .. }
+                | RouteAction::Refuse { id, .. } => *id,
+            };
+            // A request that has just ended needs no more actions.
+            if let Some(tell) = requests.get(&id) {
+                tell.send(action).ok();
+            }
+        }
+    }
+
+    pub(crate) fn register(&self) -> (RequestId, mpsc::UnboundedReceiver<RouteAction>) {
+        let id = RequestId(self.next.get());
+        self.next.set(id.0 + 1);
+        let (tell, told) = mpsc::unbounded_channel();
+        self.requests.borrow_mut().insert(id, tell);
+        (id, told)
+    }
+
+    pub(crate) fn unregister(&self, id: RequestId) {
+        self.requests.borrow_mut().remove(&id);
+    }
+
+    /// Divides the retry budget among the daemons that live.
+    pub(crate) fn share_budget(&self) {
+        let count = self.peers.borrow().alive(self.now()) as f64;
+        let bounds = &self.settings.bounds;
+        let most = (bounds.retry_extra / count * BUDGET_USED).max(1.0);
+        self.router.borrow_mut().set_retries(RetrySettings {
+            earned: bounds.retry_ratio * BUDGET_USED,
+            most,
+            start: most,
+        });
+    }
+
+    /// The service whose engines hold or may hold this one.
+    pub(crate) fn service_of(&self, name: &Upstream) -> Option<Service> {
+        self.roster.borrow().get(name).map(|e| e.service.clone())
+    }
+
+    /// Changes what is believed of an engine, and tells the router.
+    pub(crate) fn with_fleet(&self, name: &Upstream, change: impl FnOnce(&mut Fleet)) {
+        let Some(service) = self.service_of(name) else {
+            return;
+        };
+        change(self.fleets.borrow_mut().entry(service).or_default());
+        self.publish(name);
+    }
+
+    /// Sends a message to all other daemons.
+    pub(crate) fn tell_all(&self, message: Message) {
+        // The receiver lives as long as the process.
+        self.outbox.send((None, message)).ok();
+    }
+
+    pub(crate) fn draw(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// The names of all models that some engine serves, for the state dump.
+    pub(crate) fn serving(&self) -> BTreeMap<Model, BTreeSet<Upstream>> {
+        let mut all: BTreeMap<Model, BTreeSet<Upstream>> = BTreeMap::new();
+        for fleet in self.fleets.borrow().values() {
+            for (name, engine) in fleet.iter() {
+                for (model, _) in engine.serving() {
+                    all.entry(model.clone()).or_default().insert(name.clone());
+                }
+            }
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,91 @@
+//! The trait through which the platform's store is met: an append-only log of topics
+//! that keeps the newest record of each key.
+
+use futures_util::future::LocalBoxFuture;
+use shaleline_types::Millis;
+use std::fmt;
+
+/// What the gateway reads and keeps there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The operator's configuration; read only.
+    Config,
+    /// The upstreams' own entries; read only.
+    Upstreams,
+    /// Who plans for the engines.
+    Planner,
+    /// The daemons' addresses.
+    Members,
+}
+
+/// One record of a key. Without a value the key is gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Option<Vec<u8>>,
+    /// Its offset.
+    pub offset: u64,
+}
+
+/// Records in the order of the log, and the offset to read on from.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// The records.
+    pub records: Vec<Record>,
+    /// Where the next read starts.
+    pub next: u64,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// No answer: an append may still happen, seconds later.
+    Lost,
+    /// The store refused; nothing was done.
+    Refused(u16),
+    /// The records asked for are gone; read the newest ones instead.
+    Gap,
+    /// The topic does not end where the condition says; here it ends.
+    Moved(u64),
+    /// The answer can't be understood.
+    Malformed(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost => f.write_str("no answer"),
+            Self::Refused(status) => write!(f, "refused with status {status}"),
+            Self::Gap => f.write_str("the records asked for are gone"),
+            Self::Moved(end) => write!(f, "the topic ends at {end}"),
+            Self::Malformed(why) => write!(f, "malformed answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// The result of a call to the store.
+pub type StoreResult<T> = Result<T, StoreError>;
+
+/// The platform's store.
+pub trait Store {
+    /// The newest record of each key.
+    fn newest(&self, topic: Topic) -> LocalBoxFuture<'_, StoreResult<Batch>>;
+
+    /// The records from an offset on; waits for the first one up to `wait`.
+    fn tail(&self, topic: Topic, from: u64, wait: Millis)
+        -> LocalBoxFuture<'_, StoreResult<Batch>>;
+
+    /// Appends a record, where `end` is given only if the topic ends there. Returns its
+    /// offset.
+    fn append(
+        &self,
+        topic: Topic,
+        key: &str,
+        value: &[u8],
+        end: Option<u64>,
+    ) -> LocalBoxFuture<'_, StoreResult<u64>>;
+}
--- a/crates/route/src/ask.rs
+++ b/crates/route/src/ask.rs
@@ -1,6 +1,6 @@
 //! What goes into the router and what comes out.
 
-use crate::Limits;
+use crate::{Limits, BLOCK_TOKENS};
 use shaleline_types::{
     Adapter, DataCentre, ErrorKind, Millis, Model, Org, RequestId, Service, Upstream,
 };
@@ -23,6 +23,19 @@
     Service(Service),
 }
 
+impl Route {
+    /// The model without its adapter, which decides how fast prompts are read.
+    pub(crate) fn to_base(&self) -> Self {
+        match self {
+            Self::Model { model, .. } => Self::Model {
+                model: model.clone(),
+                adapter: None,
+            },
+            Self::Service(service) => Self::Service(service.clone()),
+        }
+    }
+}
+
 impl fmt::Display for Route {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -39,6 +52,43 @@
     }
 }
 
+/// What the caller's route lets the router do with a request, where that differs from
+/// the router's own settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// How long it may wait unsent; as long as `due` allows where absent. A request that
+    /// can't start soon is better refused while its caller has time to come back.
+    pub wait: Option<Millis>,
+    /// How many upstreams it may reach at the most.
+    pub attempts: Option<AttemptNumber>,
+    /// How long a send may go without a first byte before it counts as hanging.
+    pub stall: Option<Millis>,
+    /// Whether upstreams serve it before work that is not urgent.
+    pub urgent: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            wait: None,
+            attempts: None,
+            stall: None,
+            urgent: true,
+        }
+    }
+}
+
+/// What the other daemons together have at an upstream, as far as they told.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Requests running or waiting there.
+    pub running: usize,
+    /// Work ahead of the first token of an urgent request, in milliseconds.
+    pub urgent: f64,
+    /// Work ahead of the first token of any request, in milliseconds.
+    pub backlog: f64,
+}
+
 /// A request that asks for an upstream.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -56,12 +106,29 @@
     pub cost: u64,
     /// Hashes of the prompt's growing prefixes, see [`crate::prefix_chain`].
     pub prefix: Vec<u64>,
+    /// The tokens of each block of `prefix`; the usual size where absent.
+    pub sizes: Vec<u32>,
     /// When its first token or answer is due.
     pub due: Millis,
     /// Whether it may be sent again after it may have run.
     pub repeatable: bool,
     /// The limits of its organisation.
     pub limits: Limits,
+    /// What its route allows.
+    pub terms: Terms,
+}
+
+impl Ask {
+    /// The tokens of the block at `index`.
+    pub(crate) fn size(&self, index: usize) -> f64 {
+        f64::from(self.sizes.get(index).copied().unwrap_or(BLOCK_TOKENS))
+    }
+
+    /// When it is refused if it was not sent by then.
+    pub(crate) fn start_by(&self, now: Millis) -> Millis {
+        let wait = self.terms.wait.map(|w| now.plus(w.0));
+        wait.map_or(self.due, |at| at.min(self.due))
+    }
 }
 
 /// How a send ended.
@@ -138,6 +205,13 @@
         /// What it said.
         load: Load,
     },
+    /// The other daemons told what they have at an upstream.
+    Peers {
+        /// The upstream.
+        upstream: Upstream,
+        /// What they have there.
+        load: PeerLoad,
+    },
     /// An upstream is there and serves these routes.
     Serves {
         /// The upstream.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::upstream::Back;
 use crate::Ask;
-use shaleline_types::DataCentre;
+use shaleline_types::{DataCentre, Millis};
 
 /// How upstreams are chosen. The others are baselines to measure against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -17,15 +17,20 @@
 }
 
 /// What a request there costs in comparison, in milliseconds.
-const BLOCK_MS: f64 = 8.0;
 const OTHER_CENTRE_MS: f64 = 1.0;
 const FULL_MS: f64 = 400.0;
 
+/// What a failure costs the caller: the time until its own retry.
+const FAILURE_MS: f64 = 2_000.0;
+
 /// Weighs upstreams for one request; the lowest value is the best.
 pub(crate) struct Chooser<'a> {
     pub(crate) choice: Choice,
     pub(crate) home: &'a DataCentre,
     pub(crate) turn: u64,
+    /// What one uncached token costs, in milliseconds.
+    pub(crate) token: f64,
+    pub(crate) now: Millis,
 }
 
 impl Chooser<'_> {
@@ -40,17 +45,20 @@
         }
     }
 
+    /// The time to the first byte, as far as prompts decide it.
+    pub(crate) fn time(&self, back: &Back, ask: &Ask) -> f64 {
+        let own = back.cold(ask) * self.token * back.slowness.get(self.now);
+        back.backlog(ask.terms.urgent, self.now) + own
+    }
+
     fn expected(&self, back: &Back, ask: &Ask) -> f64 {
-        let cold = ask
-            .prefix
-            .len()
-            .saturating_sub(back.hints.matched(&ask.prefix));
         let fill = back.busy() as f64 / back.slots() as f64;
         let far = if back.site.centre == *self.home {
             0.0
         } else {
             OTHER_CENTRE_MS
         };
-        cold as f64 * BLOCK_MS + fill * fill * FULL_MS + far
+        let failing = back.failures.get(self.now) * FAILURE_MS;
+        self.time(back, ask) + fill * fill * FULL_MS + far + failing
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,20 +18,26 @@
 mod breaker;
 mod choose;
 mod drain;
+mod estimate;
 mod limit;
 mod prefix;
 mod queue;
 mod retry;
 mod router;
+mod settings;
 mod share;
 mod stats;
 mod upstream;
 
-pub use ask::{Ask, AttemptNumber, End, Load, Route, RouteAction, RouteEvent, Site};
+pub use ask::{
+    Ask, AttemptNumber, End, Load, PeerLoad, Route, RouteAction, RouteEvent, Site, Terms,
+};
 pub use choose::Choice;
 pub use drain::{Drain, DrainAction, Unfinished};
 pub use limit::{LimitKind, Limits};
-pub use prefix::{prefix_chain, BLOCK_CHARS};
-pub use router::{Router, RouterSettings};
+pub use prefix::{prefix_chain, BLOCK_CHARS, BLOCK_TOKENS};
+pub use retry::RetrySettings;
+pub use router::Router;
+pub use settings::RouterSettings;
 pub use share::{share_of, ShareBook};
 pub use stats::{RouterStats, UpstreamStats};
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -7,8 +7,12 @@
 /// The characters of a prompt that one block of the prefix cache covers.
 pub const BLOCK_CHARS: usize = 64;
 
+/// The tokens of such a block, at four characters a token.
+pub const BLOCK_TOKENS: u32 = 16;
+
 const MOST_BLOCKS: usize = 64;
-const MOST_HINTS: usize = 16_384;
+/// More blocks than an engine's cache holds: some 130,000 tokens in parts of 100 or more.
+const MOST_HINTS: usize = 2_048;
 
 /// Hashes of a prompt's growing prefixes, one for each whole block. The salt keeps
 /// organisations apart, so that timing tells nothing about another's prompts.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,54 +1,24 @@
 //! The decision itself.
 
-use crate::choose::{Choice, Chooser};
+use crate::choose::Chooser;
+use crate::estimate::{ratio_of, TokenCosts};
 use crate::limit::Limiter;
 use crate::queue::{RouteQueue, Waiting};
 use crate::retry::RetryBudget;
 use crate::upstream::{Back, Flight};
 use crate::{
-    Ask, AttemptNumber, End, LimitKind, Limits, Route, RouteAction, RouteEvent, RouterStats,
-    ShareBook, Site, UpstreamStats,
+    Ask, AttemptNumber, End, LimitKind, Limits, PeerLoad, RetrySettings, Route, RouteAction, RouteEvent,
+    RouterSettings, RouterStats, ShareBook, Site, UpstreamStats,
 };
-use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
+use shaleline_types::{ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What an operator sets.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RouterSettings {
-    /// This daemon's data centre.
-    pub home: DataCentre,
-    /// How many requests may wait for one route.
-    pub queue: usize,
-    /// How long a send may go without a first byte, while nothing else comes from the
-    /// upstream either, before it counts as hanging.
-    pub stall: Millis,
-    /// How many times a request is sent at the most.
-    pub attempts: AttemptNumber,
-    /// How upstreams are chosen.
-    pub choice: Choice,
-    /// Whether requests that can't meet their target are refused early.
-    pub shed: bool,
-}
-
-impl RouterSettings {
-    /// The defaults for a daemon in this data centre.
-    #[must_use]
-    pub fn new(home: DataCentre) -> Self {
-        Self {
-            home,
-            queue: 2_000,
-            stall: Millis(2_000),
-            attempts: 3,
-            choice: Choice::Expected,
-            shed: true,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Open {
     ask: Ask,
     attempt: AttemptNumber,
+    /// How many sends may have reached an upstream.
+    reached: AttemptNumber,
     at: Option<Upstream>,
     tried: Vec<Upstream>,
     first: bool,
@@ -68,6 +38,7 @@
     /// Upstreams that were told to be leaving, whether they are known yet or not.
     leaving: BTreeSet<Upstream>,
     budget: RetryBudget,
+    tokens: TokenCosts,
     turn: u64,
     stats: RouterStats,
 }
@@ -77,7 +48,6 @@
     #[must_use]
     pub fn new(settings: RouterSettings, shares: ShareBook) -> Self {
         Self {
-            settings,
             shares,
             limiter: Limiter::default(),
             open: BTreeMap::new(),
@@ -85,9 +55,11 @@
             backs: BTreeMap::new(),
             leaving: BTreeSet::new(),
             short: BTreeSet::new(),
-            budget: RetryBudget::default(),
+            budget: RetryBudget::new(settings.retries),
+            tokens: TokenCosts::default(),
             turn: 0,
             stats: RouterStats::default(),
+            settings,
         }
     }
 
@@ -137,6 +109,29 @@
         self.backs.iter().map(one).collect()
     }
 
+    /// Whether an upstream gets no new work; none where it is not known.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: &Upstream) -> Option<bool> {
+        self.backs.get(upstream).map(Back::is_leaving)
+    }
+
+    /// What this daemon itself has at an upstream, for the other daemons.
+    #[must_use]
+    pub fn own_load(&self, upstream: &Upstream) -> Option<PeerLoad> {
+        self.backs.get(upstream).map(|b| b.own_load())
+    }
+
+    /// Takes another budget for retries, as the number of daemons changes.
+    pub fn set_retries(&mut self, retries: RetrySettings) {
+        self.budget.set(retries);
+    }
+
+    /// What one uncached token of a prompt costs for this route, in milliseconds.
+    #[must_use]
+    pub fn token_cost(&self, route: &Route) -> f64 {
+        self.tokens.get(route, self.settings.token)
+    }
+
     /// The names of the upstreams known.
     pub fn names(&self) -> impl Iterator<Item = &Upstream> {
         self.backs.keys()
@@ -164,6 +159,11 @@
                 }
                 self.pump(&upstream, now, &mut out);
             }
+            RouteEvent::Peers { upstream, load } => {
+                if let Some(back) = self.backs.get_mut(&upstream) {
+                    back.on_peers(load, now);
+                }
+            }
             RouteEvent::Serves { upstream, site } => {
                 self.serves(&upstream, site);
                 self.pump(&upstream, now, &mut out);
@@ -238,6 +238,7 @@
         let open = Open {
             ask,
             attempt: 0,
+            reached: 0,
             at: None,
             tried: Vec::new(),
             first: false,
@@ -273,7 +274,10 @@
                 return;
             }
         }
-        let waiting = Waiting { id, due: ask.due };
+        let waiting = Waiting {
+            id,
+            due: ask.start_by(now),
+        };
         let (route, priority, org) = (ask.route.clone(), ask.priority, ask.org.clone());
         let able = self.choose(open, now);
         let queue = self.queues.entry(route).or_default();
@@ -294,6 +298,8 @@
             choice: self.settings.choice,
             home: &self.settings.home,
             turn: self.turn,
+            token: self.tokens.get(&ask.route, self.settings.token),
+            now,
         };
         let of = able.len();
         let costs = able.iter().enumerate().map(|(i, (name, back))| {
@@ -319,18 +325,33 @@
             !back.is_leaving() || !Safeguard::LeavingStop.active(),
             "a leaving upstream gets no new work"
         );
+        let token = self.tokens.get(&open.ask.route, self.settings.token);
+        let chooser = Chooser {
+            choice: self.settings.choice,
+            home: &self.settings.home,
+            turn: self.turn,
+            token,
+            now,
+        };
         self.turn += 1;
         self.stats.sent += 1;
         self.stats.retried += u64::from(open.attempt > 0);
         open.attempt += 1;
+        open.reached += 1;
         open.first = false;
         open.at = Some(upstream.clone());
         open.tried.push(upstream.clone());
         let flight = Flight {
             org: open.ask.org.clone(),
             sent: now,
-            stall: stall_of(self.settings.stall, open.ask.due, now),
+            stall: open.ask.terms.stall.map_or_else(
+                || stall_of(self.settings.stall, open.ask.due, now),
+                |s| s.0,
+            ),
             answered: false,
+            urgent: open.ask.terms.urgent,
+            work: back.cold(&open.ask) * token * back.slowness.get(now),
+            expected: chooser.time(back, &open.ask),
         };
         let cost = open.ask.cost as f64 / open.ask.weight.max(1) as f64;
         back.hints.note(&open.ask.prefix);
@@ -364,8 +385,14 @@
             return;
         };
         back.last_byte = now;
-        if let Some(flight) = back.flights.get_mut(&id) {
-            flight.answered = true;
+        let Some(flight) = back.flights.get_mut(&id) else {
+            return;
+        };
+        if !std::mem::replace(&mut flight.answered, true) && flight.work > 0.0 {
+            let ratio = ratio_of(now.since(flight.sent) as f64, flight.expected);
+            back.slowness.learn(ratio, now);
+            let route = &open.ask.route;
+            self.tokens.learn(route, ratio, self.settings.token);
         }
     }
 
@@ -386,7 +413,13 @@
         self.judge_upstream(&upstream, id, end, now);
         match end {
             End::Whole | End::Cancelled => self.close(id),
-            End::NotSent | End::Refused => self.again(id, ErrorKind::NoUpstream, now, out),
+            End::NotSent => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.reached -= 1;
+                }
+                self.again(id, ErrorKind::NoUpstream, now, out);
+            }
+            End::Refused => self.again(id, ErrorKind::NoUpstream, now, out),
             End::Broken => self.again_if_repeatable(id, now, out),
         }
         self.pump(&upstream, now, out);
@@ -400,10 +433,12 @@
         match end {
             End::Whole => {
                 back.last_byte = now;
+                back.failures.note(0.0, now);
                 back.breaker.on_success();
                 self.budget.on_success();
             }
             End::NotSent | End::Broken => {
+                back.failures.note(1.0, now);
                 self.stats.opened += u64::from(back.breaker.on_failure(now));
             }
             End::Refused | End::Cancelled => back.breaker.on_neutral(),
@@ -441,7 +476,8 @@
         };
         let started = open.first;
         let in_time = started || open.ask.due > now;
-        let left = open.attempt < self.settings.attempts;
+        let most = open.ask.terms.attempts.unwrap_or(self.settings.attempts);
+        let left = open.reached < most && open.attempt < MOST_SENDS.max(self.settings.attempts);
         if left && in_time && self.budget.take() {
             self.place(id, now, out);
         } else {
@@ -594,7 +630,8 @@
             return;
         };
         let elsewhere = self.choose(open, now).filter(|u| u != from);
-        let may_move = open.ask.repeatable && open.attempt < self.settings.attempts;
+        let most = open.ask.terms.attempts.unwrap_or(self.settings.attempts);
+        let may_move = open.ask.repeatable && open.reached < most;
         let Some(upstream) = elsewhere.filter(|_| may_move) else {
             return;
         };
@@ -620,6 +657,9 @@
     }
 }
 
+/// How often a request is sent at the most, sends that reached nobody included.
+const MOST_SENDS: AttemptNumber = 6;
+
 /// The least silence that counts as hanging, however little time a request has.
 const LEAST_STALL: u64 = 200;
 
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -2,7 +2,8 @@
 
 use crate::breaker::{Breaker, Gate};
 use crate::prefix::PrefixHints;
-use crate::{Load, Route, Site};
+use crate::estimate::Slowness;
+use crate::{Ask, Load, PeerLoad, Route, Site};
 use shaleline_types::{Millis, Org, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,36 @@
     /// How long it may go without a first byte before it counts as hanging.
     pub(crate) stall: u64,
     pub(crate) answered: bool,
+    pub(crate) urgent: bool,
+    /// The time that reading its prompt takes there, in milliseconds.
+    pub(crate) work: f64,
+    /// The time to its first byte that was expected when it was sent, in milliseconds.
+    pub(crate) expected: f64,
+}
+
+/// One result in so many moves the share of failures.
+const FAILURE_STEP: f64 = 0.2;
+
+/// Half of the share of failures is forgotten in so many milliseconds.
+const FAILURE_FORGET_MS: f64 = 3_000.0;
+
+/// The share of sends that failed lately.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Failures {
+    share: f64,
+    at: Millis,
+}
+
+impl Failures {
+    pub(crate) fn get(&self, now: Millis) -> f64 {
+        self.share * 0.5_f64.powf(now.since(self.at) as f64 / FAILURE_FORGET_MS)
+    }
+
+    pub(crate) fn note(&mut self, failed: f64, now: Millis) {
+        let share = self.get(now);
+        self.share = share + (failed - share) * FAILURE_STEP;
+        self.at = now;
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +70,10 @@
     others: usize,
     pub(crate) flights: BTreeMap<RequestId, Flight>,
     pub(crate) breaker: Breaker,
+    pub(crate) failures: Failures,
+    pub(crate) slowness: Slowness,
+    peers: PeerLoad,
+    told: Millis,
     pub(crate) hints: PrefixHints,
     /// Told by the list, by an operator or by the upstream itself.
     pub(crate) leaving: bool,
@@ -56,6 +91,10 @@
             others: 0,
             flights: BTreeMap::new(),
             breaker: Breaker::default(),
+            failures: Failures::default(),
+            slowness: Slowness::default(),
+            peers: PeerLoad::default(),
+            told: Millis(0),
             hints: PrefixHints::default(),
             leaving: false,
             last_byte: Millis(0),
@@ -76,6 +115,45 @@
         self.load = load;
     }
 
+    /// Notes what the other daemons have there.
+    pub(crate) fn on_peers(&mut self, load: PeerLoad, now: Millis) {
+        self.others = load.running;
+        self.peers = load;
+        self.told = now;
+    }
+
+    /// The uncached tokens of a prompt.
+    pub(crate) fn cold(&self, ask: &Ask) -> f64 {
+        let warm = self.hints.matched(&ask.prefix);
+        (warm..ask.prefix.len()).map(|i| ask.size(i)).sum()
+    }
+
+    /// The time until what is ahead of a new request is read, in milliseconds. What the
+    /// other daemons told grows old: meanwhile the engine works it off.
+    pub(crate) fn backlog(&self, urgent: bool, now: Millis) -> f64 {
+        let load = self.own_load();
+        let (own, peers) = if urgent {
+            (load.urgent, self.peers.urgent)
+        } else {
+            (load.backlog, self.peers.backlog)
+        };
+        own + (peers - now.since(self.told) as f64).max(0.0)
+    }
+
+    /// What this daemon has there.
+    pub(crate) fn own_load(&self) -> PeerLoad {
+        let open = self.flights.values().filter(|f| !f.answered);
+        let mut load = PeerLoad {
+            running: self.flights.len(),
+            ..PeerLoad::default()
+        };
+        for flight in open {
+            load.backlog += flight.work;
+            load.urgent += if flight.urgent { flight.work } else { 0.0 };
+        }
+        load
+    }
+
     pub(crate) fn slots(&self) -> usize {
         if self.load.slots == 0 {
             DEFAULT_SLOTS
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -2,7 +2,7 @@
 
 use shaleline_route::{
     prefix_chain, share_of, Ask, Drain, DrainAction, End, LimitKind, Limits, Load, Route,
-    RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Unfinished,
+    RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms, Unfinished,
 };
 use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Service, Upstream};
 
@@ -62,6 +62,7 @@
         weight: 1,
         cost: 10,
         prefix: Vec::new(),
+        sizes: Vec::new(),
         due: NOW.plus(1_000),
         repeatable: true,
         limits: Limits {
@@ -69,6 +70,7 @@
             concurrency: 100,
             tokens: 100_000,
         },
+        terms: Terms::default(),
     }
 }
 
--- a/crates/standin/src/engine_server.rs
+++ b/crates/standin/src/engine_server.rs
@@ -9,7 +9,7 @@
 use futures_util::stream;
 use serde::Deserialize;
 use shaleline_place::{Item, Order};
-use shaleline_platform::{Generate, Piece, UpstreamReport};
+use shaleline_border::{Generate, Piece, UpstreamReport};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
--- a/crates/standin/src/engine_state.rs
+++ b/crates/standin/src/engine_state.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_place::{EngineReport, Item, Order, OrderEnd, OrderKind, Resident};
-use shaleline_platform::{CacheEvents, UpstreamReport};
+use shaleline_border::{CacheEvents, UpstreamReport};
 use shaleline_types::{DataCentre, Megabytes, Offset, Upstream};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -6,7 +6,7 @@
 use actix_web::{web, HttpResponse};
 use serde::Deserialize;
 use shaleline_dialect::{AppendAnswer, AppendRequest};
-use shaleline_platform::Listed;
+use shaleline_border::Listed;
 use shaleline_types::{Millis, Offset, Stream};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
--- a/crates/standin/src/service_server.rs
+++ b/crates/standin/src/service_server.rs
@@ -3,7 +3,7 @@
 use crate::fault::ServiceFault;
 use actix_web::web::{Bytes, Data, Json, ServiceConfig};
 use actix_web::{web, HttpRequest, HttpResponse};
-use shaleline_platform::{CacheEvents, UpstreamReport};
+use shaleline_border::{CacheEvents, UpstreamReport};
 use shaleline_types::{DataCentre, Service, Upstream};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
--- a/crates/standin/src/start.rs
+++ b/crates/standin/src/start.rs
@@ -8,7 +8,7 @@
 use actix_web::web::{Data, JsonConfig, ServiceConfig};
 use actix_web::{App, HttpServer};
 use eyre::{Result, WrapErr};
-use shaleline_platform::{InstanceKind, Listed};
+use shaleline_border::{InstanceKind, Listed};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::mpsc;
 use std::sync::Arc;
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -100,6 +100,8 @@
 kinds! {
     BadRequest "bad-request" 400 NotRun Caller None, "The request is malformed.";
     TooLarge "too-large" 413 NotRun Caller None, "The body is larger than the limit.";
+    HeadTooLarge "head-too-large" 431 NotRun Caller None, "The head of the request is larger than the limit.";
+    BodyLate "body-late" 408 NotRun Later None, "The body of the request did not arrive in time.";
     Unauthenticated "unauthenticated" 401 NotRun Caller None, "The token is missing or wrong.";
     Forbidden "forbidden" 403 NotRun Caller None, "The token's role does not allow this.";
     UnknownModel "unknown-model" 404 NotRun Caller None, "The organisation has no such model or adapter.";
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -69,6 +69,17 @@
     KeyAbandoned 6002 Info "A begun keyed request was given up before it was sent.";
     MemberJoined 7001 Info "A daemon joined.";
     MemberLeft 7002 Info "A daemon left or fell silent.";
+    TableInForce 3101 Info "A version of the platform's configuration is in force.";
+    TableRefused 3102 Error "A version of the platform's configuration can't be understood; the one before stays in force.";
+    EntrySkipped 3103 Warn "A record of the platform's store can't be understood and is skipped.";
+    SettingsChanged 3104 Info "The settings file changed.";
+    SettingsRefused 3105 Warn "The settings file can't be understood; the settings before stay in force.";
+    PeerMessageBad 7101 Warn "A datagram between daemons can't be understood or made.";
+    UpstreamGone 8101 Info "An upstream is no longer listed and gets no new work.";
+    RequestEnded 8201 Info "A request ended.";
+    RequestRefused 8202 Info "A request was refused without having run.";
+    RequestFailed 8203 Warn "A request ended without a whole answer.";
+    SendFailed 8204 Info "A send to an upstream failed, or the upstream did not run the request.";
     UpstreamOpen 8001 Warn "A breaker opened for an upstream.";
     UpstreamLeaving 8002 Info "An upstream is leaving and gets no new work.";
     LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
