Expect no orders at an engine that has reported none

Cause: an entry's counter counts entries written, a report's counts orders accepted; the name is the same.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -16,7 +16,7 @@
     pub warm: BTreeSet<Model>,
     /// The models of which a copy is on its disk.
     pub disk: BTreeSet<Model>,
-    /// How many orders it has accepted.
+    /// How many orders it has accepted; a start begins at 0.
     pub seq: u64,
     /// Whether an order is under way, where it says so.
     pub busy: bool,
@@ -50,8 +50,13 @@
     /// Models that nobody should be sent to any more.
     pub(crate) retiring: BTreeMap<Model, Millis>,
     pub(crate) last_order: Millis,
+    reported: Millis,
 }
 
+/// An entry may be so much older than a report: engines write theirs about every 1.2 s,
+/// and it is read within another.
+const LIST_LAG_MS: u64 = 2_500;
+
 /// A model that is said to be dropped soon gets nothing new for so long: by then the
 /// engine's entry tells whether it was.
 const RETIRE_MS: u64 = 3_000;
@@ -68,6 +73,7 @@
             pending: Vec::new(),
             retiring: BTreeMap::new(),
             last_order: Millis(0),
+            reported: Millis(0),
         }
     }
 
@@ -158,27 +164,29 @@
 
     /// Takes in what was seen. What is older than what is known is passed over.
     pub(crate) fn sight(&mut self, held: Held, from: Sighting, now: Millis) {
-        if held.seq < self.held.seq {
-            return;
-        }
-        let same = held.seq == self.held.seq;
         let mut next = held;
-        if same && from == Sighting::Listed {
-            self.keep_known(&mut next);
-        }
-        if from == Sighting::Listed {
-            next.warm.extend(self.held.warm.iter().cloned());
-            next.disk.extend(self.held.disk.iter().cloned());
-            // An entry does not tell whether an order is under way.
-            next.busy = false;
+        match from {
+            Sighting::Reported if next.seq < self.held.seq => return,
+            Sighting::Reported => self.reported = now,
+            Sighting::Listed => {
+                if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
+                    self.keep_known(&mut next);
+                }
+                next.warm.extend(self.held.warm.iter().cloned());
+                next.disk.extend(self.held.disk.iter().cloned());
+                // An entry tells neither whether an order is under way nor how many were
+                // accepted.
+                next.busy = false;
+                next.seq = self.held.seq;
+            }
         }
         next.disk.extend(next.models.keys().cloned());
         self.held = next;
         self.settle(now);
     }
 
-    /// Between two orders, what was loaded stays: an entry of the same age that lacks it
-    /// is older than the report that showed it.
+    /// What was loaded stays until an order drops it: an entry that lacks it is older than
+    /// the report that showed it.
     fn keep_known(&self, next: &mut Held) {
         for (model, adapters) in &self.held.models {
             let unloading = self.retiring.contains_key(model);
@@ -202,9 +210,7 @@
                 None => adapters.is_some(),
             };
             let wanted = order.kind == OrderKind::Load;
-            let seen = held.seq > order.expect;
-            let done = seen && there == wanted;
-            !done && now.since(p.sent) < DOUBT_MS
+            there != wanted && now.since(p.sent) < DOUBT_MS
         };
         self.pending.retain(is_open);
         let pending = &self.pending;
