Promise memory by engines' reports alone

Ruled out: a late order (its condition is gone). Change: weights are ordered only where a report proves what an engine holds at the number of orders that the order expects; adapters dropped at once count as accepted. Tests: crates/fleet/tests.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -51,6 +51,8 @@
     pub(crate) retiring: BTreeMap<Model, Millis>,
     pub(crate) last_order: Millis,
     reported: Millis,
+    /// The number of accepted orders at which what it holds is known for certain.
+    proven: Option<u64>,
 }
 
 /// An entry may be so much older than a report: engines write theirs about every 1.2 s,
@@ -74,6 +76,9 @@
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
+            // Its first entry tells what it started with. Where another planner ordered
+            // since, the number of orders does not fit and the engine refuses.
+            proven: Some(0),
         }
     }
 
@@ -167,7 +172,10 @@
         let mut next = held;
         match from {
             Sighting::Reported if next.seq < self.held.seq => return,
-            Sighting::Reported => self.reported = now,
+            Sighting::Reported => {
+                self.reported = now;
+                self.proven = (!next.busy).then_some(next.seq);
+            }
             Sighting::Listed => {
                 if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
                     self.keep_known(&mut next);
@@ -200,7 +208,7 @@
     }
 
     /// Drops the orders that are known to be carried out or void.
-    fn settle(&mut self, now: Millis) {
+    pub(crate) fn settle(&mut self, now: Millis) {
         let held = &self.held;
         let is_open = |p: &Pending| {
             let order = &p.order;
@@ -242,9 +250,26 @@
         });
     }
 
+    /// Whether what it holds is known for certain as of the orders it has accepted.
+    ///
+    /// An engine changes only by an order it accepts. So a report that shows no order
+    /// under way stays true until the engine has accepted another, and an order that
+    /// expects the reported number is refused where that has happened. Entries lag and
+    /// prove nothing: memory is promised by reports alone.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.proven == Some(self.held.seq) && !self.held.busy
+    }
+
     /// Notes that an order was accepted.
     pub(crate) fn note_accepted(&mut self, order: &Order) {
+        // The change that an adapter makes is known; how weights end is reported.
+        let known = order.adapter.is_some() && self.proven == Some(order.expect);
         self.held.seq = self.held.seq.max(order.expect + 1);
+        self.proven = known.then_some(self.held.seq);
+        if let (true, OrderKind::Load, Some(adapter)) = (known, order.kind, &order.adapter) {
+            let place = (order.model.clone(), adapter.clone());
+            self.held.coming.insert(place);
+        }
         // What the engine accepted in between voids other orders of the same condition.
         let void = |p: &Pending| p.order.expect == order.expect && p.order != *order;
         self.pending.retain(|p| !void(p));
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,6 @@
 //! All engines of one service, as far as is known.
 
-use crate::{Engine, Held, Order, OrderReply, Sighting};
+use crate::{Engine, Held, Order, OrderKind, OrderReply, Sighting};
 use shaleline_types::{Adapter, DataCentre, Millis, Model, Upstream};
 use std::collections::BTreeMap;
 
@@ -80,12 +80,17 @@
     }
 
     /// Notes the answer to an order.
-    pub fn note_reply(&mut self, order: &Order, reply: OrderReply) {
+    pub fn note_reply(&mut self, order: &Order, reply: OrderReply, now: Millis) {
         let Some(engine) = self.engines.get_mut(&order.engine) else {
             return;
         };
         match reply {
             OrderReply::Accepted => engine.note_accepted(order),
+            // An adapter that nobody uses is dropped at once.
+            OrderReply::Done if order.kind == OrderKind::Unload && order.adapter.is_some() => {
+                engine.note_accepted(order);
+                engine.settle(now);
+            }
             OrderReply::Done | OrderReply::Lost => {}
             OrderReply::Conflict
             | OrderReply::Fenced
@@ -126,6 +131,12 @@
         self.engines.values().filter(serves).count()
     }
 
+    /// Engines that must be asked what they hold before they can be ordered.
+    pub fn unproven(&self) -> impl Iterator<Item = &Upstream> {
+        let unproven = |(_, e): &(&Upstream, &Engine)| !e.leaving && !e.is_proven();
+        self.engines.iter().filter(unproven).map(|(n, _)| n)
+    }
+
     /// Whether an engine serves the adapter now.
     #[must_use]
     pub fn serves_adapter(&self, model: &Model, adapter: &Adapter) -> bool {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -143,10 +143,15 @@
     /// Engines that may be ordered about weights.
     fn free_engines(&self) -> impl Iterator<Item = (&'a Upstream, &'a Engine)> + '_ {
         let free =
-            |(n, e): &(&Upstream, &Engine)| !e.leaving && !e.is_moving() && !self.taken.contains(*n);
+            |(n, e): &(&Upstream, &Engine)| Self::takes_orders(e) && !self.taken.contains(*n);
         self.view.fleet.engines.iter().filter(free)
     }
 
+    /// Whether what the engine holds is known for certain and nothing is under way.
+    fn takes_orders(engine: &Engine) -> bool {
+        !engine.leaving && !engine.is_moving() && engine.is_proven()
+    }
+
     fn engine_load(&self, engine: &Engine) -> f64 {
         engine.serving().map(|(m, _)| self.share(m)).sum()
     }
@@ -296,7 +301,7 @@
         }
         let candidates = self.view.fleet.engines.iter().filter(|(n, e)| {
             // An order about weights would be refused or refuse this one.
-            serving(e) && !has(e) && !e.is_moving() && !self.taken.contains(*n)
+            serving(e) && !has(e) && Self::takes_orders(e) && !self.taken.contains(*n)
         });
         let places = self.view.catalog.places;
         let scored = candidates.filter_map(|(name, engine)| {
--- /dev/null
+++ b/crates/fleet/tests/claim.rs
@@ -0,0 +1,151 @@
+//! The planner's claim: never two at once, and never without a holder for long.
+
+use quickcheck::{quickcheck, TestResult};
+use shaleline_fleet::{Claim, ClaimAction, ClaimSettings, ClaimView};
+use shaleline_types::Millis;
+use std::collections::VecDeque;
+
+const LEASE: Millis = Millis(3_000);
+const START: u64 = 1_000_000;
+
+/// The topic as the store keeps it.
+#[derive(Default)]
+struct Topic {
+    end: u64,
+    holder: Option<String>,
+}
+
+impl Topic {
+    fn view(&self) -> ClaimView {
+        ClaimView {
+            end: self.end,
+            holder: self.holder.clone(),
+            released: false,
+        }
+    }
+
+    fn append(&mut self, who: &str, end: u64) -> Result<u64, u64> {
+        if end != self.end {
+            return Err(self.end);
+        }
+        self.holder = Some(who.to_owned());
+        self.end += 1;
+        Ok(end)
+    }
+}
+
+/// One daemon, whose clock and calls may be held up.
+struct Daemon {
+    name: String,
+    claim: Claim,
+    frozen: u64,
+    /// Calls that are under way: when they are carried out, what they do, when they began,
+    /// and whether their answer is lost.
+    calls: VecDeque<(u64, ClaimAction, Millis, bool)>,
+}
+
+/// What may go wrong in one step of 50 ms: whose turn it is, and what.
+type Step = (u8, u8);
+
+/// Plays the steps and returns the times at which each daemon could order, by token.
+fn play(steps: &[Step]) -> Vec<(u64, usize, u64)> {
+    let settings = ClaimSettings::from_lease(LEASE);
+    let mut topic = Topic::default();
+    let mut daemons: Vec<Daemon> = (0..3)
+        .map(|i| Daemon {
+            name: format!("d{i}"),
+            claim: Claim::new(settings, format!("d{i}")),
+            frozen: 0,
+            calls: VecDeque::new(),
+        })
+        .collect();
+    let mut orders = Vec::new();
+    for (i, (who, fault)) in steps.iter().enumerate() {
+        let now = START + i as u64 * 50;
+        let index = usize::from(*who) % daemons.len();
+        let mut lost = false;
+        let mut delay = 5;
+        match fault % 16 {
+            0 => daemons[index].frozen = now + 4_000,
+            1 => lost = true,
+            2 => delay = 2_500,
+            _ => {}
+        }
+        for (d, daemon) in daemons.iter_mut().enumerate() {
+            deliver(daemon, &mut topic, now);
+            if daemon.frozen > now {
+                continue;
+            }
+            if let Some(action) = daemon.claim.tick(Millis(now)) {
+                let (lost, delay) = if d == index { (lost, delay) } else { (false, 5) };
+                let call = (now + delay, action, Millis(now), lost);
+                daemon.calls.push_back(call);
+            }
+            if let Some(fence) = daemon.claim.fence(Millis(now)) {
+                orders.push((now, d, fence));
+            }
+        }
+    }
+    orders
+}
+
+fn deliver(daemon: &mut Daemon, topic: &mut Topic, now: u64) {
+    let due = daemon.calls.iter().filter(|c| c.0 <= now).count();
+    for (_, action, began, lost) in daemon.calls.drain(..due).collect::<Vec<_>>() {
+        match action {
+            ClaimAction::Read if lost => daemon.claim.on_failed(),
+            ClaimAction::Read => daemon.claim.on_read(&topic.view(), began, Millis(now)),
+            ClaimAction::Append { end, .. } => match topic.append(&daemon.name, end) {
+                _ if lost => daemon.claim.on_failed(),
+                Ok(offset) => daemon.claim.on_appended(offset, began),
+                Err(_) => daemon.claim.on_moved(),
+            },
+        }
+    }
+}
+
+quickcheck! {
+    fn orders_of_two_holders_are_a_lease_apart(steps: Vec<Step>) -> TestResult {
+        let long: Vec<Step> = steps.iter().cycle().take(900).copied().collect();
+        let orders = play(&long);
+        for pair in orders.windows(2) {
+            let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
+            if a != b && (after - before < LEASE.0 || next <= fence) {
+                return TestResult::error(format!("{pair:?}"));
+            }
+        }
+        TestResult::passed()
+    }
+}
+
+#[test]
+fn somebody_holds_it_at_once_and_again_after_a_freeze() {
+    let calm: Vec<Step> = vec![(0, 9); 40];
+    let orders = play(&calm);
+    assert!(orders.iter().any(|(at, ..)| *at < START + 500));
+    let holder = orders[0].1 as u8;
+    let mut frozen = calm;
+    frozen.push((holder, 0));
+    frozen.extend(vec![(0, 9); 200]);
+    let after = play(&frozen);
+    let last = after.last().expect("somebody plans");
+    assert!(last.0 >= START + 230 * 50, "nobody plans at the end");
+}
+
+#[test]
+fn a_claim_without_an_answer_is_found_by_reading() {
+    let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "me".to_owned());
+    let view = |end, holder: Option<&str>| ClaimView {
+        end,
+        holder: holder.map(str::to_owned),
+        released: false,
+    };
+    assert_eq!(claim.tick(Millis(START)), Some(ClaimAction::Read));
+    claim.on_read(&view(0, None), Millis(START), Millis(START + 5));
+    let append = ClaimAction::Append { end: 0, fence: None };
+    assert_eq!(claim.tick(Millis(START + 10)), Some(append));
+    claim.on_failed();
+    assert_eq!(claim.tick(Millis(START + 600)), Some(ClaimAction::Read));
+    claim.on_read(&view(1, Some("me")), Millis(START + 600), Millis(START + 605));
+    assert_eq!(claim.fence(Millis(START + 610)), Some(1));
+}
--- /dev/null
+++ b/crates/fleet/tests/planner.rs
@@ -0,0 +1,201 @@
+//! Placement: what is ordered, and what is not.
+
+use shaleline_fleet::{
+    Catalog, Fleet, Held, LoadWindow, ModelRule, Order, OrderKind, OrderReply, PlanSettings,
+    PlanView, Planner, Rates, Sighting,
+};
+use shaleline_testkit::cases;
+use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
+use std::collections::BTreeSet;
+
+const NOW: Millis = Millis(1_000_000);
+
+fn model(name: &str) -> Model {
+    Model::from_text(name).expect("a valid name")
+}
+
+fn adapter(name: &str) -> Adapter {
+    Adapter::from_text(name).expect("a valid name")
+}
+
+fn engine(name: &str) -> Upstream {
+    Upstream::from_text(name).expect("a valid name")
+}
+
+fn centre() -> DataCentre {
+    DataCentre::from_text("dc1").expect("a valid name")
+}
+
+/// Models of 70 GB on engines of 150 GB: two fit, and one adapter beside them.
+fn catalog(models: &[&str]) -> Catalog {
+    let rule = |name: &&str| {
+        let rule = ModelRule {
+            size: Megabytes(70_000),
+            store: Millis(9_000),
+            disk: Millis(2_000),
+            warm: Millis(800),
+            adapters: vec![adapter("a1"), adapter("a2")],
+            adapter_size: Megabytes(50),
+        };
+        (model(name), rule)
+    };
+    Catalog {
+        models: models.iter().map(rule).collect(),
+        memory: Megabytes(150_000),
+        places: 1,
+        rate: 10.0,
+        slots: 64,
+        copies: Megabytes(150_000),
+        disk: Megabytes(440_000),
+    }
+}
+
+fn held(models: &[&str], seq: u64) -> Held {
+    let models = models.iter().map(|m| (model(m), BTreeSet::new()));
+    Held {
+        models: models.collect(),
+        seq,
+        ..Held::default()
+    }
+}
+
+fn rates(pairs: &[(&str, Option<&str>, f64)]) -> Rates {
+    let rate = |(m, a, r): &(&str, Option<&str>, f64)| ((model(m), a.map(adapter)), *r);
+    pairs.iter().map(rate).collect()
+}
+
+fn plan(catalog: &Catalog, fleet: &Fleet, rates: &Rates) -> Vec<Order> {
+    let view = PlanView {
+        catalog,
+        fleet,
+        rates,
+        fence: 7,
+        holder: "me",
+    };
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    Planner::new(PlanSettings::default()).plan(&view, &mut window, NOW)
+}
+
+fn sight(fleet: &mut Fleet, name: &str, held: Held) {
+    fleet.sight(&engine(name), &centre(), held, Sighting::Listed, NOW);
+}
+
+fn words(orders: &[Order]) -> Vec<String> {
+    orders.iter().map(ToString::to_string).collect()
+}
+
+/// Two engines; `b` is held by nobody. What is ordered once `order` was accepted at the
+/// first engine and `after` came of it?
+fn after_accepted(after: fn(&mut Fleet, &Order)) -> Vec<String> {
+    let catalog = catalog(&["a", "b"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["a"], 0));
+    let orders = plan(&catalog, &fleet, &Rates::new());
+    let order = orders.first().expect("the model that is nowhere is loaded");
+    fleet.note_sent(order, NOW);
+    fleet.note_reply(order, OrderReply::Accepted, NOW);
+    after(&mut fleet, order);
+    let others = catalog_with_c();
+    words(&plan(&others, &fleet, &Rates::new()))
+}
+
+fn catalog_with_c() -> Catalog {
+    Catalog {
+        memory: Megabytes(220_000),
+        ..catalog(&["a", "b", "c"])
+    }
+}
+
+fn nothing(_: &mut Fleet, _: &Order) {}
+
+fn an_entry_shows_it(fleet: &mut Fleet, _: &Order) {
+    sight(fleet, "e1", held(&["a", "b"], 99));
+}
+
+fn a_report_shows_it(fleet: &mut Fleet, _: &Order) {
+    fleet.report(&engine("e1"), held(&["a", "b"], 1), NOW);
+}
+
+fn a_busy_report_shows_it(fleet: &mut Fleet, _: &Order) {
+    let held = Held {
+        busy: true,
+        ..held(&["a", "b"], 1)
+    };
+    fleet.report(&engine("e1"), held, NOW);
+}
+
+fn an_old_report_comes(fleet: &mut Fleet, _: &Order) {
+    fleet.report(&engine("e1"), held(&["a"], 0), NOW);
+}
+
+cases! { after_accepted;
+    no_second_order_while_one_is_under_way: nothing => Vec::<String>::new(),
+    // A planner that took over promised memory twice: entries lag behind loads.
+    an_entry_is_no_proof_of_what_is_held: an_entry_shows_it => Vec::<String>::new(),
+    a_report_is_proof: a_report_shows_it => vec!["load c at e1 expecting 1".to_owned()],
+    a_busy_engine_is_no_proof: a_busy_report_shows_it => Vec::<String>::new(),
+    an_old_report_is_passed_over: an_old_report_comes => Vec::<String>::new(),
+}
+
+/// What is ordered at engines that hold these models, while `work` is asked for.
+fn ordered(case: (&[&[&str]], &[(&str, Option<&str>, f64)])) -> Vec<String> {
+    let (engines, work) = case;
+    let names: BTreeSet<&str> = engines.iter().flat_map(|e| e.iter().copied()).collect();
+    let names: Vec<&str> = names.into_iter().collect();
+    let catalog = catalog(&names);
+    let mut fleet = Fleet::default();
+    for (i, models) in engines.iter().enumerate() {
+        sight(&mut fleet, &format!("e{i}"), held(models, 0));
+    }
+    words(&plan(&catalog, &fleet, &rates(work)))
+}
+
+cases! { ordered;
+    nothing_is_moved_without_demand: (&[&["a", "b"], &["a", "c"]], &[]) => Vec::<String>::new(),
+    a_last_replica_never_makes_room:
+        (&[&["a", "b"], &["c", "d"]], &[("a", None, 900.0)]) => Vec::<String>::new(),
+    a_busy_model_takes_the_place_of_an_idle_one:
+        (&[&["a", "b"], &["b", "c"]], &[("a", None, 900.0)])
+            => vec!["unload b at e1 expecting 0".to_owned()],
+    a_small_gain_moves_nothing:
+        (&[&["a", "b"], &["b", "c"]], &[("a", None, 20.0)]) => Vec::<String>::new(),
+    an_adapter_goes_where_its_model_is:
+        (&[&["a", "b"], &["c", "d"]], &[("a", Some("a1"), 2.0)])
+            => vec!["load a+a1 at e0 expecting 0".to_owned()],
+}
+
+#[test]
+fn loads_from_the_store_stop_at_its_rate() {
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    let room = window.room(1.4, NOW);
+    for _ in 0..room {
+        window.note(NOW);
+    }
+    // 1.4 a second over 5 s, a tenth more, and 3: at most 10 may begin.
+    assert!(room <= 10, "{room} loads may begin at once");
+    assert_eq!(window.room(1.4, NOW.plus(5_000)), 0);
+    assert_eq!(window.room(1.4, NOW.plus(6_500)), room);
+}
+
+#[test]
+fn a_planner_that_took_over_waits_out_the_window() {
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    window.block(NOW.plus(5_000));
+    assert_eq!(window.room(1.4, NOW), 0);
+    assert!(window.room(1.4, NOW.plus(5_000)) > 0);
+}
+
+#[test]
+fn what_an_adapter_takes_counts_before_it_is_there() {
+    let catalog = catalog(&["a", "b"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["a", "b"], 0));
+    let asked = rates(&[("a", Some("a1"), 5.0), ("b", Some("a2"), 4.0)]);
+    let orders = plan(&catalog, &fleet, &asked);
+    assert_eq!(words(&orders), ["load a+a1 at e1 expecting 0"]);
+    fleet.note_sent(&orders[0], NOW);
+    fleet.note_reply(&orders[0], OrderReply::Accepted, NOW);
+    let next = plan(&catalog, &fleet, &asked);
+    let loads = next.iter().filter(|o| o.kind == OrderKind::Load);
+    assert_eq!(loads.count(), 0, "one place, and it is promised");
+}
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -39,6 +39,10 @@
 /// The pause between two looks at an engine that is carrying an order out.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 
+/// The pause between two looks at an engine that somebody else gave an order to; each
+/// costs as much as a health check.
+const LOOK_PAUSE: Duration = Duration::from_millis(700);
+
 /// So many looks after the expected time, then the engine's own entry has to do.
 const LOOKS: usize = 6;
 
@@ -238,6 +242,7 @@
             orders.push((service.clone(), order));
         }
     }
+    look_again(gw, working);
     for (service, order) in orders {
         if working.engines.borrow_mut().insert(order.engine.clone()) {
             let (gw, working) = (Rc::clone(gw), Rc::clone(working));
@@ -250,6 +255,23 @@
     }
 }
 
+/// Asks engines what they hold, where that is not known for certain.
+fn look_again(gw: &Rc<Gateway>, working: &Rc<Working>) {
+    let fleets = gw.fleets.borrow();
+    let names: Vec<Upstream> = fleets.values().flat_map(|f| f.unproven().cloned()).collect();
+    drop(fleets);
+    for name in names {
+        if working.engines.borrow_mut().insert(name.clone()) {
+            let (gw, working) = (Rc::clone(gw), Rc::clone(working));
+            actix_rt::spawn(async move {
+                look(&gw, &name).await;
+                tokio::time::sleep(LOOK_PAUSE).await;
+                working.engines.borrow_mut().remove(&name);
+            });
+        }
+    }
+}
+
 impl Gateway {
     /// The name under which this daemon claims.
     fn holder(&self) -> String {
@@ -300,10 +322,12 @@
     gw.metrics.count_order(reply_word(reply));
     let detail = format!("order=\"{order}\" fence={} reply={reply:?}", order.fence);
     emit(LogEvent::OrderSent, &detail);
-    gw.with_fleet(&order.engine, |f| f.note_reply(order, reply));
+    gw.with_fleet(&order.engine, |f| f.note_reply(order, reply, gw.now()));
     match reply {
         OrderReply::Accepted => watch(gw, service, order).await,
+        // What an engine reports is some hundred milliseconds old.
         OrderReply::Done | OrderReply::Conflict => {
+            tokio::time::sleep(LOOK_AGAIN).await;
             look(gw, &order.engine).await;
         }
         OrderReply::Fenced => gw.claim.borrow_mut().step_down(),
