--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -51,8 +51,8 @@
     pub(crate) retiring: BTreeMap<Model, Millis>,
     pub(crate) last_order: Millis,
     reported: Millis,
-    /// The number of accepted orders at which what it holds is known for certain.
-    proven: Option<u64>,
+    /// What it holds for certain, as of the number of orders it had accepted.
+    proof: Option<Held>,
 }
 
 /// An entry may be so much older than a report: engines write theirs about every 1.2 s,
@@ -71,14 +71,17 @@
         Self {
             centre,
             leaving: false,
+            // Its first entry tells what it started with. Where another planner ordered
+            // since, the number of orders does not fit and the engine refuses.
+            proof: Some(Held {
+                seq: 0,
+                ..held.clone()
+            }),
             held,
             pending: Vec::new(),
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
-            // Its first entry tells what it started with. Where another planner ordered
-            // since, the number of orders does not fit and the engine refuses.
-            proven: Some(0),
         }
     }
 
@@ -135,23 +138,32 @@
     }
 
     /// Every model that may be in its memory, in the worst case.
-    pub(crate) fn worst_models(&self) -> BTreeSet<&Model> {
+    fn worst_models(&self) -> BTreeSet<&Model> {
         let loads = self.pending.iter().filter_map(|p| {
             (p.order.kind == OrderKind::Load && p.order.adapter.is_none()).then_some(&p.order.model)
         });
-        self.held.models.keys().chain(loads).collect()
+        let proof = self.proof.iter().flat_map(|p| p.models.keys());
+        proof.chain(loads).collect()
     }
 
     /// Every adapter that may take a place, in the worst case.
     pub(crate) fn worst_adapters(&self) -> BTreeSet<(&Model, &Adapter)> {
-        let held = self.held.models.iter();
-        let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
-        let coming = self.held.coming.iter().map(|(m, a)| (m, a));
+        let proof = self.proof.iter().flat_map(|p| {
+            let held = p.models.iter();
+            let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
+            held.chain(p.coming.iter().map(|(m, a)| (m, a)))
+        });
         let loads = self.pending.iter().filter_map(|p| {
             let adapter = p.order.adapter.as_ref()?;
             (p.order.kind == OrderKind::Load).then_some((&p.order.model, adapter))
         });
-        held.chain(coming).chain(loads).collect()
+        proof.chain(loads).collect()
+    }
+
+    /// The adapters that it holds for certain.
+    pub(crate) fn certain_adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
+        let models = self.proof.iter().flat_map(|p| &p.models);
+        models.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)))
     }
 
     /// The memory that may be taken, in the worst case.
@@ -174,7 +186,7 @@
             Sighting::Reported if next.seq < self.held.seq => return,
             Sighting::Reported => {
                 self.reported = now;
-                self.proven = (!next.busy).then_some(next.seq);
+                self.proof = (!next.busy).then(|| next.clone());
             }
             Sighting::Listed => {
                 if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
@@ -257,18 +269,33 @@
     /// expects the reported number is refused where that has happened. Entries lag and
     /// prove nothing: memory is promised by reports alone.
     pub(crate) fn is_proven(&self) -> bool {
-        self.proven == Some(self.held.seq) && !self.held.busy
+        let proof = self.proof.as_ref();
+        proof.is_some_and(|p| p.seq == self.held.seq) && !self.held.busy
     }
 
-    /// Notes that an order was accepted.
-    pub(crate) fn note_accepted(&mut self, order: &Order) {
-        // The change that an adapter makes is known; how weights end is reported.
-        let known = order.adapter.is_some() && self.proven == Some(order.expect);
+    /// Notes that an order was accepted. `done` says that it was carried out at once.
+    pub(crate) fn note_accepted(&mut self, order: &Order, done: bool) {
         self.held.seq = self.held.seq.max(order.expect + 1);
-        self.proven = known.then_some(self.held.seq);
-        if let (true, OrderKind::Load, Some(adapter)) = (known, order.kind, &order.adapter) {
+        // The change that an adapter makes is known. How weights end is reported, and when
+        // an adapter goes that is still in use.
+        let known = self.proof.take().filter(|p| p.seq == order.expect);
+        if let (Some(mut proof), Some(adapter)) = (known, &order.adapter) {
+            proof.seq = order.expect + 1;
             let place = (order.model.clone(), adapter.clone());
-            self.held.coming.insert(place);
+            match order.kind {
+                OrderKind::Load => {
+                    proof.coming.insert(place);
+                    self.proof = Some(proof);
+                }
+                OrderKind::Unload if done => {
+                    let adapters = proof.models.get_mut(&order.model);
+                    if let Some(adapters) = adapters {
+                        adapters.remove(adapter);
+                    }
+                    self.proof = Some(proof);
+                }
+                OrderKind::Unload => {}
+            }
         }
         // What the engine accepted in between voids other orders of the same condition.
         let void = |p: &Pending| p.order.expect == order.expect && p.order != *order;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -23,7 +23,7 @@
         match self.engines.get_mut(name) {
             Some(engine) => engine.sight(held, from, now),
             None => {
-                let mut engine = Engine::new(centre.clone(), Held::default());
+                let mut engine = Engine::new(centre.clone(), held.clone());
                 engine.sight(held, from, now);
                 self.engines.insert(name.clone(), engine);
             }
@@ -85,10 +85,10 @@
             return;
         };
         match reply {
-            OrderReply::Accepted => engine.note_accepted(order),
+            OrderReply::Accepted => engine.note_accepted(order, false),
             // An adapter that nobody uses is dropped at once.
             OrderReply::Done if order.kind == OrderKind::Unload && order.adapter.is_some() => {
-                engine.note_accepted(order);
+                engine.note_accepted(order, true);
                 engine.settle(now);
             }
             OrderReply::Done | OrderReply::Lost => {}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -86,11 +86,20 @@
     replicas: BTreeMap<&'a Model, usize>,
     /// Loads from the weight store that may begin.
     loads: usize,
+    /// What the models on each engine ask of it, as of the start of the plan.
+    engine_loads: BTreeMap<&'a Upstream, f64>,
     /// Engines that have an order in this plan.
     taken: BTreeSet<&'a Upstream>,
     orders: Vec<Order>,
 }
 
+/// Replicas that one plan adds at the most; the next plan goes on a moment later.
+const MOST_STEPS: usize = 8;
+
+/// Models that are tried for each of them. Where the first few find no place, the rest
+/// gain little.
+const MOST_TRIED: usize = 6;
+
 /// Demand below this counts as this, so that replicas of idle models are compared too.
 const LEAST_WORK: f64 = 0.1;
 
@@ -104,15 +113,19 @@
             }
         }
         let replicas = work.keys().map(|m| (*m, view.fleet.replicas(m)));
-        Self {
+        let mut draft = Self {
             replicas: replicas.collect(),
+            engine_loads: BTreeMap::new(),
             view,
             settings,
             work,
             loads: 0,
             taken: BTreeSet::new(),
             orders: Vec::new(),
-        }
+        };
+        let engines = view.fleet.engines.iter();
+        draft.engine_loads = engines.map(|(n, e)| (n, draft.engine_load(e))).collect();
+        draft
     }
 
     fn work(&self, model: &Model) -> f64 {
@@ -156,6 +169,10 @@
         engine.serving().map(|(m, _)| self.share(m)).sum()
     }
 
+    fn load_of(&self, engine: &Upstream) -> f64 {
+        self.engine_loads.get(engine).copied().unwrap_or(0.0)
+    }
+
     fn has_room(&self, engine: &Engine, rule: &ModelRule) -> bool {
         let taken = engine.worst_memory(self.view.catalog).0;
         taken + rule.size.0 <= self.view.catalog.memory.0
@@ -183,12 +200,12 @@
 
     /// Gives more replicas to the models that gain most.
     fn grow(&mut self) {
-        // Each engine takes one order in a plan, so no more steps than engines help.
-        for _ in 0..self.view.fleet.engines.len() {
+        for _ in 0..MOST_STEPS {
             let mut models: Vec<&Model> = self.work.keys().copied().collect();
             models.sort_by(|a, b| self.gain(b).total_cmp(&self.gain(a)));
             let worth = |m: &&Model| self.gain(m) >= self.settings.least_near;
-            let models: Vec<&Model> = models.into_iter().take_while(worth).collect();
+            let models = models.into_iter().take_while(worth).take(MOST_TRIED);
+            let models: Vec<&Model> = models.collect();
             let placed = models.into_iter().any(|m| {
                 let gain = self.gain(m);
                 self.place(m, gain)
@@ -220,7 +237,7 @@
                 let (victim, loss) = self.victim(engine, gain, missing)?;
                 (Some(victim), loss)
             };
-            let cost = time.0 as f64 / 10.0 + loss + self.engine_load(engine) / 4.0;
+            let cost = time.0 as f64 / 10.0 + loss + self.load_of(name) / 4.0;
             Some((cost, name, victim, far))
         });
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -315,7 +332,7 @@
             } else {
                 Some(self.idle_adapter(engine, count == 0)?)
             };
-            let load = self.engine_load(engine) + used.len() as f64;
+            let load = self.load_of(name) + used.len() as f64;
             Some((victim.is_some(), load, name, victim))
         });
         let best = scored.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -336,8 +353,7 @@
             let key = (m.clone(), Some(a.clone()));
             self.view.rates.get(&key).copied().unwrap_or(0.0)
         };
-        let held = engine.held().models.iter();
-        let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
+        let held = engine.certain_adapters();
         let least = held.min_by(|x, y| rate(x.0, x.1).total_cmp(&rate(y.0, y.1)))?;
         (needed || rate(least.0, least.1) == 0.0).then_some(least)
     }
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -164,6 +164,38 @@
             => vec!["load a+a1 at e0 expecting 0".to_owned()],
 }
 
+/// An engine with its one place taken by `a1`, which is not asked for any more, while
+/// `a2` is. What is ordered next, once the order to drop `a1` got this answer?
+fn after_drop(reply: OrderReply) -> Vec<String> {
+    let catalog = catalog(&["a", "b"]);
+    let mut fleet = Fleet::default();
+    let mut full = held(&["a", "b"], 0);
+    full.models.insert(model("a"), BTreeSet::from([adapter("a1")]));
+    sight(&mut fleet, "e1", full.clone());
+    let asked = rates(&[("a", Some("a2"), 5.0)]);
+    let orders = plan(&catalog, &fleet, &asked);
+    assert_eq!(words(&orders), ["unload a+a1 at e1 expecting 0"]);
+    fleet.note_sent(&orders[0], NOW);
+    fleet.note_reply(&orders[0], reply, NOW);
+    // An old entry, as it is read after the store was away.
+    sight(&mut fleet, "e1", held(&["a", "b"], 0));
+    words(&plan(&catalog, &fleet, &asked))
+}
+
+fn again() -> Vec<String> {
+    vec!["unload a+a1 at e1 expecting 0".to_owned()]
+}
+
+cases! { after_drop;
+    // Without an answer the adapter may still be there: a place was promised twice.
+    a_drop_without_an_answer_frees_no_place: OrderReply::Lost => again(),
+    a_refused_drop_frees_no_place: OrderReply::Conflict => again(),
+    a_drop_that_waits_for_its_requests_frees_no_place: OrderReply::Accepted => Vec::<String>::new(),
+    a_drop_done_at_once_frees_a_place: OrderReply::Done => vec![
+        "load a+a2 at e1 expecting 1".to_owned()
+    ],
+}
+
 #[test]
 fn loads_from_the_store_stop_at_its_rate() {
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,11 +1,13 @@
 //! Keeps up with the store: the configuration, the upstreams' entries, the other daemons.
 
 use crate::journal::emit;
+use crate::message::Sender;
+use crate::roster::Change;
 use crate::state::Gateway;
 use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
 use crate::Entry;
 use serde::{Deserialize, Serialize};
-use shaleline_types::{Instance, LogEvent, Millis, Upstream};
+use shaleline_types::{DataCentre, Instance, LogEvent, Millis, Upstream};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +22,7 @@
 /// How a daemon is listed for the others.
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRecord {
+    centre: DataCentre,
     address: SocketAddr,
     life: u64,
 }
@@ -75,6 +78,7 @@
     let mut link = Link::new("config");
     let mut next = None;
     loop {
+        wait_for_change(&gw, next).await;
         let result = match next {
             None => gw.store.newest(Topic::Config).await,
             Some(from) => {
@@ -89,6 +93,7 @@
                 // Before the first configuration there is nothing to wait at.
                 let empty = next.is_none() && batch.records.is_empty();
                 next = Some(batch.next);
+                gw.reading.borrow_mut().on_config(batch.next, gw.now());
                 if empty {
                     pause(&gw).await;
                 }
@@ -99,6 +104,24 @@
     }
 }
 
+/// Waits while a hub says that the configuration was read up to `next` a moment ago.
+async fn wait_for_change(gw: &Gateway, next: Option<u64>) {
+    /// How often a follower looks whether its hub has fallen silent.
+    const LOOK: Duration = Duration::from_millis(200);
+    while let Some(next) = next {
+        let now = gw.now();
+        let hub = gw.mesh.borrow_mut().is_hub(now);
+        let read = gw.reading.borrow().hub_config(now);
+        if hub || read.is_none_or(|r| r > next) {
+            return;
+        }
+        tokio::select! {
+            () = gw.marked.notified() => {}
+            () = tokio::time::sleep(LOOK) => {}
+        }
+    }
+}
+
 fn take_config(gw: &Gateway, batch: &Batch) {
     let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
     let Some(value) = newest.and_then(|r| r.value.as_ref()) else {
@@ -115,6 +138,15 @@
     let mut link = Link::new("upstreams");
     let mut next = None;
     loop {
+        let every = gw.settings.policy.read_every.0;
+        let hub = gw.mesh.borrow_mut().is_hub(gw.now());
+        if !hub && gw.listed.get() && gw.reading.borrow().follows_entries(gw.now()) {
+            // What was changed meanwhile comes from the hub; the offset is not known.
+            next = None;
+            tokio::time::sleep(Duration::from_millis(every / 4)).await;
+            continue;
+        }
+        let position = gw.reading.borrow().position();
         let result = match next {
             None => gw.store.newest(Topic::Upstreams).await,
             Some(from) => gw.store.tail(Topic::Upstreams, from, Millis(0)).await,
@@ -122,10 +154,17 @@
         link.note(&gw, &result);
         match result {
             Ok(batch) => {
-                take_entries(&gw, &batch, next.is_none());
+                take_batch(&gw, &batch, next.is_none());
+                let all = next.is_none();
                 next = Some(batch.next);
                 gw.listed.set(true);
-                let every = gw.settings.policy.read_every.0;
+                {
+                    let mut reading = gw.reading.borrow_mut();
+                    reading.on_entries(gw.now());
+                    if all {
+                        reading.on_all(position);
+                    }
+                }
                 let jitter = gw.draw() % (every / 8 + 1);
                 tokio::time::sleep(Duration::from_millis(every - jitter)).await;
             }
@@ -135,27 +174,45 @@
     }
 }
 
-fn take_entries(gw: &Gateway, batch: &Batch, all: bool) {
+fn take_batch(gw: &Gateway, batch: &Batch, all: bool) {
     let now = gw.now();
-    let mut changes = Vec::new();
-    if all {
-        let entries = batch.records.iter().filter_map(|r| entry_of(gw, r));
-        let entries = entries.filter_map(|(n, e)| Some((n, e?)));
-        changes = gw.roster.borrow_mut().on_all(entries.collect(), now);
-    } else {
-        for record in &batch.records {
-            let Some((name, entry)) = entry_of(gw, record) else {
-                continue;
-            };
-            let mut roster = gw.roster.borrow_mut();
+    let entries = batch.records.iter().filter_map(|r| entry_of(gw, r));
+    if !all {
+        gw.take_entries(entries.collect(), now);
+        return;
+    }
+    let entries = entries.filter_map(|(n, e)| Some((n, e?)));
+    let changes = gw.roster.borrow_mut().on_all(entries.collect(), now);
+    gw.apply_all(changes);
+}
+
+impl Gateway {
+    /// Takes in entries in the order in which they were written.
+    pub(crate) fn take_entries(&self, entries: Vec<(Upstream, Option<Entry>)>, now: Millis) {
+        let mut changes = Vec::new();
+        for (name, entry) in entries {
+            let mut roster = self.roster.borrow_mut();
             changes.extend(match entry {
                 Some(entry) => roster.on_entry(&name, entry),
                 None => roster.on_removed(&name, now),
             });
         }
+        self.apply_all(changes);
     }
-    for change in changes {
-        gw.apply(change);
+
+    /// Applies changes, and tells those who follow this daemon's reading.
+    pub(crate) fn apply_all(&self, changes: Vec<Change>) {
+        let roster = self.roster.borrow();
+        let told = changes.iter().map(|c| match c {
+            Change::Present(name) => (name.clone(), roster.get(name).cloned()),
+            Change::Gone(name) => (name.clone(), None),
+        });
+        let told: Vec<(Upstream, Option<Entry>)> = told.collect();
+        drop(roster);
+        for change in changes {
+            self.apply(change);
+        }
+        self.tell_changes(told);
     }
 }
 
@@ -184,6 +241,7 @@
 pub(crate) async fn members(gw: Rc<Gateway>) {
     let mut link = Link::new("members");
     let record = MemberRecord {
+        centre: gw.me.centre.clone(),
         address: gw.settings.listen.peers,
         life: gw.me.life,
     };
@@ -217,9 +275,13 @@
     let value = record.value.as_deref().unwrap_or_default();
     match serde_json::from_slice::<MemberRecord>(value) {
         Ok(member) if instance != gw.me.instance => {
+            let from = Sender {
+                instance,
+                centre: member.centre,
+                life: member.life,
+            };
             let now = gw.now();
-            let mut peers = gw.peers.borrow_mut();
-            peers.learn(instance, member.address, member.life, now);
+            gw.mesh.borrow_mut().learn(&from, member.address, now);
         }
         Ok(_) => {}
         Err(e) => emit(
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,7 +1,8 @@
 //! Sends and receives the daemons' datagrams.
 
 use crate::journal::emit;
-use crate::peers::{Datagram, LoadNote, Message, UpstreamNote};
+use crate::mesh::Outgoing;
+use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, UpstreamNote};
 use crate::state::Gateway;
 use shaleline_route::{PeerLoad, RouteEvent};
 use shaleline_types::{LogEvent, Upstream};
@@ -14,100 +15,103 @@
 /// The largest datagram that is read.
 const MOST_BYTES: usize = 65_536;
 
-/// A datagram that a network carries in one piece, headers taken off.
-const ONE_PACKET: usize = 1_400;
+/// The most models and adapters that a daemon tells to be asked for, the most wanted first.
+const MOST_RATES: usize = 64;
+
+/// Load is told the less often, the more daemons there are: so many milliseconds for each
+/// of them, within these bounds. A hub's own link is what limits it.
+const TICK_PER_DAEMON: u64 = 3;
+const TICK_BOUNDS: (u64, u64) = (120, 300);
 
 /// What is sent between two notes of load.
-pub(crate) type Outbox = mpsc::UnboundedReceiver<(Option<SocketAddr>, Message)>;
+pub(crate) type Outbox = mpsc::UnboundedReceiver<Outgoing>;
 
 /// Sends what is put into the outbox, and this daemon's load at a steady pace.
 pub(crate) async fn send(gw: Rc<Gateway>, socket: Rc<UdpSocket>, mut outbox: Outbox) {
-    let mut ticks = tokio::time::interval(Duration::from_millis(
-        gw.settings.policy.gossip_every.0.max(1),
-    ));
+    let mut next = tokio::time::Instant::now();
     loop {
         tokio::select! {
-            _ = ticks.tick() => {
-                gw.share_budget();
-                let note = load_note(&gw);
-                send_one(&gw, &socket, None, Message::Load(note)).await;
-                pass_loads(&gw);
-            }
-            Some((to, message)) = outbox.recv() => {
-                send_one(&gw, &socket, to, message).await;
+            () = tokio::time::sleep_until(next) => {
+                let known = gw.mesh.borrow().known() as u64;
+                let (least, most) = TICK_BOUNDS;
+                let pause = (known * TICK_PER_DAEMON).clamp(least, most);
+                next = tokio::time::Instant::now() + Duration::from_millis(pause);
+                tick(&gw, &socket).await;
             }
+            Some(messages) = outbox.recv() => send_all(&gw, &socket, messages).await,
         }
     }
 }
 
-async fn send_one(gw: &Gateway, socket: &UdpSocket, to: Option<SocketAddr>, message: Message) {
+async fn tick(gw: &Gateway, socket: &UdpSocket) {
+    gw.share_budget();
     let now = gw.now();
-    let targets = match to {
-        Some(address) => vec![address],
-        None => gw.peers.borrow_mut().targets(now),
-    };
-    if targets.is_empty() {
-        return;
-    }
-    let datagram = Datagram {
-        from: gw.me.clone(),
-        message,
-    };
-    let bytes = match postcard::to_stdvec(&datagram) {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            emit(LogEvent::PeerMessageBad, &format!("reason=\"{e}\""));
-            return;
+    let note = load_note(gw);
+    let mark = gw.reading.borrow().mark(now);
+    let messages = gw.mesh.borrow_mut().tick(note, mark, now);
+    send_all(gw, socket, messages).await;
+    pass_loads(gw);
+}
+
+async fn send_all(gw: &Gateway, socket: &UdpSocket, messages: Outgoing) {
+    for (target, message) in messages {
+        let datagram = Datagram {
+            from: gw.me.clone(),
+            message,
+        };
+        match postcard::to_stdvec(&datagram) {
+            // Datagrams may be lost anyway; what they say is said again.
+            Ok(bytes) => {
+                socket.send_to(&bytes, target).await.ok();
+            }
+            Err(e) => emit(LogEvent::PeerMessageBad, &format!("reason=\"{e}\"")),
         }
-    };
-    for target in targets {
-        // Datagrams may be lost anyway; what they say is said again.
-        socket.send_to(&bytes, target).await.ok();
     }
 }
 
-/// What this daemon tells of its load. What does not fit into one packet is left out, the
-/// least first: it is told again.
+/// What this daemon tells of its load.
 fn load_note(gw: &Gateway) -> LoadNote {
     let now = gw.now();
     let router = gw.router.borrow();
-    let clamp = |ms: f64| ms.clamp(0.0, f64::from(u16::MAX)) as u16;
     let note = |l: PeerLoad| UpstreamNote {
-        running: l.running.min(usize::from(u16::MAX)) as u16,
-        urgent: clamp(l.urgent),
-        backlog: clamp(l.backlog),
+        running: l.running as u32,
+        urgent: l.urgent as u32,
+        backlog: l.backlog as u32,
     };
     let loads = router.names().filter_map(|n| {
         let load = router.own_load(n)?;
         (load.running > 0).then(|| (n.clone(), note(load)))
     });
-    let mut upstreams: Vec<(Upstream, UpstreamNote)> = loads.collect();
-    upstreams.sort_by_key(|(_, n)| std::cmp::Reverse((n.backlog, n.running)));
-    let mut rates = gw.demand.borrow_mut().rates(now);
-    let room = |u: &Vec<(Upstream, UpstreamNote)>, r: usize| u.len() * 18 + r * 24 <= ONE_PACKET;
-    while !room(&upstreams, rates.len()) && upstreams.len() > rates.len() {
-        upstreams.pop();
-    }
-    while !room(&upstreams, rates.len()) {
-        let least = rates.iter().min_by(|a, b| a.1.total_cmp(b.1));
-        let Some(key) = least.map(|(k, _)| k.clone()) else {
-            break;
-        };
-        rates.remove(&key);
-    }
+    let rates = gw.demand.borrow_mut().rates(now);
+    let mut rates: Vec<_> = rates
+        .into_iter()
+        .map(|((m, a), r)| (m, a, r as f32))
+        .collect();
+    rates.sort_by(|a, b| b.2.total_cmp(&a.2));
+    rates.truncate(MOST_RATES);
+    let fence = gw.claim.borrow().fence(now);
     LoadNote {
-        fence: gw.claim.borrow().fence(now),
-        upstreams,
+        daemons: 1,
+        planner: fence.map(|fence| PlannerNote {
+            fence,
+            address: gw.mesh.borrow().address(),
+        }),
+        upstreams: loads.collect(),
         rates,
     }
 }
 
 /// Tells the router what the others have.
 fn pass_loads(gw: &Gateway) {
-    let loads = gw.peers.borrow().loads(gw.now());
+    let loads = gw.mesh.borrow().others(gw.now());
     let names: Vec<Upstream> = gw.router.borrow().names().cloned().collect();
     for upstream in names {
-        let load = loads.get(&upstream).copied().unwrap_or_default();
+        let note = loads.get(&upstream).copied().unwrap_or_default();
+        let load = PeerLoad {
+            running: note.running as usize,
+            urgent: f64::from(note.urgent),
+            backlog: f64::from(note.backlog),
+        };
         gw.route(RouteEvent::Peers { upstream, load });
     }
 }
@@ -137,29 +141,99 @@
     if from == gw.me {
         return;
     }
-    if gw.peers.borrow_mut().hear(&from, address, now) {
+    if gw.mesh.borrow_mut().hear(&from, address, now) {
         let detail = format!("instance={} life={:016x}", from.instance, from.life);
         emit(LogEvent::MemberJoined, &detail);
-        // It may not know of this daemon yet.
-        let note = load_note(gw);
-        gw.outbox.send((Some(address), Message::Load(note))).ok();
     }
     match datagram.message {
-        Message::Load(note) => {
-            if note.fence.is_some() {
-                gw.claim.borrow_mut().heard(now);
+        Message::Note(note) => {
+            heard_planner(gw, &note);
+            gw.mesh.borrow_mut().on_note(&from, note, now);
+        }
+        Message::Sum(note) => {
+            heard_planner(gw, &note);
+            gw.mesh.borrow_mut().on_sum(&from, note, now);
+        }
+        Message::Total(total) => {
+            heard_planner(gw, &total.load);
+            let mine = gw.mesh.borrow_mut().on_total(&from, &total, now);
+            if let (true, Some(mark)) = (mine, total.mark) {
+                gw.reading.borrow_mut().on_mark(from.life, mark, now);
+                gw.marked.notify_waiters();
+            }
+        }
+        Message::Changes { number, entries } => {
+            let next = gw.reading.borrow_mut().on_changes(from.life, number);
+            if next {
+                gw.take_entries(entries, now);
             }
-            gw.peers.borrow_mut().note(&from, note);
         }
         Message::Want { model, adapter } => {
             gw.wants.borrow_mut().insert((model, adapter), now);
             gw.plan_now.notify_one();
         }
-        Message::Retire { engine, model } => {
-            gw.with_fleet(&engine, |f| f.note_absent(&engine, &model, None, now));
+        Message::News(news) => {
+            let targets = gw.mesh.borrow_mut().pass_on(&from, now);
+            let passed = targets.into_iter();
+            gw.send(passed.map(|t| (t, Message::News(news.clone()))).collect());
+            gw.take_news(news);
+        }
+    }
+}
+
+fn heard_planner(gw: &Gateway, note: &LoadNote) {
+    let mine = gw.mesh.borrow().address();
+    if note.planner.is_some_and(|p| p.address != mine) {
+        gw.claim.borrow_mut().heard(gw.now());
+    }
+}
+
+impl Gateway {
+    /// Puts messages into the outbox.
+    pub(crate) fn send(&self, messages: Outgoing) {
+        if !messages.is_empty() {
+            // The receiver lives as long as the process.
+            self.outbox.send(messages).ok();
+        }
+    }
+
+    /// Tells all daemons what the planner knows.
+    pub(crate) fn spread(&self, news: &News) {
+        let targets = self.mesh.borrow_mut().spread(self.now());
+        let messages = targets.into_iter();
+        self.send(
+            messages
+                .map(|t| (t, Message::News(news.clone())))
+                .collect(),
+        );
+    }
+
+    fn take_news(&self, news: News) {
+        let now = self.now();
+        match news {
+            News::Retire { engine, model } => {
+                self.with_fleet(&engine, |f| f.note_absent(&engine, &model, None, now));
+            }
+            News::Held { engine, held } => {
+                self.with_fleet(&engine, |f| f.report(&engine, held, now));
+            }
         }
-        Message::Held { engine, held } => {
-            gw.with_fleet(&engine, |f| f.report(&engine, held, now));
+    }
+
+    /// Tells the daemons of this data centre which entries changed, where this one reads
+    /// for them.
+    pub(crate) fn tell_changes(&self, entries: Vec<(Upstream, Option<crate::Entry>)>) {
+        /// A datagram holds so many entries; one is some hundred bytes.
+        const ENTRIES: usize = 4;
+        let followers = self.mesh.borrow_mut().followers(self.now());
+        for part in entries.chunks(ENTRIES) {
+            let number = self.reading.borrow_mut().next_number();
+            let message = |t: &SocketAddr| {
+                let entries = part.to_vec();
+                (*t, Message::Changes { number, entries })
+            };
+            self.send(followers.iter().map(message).collect());
         }
     }
 }
+
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::keep_of;
 use crate::journal::emit;
-use crate::peers::Message;
+use crate::message::News;
 use crate::state::Gateway;
 use crate::store::{Batch, StoreError, Topic};
 use crate::Call;
@@ -52,6 +52,9 @@
 /// An adapter that somebody waits for counts as asked for so long.
 const WANT_MS: u64 = 2_000;
 
+/// Where somebody waits for an adapter, plans follow each other at this pace.
+const WANT_PLAN_MS: u64 = 40;
+
 /// What an adapter that somebody waits for counts at least, in milliseconds a second.
 const WANT_RATE: f64 = 1.0;
 
@@ -75,10 +78,10 @@
     let mut planned = Millis(0);
     let mut leading = false;
     loop {
-        tokio::select! {
-            () = tokio::time::sleep(TICK) => {}
-            () = gw.plan_now.notified() => {}
-        }
+        let woken = tokio::select! {
+            () = tokio::time::sleep(TICK) => false,
+            () = gw.plan_now.notified() => true,
+        };
         if gw.stopping.get() {
             release(&gw).await;
             return;
@@ -98,8 +101,9 @@
                 begin_leading(&gw, &working, fence);
             }
         }
-        let due = now.since(planned) >= gw.settings.policy.plan_every.0;
-        let wanted = !gw.wants.borrow().is_empty();
+        let since = now.since(planned);
+        let due = since >= gw.settings.policy.plan_every.0;
+        let wanted = (woken || !gw.wants.borrow().is_empty()) && since >= WANT_PLAN_MS;
         if let (Some(fence), true) = (fence, due || wanted) {
             planned = now;
             plan(&gw, &working, fence, now);
@@ -122,10 +126,13 @@
 
 /// Takes the next step of the claim, in a task of its own.
 fn claim(gw: &Rc<Gateway>) {
-    if !gw.settings.policy.plans {
+    let now = gw.now();
+    // Hubs know what is asked for.
+    let hub = gw.mesh.borrow_mut().is_hub(now);
+    let candidate = hub || gw.claim.borrow().is_holder();
+    if !gw.settings.policy.plans || !candidate {
         return;
     }
-    let now = gw.now();
     let Some(action) = gw.claim.borrow_mut().tick(now) else {
         return;
     };
@@ -200,7 +207,7 @@
 
 fn rates(gw: &Gateway, now: Millis) -> Rates {
     let own = gw.demand.borrow_mut().rates(now);
-    let mut rates = gw.peers.borrow().rates(own, now);
+    let mut rates = gw.mesh.borrow().rates(own, now);
     let mut wants = gw.wants.borrow_mut();
     wants.retain(|_, at| now.since(*at) < WANT_MS);
     for (model, adapter) in wants.keys() {
@@ -289,7 +296,7 @@
         gw.with_fleet(&order.engine, |f| {
             f.note_absent(&order.engine, &order.model, None, gw.now());
         });
-        gw.tell_all(Message::Retire {
+        gw.spread(&News::Retire {
             engine: order.engine.clone(),
             model: order.model.clone(),
         });
@@ -444,7 +451,7 @@
         }
     };
     let seq = held.seq;
-    gw.tell_all(Message::Held {
+    gw.spread(&News::Held {
         engine: engine.clone(),
         held: held.clone(),
     });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //!
 //! * `follow` keeps up with the platform's [`Store`]; `roster` decides which upstreams
 //!   there are.
-//! * `gossip` and `peers` are what daemons tell each other.
+//! * `mesh` decides which daemons tell which others what, in the messages of `message`;
+//!   `gossip` sends and receives them, `reading` is who reads the store.
 //! * `lead` holds the planner's claim and carries out the plan of `shaleline_fleet`.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
@@ -28,8 +29,10 @@
 mod gossip;
 mod journal;
 mod lead;
+mod mesh;
+mod message;
 mod metrics;
-mod peers;
+mod reading;
 mod refuse;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/gateway/src/mesh.rs
@@ -0,0 +1,428 @@
+//! Which daemons there are and how load is summed up, without a message for each pair.
+//!
+//! Each data centre has a hub: the first of its daemons, by rendezvous hashing, that is
+//! not silent. Daemons tell their load to their hub, hubs tell each other the sums, and
+//! each hub tells its data centre the total. A hub reads the store for its data centre;
+//! whoever does not hear of that reads by itself. A hub that falls silent is passed over
+//! after [`SILENT_MS`]. Two hubs at once only cost messages.
+//!
+//! The ways that were weighed are in `docs/MEMBERSHIP.md`.
+
+use crate::message::{LoadNote, Mark, Message, PlannerNote, RateNote, Sender, TotalNote, UpstreamNotes};
+use shaleline_fleet::Rates;
+use shaleline_types::{rank, DataCentre, Instance, Millis};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A hub that was not heard of for so long is passed over: four of its messages.
+pub(crate) const SILENT_MS: u64 = 1_200;
+
+/// What a daemon told counts for so long.
+const STALE_MS: u64 = 1_500;
+
+/// A daemon that has not told its load for so long does not count as alive.
+const GONE_MS: u64 = 3_000;
+
+/// A daemon that was asked to be a hub by another acts as one for so long.
+const ASKED_MS: u64 = 1_500;
+
+/// The name under which hubs are ranked.
+const RANK_KEY: &str = "hub";
+
+/// How long a daemon is remembered that is not heard of.
+const FORGET_MS: u64 = 120_000;
+
+#[derive(Debug, Clone)]
+struct Peer {
+    centre: DataCentre,
+    address: SocketAddr,
+    life: u64,
+    /// When it was learned of or heard of last.
+    known: Millis,
+    heard: Option<Millis>,
+}
+
+#[derive(Debug, Clone)]
+struct Told {
+    at: Millis,
+    note: LoadNote,
+}
+
+/// Who is taken for the hub of a data centre, and since when it is expected to speak.
+#[derive(Debug, Clone)]
+struct Seat {
+    hub: Option<Instance>,
+    since: Millis,
+    /// Those that were silent, until they speak as a hub.
+    passed: BTreeSet<Instance>,
+}
+
+/// What this daemon knows of the others.
+#[derive(Debug)]
+pub(crate) struct Mesh {
+    me: Sender,
+    address: SocketAddr,
+    peers: BTreeMap<Instance, Peer>,
+    seats: BTreeMap<DataCentre, Seat>,
+    /// What the daemons of this data centre told, where this one is their hub.
+    notes: BTreeMap<Instance, Told>,
+    /// What the other hubs told.
+    sums: BTreeMap<DataCentre, Told>,
+    /// What this daemon's hub told.
+    total: Option<Told>,
+    /// When another daemon last took this one for the hub.
+    asked: Option<Millis>,
+    /// What this daemon itself told last.
+    own: UpstreamNotes,
+}
+
+/// What to send, and where.
+pub(crate) type Outgoing = Vec<(SocketAddr, Message)>;
+
+impl Mesh {
+    pub(crate) fn new(me: Sender, address: SocketAddr) -> Self {
+        Self {
+            me,
+            address,
+            peers: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            notes: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            total: None,
+            asked: None,
+            own: UpstreamNotes::new(),
+        }
+    }
+
+    /// Learns of a daemon from the store. What was heard of it directly is newer.
+    pub(crate) fn learn(&mut self, from: &Sender, address: SocketAddr, now: Millis) {
+        let peer = Peer {
+            centre: from.centre.clone(),
+            address,
+            life: from.life,
+            known: now,
+            heard: None,
+        };
+        self.peers.entry(from.instance.clone()).or_insert(peer);
+    }
+
+    /// Takes in a datagram's sender; true where it starts a new life.
+    pub(crate) fn hear(&mut self, from: &Sender, address: SocketAddr, now: Millis) -> bool {
+        let known = self.peers.get(&from.instance);
+        let new = known.is_none_or(|p| p.life != from.life);
+        let peer = Peer {
+            centre: from.centre.clone(),
+            address,
+            life: from.life,
+            known: now,
+            heard: Some(now),
+        };
+        self.peers.insert(from.instance.clone(), peer);
+        new
+    }
+
+    /// The daemons of a data centre that may be its hub, best first.
+    fn candidates(&self, centre: &DataCentre) -> Vec<Instance> {
+        let peers = self.peers.iter().filter(|(_, p)| p.centre == *centre);
+        let mut names: Vec<&str> = peers.map(|(n, _)| n.as_str()).collect();
+        if *centre == self.me.centre {
+            names.push(self.me.instance.as_str());
+        }
+        let ranked = rank(RANK_KEY, names);
+        let instance = |n: &str| Instance::from_text(n).expect("it was a name before");
+        ranked.into_iter().map(instance).collect()
+    }
+
+    /// Notes that a daemon spoke as the hub of its data centre.
+    fn on_hub(&mut self, from: &Sender, now: Millis) {
+        let candidates = self.candidates(&from.centre);
+        let place = |n: &Instance| candidates.iter().position(|c| c == n);
+        let current = self.hub(&from.centre, now);
+        let seat = self.seats.entry(from.centre.clone()).or_insert(Seat {
+            hub: None,
+            since: now,
+            passed: BTreeSet::new(),
+        });
+        seat.passed.remove(&from.instance);
+        let better = match &current {
+            None => true,
+            Some(hub) => *hub == from.instance || place(&from.instance) < place(hub),
+        };
+        if better {
+            seat.hub = Some(from.instance.clone());
+            seat.since = now;
+        }
+    }
+
+    /// Who is taken for the hub of a data centre now.
+    fn hub(&mut self, centre: &DataCentre, now: Millis) -> Option<Instance> {
+        let candidates = self.candidates(centre);
+        let me = self.me.instance.clone();
+        let seat = self.seats.entry(centre.clone()).or_insert(Seat {
+            hub: None,
+            since: now,
+            passed: BTreeSet::new(),
+        });
+        let heard = |n: &Instance| self.peers.get(n).and_then(|p| p.heard);
+        if let Some(hub) = seat.hub.clone() {
+            let last = heard(&hub).unwrap_or(Millis(0)).max(seat.since);
+            let silent = hub != me && now.since(last) >= SILENT_MS;
+            let known = hub == me || self.peers.contains_key(&hub);
+            if !silent && known {
+                return Some(hub);
+            }
+            if silent {
+                seat.passed.insert(hub);
+            }
+        }
+        if candidates.iter().all(|c| seat.passed.contains(c)) {
+            // Perhaps it was this daemon that could not hear them.
+            seat.passed.clear();
+        }
+        let next = candidates.into_iter().find(|c| !seat.passed.contains(c));
+        if next != seat.hub {
+            seat.since = now;
+            seat.hub.clone_from(&next);
+        }
+        next
+    }
+
+    /// Whether this daemon acts as the hub of its data centre.
+    pub(crate) fn is_hub(&mut self, now: Millis) -> bool {
+        let asked = self.asked.is_some_and(|at| now.since(at) < ASKED_MS);
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now);
+        asked || hub.is_none_or(|h| h == self.me.instance)
+    }
+
+    fn address_of(&self, instance: &Instance) -> Option<SocketAddr> {
+        self.peers.get(instance).map(|p| p.address)
+    }
+
+    /// The addresses of the other hubs.
+    fn other_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let centres = self.peers.values().map(|p| p.centre.clone());
+        let centres: BTreeSet<DataCentre> = centres.collect();
+        let others = centres.into_iter().filter(|c| *c != self.me.centre);
+        let others: Vec<DataCentre> = others.collect();
+        let hubs: Vec<Instance> = others.iter().filter_map(|c| self.hub(c, now)).collect();
+        hubs.iter().filter_map(|h| self.address_of(h)).collect()
+    }
+
+    /// The addresses of the other daemons of this data centre.
+    fn neighbours(&self) -> Vec<SocketAddr> {
+        let near = self.peers.values().filter(|p| p.centre == self.me.centre);
+        near.map(|p| p.address).collect()
+    }
+
+    /// Takes in a note, a sum or a total.
+    pub(crate) fn on_note(&mut self, from: &Sender, note: LoadNote, now: Millis) {
+        self.asked = Some(now);
+        let told = Told { at: now, note };
+        self.notes.insert(from.instance.clone(), told);
+    }
+
+    /// Takes in the sum of another data centre.
+    pub(crate) fn on_sum(&mut self, from: &Sender, note: LoadNote, now: Millis) {
+        self.on_hub(from, now);
+        let told = Told { at: now, note };
+        self.sums.insert(from.centre.clone(), told);
+    }
+
+    /// Takes in the total. Returns whether its sender is this daemon's hub.
+    pub(crate) fn on_total(&mut self, from: &Sender, note: &TotalNote, now: Millis) -> bool {
+        self.on_hub(from, now);
+        let centre = self.me.centre.clone();
+        if self.hub(&centre, now).as_ref() != Some(&from.instance) {
+            return false;
+        }
+        self.total = Some(Told {
+            at: now,
+            note: note.load.clone(),
+        });
+        true
+    }
+
+    fn fresh<'a>(told: impl Iterator<Item = &'a Told>, now: Millis) -> Vec<&'a LoadNote> {
+        let fresh = told.filter(|t| now.since(t.at) < STALE_MS);
+        fresh.map(|t| &t.note).collect()
+    }
+
+    /// The load of this data centre, `own` included.
+    fn sum(&self, own: &LoadNote, now: Millis) -> LoadNote {
+        let mut sum = own.clone();
+        let notes = Self::fresh(self.notes.values(), now);
+        notes.into_iter().for_each(|n| merge(&mut sum, n));
+        let alive = self.notes.values().filter(|t| now.since(t.at) < GONE_MS);
+        sum.daemons = 1 + alive.count() as u32;
+        sum
+    }
+
+    /// The load of all, as far as this daemon knows; `own` included.
+    fn whole(&self, own: &LoadNote, now: Millis) -> LoadNote {
+        let mut sum = self.sum(own, now);
+        let sums = Self::fresh(self.sums.values(), now);
+        sums.into_iter().for_each(|n| {
+            sum.daemons += n.daemons;
+            merge(&mut sum, n);
+        });
+        sum
+    }
+
+    /// What to tell the others now. `own` is this daemon's load.
+    pub(crate) fn tick(
+        &mut self,
+        own: LoadNote,
+        mark: Option<Mark>,
+        now: Millis,
+    ) -> Outgoing {
+        self.peers.retain(|_, p| now.since(p.known) < FORGET_MS);
+        self.notes.retain(|_, t| now.since(t.at) < GONE_MS);
+        self.own.clone_from(&own.upstreams);
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now);
+        let mut out = Outgoing::new();
+        if let Some(hub) = hub.filter(|h| *h != self.me.instance) {
+            let note = Message::Note(own.clone());
+            out.extend(self.address_of(&hub).map(|a| (a, note)));
+        }
+        if self.is_hub(now) {
+            self.tell_as_hub(&own, mark, now, &mut out);
+        }
+        out
+    }
+
+    fn tell_as_hub(
+        &mut self,
+        own: &LoadNote,
+        mark: Option<Mark>,
+        now: Millis,
+        out: &mut Outgoing,
+    ) {
+        let sum = self.sum(own, now);
+        let hubs = self.other_hubs(now);
+        out.extend(hubs.into_iter().map(|h| (h, Message::Sum(sum.clone()))));
+        let whole = self.whole(own, now);
+        let planner = whole.planner.map(|p| p.address);
+        // Only the planner needs to know what is asked for.
+        let plain = LoadNote {
+            rates: RateNote::new(),
+            ..whole.clone()
+        };
+        for address in self.neighbours() {
+            let load = if planner == Some(address) {
+                whole.clone()
+            } else {
+                plain.clone()
+            };
+            out.push((address, Message::Total(TotalNote { load, mark })));
+        }
+        self.total = Some(Told {
+            at: now,
+            note: whole,
+        });
+    }
+
+    /// Where to send news of the planner: to all of this data centre and the other hubs, or
+    /// to the hub, which passes them on.
+    pub(crate) fn spread(&mut self, now: Millis) -> Vec<SocketAddr> {
+        if self.is_hub(now) {
+            let mut all = self.other_hubs(now);
+            all.extend(self.neighbours());
+            return all;
+        }
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now);
+        hub.and_then(|h| self.address_of(&h)).into_iter().collect()
+    }
+
+    /// Where to pass on news that came from `from`.
+    pub(crate) fn pass_on(&mut self, from: &Sender, now: Millis) -> Vec<SocketAddr> {
+        if !self.is_hub(now) {
+            return Vec::new();
+        }
+        let mut all = self.neighbours();
+        if from.centre == self.me.centre {
+            all.extend(self.other_hubs(now));
+        }
+        let sender = self.address_of(&from.instance);
+        all.retain(|a| Some(*a) != sender);
+        all
+    }
+
+    /// Where the daemons of this data centre are, for what their hub has read.
+    pub(crate) fn followers(&mut self, now: Millis) -> Vec<SocketAddr> {
+        if self.is_hub(now) {
+            return self.neighbours();
+        }
+        Vec::new()
+    }
+
+    fn known_total(&self, now: Millis) -> Option<&LoadNote> {
+        let total = self.total.as_ref();
+        total.filter(|t| now.since(t.at) < STALE_MS).map(|t| &t.note)
+    }
+
+    /// How many daemons there are.
+    pub(crate) fn alive(&self, now: Millis) -> usize {
+        let told = self.known_total(now).map_or(1, |t| t.daemons as usize);
+        told.max(1)
+    }
+
+    /// How many daemons are known, alive or not.
+    pub(crate) fn known(&self) -> usize {
+        1 + self.peers.len()
+    }
+
+    /// Who plans, as far as is known.
+    pub(crate) fn planner(&self, now: Millis) -> Option<PlannerNote> {
+        self.known_total(now)?.planner
+    }
+
+    /// What the other daemons have at each upstream.
+    pub(crate) fn others(&self, now: Millis) -> UpstreamNotes {
+        let Some(total) = self.known_total(now) else {
+            return UpstreamNotes::new();
+        };
+        let without = total.upstreams.iter().map(|(name, note)| {
+            let own = self.own.get(name).copied().unwrap_or_default();
+            (name.clone(), note.without(own))
+        });
+        without.collect()
+    }
+
+    /// What is asked for in all, as far as is known; `own` where nothing is.
+    pub(crate) fn rates(&self, own: Rates, now: Millis) -> Rates {
+        let total = self.known_total(now).filter(|t| !t.rates.is_empty());
+        let Some(total) = total else {
+            return own;
+        };
+        let rates = total.rates.iter();
+        rates
+            .map(|(m, a, r)| ((m.clone(), a.clone()), f64::from(*r)))
+            .collect()
+    }
+
+    /// This daemon's own address, as the others know it.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Adds a note to a sum; the planner with the higher token is the later one.
+fn merge(sum: &mut LoadNote, note: &LoadNote) {
+    sum.planner = match (sum.planner, note.planner) {
+        (Some(a), Some(b)) => Some(if a.fence >= b.fence { a } else { b }),
+        (a, b) => a.or(b),
+    };
+    for (name, load) in &note.upstreams {
+        sum.upstreams.entry(name.clone()).or_default().add(*load);
+    }
+    let mut rates: BTreeMap<_, f32> = BTreeMap::new();
+    let both = sum.rates.drain(..).chain(note.rates.iter().cloned());
+    for (model, adapter, rate) in both {
+        *rates.entry((model, adapter)).or_default() += rate;
+    }
+    let rates = rates.into_iter().map(|((m, a), r)| (m, a, r));
+    sum.rates = rates.collect();
+}
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,120 @@
+//! What daemons tell each other: small datagrams, any of which may be lost.
+
+use crate::Entry;
+use serde::{Deserialize, Serialize};
+use shaleline_fleet::Held;
+use shaleline_types::{Adapter, DataCentre, Instance, Model, Upstream};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Who sends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Sender {
+    pub(crate) instance: Instance,
+    pub(crate) centre: DataCentre,
+    /// Drawn anew at each start.
+    pub(crate) life: u64,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Datagram {
+    pub(crate) from: Sender,
+    pub(crate) message: Message,
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// From a daemon to the hub of its data centre: its own load.
+    Note(LoadNote),
+    /// From a hub to the other hubs: the load of its data centre.
+    Sum(LoadNote),
+    /// From a hub to the daemons of its data centre: the load of all.
+    Total(TotalNote),
+    /// From a hub to the daemons of its data centre: upstreams whose entries changed.
+    Changes {
+        /// Counts these messages, so that a lost one is noticed.
+        number: u64,
+        entries: Vec<(Upstream, Option<Entry>)>,
+    },
+    /// To the planner: an adapter is asked for that no engine holds.
+    Want { model: Model, adapter: Adapter },
+    /// From the planner, passed on by hubs to all.
+    News(News),
+}
+
+/// What the planner tells all daemons, before the engines' entries do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum News {
+    /// An engine is about to drop a model.
+    Retire { engine: Upstream, model: Model },
+    /// An engine was seen to hold this.
+    Held { engine: Upstream, held: Held },
+}
+
+/// What some daemons have at one upstream: requests, and milliseconds of prompts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamNote {
+    pub(crate) running: u32,
+    pub(crate) urgent: u32,
+    pub(crate) backlog: u32,
+}
+
+impl UpstreamNote {
+    pub(crate) fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.urgent += other.urgent;
+        self.backlog += other.backlog;
+    }
+
+    pub(crate) fn without(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(other.running),
+            urgent: self.urgent.saturating_sub(other.urgent),
+            backlog: self.backlog.saturating_sub(other.backlog),
+        }
+    }
+}
+
+/// Work asked for, by model and adapter, in milliseconds a second.
+pub(crate) type RateNote = Vec<(Model, Option<Adapter>, f32)>;
+
+/// What is at each upstream.
+pub(crate) type UpstreamNotes = BTreeMap<Upstream, UpstreamNote>;
+
+/// Who plans.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlannerNote {
+    pub(crate) fence: u64,
+    pub(crate) address: SocketAddr,
+}
+
+/// The load of one daemon, or of those of a data centre.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LoadNote {
+    /// How many daemons it is of.
+    pub(crate) daemons: u32,
+    pub(crate) planner: Option<PlannerNote>,
+    pub(crate) upstreams: UpstreamNotes,
+    pub(crate) rates: RateNote,
+}
+
+/// How far a hub has read the store, and how long ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Mark {
+    /// The offset of the configuration to read on from.
+    pub(crate) config: u64,
+    pub(crate) config_age: u32,
+    /// The number of the last message of changes.
+    pub(crate) changes: u64,
+    pub(crate) changes_age: u32,
+}
+
+/// What a hub tells the daemons of its data centre.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TotalNote {
+    pub(crate) load: LoadNote,
+    /// None where the hub does not read the store itself at the moment.
+    pub(crate) mark: Option<Mark>,
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -367,15 +367,12 @@
             self.plan_now.notify_one();
             return;
         }
-        let planner = self.peers.borrow().planner(now);
-        let message = crate::peers::Message::Want {
+        let planner = self.mesh.borrow().planner(now);
+        let message = crate::message::Message::Want {
             model: model.clone(),
             adapter: adapter.clone(),
         };
-        if planner.is_some() {
-            // The receiver lives as long as the process.
-            self.outbox.send((planner, message)).ok();
-        }
+        self.send(planner.map(|p| (p.address, message)).into_iter().collect());
     }
 
     /// Takes back that an upstream holds what it said that it does not.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -47,9 +47,13 @@
         self.disturbed = Some(now);
     }
 
-    /// Takes in an upstream's entry.
+    /// Takes in an upstream's entry. Most repeat what the one before said.
     pub(crate) fn on_entry(&mut self, name: &Upstream, entry: Entry) -> Option<Change> {
-        let leaving = entry.leaving || self.listed.get(name).is_some_and(|l| l.leaving);
+        let known = self.listed.get(name);
+        if known.is_some_and(|l| l.entry == entry && l.until.is_none()) {
+            return None;
+        }
+        let leaving = entry.leaving || known.is_some_and(|l| l.leaving);
         let next = Listed {
             entry,
             leaving,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -60,7 +60,8 @@
     /// How often the upstreams' entries are read: within the drain bound of 2 s a read
     /// may fail once.
     pub read_every: Millis,
-    /// How long a read of the configuration waits for a change.
+    /// How long a read of the configuration waits for a change: less than followers of
+    /// a hub wait before they read by themselves.
     pub config_wait: Millis,
     /// How long a call to the store may take beyond what it waits.
     pub store_timeout: Millis,
@@ -79,7 +80,7 @@
     fn default() -> Self {
         Self {
             read_every: Millis(700),
-            config_wait: Millis(1_500),
+            config_wait: Millis(800),
             store_timeout: Millis(700),
             token: 0.052,
             plans: true,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -90,9 +90,7 @@
         tokio::time::sleep(TICK).await;
         gw.route(RouteEvent::Tick);
         let changes = gw.roster.borrow_mut().tick(gw.now());
-        for change in changes {
-            gw.apply(change);
-        }
+        gw.apply_all(changes);
         if ready != gw.is_ready() {
             ready = gw.is_ready();
             if ready {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,9 @@
 use crate::clock::Clock;
 use crate::journal::{emit, LineBudget};
 use crate::metrics::Metrics;
-use crate::peers::{Message, Peers, Sender};
+use crate::mesh::{Mesh, Outgoing};
+use crate::message::Sender;
+use crate::reading::Reading;
 use crate::roster::{Change, Roster};
 use crate::{Codec, GatewaySettings, Store, Table};
 use eyre::Result;
@@ -56,14 +58,17 @@
     pub(crate) roster: RefCell<Roster>,
     pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
     pub(crate) demand: RefCell<Demand>,
-    pub(crate) peers: RefCell<Peers>,
+    pub(crate) mesh: RefCell<Mesh>,
+    pub(crate) reading: RefCell<Reading>,
+    /// Tells that a hub marked how far it has read.
+    pub(crate) marked: Notify,
     pub(crate) claim: RefCell<Claim>,
     /// Adapters that somebody waits for, with when that was last said.
     pub(crate) wants: RefCell<BTreeMap<(Model, shaleline_types::Adapter), Millis>>,
     /// Wakes the planner.
     pub(crate) plan_now: Notify,
     /// Messages to send to other daemons at once.
-    pub(crate) outbox: mpsc::UnboundedSender<(Option<std::net::SocketAddr>, Message)>,
+    pub(crate) outbox: mpsc::UnboundedSender<Outgoing>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) listed: Cell<bool>,
@@ -84,7 +89,7 @@
     pub(crate) fn new(
         settings: GatewaySettings,
         border: Border,
-        outbox: mpsc::UnboundedSender<(Option<std::net::SocketAddr>, Message)>,
+        outbox: mpsc::UnboundedSender<Outgoing>,
     ) -> Result<Rc<Self>> {
         let mut rng = SmallRng::from_os_rng();
         let life = rng.random();
@@ -92,8 +97,10 @@
         let now = clock.now();
         let me = Sender {
             instance: settings.instance.clone(),
+            centre: settings.centre.clone(),
             life,
         };
+        let mesh = Mesh::new(me.clone(), settings.listen.peers);
         let router = RouterSettings {
             token: settings.policy.token,
             ..RouterSettings::new(settings.centre.clone())
@@ -118,7 +125,9 @@
             roster: RefCell::new(Roster::default()),
             fleets: RefCell::new(BTreeMap::new()),
             demand: RefCell::new(Demand::default()),
-            peers: RefCell::new(Peers::default()),
+            mesh: RefCell::new(mesh),
+            reading: RefCell::new(Reading::default()),
+            marked: Notify::new(),
             wants: RefCell::new(BTreeMap::new()),
             plan_now: Notify::new(),
             outbox,
@@ -301,7 +310,7 @@
 
     /// Divides the retry budget among the daemons that live.
     pub(crate) fn share_budget(&self) {
-        let count = self.peers.borrow().alive(self.now()) as f64;
+        let count = self.mesh.borrow().alive(self.now()) as f64;
         let bounds = &self.settings.bounds;
         let most = (bounds.retry_extra / count * BUDGET_USED).max(1.0);
         self.router.borrow_mut().set_retries(RetrySettings {
@@ -325,12 +334,6 @@
         self.publish(name);
     }
 
-    /// Sends a message to all other daemons.
-    pub(crate) fn tell_all(&self, message: Message) {
-        // The receiver lives as long as the process.
-        self.outbox.send((None, message)).ok();
-    }
-
     pub(crate) fn draw(&self) -> u64 {
         self.rng.borrow_mut().random()
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -41,6 +41,8 @@
     tokens: TokenCosts,
     turn: u64,
     stats: RouterStats,
+    /// When old state was dropped last.
+    pruned: Millis,
 }
 
 impl Router {
@@ -59,6 +61,7 @@
             tokens: TokenCosts::default(),
             turn: 0,
             stats: RouterStats::default(),
+            pruned: Millis(0),
             settings,
         }
     }
@@ -565,15 +568,24 @@
     fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         self.refuse_overdue(now, out);
         self.move_stalled(now, out);
+        self.pump_all(now, out);
+        if now.since(self.pruned) >= PRUNE_EVERY {
+            self.pruned = now;
+            self.backs.values_mut().for_each(|b| b.prune(now));
+            self.limiter.prune(now);
+            self.shares.prune(now);
+        }
+    }
+
+    /// Serves what waits wherever there is room by now.
+    fn pump_all(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
+        if self.queues.values().all(RouteQueue::is_empty) {
+            return;
+        }
         let names: Vec<Upstream> = self.backs.keys().cloned().collect();
         for name in names {
             self.pump(&name, now, out);
-            if let Some(back) = self.backs.get_mut(&name) {
-                back.prune(now);
-            }
         }
-        self.limiter.prune(now);
-        self.shares.prune(now);
     }
 
     /// What can no longer start in time gets its final answer now.
@@ -599,7 +611,8 @@
     /// sends those elsewhere that may be repeated.
     fn move_stalled(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         let mut stalled = Vec::new();
-        for (name, back) in &mut self.backs {
+        let working = self.backs.iter_mut().filter(|(_, b)| !b.flights.is_empty());
+        for (name, back) in working {
             let quiet = now.since(back.last_byte);
             let hangs =
                 |f: &Flight| !f.answered && now.since(f.sent) >= f.stall && quiet >= f.stall;
@@ -660,6 +673,9 @@
 /// How often a request is sent at the most, sends that reached nobody included.
 const MOST_SENDS: AttemptNumber = 6;
 
+/// How often old state is dropped, in milliseconds.
+const PRUNE_EVERY: u64 = 1_000;
+
 /// The least silence that counts as hanging, however little time a request has.
 const LEAST_STALL: u64 = 200;
 
