Let followers take a hub's numbered changes in place of reading the store

Cause: marks overtook the changes they counted, and a tail read did not count as a read, so all daemons read on.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -155,16 +155,9 @@
         match result {
             Ok(batch) => {
                 take_batch(&gw, &batch, next.is_none());
-                let all = next.is_none();
                 next = Some(batch.next);
                 gw.listed.set(true);
-                {
-                    let mut reading = gw.reading.borrow_mut();
-                    reading.on_entries(gw.now());
-                    if all {
-                        reading.on_all(position);
-                    }
-                }
+                gw.reading.borrow_mut().on_entries(position, gw.now());
                 let jitter = gw.draw() % (every / 8 + 1);
                 tokio::time::sleep(Duration::from_millis(every - jitter)).await;
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// What a gateway counts.
@@ -13,6 +15,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     store: Counter<u64>,
+    /// Calls since the last summary, by topic.
+    lately: RefCell<BTreeMap<&'static str, u64>>,
     orders: Counter<u64>,
     first: Histogram<f64>,
     wait: Histogram<f64>,
@@ -42,6 +46,7 @@
             registry,
             requests: meter.u64_counter("shaleline_requests").build(),
             store: meter.u64_counter("shaleline_store_calls").build(),
+            lately: RefCell::default(),
             orders: meter.u64_counter("shaleline_orders").build(),
             first: first.with_description("arrival to first byte").build(),
             wait: wait.with_description("arrival to first send").build(),
@@ -56,10 +61,18 @@
 
     /// Counts a call to the store.
     pub(crate) fn count_store(&self, call: &'static str, ok: bool) {
+        *self.lately.borrow_mut().entry(call).or_default() += 1;
         let labels = [KeyValue::new("call", call), KeyValue::new("ok", ok)];
         self.store.add(1, &labels);
     }
 
+    /// How often each topic was called since this was asked last, as `key=value` pairs.
+    pub(crate) fn take_store_calls(&self) -> String {
+        let calls = std::mem::take(&mut *self.lately.borrow_mut());
+        let pairs = calls.iter().map(|(topic, n)| format!("{topic}={n}"));
+        pairs.collect::<Vec<_>>().join(" ")
+    }
+
     /// Counts an order by what the engine answered.
     pub(crate) fn count_order(&self, reply: &'static str) {
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -15,15 +15,26 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Followed {
     life: u64,
-    /// The last message of changes that was taken in, with all before it.
-    number: u64,
-    /// Whether all before `number` are known.
-    whole: bool,
+    /// The messages of changes that came one after the other without a gap, first and last.
+    run: (u64, u64),
+    /// All messages up to this one are covered by a read of all entries.
+    covered: Option<u64>,
+    /// The last message that the hub says it has sent.
+    marked: u64,
     config: u64,
     config_at: Millis,
     changes_at: Millis,
 }
 
+impl Followed {
+    /// Whether every message that the hub has sent is known or covered.
+    fn is_whole(&self) -> bool {
+        let (first, last) = self.run;
+        let covered = |c: u64| self.marked <= c || (first <= c + 1 && self.marked <= last);
+        self.covered.is_some_and(covered)
+    }
+}
+
 /// How far the store has been read, here and by the hub.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
@@ -39,9 +50,14 @@
         self.config = Some((next, now));
     }
 
-    /// Notes that this daemon itself has read the entries.
-    pub(crate) fn on_entries(&mut self, now: Millis) {
+    /// Notes that this daemon itself has read the entries up to their end. What the hub had
+    /// sent by `position`, which was taken before the read, is covered by it.
+    pub(crate) fn on_entries(&mut self, position: (u64, u64), now: Millis) {
         self.changes = Some(now);
+        let (life, marked) = position;
+        if self.followed.life == life {
+            self.followed.covered = Some(marked);
+        }
     }
 
     /// The number of the next message of changes.
@@ -69,15 +85,11 @@
         if followed.life != life {
             *followed = Followed {
                 life,
-                number: mark.changes,
-                whole: false,
                 ..Followed::default()
             };
         }
-        if followed.number != mark.changes {
-            followed.number = mark.changes;
-            followed.whole = false;
-        }
+        // The message of changes itself may still be on its way.
+        followed.marked = mark.changes;
         let before = |age: u32| Millis(now.0.saturating_sub(u64::from(age)));
         followed.config = mark.config;
         followed.config_at = before(mark.config_age);
@@ -90,27 +102,23 @@
         if followed.life != life {
             return false;
         }
-        followed.whole &= number == followed.number + 1;
-        followed.number = followed.number.max(number);
-        true
-    }
-
-    /// Notes that all entries were read while the hub's messages were followed, so that
-    /// none before is missing.
-    pub(crate) fn on_all(&mut self, since: (u64, u64)) {
-        if self.position() == since {
-            self.followed.whole = true;
+        let (first, last) = followed.run;
+        if number == last + 1 {
+            followed.run = (first, number);
+        } else if number > last {
+            followed.run = (number, number);
         }
+        true
     }
 
     /// Where the hub's messages are, to be compared after a read.
     pub(crate) fn position(&self) -> (u64, u64) {
-        (self.followed.life, self.followed.number)
+        (self.followed.life, self.followed.marked)
     }
 
     /// Whether the entries are known as of a moment ago without reading.
     pub(crate) fn follows_entries(&self, now: Millis) -> bool {
-        self.followed.whole && now.since(self.followed.changes_at) < FOLLOW_MS
+        self.followed.is_whole() && now.since(self.followed.changes_at) < FOLLOW_MS
     }
 
     /// How far the hub has read the configuration, where it read a moment ago.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -21,6 +21,9 @@
 /// Every so many ticks, what is old is dropped.
 const HOUSEKEEPING: u32 = 100;
 
+/// Every so many ticks, calls to the store are summed up in the log.
+const SUMMARY: u32 = 1_000;
+
 /// The balancer asks once a second and takes a daemon out after two misses.
 const SERVE_ON: Millis = Millis(2_300);
 
@@ -102,6 +105,9 @@
             gw.pool.prune();
             drop_gone(&gw);
         }
+        if count % SUMMARY == 0 {
+            emit(LogEvent::StoreCalls, &gw.metrics.take_store_calls());
+        }
     }
 }
 
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -58,6 +58,7 @@
     PeerBoot 2007 Info "State was taken from a peer because the log is away.";
     ChangeAccepted 3001 Info "A configuration change was accepted.";
     ChangeRefused 3002 Warn "A configuration change was refused.";
+    StoreCalls 2101 Info "How often each topic of the store was called lately.";
     LeaseTaken 4001 Info "This daemon became the owner.";
     LeaseLost 4002 Warn "This daemon is no longer the owner.";
     LeaseChallenged 4003 Info "An owner that seems gone was challenged.";
