--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -1,6 +1,6 @@
 //! What is believed of one engine.
 
-use crate::{Catalog, Order, OrderKind};
+use crate::{Catalog, ModelRule, Order, OrderKind};
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model};
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,6 +45,10 @@
     pub centre: DataCentre,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When it could not be reached last.
+    pub(crate) unreachable: Option<Millis>,
+    /// Whether it is taken to be down for now.
+    pub(crate) down: bool,
     pub(crate) held: Held,
     pub(crate) pending: Vec<Pending>,
     /// Models that nobody should be sent to any more.
@@ -63,6 +67,10 @@
 /// engine's entry tells whether it was.
 const RETIRE_MS: u64 = 3_000;
 
+/// An engine that refused a connection counts as down for so long: it crashed, and its
+/// entry lapses seconds later.
+const DOWN_MS: u64 = 1_500;
+
 /// Orders in doubt are forgotten after so long: a late one is carried out within 12 s.
 const DOUBT_MS: u64 = 15_000;
 
@@ -71,6 +79,8 @@
         Self {
             centre,
             leaving: false,
+            unreachable: None,
+            down: false,
             // Its first entry tells what it started with. Where another planner ordered
             // since, the number of orders does not fit and the engine refuses.
             proof: Some(Held {
@@ -192,8 +202,6 @@
                 if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
                     self.keep_known(&mut next);
                 }
-                next.warm.extend(self.held.warm.iter().cloned());
-                next.disk.extend(self.held.disk.iter().cloned());
                 // An entry tells neither whether an order is under way nor how many were
                 // accepted.
                 next.busy = false;
@@ -313,5 +321,31 @@
     /// Drops what is only in doubt and has grown old.
     pub(crate) fn prune(&mut self, now: Millis) {
         self.settle(now);
+        let since = self.unreachable.map(|at| now.since(at));
+        self.down = since.is_some_and(|s| s < DOWN_MS);
+    }
+
+    /// Whether replicas there count.
+    pub(crate) fn counts(&self) -> bool {
+        !self.leaving && !self.down
+    }
+
+    /// How long the order about weights that is under way is expected to take from now on;
+    /// none where none is.
+    pub(crate) fn busy_until(&self, catalog: &Catalog) -> Option<Millis> {
+        let pending = self.pending.iter().find(|p| p.order.adapter.is_none())?;
+        let rule = catalog.models.get(&pending.order.model)?;
+        Some(pending.sent.plus(self.load_time(&pending.order.model, rule).0))
+    }
+
+    /// How long a load of the model takes there.
+    pub(crate) fn load_time(&self, model: &Model, rule: &ModelRule) -> Millis {
+        if self.held.warm.contains(model) {
+            rule.warm
+        } else if self.held.disk.contains(model) {
+            rule.disk
+        } else {
+            rule.store
+        }
     }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Notes that an engine refused a connection.
+    pub fn note_unreachable(&mut self, name: &Upstream, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.unreachable = Some(now);
+            engine.down = true;
+        }
+    }
+
     /// Forgets an engine that is gone.
     pub fn remove(&mut self, name: &Upstream) {
         self.engines.remove(name);
@@ -120,7 +128,7 @@
     /// How many engines serve the model, or will soon.
     #[must_use]
     pub fn replicas(&self, model: &Model) -> usize {
-        let serves = |e: &&Engine| !e.leaving && e.will_serve(model);
+        let serves = |e: &&Engine| e.counts() && e.will_serve(model);
         self.engines.values().filter(serves).count()
     }
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -17,6 +17,9 @@
     pub least_near: f64,
     /// The same where the weights come from the weight store, whose rate is limited.
     pub least_far: f64,
+    /// How many engines may load from the weight store at once for such a gain; the others
+    /// stay free for what is missing.
+    pub far_growth: usize,
     /// How much more a model must gain than the one that makes room loses.
     pub margin: f64,
     /// The replicas of an adapter that is asked for.
@@ -29,7 +32,8 @@
     fn default() -> Self {
         Self {
             least_near: 40.0,
-            least_far: 90.0,
+            least_far: 120.0,
+            far_growth: 2,
             margin: 1.5,
             adapters: 2,
             transit: 3,
@@ -69,7 +73,7 @@
     /// each engine.
     #[must_use]
     pub fn plan(&self, view: &PlanView<'_>, window: &mut LoadWindow, now: Millis) -> Vec<Order> {
-        let mut draft = Draft::new(view, self.settings);
+        let mut draft = Draft::new(view, self.settings, now);
         draft.loads = window.room(view.catalog.rate, now);
         draft.reach();
         draft.grow();
@@ -91,8 +95,12 @@
     /// Engines that have an order in this plan.
     taken: BTreeSet<&'a Upstream>,
     orders: Vec<Order>,
+    now: Millis,
 }
 
+/// A load that is expected to go on for longer than this comes from the weight store.
+const FAR_MS: u64 = 3_000;
+
 /// Replicas that one plan adds at the most; the next plan goes on a moment later.
 const MOST_STEPS: usize = 8;
 
@@ -104,7 +112,7 @@
 const LEAST_WORK: f64 = 0.1;
 
 impl<'a> Draft<'a> {
-    fn new(view: &'a PlanView<'a>, settings: PlanSettings) -> Self {
+    fn new(view: &'a PlanView<'a>, settings: PlanSettings, now: Millis) -> Self {
         let models = view.catalog.models.keys();
         let mut work: BTreeMap<&Model, f64> = models.map(|m| (m, LEAST_WORK)).collect();
         for ((model, _), rate) in view.rates {
@@ -122,6 +130,7 @@
             loads: 0,
             taken: BTreeSet::new(),
             orders: Vec::new(),
+            now,
         };
         let engines = view.fleet.engines.iter();
         draft.engine_loads = engines.map(|(n, e)| (n, draft.engine_load(e))).collect();
@@ -162,7 +171,7 @@
 
     /// Whether what the engine holds is known for certain and nothing is under way.
     fn takes_orders(engine: &Engine) -> bool {
-        !engine.leaving && !engine.is_moving() && engine.is_proven()
+        engine.counts() && !engine.is_moving() && engine.is_proven()
     }
 
     fn engine_load(&self, engine: &Engine) -> f64 {
@@ -178,16 +187,6 @@
         taken + rule.size.0 <= self.view.catalog.memory.0
     }
 
-    fn load_time(engine: &Engine, model: &Model, rule: &ModelRule) -> Millis {
-        if engine.held().warm.contains(model) {
-            rule.warm
-        } else if engine.held().disk.contains(model) {
-            rule.disk
-        } else {
-            rule.store
-        }
-    }
-
     /// Models without a replica: each gets one, the most asked for first.
     fn reach(&mut self) {
         let missing = |m: &&Model| self.replicas(m) == 0;
@@ -224,11 +223,12 @@
             return false;
         };
         let missing = self.replicas(model) == 0;
+        let far_allowed = self.may_load_far(model, rule, gain);
         let candidates = self.free_engines().filter(|(_, e)| !e.will_serve(model));
         let scored = candidates.filter_map(|(name, engine)| {
-            let time = Self::load_time(engine, model, rule);
+            let time = engine.load_time(model, rule);
             let far = time == rule.store;
-            if far && (self.loads == 0 || (!missing && gain < self.settings.least_far)) {
+            if far && !far_allowed {
                 return None;
             }
             let (victim, loss) = if self.has_room(engine, rule) {
@@ -263,6 +263,35 @@
         true
     }
 
+    /// Whether the model may be loaded from the weight store. That takes an engine several
+    /// seconds in which it takes no other order. So it is worth waiting for an engine that
+    /// has a copy and is busy for a moment, and a gain must be large.
+    fn may_load_far(&self, model: &Model, rule: &ModelRule, gain: f64) -> bool {
+        if self.loads == 0 {
+            return false;
+        }
+        if self.replicas(model) > 0 {
+            let under_way = self.far_loads();
+            return gain >= self.settings.least_far && under_way < self.settings.far_growth;
+        }
+        let soon = self.now.plus(rule.disk.0);
+        let engines = self.view.fleet.engines.values();
+        let mut near = engines.filter(|e| e.counts() && e.load_time(model, rule) != rule.store);
+        !near.any(|e| {
+            let until = e.busy_until(self.view.catalog);
+            until.is_some_and(|u| u <= soon) && self.victim(e, 0.0, true).is_some()
+        })
+    }
+
+    /// How many engines are loading from the weight store.
+    fn far_loads(&self) -> usize {
+        let is_far = |e: &&Engine| {
+            let until = e.busy_until(self.view.catalog);
+            until.is_some_and(|u| u.since(self.now) > FAR_MS)
+        };
+        self.view.fleet.engines.values().filter(is_far).count()
+    }
+
     /// The model on the engine that loses least, and what it loses.
     fn victim(&self, engine: &'a Engine, gain: f64, missing: bool) -> Option<(&'a Model, f64)> {
         let known = engine.serving().map(|(m, _)| m);
@@ -306,7 +335,7 @@
     }
 
     fn adapt_one(&mut self, model: &'a Model, adapter: &'a Adapter) {
-        let serving = |e: &&Engine| !e.leaving && e.serves(model);
+        let serving = |e: &&Engine| e.counts() && e.serves(model);
         let has = |e: &Engine| {
             e.serves_adapter(model, adapter)
                 || e.is_pending(OrderKind::Load, model, Some(adapter))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -214,6 +214,9 @@
     if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
         permit.reached -= 1;
     }
+    if failure == Failure::NotSent && job.head.model.is_some() {
+        gw.with_fleet(upstream, |f| f.note_unreachable(upstream, gw.now()));
+    }
     if gw.lines.take(gw.now()) {
         let detail = format!(
             "id={} upstream={upstream} send={attempt} failure={failure:?} route={}",
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -99,9 +99,12 @@
         return;
     }
     let detail = format!(
-        "id={} code={code} route={} kind={} config={} sends={} reached={} ms={} left_ms={}",
+        "id={} code={code} route={} asked={} serving={} kind={} config={} sends={} reached={} \
+         ms={} left_ms={}",
         job.head.id,
         job.rule.name,
+        job.route(),
+        gw.router.borrow().serving(&job.route()),
         job.rule.repeat.as_str(),
         job.version,
         permit.sends,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -30,6 +30,16 @@
 /// within a quarter.
 const WAIT_PART: u64 = 5;
 
+/// A caller that came back after a refusal has no further try: its request waits for a
+/// larger part of the time left.
+const BACK_WAIT: (u64, u64) = (3, 5);
+
+/// But no longer than so many targets: callers of streams leave after four.
+const BACK_TARGETS: u64 = 2;
+
+/// A request whose caller gives it less than this part of the route's time came back.
+const BACK_PART: (u64, u64) = (19, 20);
+
 /// But at least so long, for a place that frees at once.
 const LEAST_WAIT: u64 = 20;
 
@@ -65,6 +75,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) arrived: Millis,
+    /// Whether its caller was refused before: it has less time than the route gives.
+    pub(crate) came_back: bool,
     /// When the caller's time or the route's is over, whichever is first.
     pub(crate) deadline: Millis,
 }
@@ -87,7 +99,7 @@
         self.rule.target <= URGENT_TARGET
     }
 
-    fn route(&self) -> Route {
+    pub(crate) fn route(&self) -> Route {
         match &self.head.model {
             Some(model) => Route::Model {
                 model: model.clone(),
@@ -101,7 +113,12 @@
         let (prefix, sizes) = self.prefix();
         let (least, most) = STALL_BOUNDS;
         let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
-        let wait = (self.rule.target.0 / WAIT_PART).max(LEAST_WAIT);
+        let left = self.deadline.since(self.arrived);
+        let wait = if self.came_back {
+            (left * BACK_WAIT.0 / BACK_WAIT.1).min(self.rule.target.0 * BACK_TARGETS)
+        } else {
+            (self.rule.target.0 / WAIT_PART).max(LEAST_WAIT)
+        };
         Ask {
             id,
             org: Org::from_text(ORG).expect("a valid name"),
@@ -254,6 +271,7 @@
     let service = rule.pick(gw.draw()).cloned();
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoUpstream))?;
     let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
+    let came_back = patience.0 < rule.timeout.0 * BACK_PART.0 / BACK_PART.1;
     let deadline = arrived.plus(patience.0.saturating_sub(MARGIN));
     let (parts, body) = request.into_parts();
     let limit = gw.clock.instant(arrived.plus(table.limits.arrival.0.max(patience.0)));
@@ -270,6 +288,7 @@
         headers: parts.headers,
         body,
         arrived,
+        came_back,
         deadline,
     })
 }
@@ -309,7 +328,7 @@
             })) => (attempt, upstream),
             Ok(Some(RouteAction::Cancel { .. })) => continue,
             Ok(Some(RouteAction::Refuse { kind, retry, .. })) => {
-                let refusal = Refusal::new(kind).with_retry(retry);
+                let refusal = Refusal::new(kind).with_retry(retry.or_else(|| come_back(gw, &job)));
                 return spare.unwrap_or_else(|| refuse::late(gw, &job, &permit, refusal));
             }
             Ok(None) | Err(_) => {
@@ -330,6 +349,20 @@
     }
 }
 
+/// When to come back: what nobody holds is loaded within about two seconds, and callers
+/// come back after a third of their time at the latest; an adapter takes a moment.
+fn come_back(gw: &Gateway, job: &Job) -> Option<Millis> {
+    const LOAD: Millis = Millis(1_500);
+    const MOMENT: Millis = Millis(250);
+    let model = job.head.model.as_ref()?;
+    let base = Route::Model {
+        model: model.clone(),
+        adapter: None,
+    };
+    let served = gw.router.borrow().serving(&base) > 0;
+    Some(if served { MOMENT } else { LOAD })
+}
+
 /// Counts what is asked for, and tells the planner of an adapter that nobody holds.
 fn note_demand(gw: &Gateway, job: &Job) {
     let Some(model) = &job.head.model else {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -147,6 +147,13 @@
         self.backs.values().any(serves)
     }
 
+    /// How many upstreams serve the route and take new work.
+    #[must_use]
+    pub fn serving(&self, route: &Route) -> usize {
+        let serves = |b: &&Back| !b.is_leaving() && b.routes.contains(route);
+        self.backs.values().filter(serves).count()
+    }
+
     /// Takes an event and says what to do.
     pub fn step(&mut self, event: RouteEvent, now: Millis) -> Vec<RouteAction> {
         let mut out = Vec::new();
