--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -17,6 +17,8 @@
     pub least_near: f64,
     /// The same where the weights come from the weight store, whose rate is limited.
     pub least_far: f64,
+    /// The least gain for which the last replica of an idle model makes room.
+    pub least_last: f64,
     /// How many engines may load from the weight store at once for such a gain; the others
     /// stay free for what is missing.
     pub far_growth: usize,
@@ -33,6 +35,7 @@
         Self {
             least_near: 40.0,
             least_far: 120.0,
+            least_last: 150.0,
             far_growth: 2,
             margin: 1.5,
             adapters: 2,
@@ -108,6 +111,16 @@
 /// gain little.
 const MOST_TRIED: usize = 6;
 
+/// A model with less work a second than this, in milliseconds, is idle.
+const IDLE_WORK: f64 = 0.5;
+
+/// The last replica of an idle model may make room while so many engines have a copy of
+/// it: then it is back within seconds of the first request.
+const LAST_COPIES: usize = 2;
+
+/// What is counted as the loss of such a replica, in milliseconds a second.
+const LAST_LOSS: f64 = 20.0;
+
 /// Demand below this counts as this, so that replicas of idle models are compared too.
 const LEAST_WORK: f64 = 0.1;
 
@@ -150,6 +163,21 @@
         self.work(model) / self.replicas(model).max(1) as f64
     }
 
+    /// Whether nobody has asked for the model for some seconds.
+    fn is_idle(&self, model: &Model) -> bool {
+        self.work(model) <= IDLE_WORK
+    }
+
+    /// How many engines have a copy from which the model is loaded within a few seconds.
+    fn copies(&self, model: &Model) -> usize {
+        let Some(rule) = self.view.catalog.models.get(model) else {
+            return 0;
+        };
+        let engines = self.view.fleet.engines.values();
+        let has = |e: &&Engine| e.counts() && e.load_time(model, rule) != rule.store;
+        engines.filter(has).count()
+    }
+
     /// What another replica takes off each of those there are.
     fn gain(&self, model: &Model) -> f64 {
         let replicas = self.replicas(model) as f64;
@@ -193,10 +221,21 @@
         let mut models: Vec<&Model> = self.work.keys().copied().filter(missing).collect();
         models.sort_by(|a, b| self.work(b).total_cmp(&self.work(a)));
         for model in models {
-            self.place(model, 0.0);
+            // Nobody waits for an idle model with copies; it gets what room there is.
+            if !self.is_idle(model) || self.copies(model) < LAST_COPIES || self.is_roomy(model) {
+                self.place(model, 0.0);
+            }
         }
     }
 
+    /// Whether some engine has room for the model as it is.
+    fn is_roomy(&self, model: &Model) -> bool {
+        let Some(rule) = self.view.catalog.models.get(model) else {
+            return false;
+        };
+        self.free_engines().any(|(_, e)| self.has_room(e, rule))
+    }
+
     /// Gives more replicas to the models that gain most.
     fn grow(&mut self) {
         for _ in 0..MOST_STEPS {
@@ -295,7 +334,12 @@
     /// The model on the engine that loses least, and what it loses.
     fn victim(&self, engine: &'a Engine, gain: f64, missing: bool) -> Option<(&'a Model, f64)> {
         let known = engine.serving().map(|(m, _)| m);
-        let losses = known.filter_map(|m| Some((m, self.loss(m)?)));
+        let crowded = missing || gain >= self.settings.least_last;
+        let losses = known.filter_map(|m| {
+            let loss = self.loss(m);
+            let idle = crowded && self.is_idle(m) && self.copies(m) >= LAST_COPIES;
+            Some((m, loss.or(idle.then_some(LAST_LOSS))?))
+        });
         let (model, loss) = losses.min_by(|a, b| a.1.total_cmp(&b.1))?;
         let worth = missing || gain >= loss * self.settings.margin;
         worth.then_some((model, loss))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -133,7 +133,12 @@
     }
     if answer.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
-            gw.note_missing(upstream, job);
+            let other = answer.instance.as_deref();
+            if other.is_some_and(|i| i != upstream.as_str()) {
+                gw.note_replaced(upstream);
+            } else {
+                gw.note_missing(upstream, job);
+            }
         }
         drain(exchange, &answer).await;
         return Err(Failure::Refused(status.as_u16()));
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -68,6 +68,9 @@
     pub load: Option<(usize, usize, usize)>,
     /// How long the upstream keeps an idle connection; zero where it closes it.
     pub keep: Option<Duration>,
+    /// The upstream that answers, where it says so: another than was meant has taken over
+    /// the address.
+    pub instance: Option<String>,
     /// Whether the body is encoded, which no upstream does.
     pub encoded: bool,
 }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -338,7 +338,8 @@
             look(gw, &order.engine).await;
         }
         OrderReply::Fenced => gw.claim.borrow_mut().step_down(),
-        OrderReply::Elsewhere | OrderReply::Invalid | OrderReply::Lost => {}
+        OrderReply::Elsewhere => gw.note_replaced(&order.engine),
+        OrderReply::Invalid | OrderReply::Lost => {}
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 //! passes a stream on, `refuse` answers where no upstream did.
 
 use crate::attempt::{self, Ended};
+use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
@@ -17,7 +18,7 @@
 use shaleline_route::{
     Ask, AttemptNumber, End, Limits, Route, RouteAction, RouteEvent, Terms,
 };
-use shaleline_types::{stable_hash, ErrorKind, Millis, Org, RequestId, Service, Upstream};
+use shaleline_types::{stable_hash, ErrorKind, LogEvent, Millis, Org, RequestId, Service, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -43,6 +44,10 @@
 /// But at least so long, for a place that frees at once.
 const LEAST_WAIT: u64 = 20;
 
+/// A request is not sent where its first byte is expected later than so many targets:
+/// callers of streams leave after four.
+const MOST_TARGETS: u64 = 2;
+
 /// A send without a first byte counts as hanging after twice the target, within these
 /// bounds: a short target leaves time to try elsewhere, a long one is no reason to wait.
 const STALL_TARGETS: u64 = 2;
@@ -134,6 +139,7 @@
             terms: Terms {
                 wait: Some(Millis(wait)),
                 attempts: Some(self.rule.attempts),
+                most: Some(Millis(self.rule.target.0 * MOST_TARGETS)),
                 stall: self.is_idempotent().then_some(Millis(stall)),
                 urgent: self.is_urgent(),
             },
@@ -408,6 +414,14 @@
         self.send(planner.map(|p| (p.address, message)).into_iter().collect());
     }
 
+    /// Notes that another upstream has taken over the address of this one, which is gone,
+    /// whatever its entry still says.
+    pub(crate) fn note_replaced(&self, upstream: &Upstream) {
+        emit(LogEvent::UpstreamGone, &format!("upstream={upstream} reason=replaced"));
+        self.roster.borrow_mut().on_replaced(upstream);
+        self.apply(crate::roster::Change::Present(upstream.clone()));
+    }
+
     /// Takes back that an upstream holds what it said that it does not.
     pub(crate) fn note_missing(&self, upstream: &Upstream, job: &Job) {
         if let Some(model) = &job.head.model {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -63,6 +63,13 @@
         Some(Change::Present(name.clone()))
     }
 
+    /// Notes that another upstream answers at the address of this one.
+    pub(crate) fn on_replaced(&mut self, name: &Upstream) {
+        if let Some(listed) = self.listed.get_mut(name) {
+            listed.leaving = true;
+        }
+    }
+
     /// Takes in that an upstream's entry was removed.
     pub(crate) fn on_removed(&mut self, name: &Upstream, now: Millis) -> Option<Change> {
         let lapse = self.disturbed.is_some_and(|d| now.since(d) < LAPSE_MS);
--- a/crates/route/src/ask.rs
+++ b/crates/route/src/ask.rs
@@ -63,6 +63,8 @@
     pub attempts: Option<AttemptNumber>,
     /// How long a send may go without a first byte before it counts as hanging.
     pub stall: Option<Millis>,
+    /// The longest expected time to a first byte with which it is sent at all.
+    pub most: Option<Millis>,
     /// Whether upstreams serve it before work that is not urgent.
     pub urgent: bool,
 }
@@ -73,6 +75,7 @@
             wait: None,
             attempts: None,
             stall: None,
+            most: None,
             urgent: true,
         }
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Whether the request may be sent there at all: one that would wait too long is
+    /// better refused while its caller has time to come back.
+    pub(crate) fn allows(&self, back: &Back, ask: &Ask) -> bool {
+        let most = ask.terms.most;
+        most.is_none_or(|m| self.time(back, ask) <= m.0 as f64)
+    }
+
     /// The time to the first byte, as far as prompts decide it.
     pub(crate) fn time(&self, back: &Back, ask: &Ask) -> f64 {
         let own = back.cold(ask) * self.token * back.slowness.get(self.now);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -297,20 +297,24 @@
         }
     }
 
-    fn choose(&self, open: &Open, now: Millis) -> Option<Upstream> {
-        let ask = &open.ask;
-        let fits = |(_, b): &(&Upstream, &Back)| {
-            b.routes.contains(&ask.route) && b.has_room_for(&ask.org, now)
-        };
-        let able: Vec<(&Upstream, &Back)> = self.backs.iter().filter(fits).collect();
-        let fresh = |u: &Upstream| !open.tried.contains(u);
-        let chooser = Chooser {
+    fn chooser(&self, ask: &Ask, now: Millis) -> Chooser<'_> {
+        Chooser {
             choice: self.settings.choice,
             home: &self.settings.home,
             turn: self.turn,
             token: self.tokens.get(&ask.route, self.settings.token),
             now,
+        }
+    }
+
+    fn choose(&self, open: &Open, now: Millis) -> Option<Upstream> {
+        let ask = &open.ask;
+        let chooser = self.chooser(ask, now);
+        let fits = |(_, b): &(&Upstream, &Back)| {
+            b.routes.contains(&ask.route) && b.has_room_for(&ask.org, now) && chooser.allows(b, ask)
         };
+        let able: Vec<(&Upstream, &Back)> = self.backs.iter().filter(fits).collect();
+        let fresh = |u: &Upstream| !open.tried.contains(u);
         let of = able.len();
         let costs = able.iter().enumerate().map(|(i, (name, back))| {
             let cost = chooser.cost(back, ask, i, of);
@@ -561,7 +565,11 @@
         }
         let queues = back.routes.iter().filter_map(|r| self.queues.get(r));
         let heads = queues.flat_map(RouteQueue::heads);
-        let allowed = heads.filter(|h| back.has_room_for(h.org, now));
+        let allowed = heads.filter(|h| {
+            let open = self.open.get(&h.id);
+            let in_time = open.is_none_or(|o| self.chooser(&o.ask, now).allows(back, &o.ask));
+            in_time && back.has_room_for(h.org, now)
+        });
         let best = allowed.min_by(|a, b| {
             let start = |h: &crate::queue::Head<'_>| back.start_of(h.org);
             a.priority
