Send hubs' notes as short tags, and let strong instances be hubs

Cause: totals of 2.9 KB to 30 daemons in bursts over 10 Mbit/s links were dropped, so two of three data centres read the store by themselves (8 to 13 reads of entries in 10 s each). Ruled out: numbering (one data centre followed).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRecord {
     centre: DataCentre,
+    strength: u8,
     address: SocketAddr,
     life: u64,
 }
@@ -235,6 +236,7 @@
     let mut link = Link::new("members");
     let record = MemberRecord {
         centre: gw.me.centre.clone(),
+        strength: gw.me.strength,
         address: gw.settings.listen.peers,
         life: gw.me.life,
     };
@@ -272,6 +274,7 @@
                 instance,
                 centre: member.centre,
                 life: member.life,
+                strength: member.strength,
             };
             let now = gw.now();
             gw.mesh.borrow_mut().learn(&from, member.address, now);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::journal::emit;
 use crate::mesh::Outgoing;
-use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, UpstreamNote};
+use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, Tag, UpstreamNote};
 use crate::state::Gateway;
 use shaleline_route::{PeerLoad, RouteEvent};
 use shaleline_types::{LogEvent, Upstream};
@@ -80,14 +80,14 @@
     };
     let loads = router.names().filter_map(|n| {
         let load = router.own_load(n)?;
-        (load.running > 0).then(|| (n.clone(), note(load)))
+        (load.running > 0).then(|| (Tag::of_upstream(n), note(load)))
     });
     let rates = gw.demand.borrow_mut().rates(now);
-    let mut rates: Vec<_> = rates
-        .into_iter()
-        .map(|((m, a), r)| (m, a, r as f32))
-        .collect();
-    rates.sort_by(|a, b| b.2.total_cmp(&a.2));
+    let rates = rates
+        .iter()
+        .map(|((m, a), r)| (Tag::of_model(m, a.as_ref()), *r as f32));
+    let mut rates: Vec<(Tag, f32)> = rates.collect();
+    rates.sort_by(|a, b| b.1.total_cmp(&a.1));
     rates.truncate(MOST_RATES);
     let fence = gw.claim.borrow().fence(now);
     LoadNote {
@@ -97,7 +97,7 @@
             address: gw.mesh.borrow().address(),
         }),
         upstreams: loads.collect(),
-        rates,
+        rates: rates.into_iter().collect(),
     }
 }
 
@@ -106,7 +106,7 @@
     let loads = gw.mesh.borrow().others(gw.now());
     let names: Vec<Upstream> = gw.router.borrow().names().cloned().collect();
     for upstream in names {
-        let note = loads.get(&upstream).copied().unwrap_or_default();
+        let note = loads.get(&Tag::of_upstream(&upstream)).copied().unwrap_or_default();
         let load = PeerLoad {
             running: note.running as usize,
             urgent: f64::from(note.urgent),
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::keep_of;
 use crate::journal::emit;
-use crate::message::News;
+use crate::message::{News, Tag};
 use crate::state::Gateway;
 use crate::store::{Batch, StoreError, Topic};
 use crate::Call;
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{
-    ClaimAction, ClaimView, LoadWindow, Order, OrderKind, OrderReply, PlanSettings, PlanView,
+    Catalog, ClaimAction, ClaimView, LoadWindow, Order, OrderKind, OrderReply, PlanSettings, PlanView,
     Planner, Rates,
 };
 use shaleline_types::{LogEvent, Millis, Service, Upstream};
@@ -205,9 +205,28 @@
     }
 }
 
-fn rates(gw: &Gateway, now: Millis) -> Rates {
+/// What all callers ask for of these models; this daemon's own where nothing else is
+/// known.
+fn all_rates(gw: &Gateway, catalog: &Catalog, own: Rates, now: Millis) -> Rates {
+    let mesh = gw.mesh.borrow();
+    let Some(all) = mesh.rates(now) else {
+        return own;
+    };
+    let mut rates = Rates::new();
+    for (model, rule) in &catalog.models {
+        let adapters = rule.adapters.iter().map(Some);
+        for adapter in adapters.chain([None]) {
+            if let Some(rate) = all.get(&Tag::of_model(model, adapter)) {
+                rates.insert((model.clone(), adapter.cloned()), f64::from(*rate));
+            }
+        }
+    }
+    rates
+}
+
+fn rates(gw: &Gateway, catalog: &Catalog, now: Millis) -> Rates {
     let own = gw.demand.borrow_mut().rates(now);
-    let mut rates = gw.mesh.borrow().rates(own, now);
+    let mut rates = all_rates(gw, catalog, own, now);
     let mut wants = gw.wants.borrow_mut();
     wants.retain(|_, at| now.since(*at) < WANT_MS);
     for (model, adapter) in wants.keys() {
@@ -222,7 +241,6 @@
     let Some(table) = gw.table() else {
         return;
     };
-    let rates = rates(gw, now);
     let planner = Planner::new(PlanSettings::default());
     let mut orders = Vec::new();
     for service in table.services.keys() {
@@ -233,6 +251,7 @@
         let Some(fleet) = fleets.get_mut(service) else {
             continue;
         };
+        let rates = rates(gw, catalog, now);
         fleet.prune(now);
         let mut window = working.window.borrow_mut();
         let Some(window) = window.as_mut() else {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,7 +1,7 @@
 //! Which daemons there are and how load is summed up, without a message for each pair.
 //!
-//! Each data centre has a hub: the first of its daemons, by rendezvous hashing, that is
-//! not silent. Daemons tell their load to their hub, hubs tell each other the sums, and
+//! Each data centre has a hub: the first of its daemons that is not silent, the strongest
+//! instances first and by rendezvous hashing among equals. Daemons tell their load to their hub, hubs tell each other the sums, and
 //! each hub tells its data centre the total. A hub reads the store for its data centre;
 //! whoever does not hear of that reads by itself. A hub that falls silent is passed over
 //! after [`SILENT_MS`]. Two hubs at once only cost messages.
@@ -9,8 +9,8 @@
 //! The ways that were weighed are in `docs/MEMBERSHIP.md`.
 
 use crate::message::{LoadNote, Mark, Message, PlannerNote, RateNote, Sender, TotalNote, UpstreamNotes};
-use shaleline_fleet::Rates;
 use shaleline_types::{rank, DataCentre, Instance, Millis};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -37,6 +37,7 @@
     centre: DataCentre,
     address: SocketAddr,
     life: u64,
+    strength: u8,
     /// When it was learned of or heard of last.
     known: Millis,
     heard: Option<Millis>,
@@ -100,6 +101,7 @@
             centre: from.centre.clone(),
             address,
             life: from.life,
+            strength: from.strength,
             known: now,
             heard: None,
         };
@@ -114,6 +116,7 @@
             centre: from.centre.clone(),
             address,
             life: from.life,
+            strength: from.strength,
             known: now,
             heard: Some(now),
         };
@@ -124,11 +127,13 @@
     /// The daemons of a data centre that may be its hub, best first.
     fn candidates(&self, centre: &DataCentre) -> Vec<Instance> {
         let peers = self.peers.iter().filter(|(_, p)| p.centre == *centre);
-        let mut names: Vec<&str> = peers.map(|(n, _)| n.as_str()).collect();
+        let mut strengths: BTreeMap<&str, u8> =
+            peers.map(|(n, p)| (n.as_str(), p.strength)).collect();
         if *centre == self.me.centre {
-            names.push(self.me.instance.as_str());
+            strengths.insert(self.me.instance.as_str(), self.me.strength);
         }
-        let ranked = rank(RANK_KEY, names);
+        let mut ranked = rank(RANK_KEY, strengths.keys().copied());
+        ranked.sort_by_key(|n| Reverse(strengths.get(n)));
         let instance = |n: &str| Instance::from_text(n).expect("it was a name before");
         ranked.into_iter().map(instance).collect()
     }
@@ -386,21 +391,15 @@
         };
         let without = total.upstreams.iter().map(|(name, note)| {
             let own = self.own.get(name).copied().unwrap_or_default();
-            (name.clone(), note.without(own))
+            (*name, note.without(own))
         });
         without.collect()
     }
 
-    /// What is asked for in all, as far as is known; `own` where nothing is.
-    pub(crate) fn rates(&self, own: Rates, now: Millis) -> Rates {
-        let total = self.known_total(now).filter(|t| !t.rates.is_empty());
-        let Some(total) = total else {
-            return own;
-        };
-        let rates = total.rates.iter();
-        rates
-            .map(|(m, a, r)| ((m.clone(), a.clone()), f64::from(*r)))
-            .collect()
+    /// What is asked for in all, as far as is known; none where nothing is.
+    pub(crate) fn rates(&self, now: Millis) -> Option<&RateNote> {
+        let total = self.known_total(now)?;
+        Some(&total.rates).filter(|r| !r.is_empty())
     }
 
     /// This daemon's own address, as the others know it.
@@ -416,13 +415,9 @@
         (a, b) => a.or(b),
     };
     for (name, load) in &note.upstreams {
-        sum.upstreams.entry(name.clone()).or_default().add(*load);
+        sum.upstreams.entry(*name).or_default().add(*load);
     }
-    let mut rates: BTreeMap<_, f32> = BTreeMap::new();
-    let both = sum.rates.drain(..).chain(note.rates.iter().cloned());
-    for (model, adapter, rate) in both {
-        *rates.entry((model, adapter)).or_default() += rate;
+    for (tag, rate) in &note.rates {
+        *sum.rates.entry(*tag).or_default() += rate;
     }
-    let rates = rates.into_iter().map(|((m, a), r)| (m, a, r));
-    sum.rates = rates.collect();
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,7 +3,7 @@
 use crate::Entry;
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::Held;
-use shaleline_types::{Adapter, DataCentre, Instance, Model, Upstream};
+use shaleline_types::{stable_hash, Adapter, DataCentre, Instance, Model, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -14,6 +14,8 @@
     pub(crate) centre: DataCentre,
     /// Drawn anew at each start.
     pub(crate) life: u64,
+    /// How well its instance can serve as a hub; more is better.
+    pub(crate) strength: u8,
 }
 
 /// One datagram.
@@ -77,11 +79,30 @@
     }
 }
 
+/// A name as its hash: notes are many, and a hub's link may be slow. Two names with one
+/// hash would only make estimates worse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub(crate) struct Tag([u8; 4]);
+
+impl Tag {
+    fn new(parts: &[&str]) -> Self {
+        Self((stable_hash(parts) as u32).to_le_bytes())
+    }
+
+    pub(crate) fn of_upstream(name: &Upstream) -> Self {
+        Self::new(&[name.as_str()])
+    }
+
+    pub(crate) fn of_model(model: &Model, adapter: Option<&Adapter>) -> Self {
+        Self::new(&[model.as_str(), adapter.map_or("", |a| a.as_str())])
+    }
+}
+
 /// Work asked for, by model and adapter, in milliseconds a second.
-pub(crate) type RateNote = Vec<(Model, Option<Adapter>, f32)>;
+pub(crate) type RateNote = BTreeMap<Tag, f32>;
 
 /// What is at each upstream.
-pub(crate) type UpstreamNotes = BTreeMap<Upstream, UpstreamNote>;
+pub(crate) type UpstreamNotes = BTreeMap<Tag, UpstreamNote>;
 
 /// Who plans.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -47,12 +47,29 @@
     pub centre: DataCentre,
     /// Where it listens.
     pub listen: Listen,
+    /// The bandwidth of its link, in megabits a second.
+    pub link: f64,
+    /// Its part of a processor.
+    pub cores: f64,
     /// The platform's bounds.
     pub bounds: Bounds,
     /// How the gateway decides.
     pub policy: Policy,
 }
 
+impl GatewaySettings {
+    /// How well this instance can serve as a hub. A hub of 30 daemons sends some 3 Mbit/s
+    /// in bursts and reads the store for them.
+    #[must_use]
+    pub fn strength(&self) -> u8 {
+        /// Links and processors at which the bursts do no harm to requests.
+        const LINKS: [f64; 2] = [50.0, 100.0];
+        const CORES: f64 = 0.24;
+        let links = LINKS.iter().filter(|l| self.link >= **l).count() as u8;
+        links + u8::from(self.cores >= CORES)
+    }
+}
+
 /// The figures that decide, each with its unit and where it comes from. They are the
 /// baselines' switches too: `docs/MEASUREMENTS.md` compares them.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -99,6 +99,7 @@
             instance: settings.instance.clone(),
             centre: settings.centre.clone(),
             life,
+            strength: settings.strength(),
         };
         let mesh = Mesh::new(me.clone(), settings.listen.peers);
         let router = RouterSettings {
