--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -1,6 +1,7 @@
 //! The subjects of `slopes`: each function gives what a size costs.
 
 use crate::rig::{open_org, ops};
+use shaleline_border::{CacheEvents, UpstreamReport};
 use shaleline_config::{Change, ConfigMachine, Op};
 use shaleline_lease::LeaseBody;
 use shaleline_log::{AppendBudget, Appended, Machine, Priority, Replica};
@@ -9,9 +10,9 @@
     CellBody, CellMachine, Demand, EngineReport, EngineView, Item, Plan, Planner, Policy, Resident,
     Want, Wanted,
 };
-use shaleline_border::{CacheEvents, UpstreamReport};
 use shaleline_route::{
-    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms,
+    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook,
+    Site, Terms,
 };
 use shaleline_types::{
     ChangeId, DataCentre, Instance, Megabytes, Millis, Model, Offset, Org, RequestId, Upstream,
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -1,7 +1,7 @@
 //! Where upstreams answer and what they hold, from the list and the reports.
 
-use shaleline_place::{EngineReport, Item};
 use shaleline_border::InstanceKind;
+use shaleline_place::{EngineReport, Item};
 use shaleline_types::{DataCentre, Millis, Upstream};
 use std::collections::BTreeMap;
 
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -3,8 +3,8 @@
 use crate::completion::Completion;
 use crate::core::{Core, InFlight};
 use futures_util::StreamExt;
-use shaleline_config::Tenant;
 use shaleline_border::{Engines, Generate, Piece, PieceStream, SendError};
+use shaleline_config::Tenant;
 use shaleline_route::{prefix_chain, Ask, End, Limits, Route, RouteAction, RouteEvent, Terms};
 use shaleline_types::{Error, ErrorKind, LogEvent, Millis, RequestId, Upstream};
 use std::rc::Rc;
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -12,12 +12,12 @@
 use crate::journal::Journal;
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse};
+use shaleline_border::{SendError, ServiceAnswer, Services};
 use shaleline_log::Priority;
 use shaleline_once::{
     Attempt, AttemptAction, AttemptEvent, KeptAnswer, KeyState, OnceBody, OnceKey, OnceMachine,
     OnceVerdict, SendEnd,
 };
-use shaleline_border::{SendError, ServiceAnswer, Services};
 use shaleline_route::End;
 use shaleline_types::{
     digest, Error, ErrorKind, LogEvent, Outcome, RequestId, Result, Upstream, WriterId,
--- a/crates/daemon/src/member_actor.rs
+++ b/crates/daemon/src/member_actor.rs
@@ -5,11 +5,11 @@
 use crate::journal::Journal;
 use actix::prelude::*;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use shaleline_border::{InstanceKind, InstanceList};
 use shaleline_log::{pick_snapshot, Machine, StoredRecord};
 use shaleline_peer::{
     DemandReport, Heartbeat, LoanRequest, MemberEvent, PeerApiClient, RelayRequest,
 };
-use shaleline_border::{InstanceKind, InstanceList};
 use shaleline_types::{LogEvent, Offset};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/daemon/src/owner_actor.rs
+++ b/crates/daemon/src/owner_actor.rs
@@ -4,6 +4,7 @@
 use crate::directory::Entry;
 use crate::emit::emit;
 use actix::prelude::*;
+use shaleline_border::{Engines, InstanceKind};
 use shaleline_config::View;
 use shaleline_lease::{Keeper, KeeperInput, LeaseVerdict};
 use shaleline_log::Priority;
@@ -11,7 +12,6 @@
     CellBody, CellMachine, CellVerdict, Dispatcher, EngineReport, EngineView, Item, Plan,
     PlanSettings, Planner, Policy, Step, Want, Wanted,
 };
-use shaleline_border::{Engines, InstanceKind};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/dialect/src/http.rs
+++ b/crates/dialect/src/http.rs
@@ -5,11 +5,11 @@
 use eventsource_stream::Eventsource;
 use futures_util::future::LocalBoxFuture;
 use futures_util::StreamExt;
-use shaleline_place::Order;
 use shaleline_border::{
     Engines, Generate, InstanceList, ListError, Listed, Piece, PieceStream, SendError,
     ServiceAnswer, ServiceCall, Services, UpstreamReport,
 };
+use shaleline_place::Order;
 use shaleline_types::RequestId;
 use std::time::Duration;
 
--- a/crates/dialect/src/log.rs
+++ b/crates/dialect/src/log.rs
@@ -4,8 +4,8 @@
 use crate::HttpPlatform;
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
-use shaleline_log::{Appended, LogError, LogService, ReadBatch};
 use shaleline_border::SendError;
+use shaleline_log::{Appended, LogError, LogService, ReadBatch};
 use shaleline_types::{Millis, Offset, Stream};
 use std::time::Duration;
 
--- a/crates/dialect/tests/send.rs
+++ b/crates/dialect/tests/send.rs
@@ -1,8 +1,8 @@
 //! Failures before the first byte are told apart from later ones.
 
+use shaleline_border::{SendError, ServiceCall, Services};
 use shaleline_dialect::HttpPlatform;
 use shaleline_log::{Appended, LogService};
-use shaleline_border::{SendError, ServiceCall, Services};
 use shaleline_types::Stream;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -220,9 +220,7 @@
         let socket = SockRef::from(&stream);
         // Both only make failures show sooner; a connection works without them.
         stream.set_nodelay(true).ok();
-        socket
-            .set_tcp_user_timeout(Some(self.0.settings.dead))
-            .ok();
+        socket.set_tcp_user_timeout(Some(self.0.settings.dead)).ok();
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
--- /dev/null
+++ b/crates/edge/tests/pool.rs
@@ -0,0 +1,185 @@
+//! What upstreams may do to a connection, and what becomes of the requests on it.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use shaleline_edge::{Pool, PoolSettings, SendError, Target};
+use shaleline_testkit::cases;
+use shaleline_types::Upstream;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the upstream does after it has written an answer.
+#[derive(Clone, Copy, PartialEq)]
+enum After {
+    Keep,
+    Close,
+    Reset,
+}
+
+/// An upstream's answers, in order; each connection goes on where the last one stopped.
+type Script = &'static [(&'static str, After)];
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+async fn read_head(stream: &mut TcpStream) -> bool {
+    let mut seen = Vec::new();
+    let mut byte = [0];
+    while !seen.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte).await {
+            Ok(1) => seen.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+async fn play(listener: TcpListener, script: Script) {
+    let mut next = script.iter();
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            return;
+        };
+        while read_head(&mut stream).await {
+            let Some((bytes, after)) = next.next() else {
+                return;
+            };
+            stream.write_all(bytes.as_bytes()).await.expect("written");
+            match after {
+                After::Keep => {}
+                After::Close => break,
+                After::Reset => {
+                    let socket = socket2::SockRef::from(&stream);
+                    socket.set_linger(Some(Duration::ZERO)).expect("set");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn target(address: SocketAddr) -> Target {
+    Target {
+        name: Upstream::from_text("up").expect("a valid name"),
+        address,
+    }
+}
+
+fn pool() -> Pool {
+    Pool::new(PoolSettings {
+        connect: Duration::from_secs(5),
+        dead: Duration::from_secs(5),
+        most: 4,
+    })
+}
+
+async fn ask(pool: &Pool, target: &Target) -> String {
+    let request = Request::get("/")
+        .body(Full::new(Bytes::new()))
+        .expect("a valid request");
+    let mut exchange = match pool.send(target, request).await {
+        Ok(exchange) => exchange,
+        Err(e) => return format!("{e:?}"),
+    };
+    let status = exchange.status().as_u16();
+    match exchange.collect(1_000).await {
+        Ok(body) => {
+            exchange.finish(Duration::from_secs(60));
+            format!("{status} {}", String::from_utf8_lossy(&body))
+        }
+        Err(e) => format!("{status} then {e:?}"),
+    }
+}
+
+/// Sends as many requests as the script has answers, one after the other.
+fn answers(script: Script) -> Vec<String> {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        let server = actix_rt::spawn(play(listener, script));
+        let pool = pool();
+        let mut out = Vec::new();
+        for _ in script {
+            out.push(ask(&pool, &target).await);
+            // Lets the connection's task see what came after the answer.
+            for _ in 0..20 {
+                tokio::task::yield_now().await;
+            }
+        }
+        server.abort();
+        out
+    })
+}
+
+fn texts(list: &[&str]) -> Vec<String> {
+    list.iter().map(|t| (*t).to_owned()).collect()
+}
+
+cases! { answers;
+    a_kept_connection_serves_again: &[(OK, After::Keep), (OK, After::Keep)]
+        => texts(&["200 ok", "200 ok"]),
+    an_extra_answer_belongs_to_no_request:
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx",
+            After::Keep), (OK, After::Keep)]
+        => texts(&["200 a", "200 ok"]),
+    half_an_extra_answer_belongs_to_no_request:
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 2", After::Keep), (OK, After::Keep)]
+        => texts(&["200 a", "200 ok"]),
+    a_body_cut_short_is_not_whole:
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", After::Close)]
+        => texts(&["200 then Broken"]),
+    a_chunk_cut_short_is_not_whole:
+        &[("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npa", After::Close)]
+        => texts(&["200 then Broken"]),
+    chunks_without_an_end_are_not_whole:
+        &[("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n", After::Close)]
+        => texts(&["200 then Broken"]),
+    a_body_without_length_ends_with_its_connection:
+        &[("HTTP/1.1 200 OK\r\n\r\nall", After::Close), (OK, After::Keep)]
+        => texts(&["200 all", "200 ok"]),
+    bytes_that_are_no_answer_break_the_request:
+        &[("garbage\r\n\r\n", After::Keep)] => texts(&["Broken"]),
+    a_connection_closed_without_an_answer_may_have_run:
+        &[("", After::Close)] => texts(&["Broken"]),
+    a_reset_without_an_answer_may_have_run:
+        &[("", After::Reset)] => texts(&["Broken"]),
+}
+
+#[test]
+fn a_body_without_length_that_is_reset_is_not_whole() {
+    let got = answers(&[("HTTP/1.1 200 OK\r\n\r\npart", After::Reset)]);
+    // The reset may overtake the head; in no case is the answer whole.
+    assert!(got[0].ends_with("Broken"), "{got:?}");
+}
+
+#[test]
+fn nobody_at_the_address_means_not_sent() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        drop(listener);
+        assert_eq!(
+            ask(&pool(), &target).await,
+            format!("{:?}", SendError::NotSent)
+        );
+    });
+}
+
+#[test]
+fn a_dropped_request_closes_its_connection() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        let pool = pool();
+        let request = actix_rt::spawn(async move { ask(&pool, &target).await });
+        let (mut stream, _) = listener.accept().await.expect("accepted");
+        assert!(read_head(&mut stream).await);
+        request.abort();
+        let mut rest = Vec::new();
+        // Ends only if the connection is closed.
+        let end = stream.read_to_end(&mut rest).await;
+        assert!(end.is_err() || rest.is_empty());
+    });
+}
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -4,7 +4,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_route::{
-    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms,
+    Ask, End, Limits, Load, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook,
+    Site, Terms,
 };
 use shaleline_types::{DataCentre, Millis, Org, RequestId, Service, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -73,11 +73,7 @@
     /// Somebody else holds it, or nobody does.
     Watching,
     /// The end has not moved since then.
-    Waiting {
-        end: u64,
-        since: Millis,
-        wait: u64,
-    },
+    Waiting { end: u64, since: Millis, wait: u64 },
     /// An append is under way.
     Claiming { end: u64 },
     /// This daemon holds it.
@@ -173,11 +169,12 @@
             State::Claiming { .. } => {
                 due(self.settings.read.0, self.acted).then_some(ClaimAction::Read)
             }
-            State::Holding { end, fence, .. } => due(self.settings.renew.0, self.acted)
-                .then_some(ClaimAction::Append {
+            State::Holding { end, fence, .. } => {
+                due(self.settings.renew.0, self.acted).then_some(ClaimAction::Append {
                     end,
                     fence: Some(fence),
-                }),
+                })
+            }
         };
         if action.is_some() {
             self.busy = true;
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -249,8 +249,9 @@
                     && p.order.model == *m
             })
         };
-        self.retiring
-            .retain(|m, at| held.models.contains_key(m) && (unloading(m) || now.since(*at) < RETIRE_MS));
+        self.retiring.retain(|m, at| {
+            held.models.contains_key(m) && (unloading(m) || now.since(*at) < RETIRE_MS)
+        });
     }
 
     /// Notes that an order leaves. It counts at its worst from now on.
@@ -335,7 +336,11 @@
     pub(crate) fn busy_until(&self, catalog: &Catalog) -> Option<Millis> {
         let pending = self.pending.iter().find(|p| p.order.adapter.is_none())?;
         let rule = catalog.models.get(&pending.order.model)?;
-        Some(pending.sent.plus(self.load_time(&pending.order.model, rule).0))
+        Some(
+            pending
+                .sent
+                .plus(self.load_time(&pending.order.model, rule).0),
+        )
     }
 
     /// How long a load of the model takes there.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -381,8 +381,7 @@
     fn adapt_one(&mut self, model: &'a Model, adapter: &'a Adapter) {
         let serving = |e: &&Engine| e.counts() && e.serves(model);
         let has = |e: &Engine| {
-            e.serves_adapter(model, adapter)
-                || e.is_pending(OrderKind::Load, model, Some(adapter))
+            e.serves_adapter(model, adapter) || e.is_pending(OrderKind::Load, model, Some(adapter))
         };
         let engines = self.view.fleet.engines.values().filter(serving);
         let (count, models) = engines.fold((0, 0), |(c, m), e| (c + usize::from(has(e)), m + 1));
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -77,7 +77,11 @@
                 continue;
             }
             if let Some(action) = daemon.claim.tick(Millis(now)) {
-                let (lost, delay) = if d == index { (lost, delay) } else { (false, 5) };
+                let (lost, delay) = if d == index {
+                    (lost, delay)
+                } else {
+                    (false, 5)
+                };
                 let call = (now + delay, action, Millis(now), lost);
                 daemon.calls.push_back(call);
             }
@@ -142,10 +146,17 @@
     };
     assert_eq!(claim.tick(Millis(START)), Some(ClaimAction::Read));
     claim.on_read(&view(0, None), Millis(START), Millis(START + 5));
-    let append = ClaimAction::Append { end: 0, fence: None };
+    let append = ClaimAction::Append {
+        end: 0,
+        fence: None,
+    };
     assert_eq!(claim.tick(Millis(START + 10)), Some(append));
     claim.on_failed();
     assert_eq!(claim.tick(Millis(START + 600)), Some(ClaimAction::Read));
-    claim.on_read(&view(1, Some("me")), Millis(START + 600), Millis(START + 605));
+    claim.on_read(
+        &view(1, Some("me")),
+        Millis(START + 600),
+        Millis(START + 605),
+    );
     assert_eq!(claim.fence(Millis(START + 610)), Some(1));
 }
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -137,8 +137,14 @@
     an_old_report_is_passed_over: an_old_report_comes => Vec::<String>::new(),
 }
 
+/// What each engine holds.
+type Holdings = &'static [&'static [&'static str]];
+
+/// Milliseconds of work a second, by model and adapter.
+type Work = &'static [(&'static str, Option<&'static str>, f64)];
+
 /// What is ordered at engines that hold these models, while `work` is asked for.
-fn ordered(case: (&[&[&str]], &[(&str, Option<&str>, f64)])) -> Vec<String> {
+fn ordered(case: (Holdings, Work)) -> Vec<String> {
     let (engines, work) = case;
     let names: BTreeSet<&str> = engines.iter().flat_map(|e| e.iter().copied()).collect();
     let names: Vec<&str> = names.into_iter().collect();
@@ -170,7 +176,8 @@
     let catalog = catalog(&["a", "b"]);
     let mut fleet = Fleet::default();
     let mut full = held(&["a", "b"], 0);
-    full.models.insert(model("a"), BTreeSet::from([adapter("a1")]));
+    full.models
+        .insert(model("a"), BTreeSet::from([adapter("a1")]));
     sight(&mut fleet, "e1", full.clone());
     let asked = rates(&[("a", Some("a2"), 5.0)]);
     let orders = plan(&catalog, &fleet, &asked);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -92,7 +92,12 @@
     }
 }
 
-fn to_request(gw: &Gateway, job: &Job, upstream: &Upstream, resume: Option<&str>) -> Request<Full<Bytes>> {
+fn to_request(
+    gw: &Gateway,
+    job: &Job,
+    upstream: &Upstream,
+    resume: Option<&str>,
+) -> Request<Full<Bytes>> {
     let passage = Passage {
         left: shaleline_types::Millis(job.deadline.since(gw.now()).max(1)),
         upstream: upstream.clone(),
@@ -164,7 +169,11 @@
 
 fn note_load(gw: &Gateway, upstream: &Upstream, answer: &AnswerHead) {
     // Engines' places are counted by the daemons' own notes, which do not lag as much.
-    let plain = gw.roster.borrow().get(upstream).is_some_and(|e| e.held.is_none());
+    let plain = gw
+        .roster
+        .borrow()
+        .get(upstream)
+        .is_some_and(|e| e.held.is_none());
     if let (true, Some((running, waiting, slots))) = (plain, answer.load) {
         gw.route(RouteEvent::Report {
             upstream: upstream.clone(),
@@ -191,9 +200,7 @@
     let result = if job.rule.repeat.is_stream() {
         let opened = first_piece(gw, job, &mut permit, upstream).await;
         match opened {
-            Ok((opened, first)) => {
-                return stream(gw, job, permit, attempt, upstream, opened, first).await;
-            }
+            Ok(begun) => return stream(gw, job, permit, attempt, upstream, begun).await,
             Err(failure) => Err(failure),
         }
     } else {
@@ -311,25 +318,31 @@
     job: &Job,
     permit: &mut Permit,
     upstream: &Upstream,
-) -> Result<(Opened, Option<Bytes>), Failure> {
+) -> Result<Begun, Failure> {
     let step = async {
         let mut opened = open(gw, job, upstream, None).await?;
         let first = opened.exchange.next().await?;
-        Ok((opened, first))
+        Ok(Begun { opened, first })
     };
     guard(gw, job, permit, step).await
 }
 
+/// A stream whose first piece has come.
+struct Begun {
+    opened: Opened,
+    first: Option<Bytes>,
+}
+
 async fn stream(
     gw: &Rc<Gateway>,
     job: &Rc<Job>,
     permit: Permit,
     attempt: AttemptNumber,
     upstream: &Upstream,
-    mut opened: Opened,
-    first: Option<Bytes>,
+    begun: Begun,
 ) -> Ended {
     permit.first_byte(attempt);
+    let Begun { mut opened, first } = begun;
     if !opened.status.is_success() {
         return failed_stream(gw, job, permit, attempt, opened, first).await;
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,8 +22,8 @@
         let end = self.rest.windows(END.len()).rposition(|w| w == END)? + END.len();
         let whole = self.rest.split_to(end).freeze();
         let text = String::from_utf8_lossy(&whole);
-        let ids = text.lines().filter_map(|l| l.strip_prefix(ID));
-        if let Some(id) = ids.last() {
+        let mut ids = text.lines().filter_map(|l| l.strip_prefix(ID));
+        if let Some(id) = ids.next_back() {
             self.last = Some(id.trim().to_owned());
         }
         Some(whole)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -206,7 +206,7 @@
         for change in changes {
             self.apply(change);
         }
-        self.tell_changes(told);
+        self.tell_changes(&told);
     }
 }
 
@@ -274,10 +274,11 @@
                 instance,
                 centre: member.centre,
                 life: member.life,
+                address: member.address,
                 strength: member.strength,
             };
             let now = gw.now();
-            gw.mesh.borrow_mut().learn(&from, member.address, now);
+            gw.mesh.borrow_mut().learn(&from, now);
         }
         Ok(_) => {}
         Err(e) => emit(
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::journal::emit;
 use crate::mesh::Outgoing;
-use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, Tag, UpstreamNote};
+use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, Sender, Tag, UpstreamNote};
 use crate::state::Gateway;
 use shaleline_route::{PeerLoad, RouteEvent};
 use shaleline_types::{LogEvent, Upstream};
@@ -24,7 +24,10 @@
 const TICK_BOUNDS: (u64, u64) = (120, 300);
 
 /// What is sent between two notes of load.
-pub(crate) type Outbox = mpsc::UnboundedReceiver<Outgoing>;
+pub(crate) type Outbox = mpsc::UnboundedReceiver<Addressed>;
+
+/// Datagrams, each with where it goes.
+pub(crate) type Addressed = Vec<(SocketAddr, Datagram)>;
 
 /// Sends what is put into the outbox, and this daemon's load at a steady pace.
 pub(crate) async fn send(gw: Rc<Gateway>, socket: Rc<UdpSocket>, mut outbox: Outbox) {
@@ -38,7 +41,7 @@
                 next = tokio::time::Instant::now() + Duration::from_millis(pause);
                 tick(&gw, &socket).await;
             }
-            Some(messages) = outbox.recv() => send_all(&gw, &socket, messages).await,
+            Some(messages) = outbox.recv() => send_all(&socket, messages).await,
         }
     }
 }
@@ -48,17 +51,14 @@
     let now = gw.now();
     let note = load_note(gw);
     let mark = gw.reading.borrow().mark(now);
-    let messages = gw.mesh.borrow_mut().tick(note, mark, now);
-    send_all(gw, socket, messages).await;
+    let messages = gw.mesh.borrow_mut().tick(&note, mark, now);
+    let messages = messages.into_iter().map(|(t, m)| (t, gw.datagram(m)));
+    send_all(socket, messages.collect()).await;
     pass_loads(gw);
 }
 
-async fn send_all(gw: &Gateway, socket: &UdpSocket, messages: Outgoing) {
-    for (target, message) in messages {
-        let datagram = Datagram {
-            from: gw.me.clone(),
-            message,
-        };
+async fn send_all(socket: &UdpSocket, messages: Addressed) {
+    for (target, datagram) in messages {
         match postcard::to_stdvec(&datagram) {
             // Datagrams may be lost anyway; what they say is said again.
             Ok(bytes) => {
@@ -106,7 +106,10 @@
     let loads = gw.mesh.borrow().others(gw.now());
     let names: Vec<Upstream> = gw.router.borrow().names().cloned().collect();
     for upstream in names {
-        let note = loads.get(&Tag::of_upstream(&upstream)).copied().unwrap_or_default();
+        let note = loads
+            .get(&Tag::of_upstream(&upstream))
+            .copied()
+            .unwrap_or_default();
         let load = PeerLoad {
             running: note.running as usize,
             urgent: f64::from(note.urgent),
@@ -126,7 +129,7 @@
             continue;
         };
         match postcard::from_bytes::<Datagram>(&buffer[..len]) {
-            Ok(datagram) => take(&gw, datagram, from),
+            Ok(datagram) => take(&gw, datagram),
             Err(e) => emit(
                 LogEvent::PeerMessageBad,
                 &format!("from={from} reason=\"{e}\""),
@@ -135,22 +138,28 @@
     }
 }
 
-fn take(gw: &Gateway, datagram: Datagram, address: SocketAddr) {
+fn take(gw: &Gateway, datagram: Datagram) {
     let now = gw.now();
-    let from = datagram.from;
+    let Datagram { from, message } = datagram;
     if from == gw.me {
         return;
     }
-    if gw.mesh.borrow_mut().hear(&from, address, now) {
+    if gw.mesh.borrow_mut().hear(&from, now) {
         let detail = format!("instance={} life={:016x}", from.instance, from.life);
         emit(LogEvent::MemberJoined, &detail);
     }
-    match datagram.message {
+    match message {
         Message::Note(note) => {
             heard_planner(gw, &note);
             gw.mesh.borrow_mut().on_note(&from, note, now);
         }
         Message::Sum(note) => {
+            heard_planner(gw, &note);
+            let hub = gw.mesh.borrow_mut().redirect(now);
+            gw.pass(&from, hub, Message::PassedSum(note.clone()));
+            gw.mesh.borrow_mut().on_sum(&from, note, now);
+        }
+        Message::PassedSum(note) => {
             heard_planner(gw, &note);
             gw.mesh.borrow_mut().on_sum(&from, note, now);
         }
@@ -191,9 +200,30 @@
 impl Gateway {
     /// Puts messages into the outbox.
     pub(crate) fn send(&self, messages: Outgoing) {
-        if !messages.is_empty() {
-            // The receiver lives as long as the process.
-            self.outbox.send(messages).ok();
+        if messages.is_empty() {
+            return;
+        }
+        let messages = messages.into_iter().map(|(t, m)| (t, self.datagram(m)));
+        // The receiver lives as long as the process.
+        self.outbox.send(messages.collect()).ok();
+    }
+
+    fn datagram(&self, message: Message) -> Datagram {
+        Datagram {
+            from: self.me.clone(),
+            message,
+        }
+    }
+
+    /// Passes on what another daemon sent.
+    fn pass(&self, from: &Sender, to: Option<SocketAddr>, message: Message) {
+        let datagram = Datagram {
+            from: from.clone(),
+            message,
+        };
+        // The receiver lives as long as the process.
+        if let Some(target) = to.filter(|t| *t != from.address) {
+            self.outbox.send(vec![(target, datagram)]).ok();
         }
     }
 
@@ -201,11 +231,7 @@
     pub(crate) fn spread(&self, news: &News) {
         let targets = self.mesh.borrow_mut().spread(self.now());
         let messages = targets.into_iter();
-        self.send(
-            messages
-                .map(|t| (t, Message::News(news.clone())))
-                .collect(),
-        );
+        self.send(messages.map(|t| (t, Message::News(news.clone()))).collect());
     }
 
     fn take_news(&self, news: News) {
@@ -222,7 +248,7 @@
 
     /// Tells the daemons of this data centre which entries changed, where this one reads
     /// for them.
-    pub(crate) fn tell_changes(&self, entries: Vec<(Upstream, Option<crate::Entry>)>) {
+    pub(crate) fn tell_changes(&self, entries: &[(Upstream, Option<crate::Entry>)]) {
         /// A datagram holds so many entries; one is some hundred bytes.
         const ENTRIES: usize = 4;
         let followers = self.mesh.borrow_mut().followers(self.now());
@@ -236,4 +262,3 @@
         }
     }
 }
-
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -12,8 +12,8 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{
-    Catalog, ClaimAction, ClaimView, LoadWindow, Order, OrderKind, OrderReply, PlanSettings, PlanView,
-    Planner, Rates,
+    Catalog, ClaimAction, ClaimView, LoadWindow, Order, OrderKind, OrderReply, PlanSettings,
+    PlanView, Planner, Rates,
 };
 use shaleline_types::{LogEvent, Millis, Service, Upstream};
 use std::cell::RefCell;
@@ -182,7 +182,10 @@
 
 async fn append(gw: &Gateway, end: u64, started: Millis) {
     let value = record(gw, false);
-    let result = gw.store.append(Topic::Planner, KEY, &value, Some(end)).await;
+    let result = gw
+        .store
+        .append(Topic::Planner, KEY, &value, Some(end))
+        .await;
     gw.metrics.count_store("planner", result.is_ok());
     let mut claim = gw.claim.borrow_mut();
     match result {
@@ -284,7 +287,10 @@
 /// Asks engines what they hold, where that is not known for certain.
 fn look_again(gw: &Rc<Gateway>, working: &Rc<Working>) {
     let fleets = gw.fleets.borrow();
-    let names: Vec<Upstream> = fleets.values().flat_map(|f| f.unproven().cloned()).collect();
+    let names: Vec<Upstream> = fleets
+        .values()
+        .flat_map(|f| f.unproven().cloned())
+        .collect();
     drop(fleets);
     for name in names {
         if working.engines.borrow_mut().insert(name.clone()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,3 +50,12 @@
 pub use state::Border;
 pub use store::{Batch, Record, Store, StoreError, StoreResult, Topic};
 pub use table::{CallerLimits, Repeat, RouteRule, ServiceRule, Table};
+
+#[cfg(test)]
+#[path = "../tests/unit"]
+mod unit {
+    mod events;
+    mod mesh;
+    mod reading;
+    mod roster;
+}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -8,7 +8,9 @@
 //!
 //! The ways that were weighed are in `docs/MEMBERSHIP.md`.
 
-use crate::message::{LoadNote, Mark, Message, PlannerNote, RateNote, Sender, TotalNote, UpstreamNotes};
+use crate::message::{
+    LoadNote, Mark, Message, PlannerNote, RateNote, Sender, TotalNote, UpstreamNotes,
+};
 use shaleline_types::{rank, DataCentre, Instance, Millis};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,7 +64,6 @@
 #[derive(Debug)]
 pub(crate) struct Mesh {
     me: Sender,
-    address: SocketAddr,
     peers: BTreeMap<Instance, Peer>,
     seats: BTreeMap<DataCentre, Seat>,
     /// What the daemons of this data centre told, where this one is their hub.
@@ -81,10 +82,9 @@
 pub(crate) type Outgoing = Vec<(SocketAddr, Message)>;
 
 impl Mesh {
-    pub(crate) fn new(me: Sender, address: SocketAddr) -> Self {
+    pub(crate) fn new(me: Sender) -> Self {
         Self {
             me,
-            address,
             peers: BTreeMap::new(),
             seats: BTreeMap::new(),
             notes: BTreeMap::new(),
@@ -96,10 +96,10 @@
     }
 
     /// Learns of a daemon from the store. What was heard of it directly is newer.
-    pub(crate) fn learn(&mut self, from: &Sender, address: SocketAddr, now: Millis) {
+    pub(crate) fn learn(&mut self, from: &Sender, now: Millis) {
         let peer = Peer {
             centre: from.centre.clone(),
-            address,
+            address: from.address,
             life: from.life,
             strength: from.strength,
             known: now,
@@ -109,12 +109,12 @@
     }
 
     /// Takes in a datagram's sender; true where it starts a new life.
-    pub(crate) fn hear(&mut self, from: &Sender, address: SocketAddr, now: Millis) -> bool {
+    pub(crate) fn hear(&mut self, from: &Sender, now: Millis) -> bool {
         let known = self.peers.get(&from.instance);
         let new = known.is_none_or(|p| p.life != from.life);
         let peer = Peer {
             centre: from.centre.clone(),
-            address,
+            address: from.address,
             life: from.life,
             strength: from.strength,
             known: now,
@@ -234,6 +234,17 @@
         self.sums.insert(from.centre.clone(), told);
     }
 
+    /// Where to pass on a sum that came to this daemon, which is no hub: its sender does not
+    /// know the hub yet.
+    pub(crate) fn redirect(&mut self, now: Millis) -> Option<SocketAddr> {
+        if self.is_hub(now) {
+            return None;
+        }
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now)?;
+        self.address_of(&hub)
+    }
+
     /// Takes in the total. Returns whether its sender is this daemon's hub.
     pub(crate) fn on_total(&mut self, from: &Sender, note: &TotalNote, now: Millis) -> bool {
         self.on_hub(from, now);
@@ -275,12 +286,7 @@
     }
 
     /// What to tell the others now. `own` is this daemon's load.
-    pub(crate) fn tick(
-        &mut self,
-        own: LoadNote,
-        mark: Option<Mark>,
-        now: Millis,
-    ) -> Outgoing {
+    pub(crate) fn tick(&mut self, own: &LoadNote, mark: Option<Mark>, now: Millis) -> Outgoing {
         self.peers.retain(|_, p| now.since(p.known) < FORGET_MS);
         self.notes.retain(|_, t| now.since(t.at) < GONE_MS);
         self.own.clone_from(&own.upstreams);
@@ -292,18 +298,12 @@
             out.extend(self.address_of(&hub).map(|a| (a, note)));
         }
         if self.is_hub(now) {
-            self.tell_as_hub(&own, mark, now, &mut out);
+            self.tell_as_hub(own, mark, now, &mut out);
         }
         out
     }
 
-    fn tell_as_hub(
-        &mut self,
-        own: &LoadNote,
-        mark: Option<Mark>,
-        now: Millis,
-        out: &mut Outgoing,
-    ) {
+    fn tell_as_hub(&mut self, own: &LoadNote, mark: Option<Mark>, now: Millis, out: &mut Outgoing) {
         let sum = self.sum(own, now);
         let hubs = self.other_hubs(now);
         out.extend(hubs.into_iter().map(|h| (h, Message::Sum(sum.clone()))));
@@ -365,7 +365,9 @@
 
     fn known_total(&self, now: Millis) -> Option<&LoadNote> {
         let total = self.total.as_ref();
-        total.filter(|t| now.since(t.at) < STALE_MS).map(|t| &t.note)
+        total
+            .filter(|t| now.since(t.at) < STALE_MS)
+            .map(|t| &t.note)
     }
 
     /// How many daemons there are.
@@ -404,7 +406,7 @@
 
     /// This daemon's own address, as the others know it.
     pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+        self.me.address
     }
 }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,6 +14,8 @@
     pub(crate) centre: DataCentre,
     /// Drawn anew at each start.
     pub(crate) life: u64,
+    /// Where it listens: what it sends may be passed on by others.
+    pub(crate) address: SocketAddr,
     /// How well its instance can serve as a hub; more is better.
     pub(crate) strength: u8,
 }
@@ -32,6 +34,9 @@
     Note(LoadNote),
     /// From a hub to the other hubs: the load of its data centre.
     Sum(LoadNote),
+    /// A sum that came to a daemon that is no hub, on its way to the hub; it is passed on
+    /// only once.
+    PassedSum(LoadNote),
     /// From a hub to the daemons of its data centre: the load of all.
     Total(TotalNote),
     /// From a hub to the daemons of its data centre: upstreams whose entries changed.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -102,7 +102,9 @@
         attempt::note_failure(&gw, &job, &mut self.permit, attempt, &upstream, failure);
         let limit = gw.clock.instant(job.deadline);
         loop {
-            let action = tokio::time::timeout_at(limit, self.permit.next()).await.ok()??;
+            let action = tokio::time::timeout_at(limit, self.permit.next())
+                .await
+                .ok()??;
             let RouteAction::Send {
                 attempt, upstream, ..
             } = action
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,10 +15,10 @@
 use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request};
 use shaleline_edge::{Handler, Reply};
-use shaleline_route::{
-    Ask, AttemptNumber, End, Limits, Route, RouteAction, RouteEvent, Terms,
+use shaleline_route::{Ask, AttemptNumber, End, Limits, Route, RouteAction, RouteEvent, Terms};
+use shaleline_types::{
+    stable_hash, ErrorKind, LogEvent, Millis, Org, RequestId, Service, Upstream,
 };
-use shaleline_types::{stable_hash, ErrorKind, LogEvent, Millis, Org, RequestId, Service, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -273,14 +273,18 @@
         return Err(Refusal::new(ErrorKind::HeadTooLarge));
     }
     let rule = table.find(host_of(&request), request.uri().path());
-    let rule = rule.ok_or_else(|| Refusal::new(ErrorKind::NotFound))?.clone();
+    let rule = rule
+        .ok_or_else(|| Refusal::new(ErrorKind::NotFound))?
+        .clone();
     let service = rule.pick(gw.draw()).cloned();
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoUpstream))?;
     let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
     let came_back = patience.0 < rule.timeout.0 * BACK_PART.0 / BACK_PART.1;
     let deadline = arrived.plus(patience.0.saturating_sub(MARGIN));
     let (parts, body) = request.into_parts();
-    let limit = gw.clock.instant(arrived.plus(table.limits.arrival.0.max(patience.0)));
+    let limit = gw
+        .clock
+        .instant(arrived.plus(table.limits.arrival.0.max(patience.0)));
     let body = tokio::time::timeout_at(limit, read_body(body, table.limits.body)).await;
     let body = body.map_err(|_| Refusal::new(ErrorKind::BodyLate))??;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -306,9 +310,8 @@
     }
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| {
-            Refusal::new(ErrorKind::BadRequest).with_reason(e.to_string())
-        })?;
+        let frame =
+            frame.map_err(|e| Refusal::new(ErrorKind::BadRequest).with_reason(e.to_string()))?;
         if let Ok(data) = frame.into_data() {
             if whole.len() + data.len() > limit {
                 return Err(too_large());
@@ -417,7 +420,10 @@
     /// Notes that another upstream has taken over the address of this one, which is gone,
     /// whatever its entry still says.
     pub(crate) fn note_replaced(&self, upstream: &Upstream) {
-        emit(LogEvent::UpstreamGone, &format!("upstream={upstream} reason=replaced"));
+        emit(
+            LogEvent::UpstreamGone,
+            &format!("upstream={upstream} reason=replaced"),
+        );
         self.roster.borrow_mut().on_replaced(upstream);
         self.apply(crate::roster::Change::Present(upstream.clone()));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,10 +1,11 @@
 //! What the tasks of a gateway share. All of them run on one thread.
 
 use crate::clock::Clock;
+use crate::gossip::Addressed;
 use crate::journal::{emit, LineBudget};
-use crate::metrics::Metrics;
-use crate::mesh::{Mesh, Outgoing};
+use crate::mesh::Mesh;
 use crate::message::Sender;
+use crate::metrics::Metrics;
 use crate::reading::Reading;
 use crate::roster::{Change, Roster};
 use crate::{Codec, GatewaySettings, Store, Table};
@@ -68,7 +69,7 @@
     /// Wakes the planner.
     pub(crate) plan_now: Notify,
     /// Messages to send to other daemons at once.
-    pub(crate) outbox: mpsc::UnboundedSender<Outgoing>,
+    pub(crate) outbox: mpsc::UnboundedSender<Addressed>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) listed: Cell<bool>,
@@ -89,7 +90,7 @@
     pub(crate) fn new(
         settings: GatewaySettings,
         border: Border,
-        outbox: mpsc::UnboundedSender<Outgoing>,
+        outbox: mpsc::UnboundedSender<Addressed>,
     ) -> Result<Rc<Self>> {
         let mut rng = SmallRng::from_os_rng();
         let life = rng.random();
@@ -99,9 +100,10 @@
             instance: settings.instance.clone(),
             centre: settings.centre.clone(),
             life,
+            address: settings.listen.peers,
             strength: settings.strength(),
         };
-        let mesh = Mesh::new(me.clone(), settings.listen.peers);
+        let mesh = Mesh::new(me.clone());
         let router = RouterSettings {
             token: settings.policy.token,
             ..RouterSettings::new(settings.centre.clone())
@@ -172,7 +174,12 @@
         );
         emit(LogEvent::TableInForce, &detail);
         *self.table.borrow_mut() = Some(Rc::new(table));
-        let names: Vec<Upstream> = self.roster.borrow().iter().map(|(n, _)| n.clone()).collect();
+        let names: Vec<Upstream> = self
+            .roster
+            .borrow()
+            .iter()
+            .map(|(n, _)| n.clone())
+            .collect();
         for name in names {
             self.apply(Change::Present(name));
         }
--- /dev/null
+++ b/crates/gateway/tests/unit/mesh.rs
@@ -0,0 +1,168 @@
+//! Hubs: who is one, who tells whom, and what becomes of a hub that falls silent.
+
+use crate::mesh::{Mesh, SILENT_MS};
+use crate::message::{LoadNote, Message, Sender, Tag, UpstreamNote};
+use shaleline_types::{DataCentre, Instance, Millis, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const START: u64 = 1_000_000;
+const TICK: u64 = 100;
+
+fn sender(index: u8, centre: u8, strength: u8) -> Sender {
+    Sender {
+        instance: Instance::from_text(&format!("d{index}")).expect("a valid name"),
+        centre: DataCentre::from_text(&format!("dc{centre}")).expect("a valid name"),
+        life: u64::from(index) + 1,
+        address: address(index),
+        strength,
+    }
+}
+
+fn address(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 7_000))
+}
+
+fn up() -> Tag {
+    Tag::of_upstream(&Upstream::from_text("i-1").expect("a valid name"))
+}
+
+/// Daemons that exchange what they tell, but for those that are down.
+struct World {
+    daemons: BTreeMap<SocketAddr, (Sender, Mesh)>,
+    now: Millis,
+    down: BTreeSet<SocketAddr>,
+    messages: usize,
+}
+
+impl World {
+    /// `count` daemons in two data centres, of which the last is the strongest.
+    fn new(count: u8) -> Self {
+        let who = |i| sender(i, i % 2, u8::from(i + 1 == count));
+        let mut daemons = BTreeMap::new();
+        for index in 0..count {
+            let mut mesh = Mesh::new(who(index));
+            for other in (0..count).filter(|o| *o != index) {
+                mesh.learn(&who(other), Millis(START));
+            }
+            daemons.insert(address(index), (who(index), mesh));
+        }
+        Self {
+            daemons,
+            now: Millis(START),
+            down: BTreeSet::new(),
+            messages: 0,
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now.plus(TICK);
+        let own = LoadNote {
+            daemons: 1,
+            upstreams: BTreeMap::from([(
+                up(),
+                UpstreamNote {
+                    running: 1,
+                    ..UpstreamNote::default()
+                },
+            )]),
+            ..LoadNote::default()
+        };
+        let mut sent = Vec::new();
+        for (from, (sender, mesh)) in &mut self.daemons {
+            if !self.down.contains(from) {
+                let out = mesh.tick(&own, None, self.now);
+                sent.extend(out.into_iter().map(|(to, m)| (sender.clone(), to, m)));
+            }
+        }
+        self.messages = sent.len();
+        while let Some((sender, to, message)) = sent.pop() {
+            if self.down.contains(&to) {
+                continue;
+            }
+            let Some((_, mesh)) = self.daemons.get_mut(&to) else {
+                continue;
+            };
+            mesh.hear(&sender, self.now);
+            match message {
+                Message::Note(note) => mesh.on_note(&sender, note, self.now),
+                Message::Sum(note) => {
+                    let hub = mesh.redirect(self.now).filter(|h| *h != sender.address);
+                    let passed = hub.map(|h| (sender.clone(), h, Message::PassedSum(note.clone())));
+                    sent.extend(passed);
+                    mesh.on_sum(&sender, note, self.now);
+                }
+                Message::PassedSum(note) => mesh.on_sum(&sender, note, self.now),
+                Message::Total(total) => {
+                    mesh.on_total(&sender, &total, self.now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / TICK {
+            self.tick();
+        }
+    }
+
+    fn hubs(&mut self) -> Vec<u8> {
+        let now = self.now;
+        let down = &self.down;
+        let alive = self.daemons.iter_mut().filter(|(a, _)| !down.contains(a));
+        let hubs = alive.filter_map(|(a, (_, m))| m.is_hub(now).then_some(*a));
+        hubs.map(|a| match a {
+            SocketAddr::V4(a) => a.ip().octets()[3],
+            SocketAddr::V6(_) => unreachable!("all are of the fourth version"),
+        })
+        .collect()
+    }
+
+    /// What each daemon believes that the others have at the upstream.
+    fn beliefs(&self) -> BTreeSet<u32> {
+        let alive = self.daemons.iter().filter(|(a, _)| !self.down.contains(a));
+        let others = |m: &Mesh| m.others(self.now).get(&up()).map_or(0, |n| n.running);
+        alive.map(|(_, (_, m))| others(m)).collect()
+    }
+}
+
+#[test]
+fn each_data_centre_has_one_hub_and_all_know_the_load() {
+    let mut world = World::new(20);
+    world.run(3_000);
+    let hubs = world.hubs();
+    assert_eq!(hubs.len(), 2, "{hubs:?}");
+    assert!(hubs.contains(&19), "the strongest is a hub: {hubs:?}");
+    assert_eq!(world.beliefs(), BTreeSet::from([19]));
+}
+
+#[test]
+fn messages_grow_with_daemons_and_not_with_pairs() {
+    let mut world = World::new(60);
+    world.run(3_000);
+    // A note and a total for each daemon that is no hub, and a sum each way.
+    assert_eq!(world.messages, 2 * 58 + 2);
+}
+
+#[test]
+fn a_silent_hub_is_passed_over_and_comes_back() {
+    let mut world = World::new(20);
+    world.run(3_000);
+    world.down.insert(address(19));
+    world.run(3 * SILENT_MS);
+    let hubs = world.hubs();
+    assert_eq!(hubs.len(), 2, "{hubs:?}");
+    assert_eq!(world.beliefs(), BTreeSet::from([18]));
+    world.down.clear();
+    world.run(3 * SILENT_MS);
+    assert_eq!(world.beliefs(), BTreeSet::from([19]));
+}
+
+#[test]
+fn a_daemon_alone_is_its_own_hub() {
+    let mut world = World::new(1);
+    world.run(500);
+    assert_eq!(world.hubs(), [0]);
+    assert_eq!(world.beliefs(), BTreeSet::from([0]));
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -7,8 +7,8 @@
 use crate::retry::RetryBudget;
 use crate::upstream::{Back, Flight};
 use crate::{
-    Ask, AttemptNumber, End, LimitKind, Limits, PeerLoad, RetrySettings, Route, RouteAction, RouteEvent,
-    RouterSettings, RouterStats, ShareBook, Site, UpstreamStats,
+    Ask, AttemptNumber, End, LimitKind, Limits, PeerLoad, RetrySettings, Route, RouteAction,
+    RouteEvent, RouterSettings, RouterStats, ShareBook, Site, UpstreamStats,
 };
 use shaleline_types::{ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -358,10 +358,11 @@
         let flight = Flight {
             org: open.ask.org.clone(),
             sent: now,
-            stall: open.ask.terms.stall.map_or_else(
-                || stall_of(self.settings.stall, open.ask.due, now),
-                |s| s.0,
-            ),
+            stall: open
+                .ask
+                .terms
+                .stall
+                .map_or_else(|| stall_of(self.settings.stall, open.ask.due, now), |s| s.0),
             answered: false,
             urgent: open.ask.terms.urgent,
             work: back.cold(&open.ask) * token * back.slowness.get(now),
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -1,8 +1,8 @@
 //! What the router knows of one upstream.
 
 use crate::breaker::{Breaker, Gate};
-use crate::prefix::PrefixHints;
 use crate::estimate::Slowness;
+use crate::prefix::PrefixHints;
 use crate::{Ask, Load, PeerLoad, Route, Site};
 use shaleline_types::{Millis, Org, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/standin/src/engine_state.rs
+++ b/crates/standin/src/engine_state.rs
@@ -2,8 +2,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use shaleline_place::{EngineReport, Item, Order, OrderEnd, OrderKind, Resident};
 use shaleline_border::{CacheEvents, UpstreamReport};
+use shaleline_place::{EngineReport, Item, Order, OrderEnd, OrderKind, Resident};
 use shaleline_types::{DataCentre, Megabytes, Offset, Upstream};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
