--- a/crates/daemon/src/bin/shalelined.rs
+++ b/crates/daemon/src/bin/shalelined.rs
@@ -6,10 +6,14 @@
 use actix_rt::signal::unix::{signal, SignalKind};
 use eyre::{Result, WrapErr};
 use shaleline_daemon::{start_logging, Daemon, Settings};
-use shaleline_gateway::{start, start_journal, Border};
+use shaleline_gateway::{start, start_journal, Border, Running};
 use shaleline_platform::{NodeFile, PlatformCodec, PlatformStore, StoreSettings, NODE_FILE};
 use std::collections::BTreeMap;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// How often the settings file is looked at; it may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
 /// How much is logged on the platform.
 const PLATFORM_LEVEL: &str = "info";
@@ -21,7 +25,7 @@
         return ExitCode::SUCCESS;
     }
     if let (true, Ok(path)) = (args.is_empty(), std::env::var(NODE_FILE)) {
-        return to_code(read_node(&path), run_on_platform);
+        return to_code(read_node(&path), |node| run_on_platform(node, &path));
     }
     let variables: BTreeMap<String, String> = std::env::vars().collect();
     let settings = Settings::from_args(&args, &variables);
@@ -51,7 +55,7 @@
     Ok(NodeFile::from_text(&text)?)
 }
 
-fn run_on_platform(node: NodeFile) -> Result<()> {
+fn run_on_platform(node: NodeFile, path: &str) -> Result<()> {
     start_journal(PLATFORM_LEVEL)?;
     actix_rt::System::new().block_on(async {
         let store = PlatformStore::new(StoreSettings {
@@ -62,8 +66,11 @@
             codec: Box::new(PlatformCodec),
             store: Box::new(store),
         };
-        let running = start(node.gateway, border).await?;
-        wait_for_signal().await?;
+        let running = start(node.gateway.clone(), border).await?;
+        tokio::select! {
+            stop = wait_for_signal() => stop?,
+            never = follow_settings(&running, path, node) => never?,
+        }
         running.stop().await;
         Ok(())
     })
@@ -81,17 +88,39 @@
     Ok(())
 }
 
-/// Waits for the signals that ask for a planned stop.
-async fn wait_for_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
+/// Takes changes of the settings file over, told by a signal or not.
+async fn follow_settings(running: &Running, path: &str, mut node: NodeFile) -> Result<()> {
     let mut hangup = signal(SignalKind::hangup()).wrap_err("signals")?;
+    let mut refused = String::new();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            // The settings that may change while a process runs are followed elsewhere.
             _ = hangup.recv() => {}
+            () = tokio::time::sleep(SETTINGS_EVERY) => {}
+        }
+        match read_node(path) {
+            Ok(next) if next != node => {
+                running.update(&next.gateway);
+                node = next;
+            }
+            Ok(_) => refused.clear(),
+            Err(e) => {
+                let reason = format!("{e:#}");
+                if refused != reason {
+                    running.refuse_update(&reason);
+                    refused = reason;
+                }
+            }
         }
     }
 }
+
+/// Waits for the signals that ask for a planned stop.
+async fn wait_for_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -46,7 +46,7 @@
         let now = gw.now();
         gw.metrics.count_store(self.topic, result.is_ok());
         match result {
-            Err(StoreError::Gap) => emit(LogEvent::LogGap, &format!("topic={}", self.topic)),
+            Err(StoreError::Gap) => emit(LogEvent::TopicGap, &format!("topic={}", self.topic)),
             Err(e) => {
                 gw.roster.borrow_mut().on_disturbed(now);
                 if self.failing.is_none() {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -113,7 +113,7 @@
 
 /// A planner before may have used up the window; the first of all has none before it.
 fn begin_leading(gw: &Gateway, working: &Working, fence: Option<u64>) {
-    let bounds = &gw.settings.bounds;
+    let bounds = gw.bounds.borrow();
     let mut window = LoadWindow::new(bounds.load_window, bounds.load_over);
     if fence != Some(FIRST_FENCE) {
         window.block(gw.now().plus(bounds.load_window.0));
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -125,6 +125,22 @@
 }
 
 impl Running {
+    /// Takes settings over that changed while the process runs: the platform's bounds. What
+    /// names addresses holds from the next start.
+    pub fn update(&self, settings: &GatewaySettings) {
+        let changed = *self.gw.bounds.borrow() != settings.bounds;
+        if changed {
+            self.gw.bounds.borrow_mut().clone_from(&settings.bounds);
+            let detail = format!("bounds={:?}", settings.bounds);
+            emit(LogEvent::SettingsChanged, &detail);
+        }
+    }
+
+    /// Logs that changed settings can't be understood; those before stay in force.
+    pub fn refuse_update(&self, reason: &str) {
+        emit(LogEvent::SettingsRefused, &format!("reason={reason:?}"));
+    }
+
     /// Stops as planned: the balancer learns of it, what is in flight ends, idle
     /// connections close; in any case before the platform kills the process.
     pub async fn stop(self) {
@@ -132,7 +148,7 @@
         gw.stopping.set(true);
         gw.plan_now.notify_one();
         emit(LogEvent::Stopping, &format!("in_flight={}", gw.gate.busy()));
-        let grace = gw.settings.bounds.grace;
+        let grace = gw.bounds.borrow().grace;
         let limit = Millis(grace.since(SERVE_ON).saturating_sub(END_MARGIN));
         let mut drain = Drain::new(SERVE_ON, limit);
         let mut action = drain.stop(gw.now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::reading::Reading;
 use crate::roster::{Change, Roster};
-use crate::{Codec, GatewaySettings, Store, Table};
+use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -47,6 +47,8 @@
 /// The state of a gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
+    /// The platform's bounds, which may change while the process runs.
+    pub(crate) bounds: RefCell<Bounds>,
     pub(crate) me: Sender,
     pub(crate) codec: Box<dyn Codec>,
     pub(crate) store: Box<dyn Store>,
@@ -140,6 +142,7 @@
             table: RefCell::new(None),
             requests: RefCell::new(HashMap::new()),
             next: Cell::new(0),
+            bounds: RefCell::new(settings.bounds.clone()),
             settings,
         }))
     }
@@ -319,7 +322,7 @@
     /// Divides the retry budget among the daemons that live.
     pub(crate) fn share_budget(&self) {
         let count = self.mesh.borrow().alive(self.now()) as f64;
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.borrow();
         let most = (bounds.retry_extra / count * BUDGET_USED).max(1.0);
         self.router.borrow_mut().set_retries(RetrySettings {
             earned: bounds.retry_ratio * BUDGET_USED,
