Give the next adapter order while one is on its way, repeat unanswered orders sooner, spare what is in use

Cause: one adapter an engine each 180 ms, since the first look came before the report could show it; unanswered orders waited 800 ms; weights in use take seconds to go.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -118,6 +118,9 @@
 /// it: then it is back within seconds of the first request.
 const LAST_COPIES: usize = 2;
 
+/// The part of a replica's work that counts against its being dropped.
+const IN_USE_PART: f64 = 0.3;
+
 /// What is counted as the loss of such a replica, in milliseconds a second.
 const LAST_LOSS: f64 = 20.0;
 
@@ -340,7 +343,9 @@
             let idle = crowded && self.is_idle(m) && self.copies(m) >= LAST_COPIES;
             Some((m, loss.or(idle.then_some(LAST_LOSS))?))
         });
-        let (model, loss) = losses.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        // What is in use is dropped only when its last stream ends, which takes seconds.
+        let cost = |(m, loss): &(&Model, f64)| loss + self.share(m) * IN_USE_PART;
+        let (model, loss) = losses.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let worth = missing || gain >= loss * self.settings.margin;
         worth.then_some((model, loss))
     }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -28,13 +28,14 @@
 const KEY: &str = "planner";
 
 /// How long an order or a report may take; both are small.
-const CALL_LIMIT: Duration = Duration::from_millis(800);
+const CALL_LIMIT: Duration = Duration::from_millis(300);
 
 /// The time that the other daemons have to learn that a model is about to be dropped.
 const RETIRE_LEAD: Duration = Duration::from_millis(20);
 
-/// An adapter is there after some milliseconds; the first look comes after so long.
-const ADAPTER_LOOK: Millis = Millis(25);
+/// An adapter is there after some milliseconds, and what an engine reports is a hundred
+/// old; the first look comes after so long.
+const ADAPTER_LOOK: Millis = Millis(130);
 
 /// The pause between two looks at an engine that is carrying an order out.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
@@ -276,8 +277,19 @@
         if working.engines.borrow_mut().insert(order.engine.clone()) {
             let (gw, working) = (Rc::clone(gw), Rc::clone(working));
             actix_rt::spawn(async move {
-                carry_out(&gw, &working, &service, &order).await;
-                working.engines.borrow_mut().remove(&order.engine);
+                let accepted = carry_out(&gw, &working, &service, &order).await;
+                // An adapter on its way does not keep the engine from the next order.
+                let more = accepted && order.adapter.is_some();
+                if more {
+                    working.engines.borrow_mut().remove(&order.engine);
+                    gw.plan_now.notify_one();
+                }
+                if accepted {
+                    watch(&gw, &service, &order).await;
+                }
+                if !more {
+                    working.engines.borrow_mut().remove(&order.engine);
+                }
                 gw.plan_now.notify_one();
             });
         }
@@ -316,7 +328,8 @@
     }
 }
 
-async fn carry_out(gw: &Rc<Gateway>, working: &Working, service: &Service, order: &Order) {
+/// Gives an order. Returns whether the engine is carrying it out.
+async fn carry_out(gw: &Rc<Gateway>, working: &Working, service: &Service, order: &Order) -> bool {
     if order.kind == OrderKind::Unload && order.adapter.is_none() {
         gw.with_fleet(&order.engine, |f| {
             f.note_absent(&order.engine, &order.model, None, gw.now());
@@ -336,7 +349,7 @@
     let mut reply = OrderReply::Lost;
     for _ in 0..REPEATS {
         if !gw.may_order(order) {
-            return;
+            return false;
         }
         reply = send_order(gw, order).await;
         if reply != OrderReply::Lost {
@@ -356,7 +369,6 @@
     emit(LogEvent::OrderSent, &detail);
     gw.with_fleet(&order.engine, |f| f.note_reply(order, reply, gw.now()));
     match reply {
-        OrderReply::Accepted => watch(gw, service, order).await,
         // What an engine reports is some hundred milliseconds old.
         OrderReply::Done | OrderReply::Conflict => {
             tokio::time::sleep(LOOK_AGAIN).await;
@@ -364,8 +376,9 @@
         }
         OrderReply::Fenced => gw.claim.borrow_mut().step_down(),
         OrderReply::Elsewhere => gw.note_replaced(&order.engine),
-        OrderReply::Invalid | OrderReply::Lost => {}
+        OrderReply::Accepted | OrderReply::Invalid | OrderReply::Lost => {}
     }
+    reply == OrderReply::Accepted
 }
 
 const fn reply_word(reply: OrderReply) -> &'static str {
