--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -197,6 +197,7 @@
 ) -> Ended {
     permit.sends += 1;
     permit.reached += 1;
+    permit.last = Some(upstream.clone());
     let result = if job.rule.repeat.is_stream() {
         let opened = first_piece(gw, job, &mut permit, upstream).await;
         match opened {
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -99,8 +99,8 @@
         return;
     }
     let detail = format!(
-        "id={} code={code} route={} asked={} serving={} kind={} config={} sends={} reached={} \
-         ms={} left_ms={}",
+        "id={} code={code} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
+         reached={} ms={} left_ms={}",
         job.head.id,
         job.rule.name,
         job.route(),
@@ -108,6 +108,7 @@
         job.rule.repeat.as_str(),
         job.version,
         permit.sends,
+        permit.last.as_ref().map_or("none", |u| u.as_str()),
         permit.reached,
         now.since(job.arrived),
         job.deadline.since(now),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -116,6 +116,7 @@
             };
             (self.attempt, self.upstream) = (attempt, upstream.clone());
             self.permit.sends += 1;
+            self.permit.last = Some(upstream.clone());
             self.permit.reached += 1;
             let opened = attempt::open(&gw, &job, &upstream, last.as_deref());
             let failure = match tokio::time::timeout_at(limit, opened).await.ok()? {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -171,6 +171,8 @@
     /// Sends that may have reached an upstream.
     pub(crate) reached: u32,
     pub(crate) sends: u32,
+    /// Where it was sent last.
+    pub(crate) last: Option<Upstream>,
 }
 
 impl Permit {
@@ -183,6 +185,7 @@
             open: true,
             reached: 0,
             sends: 0,
+            last: None,
         };
         gw.route(RouteEvent::Arrive(job.to_ask(id)));
         permit
