--- /dev/null
+++ b/crates/gateway/src/claiming.rs
@@ -0,0 +1,112 @@
+//! Takes part in the planner's claim, which is kept in the store.
+
+use crate::journal::emit;
+use crate::message::News;
+use crate::state::Gateway;
+use crate::store::{Batch, StoreError, Topic};
+use serde::{Deserialize, Serialize};
+use shaleline_fleet::{ClaimAction, ClaimView};
+use shaleline_types::{LogEvent, Millis};
+use std::rc::Rc;
+
+/// The key of the claim.
+const KEY: &str = "planner";
+
+/// What the topic holds.
+#[derive(Debug, Serialize, Deserialize)]
+struct ClaimRecord {
+    holder: String,
+    released: bool,
+}
+
+/// Takes the next step of the claim, in a task of its own.
+pub(crate) fn claim(gw: &Rc<Gateway>) {
+    let now = gw.now();
+    // Hubs know what is asked for.
+    let hub = gw.mesh.borrow_mut().is_hub(now);
+    let candidate = hub || gw.claim.borrow().is_holder();
+    if !gw.settings.policy.plans || !candidate {
+        return;
+    }
+    let Some(action) = gw.claim.borrow_mut().tick(now) else {
+        return;
+    };
+    let gw = Rc::clone(gw);
+    actix_rt::spawn(async move {
+        match action {
+            ClaimAction::Read => read(&gw, now).await,
+            ClaimAction::Append { end, .. } => append(&gw, end, now).await,
+        }
+    });
+}
+
+async fn read(gw: &Gateway, started: Millis) {
+    let newest = gw.store.newest(Topic::Planner).await;
+    gw.metrics.count_store("planner", newest.is_ok());
+    let mut claim = gw.claim.borrow_mut();
+    match newest.as_ref().map(to_view) {
+        Ok(view) => claim.on_read(&view, started, gw.now()),
+        Err(_) => claim.on_failed(),
+    }
+}
+
+fn to_view(batch: &Batch) -> ClaimView {
+    let newest = batch.records.iter().find(|r| r.key == KEY);
+    let value = newest.and_then(|r| r.value.as_deref());
+    // A record that can't be understood is somebody's claim all the same.
+    let record = value.map(|v| {
+        serde_json::from_slice(v).unwrap_or(ClaimRecord {
+            holder: "unknown".to_owned(),
+            released: false,
+        })
+    });
+    ClaimView {
+        end: batch.next,
+        released: record.as_ref().is_some_and(|r| r.released),
+        holder: record.map(|r| r.holder),
+    }
+}
+
+fn record(gw: &Gateway, released: bool) -> Vec<u8> {
+    let record = ClaimRecord {
+        holder: gw.holder(),
+        released,
+    };
+    serde_json::to_vec(&record).expect("a string and a flag serialize")
+}
+
+async fn append(gw: &Gateway, end: u64, started: Millis) {
+    let value = record(gw, false);
+    let result = gw
+        .store
+        .append(Topic::Planner, KEY, &value, Some(end))
+        .await;
+    gw.metrics.count_store("planner", result.is_ok());
+    let mut claim = gw.claim.borrow_mut();
+    match result {
+        Ok(offset) => claim.on_appended(offset, started),
+        Err(StoreError::Moved(_)) => claim.on_moved(),
+        Err(_) => claim.on_failed(),
+    }
+}
+
+/// Gives the claim up, so that a successor need not wait until it lapses.
+pub(crate) async fn release(gw: &Gateway) {
+    let held = gw.claim.borrow().is_holder();
+    gw.claim.borrow_mut().step_down();
+    if held {
+        let value = record(gw, true);
+        // Without it the successor waits longer.
+        let released = gw.store.append(Topic::Planner, KEY, &value, None).await;
+        gw.metrics.count_store("planner", released.is_ok());
+        gw.spread(&News::Released);
+        emit(LogEvent::LeaseLost, "reason=stopping");
+    }
+}
+
+impl Gateway {
+    /// The name under which this daemon claims.
+    fn holder(&self) -> String {
+        format!("{}/{:016x}", self.me.instance, self.me.life)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,8 @@
 //!   there are.
 //! * `mesh` decides which daemons tell which others what, in the messages of `message`;
 //!   `gossip` sends and receives them, `reading` is who reads the store.
-//! * `lead` holds the planner's claim and carries out the plan of `shaleline_fleet`.
+//! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
+//!   gives the orders.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
 //!
@@ -21,6 +22,7 @@
 //! `docs/PLATFORM.md` has the design.
 
 mod attempt;
+mod claiming;
 mod clock;
 mod codec;
 mod control;
@@ -32,6 +34,7 @@
 mod mesh;
 mod message;
 mod metrics;
+mod orders;
 mod reading;
 mod refuse;
 mod relay;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 mod share;
 mod stats;
 mod upstream;
+mod view;
 
 pub use ask::{
     Ask, AttemptNumber, End, Load, PeerLoad, Route, RouteAction, RouteEvent, Site, Terms,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -7,14 +7,14 @@
 use crate::retry::RetryBudget;
 use crate::upstream::{Back, Flight};
 use crate::{
-    Ask, AttemptNumber, End, LimitKind, Limits, PeerLoad, RetrySettings, Route, RouteAction,
-    RouteEvent, RouterSettings, RouterStats, ShareBook, Site, UpstreamStats,
+    Ask, AttemptNumber, End, LimitKind, Limits, RetrySettings, Route, RouteAction, RouteEvent,
+    RouterSettings, RouterStats, ShareBook, Site,
 };
 use shaleline_types::{ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
-struct Open {
+pub(crate) struct Open {
     ask: Ask,
     attempt: AttemptNumber,
     /// How many sends may have reached an upstream.
@@ -27,20 +27,20 @@
 /// Admits, queues, sends, retries and refuses.
 #[derive(Debug)]
 pub struct Router {
-    settings: RouterSettings,
+    pub(crate) settings: RouterSettings,
     shares: ShareBook,
     limiter: Limiter,
-    open: BTreeMap<RequestId, Open>,
-    queues: BTreeMap<Route, RouteQueue>,
-    backs: BTreeMap<Upstream, Back>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) queues: BTreeMap<Route, RouteQueue>,
+    pub(crate) backs: BTreeMap<Upstream, Back>,
     /// The limits that stood in a request's way since they were last asked for.
     short: BTreeSet<(Org, LimitKind)>,
     /// Upstreams that were told to be leaving, whether they are known yet or not.
     leaving: BTreeSet<Upstream>,
     budget: RetryBudget,
-    tokens: TokenCosts,
+    pub(crate) tokens: TokenCosts,
     turn: u64,
-    stats: RouterStats,
+    pub(crate) stats: RouterStats,
     /// When old state was dropped last.
     pruned: Millis,
 }
@@ -86,74 +86,11 @@
         std::mem::take(&mut self.short).into_iter().collect()
     }
 
-    /// Counters and gauges.
-    #[must_use]
-    pub fn stats(&self) -> RouterStats {
-        RouterStats {
-            waiting: self.queues.values().map(RouteQueue::len).sum(),
-            open: self.open.len(),
-            ..self.stats.clone()
-        }
-    }
-
-    /// What is known of each upstream.
-    #[must_use]
-    pub fn upstreams(&self, now: Millis) -> Vec<UpstreamStats> {
-        let one = |(name, back): (&Upstream, &Back)| UpstreamStats {
-            name: name.to_string(),
-            centre: back.site.centre.to_string(),
-            routes: back.routes.iter().map(Route::to_string).collect(),
-            flights: back.flights.len(),
-            busy: back.busy(),
-            slots: back.slots(),
-            leaving: back.is_leaving(),
-            healthy: back.breaker.gate(now) == crate::breaker::Gate::Open,
-        };
-        self.backs.iter().map(one).collect()
-    }
-
-    /// Whether an upstream gets no new work; none where it is not known.
-    #[must_use]
-    pub fn is_leaving(&self, upstream: &Upstream) -> Option<bool> {
-        self.backs.get(upstream).map(Back::is_leaving)
-    }
-
-    /// What this daemon itself has at an upstream, for the other daemons.
-    #[must_use]
-    pub fn own_load(&self, upstream: &Upstream) -> Option<PeerLoad> {
-        self.backs.get(upstream).map(|b| b.own_load())
-    }
-
     /// Takes another budget for retries, as the number of daemons changes.
     pub fn set_retries(&mut self, retries: RetrySettings) {
         self.budget.set(retries);
     }
 
-    /// What one uncached token of a prompt costs for this route, in milliseconds.
-    #[must_use]
-    pub fn token_cost(&self, route: &Route) -> f64 {
-        self.tokens.get(route, self.settings.token)
-    }
-
-    /// The names of the upstreams known.
-    pub fn names(&self) -> impl Iterator<Item = &Upstream> {
-        self.backs.keys()
-    }
-
-    /// Whether some upstream serves the route and takes new work.
-    #[must_use]
-    pub fn is_served(&self, route: &Route) -> bool {
-        let serves = |b: &Back| !b.is_leaving() && b.routes.contains(route);
-        self.backs.values().any(serves)
-    }
-
-    /// How many upstreams serve the route and take new work.
-    #[must_use]
-    pub fn serving(&self, route: &Route) -> usize {
-        let serves = |b: &&Back| !b.is_leaving() && b.routes.contains(route);
-        self.backs.values().filter(serves).count()
-    }
-
     /// Takes an event and says what to do.
     pub fn step(&mut self, event: RouteEvent, now: Millis) -> Vec<RouteAction> {
         let mut out = Vec::new();
--- /dev/null
+++ b/crates/route/src/view.rs
@@ -0,0 +1,72 @@
+//! What the router shows of its state.
+
+use crate::breaker::Gate;
+use crate::queue::RouteQueue;
+use crate::upstream::Back;
+use crate::{PeerLoad, Route, Router, RouterStats, UpstreamStats};
+use shaleline_types::{Millis, Upstream};
+
+impl Router {
+    /// Counters and gauges.
+    #[must_use]
+    pub fn stats(&self) -> RouterStats {
+        RouterStats {
+            waiting: self.queues.values().map(RouteQueue::len).sum(),
+            open: self.open.len(),
+            ..self.stats.clone()
+        }
+    }
+
+    /// What is known of each upstream.
+    #[must_use]
+    pub fn upstreams(&self, now: Millis) -> Vec<UpstreamStats> {
+        let one = |(name, back): (&Upstream, &Back)| UpstreamStats {
+            name: name.to_string(),
+            centre: back.site.centre.to_string(),
+            routes: back.routes.iter().map(Route::to_string).collect(),
+            flights: back.flights.len(),
+            busy: back.busy(),
+            slots: back.slots(),
+            leaving: back.is_leaving(),
+            healthy: back.breaker.gate(now) == Gate::Open,
+        };
+        self.backs.iter().map(one).collect()
+    }
+
+    /// Whether an upstream gets no new work; none where it is not known.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: &Upstream) -> Option<bool> {
+        self.backs.get(upstream).map(Back::is_leaving)
+    }
+
+    /// What this daemon itself has at an upstream, for the other daemons.
+    #[must_use]
+    pub fn own_load(&self, upstream: &Upstream) -> Option<PeerLoad> {
+        self.backs.get(upstream).map(|b| b.own_load())
+    }
+
+    /// What one uncached token of a prompt costs for this route, in milliseconds.
+    #[must_use]
+    pub fn token_cost(&self, route: &Route) -> f64 {
+        self.tokens.get(route, self.settings.token)
+    }
+
+    /// The names of the upstreams known.
+    pub fn names(&self) -> impl Iterator<Item = &Upstream> {
+        self.backs.keys()
+    }
+
+    /// Whether some upstream serves the route and takes new work.
+    #[must_use]
+    pub fn is_served(&self, route: &Route) -> bool {
+        let serves = |b: &Back| !b.is_leaving() && b.routes.contains(route);
+        self.backs.values().any(serves)
+    }
+
+    /// How many upstreams serve the route and take new work.
+    #[must_use]
+    pub fn serving(&self, route: &Route) -> usize {
+        let serves = |b: &&Back| !b.is_leaving() && b.routes.contains(route);
+        self.backs.values().filter(serves).count()
+    }
+}
