--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,10 +1,10 @@
 //! Which daemons there are and how load is summed up, without a message for each pair.
 //!
 //! Each data centre has a hub: the first of its daemons that is not silent, the strongest
-//! instances first and by rendezvous hashing among equals. Daemons tell their load to their hub, hubs tell each other the sums, and
-//! each hub tells its data centre the total. A hub reads the store for its data centre;
-//! whoever does not hear of that reads by itself. A hub that falls silent is passed over
-//! after [`SILENT_MS`]. Two hubs at once only cost messages.
+//! instances first and by rendezvous hashing among equals. Daemons tell their load to their
+//! hub, hubs tell each other the sums, and each hub tells its data centre the total. A hub
+//! reads the store for its data centre; whoever does not hear of that reads by itself. A hub
+//! that falls silent is passed over. Two hubs at once only cost messages.
 //!
 //! The ways that were weighed are in `docs/MEMBERSHIP.md`.
 
