Count a claim that is found by reading from its append

Cause: a claim whose answer was lost was found by a later read and taken as valid from that read, while successors count from the append. The new test fails without the change; the random one has a seed and 1,000 cases, its bound unchanged.

--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -75,7 +75,7 @@
     /// The end has not moved since then.
     Waiting { end: u64, since: Millis, wait: u64 },
     /// An append is under way.
-    Claiming { end: u64 },
+    Claiming { end: u64, began: Millis },
     /// This daemon holds it.
     Holding {
         fence: u64,
@@ -182,7 +182,7 @@
                 (silent && due(self.settings.read.0, self.acted)).then_some(ClaimAction::Read)
             }
             State::Waiting { end, since, wait } if now.since(since) >= wait => {
-                self.state = State::Claiming { end };
+                self.state = State::Claiming { end, began: now };
                 Some(ClaimAction::Append { end, fence: None })
             }
             State::Waiting { .. } => {
@@ -206,14 +206,15 @@
     }
 
     /// The topic was read.
-    pub fn on_read(&mut self, view: &ClaimView, started: Millis, now: Millis) {
+    pub fn on_read(&mut self, view: &ClaimView, now: Millis) {
         self.busy = false;
         self.recheck = false;
         let mine = view.holder.as_deref() == Some(self.me.as_str()) && !view.released;
         match self.state {
             // An append without an answer was done after all.
-            State::Claiming { end } if mine && view.end == end + 1 => {
-                self.hold(end, view.end, started);
+            State::Claiming { end, began } if mine && view.end == end + 1 => {
+                // The others count from the append, however late it is found.
+                self.hold(end, view.end, began);
             }
             State::Holding {
                 fence, valid_from, ..
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -1,6 +1,6 @@
 //! The planner's claim: never two at once, and never without a holder for long.
 
-use quickcheck::{quickcheck, TestResult};
+use quickcheck::{Gen, QuickCheck, TestResult};
 use shaleline_fleet::{Claim, ClaimAction, ClaimSettings, ClaimView};
 use shaleline_types::Millis;
 use std::collections::VecDeque;
@@ -98,7 +98,7 @@
     for (_, action, began, lost) in daemon.calls.drain(..due).collect::<Vec<_>>() {
         match action {
             ClaimAction::Read if lost => daemon.claim.on_failed(),
-            ClaimAction::Read => daemon.claim.on_read(&topic.view(), began, Millis(now)),
+            ClaimAction::Read => daemon.claim.on_read(&topic.view(), Millis(now)),
             ClaimAction::Append { end, .. } => match topic.append(&daemon.name, end) {
                 _ if lost => daemon.claim.on_failed(),
                 Ok(offset) => daemon.claim.on_appended(offset, began),
@@ -108,18 +108,49 @@
     }
 }
 
-quickcheck! {
-    fn orders_of_two_holders_are_a_lease_apart(steps: Vec<Step>) -> TestResult {
-        let long: Vec<Step> = steps.iter().cycle().take(900).copied().collect();
-        let orders = play(&long);
-        for pair in orders.windows(2) {
-            let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
-            if a != b && (after - before < LEASE.0 || next <= fence) {
-                return TestResult::error(format!("{pair:?}"));
-            }
+fn is_lease_apart(steps: Vec<Step>) -> TestResult {
+    let long: Vec<Step> = steps.iter().cycle().take(900).copied().collect();
+    let orders = play(&long);
+    for pair in orders.windows(2) {
+        let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
+        if a != b && (after - before < LEASE.0 || next <= fence) {
+            return TestResult::error(format!("{pair:?}"));
         }
-        TestResult::passed()
     }
+    TestResult::passed()
+}
+
+#[test]
+fn orders_of_two_holders_are_a_lease_apart() {
+    const SEED: u64 = 20_261_202;
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(1_000)
+        .quickcheck(is_lease_apart as fn(Vec<Step>) -> TestResult);
+}
+
+/// Found once by a run without a seed: a claim whose answer was lost was found by reading
+/// and counted from the read, while the others counted from the append.
+#[test]
+fn a_claim_found_late_counts_from_its_append() {
+    let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "me".to_owned());
+    let view = |end, holder: Option<&str>| ClaimView {
+        end,
+        holder: holder.map(str::to_owned),
+        released: false,
+    };
+    claim.tick(Millis(START));
+    claim.on_read(&view(0, None), Millis(START));
+    let append = ClaimAction::Append {
+        end: 0,
+        fence: None,
+    };
+    assert_eq!(claim.tick(Millis(START)), Some(append));
+    claim.on_failed();
+    claim.tick(Millis(START + 2_000));
+    claim.on_read(&view(1, Some("me")), Millis(START + 2_000));
+    assert!(claim.is_holder());
+    assert_eq!(claim.fence(Millis(START + 2_000)), None);
 }
 
 #[test]
@@ -145,7 +176,7 @@
         released: false,
     };
     assert_eq!(claim.tick(Millis(START)), Some(ClaimAction::Read));
-    claim.on_read(&view(0, None), Millis(START), Millis(START + 5));
+    claim.on_read(&view(0, None), Millis(START + 5));
     let append = ClaimAction::Append {
         end: 0,
         fence: None,
@@ -153,11 +184,7 @@
     assert_eq!(claim.tick(Millis(START + 10)), Some(append));
     claim.on_failed();
     assert_eq!(claim.tick(Millis(START + 600)), Some(ClaimAction::Read));
-    claim.on_read(
-        &view(1, Some("me")),
-        Millis(START + 600),
-        Millis(START + 605),
-    );
+    claim.on_read(&view(1, Some("me")), Millis(START + 605));
     assert_eq!(claim.fence(Millis(START + 610)), Some(1));
 }
 
@@ -176,7 +203,7 @@
     let silent = START + 1_300;
     assert_eq!(claim.tick(Millis(START + 1_200)), None);
     assert_eq!(claim.tick(Millis(silent)), Some(ClaimAction::Read));
-    claim.on_read(&view, Millis(silent), Millis(silent + 5));
+    claim.on_read(&view, Millis(silent + 5));
     let due = settings.valid.0 + settings.lease.0 + settings.slack.0;
     assert_ne!(
         claim.tick(Millis(START + due - 1)),
@@ -185,7 +212,7 @@
             fence: None
         })
     );
-    claim.on_read(&view, Millis(START + due - 1), Millis(START + due - 1));
+    claim.on_read(&view, Millis(START + due - 1));
     assert_eq!(
         claim.tick(Millis(START + due)),
         Some(ClaimAction::Append {
--- a/crates/gateway/src/claiming.rs
+++ b/crates/gateway/src/claiming.rs
@@ -34,18 +34,18 @@
     let gw = Rc::clone(gw);
     actix_rt::spawn(async move {
         match action {
-            ClaimAction::Read => read(&gw, now).await,
+            ClaimAction::Read => read(&gw).await,
             ClaimAction::Append { end, .. } => append(&gw, end, now).await,
         }
     });
 }
 
-async fn read(gw: &Gateway, started: Millis) {
+async fn read(gw: &Gateway) {
     let newest = gw.store.newest(Topic::Planner).await;
     gw.metrics.count_store("planner", newest.is_ok());
     let mut claim = gw.claim.borrow_mut();
     match newest.as_ref().map(to_view) {
-        Ok(view) => claim.on_read(&view, started, gw.now()),
+        Ok(view) => claim.on_read(&view, gw.now()),
         Err(_) => claim.on_failed(),
     }
 }
