Call one load time and one estimate, drop what nobody calls, put constants beside their kin

The gateway computed an engine's load time beside Engine::load_time, the router built its chooser twice, and Fleet::serving had no caller. Behaviour as before.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -331,8 +331,8 @@
         !self.leaving && !self.down
     }
 
-    /// How long the order about weights that is under way is expected to take from now on;
-    /// none where none is.
+    /// When the order about weights that is under way is expected to be done; none where
+    /// none is.
     pub(crate) fn busy_until(&self, catalog: &Catalog) -> Option<Millis> {
         let pending = self.pending.iter().find(|p| p.order.adapter.is_none())?;
         let rule = catalog.models.get(&pending.order.model)?;
@@ -343,8 +343,15 @@
         )
     }
 
+    /// Whether it has a copy of the model, so that a load does not use the weight store.
+    #[must_use]
+    pub fn has_copy(&self, model: &Model) -> bool {
+        self.held.warm.contains(model) || self.held.disk.contains(model)
+    }
+
     /// How long a load of the model takes there.
-    pub(crate) fn load_time(&self, model: &Model, rule: &ModelRule) -> Millis {
+    #[must_use]
+    pub fn load_time(&self, model: &Model, rule: &ModelRule) -> Millis {
         if self.held.warm.contains(model) {
             rule.warm
         } else if self.held.disk.contains(model) {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -132,13 +132,6 @@
         self.engines.values().filter(serves).count()
     }
 
-    /// How many engines serve the model now.
-    #[must_use]
-    pub fn serving(&self, model: &Model) -> usize {
-        let serves = |e: &&Engine| !e.leaving && e.serves(model);
-        self.engines.values().filter(serves).count()
-    }
-
     /// Engines that must be asked what they hold before they can be ordered.
     pub fn unproven(&self) -> impl Iterator<Item = &Upstream> {
         let unproven = |(_, e): &(&Upstream, &Engine)| !e.leaving && !e.is_proven();
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -118,12 +118,12 @@
 /// it: then it is back within seconds of the first request.
 const LAST_COPIES: usize = 2;
 
-/// The part of a replica's work that counts against its being dropped.
-const IN_USE_PART: f64 = 0.3;
-
 /// What is counted as the loss of such a replica, in milliseconds a second.
 const LAST_LOSS: f64 = 20.0;
 
+/// The part of a replica's work that counts against its being dropped.
+const IN_USE_PART: f64 = 0.3;
+
 /// Demand below this counts as this, so that replicas of idle models are compared too.
 const LEAST_WORK: f64 = 0.1;
 
@@ -259,7 +259,7 @@
 
     /// Loads the model at the best engine, or makes room for it there. `gain` is what the
     /// model that makes room may not lose; nothing is compared for a model that is
-    /// nowhere, but no last replica makes room.
+    /// nowhere. [`Draft::victim`] says which model may make room.
     fn place(&mut self, model: &'a Model, gain: f64) -> bool {
         let Some(rule) = self.view.catalog.models.get(model) else {
             return false;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -118,10 +118,7 @@
     }
     let fleets = gw.fleets.borrow();
     let engine = fleets.get(service).and_then(|f| f.get(&order.engine));
-    engine.is_none_or(|e| {
-        let held = e.held();
-        !held.warm.contains(&order.model) && !held.disk.contains(&order.model)
-    })
+    engine.is_none_or(|e| !e.has_copy(&order.model))
 }
 
 /// The time after which an order should have been carried out.
@@ -137,16 +134,7 @@
     };
     let fleets = gw.fleets.borrow();
     let engine = fleets.get(service).and_then(|f| f.get(&order.engine));
-    let Some(held) = engine.map(|e| e.held()) else {
-        return rule.store;
-    };
-    if held.warm.contains(&order.model) {
-        rule.warm
-    } else if held.disk.contains(&order.model) {
-        rule.disk
-    } else {
-        rule.store
-    }
+    engine.map_or(rule.store, |e| e.load_time(&order.model, rule))
 }
 
 /// Looks at the engine until an order is carried out, and tells the others.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,6 +31,9 @@
 /// within a quarter.
 const WAIT_PART: u64 = 5;
 
+/// But at least so long, for a place that frees at once.
+const LEAST_WAIT: u64 = 20;
+
 /// A caller that came back after a refusal has no further try: its request waits for a
 /// larger part of the time left.
 const BACK_WAIT: (u64, u64) = (3, 5);
@@ -41,9 +44,6 @@
 /// A request whose caller gives it less than this part of the route's time came back.
 const BACK_PART: (u64, u64) = (19, 20);
 
-/// But at least so long, for a place that frees at once.
-const LEAST_WAIT: u64 = 20;
-
 /// A request is not sent where its first byte is expected later than so many targets:
 /// callers of streams leave after four.
 const MOST_TARGETS: u64 = 2;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
 };
 use shaleline_types::{LogEvent, Millis, Model, RequestId, Service, Upstream};
-use std::cell::{Cell, Ref, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -153,7 +153,7 @@
 
     /// The configuration in force.
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
-        Ref::clone(&self.table.borrow()).clone()
+        self.table.borrow().clone()
     }
 
     /// Whether callers should be sent here.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -54,8 +54,12 @@
 
     /// The time to the first byte, as far as prompts decide it.
     pub(crate) fn time(&self, back: &Back, ask: &Ask) -> f64 {
-        let own = back.cold(ask) * self.token * back.slowness.get(self.now);
-        back.backlog(ask.terms.urgent, self.now) + own
+        back.backlog(ask.terms.urgent, self.now) + self.work(back, ask)
+    }
+
+    /// The time that reading the request's own prompt takes there.
+    pub(crate) fn work(&self, back: &Back, ask: &Ask) -> f64 {
+        back.cold(ask) * self.token * back.slowness.get(self.now)
     }
 
     fn expected(&self, back: &Back, ask: &Ask) -> f64 {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -268,6 +268,11 @@
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) {
+        let (Some(open), Some(back)) = (self.open.get(&id), self.backs.get(upstream)) else {
+            return;
+        };
+        let chooser = self.chooser(&open.ask, now);
+        let (work, expected) = (chooser.work(back, &open.ask), chooser.time(back, &open.ask));
         let (Some(open), Some(back)) = (self.open.get_mut(&id), self.backs.get_mut(upstream))
         else {
             return;
@@ -276,14 +281,6 @@
             !back.is_leaving() || !Safeguard::LeavingStop.active(),
             "a leaving upstream gets no new work"
         );
-        let token = self.tokens.get(&open.ask.route, self.settings.token);
-        let chooser = Chooser {
-            choice: self.settings.choice,
-            home: &self.settings.home,
-            turn: self.turn,
-            token,
-            now,
-        };
         self.turn += 1;
         self.stats.sent += 1;
         self.stats.retried += u64::from(open.attempt > 0);
@@ -302,8 +299,8 @@
                 .map_or_else(|| stall_of(self.settings.stall, open.ask.due, now), |s| s.0),
             answered: false,
             urgent: open.ask.terms.urgent,
-            work: back.cold(&open.ask) * token * back.slowness.get(now),
-            expected: chooser.time(back, &open.ask),
+            work,
+            expected,
         };
         let cost = open.ask.cost as f64 / open.ask.weight.max(1) as f64;
         back.hints.note(&open.ask.prefix);
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -59,8 +59,7 @@
     /// Whether some upstream serves the route and takes new work.
     #[must_use]
     pub fn is_served(&self, route: &Route) -> bool {
-        let serves = |b: &Back| !b.is_leaving() && b.routes.contains(route);
-        self.backs.values().any(serves)
+        self.serving(route) > 0
     }
 
     /// How many upstreams serve the route and take new work.
