--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -109,7 +109,7 @@
 }
 
 fn is_lease_apart(steps: Vec<Step>) -> TestResult {
-    let long: Vec<Step> = steps.iter().cycle().take(900).copied().collect();
+    let long: Vec<Step> = steps.into_iter().cycle().take(900).collect();
     let orders = play(&long);
     for pair in orders.windows(2) {
         let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
