Tell an entry whose removal is held with its own offset

Ruled out: a late read (the followers had logged the removal 0.6 s after it) and the closed case of old entries, whose offsets were right. Change: the removal's offset is kept beside the entry's until it takes effect.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -43,13 +43,23 @@
 #[derive(Debug, Clone)]
 struct Listed {
     entry: Entry,
+    /// The offset of this entry.
     offset: u64,
+    /// The offset of its removal, while that is held.
+    removed: Option<u64>,
     /// Once told to be leaving, it is leaving, whatever a later read says.
     leaving: bool,
     /// When its removal takes effect.
     until: Option<Millis>,
 }
 
+impl Listed {
+    /// The offset of the newest record that is known.
+    fn newest(&self) -> u64 {
+        self.removed.unwrap_or(self.offset)
+    }
+}
+
 /// The upstreams known.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -68,7 +78,7 @@
     /// Takes in an upstream's record.
     pub(crate) fn on_seen(&mut self, seen: Seen, now: Millis) -> Option<Change> {
         let gone = self.gone.get(&seen.name).map(|(offset, _)| *offset);
-        let known = self.listed.get(&seen.name).map(|l| l.offset);
+        let known = self.listed.get(&seen.name).map(Listed::newest);
         if gone.max(known).is_some_and(|o| seen.offset < o) {
             return None;
         }
@@ -84,12 +94,14 @@
         let leaving = entry.leaving || known.as_ref().is_some_and(|l| l.leaving);
         if let Some(known) = known.filter(|l| l.entry == entry) {
             known.offset = offset;
+            known.removed = None;
             known.until = None;
             return None;
         }
         let next = Listed {
             entry,
             offset,
+            removed: None,
             leaving,
             until: None,
         };
@@ -109,7 +121,7 @@
         let back = self.disturbed.map(|d| d.plus(BACK_MS));
         let hold = back.filter(|b| *b > now);
         let listed = self.listed.get_mut(name)?;
-        listed.offset = offset;
+        listed.removed = Some(offset);
         if let (Some(back), false) = (hold, listed.leaving) {
             let until = back.min(now.plus(HOLD_MS));
             listed.until.get_or_insert(until);
@@ -120,7 +132,7 @@
 
     fn forget(&mut self, name: &Upstream, now: Millis) -> Change {
         if let Some(listed) = self.listed.remove(name) {
-            self.gone.insert(name.clone(), (listed.offset, now));
+            self.gone.insert(name.clone(), (listed.newest(), now));
         }
         Change::Gone(name.clone())
     }
@@ -150,7 +162,9 @@
         names.iter().map(|n| self.forget(n, now)).collect()
     }
 
-    /// The offset of what is known of an upstream.
+    /// The offset of an upstream's entry, or of its removal where that has taken effect. A
+    /// removal that is held says nothing of the entry's age: whoever is told the entry with
+    /// the removal's offset would take it for new.
     pub(crate) fn offset(&self, name: &Upstream) -> u64 {
         let listed = self.listed.get(name).map(|l| l.offset);
         let gone = self.gone.get(name).map(|(offset, _)| *offset);
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -96,6 +96,23 @@
     assert_eq!(change, Some(Change::Present(up())));
 }
 
+/// DRAIN on turnos grown, trouble-1: a hub that the store had refused held a removal and told
+/// its followers the entry with the removal's offset, which brought the upstream back.
+#[test]
+fn an_entry_whose_removal_is_held_keeps_its_own_offset() {
+    let mut roster = listed();
+    roster.on_disturbed(NOW);
+    let mut changed = there(4, false);
+    changed.entry = changed.entry.map(|e| Entry { slots: 7, ..e });
+    let change = roster.on_seen(changed.clone(), NOW);
+    assert_eq!(change, Some(Change::Present(up())));
+    assert_eq!(roster.on_seen(removed(5), NOW), None);
+    assert_eq!(roster.offset(&up()), 4);
+    assert_eq!(roster.on_seen(changed, NOW), None);
+    assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(up())]);
+    assert_eq!(roster.offset(&up()), 5);
+}
+
 #[test]
 fn leaving_holds_whatever_comes_later() {
     let mut roster = listed();
