Hand over what a hub has read to followers, and to hubs that the store refuses

Ruled out: the steady reads of hubs (17 calls a second of all). Change: daemons copy the configuration and the entries from their hub over the port that daemons share, a hub that is refused copies from another hub; nobody claims, reads or speaks as a hub before the list of daemons was read; failed calls of followers back off; how old a copy may be follows from the platform's bounds.

--- a/crates/gateway/src/claiming.rs
+++ b/crates/gateway/src/claiming.rs
@@ -25,7 +25,7 @@
     // Hubs know what is asked for.
     let hub = gw.mesh.borrow_mut().is_hub(now);
     let candidate = hub || gw.claim.borrow().is_holder();
-    if !gw.settings.policy.plans || !candidate {
+    if !gw.settings.policy.plans || !candidate || !gw.settled.get() {
         return;
     }
     let Some(action) = gw.claim.borrow_mut().tick(now) else {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,88 +1,53 @@
-//! Keeps up with the store: the configuration, the upstreams' entries, the other daemons.
+//! Keeps up with the store: the configuration and the upstreams' entries.
+//!
+//! Hubs read the store; the others take copies from their hub, and a hub that the store
+//! refuses takes them from another hub ([`crate::handover`]). Whoever has no fresh copy
+//! reads the store.
 
+use crate::handover::{self, ConfigCopy, EntriesCopy};
 use crate::journal::emit;
-use crate::message::Sender;
+use crate::link::Link;
+use crate::members::settle;
 use crate::roster::{Change, Seen};
 use crate::state::Gateway;
-use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
-use serde::{Deserialize, Serialize};
-use shaleline_types::{DataCentre, Instance, LogEvent, Millis, Upstream};
-use std::net::SocketAddr;
+use crate::store::{Batch, Record, StoreError, Topic};
+use shaleline_types::{LogEvent, Millis, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The pause after a failed call: at least so long, at most twice as long, so that daemons
-/// that lost the store together do not come back together.
-const PAUSE_MS: u64 = 150;
-
 /// The key of the configuration.
 const CONFIG_KEY: &str = "config";
 
-/// How a daemon is listed for the others.
-#[derive(Debug, Serialize, Deserialize)]
-struct MemberRecord {
-    centre: DataCentre,
-    strength: u8,
-    address: SocketAddr,
-    life: u64,
-}
+/// How often a follower looks whether its hub has fallen silent.
+const LOOK: Duration = Duration::from_millis(200);
 
-/// Notes how a call to the store went, and logs when the store is lost or back.
-struct Link {
-    topic: &'static str,
-    failing: Option<Millis>,
-}
+/// A follower that knows nothing yet gives its hub so long to have read the store.
+const FIRST_COPY: Millis = Millis(1_500);
 
-impl Link {
-    const fn new(topic: &'static str) -> Self {
-        Self {
-            topic,
-            failing: None,
-        }
-    }
-
-    fn note<T>(&mut self, gw: &Gateway, result: &StoreResult<T>) {
-        let now = gw.now();
-        gw.metrics.count_store(self.topic, result.is_ok());
-        match result {
-            Err(StoreError::Gap) => emit(LogEvent::TopicGap, &format!("topic={}", self.topic)),
-            Err(e) => {
-                gw.roster.borrow_mut().on_disturbed(now);
-                if self.failing.is_none() {
-                    self.failing = Some(now);
-                    let detail = format!("topic={} error={e:?}", self.topic);
-                    emit(LogEvent::LogLost, &detail);
-                }
-            }
-            Ok(_) => {
-                if let Some(since) = self.failing.take() {
-                    gw.roster.borrow_mut().on_disturbed(now);
-                    let away = now.since(since);
-                    emit(
-                        LogEvent::LogBack,
-                        &format!("topic={} away_ms={away}", self.topic),
-                    );
-                }
-            }
-        }
-    }
-}
-
-async fn pause(gw: &Gateway) {
-    let jitter = gw.draw() % PAUSE_MS;
-    tokio::time::sleep(Duration::from_millis(PAUSE_MS + jitter)).await;
-}
+/// The pause between two questions meanwhile.
+const FIRST_LOOK: Duration = Duration::from_millis(150);
 
 /// Follows the configuration for as long as the process lives.
 pub(crate) async fn config(gw: Rc<Gateway>) {
     let mut link = Link::new("config");
     let mut next = None;
+    settle(&gw).await;
+    let patient = gw.now().plus(FIRST_COPY.0);
     loop {
         wait_for_change(&gw, next).await;
+        if !gw.is_hub() {
+            if copy_config(&gw, &mut next).await {
+                continue;
+            }
+            if next.is_none() && gw.now() < patient {
+                tokio::time::sleep(FIRST_LOOK).await;
+                continue;
+            }
+        }
         let result = match next {
             None => gw.store.newest(Topic::Config).await,
             Some(from) => {
-                let wait = gw.settings.policy.config_wait;
+                let wait = gw.settings.config_wait(gw.bounds.borrow().apply);
                 gw.store.tail(Topic::Config, from, wait).await
             }
         };
@@ -95,24 +60,47 @@
                 next = Some(batch.next);
                 gw.reading.borrow_mut().on_config(batch.next, gw.now());
                 if empty {
-                    pause(&gw).await;
+                    link.pause(&gw, true, || false).await;
                 }
             }
             Err(StoreError::Gap) => next = None,
-            Err(_) => pause(&gw).await,
+            Err(_) => {
+                let hub = gw.is_hub();
+                if hub {
+                    copy_config(&gw, &mut next).await;
+                }
+                let fresh = || gw.reading.borrow().hub_config(gw.freshness(), gw.now());
+                link.pause(&gw, hub, || !hub && fresh().is_some()).await;
+            }
         }
     }
 }
 
+/// Takes a copy of the configuration from another daemon. Returns whether it is at least as
+/// new as what is known.
+async fn copy_config(gw: &Gateway, next: &mut Option<u64>) -> bool {
+    let Some((copy, at)) = handover::config(gw).await else {
+        return false;
+    };
+    let ConfigCopy {
+        next: end, record, ..
+    } = copy;
+    if next.is_some_and(|n| n > end) {
+        return false;
+    }
+    if let Some(record) = record {
+        take_config_record(gw, &record);
+    }
+    *next = Some(end);
+    gw.reading.borrow_mut().on_config_copied(end, at);
+    true
+}
+
 /// Waits while a hub says that the configuration was read up to `next` a moment ago.
 async fn wait_for_change(gw: &Gateway, next: Option<u64>) {
-    /// How often a follower looks whether its hub has fallen silent.
-    const LOOK: Duration = Duration::from_millis(200);
     while let Some(next) = next {
-        let now = gw.now();
-        let hub = gw.mesh.borrow_mut().is_hub(now);
-        let read = gw.reading.borrow().hub_config(now);
-        if hub || read.is_none_or(|r| r > next) {
+        let read = gw.reading.borrow().hub_config(gw.freshness(), gw.now());
+        if gw.is_hub() || read.is_none_or(|r| r > next) {
             return;
         }
         tokio::select! {
@@ -124,11 +112,18 @@
 
 fn take_config(gw: &Gateway, batch: &Batch) {
     let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
-    let Some(value) = newest.and_then(|r| r.value.as_ref()) else {
-        return;
-    };
+    if let Some(value) = newest.and_then(|r| r.value.as_ref()) {
+        take_config_record(gw, value);
+    }
+}
+
+fn take_config_record(gw: &Gateway, value: &[u8]) {
     match gw.codec.table(value) {
-        Ok(table) => gw.set_table(table),
+        Ok(table) => {
+            if gw.set_table(table) {
+                *gw.config_record.borrow_mut() = Some(value.into());
+            }
+        }
         Err(e) => emit(LogEvent::TableRefused, &format!("reason={:?}", e.0)),
     }
 }
@@ -137,15 +132,21 @@
 pub(crate) async fn upstreams(gw: Rc<Gateway>) {
     let mut link = Link::new("upstreams");
     let mut next = None;
+    settle(&gw).await;
+    let patient = gw.now().plus(FIRST_COPY.0);
     loop {
         let every = gw.settings.policy.read_every.0;
-        let hub = gw.mesh.borrow_mut().is_hub(gw.now());
-        if !hub && gw.listed.get() && gw.reading.borrow().follows_entries(gw.now()) {
-            // What was changed meanwhile comes from the hub; the offset is not known.
+        let hub = gw.is_hub();
+        if !hub && (gw.follows() || copy_entries(&gw).await) {
+            // What is changed meanwhile comes from the hub; the offset is not known.
             next = None;
             tokio::time::sleep(Duration::from_millis(every / 4)).await;
             continue;
         }
+        if !hub && !gw.listed.get() && gw.now() < patient {
+            tokio::time::sleep(FIRST_LOOK).await;
+            continue;
+        }
         let position = gw.reading.borrow().position();
         let result = match next {
             None => gw.store.newest(Topic::Upstreams).await,
@@ -156,17 +157,69 @@
             Ok(batch) => {
                 take_batch(&gw, &batch, next.is_none());
                 next = Some(batch.next);
+                gw.entries_next.set(batch.next);
                 gw.listed.set(true);
                 gw.reading.borrow_mut().on_entries(position, gw.now());
                 let jitter = gw.draw() % (every / 8 + 1);
                 tokio::time::sleep(Duration::from_millis(every - jitter)).await;
             }
             Err(StoreError::Gap) => next = None,
-            Err(_) => pause(&gw).await,
+            Err(_) => {
+                let copied = hub && copy_entries(&gw).await;
+                link.pause(&gw, hub, || !hub && gw.follows()).await;
+                if copied {
+                    next = None;
+                    tokio::time::sleep(Duration::from_millis(every / 2)).await;
+                }
+            }
         }
     }
 }
 
+/// Takes a copy of the upstreams' entries from another daemon.
+async fn copy_entries(gw: &Gateway) -> bool {
+    let Some((copy, at)) = handover::entries(gw).await else {
+        return false;
+    };
+    let EntriesCopy {
+        life,
+        number,
+        next,
+        entries,
+        ..
+    } = copy;
+    let seen = entries.into_iter().map(|(name, offset, entry)| Seen {
+        name,
+        offset,
+        entry: Some(entry),
+    });
+    let now = gw.now();
+    let changes = gw.roster.borrow_mut().on_all(seen.collect(), next, now);
+    gw.apply_all(changes);
+    gw.entries_next.set(gw.entries_next.get().max(next));
+    gw.listed.set(true);
+    let mut reading = gw.reading.borrow_mut();
+    if gw.mesh.borrow_mut().is_hub(now) {
+        reading.on_known(at);
+    } else {
+        reading.on_copied(life, number, at);
+    }
+    true
+}
+
+impl Gateway {
+    /// Whether this daemon reads the store for its data centre.
+    fn is_hub(&self) -> bool {
+        self.mesh.borrow_mut().is_hub(self.now())
+    }
+
+    /// Whether the entries are known as of a moment ago through the hub.
+    fn follows(&self) -> bool {
+        let reading = self.reading.borrow();
+        self.listed.get() && reading.follows_entries(self.freshness(), self.now())
+    }
+}
+
 fn take_batch(gw: &Gateway, batch: &Batch, all: bool) {
     let now = gw.now();
     let seen = batch.records.iter().filter_map(|r| seen_of(gw, r));
@@ -234,60 +287,3 @@
         entry,
     })
 }
-
-/// Lists this daemon for the others and learns of those listed before.
-pub(crate) async fn members(gw: Rc<Gateway>) {
-    let mut link = Link::new("members");
-    let record = MemberRecord {
-        centre: gw.me.centre.clone(),
-        strength: gw.me.strength,
-        address: gw.settings.listen.peers,
-        life: gw.me.life,
-    };
-    let value = serde_json::to_vec(&record).expect("an address and a number serialize");
-    loop {
-        let key = gw.me.instance.as_str();
-        let listed = gw.store.append(Topic::Members, key, &value, None).await;
-        link.note(&gw, &listed);
-        if listed.is_ok() {
-            break;
-        }
-        pause(&gw).await;
-    }
-    loop {
-        let all = gw.store.newest(Topic::Members).await;
-        link.note(&gw, &all);
-        match all {
-            Ok(batch) => {
-                batch.records.iter().for_each(|r| learn(&gw, r));
-                return;
-            }
-            Err(_) => pause(&gw).await,
-        }
-    }
-}
-
-fn learn(gw: &Gateway, record: &Record) {
-    let Ok(instance) = Instance::from_text(&record.key) else {
-        return;
-    };
-    let value = record.value.as_deref().unwrap_or_default();
-    match serde_json::from_slice::<MemberRecord>(value) {
-        Ok(member) if instance != gw.me.instance => {
-            let from = Sender {
-                instance,
-                centre: member.centre,
-                life: member.life,
-                address: member.address,
-                strength: member.strength,
-            };
-            let now = gw.now();
-            gw.mesh.borrow_mut().learn(&from, now);
-        }
-        Ok(_) => {}
-        Err(e) => emit(
-            LogEvent::EntrySkipped,
-            &format!("member={instance} reason=\"{e}\""),
-        ),
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,10 +9,11 @@
 //!
 //! Around it:
 //!
-//! * `follow` keeps up with the platform's [`Store`]; `roster` decides which upstreams
-//!   there are.
+//! * `follow` keeps up with the platform's [`Store`], which it calls through `link`;
+//!   `roster` decides which upstreams there are.
 //! * `mesh` decides which daemons tell which others what, in the messages of `message`;
-//!   `gossip` sends and receives them, `reading` is who reads the store.
+//!   `gossip` sends and receives them, `reading` is who reads the store, `handover` passes
+//!   on what was read, `members` is how daemons find each other.
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
 //!   gives the orders.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
@@ -29,8 +30,11 @@
 mod events;
 mod follow;
 mod gossip;
+mod handover;
 mod journal;
 mod lead;
+mod link;
+mod members;
 mod mesh;
 mod message;
 mod metrics;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -72,6 +72,8 @@
     sums: BTreeMap<DataCentre, Told>,
     /// What this daemon's hub told.
     total: Option<Told>,
+    /// Whether another daemon spoke as the hub of this data centre.
+    heard: bool,
     /// When another daemon last took this one for the hub.
     asked: Option<Millis>,
     /// What this daemon itself told last.
@@ -90,6 +92,7 @@
             notes: BTreeMap::new(),
             sums: BTreeMap::new(),
             total: None,
+            heard: false,
             asked: None,
             own: UpstreamNotes::new(),
         }
@@ -220,6 +223,21 @@
         near.map(|p| p.address).collect()
     }
 
+    /// Which daemons may have read the store for this one: a follower's hub, a hub's peers.
+    pub(crate) fn sources(&mut self, now: Millis) -> Vec<SocketAddr> {
+        if self.is_hub(now) {
+            return self.other_hubs(now);
+        }
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now);
+        hub.and_then(|h| self.address_of(&h)).into_iter().collect()
+    }
+
+    /// Whether a hub has told this daemon anything yet.
+    pub(crate) fn has_heard(&self) -> bool {
+        self.heard
+    }
+
     /// Takes in a note, a sum or a total.
     pub(crate) fn on_note(&mut self, from: &Sender, note: LoadNote, now: Millis) {
         self.asked = Some(now);
@@ -248,6 +266,7 @@
     /// Takes in the total. Returns whether its sender is this daemon's hub.
     pub(crate) fn on_total(&mut self, from: &Sender, note: &TotalNote, now: Millis) -> bool {
         self.on_hub(from, now);
+        self.heard = true;
         let centre = self.me.centre.clone();
         if self.hub(&centre, now).as_ref() != Some(&from.instance) {
             return false;
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -7,9 +7,36 @@
 use crate::message::Mark;
 use shaleline_types::Millis;
 
-/// A follower reads by itself once what it has heard of is older than this: a hub reads
-/// every 700 ms and tells of it within another 300 ms.
-const FOLLOW_MS: u64 = 1_250;
+/// How old what a hub has read may be before its followers look elsewhere.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Freshness {
+    /// For the upstreams' entries: a hub reads every 700 ms and tells of it within another
+    /// 300 ms; the rest of the drain bound is for asking the hub and then the store.
+    pub(crate) entries: Millis,
+    /// For the configuration: a hub's read waits for a change nearly as long.
+    pub(crate) config: Millis,
+}
+
+/// What the platform's bounds must leave for asking a hub and then the store.
+const ASK_MS: u64 = 750;
+
+/// How much older the configuration may be than the longest wait of a hub's read: the
+/// time until its mark is told.
+const MARK_MS: u64 = 450;
+
+/// The bounds of the ages; the lower ones are what a hub's pace needs.
+const ENTRIES_MS: (u64, u64) = (1_250, 2_250);
+
+impl Freshness {
+    /// The ages that the bounds allow.
+    pub(crate) fn from_bounds(drain: Millis, config_wait: Millis) -> Self {
+        let (least, most) = ENTRIES_MS;
+        Self {
+            entries: Millis(drain.0.saturating_sub(ASK_MS).clamp(least, most)),
+            config: config_wait.plus(MARK_MS),
+        }
+    }
+}
 
 /// What a follower knows of its hub's reading.
 #[derive(Debug, Clone, Copy, Default)]
@@ -47,7 +74,7 @@
 impl Reading {
     /// Notes that this daemon itself has read the configuration.
     pub(crate) fn on_config(&mut self, next: u64, now: Millis) {
-        self.config = Some((next, now));
+        self.config = self.config.max(Some((next, now)));
     }
 
     /// Notes that this daemon itself has read the entries up to their end. What the hub had
@@ -79,6 +106,49 @@
         })
     }
 
+    /// Notes that the configuration was copied from a hub that had read it up to `next` at
+    /// `at`: until the hub's next mark nothing newer is known of it.
+    pub(crate) fn on_config_copied(&mut self, next: u64, at: Millis) {
+        self.on_config(next, at);
+        self.followed.config = self.followed.config.max(next);
+        self.followed.config_at = self.followed.config_at.max(at);
+    }
+
+    /// Notes that the entries were copied from a hub that had read them at `at`; `number` is
+    /// the last message of changes that the copy covers.
+    pub(crate) fn on_copied(&mut self, life: u64, number: u64, at: Millis) {
+        let followed = &mut self.followed;
+        if followed.life != life {
+            *followed = Followed {
+                life,
+                ..Followed::default()
+            };
+        }
+        followed.covered = Some(number);
+        followed.marked = followed.marked.max(number);
+        followed.changes_at = followed.changes_at.max(at);
+    }
+
+    /// Notes that this daemon, a hub, knows the entries as they were at `at` from another.
+    pub(crate) fn on_known(&mut self, at: Millis) {
+        self.changes = self.changes.max(Some(at));
+    }
+
+    /// The number of the last message of changes.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// When this daemon itself last knew the entries up to their end.
+    pub(crate) fn entries_at(&self) -> Option<Millis> {
+        self.changes
+    }
+
+    /// How far this daemon itself knows the configuration, and as of when.
+    pub(crate) fn config_at(&self) -> Option<(u64, Millis)> {
+        self.config
+    }
+
     /// Takes in the mark of this daemon's hub.
     pub(crate) fn on_mark(&mut self, life: u64, mark: Mark, now: Millis) {
         let followed = &mut self.followed;
@@ -117,13 +187,13 @@
     }
 
     /// Whether the entries are known as of a moment ago without reading.
-    pub(crate) fn follows_entries(&self, now: Millis) -> bool {
-        self.followed.is_whole() && now.since(self.followed.changes_at) < FOLLOW_MS
+    pub(crate) fn follows_entries(&self, fresh: Freshness, now: Millis) -> bool {
+        self.followed.is_whole() && now.since(self.followed.changes_at) < fresh.entries.0
     }
 
     /// How far the hub has read the configuration, where it read a moment ago.
-    pub(crate) fn hub_config(&self, now: Millis) -> Option<u64> {
-        let fresh = now.since(self.followed.config_at) < FOLLOW_MS;
+    pub(crate) fn hub_config(&self, fresh: Freshness, now: Millis) -> Option<u64> {
+        let fresh = now.since(self.followed.config_at) < fresh.config.0;
         fresh.then_some(self.followed.config)
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,8 @@
 pub struct Bounds {
     /// The time within which a leaving upstream must get no new work.
     pub drain: Millis,
+    /// The time within which an accepted configuration must be in force.
+    pub apply: Millis,
     /// The time from the request to stop to the kill.
     pub grace: Millis,
     /// The time that must pass between the orders of two planners.
@@ -58,6 +60,19 @@
 }
 
 impl GatewaySettings {
+    /// How long a read of the configuration waits for a change. A hub that is cut off
+    /// from the store notices at the end of a wait; its followers must then still have the
+    /// time to look elsewhere within the bound.
+    #[must_use]
+    pub fn config_wait(&self, apply: Millis) -> Millis {
+        /// What noticing, asking other hubs and reading take.
+        const ELSEWHERE_MS: u64 = 1_200;
+        /// Longer waits save little.
+        const MOST_MS: u64 = 2_500;
+        let wait = apply.0.saturating_sub(ELSEWHERE_MS).min(MOST_MS);
+        self.policy.config_wait.max(Millis(wait))
+    }
+
     /// How well this instance can serve as a hub. A hub of 30 daemons sends some 3 Mbit/s
     /// in bursts and reads the store for them.
     #[must_use]
@@ -77,8 +92,8 @@
     /// How often the upstreams' entries are read: within the drain bound of 2 s a read
     /// may fail once.
     pub read_every: Millis,
-    /// How long a read of the configuration waits for a change: less than followers of
-    /// a hub wait before they read by themselves.
+    /// How long a read of the configuration waits for a change at the least; see
+    /// [`GatewaySettings::config_wait`].
     pub config_wait: Millis,
     /// How long a call to the store may take beyond what it waits.
     pub store_timeout: Millis,
@@ -87,8 +102,6 @@
     pub token: f64,
     /// Whether this daemon may plan for the engines.
     pub plans: bool,
-    /// How often daemons tell each other their load.
-    pub gossip_every: Millis,
     /// How often the planner looks at the fleet.
     pub plan_every: Millis,
 }
@@ -101,7 +114,6 @@
             store_timeout: Millis(700),
             token: 0.052,
             plans: true,
-            gossip_every: Millis(250),
             plan_every: Millis(250),
         }
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,10 +1,11 @@
 //! Brings a gateway up, and down again.
 
 use crate::control::Control;
+use crate::handover::Copies;
 use crate::journal::emit;
 use crate::request::Callers;
 use crate::state::{Border, Gateway};
-use crate::{follow, gossip, lead, GatewaySettings};
+use crate::{follow, gossip, lead, members, GatewaySettings};
 use eyre::{Result, WrapErr};
 use shaleline_edge::{Gate, Handler, Listener};
 use shaleline_route::{Drain, DrainAction, RouteEvent, Unfinished};
@@ -72,13 +73,15 @@
     let control = Gate::new(CONTROL_IDLE, CONTROL_HEAD);
     listen(listens.callers, &gw.gate, Rc::new(Callers(Rc::clone(&gw))))?;
     listen(listens.ready, &control, Rc::new(Control(Rc::clone(&gw))))?;
+    let peers = Gate::new(CONTROL_IDLE, CONTROL_HEAD);
+    listen(listens.peers, &peers, Rc::new(Copies(Rc::clone(&gw))))?;
     let metrics = listen(listens.metrics, &control, Rc::new(Control(Rc::clone(&gw))));
     if let Err(e) = metrics {
         emit(LogEvent::SettingsRefused, &format!("reason=\"{e:#}\""));
     }
     actix_rt::spawn(follow::config(Rc::clone(&gw)));
     actix_rt::spawn(follow::upstreams(Rc::clone(&gw)));
-    actix_rt::spawn(follow::members(Rc::clone(&gw)));
+    actix_rt::spawn(members::run(Rc::clone(&gw)));
     actix_rt::spawn(gossip::receive(Rc::clone(&gw), Rc::clone(&socket)));
     actix_rt::spawn(gossip::send(Rc::clone(&gw), socket, messages));
     actix_rt::spawn(lead::run(Rc::clone(&gw)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use crate::mesh::Mesh;
 use crate::message::Sender;
 use crate::metrics::Metrics;
-use crate::reading::Reading;
+use crate::reading::{Freshness, Reading};
 use crate::roster::{Change, Roster};
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
@@ -63,6 +63,14 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) mesh: RefCell<Mesh>,
     pub(crate) reading: RefCell<Reading>,
+    /// The configuration's record as it was read, for other daemons.
+    pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
+    /// The offset up to which the upstreams' entries are known.
+    pub(crate) entries_next: Cell<u64>,
+    /// Whether the list of daemons was read.
+    pub(crate) listed_peers: Cell<bool>,
+    /// Whether this daemon knows enough of the others to act as a hub.
+    pub(crate) settled: Cell<bool>,
     /// Tells that a hub marked how far it has read.
     pub(crate) marked: Notify,
     pub(crate) claim: RefCell<Claim>,
@@ -132,6 +140,10 @@
             demand: RefCell::new(Demand::default()),
             mesh: RefCell::new(mesh),
             reading: RefCell::new(Reading::default()),
+            config_record: RefCell::new(None),
+            entries_next: Cell::new(0),
+            listed_peers: Cell::new(false),
+            settled: Cell::new(false),
             marked: Notify::new(),
             wants: RefCell::new(BTreeMap::new()),
             plan_now: Notify::new(),
@@ -151,6 +163,12 @@
         self.clock.now()
     }
 
+    /// How old what a hub has read may be.
+    pub(crate) fn freshness(&self) -> Freshness {
+        let bounds = self.bounds.borrow();
+        Freshness::from_bounds(bounds.drain, self.settings.config_wait(bounds.apply))
+    }
+
     /// The configuration in force.
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -161,11 +179,12 @@
         self.table.borrow().is_some() && self.listed.get() && !self.stopping.get()
     }
 
-    /// Puts a version of the configuration in force, unless it is no newer.
-    pub(crate) fn set_table(&self, table: Table) {
+    /// Puts a version of the configuration in force, unless it is no newer. Returns whether
+    /// it did.
+    pub(crate) fn set_table(&self, table: Table) -> bool {
         let old = self.table.borrow().as_ref().map(|t| t.version);
         if old.is_some_and(|v| v >= table.version) {
-            return;
+            return false;
         }
         let idle = Duration::from_millis(table.limits.idle.0);
         self.gate.set_limits(idle, table.limits.head);
@@ -186,6 +205,7 @@
         for name in names {
             self.apply(Change::Present(name));
         }
+        true
     }
 
     /// Hands a change of the list of upstreams to the router and the fleet.
--- a/crates/gateway/tests/unit/mesh.rs
+++ b/crates/gateway/tests/unit/mesh.rs
@@ -1,7 +1,7 @@
 //! Hubs: who is one, who tells whom, and what becomes of a hub that falls silent.
 
 use crate::mesh::{Mesh, SILENT_MS};
-use crate::message::{LoadNote, Message, Sender, Tag, UpstreamNote};
+use crate::message::{LoadNote, Message, Sender, Tag, TotalNote, UpstreamNote};
 use shaleline_types::{DataCentre, Instance, Millis, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -166,3 +166,19 @@
     assert_eq!(world.hubs(), [0]);
     assert_eq!(world.beliefs(), BTreeSet::from([0]));
 }
+
+/// On a grown deployment's start most daemons took their own first total for a hub's and
+/// read the store.
+#[test]
+fn a_daemon_that_is_alone_has_heard_no_hub() {
+    let mut mesh = Mesh::new(sender(1, 1, 0));
+    let now = Millis(START);
+    mesh.tick(&LoadNote::default(), None, now);
+    assert!(!mesh.has_heard());
+    let total = TotalNote {
+        load: LoadNote::default(),
+        mark: None,
+    };
+    mesh.on_total(&sender(2, 1, 1), &total, now);
+    assert!(mesh.has_heard());
+}
--- a/crates/gateway/tests/unit/reading.rs
+++ b/crates/gateway/tests/unit/reading.rs
@@ -1,7 +1,7 @@
 //! Who may rely on a hub's reading.
 
 use crate::message::Mark;
-use crate::reading::Reading;
+use crate::reading::{Freshness, Reading};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
 
@@ -25,11 +25,13 @@
     Changes(u64),
     /// This daemon read all entries itself.
     Read,
+    /// This daemon copied the hub's entries as of this message, read so long ago.
+    Copy(u64, u64),
     /// The hub started anew.
     Restart,
 }
 
-use Step::{Changes, Mark as Marked, Read, Restart};
+use Step::{Changes, Copy as Copied, Mark as Marked, Read, Restart};
 
 /// Whether the daemon needs no read of its own after these steps.
 fn follows(steps: &[Step]) -> bool {
@@ -45,10 +47,23 @@
                 let position = reading.position();
                 reading.on_entries(position, NOW);
             }
+            Copied(number, age) => reading.on_copied(life, number, Millis(NOW.0 - age)),
             Restart => life += 1,
         }
     }
-    reading.follows_entries(NOW)
+    let fresh = Freshness::from_bounds(Millis(2_000), Millis(800));
+    reading.follows_entries(fresh, NOW)
+}
+
+/// A follower copied the configuration over and over until its hub's first mark came.
+#[test]
+fn a_copied_configuration_needs_no_further_read() {
+    let fresh = Freshness::from_bounds(Millis(2_000), Millis(800));
+    let mut reading = Reading::default();
+    assert_eq!(reading.hub_config(fresh, NOW), None);
+    reading.on_config_copied(5, Millis(NOW.0 - 100));
+    assert_eq!(reading.hub_config(fresh, NOW), Some(5));
+    assert_eq!(reading.hub_config(fresh, NOW.plus(2_000)), None);
 }
 
 cases! { follows;
@@ -62,5 +77,10 @@
     again_after_reading_for_the_missing_one:
         &[Marked(3, 0), Read, Changes(5), Marked(5, 0), Read, Changes(6), Marked(6, 0)] => true,
     not_where_the_hub_read_long_ago: &[Marked(3, 0), Read, Marked(3, 2_000)] => false,
+    after_a_copy_of_the_hubs_entries: &[Copied(3, 0)] => true,
+    after_a_copy_and_every_message_since: &[Copied(3, 0), Changes(4), Marked(4, 0)] => true,
+    not_after_a_copy_with_a_message_missing: &[Copied(3, 0), Changes(5), Marked(5, 0)] => false,
+    not_after_a_copy_of_what_was_read_long_ago: &[Copied(3, 2_000)] => false,
+    after_a_copy_from_a_hub_that_started_anew: &[Marked(3, 0), Read, Restart, Copied(1, 0)] => true,
     not_after_the_hub_started_anew: &[Marked(3, 0), Read, Restart, Marked(3, 0)] => false,
 }
