Read the store at once where a daemon starts while callers wait

Ruled out: a slow store (answers within milliseconds). Change: only the first start of the whole system, which the settings tell, waits; later starts read the store directly and settle beside that.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -31,11 +31,11 @@
 pub(crate) async fn config(gw: Rc<Gateway>) {
     let mut link = Link::new("config");
     let mut next = None;
-    settle(&gw).await;
+    let mut direct = !settle_first(&gw).await;
     let patient = gw.now().plus(FIRST_COPY.0);
     loop {
         wait_for_change(&gw, next).await;
-        if !gw.is_hub() {
+        if !std::mem::take(&mut direct) && !gw.is_hub() {
             if copy_config(&gw, &mut next).await {
                 continue;
             }
@@ -76,6 +76,19 @@
     }
 }
 
+/// Before the first traffic of all there is time to find out who reads the store for whom;
+/// a daemon that starts later has callers waiting and reads at once. Returns whether the
+/// daemon has waited.
+async fn settle_first(gw: &Rc<Gateway>) -> bool {
+    if gw.settings.first_start {
+        settle(gw).await;
+        return true;
+    }
+    let gw = Rc::clone(gw);
+    actix_rt::spawn(async move { settle(&gw).await });
+    false
+}
+
 /// Takes a copy of the configuration from another daemon. Returns whether it is at least as
 /// new as what is known.
 async fn copy_config(gw: &Gateway, next: &mut Option<u64>) -> bool {
@@ -132,11 +145,11 @@
 pub(crate) async fn upstreams(gw: Rc<Gateway>) {
     let mut link = Link::new("upstreams");
     let mut next = None;
-    settle(&gw).await;
+    let mut direct = !settle_first(&gw).await;
     let patient = gw.now().plus(FIRST_COPY.0);
     loop {
         let every = gw.settings.policy.read_every.0;
-        let hub = gw.is_hub();
+        let hub = gw.is_hub() || std::mem::take(&mut direct);
         if !hub && (gw.follows() || copy_entries(&gw).await) {
             // What is changed meanwhile comes from the hub; the offset is not known.
             next = None;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,6 +53,8 @@
     pub link: f64,
     /// Its part of a processor.
     pub cores: f64,
+    /// Whether the whole system starts for the first time: then no caller waits yet.
+    pub first_start: bool,
     /// The platform's bounds.
     pub bounds: Bounds,
     /// How the gateway decides.
