Pass over an upstream that has just refused, and announce a dropped model earlier

Requests that wait at an engine when it is ordered to drop their model are refused, too, and others heard of the drop only 20 ms before. Ruled out: full queues (the refusals stop with the order). Change: an upstream that says it did not run a request is passed over for that model for 500 ms (a plain service for 30 ms); a drop is announced 120 ms before it is ordered.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -18,8 +18,10 @@
 /// How long an order or a report may take; both are small.
 const CALL_LIMIT: Duration = Duration::from_millis(300);
 
-/// The time that the other daemons have to learn that a model is about to be dropped.
-const RETIRE_LEAD: Duration = Duration::from_millis(20);
+/// The time that the other daemons have to learn that a model is about to be dropped, and
+/// that requests already waiting at the engine have to start: those that have not are
+/// refused until the model is gone.
+const RETIRE_LEAD: Duration = Duration::from_millis(120);
 
 /// An adapter is there after some milliseconds, and what an engine reports is a hundred
 /// old; the first look comes after so long.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -248,7 +248,10 @@
         let ask = &open.ask;
         let chooser = self.chooser(ask, now);
         let fits = |(_, b): &(&Upstream, &Back)| {
-            b.routes.contains(&ask.route) && b.has_room_for(&ask.org, now) && chooser.allows(b, ask)
+            b.routes.contains(&ask.route)
+                && b.has_room_for(&ask.org, now)
+                && !b.is_refusing(&ask.route, now)
+                && chooser.allows(b, ask)
         };
         let able: Vec<(&Upstream, &Back)> = self.backs.iter().filter(fits).collect();
         let fresh = |u: &Upstream| !open.tried.contains(u);
@@ -379,6 +382,9 @@
             return;
         };
         back.on_end(id);
+        if let (End::Refused, Some(open)) = (end, self.open.get(&id)) {
+            back.note_refused(&open.ask.route, now);
+        }
         match end {
             End::Whole => {
                 back.last_byte = now;
@@ -503,7 +509,8 @@
         let allowed = heads.filter(|h| {
             let open = self.open.get(&h.id);
             let in_time = open.is_none_or(|o| self.chooser(&o.ask, now).allows(back, &o.ask));
-            in_time && back.has_room_for(h.org, now)
+            let refusing = open.is_some_and(|o| back.is_refusing(&o.ask.route, now));
+            in_time && !refusing && back.has_room_for(h.org, now)
         });
         let best = allowed.min_by(|a, b| {
             let start = |h: &crate::queue::Head<'_>| back.start_of(h.org);
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -60,6 +60,14 @@
     flights: usize,
 }
 
+/// How long an upstream is passed over for a model that it refused: an engine that drops a
+/// model takes that long to say so in its record, and one that is full has a queue of some
+/// hundred milliseconds.
+const MODEL_PAUSE_MS: u64 = 500;
+
+/// The same for a plain service, whose places free every few milliseconds.
+const SERVICE_PAUSE_MS: u64 = 30;
+
 /// One upstream as this daemon sees it.
 #[derive(Debug)]
 pub(crate) struct Back {
@@ -78,6 +86,8 @@
     /// Told by the list, by an operator or by the upstream itself.
     pub(crate) leaving: bool,
     pub(crate) last_byte: Millis,
+    /// What it refused to run, and until when it is passed over for that.
+    refused: BTreeMap<Route, Millis>,
     fair: BTreeMap<Org, Fair>,
     clock: f64,
 }
@@ -98,11 +108,28 @@
             hints: PrefixHints::default(),
             leaving: false,
             last_byte: Millis(0),
+            refused: BTreeMap::new(),
             fair: BTreeMap::new(),
             clock: 0.0,
         }
     }
 
+    /// Notes that it refused a request: it is full, or about to drop the model. Those that
+    /// come next would be refused as well.
+    pub(crate) fn note_refused(&mut self, route: &Route, now: Millis) {
+        let pause = match route {
+            Route::Model { .. } => MODEL_PAUSE_MS,
+            Route::Service(_) => SERVICE_PAUSE_MS,
+        };
+        self.refused.insert(route.to_base(), now.plus(pause));
+    }
+
+    /// Whether it refused such a request a moment ago.
+    pub(crate) fn is_refusing(&self, route: &Route, now: Millis) -> bool {
+        let until = self.refused.get(&route.to_base());
+        until.is_some_and(|u| now < *u)
+    }
+
     pub(crate) fn set_site(&mut self, site: Site) {
         self.routes = site.routes.iter().cloned().collect();
         self.site = site;
@@ -232,6 +259,7 @@
     }
 
     pub(crate) fn prune(&mut self, now: Millis) {
+        self.refused.retain(|_, until| now < *until);
         self.fair
             .retain(|_, f| f.flights > 0 || now.since(f.used) < 2 * NEIGHBOUR_MS);
     }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -404,3 +404,26 @@
         "many has no place left"
     );
 }
+
+/// An engine that was about to drop a model refused 229 requests of one day: each was sent
+/// there anew.
+#[test]
+fn an_upstream_that_refused_is_passed_over_for_a_moment() {
+    let mut router = router();
+    add(&mut router, "i-1", 4);
+    let sent = router.step(RouteEvent::Arrive(ask(1, "a", 1)), NOW);
+    assert!(matches!(sent[..], [RouteAction::Send { .. }]));
+    let end = RouteEvent::Ended {
+        id: RequestId(1),
+        attempt: 1,
+        end: End::Refused,
+    };
+    router.step(end, NOW);
+    let next = router.step(RouteEvent::Arrive(ask(2, "a", 1)), NOW.plus(1));
+    assert_eq!(next, [], "it waits for the upstream to take requests again");
+    let later = router.step(RouteEvent::Tick, NOW.plus(100));
+    assert!(
+        matches!(later[..], [RouteAction::Send { .. }, ..]),
+        "{later:?}"
+    );
+}
