Log when a stream's first byte was expected and came, and its longest pause

Change: a request's line has expected_ms, first_ms and pause_ms. Failed try, reverted: sending only up to 0.9 or 1.3 of the target. Conclusion: the queue's bound stays; replicas are short.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -337,7 +337,7 @@
 async fn stream(
     gw: &Rc<Gateway>,
     job: &Rc<Job>,
-    permit: Permit,
+    mut permit: Permit,
     attempt: AttemptNumber,
     upstream: &Upstream,
     begun: Begun,
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -98,9 +98,10 @@
     if !gw.lines.take(now) {
         return;
     }
-    let detail = format!(
+    let detail =
+        format!(
         "id={} code={code} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
-         reached={} ms={} left_ms={}",
+         reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={}",
         job.head.id,
         job.rule.name,
         job.route(),
@@ -111,6 +112,9 @@
         permit.last.as_ref().map_or("none", |u| u.as_str()),
         permit.reached,
         now.since(job.arrived),
+        permit.expected,
+        permit.first_after(job).map_or("none".to_owned(), |f| f.to_string()),
+        permit.pause,
         job.deadline.since(now),
     );
     emit(event, &detail);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,7 +45,8 @@
 const BACK_PART: (u64, u64) = (19, 20);
 
 /// A request is not sent where its first byte is expected later than so many targets:
-/// callers of streams leave after four.
+/// callers of streams leave after four. Shorter queues were tried: what was refused fell
+/// behind less urgent work, and `docs/MEASUREMENTS.md` has the figures.
 const MOST_TARGETS: u64 = 2;
 
 /// A send without a first byte counts as hanging after twice the target, within these
@@ -173,6 +174,12 @@
     pub(crate) sends: u32,
     /// Where it was sent last.
     pub(crate) last: Option<Upstream>,
+    /// When the first byte was expected after the last send.
+    pub(crate) expected: Millis,
+    /// When the first byte came, and the longest pause between two pieces after it.
+    first: Option<Millis>,
+    piece: Millis,
+    pub(crate) pause: u64,
 }
 
 impl Permit {
@@ -186,6 +193,10 @@
             reached: 0,
             sends: 0,
             last: None,
+            expected: Millis(0),
+            first: None,
+            piece: Millis(0),
+            pause: 0,
         };
         gw.route(RouteEvent::Arrive(job.to_ask(id)));
         permit
@@ -200,12 +211,23 @@
         action
     }
 
-    pub(crate) fn first_byte(&self, attempt: AttemptNumber) {
+    pub(crate) fn first_byte(&mut self, attempt: AttemptNumber) {
+        let now = self.gw.now();
+        self.first.get_or_insert(now);
+        self.piece = now;
         let id = self.id;
         self.gw.route(RouteEvent::FirstByte { id, attempt });
     }
 
-    pub(crate) fn progress(&self, attempt: AttemptNumber) {
+    /// The time from the request's arrival to its first byte.
+    pub(crate) fn first_after(&self, job: &Job) -> Option<u64> {
+        self.first.map(|f| f.since(job.arrived))
+    }
+
+    pub(crate) fn progress(&mut self, attempt: AttemptNumber) {
+        let now = self.gw.now();
+        self.pause = self.pause.max(now.since(self.piece));
+        self.piece = now;
         let id = self.id;
         self.gw.route(RouteEvent::Progress { id, attempt });
     }
@@ -336,8 +358,14 @@
         let next = tokio::time::timeout_at(limit, permit.next()).await;
         let (attempt, upstream) = match next {
             Ok(Some(RouteAction::Send {
-                attempt, upstream, ..
-            })) => (attempt, upstream),
+                attempt,
+                upstream,
+                expected,
+                ..
+            })) => {
+                permit.expected = expected;
+                (attempt, upstream)
+            }
             Ok(Some(RouteAction::Cancel { .. })) => continue,
             Ok(Some(RouteAction::Refuse { kind, retry, .. })) => {
                 let refusal = Refusal::new(kind).with_retry(retry.or_else(|| come_back(gw, &job)));
--- a/crates/route/src/ask.rs
+++ b/crates/route/src/ask.rs
@@ -253,6 +253,8 @@
         attempt: AttemptNumber,
         /// Where to.
         upstream: Upstream,
+        /// When its first byte is expected from now, as far as prompts decide that.
+        expected: Millis,
     },
     /// Give up a send whose answer no longer counts.
     Cancel {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -312,6 +312,7 @@
             id,
             attempt: open.attempt,
             upstream: upstream.clone(),
+            expected: Millis(expected as u64),
         });
     }
 
