Copy models to a second engine before the first traffic

Ruled out: more loads at once for a gain while traffic lasts (4, 1 and 24 engines in place of 2: no better within the spread). Change: the first planner of all uses the seconds before the traffic: engines whose models others serve too load a model that has a single copy, and get back what they held. That copy then loads within two seconds and does not count against the store's rate.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -276,6 +276,7 @@
                     id,
                     attempt,
                     upstream,
+                    ..
                 } => self.send(daemon, id, attempt, &upstream, &mut out),
                 RouteAction::Cancel {
                     id,
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -333,6 +333,7 @@
                 id,
                 attempt,
                 upstream,
+                ..
             } => {
                 let leaving = self.leaving.contains(&upstream);
                 tally.check(Invariant::Leaving, !leaving, || {
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -54,6 +54,8 @@
     /// Models that nobody should be sent to any more.
     pub(crate) retiring: BTreeMap<Model, Millis>,
     pub(crate) last_order: Millis,
+    /// The models that it held when it was first seen.
+    pub(crate) first: BTreeSet<Model>,
     reported: Millis,
     /// What it holds for certain, as of the number of orders it had accepted.
     proof: Option<Held>,
@@ -87,6 +89,7 @@
                 seq: 0,
                 ..held.clone()
             }),
+            first: held.models.keys().cloned().collect(),
             held,
             pending: Vec::new(),
             retiring: BTreeMap::new(),
@@ -107,6 +110,12 @@
         self.held.models.contains_key(model) && !self.retiring.contains_key(model)
     }
 
+    /// Whether it has copies of models that it did not hold at first.
+    pub(crate) fn has_more_copies(&self) -> bool {
+        let mut copies = self.held.warm.iter().chain(&self.held.disk);
+        copies.any(|m| !self.first.contains(m))
+    }
+
     /// Whether requests for the adapter may be sent there.
     #[must_use]
     pub fn serves_adapter(&self, model: &Model, adapter: &Adapter) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod order;
 mod planner;
+mod spread;
 mod window;
 
 pub use catalog::{Catalog, ModelRule};
@@ -25,4 +26,5 @@
 pub use fleet::Fleet;
 pub use order::{Order, OrderKind, OrderReply};
 pub use planner::{PlanSettings, PlanView, Planner};
+pub use spread::LeadTime;
 pub use window::LoadWindow;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,6 +5,7 @@
 //! without a replica comes first; then models whose replicas have most to do get more,
 //! in place of models that lose least. `docs/PLACEMENT.md` has what was weighed.
 
+use crate::spread::LeadTime;
 use crate::{Catalog, Engine, Fleet, LoadWindow, ModelRule, Order, OrderKind, Rates};
 use shaleline_types::{Adapter, Millis, Model, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,8 @@
     pub fence: u64,
     /// Who orders.
     pub holder: &'a str,
+    /// Whether copies may be spread before the first traffic.
+    pub lead: LeadTime,
 }
 
 /// Proposes orders.
@@ -81,22 +84,25 @@
         draft.reach();
         draft.grow();
         draft.adapt();
+        draft.use_lead();
         draft.orders
     }
 }
 
-struct Draft<'a> {
-    view: &'a PlanView<'a>,
+pub(crate) struct Draft<'a> {
+    pub(crate) view: &'a PlanView<'a>,
     settings: PlanSettings,
     /// The work asked for, by model.
-    work: BTreeMap<&'a Model, f64>,
-    replicas: BTreeMap<&'a Model, usize>,
+    pub(crate) work: BTreeMap<&'a Model, f64>,
+    pub(crate) replicas: BTreeMap<&'a Model, usize>,
     /// Loads from the weight store that may begin.
-    loads: usize,
+    pub(crate) loads: usize,
     /// What the models on each engine ask of it, as of the start of the plan.
     engine_loads: BTreeMap<&'a Upstream, f64>,
+    /// Models that this plan copies to another engine.
+    pub(crate) copying: BTreeSet<&'a Model>,
     /// Engines that have an order in this plan.
-    taken: BTreeSet<&'a Upstream>,
+    pub(crate) taken: BTreeSet<&'a Upstream>,
     orders: Vec<Order>,
     now: Millis,
 }
@@ -116,7 +122,7 @@
 
 /// The last replica of an idle model may make room while so many engines have a copy of
 /// it: then it is back within seconds of the first request.
-const LAST_COPIES: usize = 2;
+pub(crate) const LAST_COPIES: usize = 2;
 
 /// What is counted as the loss of such a replica, in milliseconds a second.
 const LAST_LOSS: f64 = 20.0;
@@ -144,6 +150,7 @@
             settings,
             work,
             loads: 0,
+            copying: BTreeSet::new(),
             taken: BTreeSet::new(),
             orders: Vec::new(),
             now,
@@ -157,7 +164,7 @@
         self.work.get(model).copied().unwrap_or(LEAST_WORK)
     }
 
-    fn replicas(&self, model: &Model) -> usize {
+    pub(crate) fn replicas(&self, model: &Model) -> usize {
         self.replicas.get(model).copied().unwrap_or(0)
     }
 
@@ -167,12 +174,12 @@
     }
 
     /// Whether nobody has asked for the model for some seconds.
-    fn is_idle(&self, model: &Model) -> bool {
+    pub(crate) fn is_idle(&self, model: &Model) -> bool {
         self.work(model) <= IDLE_WORK
     }
 
     /// How many engines have a copy from which the model is loaded within a few seconds.
-    fn copies(&self, model: &Model) -> usize {
+    pub(crate) fn copies(&self, model: &Model) -> usize {
         let Some(rule) = self.view.catalog.models.get(model) else {
             return 0;
         };
@@ -194,7 +201,7 @@
     }
 
     /// Engines that may be ordered about weights.
-    fn free_engines(&self) -> impl Iterator<Item = (&'a Upstream, &'a Engine)> + '_ {
+    pub(crate) fn free_engines(&self) -> impl Iterator<Item = (&'a Upstream, &'a Engine)> + '_ {
         let free =
             |(n, e): &(&Upstream, &Engine)| Self::takes_orders(e) && !self.taken.contains(*n);
         self.view.fleet.engines.iter().filter(free)
@@ -213,7 +220,7 @@
         self.engine_loads.get(engine).copied().unwrap_or(0.0)
     }
 
-    fn has_room(&self, engine: &Engine, rule: &ModelRule) -> bool {
+    pub(crate) fn has_room(&self, engine: &Engine, rule: &ModelRule) -> bool {
         let taken = engine.worst_memory(self.view.catalog).0;
         taken + rule.size.0 <= self.view.catalog.memory.0
     }
@@ -350,7 +357,7 @@
         worth.then_some((model, loss))
     }
 
-    fn order(
+    pub(crate) fn order(
         &mut self,
         name: &Upstream,
         kind: OrderKind,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -1,8 +1,8 @@
 //! Placement: what is ordered, and what is not.
 
 use shaleline_fleet::{
-    Catalog, Fleet, Held, LoadWindow, ModelRule, Order, OrderKind, OrderReply, PlanSettings,
-    PlanView, Planner, Rates, Sighting,
+    Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderKind, OrderReply,
+    PlanSettings, PlanView, Planner, Rates, Sighting,
 };
 use shaleline_testkit::cases;
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
@@ -65,7 +65,12 @@
 }
 
 fn plan(catalog: &Catalog, fleet: &Fleet, rates: &Rates) -> Vec<Order> {
+    plan_in(LeadTime::Over, catalog, fleet, rates)
+}
+
+fn plan_in(lead: LeadTime, catalog: &Catalog, fleet: &Fleet, rates: &Rates) -> Vec<Order> {
     let view = PlanView {
+        lead,
         catalog,
         fleet,
         rates,
@@ -238,3 +243,35 @@
     let loads = next.iter().filter(|o| o.kind == OrderKind::Load);
     assert_eq!(loads.count(), 0, "one place, and it is promised");
 }
+
+/// What is ordered before the first traffic: `a` is served by all engines, `b` and `c` by
+/// one each.
+fn before_traffic((lead, second): (LeadTime, Held)) -> Vec<String> {
+    let catalog = catalog(&["a", "b", "c"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["a", "b"], 0));
+    sight(&mut fleet, "e2", held(&["a", "c"], 0));
+    fleet.report(&engine("e2"), second, NOW);
+    words(&plan_in(lead, &catalog, &fleet, &Rates::new()))
+}
+
+/// The second engine with a copy of `b` beside what it held at first.
+fn with_a_copy(models: &[&str]) -> Held {
+    Held {
+        disk: [model("a"), model("b"), model("c")].into(),
+        ..held(models, 2)
+    }
+}
+
+cases! { before_traffic;
+    room_is_made_for_a_second_copy: (LeadTime::Spread, held(&["a", "c"], 0))
+        => vec!["unload a at e1 expecting 0".to_owned()],
+    a_second_copy_is_loaded_where_room_was_made: (LeadTime::Spread, held(&["c"], 1))
+        => vec!["load b at e2 expecting 1".to_owned()],
+    the_copy_makes_room_for_what_was_held: (LeadTime::Restore, with_a_copy(&["b", "c"]))
+        => vec!["unload b at e2 expecting 2".to_owned()],
+    what_was_held_comes_back: (LeadTime::Restore, with_a_copy(&["c"]))
+        => vec!["load a at e2 expecting 2".to_owned()],
+    nothing_is_done_once_callers_ask: (LeadTime::Over, held(&["a", "c"], 0))
+        => Vec::<String>::new(),
+}
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -5,9 +5,9 @@
 use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
-use shaleline_fleet::{Catalog, LoadWindow, PlanSettings, PlanView, Planner, Rates};
+use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanSettings, PlanView, Planner, Rates};
 use shaleline_types::{LogEvent, Millis, Upstream};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,8 +33,28 @@
 pub(crate) struct Working {
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
+    /// Until when copies may be spread before the first traffic: begun, and given back.
+    lead: Cell<Option<(Millis, Millis)>>,
 }
 
+impl Working {
+    /// What may be done before the first traffic.
+    fn lead_time(&self, quiet: bool, now: Millis) -> LeadTime {
+        match self.lead.get() {
+            Some((begin, _)) if quiet && now < begin => LeadTime::Spread,
+            Some((_, end)) if now < end => LeadTime::Restore,
+            _ => LeadTime::Over,
+        }
+    }
+}
+
+/// Copies are spread by the first planner of all: loads begin within this time, so that
+/// those of 9 s end about when the traffic starts, 10 s after the instances.
+const SPREAD_BEGIN_MS: u64 = 2_500;
+
+/// Engines have back what they held at first after so long.
+const SPREAD_END_MS: u64 = 14_000;
+
 /// Runs for as long as the process lives.
 pub(crate) async fn run(gw: Rc<Gateway>) {
     let working = Rc::new(Working::default());
@@ -78,8 +98,13 @@
 fn begin_leading(gw: &Gateway, working: &Working, fence: Option<u64>) {
     let bounds = gw.bounds.borrow();
     let mut window = LoadWindow::new(bounds.load_window, bounds.load_over);
-    if fence != Some(FIRST_FENCE) {
-        window.block(gw.now().plus(bounds.load_window.0));
+    let now = gw.now();
+    if fence == Some(FIRST_FENCE) {
+        let until = |ms| now.plus(ms);
+        let lead = (until(SPREAD_BEGIN_MS), until(SPREAD_END_MS));
+        working.lead.set(Some(lead));
+    } else {
+        window.block(now.plus(bounds.load_window.0));
     }
     *working.window.borrow_mut() = Some(window);
 }
@@ -145,6 +170,7 @@
             rates: &rates,
             fence,
             holder: gw.me.instance.as_str(),
+            lead: working.lead_time(rates.is_empty(), now),
         };
         for order in planner.plan(&view, window, now) {
             orders.push((service.clone(), order));
