--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -6,17 +6,18 @@
 //! a hub has known for too long is not taken for new. `docs/MEMBERSHIP.md` has the
 //! measurements.
 
+use crate::journal::emit;
 use crate::state::Gateway;
 use crate::Entry;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, Response, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use shaleline_edge::{Handler, Reply, ReplyBody, Target};
-use shaleline_types::{Millis, Upstream};
+use shaleline_edge::{Handler, Reply, ReplyBody, SendError, Target};
+use shaleline_types::{LogEvent, Millis, Upstream};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -112,51 +113,86 @@
     })
 }
 
-async fn ask<T: DeserializeOwned>(gw: &Gateway, peer: SocketAddr, path: &str) -> Option<T> {
+/// A copy that says how old it is.
+trait Aged: DeserializeOwned {
+    fn age(&self) -> u64;
+}
+
+impl Aged for ConfigCopy {
+    fn age(&self) -> u64 {
+        self.age
+    }
+}
+
+impl Aged for EntriesCopy {
+    fn age(&self) -> u64 {
+        self.age
+    }
+}
+
+/// Asks one daemon for a copy that is not older than `most`.
+async fn ask<T: Aged>(
+    gw: &Gateway,
+    peer: SocketAddr,
+    path: &'static str,
+    most: Millis,
+) -> Result<T, String> {
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = path.parse().ok()?;
-    let host = peer.to_string().parse().ok()?;
+    *request.uri_mut() = Uri::from_static(path);
+    let host = HeaderValue::from_str(&peer.to_string()).map_err(|e| e.to_string())?;
     request.headers_mut().insert(HOST, host);
     let target = Target {
-        name: Upstream::from_text("peer").ok()?,
+        name: Upstream::from_text("peer").expect("a valid name"),
         address: peer,
     };
     let exchange = async {
-        let mut exchange = gw.pool.send(&target, request).await.ok()?;
+        let mut exchange = gw.pool.send(&target, request).await?;
         let status = exchange.status();
-        let body = exchange.collect(MOST_BYTES).await.ok()?;
+        let body = exchange.collect(MOST_BYTES).await?;
         exchange.finish(KEEP);
-        (status == StatusCode::OK).then_some(body)
+        Ok::<_, SendError>((status, body))
     };
-    let body = tokio::time::timeout(LIMIT, exchange).await.ok()??;
-    postcard::from_bytes(&body).ok()
+    let answer = tokio::time::timeout(LIMIT, exchange).await;
+    let (status, body) = answer
+        .map_err(|e| e.to_string())?
+        .map_err(|e| e.to_string())?;
+    if status != StatusCode::OK {
+        return Err("it has read nothing yet".to_owned());
+    }
+    let copy: T = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
+    if copy.age() >= most.0 {
+        return Err(format!("it is {} ms old", copy.age()));
+    }
+    Ok(copy)
 }
 
-/// Which daemons to ask: a follower its hub, a hub the others.
-fn sources(gw: &Gateway) -> Vec<SocketAddr> {
-    gw.mesh.borrow_mut().sources(gw.now())
+/// The first fresh copy that a daemon has which may have read the store for this one: a
+/// follower asks its hub, a hub the others. Comes with the time as of which it is.
+async fn take<T: Aged>(gw: &Gateway, path: &'static str, most: Millis) -> Option<(T, Millis)> {
+    let sources = gw.mesh.borrow_mut().sources(gw.now());
+    for peer in sources {
+        match ask::<T>(gw, peer, path, most).await {
+            Ok(copy) => {
+                let at = Millis(gw.now().0.saturating_sub(copy.age()));
+                return Some((copy, at));
+            }
+            Err(reason) if gw.lines.take(gw.now()) => {
+                let detail = format!("peer={peer} path={path} reason={reason:?}");
+                emit(LogEvent::CopyMissed, &detail);
+            }
+            // The budget of lines is used up; the next ones tell the same.
+            Err(_) => {}
+        }
+    }
+    None
 }
 
 /// A fresh copy of the configuration, and as of when it is.
 pub(crate) async fn config(gw: &Gateway) -> Option<(ConfigCopy, Millis)> {
-    for peer in sources(gw) {
-        let copy: Option<ConfigCopy> = ask(gw, peer, CONFIG_PATH).await;
-        if let Some(copy) = copy.filter(|c| c.age < gw.freshness().config.0) {
-            let at = Millis(gw.now().0.saturating_sub(copy.age));
-            return Some((copy, at));
-        }
-    }
-    None
+    take(gw, CONFIG_PATH, gw.freshness().config).await
 }
 
 /// A fresh copy of the upstreams' entries, and as of when it is.
 pub(crate) async fn entries(gw: &Gateway) -> Option<(EntriesCopy, Millis)> {
-    for peer in sources(gw) {
-        let copy: Option<EntriesCopy> = ask(gw, peer, ENTRIES_PATH).await;
-        if let Some(copy) = copy.filter(|c| c.age < gw.freshness().entries.0) {
-            let at = Millis(gw.now().0.saturating_sub(copy.age));
-            return Some((copy, at));
-        }
-    }
-    None
+    take(gw, ENTRIES_PATH, gw.freshness().entries).await
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 mod breaker;
 mod choose;
 mod drain;
+mod ending;
 mod estimate;
 mod limit;
 mod prefix;
@@ -29,6 +30,7 @@
 mod stats;
 mod upstream;
 mod view;
+mod waiting;
 
 pub use ask::{
     Ask, AttemptNumber, End, Load, PeerLoad, Route, RouteAction, RouteEvent, Site, Terms,
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -77,6 +77,7 @@
     MemberJoined 7001 Info "A daemon joined.";
     MemberLeft 7002 Info "A daemon left or fell silent.";
     PeerMessageBad 7101 Warn "A datagram between daemons can't be understood or made.";
+    CopyMissed 7102 Info "What another daemon has read of the store could not be taken over from it.";
     UpstreamOpen 8001 Warn "A breaker opened for an upstream.";
     UpstreamLeaving 8002 Info "An upstream is leaving and gets no new work.";
     LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
