Give room to models that need it before idle ones get it back

An idle model with copies took the room before the model that it was made for. Ruled out: a lost claim (a planner led from 26.6 s on). Change: models without a replica come first, then those that gain, and idle ones get what room is left.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -81,8 +81,10 @@
     pub fn plan(&self, view: &PlanView<'_>, window: &mut LoadWindow, now: Millis) -> Vec<Order> {
         let mut draft = Draft::new(view, self.settings, now);
         draft.loads = window.room(view.catalog.rate, now);
-        draft.reach();
+        draft.reach(false);
         draft.grow();
+        // Room that was made for a model that needs it is not for the one that made it.
+        draft.reach(true);
         draft.adapt();
         draft.use_lead();
         draft.orders
@@ -225,14 +227,15 @@
         taken + rule.size.0 <= self.view.catalog.memory.0
     }
 
-    /// Models without a replica: each gets one, the most asked for first.
-    fn reach(&mut self) {
-        let missing = |m: &&Model| self.replicas(m) == 0;
+    /// Models without a replica: each gets one, the most asked for first. Nobody waits for an
+    /// idle model with copies; it gets what room the others leave.
+    fn reach(&mut self, spare: bool) {
+        let is_spare = |m: &Model| self.is_idle(m) && self.copies(m) >= LAST_COPIES;
+        let missing = |m: &&Model| self.replicas(m) == 0 && is_spare(m) == spare;
         let mut models: Vec<&Model> = self.work.keys().copied().filter(missing).collect();
         models.sort_by(|a, b| self.work(b).total_cmp(&self.work(a)));
         for model in models {
-            // Nobody waits for an idle model with copies; it gets what room there is.
-            if !self.is_idle(model) || self.copies(model) < LAST_COPIES || self.is_roomy(model) {
+            if !spare || self.is_roomy(model) {
                 self.place(model, 0.0);
             }
         }
