--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -275,3 +275,31 @@
     nothing_is_done_once_callers_ask: (LeadTime::Over, held(&["a", "c"], 0))
         => Vec::<String>::new(),
 }
+
+/// Engines `e1` with room for one model and copies of `hot` and `idle`, and `e2`, which
+/// serves `hot` and has a copy of `idle`.
+fn room_beside_an_idle_model() -> Fleet {
+    let mut fleet = Fleet::default();
+    let with = |models: &[&str], disk: &[&str], seq| Held {
+        disk: disk.iter().map(|m| model(m)).collect(),
+        ..held(models, seq)
+    };
+    sight(&mut fleet, "e1", held(&["b"], 0));
+    sight(&mut fleet, "e2", held(&["hot", "b"], 0));
+    fleet.report(&engine("e1"), with(&["b"], &["hot", "idle"], 1), NOW);
+    fleet.report(&engine("e2"), with(&["hot", "b"], &["idle"], 1), NOW);
+    fleet
+}
+
+/// The gate of mraznik trouble-3: an idle model that had made room for one that was asked for
+/// was loaded back into it, again and again.
+#[test]
+fn room_goes_to_the_model_that_needs_it_before_an_idle_one() {
+    let catalog = catalog(&["b", "hot", "idle"]);
+    let fleet = room_beside_an_idle_model();
+    let asked = rates(&[("hot", None, 900.0)]);
+    let orders = words(&plan(&catalog, &fleet, &asked));
+    assert_eq!(orders, ["load hot at e1 expecting 1"]);
+    let orders = words(&plan(&catalog, &fleet, &Rates::new()));
+    assert_eq!(orders, ["load idle at e1 expecting 1"]);
+}
