Answer what has no answer yet at the end of a planned stop

Ruled out: a request taken after the stop; an engine at work on it. Change: before the process ends, each request without an answer is refused, or fails where it may have run; 150 ms are kept for writing that.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -29,7 +29,10 @@
 const SERVE_ON: Millis = Millis(2_300);
 
 /// What is left of the grace time for the process to end.
-const END_MARGIN: u64 = 250;
+const END_MARGIN: u64 = 400;
+
+/// The part of it in which the last answers are written.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
 /// Limits of the sockets that only the platform and operators use.
 const CONTROL_IDLE: Duration = Duration::from_secs(30);
@@ -127,6 +130,16 @@
     }
 }
 
+/// Answers what is still unanswered at the end of a stop: a connection that closes without
+/// an answer would not even tell whether the request has run.
+async fn end_all(gw: &Gateway) {
+    gw.give_up_all();
+    let limit = tokio::time::Instant::now() + LAST_ANSWERS;
+    while gw.gate.busy() > 0 && tokio::time::Instant::now() < limit {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
 impl Running {
     /// Takes settings over that changed while the process runs: the platform's bounds. What
     /// names addresses holds from the next start.
@@ -159,7 +172,10 @@
             match action {
                 Some(DrainAction::Announce) => gw.gate.begin_closing(),
                 Some(DrainAction::Refuse) => gw.gate.close(),
-                Some(DrainAction::Exit) => break,
+                Some(DrainAction::Exit) => {
+                    end_all(&gw).await;
+                    break;
+                }
                 None => {}
             }
             tokio::time::sleep(TICK).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,7 +17,7 @@
 use shaleline_route::{
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
 };
-use shaleline_types::{LogEvent, Millis, Model, RequestId, Service, Upstream};
+use shaleline_types::{ErrorKind, LogEvent, Millis, Model, RequestId, Service, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -327,6 +327,27 @@
         }
     }
 
+    /// Gives up every request that has no answer yet: its send is cancelled, and it is
+    /// refused, or fails where it may have run.
+    pub(crate) fn give_up_all(&self) {
+        let upstream = Upstream::from_text("none").expect("a valid name");
+        for (id, tell) in self.requests.borrow().iter() {
+            let cancel = RouteAction::Cancel {
+                id: *id,
+                attempt: 0,
+                upstream: upstream.clone(),
+            };
+            let refuse = RouteAction::Refuse {
+                id: *id,
+                kind: ErrorKind::Leaving,
+                retry: None,
+            };
+            // A request that has just ended needs no more actions.
+            tell.send(cancel).ok();
+            tell.send(refuse).ok();
+        }
+    }
+
     pub(crate) fn register(&self) -> (RequestId, mpsc::UnboundedReceiver<RouteAction>) {
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
