--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -212,7 +212,7 @@
     gw.entries_next.set(gw.entries_next.get().max(next));
     gw.listed.set(true);
     let mut reading = gw.reading.borrow_mut();
-    if gw.mesh.borrow_mut().is_hub(now) {
+    if gw.is_hub() {
         reading.on_known(at);
     } else {
         reading.on_copied(life, number, at);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -63,9 +63,7 @@
             }
         }
     }
-}
 
-impl Link {
     /// Waits after a failed call. `hub` daemons read for others and wait the least; the
     /// others wait the longer, the more calls failed, until `enough` holds.
     pub(crate) async fn pause(&self, gw: &Gateway, hub: bool, enough: impl Fn() -> bool) {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -207,6 +207,13 @@
         self.peers.get(instance).map(|p| p.address)
     }
 
+    /// The address of the hub of this data centre, where it is another daemon.
+    fn own_hub(&mut self, now: Millis) -> Option<SocketAddr> {
+        let centre = self.me.centre.clone();
+        let hub = self.hub(&centre, now)?;
+        self.address_of(&hub)
+    }
+
     /// The addresses of the other hubs.
     fn other_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
         let centres = self.peers.values().map(|p| p.centre.clone());
@@ -228,9 +235,7 @@
         if self.is_hub(now) {
             return self.other_hubs(now);
         }
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now);
-        hub.and_then(|h| self.address_of(&h)).into_iter().collect()
+        self.own_hub(now).into_iter().collect()
     }
 
     /// Whether a hub has told this daemon anything yet.
@@ -258,9 +263,7 @@
         if self.is_hub(now) {
             return None;
         }
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now)?;
-        self.address_of(&hub)
+        self.own_hub(now)
     }
 
     /// Takes in the total. Returns whether its sender is this daemon's hub.
@@ -355,9 +358,7 @@
             all.extend(self.neighbours());
             return all;
         }
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now);
-        hub.and_then(|h| self.address_of(&h)).into_iter().collect()
+        self.own_hub(now).into_iter().collect()
     }
 
     /// Where to pass on news that came from `from`.
