Value each move of a model by the requests that callers gain

Change: work fills a model's replicas like water; a move's value is the requests that are neither late nor refused over 15 s, after the time that the load takes, less what makes room loses; the best move first; four loads from the store are kept for models that are nowhere; what room is made for is remembered.

--- /dev/null
+++ b/crates/fleet/src/adapt.rs
@@ -0,0 +1,72 @@
+//! Which adapters are loaded where.
+
+use crate::moves::Board;
+use crate::planner::Draft;
+use crate::{Engine, OrderKind};
+use shaleline_types::{Adapter, Model};
+
+impl<'a> Draft<'a> {
+    /// Loads adapters that are asked for where their model is.
+    pub(crate) fn adapt(&mut self, board: &Board<'a>) {
+        let asked = self.view.rates.iter();
+        let mut asked: Vec<(&Model, &Adapter, f64)> = asked
+            .filter_map(|((m, a), r)| Some((m, a.as_ref()?, f64::from(r.work))))
+            .collect();
+        asked.sort_by(|a, b| b.2.total_cmp(&a.2));
+        for (model, adapter, _) in asked {
+            self.adapt_one(board, model, adapter);
+        }
+    }
+
+    fn adapt_one(&mut self, board: &Board<'a>, model: &'a Model, adapter: &'a Adapter) {
+        let serving = |e: &&Engine| e.counts() && e.serves(model);
+        let has = |e: &Engine| {
+            e.serves_adapter(model, adapter) || e.is_pending(OrderKind::Load, model, Some(adapter))
+        };
+        let engines = self.view.fleet.engines.values().filter(serving);
+        let (count, models) = engines.fold((0, 0), |(c, m), e| (c + usize::from(has(e)), m + 1));
+        if count >= self.settings.adapters.min(models) {
+            return;
+        }
+        let candidates = self.view.fleet.engines.iter().filter(|(n, e)| {
+            // An order about weights would be refused or refuse this one.
+            serving(e) && !has(e) && e.takes_orders() && !self.taken.contains(*n)
+        });
+        let places = self.view.catalog.places;
+        let scored = candidates.filter_map(|(name, engine)| {
+            let used = engine.worst_adapters();
+            let transit = engine.pending.iter().filter(|p| p.order.adapter.is_some());
+            if transit.count() >= self.settings.transit {
+                return None;
+            }
+            let victim = if used.len() < places {
+                None
+            } else {
+                Some(self.idle_adapter(engine, count == 0)?)
+            };
+            let load = board.load(name) + used.len() as f64;
+            Some((victim.is_some(), load, name, victim))
+        });
+        let best = scored.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let Some((_, _, name, victim)) = best else {
+            return;
+        };
+        match victim {
+            None => self.order(name, OrderKind::Load, model, Some(adapter)),
+            Some((m, a)) => self.order(name, OrderKind::Unload, m, Some(a)),
+        }
+        self.taken.insert(name);
+    }
+
+    /// An adapter on the engine that is not asked for; where another is needed that is
+    /// nowhere, the one asked for least.
+    fn idle_adapter(&self, engine: &'a Engine, needed: bool) -> Option<(&'a Model, &'a Adapter)> {
+        let rate = |m: &Model, a: &Adapter| {
+            let key = (m.clone(), Some(a.clone()));
+            self.view.rates.get(&key).map_or(0.0, |r| r.work)
+        };
+        let held = engine.certain_adapters();
+        let least = held.min_by(|x, y| rate(x.0, x.1).total_cmp(&rate(y.0, y.1)))?;
+        (needed || rate(least.0, least.1) == 0.0).then_some(least)
+    }
+}
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -340,6 +340,19 @@
         !self.leaving && !self.down
     }
 
+    /// Whether what it holds is known for certain and nothing is under way.
+    pub(crate) fn takes_orders(&self) -> bool {
+        self.counts() && !self.is_moving() && self.is_proven()
+    }
+
+    /// When a replica that is on its way is expected to serve.
+    pub(crate) fn ready_at(&self, model: &Model, catalog: &Catalog) -> Option<Millis> {
+        if !self.is_pending(OrderKind::Load, model, None) {
+            return None;
+        }
+        self.busy_until(catalog)
+    }
+
     /// When the order about weights that is under way is expected to be done; none where
     /// none is.
     pub(crate) fn busy_until(&self, catalog: &Catalog) -> Option<Millis> {
--- /dev/null
+++ b/crates/fleet/src/flow.rs
@@ -0,0 +1,237 @@
+//! How work spreads over the replicas of models, and what that does to callers.
+//!
+//! Routing sends each request to the replica that is least busy, so the work of a model
+//! fills the engines that hold it like water: the least loaded first, until all are level.
+//! What is lost on an engine grows steeply with its load, which is why one engine at its
+//! limit beside idle ones is the worst that a placement can do. Engines and models are
+//! numbers here, as one plan compares thousands of changes.
+
+use crate::Rate;
+
+/// The work that an engine does in a second, in milliseconds.
+const CAPACITY: f64 = 1_000.0;
+
+/// The share of requests that are late or refused at an engine at its limit, and how much
+/// more for each part of its capacity beyond.
+const AT_LIMIT: f64 = 0.6;
+const BEYOND: f64 = 0.8;
+
+/// A model that nobody asks for counts as this much work, so that it has a place.
+const LEAST_WORK: f64 = 0.1;
+
+/// Rounds in which models make way for each other; further rounds hardly change levels.
+const ROUNDS: usize = 3;
+
+/// The share of requests that are late or refused on an engine with this load. It is taken
+/// to rise with the square of the load.
+fn lost_share(load: f64) -> f64 {
+    let used = (load / CAPACITY).max(0.0);
+    if used <= 1.0 {
+        AT_LIMIT * used * used
+    } else {
+        AT_LIMIT + BEYOND * (used - 1.0)
+    }
+}
+
+/// What an engine has to do.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Load {
+    work: f64,
+    /// Requests a second.
+    count: f64,
+}
+
+impl Load {
+    /// The requests that are late or refused there each second.
+    fn harm(self) -> f64 {
+        lost_share(self.work) * self.count.max(0.0)
+    }
+}
+
+/// The level up to which `work` fills engines that have this to do besides.
+fn level(besides: impl Iterator<Item = f64>, work: f64) -> f64 {
+    let mut sorted: Vec<f64> = besides.collect();
+    sorted.sort_by(f64::total_cmp);
+    let mut below = work;
+    let mut level = f64::INFINITY;
+    for (count, own) in sorted.iter().enumerate() {
+        if level <= *own {
+            break;
+        }
+        below += own;
+        level = below / (count as f64 + 1.0);
+    }
+    level
+}
+
+/// What a change of one model's engines does.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Swap {
+    /// By how much the harm falls through the replica that is added.
+    pub(crate) gain: f64,
+    /// By how much it rises through the one that makes room.
+    pub(crate) loss: f64,
+}
+
+/// A replica of a model.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Part {
+    engine: usize,
+    work: f64,
+    count: f64,
+}
+
+impl Part {
+    fn at(engine: usize) -> Self {
+        Self {
+            engine,
+            work: 0.0,
+            count: 0.0,
+        }
+    }
+}
+
+/// The work on each engine, by the model that brings it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Flow {
+    loads: Vec<Load>,
+    parts: Vec<Vec<Part>>,
+    asked: Vec<Rate>,
+    /// What is lost while a model is nowhere.
+    missing: Vec<f64>,
+}
+
+impl Flow {
+    /// Spreads the work of models over `held`, the engines that hold each. `missing` says
+    /// what is lost, in requests a second, while a model is nowhere.
+    pub(crate) fn new(
+        engines: usize,
+        held: &[Vec<usize>],
+        asked: &[Rate],
+        missing: &[f64],
+    ) -> Self {
+        let part = |e: &usize| Part::at(*e);
+        let mut flow = Self {
+            loads: vec![Load::default(); engines],
+            parts: held.iter().map(|h| h.iter().map(part).collect()).collect(),
+            asked: asked.to_vec(),
+            missing: missing.to_vec(),
+        };
+        for _ in 0..ROUNDS {
+            for model in 0..flow.parts.len() {
+                let parts = flow.take(model);
+                flow.give(model, parts);
+            }
+        }
+        flow
+    }
+
+    /// What an engine has to do.
+    pub(crate) fn load(&self, engine: usize) -> f64 {
+        self.loads[engine].work
+    }
+
+    /// What a model brings to an engine.
+    pub(crate) fn share(&self, model: usize, engine: usize) -> f64 {
+        let here = self.parts[model].iter().find(|p| p.engine == engine);
+        here.map_or(0.0, |p| p.work)
+    }
+
+    /// Whether the engine holds the model.
+    pub(crate) fn holds(&self, engine: usize, model: usize) -> bool {
+        self.parts[model].iter().any(|p| p.engine == engine)
+    }
+
+    /// Whether no engine holds the model.
+    pub(crate) fn is_missing(&self, model: usize) -> bool {
+        self.parts[model].is_empty()
+    }
+
+    /// The part of the harm that this model's work has, itself or its engines being short.
+    pub(crate) fn harm_of(&self, model: usize) -> f64 {
+        if self.parts[model].is_empty() {
+            return self.missing[model];
+        }
+        let part = |p: &Part| lost_share(self.loads[p.engine].work) * p.count;
+        self.parts[model].iter().map(part).sum()
+    }
+
+    /// Takes a model's work off its engines.
+    fn take(&mut self, model: usize) -> Vec<Part> {
+        let parts = std::mem::take(&mut self.parts[model]);
+        for part in &parts {
+            let load = &mut self.loads[part.engine];
+            load.work -= part.work;
+            load.count -= part.count;
+        }
+        parts
+    }
+
+    /// Spreads a model's work over the engines of these parts.
+    fn give(&mut self, model: usize, mut parts: Vec<Part>) {
+        let besides = parts.iter().map(|p| self.loads[p.engine].work);
+        let work = f64::from(self.asked[model].work).max(LEAST_WORK);
+        let level = level(besides, work);
+        let each = f64::from(self.asked[model].count) / work;
+        for part in &mut parts {
+            let load = &mut self.loads[part.engine];
+            part.work = (level - load.work).max(0.0);
+            part.count = part.work * each;
+            load.work += part.work;
+            load.count += part.count;
+        }
+        self.parts[model] = parts;
+    }
+
+    /// Puts back what [`Flow::take`] took, shares included.
+    fn restore(&mut self, model: usize, parts: Vec<Part>) {
+        self.take(model);
+        for part in &parts {
+            let load = &mut self.loads[part.engine];
+            load.work += part.work;
+            load.count += part.count;
+        }
+        self.parts[model] = parts;
+    }
+
+    /// The harm on some engines, and of the model if it is nowhere.
+    fn harm_at(&self, model: usize, parts: &[Part], engine: usize) -> f64 {
+        let known = parts.iter().any(|p| p.engine == engine);
+        let extra = (!known).then(|| self.loads[engine].harm());
+        let nowhere = self.parts[model].is_empty();
+        let lost = nowhere.then(|| self.missing[model]);
+        let parts = parts.iter().map(|p| self.loads[p.engine].harm());
+        parts.sum::<f64>() + extra.unwrap_or(0.0) + lost.unwrap_or(0.0)
+    }
+
+    /// Gives a model one more engine; returns by how much the harm falls.
+    pub(crate) fn add(&mut self, model: usize, engine: usize) -> f64 {
+        let before = self.harm_at(model, &self.parts[model], engine);
+        let mut parts = self.take(model);
+        parts.push(Part::at(engine));
+        self.give(model, parts);
+        before - self.harm_at(model, &self.parts[model], engine)
+    }
+
+    /// Takes a model off an engine; returns by how much the harm rises.
+    pub(crate) fn remove(&mut self, model: usize, engine: usize) -> f64 {
+        let before = self.harm_at(model, &self.parts[model], engine);
+        let mut parts = self.take(model);
+        parts.retain(|p| p.engine != engine);
+        self.give(model, parts);
+        self.harm_at(model, &self.parts[model], engine) - before
+    }
+
+    /// What it would do to load `model` at `engine`, in place of `victim` where given.
+    pub(crate) fn weigh(&mut self, model: usize, engine: usize, victim: Option<usize>) -> Swap {
+        let mine = self.parts[model].clone();
+        let its = victim.map(|v| (v, self.parts[v].clone()));
+        let loss = victim.map_or(0.0, |v| self.remove(v, engine));
+        let gain = self.add(model, engine);
+        self.restore(model, mine);
+        if let Some((victim, parts)) = its {
+            self.restore(victim, parts);
+        }
+        Swap { gain, loss }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,11 +9,14 @@
 //!
 //! Nothing here reads a clock or a socket. `docs/PLACEMENT.md` has the ways weighed.
 
+mod adapt;
 mod catalog;
 mod claim;
 mod demand;
 mod engine;
 mod fleet;
+mod flow;
+mod moves;
 mod order;
 mod planner;
 mod spread;
@@ -21,7 +24,7 @@
 
 pub use catalog::{Catalog, ModelRule};
 pub use claim::{Claim, ClaimAction, ClaimSettings, ClaimView};
-pub use demand::{Demand, Rates};
+pub use demand::{Demand, Rate, Rates};
 pub use engine::{Engine, Held, Sighting};
 pub use fleet::Fleet;
 pub use order::{Order, OrderKind, OrderReply};
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -4,7 +4,8 @@
 //! nine from the weight store, and does not count against the store's rate. So engines load
 //! one model more while nobody asks for anything, and then get back what they held.
 
-use crate::planner::{Draft, LAST_COPIES};
+use crate::moves::LAST_COPIES;
+use crate::planner::Draft;
 use crate::{Engine, OrderKind};
 use shaleline_types::{Model, Upstream};
 
@@ -71,7 +72,7 @@
 
     /// The model with a single copy that this engine lacks, unless one is on its way.
     fn least_copied(&self, engine: &Engine) -> Option<&'a Model> {
-        let models = self.work.keys().copied();
+        let models = self.asked.keys().copied();
         let mut single = models.filter(|m| {
             let coming = |e: &Engine| e.is_pending(OrderKind::Load, m, None);
             !self.copying.contains(*m)
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -2,7 +2,7 @@
 
 use shaleline_fleet::{
     Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderKind, OrderReply,
-    PlanSettings, PlanView, Planner, Rates, Sighting,
+    PlanSettings, PlanView, Planner, Rate, Rates, Sighting,
 };
 use shaleline_testkit::cases;
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
@@ -10,6 +10,9 @@
 
 const NOW: Millis = Millis(1_000_000);
 
+/// The work of one request, in milliseconds.
+const REQUEST_WORK: f64 = 20.0;
+
 fn model(name: &str) -> Model {
     Model::from_text(name).expect("a valid name")
 }
@@ -60,7 +63,13 @@
 }
 
 fn rates(pairs: &[(&str, Option<&str>, f64)]) -> Rates {
-    let rate = |(m, a, r): &(&str, Option<&str>, f64)| ((model(m), a.map(adapter)), *r);
+    let rate = |(m, a, work): &(&str, Option<&str>, f64)| {
+        let rate = Rate {
+            work: *work as f32,
+            count: (*work / REQUEST_WORK) as f32,
+        };
+        ((model(m), a.map(adapter)), rate)
+    };
     pairs.iter().map(rate).collect()
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,6 +5,7 @@
 use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, Sender, Tag, UpstreamNote};
 use crate::roster::Seen;
 use crate::state::Gateway;
+use shaleline_fleet::Rate;
 use shaleline_route::{PeerLoad, RouteEvent};
 use shaleline_types::{LogEvent, Upstream};
 use std::net::SocketAddr;
@@ -86,9 +87,9 @@
     let rates = gw.demand.borrow_mut().rates(now);
     let rates = rates
         .iter()
-        .map(|((m, a), r)| (Tag::of_model(m, a.as_ref()), *r as f32));
-    let mut rates: Vec<(Tag, f32)> = rates.collect();
-    rates.sort_by(|a, b| b.1.total_cmp(&a.1));
+        .map(|((m, a), r)| (Tag::of_model(m, a.as_ref()), *r));
+    let mut rates: Vec<(Tag, Rate)> = rates.collect();
+    rates.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
     rates.truncate(MOST_RATES);
     let (fence, end) = {
         let claim = gw.claim.borrow();
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -5,7 +5,7 @@
 use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
-use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanSettings, PlanView, Planner, Rates};
+use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanView, Planner, Rates};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -26,13 +26,14 @@
 const WANT_PLAN_MS: u64 = 40;
 
 /// What an adapter that somebody waits for counts at least, in milliseconds a second.
-const WANT_RATE: f64 = 1.0;
+const WANT_RATE: f32 = 1.0;
 
 /// Who is at work on which engine.
 #[derive(Default)]
 pub(crate) struct Working {
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
+    planner: RefCell<Planner>,
     /// Until when copies may be spread before the first traffic: begun, and given back.
     lead: Cell<Option<(Millis, Millis)>>,
 }
@@ -124,7 +125,7 @@
         let adapters = rule.adapters.iter().map(Some);
         for adapter in adapters.chain([None]) {
             if let Some(rate) = all.get(&Tag::of_model(model, adapter)) {
-                rates.insert((model.clone(), adapter.cloned()), f64::from(*rate));
+                rates.insert((model.clone(), adapter.cloned()), *rate);
             }
         }
     }
@@ -139,7 +140,7 @@
     for (model, adapter) in wants.keys() {
         let key = (model.clone(), Some(adapter.clone()));
         let rate = rates.entry(key).or_default();
-        *rate = rate.max(WANT_RATE);
+        rate.work = rate.work.max(WANT_RATE);
     }
     rates
 }
@@ -148,7 +149,7 @@
     let Some(table) = gw.table() else {
         return;
     };
-    let planner = Planner::new(PlanSettings::default());
+    let mut planner = working.planner.borrow_mut();
     let mut orders = Vec::new();
     for service in table.services.keys() {
         let Some(catalog) = table.catalog(service) else {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -440,6 +440,6 @@
         sum.upstreams.entry(*name).or_default().add(*load);
     }
     for (tag, rate) in &note.rates {
-        *sum.rates.entry(*tag).or_default() += rate;
+        sum.rates.entry(*tag).or_default().add(*rate);
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::Entry;
 use serde::{Deserialize, Serialize};
-use shaleline_fleet::Held;
+use shaleline_fleet::{Held, Rate};
 use shaleline_types::{stable_hash, Adapter, DataCentre, Instance, Model, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -106,8 +106,8 @@
     }
 }
 
-/// Work asked for, by model and adapter, in milliseconds a second.
-pub(crate) type RateNote = BTreeMap<Tag, f32>;
+/// What is asked for, by model and adapter.
+pub(crate) type RateNote = BTreeMap<Tag, Rate>;
 
 /// What is at each upstream.
 pub(crate) type UpstreamNotes = BTreeMap<Tag, UpstreamNote>;
