Count callers on a full engine as served up to its limit

Cause: a model with 40 requests a second stood without a replica for 8 s while nine engines were free: the harm beyond an engine's limit grew past the requests themselves, so no engine at all seemed better than a full one.

--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -11,10 +11,8 @@
 /// The work that an engine does in a second, in milliseconds.
 const CAPACITY: f64 = 1_000.0;
 
-/// The share of requests that are late or refused at an engine at its limit, and how much
-/// more for each part of its capacity beyond.
+/// The share of requests that are late or refused at an engine at its limit.
 const AT_LIMIT: f64 = 0.6;
-const BEYOND: f64 = 0.8;
 
 /// A model that nobody asks for counts as this much work, so that it has a place.
 const LEAST_WORK: f64 = 0.1;
@@ -23,13 +21,14 @@
 const ROUNDS: usize = 3;
 
 /// The share of requests that are late or refused on an engine with this load. It is taken
-/// to rise with the square of the load.
+/// to rise with the square of the load; beyond its limit an engine still serves as many as
+/// at the limit, so a model on a full engine is better off than one that is nowhere.
 fn lost_share(load: f64) -> f64 {
     let used = (load / CAPACITY).max(0.0);
     if used <= 1.0 {
         AT_LIMIT * used * used
     } else {
-        AT_LIMIT + BEYOND * (used - 1.0)
+        1.0 - (1.0 - AT_LIMIT) / used
     }
 }
 
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -312,3 +312,79 @@
     let orders = words(&plan(&catalog, &fleet, &Rates::new()));
     assert_eq!(orders, ["load idle at e1 expecting 1"]);
 }
+
+/// Two engines with room and copies of `hot`, which nobody holds, and more work than either
+/// does in a second. A planner that took the crowd on a full engine for worse than no
+/// engine at all left such a model away for eight seconds.
+#[test]
+fn a_model_asked_for_beyond_one_engine_is_loaded_all_the_same() {
+    let catalog = catalog(&["b", "hot"]);
+    let mut fleet = Fleet::default();
+    let copied = |seq| Held {
+        disk: [model("hot")].into(),
+        ..held(&["b"], seq)
+    };
+    for name in ["e1", "e2"] {
+        sight(&mut fleet, name, held(&["b"], 0));
+        fleet.report(&engine(name), copied(1), NOW);
+    }
+    let asked = rates(&[("hot", None, 3_000.0), ("b", None, 400.0)]);
+    let orders = words(&plan(&catalog, &fleet, &asked));
+    assert_eq!(
+        orders,
+        ["load hot at e1 expecting 1", "load hot at e2 expecting 1"]
+    );
+}
+
+/// Which model is loaded first where two are nowhere: the one with more callers, though the
+/// work of the other is greater.
+#[test]
+fn callers_count_and_not_the_work_that_they_bring() {
+    let catalog = catalog(&["b", "fast", "slow"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["b"], 0));
+    let copied = Held {
+        disk: [model("fast"), model("slow")].into(),
+        ..held(&["b"], 1)
+    };
+    fleet.report(&engine("e1"), copied, NOW);
+    let rate = |work: f32, count: f32| Rate { work, count };
+    let asked = Rates::from([
+        ((model("fast"), None), rate(100.0, 30.0)),
+        ((model("slow"), None), rate(200.0, 10.0)),
+    ]);
+    let orders = words(&plan(&catalog, &fleet, &asked));
+    assert_eq!(orders, ["load fast at e1 expecting 1"]);
+}
+
+/// An engine makes room for `hot`; until it has, `hot` counts as there, so that no second
+/// engine makes room for the same callers.
+#[test]
+fn room_is_made_once_for_the_same_callers() {
+    let catalog = catalog(&["a", "b", "c", "hot"]);
+    let mut fleet = Fleet::default();
+    for (name, models) in [("e1", ["a", "b"]), ("e2", ["b", "c"]), ("e3", ["a", "c"])] {
+        sight(&mut fleet, name, held(&models, 0));
+    }
+    let asked = rates(&[("hot", None, 300.0)]);
+    let mut planner = Planner::new(PlanSettings::default());
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    let mut orders = |fleet: &Fleet, now| {
+        let view = PlanView {
+            lead: LeadTime::Over,
+            catalog: &catalog,
+            fleet,
+            rates: &asked,
+            fence: 7,
+            holder: "me",
+        };
+        planner.plan(&view, &mut window, now)
+    };
+    let first = orders(&fleet, NOW);
+    assert_eq!(first.len(), 1, "{:?}", words(&first));
+    assert_eq!(first[0].kind, OrderKind::Unload);
+    fleet.note_sent(&first[0], NOW);
+    fleet.note_reply(&first[0], OrderReply::Accepted, NOW);
+    let later = orders(&fleet, NOW.plus(250));
+    assert_eq!(words(&later), Vec::<String>::new());
+}
