Hand over what a planner ordered last, so that its successor need not wait

Cause: after each planned stop of a planner nobody ordered for 3.5 s, and then nobody loaded from the weight store for a whole window of 5 s, as the successor knew neither which engines had orders nor how many loads had begun. Change: the release says how long ago each engine had its last order and when loads began; the successor claims at once, leaves alone each engine ordered within the lease and 0.4 s, and goes on with the window. After a death the window is closed from when the dead planner's claim lapsed, not from the new claim. A claim that lapsed for a moment keeps its window.

--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -30,7 +30,7 @@
         }
         let candidates = self.view.fleet.engines.iter().filter(|(n, e)| {
             // An order about weights would be refused or refuse this one.
-            serving(e) && !has(e) && e.takes_orders() && !self.taken.contains(*n)
+            serving(e) && !has(e) && self.is_free(n, e)
         });
         let places = self.view.catalog.places;
         let scored = candidates.filter_map(|(name, engine)| {
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -5,7 +5,9 @@
 //! kind of condition, so a claim in between is noticed at once. A holder orders only
 //! within [`ClaimSettings::valid`] of the start of its last renewal; whoever wants to
 //! succeed it waits until that time and the lease have passed with nothing new at the
-//! topic's end. Only steady clocks of single processes are compared.
+//! topic's end. A holder that stops says so with what it ordered last; then there is
+//! nothing to wait for but the engines it ordered within the lease. Only steady clocks of
+//! single processes are compared.
 
 use shaleline_types::Millis;
 
@@ -39,7 +41,13 @@
     }
 
     fn wait(&self) -> u64 {
-        self.valid.0 + self.lease.0 + self.slack.0
+        self.valid.0 + self.rest().0
+    }
+
+    /// How long an engine is left alone between the orders of two holders.
+    #[must_use]
+    pub fn rest(&self) -> Millis {
+        self.lease.plus(self.slack.0)
     }
 }
 
@@ -52,6 +60,9 @@
     pub holder: Option<String>,
     /// Whether that record gives the claim up.
     pub released: bool,
+    /// Whether it says what its writer ordered last, see [`crate::Handover`]: then the
+    /// successor waits engine by engine and not before it claims.
+    pub handed: bool,
 }
 
 /// What to do next.
@@ -129,6 +140,12 @@
         }
     }
 
+    /// How long an engine is left alone between the orders of two holders.
+    #[must_use]
+    pub fn rest(&self) -> Millis {
+        self.settings.rest()
+    }
+
     /// Whether this daemon holds the claim, valid or not.
     #[must_use]
     pub fn is_holder(&self) -> bool {
@@ -233,7 +250,8 @@
                 let since = heard.map_or(now, |(_, at)| at);
                 let wait = match (&view.holder, view.released) {
                     (None, _) => 0,
-                    (_, true) => self.settings.lease.0 + self.settings.slack.0,
+                    (_, true) if view.handed => 0,
+                    (_, true) => self.settings.rest().0,
                     _ => self.settings.wait(),
                 };
                 self.state = State::Waiting {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -44,6 +44,9 @@
     pub holder: &'a str,
     /// Whether copies may be spread before the first traffic.
     pub lead: LeadTime,
+    /// Engines that a planner before ordered a moment ago, and until when they are left
+    /// alone.
+    pub resting: &'a BTreeMap<Upstream, Millis>,
 }
 
 /// Proposes orders.
@@ -186,15 +189,28 @@
     /// How long an engine is busy with what was ordered before; none where it takes no
     /// order soon.
     pub(crate) fn wait_for(&self, name: &Upstream, engine: &Engine) -> Option<Millis> {
-        if self.taken.contains(name) || self.intents.contains_key(name) {
+        if self.taken.contains(name) || self.intents.contains_key(name) || !engine.counts() {
             return None;
         }
-        if engine.takes_orders() {
-            return Some(Millis(0));
-        }
-        let until = engine.busy_until(self.view.catalog)?;
-        let left = Millis(until.since(self.now).max(1));
-        (engine.counts() && left <= WAIT).then_some(left)
+        let rest = self.rest_of(name);
+        let busy = if engine.takes_orders() {
+            Millis(0)
+        } else {
+            let until = engine.busy_until(self.view.catalog)?;
+            Millis(until.since(self.now).max(1))
+        };
+        Some(rest.max(busy)).filter(|left| *left <= WAIT)
+    }
+
+    /// How long the engine is left alone after another planner's order.
+    fn rest_of(&self, name: &Upstream) -> Millis {
+        let until = self.view.resting.get(name);
+        Millis(until.map_or(0, |u| u.since(self.now)))
+    }
+
+    /// Whether the engine may be ordered now, and this plan has not done so yet.
+    pub(crate) fn is_free(&self, name: &Upstream, engine: &Engine) -> bool {
+        engine.takes_orders() && !self.taken.contains(name) && self.rest_of(name) == Millis(0)
     }
 
     pub(crate) fn replicas(&self, model: &Model) -> usize {
@@ -218,7 +234,7 @@
 
     /// Engines that may be ordered about weights.
     pub(crate) fn free_engines(&self) -> impl Iterator<Item = (&'a Upstream, &'a Engine)> + '_ {
-        let free = |(n, e): &(&Upstream, &Engine)| e.takes_orders() && !self.taken.contains(*n);
+        let free = |(n, e): &(&Upstream, &Engine)| self.is_free(n, e);
         self.view.fleet.engines.iter().filter(free)
     }
 
--- a/crates/fleet/src/window.rs
+++ b/crates/fleet/src/window.rs
@@ -1,5 +1,6 @@
 //! Keeps loads from the weight store under its rate.
 
+use crate::Handover;
 use shaleline_types::Millis;
 use std::collections::VecDeque;
 
@@ -35,6 +36,37 @@
         self.blocked = self.blocked.max(until);
     }
 
+    /// How long ago the loads of the window began.
+    pub(crate) fn ages(&self, now: Millis) -> Vec<u64> {
+        self.begun.iter().map(|at| now.since(*at)).collect()
+    }
+
+    /// How long no load may begin yet.
+    pub(crate) fn blocked_for(&self, now: Millis) -> u64 {
+        self.blocked.since(now)
+    }
+
+    /// A window that goes on where that of a predecessor ended.
+    #[must_use]
+    pub fn resume(mut self, handover: &Handover, now: Millis) -> Self {
+        let mut begun: Vec<Millis> = handover
+            .loads
+            .iter()
+            .map(|age| Millis(now.0.saturating_sub(*age)))
+            .collect();
+        begun.sort_unstable();
+        self.begun = begun.into();
+        self.block(now.plus(handover.blocked));
+        self
+    }
+
+    /// How long a load counts: a little longer than the window, as orders travel and may be
+    /// delayed.
+    #[must_use]
+    pub fn span(&self) -> Millis {
+        Millis(self.length.0 + self.length.0 / 4)
+    }
+
     /// Notes a load that may begin now.
     pub fn note(&mut self, now: Millis) {
         self.begun.push_back(now);
@@ -42,8 +74,7 @@
 
     /// How many loads may begin now at `rate` a second.
     pub fn room(&mut self, rate: f64, now: Millis) -> usize {
-        // A little longer than the window, as orders travel and may be delayed.
-        let length = self.length.0 + self.length.0 / 4;
+        let length = self.span().0;
         while self.begun.front().is_some_and(|t| now.since(*t) > length) {
             self.begun.pop_front();
         }
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -2,6 +2,7 @@
 
 use quickcheck::{Gen, QuickCheck, TestResult};
 use shaleline_fleet::{Claim, ClaimAction, ClaimSettings, ClaimView};
+use shaleline_testkit::cases;
 use shaleline_types::Millis;
 use std::collections::VecDeque;
 
@@ -21,6 +22,7 @@
             end: self.end,
             holder: self.holder.clone(),
             released: false,
+            handed: false,
         }
     }
 
@@ -138,6 +140,7 @@
         end,
         holder: holder.map(str::to_owned),
         released: false,
+        handed: false,
     };
     claim.tick(Millis(START));
     claim.on_read(&view(0, None), Millis(START));
@@ -174,6 +177,7 @@
         end,
         holder: holder.map(str::to_owned),
         released: false,
+        handed: false,
     };
     assert_eq!(claim.tick(Millis(START)), Some(ClaimAction::Read));
     claim.on_read(&view(0, None), Millis(START + 5));
@@ -196,6 +200,7 @@
         end: 9,
         holder: Some("other".to_owned()),
         released: false,
+        handed: false,
     };
     claim.heard(9, Millis(START));
     // The same renewal, told again by somebody whose news is old.
@@ -221,3 +226,32 @@
         })
     );
 }
+
+/// When a successor may claim that reads a release at `START`.
+fn claims_after(handed: bool) -> u64 {
+    let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "me".to_owned());
+    claim.tick(Millis(START));
+    let view = ClaimView {
+        end: 9,
+        holder: Some("other".to_owned()),
+        released: true,
+        handed,
+    };
+    claim.on_read(&view, Millis(START));
+    let append = ClaimAction::Append {
+        end: 9,
+        fence: None,
+    };
+    let mut now = START;
+    while claim.tick(Millis(now)) != Some(append) {
+        claim.on_read(&view, Millis(now));
+        now += 50;
+    }
+    now - START
+}
+
+cases! { claims_after;
+    // Each planned stop of a planner left the engines without one for 3.5 s.
+    a_release_that_says_what_was_ordered_is_followed_at_once: true => 0,
+    one_that_does_not_is_waited_out: false => 3_400,
+}
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -6,7 +6,7 @@
 };
 use shaleline_testkit::cases;
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 const NOW: Millis = Millis(1_000_000);
 
@@ -85,6 +85,7 @@
         rates,
         fence: 7,
         holder: "me",
+        resting: &BTreeMap::new(),
     };
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
     Planner::new(PlanSettings::default()).plan(&view, &mut window, NOW)
@@ -377,6 +378,7 @@
             rates: &asked,
             fence: 7,
             holder: "me",
+            resting: &BTreeMap::new(),
         };
         planner.plan(&view, &mut window, now)
     };
@@ -388,3 +390,30 @@
     let later = orders(&fleet, NOW.plus(250));
     assert_eq!(words(&later), Vec::<String>::new());
 }
+
+/// An engine that another planner ordered a moment ago is left alone, even where it would be
+/// the best.
+#[test]
+fn a_resting_engine_gets_no_order() {
+    let catalog = catalog(&["a", "b"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["a"], 0));
+    sight(&mut fleet, "e2", held(&["a"], 0));
+    let ordered = |resting: &BTreeMap<Upstream, Millis>| {
+        let view = PlanView {
+            lead: LeadTime::Over,
+            catalog: &catalog,
+            fleet: &fleet,
+            rates: &Rates::new(),
+            fence: 7,
+            holder: "me",
+            resting,
+        };
+        let mut window = LoadWindow::new(Millis(5_000), 1.1);
+        let mut planner = Planner::new(PlanSettings::default());
+        words(&planner.plan(&view, &mut window, NOW))
+    };
+    assert_eq!(ordered(&BTreeMap::new()), ["load b at e1 expecting 0"]);
+    let resting = BTreeMap::from([(engine("e1"), NOW.plus(3_000))]);
+    assert_eq!(ordered(&resting), ["load b at e2 expecting 0"]);
+}
--- a/crates/gateway/src/claiming.rs
+++ b/crates/gateway/src/claiming.rs
@@ -1,11 +1,12 @@
 //! Takes part in the planner's claim, which is kept in the store.
 
 use crate::journal::emit;
+use crate::lead::Working;
 use crate::message::News;
 use crate::state::Gateway;
 use crate::store::{Batch, StoreError, Topic};
 use serde::{Deserialize, Serialize};
-use shaleline_fleet::{ClaimAction, ClaimView};
+use shaleline_fleet::{ClaimAction, ClaimView, Handover};
 use shaleline_types::{LogEvent, Millis};
 use std::rc::Rc;
 
@@ -17,6 +18,9 @@
 struct ClaimRecord {
     holder: String,
     released: bool,
+    /// What the holder ordered last, where it gives the claim up.
+    #[serde(default)]
+    last: Option<Handover>,
 }
 
 /// Takes the next step of the claim, in a task of its own.
@@ -44,13 +48,32 @@
     let newest = gw.store.newest(Topic::Planner).await;
     gw.metrics.count_store("planner", newest.is_ok());
     let mut claim = gw.claim.borrow_mut();
+    let now = gw.now();
     match newest.as_ref().map(to_view) {
-        Ok(view) => claim.on_read(&view, gw.now()),
+        Ok((view, last)) => {
+            claim.on_read(&view, now);
+            let inherited = last.map(|last| Inherited {
+                last,
+                end: view.end,
+                read: now,
+            });
+            *gw.inherited.borrow_mut() = inherited;
+        }
         Err(_) => claim.on_failed(),
     }
 }
 
-fn to_view(batch: &Batch) -> ClaimView {
+/// What a planner left behind that gave its claim up.
+#[derive(Debug, Clone)]
+pub(crate) struct Inherited {
+    pub(crate) last: Handover,
+    /// Where the topic ended after its record.
+    pub(crate) end: u64,
+    /// When it was read.
+    pub(crate) read: Millis,
+}
+
+fn to_view(batch: &Batch) -> (ClaimView, Option<Handover>) {
     let newest = batch.records.iter().find(|r| r.key == KEY);
     let value = newest.and_then(|r| r.value.as_deref());
     // A record that can't be understood is somebody's claim all the same.
@@ -58,25 +81,31 @@
         serde_json::from_slice(v).unwrap_or(ClaimRecord {
             holder: "unknown".to_owned(),
             released: false,
+            last: None,
         })
     });
-    ClaimView {
+    let released = record.as_ref().is_some_and(|r| r.released);
+    let last = record.as_ref().and_then(|r| r.last.clone());
+    let view = ClaimView {
         end: batch.next,
-        released: record.as_ref().is_some_and(|r| r.released),
+        released,
+        handed: last.is_some(),
         holder: record.map(|r| r.holder),
-    }
+    };
+    (view, last.filter(|_| released))
 }
 
-fn record(gw: &Gateway, released: bool) -> Vec<u8> {
+fn record(gw: &Gateway, last: Option<Handover>) -> Vec<u8> {
     let record = ClaimRecord {
         holder: gw.holder(),
-        released,
+        released: last.is_some(),
+        last,
     };
-    serde_json::to_vec(&record).expect("a string and a flag serialize")
+    serde_json::to_vec(&record).expect("names and numbers serialize")
 }
 
 async fn append(gw: &Gateway, end: u64, started: Millis) {
-    let value = record(gw, false);
+    let value = record(gw, None);
     let result = gw
         .store
         .append(Topic::Planner, KEY, &value, Some(end))
@@ -90,12 +119,19 @@
     }
 }
 
+/// What a successor has to know of this planner.
+fn handover(gw: &Gateway, working: &Working) -> Handover {
+    let window = working.window.borrow();
+    gw.ordered.borrow().to_handover(window.as_ref(), gw.now())
+}
+
 /// Gives the claim up, so that a successor need not wait until it lapses.
-pub(crate) async fn release(gw: &Gateway) {
+pub(crate) async fn release(gw: &Gateway, working: &Working) {
     let held = gw.claim.borrow().is_holder();
     gw.claim.borrow_mut().step_down();
     if held {
-        let value = record(gw, true);
+        let last = handover(gw, working);
+        let value = record(gw, Some(last));
         // Without it the successor waits longer.
         let released = gw.store.append(Topic::Planner, KEY, &value, None).await;
         gw.metrics.count_store("planner", released.is_ok());
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -1,6 +1,6 @@
 //! Plans for the engines when it is this daemon's turn.
 
-use crate::claiming::{claim, release};
+use crate::claiming::{claim, release, Inherited};
 use crate::journal::emit;
 use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
@@ -8,7 +8,7 @@
 use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanView, Planner, Rates};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +34,11 @@
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
     planner: RefCell<Planner>,
+    /// The fencing token of the claim that orders were last given under.
+    led: Cell<Option<u64>>,
+    /// Engines that a planner before ordered a moment ago, and until when they are left
+    /// alone.
+    resting: RefCell<BTreeMap<Upstream, Millis>>,
     /// Until when copies may be spread before the first traffic: begun, and given back.
     lead: Cell<Option<(Millis, Millis)>>,
 }
@@ -67,7 +72,7 @@
             () = gw.plan_now.notified() => true,
         };
         if gw.stopping.get() {
-            release(&gw).await;
+            release(&gw, &working).await;
             return;
         }
         claim(&gw);
@@ -95,8 +100,14 @@
     }
 }
 
-/// A planner before may have used up the window; the first of all has none before it.
+/// Begins where the planner before ended. One that stopped has said what it ordered last.
+/// One that fell silent may have used up the window until its claim lapsed, which is as long
+/// ago as an engine rests. The first of all has none before it.
 fn begin_leading(gw: &Gateway, working: &Working, fence: Option<u64>) {
+    if fence == working.led.replace(fence) {
+        // The claim had lapsed for a moment, and nobody else held it meanwhile.
+        return;
+    }
     let bounds = gw.bounds.borrow();
     let mut window = LoadWindow::new(bounds.load_window, bounds.load_over);
     let now = gw.now();
@@ -104,12 +115,32 @@
         let until = |ms| now.plus(ms);
         let lead = (until(SPREAD_BEGIN_MS), until(SPREAD_END_MS));
         working.lead.set(Some(lead));
+    } else if let Some(inherited) = inherited(gw, fence) {
+        window = window.resume(&inherited.last, inherited.read);
+        let mut ordered = gw.ordered.borrow_mut();
+        ordered.inherit(&inherited.last, inherited.read);
+        let resting = ordered.resting(gw.claim.borrow().rest(), now);
+        let detail = format!(
+            "resting={} loads={}",
+            resting.len(),
+            inherited.last.loads.len()
+        );
+        emit(LogEvent::LeaseInherited, &detail);
+        *working.resting.borrow_mut() = resting;
     } else {
-        window.block(now.plus(bounds.load_window.0));
+        let lapsed = gw.claim.borrow().rest();
+        window.block(now.plus(window.span().0.saturating_sub(lapsed.0)));
     }
     *working.window.borrow_mut() = Some(window);
 }
 
+/// What the planner before left behind, where this claim came right after its release.
+fn inherited(gw: &Gateway, fence: Option<u64>) -> Option<Inherited> {
+    let inherited = gw.inherited.borrow_mut().take()?;
+    // A claim's token is one more than its offset, which is the end that it was appended at.
+    (fence == Some(inherited.end + 1)).then_some(inherited)
+}
+
 /// The fencing token of the first claim of all.
 const FIRST_FENCE: u64 = 1;
 
@@ -150,6 +181,8 @@
         return;
     };
     let mut planner = working.planner.borrow_mut();
+    working.resting.borrow_mut().retain(|_, until| *until > now);
+    let resting = working.resting.borrow();
     let mut orders = Vec::new();
     for service in table.services.keys() {
         let Some(catalog) = table.catalog(service) else {
@@ -172,6 +205,7 @@
             fence,
             holder: gw.me.instance.as_str(),
             lead: working.lead_time(rates.is_empty(), now),
+            resting: &resting,
         };
         for order in planner.plan(&view, window, now) {
             orders.push((service.clone(), order));
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -176,6 +176,7 @@
 }
 
 async fn send_order(gw: &Gateway, order: &Order) -> OrderReply {
+    gw.ordered.borrow_mut().note(&order.engine, gw.now());
     match call(gw, &order.engine, gw.codec.order(order)).await {
         Some((status, _)) => gw.codec.order_reply(status),
         None => OrderReply::Lost,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What the tasks of a gateway share. All of them run on one thread.
 
+use crate::claiming::Inherited;
 use crate::clock::Clock;
 use crate::gossip::Addressed;
 use crate::journal::{emit, LineBudget};
@@ -13,7 +14,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Gate, Pool, PoolSettings, Target};
-use shaleline_fleet::{Claim, ClaimSettings, Demand, Fleet, Sighting};
+use shaleline_fleet::{Claim, ClaimSettings, Demand, Fleet, LastOrders, Sighting};
 use shaleline_route::{
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
 };
@@ -74,6 +75,10 @@
     /// Tells that a hub marked how far it has read.
     pub(crate) marked: Notify,
     pub(crate) claim: RefCell<Claim>,
+    /// When engines had their last orders, from here or from planners before.
+    pub(crate) ordered: RefCell<LastOrders>,
+    /// What the planner before left behind, as it was read last.
+    pub(crate) inherited: RefCell<Option<Inherited>>,
     /// Adapters that somebody waits for, with when that was last said.
     pub(crate) wants: RefCell<BTreeMap<(Model, shaleline_types::Adapter), Millis>>,
     /// Wakes the planner.
@@ -123,6 +128,8 @@
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
             claim: RefCell::new(Claim::new(claim, format!("{name}/{life:016x}"))),
+            ordered: RefCell::new(LastOrders::default()),
+            inherited: RefCell::new(None),
             me,
             codec: border.codec,
             store: border.store,
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -68,6 +68,7 @@
     LeaseTaken 4001 Info "This daemon became the owner.";
     LeaseLost 4002 Warn "This daemon is no longer the owner.";
     LeaseChallenged 4003 Info "An owner that seems gone was challenged.";
+    LeaseInherited 4004 Info "What the planner before ordered last was taken over from its release.";
     OrderSent 5001 Info "An order was sent to an engine.";
     OrderSettled 5002 Info "An engine reported how an order ended.";
     OrderDoubt 5003 Warn "An order got no answer and stays in doubt.";
