--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -12,7 +12,7 @@
 const CAPACITY: f64 = 1_000.0;
 
 /// The share of requests that are late or refused at an engine at its limit.
-const AT_LIMIT: f64 = 0.6;
+const AT_LIMIT: f64 = 0.4;
 
 /// A model that nobody asks for counts as this much work, so that it has a place.
 const LEAST_WORK: f64 = 0.1;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -414,9 +414,13 @@
     let tokens = job.head.prompt.max(shared) as f64;
     let cost = gw.router.borrow().token_cost(&route);
     let adapter = job.head.adapter.as_ref();
-    gw.demand
-        .borrow_mut()
-        .note(model, adapter, tokens * cost, now);
+    // Who comes back was counted when it came first: a model that is refused would seem to be
+    // asked for twice as much as it is.
+    if !job.came_back {
+        gw.demand
+            .borrow_mut()
+            .note(model, adapter, tokens * cost, now);
+    }
     let Some(adapter) = adapter else {
         return;
     };
