Pace prompts by the longest pause that streams allow

Cause: of the chats that were late most had their first event in time and broke the longest pause of 250 ms, which the route declares and the product did not read: an engine reads prompts between the tokens of its streams, so prompts that wait together stop all of them. Ruled out by trials before: a ceiling that counts a request's own prompt always (large prompts were never sent) or never. Change: a stream is sent where the prompts ahead and its own take four fifths of the pause at most, a larger one where hardly anything is ahead; meanwhile it waits, as long as its first event can be in time; a first byte lets others in.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -34,6 +34,18 @@
 /// But at least so long, for a place that frees at once.
 const LEAST_WAIT: u64 = 20;
 
+/// A stream waits until an engine can take its prompt without stopping other streams, as
+/// long as its first event can still be in time: reading a prompt takes some ten
+/// milliseconds, and the first event some more.
+const FIRST_EVENT: u64 = 100;
+
+/// But no longer than this: a place frees every few ten milliseconds, and who has waited in
+/// vain has lost the time.
+const MOST_WAIT: u64 = 1_000;
+
+/// The part of the longest pause that prompts may take at once.
+const PACE_PART: (u64, u64) = (4, 5);
+
 /// A caller that came back after a refusal has no further try: its request waits for a
 /// larger part of the time left.
 const BACK_WAIT: (u64, u64) = (3, 5);
@@ -119,12 +131,6 @@
         let (prefix, sizes) = self.prefix();
         let (least, most) = STALL_BOUNDS;
         let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
-        let left = self.deadline.since(self.arrived);
-        let wait = if self.came_back {
-            (left * BACK_WAIT.0 / BACK_WAIT.1).min(self.rule.target.0 * BACK_TARGETS)
-        } else {
-            (self.rule.target.0 / WAIT_PART).max(LEAST_WAIT)
-        };
         Ask {
             id,
             org: Org::from_text(ORG).expect("a valid name"),
@@ -138,15 +144,39 @@
             repeatable: self.is_idempotent(),
             limits: LIMITS,
             terms: Terms {
-                wait: Some(Millis(wait)),
+                wait: Some(Millis(self.wait())),
                 attempts: Some(self.rule.attempts),
                 most: Some(Millis(self.rule.target.0 * MOST_TARGETS)),
                 stall: self.is_idempotent().then_some(Millis(stall)),
                 urgent: self.is_urgent(),
+                pace: self.pace(),
             },
         }
     }
 
+    /// The most work that prompts may have ahead at an engine, in milliseconds. An engine
+    /// reads prompts between the tokens of its streams, so prompts that wait together stop
+    /// all of them for as long as they take.
+    fn pace(&self) -> Option<Millis> {
+        let (of, parts) = PACE_PART;
+        self.rule.pause.map(|p| Millis(p.0 * of / parts))
+    }
+
+    /// How long it may wait unsent.
+    fn wait(&self) -> u64 {
+        let target = self.rule.target.0;
+        if self.came_back {
+            let left = self.deadline.since(self.arrived);
+            return (left * BACK_WAIT.0 / BACK_WAIT.1).min(target * BACK_TARGETS);
+        }
+        if self.rule.pause.is_some() {
+            return target
+                .saturating_sub(FIRST_EVENT)
+                .clamp(LEAST_WAIT, MOST_WAIT);
+        }
+        (target / WAIT_PART).max(LEAST_WAIT)
+    }
+
     /// The growing prefixes of the prompt. What an engine keeps, it keeps for a model and
     /// adapter.
     fn prefix(&self) -> (Vec<u64>, Vec<u32>) {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -47,6 +47,9 @@
     pub timeout: Millis,
     /// The time within which an answer is worth most.
     pub target: Millis,
+    /// The longest pause within a stream with which its answer is still on time, where the
+    /// route declares one.
+    pub pause: Option<Millis>,
     /// 0 is the most urgent.
     pub priority: u8,
     /// How many upstreams one request may reach.
--- a/crates/route/src/ask.rs
+++ b/crates/route/src/ask.rs
@@ -67,6 +67,9 @@
     pub most: Option<Millis>,
     /// Whether upstreams serve it before work that is not urgent.
     pub urgent: bool,
+    /// The most work that prompts, its own included, may have ahead at an upstream to which
+    /// it is sent. A prompt that is larger by itself is sent where hardly any waits.
+    pub pace: Option<Millis>,
 }
 
 impl Default for Terms {
@@ -77,6 +80,7 @@
             stall: None,
             most: None,
             urgent: true,
+            pace: None,
         }
     }
 }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -20,6 +20,10 @@
 const OTHER_CENTRE_MS: f64 = 1.0;
 const FULL_MS: f64 = 400.0;
 
+/// With no more than this part of the pace ahead, a large prompt may be sent: it would not
+/// find less later.
+const ALONE_PART: f64 = 0.2;
+
 /// What a failure costs the caller: the time until its own retry.
 const FAILURE_MS: f64 = 2_000.0;
 
@@ -49,7 +53,18 @@
     /// better refused while its caller has time to come back.
     pub(crate) fn allows(&self, back: &Back, ask: &Ask) -> bool {
         let most = ask.terms.most;
-        most.is_none_or(|m| self.time(back, ask) <= m.0 as f64)
+        let in_time = most.is_none_or(|m| self.time(back, ask) <= m.0 as f64);
+        in_time && self.keeps_pace(back, ask)
+    }
+
+    /// Whether the prompt leaves the streams that run there without a long pause.
+    fn keeps_pace(&self, back: &Back, ask: &Ask) -> bool {
+        let Some(pace) = ask.terms.pace else {
+            return true;
+        };
+        let ahead = back.backlog(false, self.now);
+        let pace = pace.0 as f64;
+        ahead <= pace * ALONE_PART || ahead + self.work(back, ask) <= pace
     }
 
     /// The time to the first byte, as far as prompts decide it.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -97,7 +97,14 @@
         let mut out = Vec::new();
         match event {
             RouteEvent::Arrive(ask) => self.arrive(ask, now, &mut out),
-            RouteEvent::FirstByte { id, attempt } => self.on_byte(id, attempt, true, now),
+            RouteEvent::FirstByte { id, attempt } => {
+                let upstream = self.open.get(&id).and_then(|o| o.at.clone());
+                self.on_byte(id, attempt, true, now);
+                // Its prompt is read, so others may follow.
+                if let Some(upstream) = upstream {
+                    self.pump(&upstream, now, &mut out);
+                }
+            }
             RouteEvent::Progress { id, attempt } => self.on_byte(id, attempt, false, now),
             RouteEvent::Ended { id, attempt, end } => self.ended(id, attempt, end, now, &mut out),
             RouteEvent::CallerGone(id) => self.caller_gone(id, now, &mut out),
