Let prompts take half of the longest pause at once

Cause: streams that broke the pause of 250 ms broke it by little (median 294 ms): what other daemons sent in the last 100 ms is not known yet.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -44,7 +44,7 @@
 const MOST_WAIT: u64 = 1_000;
 
 /// The part of the longest pause that prompts may take at once.
-const PACE_PART: (u64, u64) = (4, 5);
+const PACE_PART: (u64, u64) = (1, 2);
 
 /// A caller that came back after a refusal has no further try: its request waits for a
 /// larger part of the time left.
