--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -46,6 +46,9 @@
 /// The part of the longest pause that prompts may take at once.
 const PACE_PART: (u64, u64) = (1, 2);
 
+/// How far behind those that come for the first time one is served that came back.
+const BACK_PRIORITY: u8 = 16;
+
 /// A caller that came back after a refusal has no further try: its request waits for a
 /// larger part of the time left.
 const BACK_WAIT: (u64, u64) = (3, 5);
@@ -109,10 +112,17 @@
     /// all other.
     pub(crate) fn rank(&self) -> Option<u8> {
         self.head.model.as_ref()?;
-        let relaxed = u8::from(!self.is_urgent()) * 5;
+        let relaxed = u8::from(!self.is_urgent() || self.came_back) * 5;
         Some((self.rule.priority + 1 + relaxed).min(9))
     }
 
+    /// Who was refused before has mostly missed the target already, which counts from the
+    /// first try; those that can still be in time go first.
+    fn priority(&self) -> u8 {
+        let back = u8::from(self.came_back) * BACK_PRIORITY;
+        self.rule.priority.saturating_add(back)
+    }
+
     fn is_urgent(&self) -> bool {
         self.rule.target <= URGENT_TARGET
     }
@@ -135,7 +145,7 @@
             id,
             org: Org::from_text(ORG).expect("a valid name"),
             route: self.route(),
-            priority: self.rule.priority,
+            priority: self.priority(),
             weight: 1,
             cost: (self.head.prompt + self.head.output).max(1),
             prefix,
