Average demand over 1.5 s

Cause: demand moves to other models within a few seconds, and a model's first replicas came late as its rate was still averaged with the time before.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// The time over which demand is averaged: it moves to other models within seconds.
-const AVERAGE_MS: f64 = 2_500.0;
+const AVERAGE_MS: f64 = 1_500.0;
 
 /// A rate below this, in milliseconds of work a second, is not worth telling.
 const LEAST: f32 = 0.05;
