Tell at once who asks for a model that nobody holds, unless a load is in time

Cause: such a request waited 300 ms for a replica that takes 1.5 s and more, and one that has five seconds was sent away after one.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -43,6 +43,10 @@
 /// vain has lost the time.
 const MOST_WAIT: u64 = 1_000;
 
+/// A load from a copy, with the plan before it, is done after this time. Who has as much is
+/// served in time by waiting; others are told at once that nobody holds their model.
+const LOAD_WAIT: u64 = 2_500;
+
 /// The part of the longest pause that prompts may take at once.
 const PACE_PART: (u64, u64) = (1, 2);
 
@@ -137,7 +141,16 @@
         }
     }
 
-    fn to_ask(&self, id: RequestId) -> Ask {
+    /// The model that an upstream must hold to serve it, with or without its adapter.
+    fn base(&self) -> Option<Route> {
+        let model = self.head.model.clone()?;
+        Some(Route::Model {
+            model,
+            adapter: None,
+        })
+    }
+
+    fn to_ask(&self, id: RequestId, served: bool) -> Ask {
         let (prefix, sizes) = self.prefix();
         let (least, most) = STALL_BOUNDS;
         let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
@@ -154,7 +167,7 @@
             repeatable: self.is_idempotent(),
             limits: LIMITS,
             terms: Terms {
-                wait: Some(Millis(self.wait())),
+                wait: Some(Millis(self.wait(served))),
                 attempts: Some(self.rule.attempts),
                 most: Some(Millis(self.rule.target.0 * MOST_TARGETS)),
                 stall: self.is_idempotent().then_some(Millis(stall)),
@@ -172,17 +185,20 @@
         self.rule.pause.map(|p| Millis(p.0 * of / parts))
     }
 
-    /// How long it may wait unsent.
-    fn wait(&self) -> u64 {
+    /// How long it may wait unsent, where some upstream serves its model or none does.
+    fn wait(&self, served: bool) -> u64 {
         let target = self.rule.target.0;
         if self.came_back {
             let left = self.deadline.since(self.arrived);
             return (left * BACK_WAIT.0 / BACK_WAIT.1).min(target * BACK_TARGETS);
         }
         if self.rule.pause.is_some() {
-            return target
-                .saturating_sub(FIRST_EVENT)
-                .clamp(LEAST_WAIT, MOST_WAIT);
+            let slack = target.saturating_sub(FIRST_EVENT);
+            return match (served, slack >= LOAD_WAIT) {
+                (true, _) => slack.clamp(LEAST_WAIT, MOST_WAIT),
+                (false, true) => LOAD_WAIT,
+                (false, false) => LEAST_WAIT,
+            };
         }
         (target / WAIT_PART).max(LEAST_WAIT)
     }
@@ -238,7 +254,9 @@
             piece: Millis(0),
             pause: 0,
         };
-        gw.route(RouteEvent::Arrive(job.to_ask(id)));
+        let base = job.base();
+        let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
+        gw.route(RouteEvent::Arrive(job.to_ask(id, served)));
         permit
     }
 
@@ -443,11 +461,7 @@
 
 /// When to come back, by what the request lacks.
 fn come_back(gw: &Gateway, job: &Job) -> Option<Millis> {
-    let model = job.head.model.as_ref()?;
-    let base = Route::Model {
-        model: model.clone(),
-        adapter: None,
-    };
+    let base = job.base()?;
     let router = gw.router.borrow();
     Some(if router.is_served(&job.route()) {
         CROWDED
