Give a request's waiting and order a module of its own, with tests

Tests play prompts that wait together, others' prompts, large prompts and callers that come back. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,10 @@
 //! One send of a request to one upstream.
 
+use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::log_end;
 use crate::relay;
-use crate::request::{Job, Permit};
+use crate::request::Permit;
 use crate::state::Gateway;
 use crate::{AnswerHead, Passage};
 use bytes::Bytes;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request's way, top down:
 //!
 //! 1. `request` reads it, finds its route in the [`Table`] and asks the router of
-//!    `shaleline_route` for an upstream.
+//!    `shaleline_route` for an upstream; `job` says how long it waits and who goes first.
 //! 2. `attempt` sends it and checks that the answer is its own; `relay` passes a stream on
 //!    and resumes it; `refuse` answers where no upstream did.
 //!
@@ -31,6 +31,7 @@
 mod follow;
 mod gossip;
 mod handover;
+mod job;
 mod journal;
 mod lead;
 mod link;
@@ -62,6 +63,7 @@
 #[path = "../tests/unit"]
 mod unit {
     mod events;
+    mod job;
     mod mesh;
     mod reading;
     mod roster;
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -1,7 +1,8 @@
 //! The gateway's own answers, where no upstream gave one.
 
+use crate::job::Job;
 use crate::journal::emit;
-use crate::request::{Job, Permit};
+use crate::request::Permit;
 use crate::state::Gateway;
 use bytes::Bytes;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,8 +2,9 @@
 
 use crate::attempt::{self, keep_of, Failure, Opened};
 use crate::events::EventSplitter;
+use crate::job::Job;
 use crate::refuse::log_end;
-use crate::request::{Job, Permit};
+use crate::request::Permit;
 use crate::state::Gateway;
 use crate::table::Repeat;
 use bytes::Bytes;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,223 +1,38 @@
 //! A caller's request, from its first byte to its answer.
 //!
-//! Read in this order: [`Callers::handle`] here admits it, `attempt` sends it, `relay`
+//! Read in this order: [`Callers::handle`] here admits it, `job` says how long it waits and
+//! who goes before it, `attempt` sends it, `relay`
 //! passes a stream on, `refuse` answers where no upstream did.
 
 use crate::attempt::{self, Ended};
+use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
-use crate::{Head, RouteRule, Table};
+use crate::{Head, Table};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
-use hyper::{HeaderMap, Method, Request};
+use hyper::Request;
 use shaleline_edge::{Handler, Reply};
-use shaleline_route::{Ask, AttemptNumber, End, Limits, Route, RouteAction, RouteEvent, Terms};
-use shaleline_types::{
-    stable_hash, ErrorKind, LogEvent, Millis, Org, RequestId, Service, Upstream,
-};
+use shaleline_route::{AttemptNumber, End, RouteAction, RouteEvent};
+use shaleline_types::{ErrorKind, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
-/// Requests whose target is no longer than this are served before others.
-const URGENT_TARGET: Millis = Millis(2_000);
-
-/// A request waits unsent for a fifth of its target: a refusal is worth something only
-/// within a quarter.
-const WAIT_PART: u64 = 5;
-
-/// But at least so long, for a place that frees at once.
-const LEAST_WAIT: u64 = 20;
-
-/// A stream waits until an engine can take its prompt without stopping other streams, as
-/// long as its first event can still be in time: reading a prompt takes some ten
-/// milliseconds, and the first event some more.
-const FIRST_EVENT: u64 = 100;
-
-/// But no longer than this: a place frees every few ten milliseconds, and who has waited in
-/// vain has lost the time.
-const MOST_WAIT: u64 = 1_000;
-
-/// A load from a copy, with the plan before it, is done after this time. Who has as much is
-/// served in time by waiting; others are told at once that nobody holds their model.
-const LOAD_WAIT: u64 = 2_500;
-
-/// The part of the longest pause that prompts may take at once.
-const PACE_PART: (u64, u64) = (1, 2);
-
-/// How far behind those that come for the first time one is served that came back.
-const BACK_PRIORITY: u8 = 16;
-
-/// A caller that came back after a refusal has no further try: its request waits for a
-/// larger part of the time left.
-const BACK_WAIT: (u64, u64) = (3, 5);
-
-/// But no longer than so many targets: callers of streams leave after four.
-const BACK_TARGETS: u64 = 2;
-
 /// A request whose caller gives it less than this part of the route's time came back.
 const BACK_PART: (u64, u64) = (19, 20);
 
-/// A request is not sent where its first byte is expected later than so many targets:
-/// callers of streams leave after four. Shorter queues were tried: what was refused fell
-/// behind less urgent work, and `docs/MEASUREMENTS.md` has the figures.
-const MOST_TARGETS: u64 = 2;
-
-/// A send without a first byte counts as hanging after twice the target, within these
-/// bounds: a short target leaves time to try elsewhere, a long one is no reason to wait.
-const STALL_TARGETS: u64 = 2;
-const STALL_BOUNDS: (u64, u64) = (200, 3_000);
-
 /// A caller that names no time waits so long.
 const PATIENCE: Millis = Millis(60_000);
 
 /// An answer must leave so much before the caller's time is over.
 const MARGIN: u64 = 15;
 
-/// The platform names no organisations: all callers are one.
-const ORG: &str = "platform";
-
-/// Its limits are the platform's own.
-const LIMITS: Limits = Limits {
-    rate: 1 << 40,
-    concurrency: 1 << 40,
-    tokens: 1 << 40,
-};
-
-/// One request as it is sent.
-pub(crate) struct Job {
-    pub(crate) head: Head,
-    pub(crate) rule: RouteRule,
-    pub(crate) service: Service,
-    pub(crate) version: u64,
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) arrived: Millis,
-    /// Whether its caller was refused before: it has less time than the route gives.
-    pub(crate) came_back: bool,
-    /// When the caller's time or the route's is over, whichever is first.
-    pub(crate) deadline: Millis,
-}
-
-impl Job {
-    /// Whether it may be sent again after it may have run.
-    pub(crate) fn is_idempotent(&self) -> bool {
-        self.rule.repeat.is_idempotent()
-    }
-
-    /// The rank at an engine: by the route's priority, and work with a long target after
-    /// all other.
-    pub(crate) fn rank(&self) -> Option<u8> {
-        self.head.model.as_ref()?;
-        let relaxed = u8::from(!self.is_urgent() || self.came_back) * 5;
-        Some((self.rule.priority + 1 + relaxed).min(9))
-    }
-
-    /// Who was refused before has mostly missed the target already, which counts from the
-    /// first try; those that can still be in time go first.
-    fn priority(&self) -> u8 {
-        let back = u8::from(self.came_back) * BACK_PRIORITY;
-        self.rule.priority.saturating_add(back)
-    }
-
-    fn is_urgent(&self) -> bool {
-        self.rule.target <= URGENT_TARGET
-    }
-
-    pub(crate) fn route(&self) -> Route {
-        match &self.head.model {
-            Some(model) => Route::Model {
-                model: model.clone(),
-                adapter: self.head.adapter.clone(),
-            },
-            None => Route::Service(self.service.clone()),
-        }
-    }
-
-    /// The model that an upstream must hold to serve it, with or without its adapter.
-    fn base(&self) -> Option<Route> {
-        let model = self.head.model.clone()?;
-        Some(Route::Model {
-            model,
-            adapter: None,
-        })
-    }
-
-    fn to_ask(&self, id: RequestId, served: bool) -> Ask {
-        let (prefix, sizes) = self.prefix();
-        let (least, most) = STALL_BOUNDS;
-        let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
-        Ask {
-            id,
-            org: Org::from_text(ORG).expect("a valid name"),
-            route: self.route(),
-            priority: self.priority(),
-            weight: 1,
-            cost: (self.head.prompt + self.head.output).max(1),
-            prefix,
-            sizes,
-            due: self.deadline,
-            repeatable: self.is_idempotent(),
-            limits: LIMITS,
-            terms: Terms {
-                wait: Some(Millis(self.wait(served))),
-                attempts: Some(self.rule.attempts),
-                most: Some(Millis(self.rule.target.0 * MOST_TARGETS)),
-                stall: self.is_idempotent().then_some(Millis(stall)),
-                urgent: self.is_urgent(),
-                pace: self.pace(),
-            },
-        }
-    }
-
-    /// The most work that prompts may have ahead at an engine, in milliseconds. An engine
-    /// reads prompts between the tokens of its streams, so prompts that wait together stop
-    /// all of them for as long as they take.
-    fn pace(&self) -> Option<Millis> {
-        let (of, parts) = PACE_PART;
-        self.rule.pause.map(|p| Millis(p.0 * of / parts))
-    }
-
-    /// How long it may wait unsent, where some upstream serves its model or none does.
-    fn wait(&self, served: bool) -> u64 {
-        let target = self.rule.target.0;
-        if self.came_back {
-            let left = self.deadline.since(self.arrived);
-            return (left * BACK_WAIT.0 / BACK_WAIT.1).min(target * BACK_TARGETS);
-        }
-        if self.rule.pause.is_some() {
-            let slack = target.saturating_sub(FIRST_EVENT);
-            return match (served, slack >= LOAD_WAIT) {
-                (true, _) => slack.clamp(LEAST_WAIT, MOST_WAIT),
-                (false, true) => LOAD_WAIT,
-                (false, false) => LEAST_WAIT,
-            };
-        }
-        (target / WAIT_PART).max(LEAST_WAIT)
-    }
-
-    /// The growing prefixes of the prompt. What an engine keeps, it keeps for a model and
-    /// adapter.
-    fn prefix(&self) -> (Vec<u64>, Vec<u32>) {
-        let mut last = stable_hash(&[&self.route().to_string()]);
-        let mut chain = Vec::with_capacity(self.head.parts.len());
-        let mut sizes = Vec::with_capacity(self.head.parts.len());
-        for (id, tokens) in &self.head.parts {
-            last = stable_hash(&[&last.to_string(), &id.to_string()]);
-            chain.push(last);
-            sizes.push(*tokens);
-        }
-        (chain, sizes)
-    }
-}
-
 /// A request's place in the router. Dropping it before the request has ended means that
 /// its caller has gone.
 pub(crate) struct Permit {
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -1,7 +1,7 @@
 //! Admission, queues, choice, retries, leaving upstreams.
 
 use shaleline_route::{
-    prefix_chain, share_of, Ask, Drain, DrainAction, End, LimitKind, Limits, Load, Route,
+    prefix_chain, share_of, Ask, Drain, DrainAction, End, LimitKind, Limits, Load, PeerLoad, Route,
     RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site, Terms, Unfinished,
 };
 use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Service, Upstream};
@@ -427,3 +427,105 @@
         "{later:?}"
     );
 }
+
+/// A prompt of so many tokens at half a millisecond each, on a route whose prompts may have
+/// 125 ms ahead.
+fn paced(id: u64, tokens: u32) -> Ask {
+    Ask {
+        prefix: vec![id],
+        sizes: vec![tokens],
+        terms: Terms {
+            wait: Some(Millis(300)),
+            pace: Some(Millis(125)),
+            ..Terms::default()
+        },
+        ..ask(id, "o", 1)
+    }
+}
+
+/// What the other daemons have unread at the upstream, in milliseconds.
+fn others_have(router: &mut Router, name: &str, backlog: f64) {
+    let load = PeerLoad {
+        running: 1,
+        urgent: backlog,
+        backlog,
+    };
+    let upstream = up(name);
+    router.step(RouteEvent::Peers { upstream, load }, NOW);
+}
+
+/// An engine reads prompts between the tokens of its streams: three that wait together stop
+/// all of them for longer than callers accept.
+#[test]
+fn a_second_prompt_waits_until_the_first_is_read() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    assert_eq!(sent_to(&arrive(&mut r, paced(1, 60))).len(), 1);
+    assert!(sent_to(&arrive(&mut r, paced(2, 60))).is_empty());
+    let (id, attempt) = (RequestId(1), 1);
+    let next = r.step(RouteEvent::FirstByte { id, attempt }, NOW.plus(40));
+    assert_eq!(sent_to(&next), [(2, "a".to_owned())]);
+}
+
+#[test]
+fn a_second_prompt_goes_elsewhere_at_once_where_there_is_an_elsewhere() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    add(&mut r, "b", 40);
+    let mut places: Vec<String> = Vec::new();
+    for id in [1, 2] {
+        places.extend(
+            sent_to(&arrive(&mut r, paced(id, 60)))
+                .into_iter()
+                .map(|s| s.1),
+        );
+    }
+    places.sort();
+    assert_eq!(places, ["a", "b"]);
+}
+
+#[test]
+fn prompts_of_other_daemons_count_and_grow_old() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    others_have(&mut r, "a", 110.0);
+    assert!(sent_to(&arrive(&mut r, paced(1, 60))).is_empty());
+    let later = r.step(RouteEvent::Tick, NOW.plus(30));
+    assert_eq!(sent_to(&later), [(1, "a".to_owned())]);
+}
+
+/// A prompt that alone takes longer than the pace would else never be sent.
+#[test]
+fn a_large_prompt_is_sent_where_nothing_is_ahead() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    assert_eq!(sent_to(&arrive(&mut r, paced(1, 600))).len(), 1);
+}
+
+#[test]
+fn what_can_keep_no_pace_in_time_is_refused_when_its_wait_is_over() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    arrive(&mut r, paced(1, 600));
+    assert!(arrive(&mut r, paced(2, 60)).is_empty());
+    assert!(refused(&r.step(RouteEvent::Tick, NOW.plus(299))).is_empty());
+    let actions = r.step(RouteEvent::Tick, NOW.plus(300));
+    assert_eq!(refused(&actions), [ErrorKind::DeadlineUnmet]);
+}
+
+/// Who could still be in time goes before who came back, whoever waited first.
+#[test]
+fn a_first_try_goes_before_one_that_came_back() {
+    let mut r = router();
+    add(&mut r, "a", 40);
+    arrive(&mut r, paced(1, 60));
+    let back = Ask {
+        priority: 17,
+        ..paced(2, 60)
+    };
+    arrive(&mut r, back);
+    arrive(&mut r, paced(3, 60));
+    let (id, attempt) = (RequestId(1), 1);
+    let next = r.step(RouteEvent::FirstByte { id, attempt }, NOW.plus(40));
+    assert_eq!(sent_to(&next), [(3, "a".to_owned())]);
+}
