--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod overhead;
 mod parallel;
+mod plans;
 mod plot;
 mod rig;
 mod slopes;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -3,6 +3,7 @@
 
 use crate::costs;
 use crate::fit::{fit, Fit, Point};
+use crate::plans;
 use crate::rig::{open_template, Rig};
 use crate::spread;
 use awc::Client;
@@ -124,6 +125,12 @@
             &[12, 50, 100, 200, 444],
             costs::plan_cpu,
         ),
+        measure(
+            "fleet: CPU of a plan for the users' engines",
+            "us",
+            &[12, 50, 100, 200, 444],
+            plans::cpu,
+        ),
         measure(
             "route: CPU per request, by upstreams that serve it",
             "us",
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -73,6 +73,8 @@
     /// The work as it spreads over the replicas that serve soon, and over all of them.
     soon: Flow,
     later: Flow,
+    /// The models that each engine serves, any of which may make room.
+    serving: Vec<Vec<usize>>,
     /// When the first replica of a model is there that is not there soon.
     due: Vec<Option<Millis>>,
 }
@@ -90,6 +92,7 @@
         let mut soon = vec![Vec::new(); models.len()];
         let mut later = soon.clone();
         let mut due = vec![None; models.len()];
+        let mut serving = vec![Vec::new(); engines.len()];
         for (number, (model, _)) in models.iter().enumerate() {
             for (place, (name, engine)) in engines.iter().enumerate() {
                 let intended = draft.intends(name, model);
@@ -99,6 +102,9 @@
                 later[number].push(place);
                 let ready = engine.ready_at(model, catalog).filter(|_| !intended);
                 let left = ready.map(|r| Millis(r.since(now)));
+                if engine.serves(model) {
+                    serving[place].push(number);
+                }
                 if engine.serves(model) || left.is_some_and(|l| l <= SOON) {
                     soon[number].push(place);
                 } else {
@@ -119,6 +125,7 @@
             later: Flow::new(engines.len(), &later, &asked, &missing),
             engines,
             models,
+            serving,
             due,
         }
     }
@@ -196,7 +203,7 @@
             } else if spare {
                 Vec::new()
             } else {
-                self.victims(place)
+                self.serving[place].iter().copied().map(Some).collect()
             };
             for victim in victims {
                 let value = self.value(model, place, victim, wait);
@@ -214,13 +221,6 @@
         best.filter(|b| b.value > 0.0)
     }
 
-    /// The models on an engine, any of which may make room.
-    fn victims(&self, place: usize) -> Vec<Option<usize>> {
-        let engine = self.engines[place].1;
-        let held = |m: &usize| engine.serves(self.models[*m].0);
-        (0..self.models.len()).filter(held).map(Some).collect()
-    }
-
     /// Takes a move into account for those that follow.
     fn apply(&mut self, model: usize, chosen: &Move) {
         if let Some(victim) = chosen.victim {
