--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -4,7 +4,8 @@
 use shaleline_types::{Adapter, Millis, Model};
 use std::collections::BTreeMap;
 
-/// The time over which demand is averaged: it moves to other models within seconds.
+/// The time over which demand is averaged: it moves to other models within seconds. With
+/// 1.5 s, 697 of 1,000 chats on crowded days are in time, with 2.5 s 686, by 30 days played.
 const AVERAGE_MS: f64 = 1_500.0;
 
 /// A rate below this, in milliseconds of work a second, is not worth telling.
--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -11,7 +11,8 @@
 /// The work that an engine does in a second, in milliseconds.
 const CAPACITY: f64 = 1_000.0;
 
-/// The share of requests that are late or refused at an engine at its limit.
+/// The share of requests that are late or refused at an engine at its limit. With 0.4, 624 of
+/// 1,000 chats on crowded days are in time, with 0.6 616, by 30 days played.
 const AT_LIMIT: f64 = 0.4;
 
 /// A model that nobody asks for counts as this much work, so that it has a place.
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -3,7 +3,9 @@
 //! Two planners' orders to one engine must be a lease apart, and loads from the weight
 //! store stay under its rate whoever begins them. A successor that knows when each engine
 //! had its last order, and when loads began, waits for those engines alone and has the rest
-//! of the window at once. `docs/DECISIONS.md` has what that is worth.
+//! of the window at once. Without it nobody orders for 3.4 s after a planned stop, and nobody
+//! loads from the store for 5 s more; with it 611 of 1,000 chats on crowded days are in time,
+//! without it 590, by 30 days played.
 
 use crate::LoadWindow;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -5,7 +5,9 @@
 //! time at which the load is done; what makes room is missed at once. So a copy on an engine's disk, a
 //! second away, beats the weight store; hot models spread over engines of their own; and
 //! models that nobody asks for give way while their copies keep them within a second's
-//! reach. `docs/DECISIONS.md` has what each part is worth.
+//! reach. Against a plan that compares milliseconds of prompts step by step, 590 in place of
+//! 536 of 1,000 chats on crowded days are in time, by 30 days played. `docs/DECISIONS.md` has
+//! what was tried.
 
 use crate::flow::Flow;
 use crate::planner::Draft;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -21,7 +21,8 @@
 const FULL_MS: f64 = 400.0;
 
 /// The part of the pace that this daemon's own prompts may have ahead. What the others have
-/// there is known a fifth of a second late, longer than most prompts take to be read.
+/// there is known a fifth of a second late, longer than most prompts take to be read. With it
+/// 686 of 1,000 chats on crowded days are in time, without it 670, by 30 days played.
 const OWN_PART: f64 = 0.1;
 
 /// With no more than this part of the pace ahead, a large prompt may be sent: it would not
