--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -174,18 +174,20 @@
         let level = level(besides, work);
         let each = f64::from(self.asked[model].count) / work;
         for part in &mut parts {
-            let load = &mut self.loads[part.engine];
-            part.work = (level - load.work).max(0.0);
+            part.work = (level - self.loads[part.engine].work).max(0.0);
             part.count = part.work * each;
-            load.work += part.work;
-            load.count += part.count;
         }
-        self.parts[model] = parts;
+        self.put(model, parts);
     }
 
     /// Puts back what [`Flow::take`] took, shares included.
     fn restore(&mut self, model: usize, parts: Vec<Part>) {
         self.take(model);
+        self.put(model, parts);
+    }
+
+    /// Puts a model's work on the engines of these parts.
+    fn put(&mut self, model: usize, parts: Vec<Part>) {
         for part in &parts {
             let load = &mut self.loads[part.engine];
             load.work += part.work;
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -199,13 +199,10 @@
             if far && draft.loads <= kept {
                 continue;
             }
-            debug_assert!(!engine.serves(name), "it is among the replicas");
-            let victims = if draft.has_room(engine, rule) {
-                vec![None]
-            } else if spare {
-                Vec::new()
-            } else {
-                self.serving[place].iter().copied().map(Some).collect()
+            let victims = match (draft.has_room(engine, rule), spare) {
+                (true, _) => vec![None],
+                (false, true) => Vec::new(),
+                (false, false) => self.serving[place].iter().copied().map(Some).collect(),
             };
             for victim in victims {
                 let value = self.value(model, place, victim, wait);
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -131,17 +131,21 @@
         .quickcheck(is_lease_apart as fn(Vec<Step>) -> TestResult);
 }
 
+/// The topic as it ends after a claim or a renewal.
+fn view(end: u64, holder: Option<&str>) -> ClaimView {
+    ClaimView {
+        end,
+        holder: holder.map(str::to_owned),
+        released: false,
+        handed: false,
+    }
+}
+
 /// Found once by a run without a seed: a claim whose answer was lost was found by reading
 /// and counted from the read, while the others counted from the append.
 #[test]
 fn a_claim_found_late_counts_from_its_append() {
     let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "me".to_owned());
-    let view = |end, holder: Option<&str>| ClaimView {
-        end,
-        holder: holder.map(str::to_owned),
-        released: false,
-        handed: false,
-    };
     claim.tick(Millis(START));
     claim.on_read(&view(0, None), Millis(START));
     let append = ClaimAction::Append {
@@ -173,12 +177,6 @@
 #[test]
 fn a_claim_without_an_answer_is_found_by_reading() {
     let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "me".to_owned());
-    let view = |end, holder: Option<&str>| ClaimView {
-        end,
-        holder: holder.map(str::to_owned),
-        released: false,
-        handed: false,
-    };
     assert_eq!(claim.tick(Millis(START)), Some(ClaimAction::Read));
     claim.on_read(&view(0, None), Millis(START + 5));
     let append = ClaimAction::Append {
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -301,7 +301,7 @@
     fleet
 }
 
-/// The gate of mraznik trouble-3: an idle model that had made room for one that was asked for
+/// Some models were never served all day: an idle model that had made room for one that was asked for
 /// was loaded back into it, again and again.
 #[test]
 fn room_goes_to_the_model_that_needs_it_before_an_idle_one() {
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -74,7 +74,7 @@
     assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(up())]);
 }
 
-/// DRAIN on turnos, trouble-1, seed 11: a removal 3.3 s after the store was well again was
+/// An upstream that left got new work: a removal 3.3 s after the store was well again was
 /// held for 1.4 s.
 #[test]
 fn a_removal_long_after_the_disturbance_is_not_held() {
@@ -96,7 +96,7 @@
     assert_eq!(change, Some(Change::Present(up())));
 }
 
-/// DRAIN on turnos grown, trouble-1: a hub that the store had refused held a removal and told
+/// An upstream that left got new work: a hub that the store had refused held a removal and told
 /// its followers the entry with the removal's offset, which brought the upstream back.
 #[test]
 fn an_entry_whose_removal_is_held_keeps_its_own_offset() {
@@ -135,7 +135,7 @@
     assert_eq!(changes, [Change::Gone(up()), Change::Present(name)]);
 }
 
-/// DRAIN on a day on which the store refused one hub alone: a removal that the others had
+/// The store refused one hub alone: a removal that the others had
 /// acted on was held for a second more, 63 ms beyond the bound.
 #[test]
 fn a_removal_is_not_held_while_the_store_serves_another_daemon() {
