--- a/scripts/days.py
+++ b/scripts/days.py
@@ -8,6 +8,8 @@
 file. Processor time is not counted unless --cpu is given, so that a run mostly repeats.
 --save keeps the figures of each day, --against compares with figures that were kept: days
 of the same name and seed are paired, as single days differ far more than policies do.
+A day counts as missed by its broken rules, its fault and by what was served too little: the
+headline of a hunt counts broken rules alone, `scripts/hunts.py` counts all three.
 """
 import argparse
 import json
@@ -29,6 +31,13 @@
     return [name for name, slot in days if slot in ("trouble", "scale")]
 
 
+def missed(figures):
+    """What a day's figures or a hunted day miss of the gate: broken rules, faults, too little served."""
+    rules = sorted(figures.get("breaks") or figures.get("rules") or [])
+    fault = [figures["fault"]] if figures.get("fault") else []
+    return rules + fault + [f"SHORT: {line}" for line in figures.get("short") or []]
+
+
 def play(bench, site, day, seed, options):
     """Plays one day and returns its figures."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
@@ -46,7 +55,7 @@
     for kind in figures["classes"]:
         for key in ("in_aim", "late", "refused", "failed"):
             row[f"{kind['name']} {key}"] = kind[key] / max(kind["n"], 1)
-    row["broken"] = sorted(figures["breaks"]) + ([figures["fault"]] if figures["fault"] else [])
+    row["broken"] = missed(figures)
     return f"{day}/{seed}", row
 
 
@@ -76,7 +85,7 @@
     print("worth by day: " + ", ".join(means))
     for day, row in rows.items():
         if row["broken"]:
-            print(f"BROKEN {day}: {row['broken']}")
+            print(f"MISSED {day}: {row['broken']}")
 
 
 def main():
