Log what a plan decided and why, and how long models that callers ask for are away

The logs could not tell why a model that callers waited for was not loaded: neither what the plan believed nor what it compared. Events 5005, 5006, 5007 and the histogram shaleline_model_away_ms do. No decision changes.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -156,6 +156,12 @@
         self.held.busy || self.pending.iter().any(|p| p.order.adapter.is_none())
     }
 
+    /// Whether an order to drop a model is open.
+    pub(crate) fn is_dropping(&self) -> bool {
+        let drops = |o: &Order| o.kind == OrderKind::Unload && o.adapter.is_none();
+        self.pending.iter().any(|p| drops(&p.order))
+    }
+
     /// Every model that may be in its memory, in the worst case.
     fn worst_models(&self) -> BTreeSet<&Model> {
         let loads = self.pending.iter().filter_map(|p| {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -132,6 +132,18 @@
         self.engines.values().filter(serves).count()
     }
 
+    /// Whether an engine serves the model now.
+    pub(crate) fn is_served(&self, model: &Model) -> bool {
+        let serves = |e: &Engine| e.counts() && e.serves(model);
+        self.engines.values().any(serves)
+    }
+
+    /// How many engines are at work on dropping a model.
+    pub(crate) fn dropping(&self) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|e| e.counts() && e.is_dropping()).count()
+    }
+
     /// Engines that must be asked what they hold before they can be ordered.
     pub fn unproven(&self) -> impl Iterator<Item = &Upstream> {
         let unproven = |(_, e): &(&Upstream, &Engine)| !e.leaving && !e.is_proven();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! Nothing here reads a clock or a socket. `docs/PLACEMENT.md` has the ways weighed.
 
+mod absence;
 mod adapt;
 mod catalog;
 mod claim;
@@ -18,6 +19,7 @@
 mod flow;
 mod handover;
 mod moves;
+mod note;
 mod order;
 mod planner;
 mod spread;
@@ -29,6 +31,7 @@
 pub use engine::{Engine, Held, Sighting};
 pub use fleet::Fleet;
 pub use handover::{Handover, LastOrders};
+pub use note::PlanNote;
 pub use order::{Order, OrderKind, OrderReply};
 pub use planner::{PlanSettings, PlanView, Planner};
 pub use spread::LeadTime;
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -11,7 +11,7 @@
 
 use crate::flow::Flow;
 use crate::planner::Draft;
-use crate::{Engine, ModelRule, OrderKind, Rate};
+use crate::{Engine, ModelRule, OrderKind, PlanNote, Rate};
 use shaleline_types::{Millis, Model, Upstream};
 
 /// How long demand is taken to stay as it is, in seconds. A load of six to nine seconds
@@ -265,6 +265,7 @@
         if chosen.wait {
             return;
         }
+        self.note_move(board, model, chosen);
         *self.replicas.entry(name).or_default() += 1;
         let Some(victim) = chosen.victim else {
             self.loads -= usize::from(chosen.far);
@@ -278,4 +279,19 @@
         self.order(engine, OrderKind::Unload, victim, None);
         self.intend(engine, name);
     }
+
+    fn note_move(&mut self, board: &Board<'a>, model: usize, chosen: &Move) {
+        let (model, _) = board.models[model];
+        let victim = chosen.victim.map(|v| board.models[v].0);
+        let victim_asked = victim.map_or(0.0, |v| self.asked(v).count);
+        self.notes.push(PlanNote::Move {
+            model: model.clone(),
+            engine: board.engines[chosen.engine].0.clone(),
+            victim: victim.cloned(),
+            value: chosen.value,
+            asked: (self.asked(model).count, victim_asked),
+            far: chosen.far,
+            loads: self.loads,
+        });
+    }
 }
--- /dev/null
+++ b/crates/fleet/src/note.rs
@@ -0,0 +1,101 @@
+//! What a plan decided and why, for the log.
+
+use shaleline_types::{Millis, Model, Upstream};
+use std::fmt;
+
+/// One decision, with what decided it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlanNote {
+    /// A model is loaded at an engine, or room is made for it there.
+    Move {
+        /// The model.
+        model: Model,
+        /// Where.
+        engine: Upstream,
+        /// The model that makes room.
+        victim: Option<Model>,
+        /// What the move is worth, in requests over the horizon.
+        value: f64,
+        /// What is asked for of the model and of the one that makes room, in requests a second.
+        asked: (f32, f32),
+        /// Whether it comes from the weight store, and how many loads from there may begin.
+        far: bool,
+        /// The loads from the weight store that might begin before this one.
+        loads: usize,
+    },
+    /// Callers ask for a model that no engine serves.
+    Away {
+        /// The model.
+        model: Model,
+        /// For how long.
+        away: Millis,
+        /// What is asked for, in requests a second.
+        asked: f32,
+        /// How many engines are getting it.
+        coming: usize,
+        /// How many engines have a copy.
+        copies: usize,
+        /// How many engines could be ordered now.
+        free: usize,
+        /// How many engines are at work on dropping a model.
+        dropping: usize,
+        /// How many loads from the weight store may begin.
+        loads: usize,
+    },
+    /// A model that callers asked for in vain is served again.
+    Back {
+        /// The model.
+        model: Model,
+        /// For how long it was away.
+        away: Millis,
+    },
+}
+
+impl PlanNote {
+    /// The engine that is to be ordered.
+    #[must_use]
+    pub fn engine(&self) -> Option<&Upstream> {
+        match self {
+            Self::Move { engine, .. } => Some(engine),
+            Self::Away { .. } | Self::Back { .. } => None,
+        }
+    }
+}
+
+impl fmt::Display for PlanNote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Move {
+                model,
+                engine,
+                victim,
+                value,
+                asked: (model_asked, victim_asked),
+                far,
+                loads,
+            } => {
+                write!(f, "model={model} upstream={engine} value={value:.1}")?;
+                write!(f, " asked={model_asked:.2} far={far} loads={loads}")?;
+                match victim {
+                    Some(victim) => write!(f, " victim={victim} victim_asked={victim_asked:.2}"),
+                    None => Ok(()),
+                }
+            }
+            Self::Away {
+                model,
+                away,
+                asked,
+                coming,
+                copies,
+                free,
+                dropping,
+                loads,
+            } => {
+                write!(f, "model={model} away_ms={} asked={asked:.2}", away.0)?;
+                write!(f, " coming={coming} copies={copies} free={free}")?;
+                write!(f, " dropping={dropping} loads={loads}")
+            }
+            Self::Back { model, away } => write!(f, "model={model} away_ms={}", away.0),
+        }
+    }
+}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,9 +5,12 @@
 //! is making room. `moves` decides about weights, `adapt` about adapters, `spread` about
 //! the time before the first traffic. `docs/PLACEMENT.md` has what was weighed.
 
+use crate::absence::Absences;
 use crate::moves::Board;
 use crate::spread::LeadTime;
-use crate::{Catalog, Engine, Fleet, LoadWindow, ModelRule, Order, OrderKind, Rate, Rates};
+use crate::{
+    Catalog, Engine, Fleet, LoadWindow, ModelRule, Order, OrderKind, PlanNote, Rate, Rates,
+};
 use shaleline_types::{Adapter, Millis, Model, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -54,6 +57,8 @@
 pub struct Planner {
     settings: PlanSettings,
     intents: BTreeMap<Upstream, Intent>,
+    absences: Absences,
+    notes: Vec<PlanNote>,
 }
 
 /// The model for which an engine is making room.
@@ -84,7 +89,7 @@
     pub fn new(settings: PlanSettings) -> Self {
         Self {
             settings,
-            intents: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
@@ -101,19 +106,29 @@
             .retain(|name, intent| intent.holds(view.fleet.get(name), now));
         let mut draft = Draft::new(view, self.settings, &self.intents, now);
         draft.loads = window.room(view.catalog.rate, now);
+        draft.notes = self.absences.observe(&draft);
         let mut board = Board::new(&draft);
         draft.make_moves(&mut board);
         draft.adapt(&board);
         draft.use_lead();
         let Draft {
-            orders, intended, ..
+            orders,
+            intended,
+            notes,
+            ..
         } = draft;
+        self.notes.extend(notes);
         for (name, model) in intended {
             let intent = Intent { model, since: now };
             self.intents.insert(name, intent);
         }
         orders
     }
+
+    /// What was decided since this was asked last, and why.
+    pub fn take_notes(&mut self) -> Vec<PlanNote> {
+        std::mem::take(&mut self.notes)
+    }
 }
 
 pub(crate) struct Draft<'a> {
@@ -133,6 +148,7 @@
     /// Those of this plan.
     intended: Vec<(Upstream, Model)>,
     orders: Vec<Order>,
+    pub(crate) notes: Vec<PlanNote>,
     pub(crate) now: Millis,
 }
 
@@ -168,6 +184,7 @@
             intents,
             intended: Vec::new(),
             orders: Vec::new(),
+            notes: Vec::new(),
             now,
         }
     }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -5,7 +5,7 @@
 use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
-use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanView, Planner, Rates};
+use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanNote, PlanView, Planner, Rates};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -211,6 +211,13 @@
             orders.push((service.clone(), order));
         }
     }
+    let mut notes = planner.take_notes();
+    // What is planned for an engine that is still at work is planned again until it is ordered.
+    notes.retain(|n| {
+        n.engine()
+            .is_none_or(|e| !working.engines.borrow().contains(e))
+    });
+    tell(gw, &notes);
     look_again(gw, working);
     for (service, order) in orders {
         if working.engines.borrow_mut().insert(order.engine.clone()) {
@@ -235,6 +242,21 @@
     }
 }
 
+/// Logs what a plan decided, and counts how long models were away.
+fn tell(gw: &Gateway, notes: &[PlanNote]) {
+    for note in notes {
+        let event = match note {
+            PlanNote::Move { .. } => LogEvent::MovePlanned,
+            PlanNote::Away { .. } => LogEvent::ModelAway,
+            PlanNote::Back { away, .. } => {
+                gw.metrics.note_away(away.0);
+                LogEvent::ModelBack
+            }
+        };
+        emit(event, &note.to_string());
+    }
+}
+
 /// Asks engines what they hold, where that is not known for certain.
 fn look_again(gw: &Rc<Gateway>, working: &Rc<Working>) {
     let fleets = gw.fleets.borrow();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     orders: Counter<u64>,
     first: Histogram<f64>,
     wait: Histogram<f64>,
+    away: Histogram<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -42,6 +43,7 @@
         dropped.build();
         let first = meter.f64_histogram("shaleline_first_byte_ms");
         let wait = meter.f64_histogram("shaleline_wait_ms");
+        let away = meter.f64_histogram("shaleline_model_away_ms");
         Ok(Self {
             registry,
             requests: meter.u64_counter("shaleline_requests").build(),
@@ -50,6 +52,9 @@
             orders: meter.u64_counter("shaleline_orders").build(),
             first: first.with_description("arrival to first byte").build(),
             wait: wait.with_description("arrival to first send").build(),
+            away: away
+                .with_description("asked for in vain until served")
+                .build(),
             _provider: provider,
         })
     }
@@ -86,6 +91,11 @@
         self.wait.record(millis as f64, &[]);
     }
 
+    /// Notes how long callers asked in vain for a model.
+    pub(crate) fn note_away(&self, millis: u64) {
+        self.away.record(millis as f64, &[]);
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -73,6 +73,9 @@
     OrderSettled 5002 Info "An engine reported how an order ended.";
     OrderDoubt 5003 Warn "An order got no answer and stays in doubt.";
     Overcommit 5004 Error "An engine reports more memory in use than it has.";
+    MovePlanned 5005 Info "A plan moves a model, with what decided it.";
+    ModelAway 5006 Info "Callers ask for a model that no engine serves.";
+    ModelBack 5007 Info "A model that callers asked for in vain is served again.";
     KeyUnknown 6001 Warn "A keyed request has an unknown outcome.";
     KeyAbandoned 6002 Info "A begun keyed request was given up before it was sent.";
     MemberJoined 7001 Info "A daemon joined.";
