Weigh a model that is away by its callers, not by a figure beyond all demand

Cause: what nobody asked for and had no second copy lost a million requests a second while away (LAST_LOSS), so it outranked every model that callers waited for: new engines loaded idle models first, busy replicas made room. Ruled out: demand forgotten while away, leaving engines that count, waits for drains as the main cause; by the plan's own lines. Change: a model that is nowhere loses its callers, and more with each that came in vain (absence.rs); engines that leave at a pace make models with few replicas lose theirs (churn.rs); loads from the store cost more the fewer are left; a last replica without copies goes only where callers wait in vain; filling free room is free.

--- a/crates/fleet/src/absence.rs
+++ b/crates/fleet/src/absence.rs
@@ -18,6 +18,8 @@
     /// When somebody was last seen to ask for it.
     asked: Millis,
     told: Millis,
+    /// How many callers came in vain, as far as the rate tells.
+    in_vain: f64,
 }
 
 /// The models that are away.
@@ -27,6 +29,11 @@
 }
 
 impl Absences {
+    /// How many callers came in vain since the model went away.
+    pub(crate) fn in_vain(&self, model: &Model) -> f64 {
+        self.models.get(model).map_or(0.0, |a| a.in_vain)
+    }
+
     /// Takes in what a plan sees; returns what is worth telling.
     pub(crate) fn observe(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
         let now = draft.now;
@@ -52,8 +59,11 @@
             since: now,
             asked: now,
             told: Millis(0),
+            in_vain: 0.0,
         };
         let absence = self.models.entry(model.clone()).or_insert(first);
+        let rate = f64::from(draft.asked(model).count);
+        absence.in_vain += rate * now.since(absence.asked) as f64 / 1_000.0;
         absence.asked = now;
         if now.since(absence.told) < TELL_AGAIN_MS {
             return None;
--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -142,6 +142,16 @@
         self.parts[model].iter().any(|p| p.engine == engine)
     }
 
+    /// The engines that hold the model.
+    pub(crate) fn engines_of(&self, model: usize) -> impl Iterator<Item = usize> + '_ {
+        self.parts[model].iter().map(|p| p.engine)
+    }
+
+    /// How many engines hold the model.
+    pub(crate) fn replicas(&self, model: usize) -> usize {
+        self.parts[model].len()
+    }
+
     /// Whether no engine holds the model.
     pub(crate) fn is_missing(&self, model: usize) -> bool {
         self.parts[model].is_empty()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod absence;
 mod adapt;
 mod catalog;
+mod churn;
 mod claim;
 mod demand;
 mod engine;
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -9,6 +9,7 @@
 //! 536 of 1,000 chats on crowded days are in time, by 30 days played. `docs/DECISIONS.md` has
 //! what was tried.
 
+use crate::churn::Churn;
 use crate::flow::Flow;
 use crate::planner::Draft;
 use crate::{Engine, ModelRule, OrderKind, PlanNote, Rate};
@@ -26,20 +27,31 @@
 /// order meanwhile.
 const BLOCKED_COST: f64 = 1.0;
 
-/// What is lost, in requests a second, while a model that nobody asks for is nowhere but
-/// has copies. It decides between an idle model and one more replica.
-const IDLE_LOSS: f64 = 0.5;
+/// The callers a second that a model which nobody asks for is taken to have. Everything that
+/// is weighed here is callers: a figure beyond all demand once stood in this place for models
+/// without a second copy, and those that callers waited for gave way to them.
+const IDLE_LOSS: f64 = 0.25;
 
-/// Loads from the weight store that are kept for models that are nowhere: what crashes
-/// take away must not wait for the window.
-const KEPT_LOADS: usize = 4;
+/// How long a model that is nowhere is taken to stay away if nothing loads it, in seconds. It
+/// is longer than demand lasts: only so a load of nine seconds is worth it for a model with
+/// few callers.
+const ABSENT_HORIZON_S: f64 = 30.0;
 
-/// The same for a model without so many copies: it would be seconds away, so it stays.
-const LAST_LOSS: f64 = 1e6;
+/// What each caller that came in vain adds to the callers a second of a model that is away.
+/// It grows for as long as nothing is done, so that every model is served in the end.
+const IN_VAIN: f64 = 0.1;
 
-/// A model that nobody holds may stay away while so many engines have a copy: two, as one
-/// of them may crash.
-pub(crate) const LAST_COPIES: usize = 2;
+/// What the last load that the weight store bears must be worth at the least, in seconds of all
+/// that is asked for. Loads cost nothing where there are enough; the fewer are left, the more
+/// they are kept for models that many callers may wait for in a moment.
+const SCARCE_S: f64 = 0.3;
+
+/// The engines that should have a copy of a model: two, as one of them may crash.
+pub(crate) const COPIES: usize = 2;
+
+/// The part of the time of a load for which callers go without on average, where all engines
+/// that hold a model leave within it.
+const EXPOSED_PART: f64 = 0.5;
 
 /// A replica that serves within this time counts as serving.
 const SOON: Millis = Millis(1_500);
@@ -79,6 +91,9 @@
     serving: Vec<Vec<usize>>,
     /// When the first replica of a model is there that is not there soon.
     due: Vec<Option<Millis>>,
+    /// The chance that each engine leaves within the time of a load from the weight store.
+    risks: Vec<f64>,
+    counts: Vec<f64>,
 }
 
 fn seconds(time: Millis) -> f64 {
@@ -86,7 +101,7 @@
 }
 
 impl<'a> Board<'a> {
-    pub(crate) fn new(draft: &Draft<'a>) -> Self {
+    pub(crate) fn new(draft: &Draft<'a>, churn: &Churn) -> Self {
         let (catalog, now) = (draft.view.catalog, draft.now);
         let engines = draft.view.fleet.engines.iter();
         let engines: Vec<_> = engines.filter(|(_, e)| e.counts()).collect();
@@ -117,10 +132,15 @@
             }
         }
         let asked: Vec<Rate> = models.iter().map(|(m, _)| draft.asked(m)).collect();
-        let lost = |m: &Model| {
-            let copied = draft.copies(m) >= LAST_COPIES;
-            f64::from(draft.asked(m).count) + if copied { IDLE_LOSS } else { LAST_LOSS }
-        };
+        let lost =
+            |m: &Model| f64::from(draft.asked(m).count) + IDLE_LOSS + draft.in_vain(m) * IN_VAIN;
+        let longest = models
+            .iter()
+            .map(|(_, r)| r.store)
+            .max()
+            .unwrap_or_default();
+        let risks = engines.iter().map(|(n, _)| churn.risk(n, longest, now));
+        let risks = risks.collect();
         let missing: Vec<f64> = models.iter().map(|(m, _)| lost(m)).collect();
         Self {
             soon: Flow::new(engines.len(), &soon, &asked, &missing),
@@ -129,6 +149,8 @@
             models,
             serving,
             due,
+            risks,
+            counts: asked.iter().map(|r| f64::from(r.count)).collect(),
         }
     }
 
@@ -138,10 +160,24 @@
         place.map_or(0.0, |p| self.later.load(p))
     }
 
+    /// The callers that a model is expected to lose because all engines that hold it leave,
+    /// were it held at `added` besides, and not at `removed`.
+    fn exposed(&self, model: usize, added: Option<usize>, removed: Option<usize>) -> f64 {
+        let held = self.later.engines_of(model).filter(|e| Some(*e) != removed);
+        let engines = held.chain(added);
+        let all_leave: f64 = engines.map(|e| self.risks[e]).product();
+        let (_, rule) = self.models[model];
+        self.counts[model] * seconds(rule.store) * all_leave * EXPOSED_PART
+    }
+
     /// The models that lose most as things are.
     fn neediest(&self) -> Vec<usize> {
         let mut models: Vec<usize> = (0..self.models.len()).collect();
-        let harm = |m: &usize| self.soon.harm_of(*m).max(self.later.harm_of(*m));
+        let exposed = |m: usize| self.exposed(m, None, None) / HORIZON_S;
+        let harm = |m: &usize| {
+            let harm = self.soon.harm_of(*m).max(self.later.harm_of(*m));
+            harm + exposed(*m)
+        };
         models.sort_by(|a, b| harm(b).total_cmp(&harm(a)));
         models.truncate(MOST_TRIED);
         models
@@ -159,6 +195,7 @@
         let until = seconds(Millis(wait.0 + drop.0 + load.0)).min(HORIZON_S);
         let later = self.later.weigh(model, engine, victim);
         let gain = match self.due[model] {
+            None if self.later.is_missing(model) => later.gain * (ABSENT_HORIZON_S - until),
             None => later.gain * (HORIZON_S - until),
             // Another replica is on its way: until then callers go without.
             Some(due) => {
@@ -167,8 +204,25 @@
                 soon.gain * (due - until).max(0.0) + later.gain * (HORIZON_S - due.max(until))
             }
         };
-        let cost = MOVE_COST + BLOCKED_COST * seconds(load);
-        gain - later.loss * HORIZON_S - cost
+        let fills = victim.is_none() && self.later.is_missing(model);
+        let cost = if fills {
+            0.0
+        } else {
+            MOVE_COST + BLOCKED_COST * seconds(load)
+        };
+        gain + self.insured(model, engine, victim) - later.loss * HORIZON_S - cost
+    }
+
+    /// The callers that a move is expected to save when engines leave.
+    fn insured(&self, model: usize, engine: usize, victim: Option<usize>) -> f64 {
+        if self.later.is_missing(model) {
+            return 0.0;
+        }
+        let saved = self.exposed(model, None, None) - self.exposed(model, Some(engine), None);
+        let risked = victim.map_or(0.0, |v| {
+            self.exposed(v, None, Some(engine)) - self.exposed(v, None, None)
+        });
+        saved - risked
     }
 
     fn load_time(&self, model: usize, engine: usize) -> Millis {
@@ -179,13 +233,9 @@
     /// The best move for a model, if any is worth it.
     fn best(&mut self, draft: &Draft<'a>, model: usize) -> Option<Move> {
         let (name, rule) = self.models[model];
-        let kept = if self.later.is_missing(model) {
-            0
-        } else {
-            KEPT_LOADS
-        };
-        // Nobody waits for an idle model with copies; it gets what room the others leave.
-        let spare = draft.is_idle(name) && draft.copies(name) >= LAST_COPIES;
+        let price = self.load_price(draft);
+        // Nobody waits for an idle model; it gets what room the others leave.
+        let spare = draft.is_idle(name);
         let mut best: Option<Move> = None;
         for place in 0..self.engines.len() {
             let (engine_name, engine) = self.engines[place];
@@ -196,16 +246,21 @@
                 continue;
             }
             let far = self.load_time(model, place) == rule.store;
-            if far && draft.loads <= kept {
+            if far && draft.loads == 0 {
                 continue;
             }
             let victims = match (draft.has_room(engine, rule), spare) {
                 (true, _) => vec![None],
                 (false, true) => Vec::new(),
-                (false, false) => self.serving[place].iter().copied().map(Some).collect(),
+                (false, false) => {
+                    let victims = self.serving[place].iter().copied();
+                    let victims = victims.filter(|v| self.may_go(draft, *v, model));
+                    victims.map(Some).collect()
+                }
             };
             for victim in victims {
-                let value = self.value(model, place, victim, wait);
+                let price = if far { price } else { 0.0 };
+                let value = self.value(model, place, victim, wait) - price;
                 if best.is_none_or(|b| value > b.value) {
                     best = Some(Move {
                         engine: place,
@@ -220,6 +275,21 @@
         best.filter(|b| b.value > 0.0)
     }
 
+    /// What a load from the weight store has to be worth, by how many are left.
+    fn load_price(&self, draft: &Draft<'a>) -> f64 {
+        let asked: f64 = self.counts.iter().sum();
+        let left = draft.loads as f64 / draft.most_loads.max(1) as f64;
+        asked * SCARCE_S * (1.0 - left).max(0.0)
+    }
+
+    /// Whether the victim may make room for the model at all. The last replica of a model that
+    /// would come from the weight store again if its engine crashed gives way only where
+    /// callers wait for the other in vain.
+    fn may_go(&self, draft: &Draft<'a>, victim: usize, model: usize) -> bool {
+        let waited = self.later.is_missing(model);
+        waited || self.later.replicas(victim) > 1 || draft.copies(self.models[victim].0) >= COPIES
+    }
+
     /// Takes a move into account for those that follow.
     fn apply(&mut self, model: usize, chosen: &Move) {
         if let Some(victim) = chosen.victim {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -6,6 +6,7 @@
 //! the time before the first traffic. `docs/PLACEMENT.md` has what was weighed.
 
 use crate::absence::Absences;
+use crate::churn::Churn;
 use crate::moves::Board;
 use crate::spread::LeadTime;
 use crate::{
@@ -58,6 +59,7 @@
     settings: PlanSettings,
     intents: BTreeMap<Upstream, Intent>,
     absences: Absences,
+    churn: Churn,
     notes: Vec<PlanNote>,
 }
 
@@ -106,8 +108,11 @@
             .retain(|name, intent| intent.holds(view.fleet.get(name), now));
         let mut draft = Draft::new(view, self.settings, &self.intents, now);
         draft.loads = window.room(view.catalog.rate, now);
+        draft.most_loads = window.most(view.catalog.rate);
+        self.churn.observe(view.fleet, now);
         draft.notes = self.absences.observe(&draft);
-        let mut board = Board::new(&draft);
+        draft.absences = Some(&self.absences);
+        let mut board = Board::new(&draft, &self.churn);
         draft.make_moves(&mut board);
         draft.adapt(&board);
         draft.use_lead();
@@ -139,6 +144,8 @@
     pub(crate) replicas: BTreeMap<&'a Model, usize>,
     /// Loads from the weight store that may begin.
     pub(crate) loads: usize,
+    /// Loads from the weight store that may begin in a whole window.
+    pub(crate) most_loads: usize,
     /// Models that this plan copies to another engine.
     pub(crate) copying: BTreeSet<&'a Model>,
     /// Engines that have an order in this plan.
@@ -149,6 +156,8 @@
     intended: Vec<(Upstream, Model)>,
     orders: Vec<Order>,
     pub(crate) notes: Vec<PlanNote>,
+    /// The models that callers ask for in vain.
+    absences: Option<&'a Absences>,
     pub(crate) now: Millis,
 }
 
@@ -179,12 +188,14 @@
             settings,
             asked,
             loads: 0,
+            most_loads: 0,
             copying: BTreeSet::new(),
             taken: BTreeSet::new(),
             intents,
             intended: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
+            absences: None,
             now,
         }
     }
@@ -234,6 +245,11 @@
         self.replicas.get(model).copied().unwrap_or(0)
     }
 
+    /// How many callers came in vain for the model since it went away.
+    pub(crate) fn in_vain(&self, model: &Model) -> f64 {
+        self.absences.map_or(0.0, |a| a.in_vain(model))
+    }
+
     /// Whether nobody has asked for the model for some seconds.
     pub(crate) fn is_idle(&self, model: &Model) -> bool {
         self.asked(model).work <= IDLE_WORK
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -4,7 +4,7 @@
 //! nine from the weight store, and does not count against the store's rate. So engines load
 //! one model more while nobody asks for anything, and then get back what they held.
 
-use crate::moves::LAST_COPIES;
+use crate::moves::COPIES;
 use crate::planner::Draft;
 use crate::{Engine, OrderKind};
 use shaleline_types::{Model, Upstream};
@@ -77,7 +77,7 @@
             let coming = |e: &Engine| e.is_pending(OrderKind::Load, m, None);
             !self.copying.contains(*m)
                 && !engine.first.contains(*m)
-                && self.copies(m) < LAST_COPIES
+                && self.copies(m) < COPIES
                 && !self.view.fleet.engines.values().any(coming)
         });
         single.next()
--- a/crates/fleet/src/window.rs
+++ b/crates/fleet/src/window.rs
@@ -81,7 +81,12 @@
         if now < self.blocked {
             return 0;
         }
+        self.most(rate).saturating_sub(self.begun.len())
+    }
+
+    /// How many loads may begin in a window at `rate` a second.
+    pub(crate) fn most(&self, rate: f64) -> usize {
         let most = rate * (self.length.0 as f64 / 1_000.0) * self.over + EXTRA;
-        (most as usize).saturating_sub(RESERVE + self.begun.len())
+        (most as usize).saturating_sub(RESERVE)
     }
 }
