Load what callers wait for before what nobody asks for, in the product's own planner too

The same cause elsewhere: models that no engine holds were loaded by size, whatever was asked for, and the loads of a plan are few. Test first: what_callers_wait_for_is_loaded_before_what_nobody_asks_for failed.

--- a/crates/place/src/draft.rs
+++ b/crates/place/src/draft.rs
@@ -115,7 +115,8 @@
         enough && leaving.count() == 0
     }
 
-    /// Loads what no live engine holds: first of all, and whatever it costs.
+    /// Loads what no live engine holds: first of all, and whatever it costs. Among these what
+    /// callers wait for comes first, then the largest, which is hardest to find room for.
     pub(crate) fn reach(&mut self) {
         let wanted = self.plan.wanted;
         let mut lost: Vec<(&Item, Megabytes)> = wanted
@@ -123,7 +124,11 @@
             .filter(|(i, _)| self.holders(i).is_empty())
             .map(|(i, _)| (i, wanted.whole_size(i)))
             .collect();
-        lost.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        let waited = |i: &Item| self.fluid.excess(&i.model);
+        lost.sort_by(|a, b| {
+            let by_demand = waited(b.0).total_cmp(&waited(a.0));
+            by_demand.then(b.1.cmp(&a.1)).then_with(|| a.0.cmp(b.0))
+        });
         for (base, whole) in lost {
             let own = wanted.size(base).unwrap_or_default();
             if let Some(engine) = self.roomiest(base, whole) {
--- a/crates/place/tests/ledger.rs
+++ b/crates/place/tests/ledger.rs
@@ -336,6 +336,19 @@
     assert!(matches!(&steps[0], Step::Load { item: i, .. } if *i == item("a", 1)));
 }
 
+/// An engine with room for one of two models that nobody holds. Callers wait for the smaller
+/// one; loaded in the order of their sizes, the one that nobody asks for kept them waiting.
+#[test]
+fn what_callers_wait_for_is_loaded_before_what_nobody_asks_for() {
+    let mut cell = Cell::new();
+    cell.put(&adopt(1, 1, false, &[]));
+    let mut demand = Demand::default();
+    demand.note(&item("asked", 1).model, 50.0, Millis(1_000));
+    let want = wanted(&[(item("idle", 1), 60), (item("asked", 1), 50)]);
+    let steps = plan(&cell, &want, &demand);
+    assert!(matches!(&steps[0], Step::Load { item: i, .. } if *i == item("asked", 1)));
+}
+
 #[test]
 fn a_new_version_is_loaded_before_the_old_one_goes() {
     let mut cell = Cell::new();
