Let no model stay away for good, and take engines to go on leaving at the pace of the last 3 s

A test that plays a model with a caller every five seconds, where all room is taken by busier ones, failed: it was never loaded, as each caller in vain added too little. They count by their square now: its turn comes after 25 s.

--- a/crates/fleet/src/absence.rs
+++ b/crates/fleet/src/absence.rs
@@ -29,9 +29,10 @@
 }
 
 impl Absences {
-    /// How many callers came in vain since the model went away.
-    pub(crate) fn in_vain(&self, model: &Model) -> f64 {
-        self.models.get(model).map_or(0.0, |a| a.in_vain)
+    /// How many callers came in vain for each model since it went away.
+    pub(crate) fn in_vain(&self) -> BTreeMap<Model, f64> {
+        let models = self.models.iter();
+        models.map(|(m, a)| (m.clone(), a.in_vain)).collect()
     }
 
     /// Takes in what a plan sees; returns what is worth telling.
--- a/crates/fleet/src/churn.rs
+++ b/crates/fleet/src/churn.rs
@@ -1,8 +1,9 @@
 //! How likely engines are to leave soon, by how many left lately.
 //!
 //! When the engines of a service are replaced one after the other, the replicas of a model
-//! leave one after the other too, and the new engines load for nine seconds. Who waits until
-//! the last replica is gone leaves its callers without for as long.
+//! leave one after the other too, and the new engines load for nine seconds. A plan that
+//! waits until the last replica is gone leaves callers without for as long. So engines are
+//! taken to go on leaving at the pace of the last seconds, and new ones to stay.
 
 use crate::{Engine, Fleet};
 use shaleline_types::{Millis, Upstream};
@@ -12,8 +13,9 @@
 /// the plan before it take about as long.
 const WINDOW_MS: u64 = 10_000;
 
-/// A pace is measured over so long at the least.
-const LEAST_SPAN_MS: u64 = 5_000;
+/// A pace is measured over so long at the least. With 3 s, 0.94 of the callers of the busiest
+/// model find it while twelve engines are replaced, with 5 s 0.92, by the test that plays it.
+const LEAST_SPAN_MS: u64 = 3_000;
 
 /// No engine is taken to leave for certain.
 const MOST_RISK: f64 = 0.9;
@@ -56,18 +58,20 @@
         since.is_some_and(|at| now.since(at) <= WINDOW_MS)
     }
 
-    /// The chance that an engine leaves within a time, from 0 to 1: as many are taken to leave
+    /// The chance that an engine leaves within a time, from 0 to 1. As many are taken to leave
     /// as left lately in the same time, any of the old ones.
-    pub(crate) fn risk(&self, engine: &Upstream, within: Millis, now: Millis) -> f64 {
-        let Some(first) = self.left.front() else {
-            return 0.0;
-        };
-        if self.is_new(engine, now) {
-            return 0.0;
-        }
-        let span = now.since(*first).max(LEAST_SPAN_MS) as f64;
+    pub(crate) fn outlook(&self, within: Millis, now: Millis) -> impl Fn(&Upstream) -> f64 + '_ {
+        let span = self.left.front().map(|first| now.since(*first));
+        let span = span.unwrap_or_default().max(LEAST_SPAN_MS) as f64;
         let leave = self.left.len() as f64 * within.0 as f64 / span;
         let old = self.here.keys().filter(|n| !self.is_new(n, now)).count();
-        (leave / old.max(1) as f64).min(MOST_RISK)
+        let chance = (leave / old.max(1) as f64).min(MOST_RISK);
+        move |engine| {
+            if self.is_new(engine, now) {
+                0.0
+            } else {
+                chance
+            }
+        }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod claim;
 mod demand;
 mod engine;
+mod exposure;
 mod fleet;
 mod flow;
 mod handover;
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -10,6 +10,7 @@
 //! what was tried.
 
 use crate::churn::Churn;
+use crate::exposure::Exposure;
 use crate::flow::Flow;
 use crate::planner::Draft;
 use crate::{Engine, ModelRule, OrderKind, PlanNote, Rate};
@@ -37,8 +38,10 @@
 /// few callers.
 const ABSENT_HORIZON_S: f64 = 30.0;
 
-/// What each caller that came in vain adds to the callers a second of a model that is away.
-/// It grows for as long as nothing is done, so that every model is served in the end.
+/// What the square of the callers that came in vain adds to the callers a second of a model
+/// that is away. So a few outweigh no busy model, but no model stays away for good: one with a
+/// caller every five seconds gets its turn after 25 s where all room is taken by models with
+/// two callers a second and more; without this it never does, by the test that plays it.
 const IN_VAIN: f64 = 0.1;
 
 /// What the last load that the weight store bears must be worth at the least, in seconds of all
@@ -49,10 +52,6 @@
 /// The engines that should have a copy of a model: two, as one of them may crash.
 pub(crate) const COPIES: usize = 2;
 
-/// The part of the time of a load for which callers go without on average, where all engines
-/// that hold a model leave within it.
-const EXPOSED_PART: f64 = 0.5;
-
 /// A replica that serves within this time counts as serving.
 const SOON: Millis = Millis(1_500);
 
@@ -91,9 +90,9 @@
     serving: Vec<Vec<usize>>,
     /// When the first replica of a model is there that is not there soon.
     due: Vec<Option<Millis>>,
-    /// The chance that each engine leaves within the time of a load from the weight store.
-    risks: Vec<f64>,
-    counts: Vec<f64>,
+    exposure: Exposure,
+    /// All that is asked for, in requests a second.
+    asked: f64,
 }
 
 fn seconds(time: Millis) -> f64 {
@@ -132,15 +131,10 @@
             }
         }
         let asked: Vec<Rate> = models.iter().map(|(m, _)| draft.asked(m)).collect();
-        let lost =
-            |m: &Model| f64::from(draft.asked(m).count) + IDLE_LOSS + draft.in_vain(m) * IN_VAIN;
-        let longest = models
-            .iter()
-            .map(|(_, r)| r.store)
-            .max()
-            .unwrap_or_default();
-        let risks = engines.iter().map(|(n, _)| churn.risk(n, longest, now));
-        let risks = risks.collect();
+        let lost = |m: &Model| {
+            let in_vain = draft.in_vain(m);
+            f64::from(draft.asked(m).count) + IDLE_LOSS + IN_VAIN * in_vain * in_vain
+        };
         let missing: Vec<f64> = models.iter().map(|(m, _)| lost(m)).collect();
         Self {
             soon: Flow::new(engines.len(), &soon, &asked, &missing),
@@ -149,8 +143,8 @@
             models,
             serving,
             due,
-            risks,
-            counts: asked.iter().map(|r| f64::from(r.count)).collect(),
+            exposure: Exposure::new(draft, churn),
+            asked: asked.iter().map(|r| f64::from(r.count)).sum(),
         }
     }
 
@@ -160,14 +154,11 @@
         place.map_or(0.0, |p| self.later.load(p))
     }
 
-    /// The callers that a model is expected to lose because all engines that hold it leave,
-    /// were it held at `added` besides, and not at `removed`.
+    /// The callers that a model is expected to lose when engines leave, were it held at
+    /// `added` besides, and not at `removed`.
     fn exposed(&self, model: usize, added: Option<usize>, removed: Option<usize>) -> f64 {
         let held = self.later.engines_of(model).filter(|e| Some(*e) != removed);
-        let engines = held.chain(added);
-        let all_leave: f64 = engines.map(|e| self.risks[e]).product();
-        let (_, rule) = self.models[model];
-        self.counts[model] * seconds(rule.store) * all_leave * EXPOSED_PART
+        self.exposure.lost(model, held.chain(added))
     }
 
     /// The models that lose most as things are.
@@ -204,6 +195,7 @@
                 soon.gain * (due - until).max(0.0) + later.gain * (HORIZON_S - due.max(until))
             }
         };
+        // Room that is free costs nothing to fill with a model that is nowhere.
         let fills = victim.is_none() && self.later.is_missing(model);
         let cost = if fills {
             0.0
@@ -215,10 +207,11 @@
 
     /// The callers that a move is expected to save when engines leave.
     fn insured(&self, model: usize, engine: usize, victim: Option<usize>) -> f64 {
-        if self.later.is_missing(model) {
-            return 0.0;
-        }
-        let saved = self.exposed(model, None, None) - self.exposed(model, Some(engine), None);
+        let saved = if self.later.is_missing(model) {
+            0.0
+        } else {
+            self.exposed(model, None, None) - self.exposed(model, Some(engine), None)
+        };
         let risked = victim.map_or(0.0, |v| {
             self.exposed(v, None, Some(engine)) - self.exposed(v, None, None)
         });
@@ -277,9 +270,8 @@
 
     /// What a load from the weight store has to be worth, by how many are left.
     fn load_price(&self, draft: &Draft<'a>) -> f64 {
-        let asked: f64 = self.counts.iter().sum();
         let left = draft.loads as f64 / draft.most_loads.max(1) as f64;
-        asked * SCARCE_S * (1.0 - left).max(0.0)
+        self.asked * SCARCE_S * (1.0 - left).max(0.0)
     }
 
     /// Whether the victim may make room for the model at all. The last replica of a model that
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -111,7 +111,7 @@
         draft.most_loads = window.most(view.catalog.rate);
         self.churn.observe(view.fleet, now);
         draft.notes = self.absences.observe(&draft);
-        draft.absences = Some(&self.absences);
+        draft.in_vain = self.absences.in_vain();
         let mut board = Board::new(&draft, &self.churn);
         draft.make_moves(&mut board);
         draft.adapt(&board);
@@ -156,8 +156,8 @@
     intended: Vec<(Upstream, Model)>,
     orders: Vec<Order>,
     pub(crate) notes: Vec<PlanNote>,
-    /// The models that callers ask for in vain.
-    absences: Option<&'a Absences>,
+    /// How many callers came in vain for each model that is away.
+    in_vain: BTreeMap<Model, f64>,
     pub(crate) now: Millis,
 }
 
@@ -195,7 +195,7 @@
             intended: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
-            absences: None,
+            in_vain: BTreeMap::new(),
             now,
         }
     }
@@ -247,7 +247,7 @@
 
     /// How many callers came in vain for the model since it went away.
     pub(crate) fn in_vain(&self, model: &Model) -> f64 {
-        self.absences.map_or(0.0, |a| a.in_vain(model))
+        self.in_vain.get(model).copied().unwrap_or(0.0)
     }
 
     /// Whether nobody has asked for the model for some seconds.
