Say what callers did not get and why one request was refused, from saved logs

shaleline losses LOG... counts by model: tries, served, refused while no engine served it, refused by full engines, failed, time away; shaleline explain ID LOG... shows a request's lines and the planner's decisions about its model.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -21,10 +21,15 @@
   members                    the daemons that are alive
   upstreams                  the upstreams
   hash TOKEN                 the hash of a token, for --admin-hash; asks nobody
+  losses LOG...              what callers of each model did not get, from saved logs; asks nobody
+  explain ID LOG...          what all daemons wrote about a request, and why its model was away
 
 Files are TOML, or JSON where the name ends in .json.
 ";
 
+/// Commands that ask no daemon.
+const LOCAL: [&str; 3] = ["hash", "losses", "explain"];
+
 /// A command to run and whom to ask.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -88,7 +93,7 @@
     if matches.opt_present("help") || matches.free.is_empty() {
         return Ok(Parsed::Help(options.usage(HELP)));
     }
-    let local = matches.free[0] == "hash";
+    let local = LOCAL.contains(&matches.free[0].as_str());
     let setting = |flag: &str, variable: &str| {
         let given = matches
             .opt_str(flag)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod command;
 mod file;
+mod saved;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/explain/tests/explain.rs
@@ -0,0 +1,83 @@
+//! Saved lines: what is read from them, what was lost, and why one request was refused.
+
+use shaleline_explain::{trace, Line, Losses, Tally};
+use shaleline_testkit::cases;
+
+/// The lines of two daemons, as a collector saved them, with what is no event in between.
+const LOG: &str = r#"
+7.2 entry-1 time=13:44:32.210 level=INFO event=5005 name=MovePlanned model=idle upstream=e1 value=12.0 asked=0.00 far=false loads=8 victim=frost victim_asked=15.09
+7.3 entry-1 time=13:44:32.258 level=INFO event=5001 name=OrderSent order="unload frost at e1 expecting 17" fence=1 reply=Accepted
+7.4 entry-1 time=13:44:32.300 level=INFO event=5006 name=ModelAway model=frost away_ms=0 asked=14.58 coming=0 copies=2 free=1 dropping=0 loads=0
+7.5 entry-2 time=13:44:32.400 level=INFO event=8202 name=RequestRefused id=r1 code=no-upstream route=ab asked=models/frost+a1 serving=0 sends=0
+7.6 entry-2 time=13:44:32.500 level=INFO event=8202 name=RequestRefused id=r2 code=deadline-unmet route=ab asked=models/other serving=3 sends=0
+7.7 entry-2 time=13:44:32.600 level=INFO event=8201 name=RequestEnded id=r3 code=ok route=ab asked=models/other serving=3 sends=1
+7.8 entry-2 time=13:44:32.700 level=INFO event=8204 name=SendFailed id=r4 upstream=e2 send=1 failure=Broken
+7.9 entry-2 time=13:44:32.800 level=WARN event=8203 name=RequestFailed id=r4 code=upstream-failed route=cd asked=services/pay serving=2 sends=1
+a line of a library without an event
+8.0 entry-2 time=13:44:32.900 level=INFO event=8202 name=RequestRefused id=r5 code=no-route reason="no route: event=9 of none"
+9.9 entry-1 time=13:44:34.900 level=INFO event=5007 name=ModelBack model=frost away_ms=2600
+"#;
+
+fn lines() -> Vec<Line<'static>> {
+    LOG.lines().filter_map(Line::from_text).collect()
+}
+
+#[test]
+fn only_lines_with_an_event_are_read() {
+    assert_eq!(lines().len(), 10);
+}
+
+fn tally_of(model: &str) -> Option<Tally> {
+    let mut losses = Losses::default();
+    lines().iter().for_each(|l| losses.note(l));
+    let models = losses.by_loss();
+    models.iter().find(|(m, _)| *m == model).map(|(_, t)| *t)
+}
+
+cases! { tally_of;
+    refused_while_nobody_serves_it: "frost" => Some(Tally {
+        tries: 1,
+        away: 1,
+        away_ms: 2_600,
+        ..Tally::default()
+    }),
+    refused_by_full_engines: "other" => Some(Tally {
+        tries: 2,
+        served: 1,
+        crowded: 1,
+        ..Tally::default()
+    }),
+    plain_services_are_one: "(services)" => Some(Tally {
+        tries: 1,
+        failed: 1,
+        ..Tally::default()
+    }),
+    nobody_asked_for_it: "idle" => None,
+}
+
+/// The numbers of the events that are shown about a request.
+fn shown(id: &str) -> Vec<u16> {
+    let shown = trace(&lines(), id);
+    shown.iter().map(|l| l.event.number()).collect()
+}
+
+cases! { shown;
+    // What the planner did with the model comes before.
+    one_whose_model_was_away: "r1" => vec![5005, 5001, 5006, 8202],
+    one_whose_engines_were_full: "r2" => vec![8202],
+    one_that_failed: "r4" => vec![8204, 8203],
+    one_that_is_not_in_the_lines: "r9" => Vec::<u16>::new(),
+}
+
+/// A field of a line; quotes hold spaces and equals signs together.
+fn field((text, key): (&str, &str)) -> Option<String> {
+    Line::from_text(text)?.get(key).map(str::to_owned)
+}
+
+cases! { field;
+    quoted: ("event=5001 order=\"load a at b\" reply=Accepted", "order") => Some("load a at b".to_owned()),
+    after_a_quoted_one: ("event=5001 order=\"load a=b\" reply=Accepted", "reply") => Some("Accepted".to_owned()),
+    an_open_quote_ends_the_fields: ("event=5001 order=\"load", "order") => None,
+    an_unknown_event: ("event=1 a=b", "a") => None,
+    no_number: ("event=x a=b", "a") => None,
+}
