Load adapters that are nowhere before weights

An engine that loads weights takes no order for nine seconds, adapters take some milliseconds, and plans gave weights the engine first. Ruled out: places (five or eight) as the only cause. Test first: an_adapter_that_is_nowhere_goes_before_weights failed (load b before a+a1).

--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -6,26 +6,32 @@
 use shaleline_types::{Adapter, Model};
 
 impl<'a> Draft<'a> {
-    /// Loads adapters that are asked for where their model is.
-    pub(crate) fn adapt(&mut self, board: &Board<'a>) {
+    /// Loads adapters that are asked for where their model is, until `copies` engines have each.
+    pub(crate) fn adapt(&mut self, board: &Board<'a>, copies: usize) {
         let asked = self.view.rates.iter();
         let mut asked: Vec<(&Model, &Adapter, f64)> = asked
             .filter_map(|((m, a), r)| Some((m, a.as_ref()?, f64::from(r.work))))
             .collect();
         asked.sort_by(|a, b| b.2.total_cmp(&a.2));
         for (model, adapter, _) in asked {
-            self.adapt_one(board, model, adapter);
+            self.adapt_one(board, model, adapter, copies);
         }
     }
 
-    fn adapt_one(&mut self, board: &Board<'a>, model: &'a Model, adapter: &'a Adapter) {
+    fn adapt_one(
+        &mut self,
+        board: &Board<'a>,
+        model: &'a Model,
+        adapter: &'a Adapter,
+        copies: usize,
+    ) {
         let serving = |e: &&Engine| e.counts() && e.serves(model);
         let has = |e: &Engine| {
             e.serves_adapter(model, adapter) || e.is_pending(OrderKind::Load, model, Some(adapter))
         };
         let engines = self.view.fleet.engines.values().filter(serving);
         let (count, models) = engines.fold((0, 0), |(c, m), e| (c + usize::from(has(e)), m + 1));
-        if count >= self.settings.adapters.min(models) {
+        if count >= copies.min(models) {
             return;
         }
         let candidates = self.view.fleet.engines.iter().filter(|(n, e)| {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -113,8 +113,11 @@
         draft.notes = self.absences.observe(&draft);
         draft.in_vain = self.absences.in_vain();
         let mut board = Board::new(&draft, &self.churn);
+        // An adapter is there within milliseconds; an engine that loads weights takes none for
+        // seconds. So those that are nowhere go before weights, further copies after them.
+        draft.adapt(&board, 1);
         draft.make_moves(&mut board);
-        draft.adapt(&board);
+        draft.adapt(&board, self.settings.adapters);
         draft.use_lead();
         let Draft {
             orders,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -185,6 +185,19 @@
             => vec!["load a+a1 at e0 expecting 0".to_owned()],
 }
 
+/// `e1` has room for `b`, which nobody holds, and serves `a`, whose adapter `a1` callers ask
+/// for in vain. An adapter is there within milliseconds, and an engine that loads weights takes
+/// no order for nine seconds: adapters of busy models were away for as long.
+#[test]
+fn an_adapter_that_is_nowhere_goes_before_weights() {
+    let catalog = catalog(&["a", "b"]);
+    let mut fleet = Fleet::default();
+    sight(&mut fleet, "e1", held(&["a"], 0));
+    let asked = rates(&[("a", Some("a1"), 5.0), ("b", None, 300.0)]);
+    let orders = plan(&catalog, &fleet, &asked);
+    assert_eq!(words(&orders), ["load a+a1 at e1 expecting 0"]);
+}
+
 /// An engine with its one place taken by `a1`, which is not asked for any more, while
 /// `a2` is. What is ordered next, once the order to drop `a1` got this answer?
 fn after_drop(reply: OrderReply) -> Vec<String> {
