--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -1,8 +1,8 @@
 //! Proposes which engine loads or drops what.
 //!
 //! Each call looks at the fleet as it is, orders in doubt included, and proposes the next
-//! step for engines that are not busy. All that is remembered is for which model an engine
-//! is making room. `moves` decides about weights, `adapt` about adapters, `spread` about
+//! step for engines that are not busy. What is remembered is for which model an engine is
+//! making room, which models callers ask for in vain, and which engines left lately. `moves` decides about weights, `adapt` about adapters, `spread` about
 //! the time before the first traffic. `docs/PLACEMENT.md` has what was weighed.
 
 use crate::absence::Absences;
