--- a/crates/fleet/tests/day/mod.rs
+++ b/crates/fleet/tests/day/mod.rs
@@ -3,7 +3,7 @@
 
 use shaleline_fleet::{
     Catalog, Demand, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderKind, OrderReply,
-    PlanSettings, PlanView, Planner, Sighting,
+    PlanSettings, PlanView, Planner, Rates, Sighting,
 };
 use shaleline_types::{DataCentre, Megabytes, Millis, Model, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,6 +67,22 @@
     }
 }
 
+/// No engine had an order from another planner.
+static RESTING: BTreeMap<Upstream, Millis> = BTreeMap::new();
+
+/// What a plan looks at during the day.
+pub(crate) fn view<'a>(catalog: &'a Catalog, fleet: &'a Fleet, rates: &'a Rates) -> PlanView<'a> {
+    PlanView {
+        lead: LeadTime::Over,
+        catalog,
+        fleet,
+        rates,
+        fence: 7,
+        holder: "me",
+        resting: &RESTING,
+    }
+}
+
 /// An engine as it is, which the planner only hears of.
 #[derive(Debug, Default)]
 pub(crate) struct Real {
@@ -237,15 +253,8 @@
     fn plan(&mut self, now: u64) {
         let at = Millis(now);
         self.fleet.prune(at);
-        let view = PlanView {
-            lead: LeadTime::Over,
-            catalog: &self.catalog,
-            fleet: &self.fleet,
-            rates: &self.demand.rates(at),
-            fence: 7,
-            holder: "me",
-            resting: &BTreeMap::new(),
-        };
+        let rates = self.demand.rates(at);
+        let view = view(&self.catalog, &self.fleet, &rates);
         for order in self.planner.plan(&view, &mut self.window, at) {
             let Some(real) = self.engines.get_mut(&order.engine) else {
                 continue;
--- a/crates/fleet/tests/replaced.rs
+++ b/crates/fleet/tests/replaced.rs
@@ -11,13 +11,13 @@
 
 mod day;
 
-use day::{catalog, centre, engine, model, Day, BUSY, RARE_EVERY_MS, REQUEST_WORK, STEP};
+use day::{catalog, centre, engine, model, view, Day, BUSY, RARE_EVERY_MS, REQUEST_WORK, STEP};
 use shaleline_fleet::{
     Catalog, Demand, Fleet, Held, LeadTime, LoadWindow, OrderKind, PlanSettings, PlanView, Planner,
     Sighting,
 };
 use shaleline_types::{Megabytes, Millis, Model};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// The first models, on engines with room for two.
 fn small_catalog(models: usize) -> Catalog {
@@ -94,15 +94,8 @@
     for _ in 0..21 {
         demand.note(&busy, None, REQUEST_WORK, now);
     }
-    let view = PlanView {
-        lead: LeadTime::Over,
-        catalog: &catalog,
-        fleet: &fleet,
-        rates: &demand.rates(now),
-        fence: 7,
-        holder: "me",
-        resting: &BTreeMap::new(),
-    };
+    let rates = demand.rates(now);
+    let view = view(&catalog, &fleet, &rates);
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
     let orders = Planner::new(PlanSettings::default()).plan(&view, &mut window, now);
     let dropped = orders
@@ -145,15 +138,8 @@
                 demand.note(model, None, REQUEST_WORK, at);
             }
         }
-        let view = PlanView {
-            lead: LeadTime::Over,
-            catalog: &catalog,
-            fleet: &fleet,
-            rates: &demand.rates(at),
-            fence: 7,
-            holder: "me",
-            resting: &BTreeMap::new(),
-        };
+        let rates = demand.rates(at);
+        let view = view(&catalog, &fleet, &rates);
         !planner.plan(&view, &mut window, at).is_empty()
     });
     let room_made = room_made.expect("room is made for it");
