--- a/crates/fleet/tests/replaced.rs
+++ b/crates/fleet/tests/replaced.rs
@@ -13,8 +13,7 @@
 
 use day::{catalog, centre, engine, model, view, Day, BUSY, RARE_EVERY_MS, REQUEST_WORK, STEP};
 use shaleline_fleet::{
-    Catalog, Demand, Fleet, Held, LeadTime, LoadWindow, OrderKind, PlanSettings, PlanView, Planner,
-    Sighting,
+    Catalog, Demand, Fleet, Held, LoadWindow, OrderKind, PlanSettings, Planner, Sighting,
 };
 use shaleline_types::{Megabytes, Millis, Model};
 use std::collections::BTreeSet;
