Count no callers in vain for a pause between them

Found reading the diff: the rate of one caller was taken to hold for the whole pause before it, so a model asked for twice in half a minute outweighed busy ones. Test first: a_pause_between_callers_counts_for_none failed (room made for it at 30 s).

--- a/crates/fleet/src/absence.rs
+++ b/crates/fleet/src/absence.rs
@@ -18,6 +18,8 @@
     /// When somebody was last seen to ask for it.
     asked: Millis,
     told: Millis,
+    /// When it was last looked at.
+    seen: Millis,
     /// How many callers came in vain, as far as the rate tells.
     in_vain: f64,
 }
@@ -48,6 +50,8 @@
                 }
             } else if !draft.is_idle(model) {
                 notes.extend(self.note_asked(draft, model));
+            } else if let Some(absence) = self.models.get_mut(model) {
+                absence.seen = now;
             }
         }
         self.models.retain(|_, a| now.since(a.asked) < FORGET_MS);
@@ -60,12 +64,14 @@
             since: now,
             asked: now,
             told: Millis(0),
+            seen: now,
             in_vain: 0.0,
         };
         let absence = self.models.entry(model.clone()).or_insert(first);
         let rate = f64::from(draft.asked(model).count);
-        absence.in_vain += rate * now.since(absence.asked) as f64 / 1_000.0;
+        absence.in_vain += rate * now.since(absence.seen) as f64 / 1_000.0;
         absence.asked = now;
+        absence.seen = now;
         if now.since(absence.told) < TELL_AGAIN_MS {
             return None;
         }
--- a/crates/fleet/tests/replaced.rs
+++ b/crates/fleet/tests/replaced.rs
@@ -103,6 +103,20 @@
     assert_eq!(dropped, None);
 }
 
+/// Two engines without room, each with the busy model and one of the others.
+fn without_room(busy: &Model, others: [&Model; 2]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (number, other) in others.into_iter().enumerate() {
+        let held = Held {
+            models: [busy, other].map(|m| (m.clone(), BTreeSet::new())).into(),
+            ..Held::default()
+        };
+        let name = engine(number);
+        fleet.sight(&name, &centre(), held, Sighting::Listed, Millis(0));
+    }
+    fleet
+}
+
 /// All room is taken: the busy model has twenty callers a second on two engines, two others
 /// have two a second. A model that is nowhere has a caller every five seconds, so at any moment
 /// it is worth less than what would make room for it, and it was never loaded.
@@ -110,20 +124,7 @@
 fn a_rarely_asked_model_gets_its_turn_where_all_room_is_taken() {
     let [busy, first, second, rare] = [0, 1, 2, 3].map(model);
     let catalog = small_catalog(4);
-    let mut fleet = Fleet::default();
-    for (number, other) in [(1, &first), (2, &second)] {
-        let held = Held {
-            models: [&busy, other].map(|m| (m.clone(), BTreeSet::new())).into(),
-            ..Held::default()
-        };
-        fleet.sight(
-            &engine(number),
-            &centre(),
-            held,
-            Sighting::Listed,
-            Millis(0),
-        );
-    }
+    let fleet = without_room(&busy, [&first, &second]);
     let mut demand = Demand::default();
     let mut planner = Planner::new(PlanSettings::default());
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
@@ -144,3 +145,30 @@
     let room_made = room_made.expect("room is made for it");
     assert!(room_made <= 30_000, "after {room_made} ms");
 }
+
+/// How often a model that is nowhere was asked for, as the plan sees it when it is asked for
+/// again after a long pause: a busy model must not give way to two callers of one day.
+#[test]
+fn a_pause_between_callers_counts_for_none() {
+    let [busy, first, second, rare] = [0, 1, 2, 3].map(model);
+    let catalog = small_catalog(4);
+    let fleet = without_room(&busy, [&first, &second]);
+    let mut demand = Demand::default();
+    let mut planner = Planner::new(PlanSettings::default());
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    for now in (0..32_000).step_by(STEP as usize) {
+        let at = Millis(now);
+        demand.note(&busy, None, REQUEST_WORK, at);
+        demand.note(&busy, None, REQUEST_WORK, at);
+        if now % 500 == 400 {
+            demand.note(&first, None, REQUEST_WORK, at);
+            demand.note(&second, None, REQUEST_WORK, at);
+        }
+        if [5_000, 30_000].contains(&now) {
+            demand.note(&rare, None, REQUEST_WORK, at);
+        }
+        let rates = demand.rates(at);
+        let orders = planner.plan(&view(&catalog, &fleet, &rates), &mut window, at);
+        assert!(orders.is_empty(), "at {now} ms: {}", orders[0]);
+    }
+}
