--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -42,7 +42,7 @@
 
 /// What the square of the callers that came in vain adds to the callers a second of a model
 /// that is away. So a few outweigh no busy model, but no model stays away for good: one with a
-/// caller every five seconds gets its turn after 25 s where all room is taken by models with
+/// caller every five seconds gets its turn after 26 s where all room is taken by models with
 /// two callers a second and more; without this it never does, by the test that plays it.
 const IN_VAIN: f64 = 0.1;
 
