Give each service's plans a memory of their own

Read in the diff: one planner served all services, so with two services of engines each plan would have taken the other's engines for engines that left (churn.rs). With one service of engines nothing changes.

--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -6,7 +6,7 @@
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
 use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanNote, PlanView, Planner, Rates};
-use shaleline_types::{LogEvent, Millis, Upstream};
+use shaleline_types::{LogEvent, Millis, Service, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -33,7 +33,8 @@
 pub(crate) struct Working {
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
-    planner: RefCell<Planner>,
+    /// What each service's plans remember: engines that left one are none of another's.
+    planners: RefCell<BTreeMap<Service, Planner>>,
     /// The fencing token of the claim that orders were last given under.
     led: Cell<Option<u64>>,
     /// Engines that a planner before ordered a moment ago, and until when they are left
@@ -180,7 +181,8 @@
     let Some(table) = gw.table() else {
         return;
     };
-    let mut planner = working.planner.borrow_mut();
+    let mut planners = working.planners.borrow_mut();
+    let mut notes = Vec::new();
     working.resting.borrow_mut().retain(|_, until| *until > now);
     let resting = working.resting.borrow();
     let mut orders = Vec::new();
@@ -207,11 +209,12 @@
             lead: working.lead_time(rates.is_empty(), now),
             resting: &resting,
         };
+        let planner = planners.entry(service.clone()).or_default();
         for order in planner.plan(&view, window, now) {
             orders.push((service.clone(), order));
         }
+        notes.extend(planner.take_notes());
     }
-    let mut notes = planner.take_notes();
     // What is planned for an engine that is still at work is planned again until it is ordered.
     notes.retain(|n| {
         n.engine()
