--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,8 @@
 //!   appends a record at the expected end of the topic holds it, and the record's offset
 //!   is the fencing token.
 //! * [`Fleet`] is what is believed of every engine, orders in doubt counted at their worst.
-//! * [`Planner`] proposes [`Order`]s from the fleet, the [`Catalog`] and the [`Demand`].
+//! * [`Planner`] proposes [`Order`]s from the fleet, the [`Catalog`] and the [`Demand`];
+//!   [`ServicePlanners`] keeps one for each service.
 //! * [`LoadWindow`] keeps loads from the weight store under its rate.
 //!
 //! Nothing here reads a clock or a socket. `docs/PLACEMENT.md` has the ways weighed.
@@ -24,6 +25,7 @@
 mod note;
 mod order;
 mod planner;
+mod services;
 mod spread;
 mod window;
 
@@ -36,5 +38,6 @@
 pub use note::PlanNote;
 pub use order::{Order, OrderKind, OrderReply};
 pub use planner::{PlanSettings, PlanView, Planner};
+pub use services::ServicePlanners;
 pub use spread::LeadTime;
 pub use window::LoadWindow;
--- a/crates/fleet/tests/day/mod.rs
+++ b/crates/fleet/tests/replaced/day.rs
@@ -3,9 +3,9 @@
 
 use shaleline_fleet::{
     Catalog, Demand, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderKind, OrderReply,
-    PlanSettings, PlanView, Planner, Rates, Sighting,
+    PlanView, Rates, ServicePlanners, Sighting,
 };
-use shaleline_types::{DataCentre, Megabytes, Millis, Model, Upstream};
+use shaleline_types::{DataCentre, Megabytes, Millis, Model, Service, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often a plan is made, and what an order to drop a model takes.
@@ -43,6 +43,10 @@
     Upstream::from_text(&format!("e{number:02}")).expect("a valid name")
 }
 
+fn service(name: &str) -> Service {
+    Service::from_text(name).expect("a valid name")
+}
+
 pub(crate) fn centre() -> DataCentre {
     DataCentre::from_text("dc1").expect("a valid name")
 }
@@ -154,7 +158,9 @@
     pub(crate) catalog: Catalog,
     pub(crate) engines: BTreeMap<Upstream, Real>,
     fleet: Fleet,
-    planner: Planner,
+    planners: ServicePlanners,
+    /// The engines of another service, which is planned for in between.
+    beside: Option<Fleet>,
     window: LoadWindow,
     demand: Demand,
     got: BTreeMap<Model, Got>,
@@ -169,7 +175,8 @@
             catalog: catalog(),
             engines: BTreeMap::new(),
             fleet: Fleet::default(),
-            planner: Planner::new(PlanSettings::default()),
+            planners: ServicePlanners::default(),
+            beside: None,
             window: LoadWindow::new(Millis(5_000), 1.1),
             demand: Demand::default(),
             got: BTreeMap::new(),
@@ -254,8 +261,16 @@
         let at = Millis(now);
         self.fleet.prune(at);
         let rates = self.demand.rates(at);
+        if let Some(fleet) = &self.beside {
+            let (service, nothing) = (service("other"), Rates::new());
+            let view = view(&self.catalog, fleet, &nothing);
+            let planned = self.planners.plan(&service, &view, &mut self.window, at);
+            assert_eq!(planned.0, [], "nobody asks the other service for anything");
+        }
         let view = view(&self.catalog, &self.fleet, &rates);
-        for order in self.planner.plan(&view, &mut self.window, at) {
+        let service = service("llm");
+        let (orders, _) = self.planners.plan(&service, &view, &mut self.window, at);
+        for order in orders {
             let Some(real) = self.engines.get_mut(&order.engine) else {
                 continue;
             };
@@ -272,14 +287,31 @@
     }
 
     pub(crate) fn play() -> Self {
+        Self::new().run()
+    }
+
+    /// The same day with another service beside this one, whose engines stay.
+    pub(crate) fn play_beside_another() -> Self {
         let mut day = Self::new();
+        let mut other = Fleet::default();
+        for number in 0..ENGINES {
+            let name = engine(number + 2 * ENGINES);
+            let held = day.engines[&engine(number)].report();
+            other.sight(&name, &centre(), held, Sighting::Listed, Millis(0));
+        }
+        day.beside = Some(other);
+        day.run()
+    }
+
+    fn run(mut self) -> Self {
+        let day = &mut self;
         for now in (0..END).step_by(STEP as usize) {
             day.replace(now);
             day.finish_orders(now);
             day.call(now);
             day.plan(now);
         }
-        day
+        self
     }
 
     pub(crate) fn share(&self, number: usize) -> f64 {
--- a/crates/fleet/tests/replaced.rs
+++ b/crates/fleet/tests/replaced/main.rs
@@ -54,6 +54,19 @@
     assert_eq!(away, Vec::<&Model>::new(), "nobody serves these at the end");
 }
 
+/// One memory of plans served all services: each plan took the engines of its own service,
+/// which the plan for the other had not seen, for new ones that stay. So busy models were not
+/// copied before their last replica left, and the room that engines made was forgotten.
+#[test]
+fn another_service_beside_it_changes_nothing() {
+    let alone = Day::play();
+    let beside = Day::play_beside_another();
+    assert_eq!(beside.begun, alone.begun);
+    for (number, _) in BUSY {
+        assert_eq!(beside.share(number), alone.share(number));
+    }
+}
+
 /// The weight store bears 1.4 loads a second, a tenth more and three.
 #[test]
 fn loads_stay_under_the_rate_of_the_weight_store_while_engines_are_replaced() {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -5,8 +5,8 @@
 use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
-use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanNote, PlanView, Planner, Rates};
-use shaleline_types::{LogEvent, Millis, Service, Upstream};
+use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanNote, PlanView, Rates, ServicePlanners};
+use shaleline_types::{LogEvent, Millis, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -33,8 +33,7 @@
 pub(crate) struct Working {
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
-    /// What each service's plans remember: engines that left one are none of another's.
-    planners: RefCell<BTreeMap<Service, Planner>>,
+    planners: RefCell<ServicePlanners>,
     /// The fencing token of the claim that orders were last given under.
     led: Cell<Option<u64>>,
     /// Engines that a planner before ordered a moment ago, and until when they are left
@@ -209,11 +208,9 @@
             lead: working.lead_time(rates.is_empty(), now),
             resting: &resting,
         };
-        let planner = planners.entry(service.clone()).or_default();
-        for order in planner.plan(&view, window, now) {
-            orders.push((service.clone(), order));
-        }
-        notes.extend(planner.take_notes());
+        let (planned, why) = planners.plan(service, &view, window, now);
+        orders.extend(planned.into_iter().map(|o| (service.clone(), o)));
+        notes.extend(why);
     }
     // What is planned for an engine that is still at work is planned again until it is ordered.
     notes.retain(|n| {
