Take no work after a stall until the configuration is known again

Each step after its watch was cut (notice, ask four daemons of which one times out, history gone, read all) takes a round. Ruled out: the read of compacted topics itself (all others came through it within 1.6 s), followers (they read by themselves once the hub's copy is over 2.95 s old). Class: a process that gets no processor time believes what it knew, and takes what waited for it for new. Change: a pulse measures how late the process runs; what is read is dated by it; after a stall of 250 ms a daemon whose knowledge is as old as the bound answers 503 and is not ready until it has heard again. Tests: cases and 2,000 random sequences of rounds; both fail without the rule, the second also without the dating.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,7 @@
                 continue;
             }
         }
+        let asked = gw.now();
         let result = match next {
             None => gw.store.newest(Topic::Config).await,
             Some(from) => {
@@ -58,7 +59,8 @@
                 // Before the first configuration there is nothing to wait at.
                 let empty = next.is_none() && batch.records.is_empty();
                 next = Some(batch.next);
-                gw.reading.borrow_mut().on_config(batch.next, gw.now());
+                let at = gw.came_at().max(asked);
+                gw.reading.borrow_mut().on_config(batch.next, at);
                 if empty {
                     link.pause(&gw, true, || false).await;
                 }
@@ -161,6 +163,7 @@
             continue;
         }
         let position = gw.reading.borrow().position();
+        let asked = gw.now();
         let result = match next {
             None => gw.store.newest(Topic::Upstreams).await,
             Some(from) => gw.store.tail(Topic::Upstreams, from, Millis(0)).await,
@@ -172,7 +175,8 @@
                 next = Some(batch.next);
                 gw.entries_next.set(batch.next);
                 gw.listed.set(true);
-                gw.reading.borrow_mut().on_entries(position, gw.now());
+                let at = gw.came_at().max(asked);
+                gw.reading.borrow_mut().on_entries(position, at);
                 let jitter = gw.draw() % (every / 8 + 1);
                 tokio::time::sleep(Duration::from_millis(every - jitter)).await;
             }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -173,7 +173,8 @@
             heard_planner(gw, &total.load);
             let mine = gw.mesh.borrow_mut().on_total(&from, &total, now);
             if let (true, Some(mark)) = (mine, total.mark) {
-                gw.reading.borrow_mut().on_mark(from.life, mark, now);
+                let came = gw.came_at();
+                gw.reading.borrow_mut().on_mark(from.life, mark, came);
                 gw.marked.notify_waiters();
             }
         }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -174,9 +174,11 @@
 async fn take<T: Aged>(gw: &Gateway, path: &'static str, most: Millis) -> Option<(T, Millis)> {
     let sources = gw.mesh.borrow_mut().sources(gw.now());
     for peer in sources {
+        let asked = gw.now();
         match ask::<T>(gw, peer, path, most).await {
             Ok(copy) => {
-                let at = Millis(gw.now().0.saturating_sub(copy.age()));
+                let came = gw.came_at().max(asked);
+                let at = Millis(came.0.saturating_sub(copy.age()));
                 return Some((copy, at));
             }
             Err(reason) if gw.lines.take(gw.now()) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //!   on what was read, `members` is how daemons find each other.
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
 //!   gives the orders.
+//! * `pulse` tells how late this process runs, and `ready` whether it should take work.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
 //!
@@ -40,7 +41,9 @@
 mod message;
 mod metrics;
 mod orders;
+mod pulse;
 mod reading;
+mod ready;
 mod refuse;
 mod relay;
 mod request;
@@ -66,5 +69,6 @@
     mod job;
     mod mesh;
     mod reading;
+    mod ready;
     mod roster;
 }
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -72,15 +72,23 @@
 }
 
 impl Reading {
-    /// Notes that this daemon itself has read the configuration.
-    pub(crate) fn on_config(&mut self, next: u64, now: Millis) {
-        self.config = self.config.max(Some((next, now)));
+    /// Notes that this daemon itself has read the configuration, as it was at `at`.
+    pub(crate) fn on_config(&mut self, next: u64, at: Millis) {
+        self.config = self.config.max(Some((next, at)));
     }
 
-    /// Notes that this daemon itself has read the entries up to their end. What the hub had
-    /// sent by `position`, which was taken before the read, is covered by it.
-    pub(crate) fn on_entries(&mut self, position: (u64, u64), now: Millis) {
-        self.changes = Some(now);
+    /// As of when the configuration that this daemon has read is known to be the newest, by its
+    /// own reads or by its hub's.
+    pub(crate) fn config_known_at(&self) -> Option<Millis> {
+        let (next, at) = self.config?;
+        let told = (self.followed.config == next).then_some(self.followed.config_at);
+        Some(told.map_or(at, |t| t.max(at)))
+    }
+
+    /// Notes that this daemon itself has read the entries up to their end at `at`. What the hub
+    /// had sent by `position`, which was taken before the read, is covered by it.
+    pub(crate) fn on_entries(&mut self, position: (u64, u64), at: Millis) {
+        self.changes = Some(at);
         let (life, marked) = position;
         if self.followed.life == life {
             self.followed.covered = Some(marked);
@@ -149,8 +157,8 @@
         self.config
     }
 
-    /// Takes in the mark of this daemon's hub.
-    pub(crate) fn on_mark(&mut self, life: u64, mark: Mark, now: Millis) {
+    /// Takes in the mark of this daemon's hub, which came at `at`.
+    pub(crate) fn on_mark(&mut self, life: u64, mark: Mark, at: Millis) {
         let followed = &mut self.followed;
         if followed.life != life {
             *followed = Followed {
@@ -160,7 +168,7 @@
         }
         // The message of changes itself may still be on its way.
         followed.marked = mark.changes;
-        let before = |age: u32| Millis(now.0.saturating_sub(u64::from(age)));
+        let before = |age: u32| Millis(at.0.saturating_sub(u64::from(age)));
         followed.config = mark.config;
         followed.config_at = before(mark.config_age);
         followed.changes_at = before(mark.changes_age);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -140,7 +140,7 @@
             return refuse::early(gw, "", &refusal);
         }
     };
-    let Some(table) = gw.table() else {
+    let Some(table) = gw.table().filter(|_| !gw.is_behind()) else {
         return refuse::early(gw, &head.id, &Refusal::new(ErrorKind::NotReady));
     };
     let id = head.id.clone();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -97,14 +97,19 @@
     let mut ready = false;
     loop {
         tokio::time::sleep(TICK).await;
+        gw.pulse.borrow_mut().on_tick(gw.now());
         gw.route(RouteEvent::Tick);
         let changes = gw.roster.borrow_mut().tick(gw.now());
         gw.apply_all(changes);
         if ready != gw.is_ready() {
             ready = gw.is_ready();
-            if ready {
-                emit(LogEvent::Ready, "");
-            }
+            let event = if ready {
+                LogEvent::Ready
+            } else {
+                LogEvent::NotReady
+            };
+            let detail = format!("stopping={} behind={}", gw.stopping.get(), gw.is_behind());
+            emit(event, &detail);
         }
         count = count.wrapping_add(1);
         if count % HOUSEKEEPING == 0 {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,8 @@
 use crate::mesh::Mesh;
 use crate::message::Sender;
 use crate::metrics::Metrics;
-use crate::reading::{Freshness, Reading};
+use crate::pulse::Pulse;
+use crate::reading::Reading;
 use crate::roster::{Change, Roster};
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
@@ -64,6 +65,7 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) mesh: RefCell<Mesh>,
     pub(crate) reading: RefCell<Reading>,
+    pub(crate) pulse: RefCell<Pulse>,
     /// The configuration's record as it was read, for other daemons.
     pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
     /// The offset up to which the upstreams' entries are known.
@@ -147,6 +149,7 @@
             demand: RefCell::new(Demand::default()),
             mesh: RefCell::new(mesh),
             reading: RefCell::new(Reading::default()),
+            pulse: RefCell::new(Pulse::new(now)),
             config_record: RefCell::new(None),
             entries_next: Cell::new(0),
             listed_peers: Cell::new(false),
@@ -170,22 +173,11 @@
         self.clock.now()
     }
 
-    /// How old what a hub has read may be.
-    pub(crate) fn freshness(&self) -> Freshness {
-        let bounds = self.bounds.borrow();
-        Freshness::from_bounds(bounds.drain, self.settings.config_wait(bounds.apply))
-    }
-
     /// The configuration in force.
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
     }
 
-    /// Whether callers should be sent here.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.table.borrow().is_some() && self.listed.get() && !self.stopping.get()
-    }
-
     /// Puts a version of the configuration in force, unless it is no newer. Returns whether
     /// it did.
     pub(crate) fn set_table(&self, table: Table) -> bool {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -49,6 +49,7 @@
     Ready 1002 Info "The daemon has its configuration and admits requests.";
     Stopping 1003 Info "The daemon was told to stop and finishes what is in flight.";
     Stopped 1004 Info "The daemon has finished and stops.";
+    NotReady 1005 Info "The daemon should get no new callers: it stops, or it stalled and may have missed a version.";
     LogLost 2001 Warn "The platform's log does not answer.";
     LogBack 2002 Info "The platform's log answers again.";
     LogGap 2003 Error "Records were dropped from the log before any snapshot covered them.";
