--- a/crates/gateway/tests/unit/ready.rs
+++ b/crates/gateway/tests/unit/ready.rs
@@ -101,8 +101,8 @@
     let mut pulse = Pulse::new(now);
     let mut reading = Reading::default();
     reading.on_config(0, now);
-    let accepted = pauses.iter().scan(now, |last, pause| {
-        *last = last.plus(u64::from(*pause) % 6_000 + 1);
+    let accepted = pauses.into_iter().scan(now, |last, pause| {
+        *last = last.plus(u64::from(pause) % 6_000 + 1);
         Some(*last)
     });
     let accepted: Vec<Millis> = accepted.collect();
