Plan by number, with work that follows what changed

Cause: on the large site one process took 0.38 cores and 372 MB; a plan compared names as text over all engines for each candidate and scanned all engines for each count of copies. A test plays it; what is weighed is now put back exactly, and a plan weighs so many changes at the most, the most urgent models first. Change: models have numbers, engines a row that is worked out anew only when they change, holders and copies are counted once a plan; moves follow from the engines that are free and the loads that are left, no longer 8 of 16 models.

--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -115,7 +115,7 @@
 }
 
 /// Resident memory of this process in kilobytes.
-fn resident_kb() -> f64 {
+pub fn resident_kb() -> f64 {
     const PAGE_KB: f64 = 4.0;
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text
--- a/crates/fleet/src/absence.rs
+++ b/crates/fleet/src/absence.rs
@@ -1,6 +1,7 @@
 //! Models that callers ask for while no engine serves them, and for how long.
 
-use crate::planner::Draft;
+use crate::draft::Draft;
+use crate::snapshot::Snapshot;
 use crate::PlanNote;
 use shaleline_types::{Millis, Model};
 use std::collections::BTreeMap;
@@ -32,25 +33,31 @@
 
 impl Absences {
     /// How many callers came in vain for each model since it went away.
-    pub(crate) fn in_vain(&self) -> BTreeMap<Model, f64> {
-        let models = self.models.iter();
-        models.map(|(m, a)| (m.clone(), a.in_vain)).collect()
+    pub(crate) fn in_vain(&self, snapshot: &Snapshot<'_>) -> Vec<f64> {
+        let mut in_vain = vec![0.0; snapshot.models.len()];
+        for (model, absence) in &self.models {
+            if let Some(number) = snapshot.numbers.get(model) {
+                in_vain[number] = absence.in_vain;
+            }
+        }
+        in_vain
     }
 
     /// Takes in what a plan sees; returns what is worth telling.
     pub(crate) fn observe(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
-        let now = draft.now;
+        let snapshot = draft.snapshot;
+        let now = snapshot.now;
         let mut notes = Vec::new();
-        for model in draft.view.catalog.models.keys() {
-            if draft.view.fleet.is_served(model) {
-                if let Some(absence) = self.models.remove(model) {
+        for (number, (model, _)) in snapshot.models.iter().enumerate() {
+            if !snapshot.served[number].is_empty() {
+                if let Some(absence) = self.models.remove(*model) {
                     let away = Millis(now.since(absence.since));
-                    let model = model.clone();
+                    let model = (*model).clone();
                     notes.push(PlanNote::Back { model, away });
                 }
-            } else if !draft.is_idle(model) {
-                notes.extend(self.note_asked(draft, model));
-            } else if let Some(absence) = self.models.get_mut(model) {
+            } else if !snapshot.is_idle(number) {
+                notes.extend(self.note_asked(draft, number));
+            } else if let Some(absence) = self.models.get_mut(*model) {
                 absence.seen = now;
             }
         }
@@ -58,8 +65,9 @@
         notes
     }
 
-    fn note_asked(&mut self, draft: &Draft<'_>, model: &Model) -> Option<PlanNote> {
-        let now = draft.now;
+    fn note_asked(&mut self, draft: &Draft<'_>, number: usize) -> Option<PlanNote> {
+        let snapshot = draft.snapshot;
+        let (now, model) = (snapshot.now, snapshot.models[number].0);
         let first = Absence {
             since: now,
             asked: now,
@@ -68,8 +76,8 @@
             in_vain: 0.0,
         };
         let absence = self.models.entry(model.clone()).or_insert(first);
-        let rate = f64::from(draft.asked(model).count);
-        absence.in_vain += rate * now.since(absence.seen) as f64 / 1_000.0;
+        let asked = snapshot.asked[number].count;
+        absence.in_vain += f64::from(asked) * now.since(absence.seen) as f64 / 1_000.0;
         absence.asked = now;
         absence.seen = now;
         if now.since(absence.told) < TELL_AGAIN_MS {
@@ -79,11 +87,11 @@
         Some(PlanNote::Away {
             model: model.clone(),
             away: Millis(now.since(absence.since)),
-            asked: draft.asked(model).count,
-            coming: draft.replicas(model),
-            copies: draft.copies(model),
-            free: draft.free_engines().count(),
-            dropping: draft.view.fleet.dropping(),
+            asked,
+            coming: snapshot.replicas(number),
+            copies: snapshot.copies(number),
+            free: draft.free_places().count(),
+            dropping: snapshot.dropping(),
             loads: draft.loads,
         })
     }
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// What an engine says that it holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +60,15 @@
     reported: Millis,
     /// What it holds for certain, as of the number of orders it had accepted.
     proof: Option<Held>,
+    /// Differs from every revision before, of this engine and of all others, wherever
+    /// something about the engine has changed.
+    pub(crate) revision: u64,
+}
+
+/// A number that no revision had before.
+fn next_revision() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
 /// An entry may be so much older than a report: engines write theirs about every 1.2 s,
@@ -95,9 +105,15 @@
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
+            revision: next_revision(),
         }
     }
 
+    /// Notes that something about it changes.
+    pub(crate) fn touch(&mut self) {
+        self.revision = next_revision();
+    }
+
     /// What it was last known to hold.
     #[must_use]
     pub fn held(&self) -> &Held {
@@ -242,9 +258,10 @@
         }
     }
 
-    /// Drops the orders that are known to be carried out or void.
-    pub(crate) fn settle(&mut self, now: Millis) {
+    /// Drops the orders that are known to be carried out or void. Returns whether any was.
+    pub(crate) fn settle(&mut self, now: Millis) -> bool {
         let held = &self.held;
+        let before = (self.pending.len(), self.retiring.len());
         let is_open = |p: &Pending| {
             let order = &p.order;
             let adapters = held.models.get(&order.model);
@@ -267,6 +284,7 @@
         self.retiring.retain(|m, at| {
             held.models.contains_key(m) && (unloading(m) || now.since(*at) < RETIRE_MS)
         });
+        before != (self.pending.len(), self.retiring.len())
     }
 
     /// Notes that an order leaves. It counts at its worst from now on.
@@ -336,9 +354,13 @@
 
     /// Drops what is only in doubt and has grown old.
     pub(crate) fn prune(&mut self, now: Millis) {
-        self.settle(now);
+        let settled = self.settle(now);
         let since = self.unreachable.map(|at| now.since(at));
-        self.down = since.is_some_and(|s| s < DOWN_MS);
+        let down = since.is_some_and(|s| s < DOWN_MS);
+        if settled || down != self.down {
+            self.down = down;
+            self.touch();
+        }
     }
 
     /// Whether replicas there count.
@@ -351,14 +373,6 @@
         self.counts() && !self.is_moving() && self.is_proven()
     }
 
-    /// When a replica that is on its way is expected to serve.
-    pub(crate) fn ready_at(&self, model: &Model, catalog: &Catalog) -> Option<Millis> {
-        if !self.is_pending(OrderKind::Load, model, None) {
-            return None;
-        }
-        self.busy_until(catalog)
-    }
-
     /// When the order about weights that is under way is expected to be done; none where
     /// none is.
     pub(crate) fn busy_until(&self, catalog: &Catalog) -> Option<Millis> {
--- a/crates/fleet/src/exposure.rs
+++ b/crates/fleet/src/exposure.rs
@@ -1,7 +1,7 @@
 //! What callers lose if engines go on leaving at the pace of the last seconds.
 
 use crate::churn::Churn;
-use crate::planner::Draft;
+use crate::snapshot::Snapshot;
 use shaleline_types::Millis;
 
 /// The chance that each engine leaves, and what each model would miss, both by number.
@@ -13,19 +13,15 @@
 }
 
 impl Exposure {
-    /// The engines are those of the draft that count, in their order.
-    pub(crate) fn new(draft: &Draft<'_>, churn: &Churn) -> Self {
-        let models = &draft.view.catalog.models;
-        let longest = models.values().map(|r| r.store).max().unwrap_or_default();
-        let chance = churn.outlook(longest, draft.now);
-        let engines = draft.view.fleet.engines.iter();
-        let engines = engines.filter(|(_, e)| e.counts());
+    pub(crate) fn new(snapshot: &Snapshot<'_>, churn: &Churn) -> Self {
+        let models = &snapshot.models;
+        let longest = models.iter().map(|(_, r)| r.store).max();
+        let chance = churn.outlook(longest.unwrap_or_default(), snapshot.now);
         let seconds = |time: Millis| time.0 as f64 / 1_000.0;
-        let callers = models
-            .iter()
-            .map(|(m, r)| f64::from(draft.asked(m).count) * seconds(r.store));
+        let asked = models.iter().zip(&snapshot.asked);
+        let callers = asked.map(|((_, rule), a)| f64::from(a.count) * seconds(rule.store));
         Self {
-            chances: engines.map(|(name, _)| chance(name)).collect(),
+            chances: snapshot.places.iter().map(|p| chance(p.name)).collect(),
             callers: callers.collect(),
         }
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -21,7 +21,10 @@
         now: Millis,
     ) {
         match self.engines.get_mut(name) {
-            Some(engine) => engine.sight(held, from, now),
+            Some(engine) => {
+                engine.touch();
+                engine.sight(held, from, now);
+            }
             None => {
                 let mut engine = Engine::new(centre.clone(), held.clone());
                 engine.sight(held, from, now);
@@ -32,7 +35,7 @@
 
     /// Takes in a report of an engine that is known.
     pub fn report(&mut self, name: &Upstream, held: Held, now: Millis) {
-        if let Some(engine) = self.engines.get_mut(name) {
+        if let Some(engine) = self.change(name) {
             engine.sight(held, Sighting::Reported, now);
         }
     }
@@ -45,7 +48,7 @@
         adapter: Option<&Adapter>,
         now: Millis,
     ) {
-        let Some(engine) = self.engines.get_mut(name) else {
+        let Some(engine) = self.change(name) else {
             return;
         };
         match adapter {
@@ -62,14 +65,14 @@
 
     /// Sets whether an engine is leaving.
     pub fn set_leaving(&mut self, name: &Upstream, leaving: bool) {
-        if let Some(engine) = self.engines.get_mut(name) {
+        if let Some(engine) = self.change(name) {
             engine.leaving = leaving;
         }
     }
 
     /// Notes that an engine refused a connection.
     pub fn note_unreachable(&mut self, name: &Upstream, now: Millis) {
-        if let Some(engine) = self.engines.get_mut(name) {
+        if let Some(engine) = self.change(name) {
             engine.unreachable = Some(now);
             engine.down = true;
         }
@@ -82,14 +85,14 @@
 
     /// Notes that an order leaves.
     pub fn note_sent(&mut self, order: &Order, now: Millis) {
-        if let Some(engine) = self.engines.get_mut(&order.engine) {
+        if let Some(engine) = self.change(&order.engine) {
             engine.note_sent(order, now);
         }
     }
 
     /// Notes the answer to an order.
     pub fn note_reply(&mut self, order: &Order, reply: OrderReply, now: Millis) {
-        let Some(engine) = self.engines.get_mut(&order.engine) else {
+        let Some(engine) = self.change(&order.engine) else {
             return;
         };
         match reply {
@@ -107,6 +110,13 @@
         }
     }
 
+    /// An engine about which something changes.
+    fn change(&mut self, name: &Upstream) -> Option<&mut Engine> {
+        let engine = self.engines.get_mut(name)?;
+        engine.touch();
+        Some(engine)
+    }
+
     /// Drops doubts that have grown old.
     pub fn prune(&mut self, now: Millis) {
         for engine in self.engines.values_mut() {
@@ -132,18 +142,6 @@
         self.engines.values().filter(serves).count()
     }
 
-    /// Whether an engine serves the model now.
-    pub(crate) fn is_served(&self, model: &Model) -> bool {
-        let serves = |e: &Engine| e.counts() && e.serves(model);
-        self.engines.values().any(serves)
-    }
-
-    /// How many engines are at work on dropping a model.
-    pub(crate) fn dropping(&self) -> usize {
-        let engines = self.engines.values();
-        engines.filter(|e| e.counts() && e.is_dropping()).count()
-    }
-
     /// Engines that must be asked what they hold before they can be ordered.
     pub fn unproven(&self) -> impl Iterator<Item = &Upstream> {
         let unproven = |(_, e): &(&Upstream, &Engine)| !e.leaving && !e.is_proven();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,20 +12,27 @@
 
 mod absence;
 mod adapt;
+mod board;
 mod catalog;
+mod choice;
 mod churn;
 mod claim;
 mod demand;
+mod draft;
 mod engine;
 mod exposure;
 mod fleet;
 mod flow;
 mod handover;
+mod holders;
 mod moves;
 mod note;
+mod numbers;
 mod order;
 mod planner;
+mod row;
 mod services;
+mod snapshot;
 mod spread;
 mod window;
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -2,18 +2,22 @@
 //!
 //! Each call looks at the fleet as it is, orders in doubt included, and proposes the next
 //! step for engines that are not busy. What is remembered is for which model an engine is
-//! making room, which models callers ask for in vain, and which engines left lately. `moves` decides about weights, `adapt` about adapters, `spread` about
-//! the time before the first traffic. `docs/PLACEMENT.md` has what was weighed.
+//! making room, which models callers ask for in vain, which engines left lately, and what was
+//! worked out of engines that have not changed since. `snapshot` is what a plan looks at,
+//! `draft` what it has decided; `moves` decides about weights, `adapt` about adapters, `spread`
+//! about the time before the first traffic. `docs/PLACEMENT.md` has what was weighed.
 
 use crate::absence::Absences;
+use crate::board::Board;
 use crate::churn::Churn;
-use crate::moves::Board;
+use crate::draft::Draft;
+use crate::numbers::Numbers;
+use crate::row::Rows;
+use crate::snapshot::Snapshot;
 use crate::spread::LeadTime;
-use crate::{
-    Catalog, Engine, Fleet, LoadWindow, ModelRule, Order, OrderKind, PlanNote, Rate, Rates,
-};
-use shaleline_types::{Adapter, Millis, Model, Upstream};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::{Catalog, Engine, Fleet, LoadWindow, Order, PlanNote, Rates};
+use shaleline_types::{Millis, Model, Upstream};
+use std::collections::BTreeMap;
 
 /// The figures that weigh moves.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -61,6 +65,9 @@
     absences: Absences,
     churn: Churn,
     notes: Vec<PlanNote>,
+    /// The models of the catalog that was planned with last.
+    numbers: Option<Numbers>,
+    rows: Rows,
 }
 
 /// The model for which an engine is making room.
@@ -106,12 +113,26 @@
     ) -> Vec<Order> {
         self.intents
             .retain(|name, intent| intent.holds(view.fleet.get(name), now));
-        let mut draft = Draft::new(view, self.settings, &self.intents, now);
+        self.churn.observe(view.fleet, now);
+        let fits = self.numbers.as_ref().is_some_and(|n| n.fit(view.catalog));
+        if !fits {
+            self.numbers = None;
+            self.rows.clear();
+        }
+        let numbers = self
+            .numbers
+            .get_or_insert_with(|| Numbers::new(view.catalog));
+        self.rows.refresh(view.fleet, view.catalog, numbers);
+        let snapshot = Snapshot::new(view, numbers, &self.rows, now);
+        let intent = |name: &Upstream| {
+            let intent = self.intents.get(name)?;
+            numbers.get(&intent.model)
+        };
+        let mut draft = Draft::new(&snapshot, self.settings, intent);
         draft.loads = window.room(view.catalog.rate, now);
         draft.most_loads = window.most(view.catalog.rate);
-        self.churn.observe(view.fleet, now);
         draft.notes = self.absences.observe(&draft);
-        draft.in_vain = self.absences.in_vain();
+        draft.in_vain = self.absences.in_vain(&snapshot);
         let mut board = Board::new(&draft, &self.churn);
         // An adapter is there within milliseconds; an engine that loads weights takes none for
         // seconds. So those that are nowhere go before weights, further copies after them.
@@ -138,165 +159,3 @@
         std::mem::take(&mut self.notes)
     }
 }
-
-pub(crate) struct Draft<'a> {
-    pub(crate) view: &'a PlanView<'a>,
-    pub(crate) settings: PlanSettings,
-    /// What is asked for, by model, adapters together.
-    pub(crate) asked: BTreeMap<&'a Model, Rate>,
-    pub(crate) replicas: BTreeMap<&'a Model, usize>,
-    /// Loads from the weight store that may begin.
-    pub(crate) loads: usize,
-    /// Loads from the weight store that may begin in a whole window.
-    pub(crate) most_loads: usize,
-    /// Models that this plan copies to another engine.
-    pub(crate) copying: BTreeSet<&'a Model>,
-    /// Engines that have an order in this plan.
-    pub(crate) taken: BTreeSet<&'a Upstream>,
-    /// The engines that plans before this one had make room, and for what.
-    intents: &'a BTreeMap<Upstream, Intent>,
-    /// Those of this plan.
-    intended: Vec<(Upstream, Model)>,
-    orders: Vec<Order>,
-    pub(crate) notes: Vec<PlanNote>,
-    /// How many callers came in vain for each model that is away.
-    in_vain: BTreeMap<Model, f64>,
-    pub(crate) now: Millis,
-}
-
-/// A model with less work a second than this, in milliseconds, is idle.
-const IDLE_WORK: f32 = 0.5;
-
-/// An engine that loads a model is worth waiting for if it is done within this time.
-const WAIT: Millis = Millis(1_500);
-
-impl<'a> Draft<'a> {
-    fn new(
-        view: &'a PlanView<'a>,
-        settings: PlanSettings,
-        intents: &'a BTreeMap<Upstream, Intent>,
-        now: Millis,
-    ) -> Self {
-        let models = view.catalog.models.keys();
-        let mut asked: BTreeMap<&Model, Rate> = models.map(|m| (m, Rate::default())).collect();
-        for ((model, _), rate) in view.rates {
-            if let Some(sum) = asked.get_mut(model) {
-                sum.add(*rate);
-            }
-        }
-        let replicas = asked.keys().map(|m| (*m, view.fleet.replicas(m)));
-        Self {
-            replicas: replicas.collect(),
-            view,
-            settings,
-            asked,
-            loads: 0,
-            most_loads: 0,
-            copying: BTreeSet::new(),
-            taken: BTreeSet::new(),
-            intents,
-            intended: Vec::new(),
-            orders: Vec::new(),
-            notes: Vec::new(),
-            in_vain: BTreeMap::new(),
-            now,
-        }
-    }
-
-    pub(crate) fn asked(&self, model: &Model) -> Rate {
-        self.asked.get(model).copied().unwrap_or_default()
-    }
-
-    /// Whether the engine is making room for the model.
-    pub(crate) fn intends(&self, engine: &Upstream, model: &Model) -> bool {
-        self.intents.get(engine).is_some_and(|i| i.model == *model)
-    }
-
-    /// Notes that the engine makes room for the model.
-    pub(crate) fn intend(&mut self, engine: &Upstream, model: &Model) {
-        self.intended.push((engine.clone(), model.clone()));
-    }
-
-    /// How long an engine is busy with what was ordered before; none where it takes no
-    /// order soon.
-    pub(crate) fn wait_for(&self, name: &Upstream, engine: &Engine) -> Option<Millis> {
-        if self.taken.contains(name) || self.intents.contains_key(name) || !engine.counts() {
-            return None;
-        }
-        let rest = self.rest_of(name);
-        let busy = if engine.takes_orders() {
-            Millis(0)
-        } else {
-            let until = engine.busy_until(self.view.catalog)?;
-            Millis(until.since(self.now).max(1))
-        };
-        Some(rest.max(busy)).filter(|left| *left <= WAIT)
-    }
-
-    /// How long the engine is left alone after another planner's order.
-    fn rest_of(&self, name: &Upstream) -> Millis {
-        let until = self.view.resting.get(name);
-        Millis(until.map_or(0, |u| u.since(self.now)))
-    }
-
-    /// Whether the engine may be ordered now, and this plan has not done so yet.
-    pub(crate) fn is_free(&self, name: &Upstream, engine: &Engine) -> bool {
-        engine.takes_orders() && !self.taken.contains(name) && self.rest_of(name) == Millis(0)
-    }
-
-    pub(crate) fn replicas(&self, model: &Model) -> usize {
-        self.replicas.get(model).copied().unwrap_or(0)
-    }
-
-    /// How many callers came in vain for the model since it went away.
-    pub(crate) fn in_vain(&self, model: &Model) -> f64 {
-        self.in_vain.get(model).copied().unwrap_or(0.0)
-    }
-
-    /// Whether nobody has asked for the model for some seconds.
-    pub(crate) fn is_idle(&self, model: &Model) -> bool {
-        self.asked(model).work <= IDLE_WORK
-    }
-
-    /// How many engines have a copy from which the model is loaded within a few seconds.
-    pub(crate) fn copies(&self, model: &Model) -> usize {
-        let Some(rule) = self.view.catalog.models.get(model) else {
-            return 0;
-        };
-        let engines = self.view.fleet.engines.values();
-        let has = |e: &&Engine| e.counts() && e.load_time(model, rule) != rule.store;
-        engines.filter(has).count()
-    }
-
-    /// Engines that may be ordered about weights.
-    pub(crate) fn free_engines(&self) -> impl Iterator<Item = (&'a Upstream, &'a Engine)> + '_ {
-        let free = |(n, e): &(&Upstream, &Engine)| self.is_free(n, e);
-        self.view.fleet.engines.iter().filter(free)
-    }
-
-    pub(crate) fn has_room(&self, engine: &Engine, rule: &ModelRule) -> bool {
-        let taken = engine.worst_memory(self.view.catalog).0;
-        taken + rule.size.0 <= self.view.catalog.memory.0
-    }
-
-    pub(crate) fn order(
-        &mut self,
-        name: &Upstream,
-        kind: OrderKind,
-        model: &Model,
-        adapter: Option<&Adapter>,
-    ) {
-        let Some(engine) = self.view.fleet.get(name) else {
-            return;
-        };
-        self.orders.push(Order {
-            engine: name.clone(),
-            kind,
-            model: model.clone(),
-            adapter: adapter.cloned(),
-            expect: engine.held().seq,
-            fence: self.view.fence,
-            holder: self.view.holder.to_owned(),
-        });
-    }
-}
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -4,10 +4,10 @@
 //! nine from the weight store, and does not count against the store's rate. So engines load
 //! one model more while nobody asks for anything, and then get back what they held.
 
-use crate::moves::COPIES;
-use crate::planner::Draft;
+use crate::choice::COPIES;
+use crate::draft::Draft;
 use crate::{Engine, OrderKind};
-use shaleline_types::{Model, Upstream};
+use shaleline_types::Model;
 
 /// How far the time before the first traffic has gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,7 +27,7 @@
 impl<'a> Draft<'a> {
     /// Does what may be done before the first traffic.
     pub(crate) fn use_lead(&mut self) {
-        match self.view.lead {
+        match self.snapshot.view.lead {
             LeadTime::Spread => {
                 self.restore();
                 self.spread();
@@ -41,78 +41,89 @@
     /// serve too, so that a copy is left when an engine crashes and a model that is asked for
     /// more later need not come from the weight store.
     fn spread(&mut self) {
-        let mut engines: Vec<(&Upstream, &Engine)> = self.free_engines().collect();
-        engines.retain(|(_, e)| !e.has_more_copies());
+        let snapshot = self.snapshot;
+        let mut places: Vec<usize> = self.free_places().collect();
+        places.retain(|p| !snapshot.places[*p].engine.has_more_copies());
         // Those that have made room come first.
-        engines.sort_by_key(|(_, e)| e.held().models.len());
-        for (name, engine) in engines {
-            let Some(model) = self.least_copied(engine) else {
-                return;
-            };
-            let Some(rule) = self.view.catalog.models.get(model) else {
+        places.sort_by_key(|p| snapshot.places[*p].engine.held().models.len());
+        let mut single = self.single_copies();
+        for place in places {
+            let engine = snapshot.places[place].engine;
+            let lacks = |m: &usize| !engine.first.contains(snapshot.models[*m].0);
+            let Some(index) = single.iter().position(lacks) else {
                 return;
             };
             if self.loads == 0 {
                 return;
             }
-            if self.has_room(engine, rule) {
-                self.loads -= 1;
-                self.order(name, OrderKind::Load, model, None);
-                self.copying.insert(model);
+            let model = single[index];
+            let (name, rule) = snapshot.models[model];
+            if self.has_room(place, rule) {
+                self.order(place, OrderKind::Load, name, None);
             } else if let Some(victim) = self.most_served(engine) {
                 // The room is for a load that the next plan orders.
-                self.loads -= 1;
-                self.copying.insert(model);
-                *self.replicas.entry(victim).or_default() -= 1;
-                self.order(name, OrderKind::Unload, victim, None);
+                if let Some(number) = snapshot.numbers.get(victim) {
+                    self.replicas[number] -= 1;
+                }
+                self.order(place, OrderKind::Unload, victim, None);
+            } else {
+                self.taken[place] = true;
+                continue;
             }
-            self.taken.insert(name);
+            self.loads -= 1;
+            single.remove(index);
+            self.taken[place] = true;
         }
     }
 
-    /// The model with a single copy that this engine lacks, unless one is on its way.
-    fn least_copied(&self, engine: &Engine) -> Option<&'a Model> {
-        let models = self.asked.keys().copied();
-        let mut single = models.filter(|m| {
-            let coming = |e: &Engine| e.is_pending(OrderKind::Load, m, None);
-            !self.copying.contains(*m)
-                && !engine.first.contains(*m)
-                && self.copies(m) < COPIES
-                && !self.view.fleet.engines.values().any(coming)
-        });
-        single.next()
+    /// The models with a single copy, unless another is on its way.
+    fn single_copies(&self) -> Vec<usize> {
+        let models = 0..self.snapshot.models.len();
+        let single = |m: &usize| self.snapshot.copies(*m) < COPIES && !self.snapshot.is_coming(*m);
+        models.filter(single).collect()
     }
 
     /// The model on the engine that most engines serve, two others at least.
     fn most_served(&self, engine: &'a Engine) -> Option<&'a Model> {
-        let served = engine.serving().map(|(m, _)| (self.replicas(m), m));
+        let served = engine.serving().map(|(m, _)| {
+            let number = self.snapshot.numbers.get(m);
+            (number.map_or(0, |n| self.replicas[n]), m)
+        });
         let (replicas, model) = served.max()?;
         (replicas > SPARE_REPLICAS).then_some(model)
     }
 
     /// Gives engines back what they held at first, now that they have one copy more.
     fn restore(&mut self) {
-        let engines: Vec<(&Upstream, &Engine)> = self.free_engines().collect();
-        for (name, engine) in engines {
-            if self.view.lead == LeadTime::Spread && !engine.has_more_copies() {
+        let snapshot = self.snapshot;
+        let places: Vec<usize> = self.free_places().collect();
+        for place in places {
+            let engine = snapshot.places[place].engine;
+            if snapshot.view.lead == LeadTime::Spread && !engine.has_more_copies() {
                 continue;
             }
             let lacks = engine.first.iter().find(|m| !engine.will_serve(m));
-            let Some((model, rule)) = lacks.and_then(|m| self.view.catalog.models.get_key_value(m))
+            let Some((model, rule)) = lacks.and_then(|m| snapshot.catalog.models.get_key_value(m))
             else {
                 continue;
             };
-            if self.has_room(engine, rule) {
-                self.order(name, OrderKind::Load, model, None);
+            if self.has_room(place, rule) {
+                self.order(place, OrderKind::Load, model, None);
+            } else if let Some(guest) = self.idle_guest(engine) {
+                self.order(place, OrderKind::Unload, guest, None);
             } else {
-                let guest = engine.serving().map(|(m, _)| m);
-                let mut guest = guest.filter(|m| !engine.first.contains(*m) && self.is_idle(m));
-                let Some(guest) = guest.next() else {
-                    continue;
-                };
-                self.order(name, OrderKind::Unload, guest, None);
+                continue;
             }
-            self.taken.insert(name);
+            self.taken[place] = true;
         }
     }
+
+    /// A model that the engine did not hold at first and that nobody asks for.
+    fn idle_guest(&self, engine: &'a Engine) -> Option<&'a Model> {
+        let mut served = engine.serving().map(|(m, _)| m);
+        served.find(|m| {
+            let number = self.snapshot.numbers.get(m);
+            !engine.first.contains(*m) && number.is_none_or(|n| self.snapshot.is_idle(n))
+        })
+    }
 }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -2,11 +2,11 @@
 
 use crate::claiming::{claim, release, Inherited};
 use crate::journal::emit;
-use crate::message::Tag;
 use crate::orders::{carry_out, look, watch};
 use crate::state::Gateway;
-use shaleline_fleet::{Catalog, LeadTime, LoadWindow, PlanNote, PlanView, Rates, ServicePlanners};
-use shaleline_types::{LogEvent, Millis, Upstream};
+use crate::tags::TagBook;
+use shaleline_fleet::{LeadTime, LoadWindow, PlanNote, PlanView, Rates, ServicePlanners};
+use shaleline_types::{LogEvent, Millis, Service, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -34,6 +34,7 @@
     engines: RefCell<BTreeSet<Upstream>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
     planners: RefCell<ServicePlanners>,
+    tags: RefCell<BTreeMap<Service, TagBook>>,
     /// The fencing token of the claim that orders were last given under.
     led: Cell<Option<u64>>,
     /// Engines that a planner before ordered a moment ago, and until when they are left
@@ -144,28 +145,11 @@
 /// The fencing token of the first claim of all.
 const FIRST_FENCE: u64 = 1;
 
-/// What all callers ask for of these models; this daemon's own where nothing else is
-/// known.
-fn all_rates(gw: &Gateway, catalog: &Catalog, own: Rates, now: Millis) -> Rates {
-    let mesh = gw.mesh.borrow();
-    let Some(all) = mesh.rates(now) else {
-        return own;
-    };
-    let mut rates = Rates::new();
-    for (model, rule) in &catalog.models {
-        let adapters = rule.adapters.iter().map(Some);
-        for adapter in adapters.chain([None]) {
-            if let Some(rate) = all.get(&Tag::of_model(model, adapter)) {
-                rates.insert((model.clone(), adapter.cloned()), *rate);
-            }
-        }
-    }
-    rates
-}
-
-fn rates(gw: &Gateway, catalog: &Catalog, now: Millis) -> Rates {
-    let own = gw.demand.borrow_mut().rates(now);
-    let mut rates = all_rates(gw, catalog, own, now);
+/// What all callers ask for of the models of a service; this daemon's own where nothing else
+/// is known.
+fn rates(gw: &Gateway, tags: &TagBook, now: Millis) -> Rates {
+    let told = gw.mesh.borrow().rates(now).map(|all| tags.rates(all));
+    let mut rates = told.unwrap_or_else(|| gw.demand.borrow_mut().rates(now));
     let mut wants = gw.wants.borrow_mut();
     wants.retain(|_, at| now.since(*at) < WANT_MS);
     for (model, adapter) in wants.keys() {
@@ -193,7 +177,10 @@
         let Some(fleet) = fleets.get_mut(service) else {
             continue;
         };
-        let rates = rates(gw, catalog, now);
+        let mut tags = working.tags.borrow_mut();
+        let tags = tags.entry(service.clone()).or_default();
+        tags.update(table.version, catalog);
+        let rates = rates(gw, tags, now);
         fleet.prune(now);
         let mut window = working.window.borrow_mut();
         let Some(window) = window.as_mut() else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 //!   `gossip` sends and receives them, `reading` is who reads the store, `handover` passes
 //!   on what was read, `members` is how daemons find each other.
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
-//!   gives the orders.
+//!   gives the orders, `tags` names what the others told to be asked for.
 //! * `pulse` tells how late this process runs, and `ready` whether it should take work.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
@@ -53,6 +53,7 @@
 mod state;
 mod store;
 mod table;
+mod tags;
 
 pub use codec::{AnswerHead, Call, Codec, Entry, Head, Malformed, Passage};
 pub use journal::start_journal;
--- /dev/null
+++ b/crates/gateway/src/tags.rs
@@ -0,0 +1,41 @@
+//! Which model or adapter a tag stands for.
+
+use crate::message::{RateNote, Tag};
+use shaleline_fleet::{Catalog, Rates};
+use shaleline_types::{Adapter, Model};
+use std::collections::HashMap;
+
+/// The tags of a catalog's models and adapters, worked out once for each version of the
+/// configuration: hashing 1,600 names takes half a millisecond of a small instance.
+#[derive(Debug, Default)]
+pub(crate) struct TagBook {
+    version: Option<u64>,
+    names: HashMap<Tag, (Model, Option<Adapter>)>,
+}
+
+impl TagBook {
+    /// Takes over the catalog of a version, unless it is known.
+    pub(crate) fn update(&mut self, version: u64, catalog: &Catalog) {
+        if self.version == Some(version) {
+            return;
+        }
+        self.version = Some(version);
+        self.names.clear();
+        for (model, rule) in &catalog.models {
+            let adapters = rule.adapters.iter().map(Some);
+            for adapter in adapters.chain([None]) {
+                let name = (model.clone(), adapter.cloned());
+                self.names.insert(Tag::of_model(model, adapter), name);
+            }
+        }
+    }
+
+    /// What is asked for, by name. A tag that the catalog does not have is another service's.
+    pub(crate) fn rates(&self, note: &RateNote) -> Rates {
+        let named = note.iter().filter_map(|(tag, rate)| {
+            let name = self.names.get(tag)?;
+            Some((name.clone(), *rate))
+        });
+        named.collect()
+    }
+}
