Tell an upstream's starts apart, and use no entry that is not understood

What is believed, proven, ordered, learned (speed, failures, prefixes) or retiring of an earlier one ends; its late reports, entries, replies and news change nothing; idle connections are closed. An order in doubt of before keeps its memory while it may still be carried out: its condition, so many orders accepted, may hold again by chance. An order that was planned for an earlier start is not sent. - An entry without what its use needs, of other types, of a state that is not named, or of bytes that are no text names no upstream to use; each reason is logged once a key. What calls itself an engine of a service that has none serves none of another's models. Before: a new start's report was dropped for its lower count, its entry kept the models believed; a leaving upstream stayed leaving for good; a state not named counted as ready.

--- a/crates/fleet/src/draft.rs
+++ b/crates/fleet/src/draft.rs
@@ -120,6 +120,7 @@
             kind,
             model: model.clone(),
             adapter: adapter.cloned(),
+            incarnation: site.engine.held().incarnation,
             expect: site.engine.held().seq,
             fence: view.fence,
             holder: view.holder.to_owned(),
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -2,7 +2,8 @@
 
 use crate::{Catalog, ModelRule, Order, OrderKind};
 use serde::{Deserialize, Serialize};
-use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model};
+use shaleline_types::{Adapter, DataCentre, Incarnation, Megabytes, Millis, Model};
+use std::cmp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -21,6 +22,8 @@
     pub seq: u64,
     /// Whether an order is under way, where it says so.
     pub busy: bool,
+    /// Which start of the engine says so.
+    pub incarnation: Incarnation,
 }
 
 /// Where a sighting of an engine comes from.
@@ -37,6 +40,8 @@
 pub(crate) struct Pending {
     pub(crate) order: Order,
     pub(crate) sent: Millis,
+    /// Whether the engine has accepted it.
+    accepted: bool,
 }
 
 /// One engine.
@@ -52,6 +57,9 @@
     pub(crate) down: bool,
     pub(crate) held: Held,
     pub(crate) pending: Vec<Pending>,
+    /// Orders in doubt that were meant for an earlier incarnation. One that is late may still
+    /// be carried out, where this one has accepted as many orders as it expects.
+    strays: Vec<Pending>,
     /// Models that nobody should be sent to any more.
     pub(crate) retiring: BTreeMap<Model, Millis>,
     pub(crate) last_order: Millis,
@@ -102,6 +110,7 @@
             first: held.models.keys().cloned().collect(),
             held,
             pending: Vec::new(),
+            strays: Vec::new(),
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
@@ -180,13 +189,18 @@
 
     /// Every model that may be in its memory, in the worst case.
     fn worst_models(&self) -> BTreeSet<&Model> {
-        let loads = self.pending.iter().filter_map(|p| {
-            (p.order.kind == OrderKind::Load && p.order.adapter.is_none()).then_some(&p.order.model)
-        });
+        let loads = self
+            .open_orders()
+            .filter_map(|o| (o.kind == OrderKind::Load && o.adapter.is_none()).then_some(&o.model));
         let proof = self.proof.iter().flat_map(|p| p.models.keys());
         proof.chain(loads).collect()
     }
 
+    /// Every order that is not known to be void.
+    fn open_orders(&self) -> impl Iterator<Item = &Order> {
+        self.pending.iter().chain(&self.strays).map(|p| &p.order)
+    }
+
     /// Every adapter that may take a place, in the worst case.
     pub(crate) fn worst_adapters(&self) -> BTreeSet<(&Model, &Adapter)> {
         let proof = self.proof.iter().flat_map(|p| {
@@ -194,9 +208,9 @@
             let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
             held.chain(p.coming.iter().map(|(m, a)| (m, a)))
         });
-        let loads = self.pending.iter().filter_map(|p| {
-            let adapter = p.order.adapter.as_ref()?;
-            (p.order.kind == OrderKind::Load).then_some((&p.order.model, adapter))
+        let loads = self.open_orders().filter_map(|o| {
+            let adapter = o.adapter.as_ref()?;
+            (o.kind == OrderKind::Load).then_some((&o.model, adapter))
         });
         proof.chain(loads).collect()
     }
@@ -220,8 +234,25 @@
         Megabytes(weights + adapters)
     }
 
+    /// Takes in that it has started again: nothing of before holds, but for orders in doubt
+    /// that may still be carried out.
+    fn restart(&mut self, held: Held) {
+        let mut strays = std::mem::take(&mut self.strays);
+        let pending = std::mem::take(&mut self.pending);
+        strays.extend(pending.into_iter().filter(|p| !p.accepted));
+        *self = Self {
+            strays,
+            ..Self::new(self.centre.clone(), held)
+        };
+    }
+
     /// Takes in what was seen. What is older than what is known is passed over.
     pub(crate) fn sight(&mut self, held: Held, from: Sighting, now: Millis) {
+        match held.incarnation.against(self.held.incarnation) {
+            cmp::Ordering::Less => return,
+            cmp::Ordering::Equal => {}
+            cmp::Ordering::Greater => self.restart(held.clone()),
+        }
         let mut next = held;
         match from {
             Sighting::Reported if next.seq < self.held.seq => return,
@@ -261,7 +292,9 @@
     /// Drops the orders that are known to be carried out or void. Returns whether any was.
     pub(crate) fn settle(&mut self, now: Millis) -> bool {
         let held = &self.held;
-        let before = (self.pending.len(), self.retiring.len());
+        let before = self.open_count();
+        self.strays
+            .retain(|p| p.order.expect >= held.seq && now.since(p.sent) < DOUBT_MS);
         let is_open = |p: &Pending| {
             let order = &p.order;
             let adapters = held.models.get(&order.model);
@@ -284,7 +317,12 @@
         self.retiring.retain(|m, at| {
             held.models.contains_key(m) && (unloading(m) || now.since(*at) < RETIRE_MS)
         });
-        before != (self.pending.len(), self.retiring.len())
+        before != self.open_count()
+    }
+
+    /// How much of what was ordered or told is open.
+    fn open_count(&self) -> usize {
+        self.pending.len() + self.strays.len() + self.retiring.len()
     }
 
     /// Notes that an order leaves. It counts at its worst from now on.
@@ -301,6 +339,7 @@
         self.pending.push(Pending {
             order: order.clone(),
             sent: now,
+            accepted: false,
         });
     }
 
@@ -317,6 +356,9 @@
 
     /// Notes that an order was accepted. `done` says that it was carried out at once.
     pub(crate) fn note_accepted(&mut self, order: &Order, done: bool) {
+        if let Some(pending) = self.pending.iter_mut().find(|p| p.order == *order) {
+            pending.accepted = true;
+        }
         self.held.seq = self.held.seq.max(order.expect + 1);
         // The change that an adapter makes is known. How weights end is reported, and when
         // an adapter goes that is still in use.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -85,14 +85,14 @@
 
     /// Notes that an order leaves.
     pub fn note_sent(&mut self, order: &Order, now: Millis) {
-        if let Some(engine) = self.change(&order.engine) {
+        if let Some(engine) = self.change_meant(order) {
             engine.note_sent(order, now);
         }
     }
 
     /// Notes the answer to an order.
     pub fn note_reply(&mut self, order: &Order, reply: OrderReply, now: Millis) {
-        let Some(engine) = self.change(&order.engine) else {
+        let Some(engine) = self.change_meant(order) else {
             return;
         };
         match reply {
@@ -117,6 +117,12 @@
         Some(engine)
     }
 
+    /// The engine that an order is meant for, unless it has started again since.
+    fn change_meant(&mut self, order: &Order) -> Option<&mut Engine> {
+        self.change(&order.engine)
+            .filter(|e| e.held.incarnation == order.incarnation)
+    }
+
     /// Drops doubts that have grown old.
     pub fn prune(&mut self, now: Millis) {
         for engine in self.engines.values_mut() {
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,7 +1,7 @@
 //! What may be ordered of an engine.
 
 use serde::{Deserialize, Serialize};
-use shaleline_types::{Adapter, Model, Upstream};
+use shaleline_types::{Adapter, Incarnation, Model, Upstream};
 use std::fmt;
 
 /// What an order does.
@@ -27,6 +27,8 @@
     pub model: Model,
     /// The adapter, where the order is about one.
     pub adapter: Option<Adapter>,
+    /// The start of the engine that it is meant for.
+    pub incarnation: Incarnation,
     /// The orders that the engine must have accepted before.
     pub expect: u64,
     /// The fencing token.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Order, OrderReply};
-use shaleline_types::{Adapter, DataCentre, Millis, Model, Service, Upstream};
+use shaleline_types::{Adapter, DataCentre, Incarnation, Millis, Model, Service, Upstream};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -90,6 +90,8 @@
     pub leaving: bool,
     /// What it holds; none for a plain service.
     pub held: Option<Held>,
+    /// Which start of it this is about.
+    pub incarnation: Incarnation,
 }
 
 /// A call to an upstream that is no caller's request.
@@ -116,7 +118,7 @@
     /// Reads an upstream's entry.
     ///
     /// # Errors
-    /// Where it can't be understood; the entry is skipped.
+    /// Where it can't be understood: it names no upstream to use.
     fn entry(&self, bytes: &[u8]) -> Result<Entry, Malformed>;
 
     /// Reads the headers of a request.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -271,7 +271,7 @@
     pub(crate) fn apply_all(&self, changes: Vec<Change>) {
         let roster = self.roster.borrow();
         let told = changes.iter().map(|c| {
-            let (Change::Present(name) | Change::Gone(name)) = c;
+            let name = c.upstream();
             Seen {
                 name: name.clone(),
                 offset: roster.offset(name),
@@ -287,23 +287,22 @@
     }
 }
 
+/// What a record says of an upstream. One that can't be understood names none to use: nothing
+/// tells whether the upstream of its key is still as it was.
 fn seen_of(gw: &Gateway, record: &Record) -> Option<Seen> {
-    let name = match Upstream::from_text(&record.key) {
-        Ok(name) => name,
-        Err(e) => {
-            emit(LogEvent::EntrySkipped, &format!("reason=\"{e}\""));
-            return None;
-        }
-    };
-    let value = record.value.as_ref();
-    let entry = match value.map(|v| gw.codec.entry(v)).transpose() {
-        Ok(entry) => entry,
-        Err(e) => {
-            let detail = format!("upstream={name} reason={:?}", e.0);
+    let skip = |reason: &str| {
+        if gw.skipped.borrow_mut().is_news(&record.key, reason) {
+            let detail = format!("key={:?} reason={reason:?}", record.key);
             emit(LogEvent::EntrySkipped, &detail);
-            return None;
         }
     };
+    let name = Upstream::from_text(&record.key);
+    let name = name.map_err(|e| skip(&e.to_string())).ok()?;
+    let entry = record.value.as_ref().map(|v| gw.codec.entry(v));
+    let entry = entry.transpose().unwrap_or_else(|e| {
+        skip(&e.0);
+        None
+    });
     Some(Seen {
         name,
         offset: record.offset,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -249,8 +249,14 @@
     fn take_news(&self, news: News) {
         let now = self.now();
         match news {
-            News::Retire { engine, model } => {
-                self.with_fleet(&engine, |f| f.note_absent(&engine, &model, None, now));
+            News::Retire {
+                engine,
+                incarnation,
+                model,
+            } => {
+                if self.start_of(&engine).1 == incarnation {
+                    self.with_fleet(&engine, |f| f.note_absent(&engine, &model, None, now));
+                }
             }
             News::Released => self.claim.borrow_mut().on_release_heard(),
             News::Held { engine, held } => {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -3,12 +3,12 @@
 use crate::claiming::{claim, release, Inherited};
 use crate::journal::emit;
 use crate::orders::{carry_out, look, watch};
-use crate::state::Gateway;
+use crate::state::{EngineStart, Gateway};
 use crate::tags::TagBook;
 use shaleline_fleet::{LeadTime, LoadWindow, PlanNote, PlanView, Rates, ServicePlanners};
 use shaleline_types::{LogEvent, Millis, Service, Upstream};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,7 +31,8 @@
 /// Who is at work on which engine.
 #[derive(Default)]
 pub(crate) struct Working {
-    engines: RefCell<BTreeSet<Upstream>>,
+    /// Engines that are asked or ordered something; one that starts again is another.
+    engines: RefCell<HashSet<EngineStart>>,
     pub(crate) window: RefCell<Option<LoadWindow>>,
     planners: RefCell<ServicePlanners>,
     tags: RefCell<BTreeMap<Service, TagBook>>,
@@ -202,26 +203,27 @@
     // What is planned for an engine that is still at work is planned again until it is ordered.
     notes.retain(|n| {
         n.engine()
-            .is_none_or(|e| !working.engines.borrow().contains(e))
+            .is_none_or(|e| !working.engines.borrow().contains(&gw.start_of(e)))
     });
     tell(gw, &notes);
     look_again(gw, working);
     for (service, order) in orders {
-        if working.engines.borrow_mut().insert(order.engine.clone()) {
+        let start = gw.start_of(&order.engine);
+        if working.engines.borrow_mut().insert(start.clone()) {
             let (gw, working) = (Rc::clone(gw), Rc::clone(working));
             actix_rt::spawn(async move {
                 let accepted = carry_out(&gw, &working, &service, &order).await;
                 // An adapter on its way does not keep the engine from the next order.
                 let more = accepted && order.adapter.is_some();
                 if more {
-                    working.engines.borrow_mut().remove(&order.engine);
+                    working.engines.borrow_mut().remove(&start);
                     gw.plan_now.notify_one();
                 }
                 if accepted {
                     watch(&gw, &service, &order).await;
                 }
                 if !more {
-                    working.engines.borrow_mut().remove(&order.engine);
+                    working.engines.borrow_mut().remove(&start);
                 }
                 gw.plan_now.notify_one();
             });
@@ -253,12 +255,13 @@
         .collect();
     drop(fleets);
     for name in names {
-        if working.engines.borrow_mut().insert(name.clone()) {
+        let start = gw.start_of(&name);
+        if working.engines.borrow_mut().insert(start.clone()) {
             let (gw, working) = (Rc::clone(gw), Rc::clone(working));
             actix_rt::spawn(async move {
                 look(&gw, &name).await;
                 tokio::time::sleep(LOOK_PAUSE).await;
-                working.engines.borrow_mut().remove(&name);
+                working.engines.borrow_mut().remove(&start);
             });
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! Around it:
 //!
 //! * `follow` keeps up with the platform's [`Store`], which it calls through `link`;
-//!   `roster` decides which upstreams there are.
+//!   `roster` decides which upstreams there are, `skipped` bounds what is said of records that
+//!   name none.
 //! * `mesh` decides which daemons tell which others what, in the messages of `message`;
 //!   `gossip` sends and receives them, `reading` is who reads the store, `handover` passes
 //!   on what was read, `members` is how daemons find each other.
@@ -49,6 +50,7 @@
 mod request;
 mod roster;
 mod settings;
+mod skipped;
 mod start;
 mod state;
 mod store;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,7 +3,7 @@
 use crate::Entry;
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Rate};
-use shaleline_types::{stable_hash, Adapter, DataCentre, Instance, Model, Upstream};
+use shaleline_types::{stable_hash, Adapter, DataCentre, Incarnation, Instance, Model, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -55,8 +55,12 @@
 /// What the planner tells all daemons, before the engines' entries do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum News {
-    /// An engine is about to drop a model.
-    Retire { engine: Upstream, model: Model },
+    /// An engine is about to drop a model; another start of it is not.
+    Retire {
+        engine: Upstream,
+        incarnation: Incarnation,
+        model: Model,
+    },
     /// The planner gives its claim up.
     Released,
     /// An engine was seen to hold this.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -37,9 +37,12 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 
 impl Gateway {
-    /// Whether an order may leave now.
+    /// Whether an order may leave now: it is this daemon's turn, and the engine has not started
+    /// again since the order was planned.
     fn may_order(&self, order: &Order) -> bool {
-        self.claim.borrow().fence(self.now()) == Some(order.fence) && !self.stopping.get()
+        let leads = self.claim.borrow().fence(self.now()) == Some(order.fence);
+        let same = self.start_of(&order.engine).1 == order.incarnation;
+        leads && same && !self.stopping.get()
     }
 }
 
@@ -56,6 +59,7 @@
         });
         gw.spread(&News::Retire {
             engine: order.engine.clone(),
+            incarnation: order.incarnation,
             model: order.model.clone(),
         });
         tokio::time::sleep(RETIRE_LEAD).await;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,7 +6,8 @@
 //! come by several ways, some late; their offsets say which are new.
 
 use crate::Entry;
-use shaleline_types::{Millis, Upstream};
+use shaleline_types::{Incarnation, Millis, Upstream};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// The platform has entries of living upstreams back so long after the store is well again.
@@ -23,7 +24,7 @@
 const SERVED_MS: u64 = 1_500;
 
 /// How long it is remembered that an upstream is gone, so that an old entry of it that is
-/// read or told late is passed over.
+/// read or told late is passed over, and one of an earlier start as well.
 const REMEMBER_MS: u64 = 60_000;
 
 /// What changed.
@@ -31,17 +32,27 @@
 pub(crate) enum Change {
     /// There is an upstream, or its entry says something new.
     Present(Upstream),
+    /// An upstream has started again under its name, and knows nothing of before.
+    Restarted(Upstream),
     /// It gets no new work from now on; it may still be at work.
     Gone(Upstream),
 }
 
+impl Change {
+    /// The upstream that it is about.
+    pub(crate) fn upstream(&self) -> &Upstream {
+        let (Self::Present(name) | Self::Restarted(name) | Self::Gone(name)) = self;
+        name
+    }
+}
+
 /// An upstream's record as it was read: its offset says which of two is newer, however
 /// they came here.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Seen {
     pub(crate) name: Upstream,
     pub(crate) offset: u64,
-    /// None where the record was removed.
+    /// None where the record was removed, or names no upstream to use.
     pub(crate) entry: Option<Entry>,
 }
 
@@ -65,12 +76,21 @@
     }
 }
 
+/// An upstream that is gone.
+#[derive(Debug, Clone, Copy)]
+struct Gone {
+    /// The offset of the removal.
+    offset: u64,
+    /// When it was taken in.
+    at: Millis,
+    incarnation: Incarnation,
+}
+
 /// The upstreams known.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     listed: BTreeMap<Upstream, Listed>,
-    /// Upstreams that are gone: the offset of the removal, and when it was taken in.
-    gone: BTreeMap<Upstream, (u64, Millis)>,
+    gone: BTreeMap<Upstream, Gone>,
     disturbed: Option<Millis>,
     /// When the store last served another daemon, as far as is known.
     served: Option<Millis>,
@@ -84,7 +104,7 @@
 
     /// Takes in an upstream's record.
     pub(crate) fn on_seen(&mut self, seen: Seen, now: Millis) -> Option<Change> {
-        let gone = self.gone.get(&seen.name).map(|(offset, _)| *offset);
+        let gone = self.gone.get(&seen.name).map(|g| g.offset);
         let known = self.listed.get(&seen.name).map(Listed::newest);
         if gone.max(known).is_some_and(|o| seen.offset < o) {
             return None;
@@ -97,7 +117,14 @@
 
     /// Takes in an upstream's entry. Most repeat what the one before said.
     fn on_entry(&mut self, name: Upstream, offset: u64, entry: Entry) -> Option<Change> {
-        let known = self.listed.get_mut(&name);
+        let known = self.listed.get(&name).map(|l| l.entry.incarnation);
+        let known = known.or_else(|| Some(self.gone.get(&name)?.incarnation));
+        let against = known.map(|k| entry.incarnation.against(k));
+        if against == Some(Ordering::Less) {
+            return None;
+        }
+        let restarted = against == Some(Ordering::Greater);
+        let known = self.listed.get_mut(&name).filter(|_| !restarted);
         let leaving = entry.leaving || known.as_ref().is_some_and(|l| l.leaving);
         if let Some(known) = known.filter(|l| l.entry == entry) {
             known.offset = offset;
@@ -113,7 +140,10 @@
             until: None,
         };
         self.listed.insert(name.clone(), next);
-        Some(Change::Present(name))
+        Some(match restarted {
+            true => Change::Restarted(name),
+            false => Change::Present(name),
+        })
     }
 
     /// Notes that another upstream answers at the address of this one.
@@ -137,7 +167,12 @@
 
     fn forget(&mut self, name: &Upstream, now: Millis) -> Change {
         if let Some(listed) = self.listed.remove(name) {
-            self.gone.insert(name.clone(), (listed.newest(), now));
+            let gone = Gone {
+                offset: listed.newest(),
+                at: now,
+                incarnation: listed.entry.incarnation,
+            };
+            self.gone.insert(name.clone(), gone);
         }
         Change::Gone(name.clone())
     }
@@ -183,7 +218,7 @@
         let due = |l: &Listed| l.until.is_some_and(|u| u <= now);
         let names = self.listed.iter().filter(|(_, l)| due(l));
         let names: Vec<Upstream> = names.map(|(n, _)| n.clone()).collect();
-        self.gone.retain(|_, (_, at)| now.since(*at) < REMEMBER_MS);
+        self.gone.retain(|_, g| now.since(g.at) < REMEMBER_MS);
         names.iter().map(|n| self.forget(n, now)).collect()
     }
 
@@ -192,7 +227,7 @@
     /// the removal's offset would take it for new.
     pub(crate) fn offset(&self, name: &Upstream) -> u64 {
         let listed = self.listed.get(name).map(|l| l.offset);
-        let gone = self.gone.get(name).map(|(offset, _)| *offset);
+        let gone = self.gone.get(name).map(|g| g.offset);
         listed.or(gone).unwrap_or(0)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use crate::pulse::Pulse;
 use crate::reading::Reading;
 use crate::roster::{Change, Roster};
+use crate::skipped::Skipped;
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
@@ -19,7 +20,9 @@
 use shaleline_route::{
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
 };
-use shaleline_types::{ErrorKind, LogEvent, Millis, Model, RequestId, Service, Upstream};
+use shaleline_types::{
+    ErrorKind, Incarnation, LogEvent, Millis, Model, RequestId, Service, Upstream,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -46,6 +49,9 @@
 /// An engine takes so many requests beyond its slots before it sheds.
 const ENGINE_QUEUE: usize = 60;
 
+/// One start of an engine.
+pub(crate) type EngineStart = (Upstream, Incarnation);
+
 /// The state of a gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -61,6 +67,7 @@
     pub(crate) lines: LineBudget,
     pub(crate) router: RefCell<Router>,
     pub(crate) roster: RefCell<Roster>,
+    pub(crate) skipped: RefCell<Skipped>,
     pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) mesh: RefCell<Mesh>,
@@ -145,6 +152,7 @@
             metrics: Metrics::new()?,
             lines: LineBudget::new(now),
             roster: RefCell::new(Roster::default()),
+            skipped: RefCell::new(Skipped::default()),
             fleets: RefCell::new(BTreeMap::new()),
             demand: RefCell::new(Demand::default()),
             mesh: RefCell::new(mesh),
@@ -211,6 +219,14 @@
     pub(crate) fn apply(&self, change: Change) {
         match change {
             Change::Present(name) => self.apply_entry(&name),
+            Change::Restarted(name) => {
+                emit(LogEvent::UpstreamRestarted, &format!("upstream={name}"));
+                if let Some(target) = self.target(&name) {
+                    self.pool.forget(&target);
+                }
+                self.route(RouteEvent::Restarted(name.clone()));
+                self.apply_entry(&name);
+            }
             Change::Gone(name) => {
                 emit(LogEvent::UpstreamGone, &format!("upstream={name}"));
                 for fleet in self.fleets.borrow_mut().values_mut() {
@@ -285,7 +301,12 @@
         let fleets = self.fleets.borrow();
         let fleet = fleets.get(&entry.service);
         let serving = fleet.and_then(|f| f.get(name)).map(|e| e.serving());
-        for (model, adapters) in serving.into_iter().flatten() {
+        let table = self.table();
+        // What calls itself an engine of a service that has none serves none of another's models.
+        let catalog = table.as_ref().and_then(|t| t.catalog(&entry.service));
+        let known = |m: &Model| catalog.is_some_and(|c| c.models.contains_key(m));
+        let serving = serving.into_iter().flatten();
+        for (model, adapters) in serving.filter(|(m, _)| known(m)) {
             let route = |adapter| Route::Model {
                 model: model.clone(),
                 adapter,
@@ -376,6 +397,14 @@
         self.roster.borrow().get(name).map(|e| e.service.clone())
     }
 
+    /// An engine with the start of it that is known.
+    pub(crate) fn start_of(&self, name: &Upstream) -> EngineStart {
+        let fleets = self.fleets.borrow();
+        let engine = fleets.values().find_map(|f| f.get(name));
+        let incarnation = engine.map(|e| e.held().incarnation);
+        (name.clone(), incarnation.unwrap_or_default())
+    }
+
     /// Changes what is believed of an engine, and tells the router.
     pub(crate) fn with_fleet(&self, name: &Upstream, change: impl FnOnce(&mut Fleet)) {
         let Some(service) = self.service_of(name) else {
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -2,7 +2,7 @@
 
 use crate::roster::{Change, Roster, Seen};
 use crate::Entry;
-use shaleline_types::{DataCentre, Millis, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Millis, Service, Upstream};
 use std::net::SocketAddr;
 
 const NOW: Millis = Millis(1_000_000);
@@ -19,6 +19,7 @@
         slots: 6,
         leaving,
         held: None,
+        incarnation: Incarnation::default(),
     }
 }
 
@@ -154,3 +155,52 @@
     roster.on_disturbed(NOW.plus(3_000));
     assert_eq!(roster.on_seen(removed(2), NOW.plus(3_200)), None);
 }
+
+fn started(seen: Seen, at: u64) -> Seen {
+    let incarnation = Incarnation::from_millis(at);
+    Seen {
+        entry: seen.entry.map(|e| Entry { incarnation, ..e }),
+        ..seen
+    }
+}
+
+/// An upstream that starts again under its name was taken for the same: it stayed leaving, and
+/// what was learned of it held on.
+#[test]
+fn an_upstream_that_starts_again_is_a_new_one() {
+    let mut roster = Roster::default();
+    roster.on_seen(started(there(1, true), 100), NOW);
+    assert!(roster.is_leaving(&up()));
+    let change = roster.on_seen(started(there(2, false), 200), NOW);
+    assert_eq!(change, Some(Change::Restarted(up())));
+    assert!(!roster.is_leaving(&up()));
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_changes_nothing() {
+    let mut roster = Roster::default();
+    roster.on_seen(started(there(1, false), 200), NOW);
+    let late = roster.on_seen(started(there(2, true), 100), NOW);
+    assert_eq!(late, None);
+    assert!(!roster.is_leaving(&up()));
+}
+
+#[test]
+fn an_entry_of_a_start_that_is_gone_brings_nothing_back() {
+    let mut roster = Roster::default();
+    roster.on_seen(started(there(1, false), 200), NOW);
+    roster.on_seen(removed(2), NOW);
+    assert_eq!(roster.on_seen(started(there(3, false), 100), NOW), None);
+    let change = roster.on_seen(started(there(4, false), 300), NOW);
+    assert_eq!(change, Some(Change::Restarted(up())));
+}
+
+/// A record that can't be understood names no upstream to use; the next good one does.
+#[test]
+fn an_upstream_without_an_understood_entry_gets_no_work() {
+    let mut roster = listed();
+    let change = roster.on_seen(removed(2), NOW);
+    assert_eq!(change, Some(Change::Gone(up())));
+    let change = roster.on_seen(there(3, false), NOW);
+    assert_eq!(change, Some(Change::Present(up())));
+}
--- a/crates/route/src/ask.rs
+++ b/crates/route/src/ask.rs
@@ -233,6 +233,8 @@
         /// Whether it is leaving.
         on: bool,
     },
+    /// An upstream has started again under its name: what was learned of it is void.
+    Restarted(Upstream),
     /// An upstream is gone.
     Removed(Upstream),
     /// An upstream may hold these prefixes in its cache.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -127,6 +127,11 @@
                 self.set_leaving(&upstream, on);
                 self.pump(&upstream, now, &mut out);
             }
+            RouteEvent::Restarted(upstream) => {
+                if let Some(back) = self.backs.get_mut(&upstream) {
+                    back.forget_learned();
+                }
+            }
             RouteEvent::Removed(upstream) => self.removed(&upstream, now, &mut out),
             RouteEvent::Cached { upstream, blocks } => {
                 if let Some(back) = self.backs.get_mut(&upstream) {
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -114,6 +114,23 @@
         }
     }
 
+    /// Forgets what was learned of it. Sends that are under way end by themselves.
+    pub(crate) fn forget_learned(&mut self) {
+        let site = self.site.clone();
+        let flights = std::mem::take(&mut self.flights);
+        let fair = std::mem::take(&mut self.fair);
+        *self = Self {
+            flights,
+            fair,
+            clock: self.clock,
+            load: Load {
+                slots: self.load.slots,
+                ..Load::default()
+            },
+            ..Self::new(site)
+        };
+    }
+
     /// Notes that it refused a request: it is full, or about to drop the model. Those that
     /// come next would be refused as well.
     pub(crate) fn note_refused(&mut self, route: &Route, now: Millis) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,12 +8,14 @@
 //! * [`LogEvent`] lists the numbered log events of `docs/EVENTS.md`.
 //! * [`rank`] orders candidates by rendezvous hashing, which is how work is spread over
 //!   daemons without asking anybody.
+//! * [`Incarnation`] tells starts of one upstream apart.
 //! * [`TokenHash`] is the only form in which a secret is kept.
 
 mod error;
 mod event;
 mod hash;
 mod id;
+mod incarnation;
 mod safeguard;
 mod secret;
 mod unit;
@@ -25,6 +27,7 @@
     Adapter, ChangeId, DataCentre, Instance, InvalidName, Model, Org, RequestId, Service, Stream,
     TemplateName, Upstream, WriterId,
 };
+pub use incarnation::Incarnation;
 pub use safeguard::Safeguard;
 pub use secret::TokenHash;
 pub use unit::{Megabytes, Millis, Offset};
