Rank hubs when daemons come and go, and tell looks at engines to those they concern

Each tick of 10 ms woke an idle daemon. Change: ranks are kept as daemons come and go; what was told last is compared, and what is not new goes to hubs only, who may plan next; without requests a daemon ticks every 50 ms. The decision about hubs and its tests are unchanged.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Sends and receives the daemons' datagrams.
 
 use crate::journal::emit;
-use crate::mesh::Outgoing;
+use crate::mesh::{Concerns, Outgoing};
 use crate::message::{Datagram, LoadNote, Message, News, PlannerNote, Sender, Tag, UpstreamNote};
 use crate::roster::Seen;
 use crate::state::Gateway;
@@ -194,10 +194,10 @@
             gw.plan_now.notify_one();
         }
         Message::News(news) => {
-            let targets = gw.mesh.borrow_mut().pass_on(&from, now);
+            let concerns = gw.take_news(&news);
+            let targets = gw.mesh.borrow_mut().pass_on(&from, concerns, now);
             let passed = targets.into_iter();
             gw.send(passed.map(|t| (t, Message::News(news.clone()))).collect());
-            gw.take_news(news);
         }
     }
 }
@@ -239,14 +239,16 @@
         }
     }
 
-    /// Tells all daemons what the planner knows.
+    /// Takes in what the planner knows and tells the others.
     pub(crate) fn spread(&self, news: &News) {
-        let targets = self.mesh.borrow_mut().spread(self.now());
+        let concerns = self.take_news(news);
+        let targets = self.mesh.borrow_mut().spread(concerns, self.now());
         let messages = targets.into_iter();
         self.send(messages.map(|t| (t, Message::News(news.clone()))).collect());
     }
 
-    fn take_news(&self, news: News) {
+    /// Takes in news of the planner; says whom it concerns.
+    fn take_news(&self, news: &News) -> Concerns {
         let now = self.now();
         match news {
             News::Retire {
@@ -254,13 +256,25 @@
                 incarnation,
                 model,
             } => {
-                if self.start_of(&engine).1 == incarnation {
-                    self.with_fleet(&engine, |f| f.note_absent(&engine, &model, None, now));
+                if self.start_of(engine).1 == *incarnation {
+                    self.with_fleet(engine, |f| f.note_absent(engine, model, None, now));
                 }
+                Concerns::All
             }
-            News::Released => self.claim.borrow_mut().on_release_heard(),
-            News::Held { engine, held } => {
-                self.with_fleet(&engine, |f| f.report(&engine, held, now));
+            News::Released => {
+                self.claim.borrow_mut().on_release_heard();
+                Concerns::Hubs
+            }
+            News::Held {
+                engine,
+                held,
+                changed,
+            } => {
+                self.with_fleet(engine, |f| f.report(engine, held.clone(), now));
+                match changed {
+                    true => Concerns::All,
+                    false => Concerns::Hubs,
+                }
             }
         }
     }
@@ -270,6 +284,9 @@
     pub(crate) fn tell_changes(&self, changes: &[Seen]) {
         /// A datagram holds so many entries; one is some hundred bytes.
         const ENTRIES: usize = 4;
+        if changes.is_empty() {
+            return;
+        }
         let followers = self.mesh.borrow_mut().followers(self.now());
         for part in changes.chunks(ENTRIES) {
             let number = self.reading.borrow_mut().next_number();
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -110,6 +110,7 @@
         // The claim had lapsed for a moment, and nobody else held it meanwhile.
         return;
     }
+    gw.told.borrow_mut().clear();
     let bounds = gw.bounds.borrow();
     let mut window = LoadWindow::new(bounds.load_window, bounds.load_over);
     let now = gw.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,11 +12,13 @@
 //! * `follow` keeps up with the platform's [`Store`], which it calls through `link`;
 //!   `roster` decides which upstreams there are, `skipped` bounds what is said of records that
 //!   name none.
-//! * `mesh` decides which daemons tell which others what, in the messages of `message`;
+//! * `mesh` decides which daemons tell which others what, in the messages of `message`: `peers`
+//!   is who there is, `seats` who is a hub;
 //!   `gossip` sends and receives them, `reading` is who reads the store, `handover` passes
 //!   on what was read, `members` is how daemons find each other.
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
-//!   gives the orders, `tags` names what the others told to be asked for.
+//!   gives the orders, `tags` names what the others told to be asked for, `told` is what they
+//!   were told.
 //! * `pulse` tells how late this process runs, and `ready` whether it should take work.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
@@ -42,6 +44,7 @@
 mod message;
 mod metrics;
 mod orders;
+mod peers;
 mod pulse;
 mod reading;
 mod ready;
@@ -49,6 +52,7 @@
 mod relay;
 mod request;
 mod roster;
+mod seats;
 mod settings;
 mod skipped;
 mod start;
@@ -56,6 +60,7 @@
 mod store;
 mod table;
 mod tags;
+mod told;
 
 pub use codec::{AnswerHead, Call, Codec, Entry, Head, Malformed, Passage};
 pub use journal::start_journal;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -11,14 +11,12 @@
 use crate::message::{
     LoadNote, Mark, Message, PlannerNote, RateNote, Sender, TotalNote, UpstreamNotes,
 };
-use shaleline_types::{rank, DataCentre, Instance, Millis};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::peers::Peers;
+use crate::seats::Seats;
+use shaleline_types::{DataCentre, Instance, Millis};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A hub that was not heard of for so long is passed over: four of its messages.
-pub(crate) const SILENT_MS: u64 = 1_200;
-
 /// What a daemon told counts for so long.
 const STALE_MS: u64 = 1_500;
 
@@ -28,44 +26,18 @@
 /// A daemon that was asked to be a hub by another acts as one for so long.
 const ASKED_MS: u64 = 1_500;
 
-/// The name under which hubs are ranked.
-const RANK_KEY: &str = "hub";
-
-/// How long a daemon is remembered that is not heard of.
-const FORGET_MS: u64 = 120_000;
-
-#[derive(Debug, Clone)]
-struct Peer {
-    centre: DataCentre,
-    address: SocketAddr,
-    life: u64,
-    strength: u8,
-    /// When it was learned of or heard of last.
-    known: Millis,
-    heard: Option<Millis>,
-}
-
 #[derive(Debug, Clone)]
 struct Told {
     at: Millis,
     note: LoadNote,
 }
 
-/// Who is taken for the hub of a data centre, and since when it is expected to speak.
-#[derive(Debug, Clone)]
-struct Seat {
-    hub: Option<Instance>,
-    since: Millis,
-    /// Those that were silent, until they speak as a hub.
-    passed: BTreeSet<Instance>,
-}
-
 /// What this daemon knows of the others.
 #[derive(Debug)]
 pub(crate) struct Mesh {
     me: Sender,
-    peers: BTreeMap<Instance, Peer>,
-    seats: BTreeMap<DataCentre, Seat>,
+    peers: Peers,
+    seats: Seats,
     /// What the daemons of this data centre told, where this one is their hub.
     notes: BTreeMap<Instance, Told>,
     /// What the other hubs told.
@@ -80,15 +52,24 @@
     own: UpstreamNotes,
 }
 
+/// Whom news of the planner concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Concerns {
+    /// Daemons that may plan next.
+    Hubs,
+    /// Every daemon.
+    All,
+}
+
 /// What to send, and where.
 pub(crate) type Outgoing = Vec<(SocketAddr, Message)>;
 
 impl Mesh {
     pub(crate) fn new(me: Sender) -> Self {
         Self {
+            peers: Peers::new(&me),
+            seats: Seats::new(me.instance.clone()),
             me,
-            peers: BTreeMap::new(),
-            seats: BTreeMap::new(),
             notes: BTreeMap::new(),
             sums: BTreeMap::new(),
             total: None,
@@ -100,134 +81,48 @@
 
     /// Learns of a daemon from the store. What was heard of it directly is newer.
     pub(crate) fn learn(&mut self, from: &Sender, now: Millis) {
-        let peer = Peer {
-            centre: from.centre.clone(),
-            address: from.address,
-            life: from.life,
-            strength: from.strength,
-            known: now,
-            heard: None,
-        };
-        self.peers.entry(from.instance.clone()).or_insert(peer);
+        self.peers.learn(from, now);
     }
 
     /// Takes in a datagram's sender; true where it starts a new life.
     pub(crate) fn hear(&mut self, from: &Sender, now: Millis) -> bool {
-        let known = self.peers.get(&from.instance);
-        let new = known.is_none_or(|p| p.life != from.life);
-        let peer = Peer {
-            centre: from.centre.clone(),
-            address: from.address,
-            life: from.life,
-            strength: from.strength,
-            known: now,
-            heard: Some(now),
-        };
-        self.peers.insert(from.instance.clone(), peer);
-        new
-    }
-
-    /// The daemons of a data centre that may be its hub, best first.
-    fn candidates(&self, centre: &DataCentre) -> Vec<Instance> {
-        let peers = self.peers.iter().filter(|(_, p)| p.centre == *centre);
-        let mut strengths: BTreeMap<&str, u8> =
-            peers.map(|(n, p)| (n.as_str(), p.strength)).collect();
-        if *centre == self.me.centre {
-            strengths.insert(self.me.instance.as_str(), self.me.strength);
-        }
-        let mut ranked = rank(RANK_KEY, strengths.keys().copied());
-        ranked.sort_by_key(|n| Reverse(strengths.get(n)));
-        let instance = |n: &str| Instance::from_text(n).expect("it was a name before");
-        ranked.into_iter().map(instance).collect()
-    }
-
-    /// Notes that a daemon spoke as the hub of its data centre.
-    fn on_hub(&mut self, from: &Sender, now: Millis) {
-        let candidates = self.candidates(&from.centre);
-        let place = |n: &Instance| candidates.iter().position(|c| c == n);
-        let current = self.hub(&from.centre, now);
-        let seat = self.seats.entry(from.centre.clone()).or_insert(Seat {
-            hub: None,
-            since: now,
-            passed: BTreeSet::new(),
-        });
-        seat.passed.remove(&from.instance);
-        let better = match &current {
-            None => true,
-            Some(hub) => *hub == from.instance || place(&from.instance) < place(hub),
-        };
-        if better {
-            seat.hub = Some(from.instance.clone());
-            seat.since = now;
-        }
+        self.peers.hear(from, now)
     }
 
     /// Who is taken for the hub of a data centre now.
     fn hub(&mut self, centre: &DataCentre, now: Millis) -> Option<Instance> {
-        let candidates = self.candidates(centre);
-        let me = self.me.instance.clone();
-        let seat = self.seats.entry(centre.clone()).or_insert(Seat {
-            hub: None,
-            since: now,
-            passed: BTreeSet::new(),
-        });
-        let heard = |n: &Instance| self.peers.get(n).and_then(|p| p.heard);
-        if let Some(hub) = seat.hub.clone() {
-            let last = heard(&hub).unwrap_or(Millis(0)).max(seat.since);
-            let silent = hub != me && now.since(last) >= SILENT_MS;
-            let known = hub == me || self.peers.contains_key(&hub);
-            if !silent && known {
-                return Some(hub);
-            }
-            if silent {
-                seat.passed.insert(hub);
-            }
-        }
-        if candidates.iter().all(|c| seat.passed.contains(c)) {
-            // Perhaps it was this daemon that could not hear them.
-            seat.passed.clear();
-        }
-        let next = candidates.into_iter().find(|c| !seat.passed.contains(c));
-        if next != seat.hub {
-            seat.since = now;
-            seat.hub.clone_from(&next);
-        }
-        next
+        self.seats.hub(centre, &self.peers, now)
+    }
+
+    /// Who is taken for the hub of this data centre now.
+    fn near_hub(&mut self, now: Millis) -> Option<Instance> {
+        self.seats.hub(&self.me.centre, &self.peers, now)
     }
 
     /// Whether this daemon acts as the hub of its data centre.
     pub(crate) fn is_hub(&mut self, now: Millis) -> bool {
         let asked = self.asked.is_some_and(|at| now.since(at) < ASKED_MS);
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now);
+        let hub = self.near_hub(now);
         asked || hub.is_none_or(|h| h == self.me.instance)
     }
 
-    fn address_of(&self, instance: &Instance) -> Option<SocketAddr> {
-        self.peers.get(instance).map(|p| p.address)
-    }
-
     /// The address of the hub of this data centre, where it is another daemon.
     fn own_hub(&mut self, now: Millis) -> Option<SocketAddr> {
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now)?;
-        self.address_of(&hub)
+        let hub = self.near_hub(now)?;
+        self.peers.address(&hub)
     }
 
     /// The addresses of the other hubs.
     fn other_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
-        let centres = self.peers.values().map(|p| p.centre.clone());
-        let centres: BTreeSet<DataCentre> = centres.collect();
-        let others = centres.into_iter().filter(|c| *c != self.me.centre);
-        let others: Vec<DataCentre> = others.collect();
+        let others = self.peers.centres().filter(|c| **c != self.me.centre);
+        let others: Vec<DataCentre> = others.cloned().collect();
         let hubs: Vec<Instance> = others.iter().filter_map(|c| self.hub(c, now)).collect();
-        hubs.iter().filter_map(|h| self.address_of(h)).collect()
+        hubs.iter().filter_map(|h| self.peers.address(h)).collect()
     }
 
     /// The addresses of the other daemons of this data centre.
     fn neighbours(&self) -> Vec<SocketAddr> {
-        let near = self.peers.values().filter(|p| p.centre == self.me.centre);
-        near.map(|p| p.address).collect()
+        self.peers.addresses(&self.me.centre)
     }
 
     /// Which daemons may have read the store for this one: a follower's hub, a hub's peers.
@@ -252,7 +147,7 @@
 
     /// Takes in the sum of another data centre.
     pub(crate) fn on_sum(&mut self, from: &Sender, note: LoadNote, now: Millis) {
-        self.on_hub(from, now);
+        self.seats.on_hub(from, &self.peers, now);
         let told = Told { at: now, note };
         self.sums.insert(from.centre.clone(), told);
     }
@@ -268,10 +163,9 @@
 
     /// Takes in the total. Returns whether its sender is this daemon's hub.
     pub(crate) fn on_total(&mut self, from: &Sender, note: &TotalNote, now: Millis) -> bool {
-        self.on_hub(from, now);
+        self.seats.on_hub(from, &self.peers, now);
         self.heard = true;
-        let centre = self.me.centre.clone();
-        if self.hub(&centre, now).as_ref() != Some(&from.instance) {
+        if self.near_hub(now).as_ref() != Some(&from.instance) {
             return false;
         }
         self.total = Some(Told {
@@ -309,15 +203,14 @@
 
     /// What to tell the others now. `own` is this daemon's load.
     pub(crate) fn tick(&mut self, own: &LoadNote, mark: Option<Mark>, now: Millis) -> Outgoing {
-        self.peers.retain(|_, p| now.since(p.known) < FORGET_MS);
+        self.peers.prune(now);
         self.notes.retain(|_, t| now.since(t.at) < GONE_MS);
         self.own.clone_from(&own.upstreams);
-        let centre = self.me.centre.clone();
-        let hub = self.hub(&centre, now);
+        let hub = self.near_hub(now);
         let mut out = Outgoing::new();
         if let Some(hub) = hub.filter(|h| *h != self.me.instance) {
             let note = Message::Note(own.clone());
-            out.extend(self.address_of(&hub).map(|a| (a, note)));
+            out.extend(self.peers.address(&hub).map(|a| (a, note)));
         }
         if self.is_hub(now) {
             self.tell_as_hub(own, mark, now, &mut out);
@@ -352,25 +245,35 @@
 
     /// Where to send news of the planner: to all of this data centre and the other hubs, or
     /// to the hub, which passes them on.
-    pub(crate) fn spread(&mut self, now: Millis) -> Vec<SocketAddr> {
-        if self.is_hub(now) {
-            let mut all = self.other_hubs(now);
+    pub(crate) fn spread(&mut self, concerns: Concerns, now: Millis) -> Vec<SocketAddr> {
+        if !self.is_hub(now) {
+            return self.own_hub(now).into_iter().collect();
+        }
+        let mut all = self.other_hubs(now);
+        if concerns == Concerns::All {
             all.extend(self.neighbours());
-            return all;
         }
-        self.own_hub(now).into_iter().collect()
+        all
     }
 
     /// Where to pass on news that came from `from`.
-    pub(crate) fn pass_on(&mut self, from: &Sender, now: Millis) -> Vec<SocketAddr> {
+    pub(crate) fn pass_on(
+        &mut self,
+        from: &Sender,
+        concerns: Concerns,
+        now: Millis,
+    ) -> Vec<SocketAddr> {
         if !self.is_hub(now) {
             return Vec::new();
         }
-        let mut all = self.neighbours();
+        let mut all = Vec::new();
+        if concerns == Concerns::All {
+            all.extend(self.neighbours());
+        }
         if from.centre == self.me.centre {
             all.extend(self.other_hubs(now));
         }
-        let sender = self.address_of(&from.instance);
+        let sender = self.peers.address(&from.instance);
         all.retain(|a| Some(*a) != sender);
         all
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -64,7 +64,13 @@
     /// The planner gives its claim up.
     Released,
     /// An engine was seen to hold this.
-    Held { engine: Upstream, held: Held },
+    Held {
+        engine: Upstream,
+        held: Held,
+        /// Whether it serves something else than was told before: then it concerns whoever
+        /// sends requests, and otherwise only those that may plan next.
+        changed: bool,
+    },
 }
 
 /// What some daemons have at one upstream: requests, and milliseconds of prompts.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -54,9 +54,6 @@
     order: &Order,
 ) -> bool {
     if order.kind == OrderKind::Unload && order.adapter.is_none() {
-        gw.with_fleet(&order.engine, |f| {
-            f.note_absent(&order.engine, &order.model, None, gw.now());
-        });
         gw.spread(&News::Retire {
             engine: order.engine.clone(),
             incarnation: order.incarnation,
@@ -203,10 +200,11 @@
         }
     };
     let seq = held.seq;
+    let changed = gw.told.borrow_mut().is_news(engine, &held);
     gw.spread(&News::Held {
         engine: engine.clone(),
-        held: held.clone(),
+        held,
+        changed,
     });
-    gw.with_fleet(engine, |f| f.report(engine, held, gw.now()));
     Some(seq)
 }
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,144 @@
+//! Which daemons are known, and in which order those of a data centre may be its hub.
+
+use crate::message::Sender;
+use shaleline_types::{stable_hash, DataCentre, Instance, Millis};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+/// The name under which hubs are ranked.
+const RANK_KEY: &str = "hub";
+
+/// How long a daemon is remembered that is not heard of.
+const FORGET_MS: u64 = 120_000;
+
+/// A daemon's place among those that may be a hub: the strongest instance first, by rendezvous
+/// hashing among equals. The smallest rank is the best.
+type Rank = Reverse<(u8, u64, Instance)>;
+
+fn rank_of(instance: &Instance, strength: u8) -> Rank {
+    let score = stable_hash(&[RANK_KEY, instance.as_str()]);
+    Reverse((strength, score, instance.clone()))
+}
+
+/// Another daemon.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) centre: DataCentre,
+    pub(crate) address: SocketAddr,
+    life: u64,
+    strength: u8,
+    /// When it was learned of or heard of last.
+    known: Millis,
+    pub(crate) heard: Option<Millis>,
+}
+
+impl Peer {
+    fn new(from: &Sender, now: Millis, heard: Option<Millis>) -> Self {
+        Self {
+            centre: from.centre.clone(),
+            address: from.address,
+            life: from.life,
+            strength: from.strength,
+            known: now,
+            heard,
+        }
+    }
+
+    fn is(&self, from: &Sender) -> bool {
+        self.life == from.life && self.address == from.address && self.strength == from.strength
+    }
+}
+
+/// The other daemons. Ranks are kept as daemons come and go, as they are asked for far more
+/// often than that.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    all: HashMap<Instance, Peer>,
+    ranked: BTreeMap<DataCentre, BTreeSet<Rank>>,
+}
+
+impl Peers {
+    /// Nobody but this daemon itself.
+    pub(crate) fn new(me: &Sender) -> Self {
+        let own = BTreeSet::from([rank_of(&me.instance, me.strength)]);
+        Self {
+            all: HashMap::new(),
+            ranked: BTreeMap::from([(me.centre.clone(), own)]),
+        }
+    }
+
+    /// Learns of a daemon from somebody else. What was heard of it directly is newer.
+    pub(crate) fn learn(&mut self, from: &Sender, now: Millis) {
+        if !self.all.contains_key(&from.instance) {
+            self.insert(from, Peer::new(from, now, None));
+        }
+    }
+
+    /// Takes in that a daemon spoke; true where it starts a new life.
+    pub(crate) fn hear(&mut self, from: &Sender, now: Millis) -> bool {
+        if let Some(peer) = self.all.get_mut(&from.instance).filter(|p| p.is(from)) {
+            peer.known = now;
+            peer.heard = Some(now);
+            return false;
+        }
+        let before = self.all.get(&from.instance).map(|p| p.life);
+        self.remove(&from.instance);
+        self.insert(from, Peer::new(from, now, Some(now)));
+        before != Some(from.life)
+    }
+
+    fn insert(&mut self, from: &Sender, peer: Peer) {
+        let ranks = self.ranked.entry(from.centre.clone()).or_default();
+        ranks.insert(rank_of(&from.instance, from.strength));
+        self.all.insert(from.instance.clone(), peer);
+    }
+
+    fn remove(&mut self, instance: &Instance) {
+        let Some(peer) = self.all.remove(instance) else {
+            return;
+        };
+        if let Some(ranks) = self.ranked.get_mut(&peer.centre) {
+            ranks.remove(&rank_of(instance, peer.strength));
+        }
+    }
+
+    /// Forgets daemons that were not heard of for long.
+    pub(crate) fn prune(&mut self, now: Millis) {
+        let old = |p: &Peer| now.since(p.known) >= FORGET_MS;
+        let gone = self.all.iter().filter(|(_, p)| old(p));
+        let gone: Vec<Instance> = gone.map(|(n, _)| n.clone()).collect();
+        gone.iter().for_each(|n| self.remove(n));
+    }
+
+    /// The daemons of a data centre that may be its hub, best first, this one included.
+    pub(crate) fn ranked(&self, centre: &DataCentre) -> impl Iterator<Item = &Instance> {
+        let ranks = self.ranked.get(centre).into_iter().flatten();
+        ranks.map(|Reverse((_, _, instance))| instance)
+    }
+
+    /// The data centres in which daemons are known.
+    pub(crate) fn centres(&self) -> impl Iterator<Item = &DataCentre> {
+        let some = self.ranked.iter().filter(|(_, ranks)| !ranks.is_empty());
+        some.map(|(centre, _)| centre)
+    }
+
+    pub(crate) fn get(&self, instance: &Instance) -> Option<&Peer> {
+        self.all.get(instance)
+    }
+
+    pub(crate) fn address(&self, instance: &Instance) -> Option<SocketAddr> {
+        self.all.get(instance).map(|p| p.address)
+    }
+
+    /// The addresses of the daemons of a data centre, this one left out.
+    pub(crate) fn addresses(&self, centre: &DataCentre) -> Vec<SocketAddr> {
+        let near = self.ranked(centre).filter_map(|n| self.all.get(n));
+        near.map(|p| p.address).collect()
+    }
+
+    /// How many other daemons are known, alive or not.
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+}
--- a/crates/gateway/src/pulse.rs
+++ b/crates/gateway/src/pulse.rs
@@ -12,7 +12,7 @@
 /// for what is believed.
 const STALL_MS: u64 = 250;
 
-/// A gap shorter than this is the pace of the pulse itself and the grain of timers.
+/// A wake-up that is late by less than this is the grain of timers.
 const GAP_MS: u64 = 30;
 
 /// What is read within this time after a gap may have waited for its end: one round of tasks
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Notes a wake-up.
-    pub(crate) fn on_tick(&mut self, now: Millis) {
-        let length = now.since(self.last);
+    /// Notes a wake-up that was due `pace` milliseconds after the one before at the latest.
+    pub(crate) fn on_tick(&mut self, pace: u64, now: Millis) {
+        let length = now.since(self.last.plus(pace));
         self.last = now;
         let old = |g: &Gap| now.since(g.ended) > CATCH_UP_MS;
         while self.gaps.front().is_some_and(old) {
--- /dev/null
+++ b/crates/gateway/src/seats.rs
@@ -0,0 +1,103 @@
+//! Who is taken for the hub of each data centre.
+//!
+//! The first of its daemons that is not silent. A wrong belief costs messages or calls.
+
+use crate::message::Sender;
+use crate::peers::Peers;
+use shaleline_types::{DataCentre, Instance, Millis};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A hub that was not heard of for so long is passed over: four of its messages.
+pub(crate) const SILENT_MS: u64 = 1_200;
+
+/// Who is taken for the hub of a data centre, and since when it is expected to speak.
+#[derive(Debug, Clone)]
+struct Seat {
+    hub: Option<Instance>,
+    since: Millis,
+    /// Those that were silent, until they speak as a hub.
+    passed: BTreeSet<Instance>,
+}
+
+impl Seat {
+    fn new(now: Millis) -> Self {
+        Self {
+            hub: None,
+            since: now,
+            passed: BTreeSet::new(),
+        }
+    }
+}
+
+/// The hubs as this daemon believes.
+#[derive(Debug)]
+pub(crate) struct Seats {
+    me: Instance,
+    seats: BTreeMap<DataCentre, Seat>,
+}
+
+impl Seats {
+    pub(crate) fn new(me: Instance) -> Self {
+        Self {
+            me,
+            seats: BTreeMap::new(),
+        }
+    }
+
+    /// Notes that a daemon spoke as the hub of its data centre.
+    pub(crate) fn on_hub(&mut self, from: &Sender, peers: &Peers, now: Millis) {
+        let current = self.hub(&from.centre, peers, now);
+        let place = |n: &Instance| peers.ranked(&from.centre).position(|c| c == n);
+        let better = match &current {
+            None => true,
+            Some(hub) => *hub == from.instance || place(&from.instance) < place(hub),
+        };
+        let Some(seat) = self.seats.get_mut(&from.centre) else {
+            return;
+        };
+        seat.passed.remove(&from.instance);
+        if better {
+            seat.hub = Some(from.instance.clone());
+            seat.since = now;
+        }
+    }
+
+    /// Who is taken for the hub of a data centre now.
+    pub(crate) fn hub(
+        &mut self,
+        centre: &DataCentre,
+        peers: &Peers,
+        now: Millis,
+    ) -> Option<Instance> {
+        if !self.seats.contains_key(centre) {
+            self.seats.insert(centre.clone(), Seat::new(now));
+        }
+        let seat = self.seats.get_mut(centre)?;
+        if let Some(hub) = &seat.hub {
+            let heard = peers.get(hub).and_then(|p| p.heard);
+            let last = heard.unwrap_or(Millis(0)).max(seat.since);
+            let silent = *hub != self.me && now.since(last) >= SILENT_MS;
+            let known = *hub == self.me || peers.get(hub).is_some();
+            if !silent && known {
+                return Some(hub.clone());
+            }
+            if silent {
+                seat.passed.insert(hub.clone());
+            }
+        }
+        let first = |seat: &Seat| {
+            let mut candidates = peers.ranked(centre).filter(|c| !seat.passed.contains(*c));
+            candidates.next().cloned()
+        };
+        let next = first(seat).or_else(|| {
+            // Perhaps it was this daemon that could not hear them.
+            seat.passed.clear();
+            first(seat)
+        });
+        if next != seat.hub {
+            seat.since = now;
+            seat.hub.clone_from(&next);
+        }
+        next
+    }
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,11 +19,15 @@
 /// How often waiting and hanging requests are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
-/// Every so many ticks, what is old is dropped.
-const HOUSEKEEPING: u32 = 100;
+/// How often the rest is looked at while there are no requests. Each wake-up costs a small
+/// instance as much as deciding about a request.
+const IDLE_TICK: Duration = Duration::from_millis(50);
 
-/// Every so many ticks, calls to the store are summed up in the log.
-const SUMMARY: u32 = 1_000;
+/// How often what is old is dropped.
+const HOUSEKEEPING_MS: u64 = 1_000;
+
+/// How often calls to the store are summed up in the log.
+const SUMMARY_MS: u64 = 10_000;
 
 /// The balancer asks once a second and takes a daemon out after two misses.
 const SERVE_ON: Millis = Millis(2_300);
@@ -92,36 +96,53 @@
     Ok(Running { gw })
 }
 
+/// Looks at what time alone changes, for as long as the process lives.
 async fn tick(gw: Rc<Gateway>) {
-    let mut count = 0_u32;
     let mut ready = false;
+    let mut cleaned = gw.now();
+    let mut summed = gw.now();
     loop {
-        tokio::time::sleep(TICK).await;
-        gw.pulse.borrow_mut().on_tick(gw.now());
+        let pace = wait_for_tick(&gw).await;
+        gw.pulse.borrow_mut().on_tick(pace, gw.now());
         gw.route(RouteEvent::Tick);
         let changes = gw.roster.borrow_mut().tick(gw.now());
         gw.apply_all(changes);
         if ready != gw.is_ready() {
             ready = gw.is_ready();
-            let event = if ready {
-                LogEvent::Ready
-            } else {
-                LogEvent::NotReady
-            };
-            let detail = format!("stopping={} behind={}", gw.stopping.get(), gw.is_behind());
-            emit(event, &detail);
+            tell_ready(&gw, ready);
         }
-        count = count.wrapping_add(1);
-        if count % HOUSEKEEPING == 0 {
+        let now = gw.now();
+        if now.since(cleaned) >= HOUSEKEEPING_MS {
+            cleaned = now;
             gw.pool.prune();
             drop_gone(&gw);
         }
-        if count % SUMMARY == 0 {
+        if now.since(summed) >= SUMMARY_MS {
+            summed = now;
             emit(LogEvent::StoreCalls, &gw.metrics.take_store_calls());
         }
     }
 }
 
+/// Waits for the next tick; returns how long that may take, in milliseconds.
+async fn wait_for_tick(gw: &Gateway) -> u64 {
+    let pace = if gw.has_requests() { TICK } else { IDLE_TICK };
+    tokio::select! {
+        () = tokio::time::sleep(pace) => {}
+        () = gw.first_request.notified() => {}
+    }
+    pace.as_millis() as u64
+}
+
+fn tell_ready(gw: &Gateway, ready: bool) {
+    let event = match ready {
+        true => LogEvent::Ready,
+        false => LogEvent::NotReady,
+    };
+    let detail = format!("stopping={} behind={}", gw.stopping.get(), gw.is_behind());
+    emit(event, &detail);
+}
+
 /// Forgets upstreams that are gone once nothing is at work there.
 fn drop_gone(gw: &Gateway) {
     let idle = |n: &Upstream| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::reading::Reading;
 use crate::roster::{Change, Roster};
 use crate::skipped::Skipped;
+use crate::told::Told;
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
@@ -88,6 +89,8 @@
     pub(crate) ordered: RefCell<LastOrders>,
     /// What the planner before left behind, as it was read last.
     pub(crate) inherited: RefCell<Option<Inherited>>,
+    /// What this daemon told of engines as the planner.
+    pub(crate) told: RefCell<Told>,
     /// Adapters that somebody waits for, with when that was last said.
     pub(crate) wants: RefCell<BTreeMap<(Model, shaleline_types::Adapter), Millis>>,
     /// Wakes the planner.
@@ -98,6 +101,8 @@
     pub(crate) stopping: Cell<bool>,
     pub(crate) listed: Cell<bool>,
     table: RefCell<Option<Rc<Table>>>,
+    /// Wakes what looks at waiting requests.
+    pub(crate) first_request: Notify,
     requests: RefCell<HashMap<RequestId, mpsc::UnboundedSender<RouteAction>>>,
     next: Cell<u64>,
 }
@@ -163,6 +168,7 @@
             listed_peers: Cell::new(false),
             settled: Cell::new(false),
             marked: Notify::new(),
+            told: RefCell::new(Told::default()),
             wants: RefCell::new(BTreeMap::new()),
             plan_now: Notify::new(),
             outbox,
@@ -170,6 +176,7 @@
             stopping: Cell::new(false),
             listed: Cell::new(false),
             table: RefCell::new(None),
+            first_request: Notify::new(),
             requests: RefCell::new(HashMap::new()),
             next: Cell::new(0),
             bounds: RefCell::new(settings.bounds.clone()),
@@ -232,6 +239,7 @@
                 for fleet in self.fleets.borrow_mut().values_mut() {
                     fleet.remove(&name);
                 }
+                self.told.borrow_mut().forget(&name);
                 self.route(RouteEvent::Leaving {
                     upstream: name,
                     on: true,
@@ -372,10 +380,18 @@
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         let (tell, told) = mpsc::unbounded_channel();
+        if !self.has_requests() {
+            self.first_request.notify_one();
+        }
         self.requests.borrow_mut().insert(id, tell);
         (id, told)
     }
 
+    /// Whether there are requests whose answer has not ended.
+    pub(crate) fn has_requests(&self) -> bool {
+        !self.requests.borrow().is_empty()
+    }
+
     pub(crate) fn unregister(&self, id: RequestId) {
         self.requests.borrow_mut().remove(&id);
     }
--- a/crates/gateway/tests/unit/mesh.rs
+++ b/crates/gateway/tests/unit/mesh.rs
@@ -1,7 +1,8 @@
 //! Hubs: who is one, who tells whom, and what becomes of a hub that falls silent.
 
-use crate::mesh::{Mesh, SILENT_MS};
+use crate::mesh::Mesh;
 use crate::message::{LoadNote, Message, Sender, Tag, TotalNote, UpstreamNote};
+use crate::seats::SILENT_MS;
 use shaleline_types::{DataCentre, Instance, Millis, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/gateway/tests/unit/ready.rs
+++ b/crates/gateway/tests/unit/ready.rs
@@ -41,12 +41,12 @@
             Run(ms) => {
                 for _ in 0..ms / TICK {
                     now = now.plus(TICK);
-                    pulse.on_tick(now);
+                    pulse.on_tick(TICK, now);
                 }
             }
             Stall(ms) => {
                 now = now.plus(ms);
-                pulse.on_tick(now);
+                pulse.on_tick(TICK, now);
             }
             Read => reading.on_config(7, now),
         }
@@ -111,7 +111,7 @@
     for round in rounds {
         now = now.plus(round.gap);
         if round.pulse_first {
-            pulse.on_tick(now);
+            pulse.on_tick(TICK, now);
         }
         let answered = answered_at(asked, accepted.get(known));
         if answered <= now {
@@ -121,7 +121,7 @@
             asked = now;
         }
         if !round.pulse_first {
-            pulse.on_tick(now);
+            pulse.on_tick(TICK, now);
         }
         let due = accepted.iter().filter(|a| a.plus(APPLY.0) <= now).count();
         if known < due && !is_behind(&reading, &pulse, APPLY, now) {
