Trial: draw upstreams by cost among those that unseen sends may bring level

Hypothesis: with news of load some 450 ms old 295 daemons send to whichever upstream seemed best. Besides: a restarted daemon asks for a copy at once, then waits 600 ms for its hub to have read; copies also come from two other hubs.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,12 +24,17 @@
 /// store: a question before is one in vain.
 const FIRST_COPY: Duration = Duration::from_millis(1_500);
 
+/// The same where callers wait already: many daemons may have been killed at once.
+const LATER_COPY: Duration = Duration::from_millis(600);
+
 /// Follows the configuration for as long as the process lives.
 pub(crate) async fn config(gw: Rc<Gateway>) {
     let mut link = Link::new("config");
     let mut next = None;
     settle_first(&gw).await;
-    wait_for_first(&gw, || gw.followed_config().is_some()).await;
+    if gw.settings.first_start || !copy_config(&gw, &mut next).await {
+        wait_for_first(&gw, || gw.followed_config().is_some()).await;
+    }
     loop {
         wait_for_change(&gw, next).await;
         if !gw.is_reader() && copy_config(&gw, &mut next).await {
@@ -90,11 +95,15 @@
     }
 }
 
-/// Waits, at the first start of all, until the one that this daemon follows knows the store.
+/// Waits until the one that this daemon follows knows the store: it may have started at the same
+/// time.
 async fn wait_for_first(gw: &Gateway, knows: impl Fn() -> bool) {
-    let limit = tokio::time::Instant::now() + FIRST_COPY;
-    let first = gw.settings.first_start;
-    while first && !gw.is_reader() && !knows() && tokio::time::Instant::now() < limit {
+    let most = match gw.settings.first_start {
+        true => FIRST_COPY,
+        false => LATER_COPY,
+    };
+    let limit = tokio::time::Instant::now() + most;
+    while !gw.is_reader() && !knows() && tokio::time::Instant::now() < limit {
         tokio::time::sleep(SETTLE_LOOK).await;
     }
 }
@@ -160,7 +169,9 @@
     let mut link = Link::new("upstreams");
     let mut next = None;
     settle_first(&gw).await;
-    wait_for_first(&gw, || gw.reading.borrow().is_marked()).await;
+    if gw.settings.first_start || !copy_entries(&gw).await {
+        wait_for_first(&gw, || gw.reading.borrow().is_marked()).await;
+    }
     loop {
         let every = gw.settings.policy.read_every.0;
         let reader = gw.is_reader();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -47,8 +47,26 @@
     }
 }
 
+/// The part of the time that engines are at work on prompts, on days of high load.
+const AT_WORK: f64 = 0.4;
+
+/// What a daemon tells reaches the others through its hub and theirs.
+const HOPS: f64 = 2.0;
+
+impl Gateway {
+    /// How much work the other daemons may have sent to an upstream since they last told of it
+    /// here: what arrives there meanwhile, but for this daemon's own part.
+    fn unseen(&self) -> f64 {
+        let age = self.tell_every().0 as f64 * HOPS;
+        let daemons = self.mesh.borrow().alive(self.now()) as f64;
+        age * AT_WORK * (1.0 - 1.0 / daemons)
+    }
+}
+
 async fn tick(gw: &Gateway, socket: &UdpSocket) {
     gw.share_budget();
+    let unseen = gw.unseen();
+    gw.router.borrow_mut().set_unseen(unseen);
     let now = gw.now();
     let note = load_note(gw);
     let mark = gw.reading.borrow().mark(now);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -26,6 +26,10 @@
 /// A daemon that was asked to be a hub by another acts as one for so long.
 const ASKED_MS: u64 = 1_500;
 
+/// Besides the one that it follows a daemon asks so many others for a copy: with the first hub
+/// half of them may be gone, and each that does not answer takes a part of the bounds.
+const MOST_SOURCES: usize = 2;
+
 #[derive(Debug, Clone)]
 struct Told {
     at: Millis,
@@ -154,13 +158,15 @@
 
     /// Which daemons may know the store for this one, the one that it follows first.
     pub(crate) fn sources(&mut self, now: Millis) -> Vec<SocketAddr> {
-        if !self.sits(now) {
-            return self.own_hub(now).into_iter().collect();
-        }
-        let reader = self.reader(now).and_then(|i| self.peers.address(i));
+        let first = if self.sits(now) {
+            self.reader(now).and_then(|i| self.peers.address(i))
+        } else {
+            self.own_hub(now)
+        };
         let mut sources = self.other_hubs(now);
-        sources.sort_by_key(|s| Some(*s) != reader);
-        sources
+        sources.retain(|s| Some(*s) != first);
+        sources.truncate(MOST_SOURCES);
+        first.into_iter().chain(sources).collect()
     }
 
     /// Learns of a daemon from the store. What was heard of it directly is newer.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -137,6 +137,7 @@
         let mesh = Mesh::new(me.clone());
         let router = RouterSettings {
             token: settings.policy.token,
+            seed: rng.random(),
             ..RouterSettings::new(settings.centre.clone())
         };
         let name = settings.instance.as_str();
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::upstream::Back;
 use crate::Ask;
-use shaleline_types::{DataCentre, Millis};
+use shaleline_types::{DataCentre, Millis, Upstream};
 
 /// How upstreams are chosen. The others are baselines to measure against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -32,6 +32,31 @@
 /// What a failure costs the caller: the time until its own retry.
 const FAILURE_MS: f64 = 2_000.0;
 
+/// Draws one of the upstreams by what the request costs there: those that cost least most often,
+/// and none that costs `unseen` more than the best.
+///
+/// What the other daemons have sent in the last moments is not known yet. Where all of them send
+/// to the upstream that seems best, it gets what was meant for all. So each takes as much of what
+/// comes meanwhile as would bring the costs level.
+pub(crate) fn draw_by_cost<'a>(
+    costs: &[(&'a Upstream, f64)],
+    unseen: f64,
+    draw: f64,
+) -> Option<&'a Upstream> {
+    let by_cost = |a: &&(&Upstream, f64), b: &&(&Upstream, f64)| a.1.total_cmp(&b.1);
+    let (best, least) = costs.iter().min_by(by_cost)?;
+    let weight = |cost: f64| (least + unseen - cost).max(0.0);
+    let all: f64 = costs.iter().map(|(_, c)| weight(*c)).sum();
+    let mut left = draw * all;
+    for (name, cost) in costs {
+        left -= weight(*cost);
+        if left < 0.0 {
+            return Some(name);
+        }
+    }
+    Some(best)
+}
+
 /// Weighs upstreams for one request; the lowest value is the best.
 pub(crate) struct Chooser<'a> {
     pub(crate) choice: Choice,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,7 +1,7 @@
 //! The decision itself: what is admitted and where it goes. How sends end is in `ending`,
 //! what happens to requests that wait or hang in `waiting`.
 
-use crate::choose::Chooser;
+use crate::choose::{draw_by_cost, Chooser};
 use crate::estimate::TokenCosts;
 use crate::limit::Limiter;
 use crate::queue::{RouteQueue, Waiting};
@@ -11,7 +11,10 @@
     Ask, AttemptNumber, LimitKind, Limits, RetrySettings, Route, RouteAction, RouteEvent,
     RouterSettings, RouterStats, ShareBook, Site,
 };
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use shaleline_types::{ErrorKind, Millis, Org, RequestId, Safeguard, Upstream};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
@@ -41,6 +44,10 @@
     pub(crate) budget: RetryBudget,
     pub(crate) tokens: TokenCosts,
     turn: u64,
+    /// How much work, in milliseconds, the other daemons may have sent to an upstream that is
+    /// not known here yet.
+    unseen: f64,
+    draws: RefCell<SmallRng>,
     pub(crate) stats: RouterStats,
     /// When old state was dropped last.
     pub(crate) pruned: Millis,
@@ -61,6 +68,8 @@
             budget: RetryBudget::new(settings.retries),
             tokens: TokenCosts::default(),
             turn: 0,
+            unseen: 0.0,
+            draws: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
             stats: RouterStats::default(),
             pruned: Millis(0),
             settings,
@@ -92,6 +101,12 @@
         self.budget.set(retries);
     }
 
+    /// Sets how much work, in milliseconds, the other daemons may have sent to an upstream that
+    /// is not known here yet.
+    pub fn set_unseen(&mut self, unseen: f64) {
+        self.unseen = unseen;
+    }
+
     /// Takes an event and says what to do.
     pub fn step(&mut self, event: RouteEvent, now: Millis) -> Vec<RouteAction> {
         let mut out = Vec::new();
@@ -268,13 +283,17 @@
         };
         let able: Vec<(&Upstream, &Back)> = self.backs.iter().filter(fits).collect();
         let fresh = |u: &Upstream| !open.tried.contains(u);
+        let untried = able.iter().any(|(u, _)| fresh(u));
         let of = able.len();
         let costs = able.iter().enumerate().map(|(i, (name, back))| {
             let cost = chooser.cost(back, ask, i, of);
-            (!fresh(name), cost, *name)
+            (*name, cost)
         });
-        let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
-        Some(best.2.clone())
+        let costs = costs.filter(|(name, _)| !untried || fresh(name));
+        let costs: Vec<(&Upstream, f64)> = costs.collect();
+        let draw = self.draws.borrow_mut().random();
+        let best = draw_by_cost(&costs, self.unseen, draw)?;
+        Some(best.clone())
     }
 
     pub(crate) fn send(
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -24,6 +24,8 @@
     pub token: f64,
     /// The budget for retries.
     pub retries: RetrySettings,
+    /// Where the draws of this router begin.
+    pub seed: u64,
 }
 
 impl RouterSettings {
@@ -39,6 +41,7 @@
             shed: true,
             token: 0.5,
             retries: RetrySettings::default(),
+            seed: 0,
         }
     }
 }
