Show which requests are the same, and whether an upstream ended under them

Cause of the gap: each try of a caller has an id of its own, a line named neither the start of the engine nor whether it ended or only a connection. Each request now has an identity, a keyed hash of caller, method, host, path and body; a broken connection is followed by one attempt to connect. No decision uses either yet. Ruled out: an entry that lapses (3.6 s too late), and runs that break together alone (a reset of one daemon's connections does the same).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use exchange::{Exchange, SendError};
 pub use gate::Gate;
-pub use listener::{Handler, Listener};
-pub use pool::{Pool, PoolSettings, Target};
+pub use listener::{CallerAddress, Handler, Listener};
+pub use pool::{Pool, PoolSettings, Reach, Target};
 pub use reply::{Chunk, Reply, ReplyBody, ReplyStream};
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -12,7 +12,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +30,10 @@
 /// The smallest read buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8_192;
 
+/// Where the connection of a request comes from; an extension of each request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Answers requests. Dropping the returned future means that the caller has gone.
 pub trait Handler {
     /// Answers one request.
@@ -74,11 +78,12 @@
                 _ = phase.wait_for(|p| *p == Phase::Closed) => return,
                 accepted = self.socket.accept() => accepted,
             };
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, from)) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let connection = serve(stream, self.gate.clone(), Rc::clone(&handler));
+            let caller = CallerAddress(from.ip());
+            let connection = serve(stream, caller, self.gate.clone(), Rc::clone(&handler));
             actix_rt::spawn(connection);
         }
     }
@@ -90,7 +95,7 @@
     last: Cell<Instant>,
 }
 
-async fn serve(stream: TcpStream, gate: Gate, handler: Rc<dyn Handler>) {
+async fn serve(stream: TcpStream, caller: CallerAddress, gate: Gate, handler: Rc<dyn Handler>) {
     let _open = gate.open();
     // Small answers must not wait for an acknowledgement; without it they are late, not lost.
     stream.set_nodelay(true).ok();
@@ -98,7 +103,8 @@
         busy: Cell::new(0),
         last: Cell::new(Instant::now()),
     });
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
         let activity = Rc::clone(&activity);
         let gate = gate.clone();
         let answer = handler.handle(request);
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,6 +29,17 @@
     pub address: SocketAddr,
 }
 
+/// What became of an attempt to connect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Something listens there.
+    Accepted,
+    /// The machine is there and nothing listens.
+    Refused,
+    /// No answer: the way there, or the machine, is gone.
+    Silent,
+}
+
 /// What an operator sets of a pool.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSettings {
@@ -201,6 +213,16 @@
         self.0.kept.borrow_mut().remove(target);
     }
 
+    /// Connects once and closes again, to see whether anything listens there.
+    pub async fn reach(&self, target: &Target, limit: Duration) -> Reach {
+        self.0.opened.set(self.0.opened.get() + 1);
+        match timeout(limit, TcpStream::connect(target.address)).await {
+            Ok(Ok(_)) => Reach::Accepted,
+            Ok(Err(e)) if is_refusal(&e) => Reach::Refused,
+            Ok(Err(_)) | Err(_) => Reach::Silent,
+        }
+    }
+
     async fn open(&self, target: &Target) -> Result<Channel, SendError> {
         let line = {
             let mut kept = self.0.kept.borrow_mut();
@@ -237,6 +259,11 @@
     }
 }
 
+fn is_refusal(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionRefused, ConnectionReset};
+    matches!(error.kind(), ConnectionRefused | ConnectionReset)
+}
+
 /// Counts a connection that is being opened.
 struct Hold(Option<Count>);
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one upstream.
 
+use crate::ended::Sent;
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::log_end;
@@ -63,6 +64,8 @@
     NotSent,
     /// See [`SendError::Broken`].
     Broken,
+    /// The upstream ended under it.
+    Ended,
     /// The answer belongs to another request, is not signed, or is no upstream's body.
     Garbled,
     /// The upstream said that it did not run the request.
@@ -78,7 +81,7 @@
         match self {
             Self::NotSent => Some(End::NotSent),
             Self::Refused(_) => Some(End::Refused),
-            Self::Broken | Self::Garbled => Some(End::Broken),
+            Self::Broken | Self::Ended | Self::Garbled => Some(End::Broken),
             Self::Moved | Self::Late => None,
         }
     }
@@ -199,10 +202,11 @@
     permit.sends += 1;
     permit.reached += 1;
     permit.last = Some(upstream.clone());
+    let sent = gw.send_to(attempt, upstream);
     let result = if job.rule.repeat.is_stream() {
         let opened = first_piece(gw, job, &mut permit, upstream).await;
         match opened {
-            Ok(begun) => return stream(gw, job, permit, attempt, upstream, begun).await,
+            Ok(begun) => return stream(gw, job, permit, sent, begun).await,
             Err(failure) => Err(failure),
         }
     } else {
@@ -211,20 +215,34 @@
     match result {
         Ok((reply, status)) => finish(gw, job, permit, attempt, reply, status),
         Err(failure) => {
-            note_failure(gw, job, &mut permit, attempt, upstream, failure);
+            fail(gw, job, &mut permit, &sent, failure).await;
             Ended::Unanswered(permit)
         }
     }
 }
 
-pub(crate) fn note_failure(
+/// Notes that a send failed, once it is known whether its upstream ended under it.
+pub(crate) async fn fail(
     gw: &Gateway,
     job: &Job,
     permit: &mut Permit,
-    attempt: AttemptNumber,
-    upstream: &Upstream,
+    sent: &Sent,
     failure: Failure,
 ) {
+    let broke = matches!(failure, Failure::Broken | Failure::Garbled);
+    let failure = match broke && gw.has_ended(sent).await {
+        true => Failure::Ended,
+        false => failure,
+    };
+    note_failure(gw, job, permit, sent, failure);
+}
+
+fn note_failure(gw: &Gateway, job: &Job, permit: &mut Permit, sent: &Sent, failure: Failure) {
+    let Sent {
+        attempt,
+        upstream,
+        start,
+    } = sent;
     if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
         permit.reached -= 1;
     }
@@ -238,13 +256,17 @@
     }
     if gw.lines.take(gw.now()) {
         let detail = format!(
-            "id={} upstream={upstream} send={attempt} failure={failure:?} route={}",
-            job.head.id, job.rule.name
+            "id={} request={} upstream={upstream} start={start} send={attempt} failure={failure:?} \
+             first_ms={} route={}",
+            job.head.id,
+            job.identity,
+            permit.first_text(job),
+            job.rule.name
         );
         emit(LogEvent::SendFailed, &detail);
     }
     if let Some(end) = failure.to_end() {
-        permit.end(attempt, end);
+        permit.end(*attempt, end);
     }
 }
 
@@ -344,14 +366,13 @@
     gw: &Rc<Gateway>,
     job: &Rc<Job>,
     mut permit: Permit,
-    attempt: AttemptNumber,
-    upstream: &Upstream,
+    sent: Sent,
     begun: Begun,
 ) -> Ended {
-    permit.first_byte(attempt);
+    permit.first_byte(sent.attempt);
     let Begun { mut opened, first } = begun;
     if !opened.status.is_success() {
-        return failed_stream(gw, job, permit, attempt, opened, first).await;
+        return failed_stream(gw, job, permit, &sent, opened, first).await;
     }
     gw.metrics.note_first(gw.now().since(job.arrived));
     let (sender, body) = ReplyBody::channel(PIECES, None);
@@ -362,8 +383,7 @@
         gw: Rc::clone(gw),
         job: Rc::clone(job),
         permit,
-        attempt,
-        upstream: upstream.clone(),
+        sent,
         sender,
     };
     actix_rt::spawn(relay.run(opened, first));
@@ -375,15 +395,15 @@
     gw: &Gateway,
     job: &Job,
     mut permit: Permit,
-    attempt: AttemptNumber,
+    sent: &Sent,
     mut opened: Opened,
     first: Option<Bytes>,
 ) -> Ended {
     let mut body = first.unwrap_or_default().to_vec();
     match opened.exchange.collect(MOST_BYTES).await {
         Ok(rest) => body.extend_from_slice(&rest),
-        Err(_) => {
-            permit.end(attempt, End::Broken);
+        Err(e) => {
+            fail(gw, job, &mut permit, sent, e.into()).await;
             return Ended::Unanswered(permit);
         }
     }
@@ -391,5 +411,5 @@
     *reply.status_mut() = opened.status;
     *reply.headers_mut() = opened.headers;
     opened.exchange.finish(keep_of(&opened.answer));
-    finish(gw, job, permit, attempt, reply, opened.status)
+    finish(gw, job, permit, sent.attempt, reply, opened.status)
 }
--- /dev/null
+++ b/crates/gateway/src/ended.rs
@@ -0,0 +1,106 @@
+//! Whether an upstream ended when a send to it broke off.
+//!
+//! A connection breaks for many reasons: it was reset, its way was cut, the upstream hangs, sheds
+//! connections or breaks off one answer. Only where nothing listens at its address any more, and
+//! nobody said that it would leave, did it end under what it had to do.
+
+use crate::journal::emit;
+use crate::state::Gateway;
+use shaleline_edge::Reach;
+use shaleline_route::AttemptNumber;
+use shaleline_types::{Incarnation, LogEvent, Millis, StartTag, Upstream};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::OnceCell;
+
+/// How long a connection may take that shows whether an upstream still listens: a refusal takes
+/// one way there and back, some milliseconds; the caller waits meanwhile.
+const LIMIT: Duration = Duration::from_millis(150);
+
+/// What was seen holds for sends that broke off within so long: they end with the upstream, at one
+/// moment, and are noticed within one round of tasks of a busy instance.
+const SAME_MS: u64 = 300;
+
+/// What was seen last of an upstream, and when that was asked.
+type Seen = Rc<OnceCell<Reach>>;
+
+/// What was seen of upstreams to which sends broke off.
+#[derive(Debug, Default)]
+pub(crate) struct Ends {
+    looks: HashMap<StartTag, (Millis, Seen)>,
+}
+
+impl Ends {
+    /// The look at a start of an upstream, which sends that break off together share.
+    fn look(&mut self, start: StartTag, now: Millis) -> Seen {
+        self.looks.retain(|_, (at, _)| now.since(*at) < SAME_MS);
+        let (_, seen) = self
+            .looks
+            .entry(start)
+            .or_insert_with(|| (now, Seen::default()));
+        Rc::clone(seen)
+    }
+}
+
+/// One send: to which upstream, and which start of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Sent {
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) upstream: Upstream,
+    pub(crate) start: StartTag,
+}
+
+impl Gateway {
+    /// A send that begins now. Which start of the upstream it is for is asked before it: when the
+    /// send breaks off, the next start may be known already.
+    pub(crate) fn send_to(&self, attempt: AttemptNumber, upstream: &Upstream) -> Sent {
+        let listed = self.roster.borrow().get(upstream).map(|e| e.incarnation);
+        let incarnation = listed.unwrap_or_default();
+        Sent {
+            attempt,
+            start: StartTag::of(upstream, self.latest(upstream, incarnation)),
+            upstream: upstream.clone(),
+        }
+    }
+
+    /// What an engine said of itself may be newer than its entry.
+    fn latest(&self, upstream: &Upstream, listed: Incarnation) -> Incarnation {
+        let seen = self.start_of(upstream).1;
+        match seen.against(listed) {
+            std::cmp::Ordering::Greater => seen,
+            _ => listed,
+        }
+    }
+
+    /// Whether the upstream ended under a send that broke off there.
+    pub(crate) async fn has_ended(&self, sent: &Sent) -> bool {
+        // One that leaves ends as planned, whatever it still does.
+        if self.roster.borrow().is_leaving(&sent.upstream) {
+            return false;
+        }
+        let Some(target) = self.target(&sent.upstream) else {
+            return false;
+        };
+        let seen = self.ends.borrow_mut().look(sent.start, self.now());
+        let reach = seen.get_or_init(|| async {
+            let reach = self.pool.reach(&target, LIMIT).await;
+            self.log_look(sent, reach);
+            reach
+        });
+        *reach.await == Reach::Refused
+    }
+
+    fn log_look(&self, sent: &Sent, reach: Reach) {
+        if reach != Reach::Refused {
+            return;
+        }
+        let Sent {
+            upstream, start, ..
+        } = sent;
+        let own = self.router.borrow().own_load(upstream);
+        let under_way = own.map_or(0, |l| l.running);
+        let detail = format!("upstream={upstream} start={start} under_way={under_way}");
+        emit(LogEvent::UpstreamEnded, &detail);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim; `orders`
 //!   gives the orders, `tags` names what the others told to be asked for, `told` is what they
 //!   were told.
+//! * `ended` tells whether an upstream ended when a send to it broke off.
 //! * `pulse` tells how late this process runs, and `ready` whether it should take work.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
@@ -35,6 +36,7 @@
 mod control;
 mod desk;
 mod dispatch;
+mod ended;
 mod events;
 mod follow;
 mod gossip;
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -101,9 +101,10 @@
     }
     let detail =
         format!(
-        "id={} code={code} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
+        "id={} request={} code={code} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
          reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={}",
         job.head.id,
+        job.identity,
         job.rule.name,
         job.route(),
         gw.router.borrow().serving(&job.route()),
@@ -114,7 +115,7 @@
         permit.reached,
         now.since(job.arrived),
         permit.expected,
-        permit.first_after(job).map_or("none".to_owned(), |f| f.to_string()),
+        permit.first_text(job),
         permit.pause,
         job.deadline.since(now),
     );
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Passes a stream on to its caller, and resumes it elsewhere where its route allows that.
 
 use crate::attempt::{self, keep_of, Failure, Opened};
+use crate::ended::Sent;
 use crate::events::EventSplitter;
 use crate::job::Job;
 use crate::refuse::log_end;
@@ -9,8 +10,8 @@
 use crate::table::Repeat;
 use bytes::Bytes;
 use shaleline_edge::Chunk;
-use shaleline_route::{AttemptNumber, End, RouteAction};
-use shaleline_types::{LogEvent, Upstream};
+use shaleline_route::{End, RouteAction};
+use shaleline_types::LogEvent;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -19,8 +20,7 @@
     pub(crate) gw: Rc<Gateway>,
     pub(crate) job: Rc<Job>,
     pub(crate) permit: Permit,
-    pub(crate) attempt: AttemptNumber,
-    pub(crate) upstream: Upstream,
+    pub(crate) sent: Sent,
     pub(crate) sender: mpsc::Sender<Chunk>,
 }
 
@@ -64,7 +64,7 @@
         let limit = self.gw.clock.instant(self.job.deadline);
         loop {
             if let Some(bytes) = next.take() {
-                self.permit.progress(self.attempt);
+                self.permit.progress(self.sent.attempt);
                 let whole = match events {
                     Some(splitter) => splitter.push(&bytes),
                     None => Some(bytes),
@@ -99,8 +99,7 @@
     /// Opens the stream at another upstream after the last whole event.
     async fn resume(&mut self, failure: Failure, last: Option<String>) -> Option<Opened> {
         let (gw, job) = (Rc::clone(&self.gw), Rc::clone(&self.job));
-        let (attempt, upstream) = (self.attempt, self.upstream.clone());
-        attempt::note_failure(&gw, &job, &mut self.permit, attempt, &upstream, failure);
+        attempt::fail(&gw, &job, &mut self.permit, &self.sent, failure).await;
         let limit = gw.clock.instant(job.deadline);
         loop {
             let action = tokio::time::timeout_at(limit, self.permit.next())
@@ -115,7 +114,7 @@
                 }
                 return None;
             };
-            (self.attempt, self.upstream) = (attempt, upstream.clone());
+            self.sent = gw.send_to(attempt, &upstream);
             self.permit.sends += 1;
             self.permit.last = Some(upstream.clone());
             self.permit.reached += 1;
@@ -125,29 +124,38 @@
                 Ok(_) => Failure::Broken,
                 Err(failure) => failure,
             };
-            attempt::note_failure(&gw, &job, &mut self.permit, attempt, &upstream, failure);
+            attempt::fail(&gw, &job, &mut self.permit, &self.sent, failure).await;
         }
     }
 
-    async fn finish(mut self, part: &Part) {
-        let (event, code, end) = match part {
-            Part::Whole => (LogEvent::RequestEnded, "ok", Some(End::Whole)),
-            Part::Left => (LogEvent::RequestEnded, "caller-left", None),
-            Part::Late => (LogEvent::RequestFailed, "timed-out", None),
-            Part::Broken(_) => (
-                LogEvent::RequestFailed,
-                "broken-stream",
-                Some(End::Broken).filter(|_| !self.job.is_idempotent()),
-            ),
+    async fn finish(self, part: &Part) {
+        let (event, code) = match part {
+            Part::Whole => (LogEvent::RequestEnded, "ok"),
+            Part::Left => (LogEvent::RequestEnded, "caller-left"),
+            Part::Late => (LogEvent::RequestFailed, "timed-out"),
+            Part::Broken(_) => (LogEvent::RequestFailed, "broken-stream"),
         };
-        if let Some(end) = end {
-            self.permit.end(self.attempt, end);
-        }
+        let Self {
+            gw,
+            job,
+            mut permit,
+            sent,
+            sender,
+        } = self;
         if matches!(part, Part::Whole) {
+            permit.end(sent.attempt, End::Whole);
             // A caller that left just now has its whole answer all the same.
-            self.sender.send(Chunk::End).await.ok();
+            sender.send(Chunk::End).await.ok();
+        }
+        // The caller learns at once that its stream is broken.
+        drop(sender);
+        match part {
+            Part::Broken(failure) if !job.is_idempotent() => {
+                attempt::fail(&gw, &job, &mut permit, &sent, *failure).await;
+            }
+            _ => {}
         }
-        self.gw.metrics.count_request(code);
-        log_end(&self.gw, &self.job, &self.permit, event, code);
+        gw.metrics.count_request(code);
+        log_end(&gw, &job, &permit, event, code);
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,9 +16,9 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::Request;
-use shaleline_edge::{Handler, Reply};
+use shaleline_edge::{CallerAddress, Handler, Reply};
 use shaleline_route::{AttemptNumber, End, RouteAction};
-use shaleline_types::{ErrorKind, LogEvent, Millis, RequestId, Upstream};
+use shaleline_types::{ErrorKind, Fingerprint, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -101,6 +101,12 @@
         self.first.map(|f| f.since(job.arrived))
     }
 
+    /// The same for logs.
+    pub(crate) fn first_text(&self, job: &Job) -> String {
+        let first = self.first_after(job);
+        first.map_or("none".to_owned(), |f| f.to_string())
+    }
+
     pub(crate) fn progress(&mut self, attempt: AttemptNumber) {
         let now = self.gw.now();
         self.pause = self.pause.max(now.since(self.piece));
@@ -183,6 +189,8 @@
     let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
     let came_back = patience.0 < rule.timeout.0 * BACK_PART.0 / BACK_PART.1;
     let deadline = arrived.plus(patience.0.saturating_sub(MARGIN));
+    let caller = request.extensions().get::<CallerAddress>().copied();
+    let host = host_of(&request).to_owned();
     let (parts, body) = request.into_parts();
     let limit = gw
         .clock
@@ -190,8 +198,10 @@
     let body = tokio::time::timeout_at(limit, read_body(body, table.limits.body)).await;
     let body = body.map_err(|_| Refusal::new(ErrorKind::BodyLate))??;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let identity = identity_of(caller, &host, &parts, &body);
     Ok(Job {
         head,
+        identity,
         rule,
         service,
         version: table.version,
@@ -205,6 +215,21 @@
     })
 }
 
+/// What a request has in common with its caller's other attempts: each has an id of its own,
+/// and comes on a connection of its own to any daemon.
+fn identity_of(
+    caller: Option<CallerAddress>,
+    host: &str,
+    parts: &hyper::http::request::Parts,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = caller.map(|c| c.0.to_string()).unwrap_or_default();
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let texts = [&caller, parts.method.as_str(), host, path];
+    let [caller, method, host, path] = texts.map(str::as_bytes);
+    Fingerprint::of(&[caller, method, host, path, body])
+}
+
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(ErrorKind::TooLarge);
     if body.size_hint().lower() > limit as u64 {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::dispatch::Asked;
+use crate::ended::Ends;
 use crate::gossip::Addressed;
 use crate::journal::{emit, LineBudget};
 use crate::mesh::Mesh;
@@ -113,6 +114,8 @@
     /// Requests of this daemon for which others choose, and the other way round.
     pub(crate) asked: RefCell<Asked>,
     pub(crate) desk: RefCell<Desk>,
+    /// What was seen of upstreams to which sends broke off.
+    pub(crate) ends: RefCell<Ends>,
     /// Upstreams from which bytes came for requests that others chose for.
     pub(crate) alive: RefCell<HashSet<Tag>>,
     /// When this daemon last told what it has open, and whom.
@@ -199,6 +202,7 @@
             table: RefCell::new(None),
             asked: RefCell::new(Asked::new(life, now)),
             desk: RefCell::new(Desk::default()),
+            ends: RefCell::new(Ends::default()),
             alive: RefCell::new(HashSet::new()),
             told_open: Cell::new(now),
             open_at: RefCell::new(HashSet::new()),
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -88,6 +88,7 @@
     LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
     UpstreamGone 8101 Info "An upstream is no longer listed and gets no new work.";
     UpstreamRestarted 8102 Info "An upstream has started again under its name; what was known of it is dropped.";
+    UpstreamEnded 8103 Warn "An upstream ended while requests were under way there.";
     RequestEnded 8201 Info "A request ended.";
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a whole answer.";
--- /dev/null
+++ b/crates/types/src/fingerprint.rs
@@ -0,0 +1,64 @@
+//! Which requests are the same, and which start of an upstream something is about.
+
+use crate::{stable_hash, Incarnation, Upstream};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The key of the hash. It keeps these hashes apart from all others; it is no secret, as it
+/// must be the same in every daemon, and the hash resists collisions without one.
+const KEY: &[u8; 32] = b"shaleline identity of a request ";
+
+/// So many bytes are shown to people.
+const SHOWN: usize = 4;
+
+/// What a request is, whichever attempt of its caller it is: a keyed hash (BLAKE3) of who asks,
+/// what for, and with which body.
+///
+/// 128 bits of a hash that resists collisions: no caller can make a request that is taken for
+/// another caller's. `docs/CRASHES.md` says what it is needed for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// The fingerprint of `parts`, none of which runs into the next.
+    #[must_use]
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new_keyed(KEY);
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    /// A short digest for logs: enough to find the lines of one request, too little to tell
+    /// what is in it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0[..SHOWN]
+            .iter()
+            .try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+/// One start of an upstream as a hash: an upstream may start again under its name, and what
+/// ended one start says nothing of the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StartTag(u64);
+
+impl StartTag {
+    /// The tag of a start.
+    #[must_use]
+    pub fn of(upstream: &Upstream, incarnation: Incarnation) -> Self {
+        Self(stable_hash(&[upstream.as_str(), &incarnation.to_string()]))
+    }
+}
+
+impl fmt::Display for StartTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,10 +9,13 @@
 //! * [`rank`] orders candidates by rendezvous hashing, which is how work is spread over
 //!   daemons without asking anybody.
 //! * [`Incarnation`] tells starts of one upstream apart.
+//! * [`Fingerprint`] tells that two requests are the same, [`StartTag`] names one start of an
+//!   upstream.
 //! * [`TokenHash`] is the only form in which a secret is kept.
 
 mod error;
 mod event;
+mod fingerprint;
 mod hash;
 mod id;
 mod incarnation;
@@ -22,6 +25,7 @@
 
 pub use error::{Answer, Category, Error, ErrorKind, Outcome, Result};
 pub use event::{Level, LogEvent};
+pub use fingerprint::{Fingerprint, StartTag};
 pub use hash::{digest, rank, stable_hash};
 pub use id::{
     Adapter, ChangeId, DataCentre, Instance, InvalidName, Model, Org, RequestId, Service, Stream,
