Reproduce a request that ends engine after engine: many daemons, lossy news, no network

Many gateways in one thread, with the clock and the draws given, pass each other their own datagrams, of which some are lost. One request that ends each upstream which runs it comes again at any of them.

For this the clock is given to a gateway, its pool and its gates in place of being read; what it shows is unchanged.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,5 +1,7 @@
 //! The state that all connections of a listener share, and the steps of its stop.
 
+use crate::Clock;
+use shaleline_types::Millis;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +24,7 @@
 
 #[derive(Debug)]
 struct Inner {
+    clock: Clock,
     phase: watch::Sender<Phase>,
     idle: Cell<Duration>,
     head: Cell<usize>,
@@ -33,8 +36,15 @@
     /// An open gate: connections may be idle for `idle`, heads may have `head` bytes.
     #[must_use]
     pub fn new(idle: Duration, head: usize) -> Self {
+        Self::with_clock(idle, head, Clock::default())
+    }
+
+    /// The same, where connections are idle by this clock.
+    #[must_use]
+    pub fn with_clock(idle: Duration, head: usize, clock: Clock) -> Self {
         let (phase, _) = watch::channel(Phase::Open);
         Self(Rc::new(Inner {
+            clock,
             phase,
             idle: Cell::new(idle),
             head: Cell::new(head),
@@ -77,6 +87,10 @@
         self.0.open.get()
     }
 
+    pub(crate) fn now(&self) -> Millis {
+        self.0.clock.now()
+    }
+
     pub(crate) fn idle(&self) -> Duration {
         self.0.idle.get()
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,16 +5,19 @@
 //! nothing is left over from an earlier answer, and how to stop without losing a request.
 //! `docs/PLATFORM.md` says why `hyper` serves here and not `actix-web` and `awc`.
 //!
+//! * [`Clock`] is the clock by which all of this grows old.
 //! * [`Listener`] serves callers; its [`Gate`] closes it step by step.
 //! * [`Pool`] keeps connections to upstreams; an [`Exchange`] is one request on one of
 //!   them, and dropping it closes the connection, which cancels the request.
 
+mod clock;
 mod exchange;
 mod gate;
 mod listener;
 mod pool;
 mod reply;
 
+pub use clock::{Clock, Time};
 pub use exchange::{Exchange, SendError};
 pub use gate::Gate;
 pub use listener::{CallerAddress, Handler, Listener};
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use shaleline_types::Millis;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -15,7 +16,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// The connections that may wait to be accepted; callers come in herds.
@@ -92,7 +93,7 @@
 /// What one connection is doing.
 struct Activity {
     busy: Cell<usize>,
-    last: Cell<Instant>,
+    last: Cell<Millis>,
 }
 
 async fn serve(stream: TcpStream, caller: CallerAddress, gate: Gate, handler: Rc<dyn Handler>) {
@@ -101,7 +102,7 @@
     stream.set_nodelay(true).ok();
     let activity = Rc::new(Activity {
         busy: Cell::new(0),
-        last: Cell::new(Instant::now()),
+        last: Cell::new(gate.now()),
     });
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
@@ -110,7 +111,7 @@
         let answer = handler.handle(request);
         async move {
             activity.busy.set(activity.busy.get() + 1);
-            let guard = Done(Rc::clone(&activity));
+            let guard = Done(Rc::clone(&activity), gate.clone());
             let busy = gate.enter();
             let mut reply = answer.await;
             if gate.is_closing() {
@@ -138,7 +139,7 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(IDLE_CHECK), if !told => {
-                let idle = activity.last.get().elapsed() >= gate.idle();
+                let idle = u128::from(gate.now().since(activity.last.get())) >= gate.idle().as_millis();
                 if activity.busy.get() == 0 && idle {
                     told = true;
                     connection.as_mut().graceful_shutdown();
@@ -149,11 +150,11 @@
 }
 
 /// Notes the end of a request on its connection.
-struct Done(Rc<Activity>);
+struct Done(Rc<Activity>, Gate);
 
 impl Drop for Done {
     fn drop(&mut self) {
         self.0.busy.set(self.0.busy.get() - 1);
-        self.0.last.set(Instant::now());
+        self.0.last.set(self.1.now());
     }
 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,13 +1,13 @@
 //! Kept connections to upstreams.
 
-use crate::{Exchange, SendError};
+use crate::{Clock, Exchange, SendError};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use shaleline_types::Upstream;
+use shaleline_types::{Millis, Upstream};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -15,7 +15,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -75,7 +75,7 @@
 
 struct Idle {
     channel: Channel,
-    until: Instant,
+    until: Millis,
 }
 
 /// How many connections to one upstream are open.
@@ -97,6 +97,7 @@
 pub struct Pool(Rc<Inner>);
 
 struct Inner {
+    clock: Clock,
     settings: PoolSettings,
     kept: RefCell<HashMap<Target, Kept>>,
     opened: std::cell::Cell<u64>,
@@ -114,7 +115,14 @@
     /// An empty pool.
     #[must_use]
     pub fn new(settings: PoolSettings) -> Self {
+        Self::with_clock(settings, Clock::default())
+    }
+
+    /// An empty pool whose idle connections grow old by this clock.
+    #[must_use]
+    pub fn with_clock(settings: PoolSettings, clock: Clock) -> Self {
         Self(Rc::new(Inner {
+            clock,
             settings,
             kept: RefCell::new(HashMap::new()),
             opened: std::cell::Cell::new(0),
@@ -178,7 +186,7 @@
     fn take(&self, target: &Target) -> Option<Channel> {
         let mut kept = self.0.kept.borrow_mut();
         let idle = &mut kept.get_mut(target)?.idle;
-        let now = Instant::now();
+        let now = self.0.clock.now();
         while let Some(last) = idle.pop() {
             if last.until > now && !last.channel.sender.is_closed() {
                 return Some(last.channel);
@@ -191,7 +199,7 @@
         if keep.is_zero() || channel.sender.is_closed() {
             return;
         }
-        let until = Instant::now() + keep;
+        let until = self.0.clock.now().plus(keep.as_millis() as u64);
         let mut kept = self.0.kept.borrow_mut();
         let line = kept.entry(target.clone()).or_default();
         line.idle.push(Idle { channel, until });
@@ -199,7 +207,7 @@
 
     /// Closes what was idle for too long.
     pub fn prune(&self) {
-        let now = Instant::now();
+        let now = self.0.clock.now();
         let mut kept = self.0.kept.borrow_mut();
         for line in kept.values_mut() {
             line.idle
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -237,7 +237,14 @@
     note_failure(gw, job, permit, sent, failure);
 }
 
-fn note_failure(gw: &Gateway, job: &Job, permit: &mut Permit, sent: &Sent, failure: Failure) {
+/// The same where it is known already.
+pub(crate) fn note_failure(
+    gw: &Gateway,
+    job: &Job,
+    permit: &mut Permit,
+    sent: &Sent,
+    failure: Failure,
+) {
     let Sent {
         attempt,
         upstream,
@@ -278,14 +285,13 @@
     permit: &mut Permit,
     step: impl std::future::Future<Output = Result<T, Failure>>,
 ) -> Result<T, Failure> {
-    let limit = gw.clock.instant(job.deadline);
     tokio::select! {
         result = step => result,
         action = permit.next() => match action {
             Some(RouteAction::Cancel { .. }) => Err(Failure::Moved),
             _ => Err(Failure::Late),
         },
-        () = tokio::time::sleep_until(limit) => Err(Failure::Late),
+        () = gw.clock.sleep_until(job.deadline) => Err(Failure::Late),
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -85,6 +85,13 @@
 }
 
 async fn tick(gw: &Gateway, socket: &UdpSocket) {
+    let messages = round(gw);
+    send_all(socket, messages).await;
+    pass_loads(gw);
+}
+
+/// What this daemon tells the others now.
+pub(crate) fn round(gw: &Gateway) -> Addressed {
     gw.share_budget();
     let sight = gw.sight();
     gw.router.borrow_mut().set_sight(sight);
@@ -93,8 +100,7 @@
     let mark = gw.reading.borrow().mark(now);
     let messages = gw.mesh.borrow_mut().tick(&note, mark, now);
     let messages = messages.into_iter().map(|(t, m)| (t, gw.datagram(m)));
-    send_all(socket, messages.collect()).await;
-    pass_loads(gw);
+    messages.collect()
 }
 
 async fn send_all(socket: &UdpSocket, messages: Addressed) {
@@ -182,7 +188,8 @@
     }
 }
 
-fn take(gw: &Gateway, datagram: Datagram) {
+/// Takes in what another daemon sent.
+pub(crate) fn take(gw: &Gateway, datagram: Datagram) {
     let now = gw.now();
     let Datagram { from, message } = datagram;
     if from == gw.me {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,6 @@
 mod attempt;
 mod choosing;
 mod claiming;
-mod clock;
 mod codec;
 mod control;
 mod desk;
@@ -80,6 +79,8 @@
 #[path = "../tests/unit"]
 mod unit {
     mod choosing;
+    #[path = "crashes/main.rs"]
+    mod crashes;
     mod events;
     mod job;
     mod mesh;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,7 +61,7 @@
         events: &mut Option<EventSplitter>,
     ) -> Part {
         let mut next = first;
-        let limit = self.gw.clock.instant(self.job.deadline);
+        let limit = self.job.deadline;
         loop {
             if let Some(bytes) = next.take() {
                 self.permit.progress(self.sent.attempt);
@@ -79,7 +79,7 @@
             let piece = tokio::select! {
                 piece = opened.exchange.next() => piece,
                 () = self.sender.closed() => return Part::Left,
-                () = tokio::time::sleep_until(limit) => return Part::Late,
+                () = self.gw.clock.sleep_until(limit) => return Part::Late,
             };
             match piece {
                 Ok(Some(bytes)) => next = Some(bytes),
@@ -100,11 +100,9 @@
     async fn resume(&mut self, failure: Failure, last: Option<String>) -> Option<Opened> {
         let (gw, job) = (Rc::clone(&self.gw), Rc::clone(&self.job));
         attempt::fail(&gw, &job, &mut self.permit, &self.sent, failure).await;
-        let limit = gw.clock.instant(job.deadline);
         loop {
-            let action = tokio::time::timeout_at(limit, self.permit.next())
-                .await
-                .ok()??;
+            let next = self.permit.next();
+            let action = gw.clock.timeout_at(job.deadline, next).await??;
             let RouteAction::Send {
                 attempt, upstream, ..
             } = action
@@ -119,7 +117,7 @@
             self.permit.last = Some(upstream.clone());
             self.permit.reached += 1;
             let opened = attempt::open(&gw, &job, &upstream, last.as_deref());
-            let failure = match tokio::time::timeout_at(limit, opened).await.ok()? {
+            let failure = match gw.clock.timeout_at(job.deadline, opened).await? {
                 Ok(opened) if opened.status.is_success() => return Some(opened),
                 Ok(_) => Failure::Broken,
                 Err(failure) => failure,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -39,7 +39,8 @@
     gw: Rc<Gateway>,
     id: RequestId,
     actions: mpsc::UnboundedReceiver<RouteAction>,
-    open: bool,
+    /// Whether it has no end yet.
+    pub(crate) open: bool,
     /// Sends that may have reached an upstream.
     pub(crate) reached: u32,
     pub(crate) sends: u32,
@@ -59,7 +60,8 @@
         self.id
     }
 
-    fn ask(gw: &Rc<Gateway>, job: &Job) -> Self {
+    /// Asks for an upstream.
+    pub(crate) fn ask(gw: &Rc<Gateway>, job: &Job) -> Self {
         let (id, actions) = gw.register();
         let permit = Self {
             gw: Rc::clone(gw),
@@ -192,11 +194,10 @@
     let caller = request.extensions().get::<CallerAddress>().copied();
     let host = host_of(&request).to_owned();
     let (parts, body) = request.into_parts();
-    let limit = gw
-        .clock
-        .instant(arrived.plus(table.limits.arrival.0.max(patience.0)));
-    let body = tokio::time::timeout_at(limit, read_body(body, table.limits.body)).await;
-    let body = body.map_err(|_| Refusal::new(ErrorKind::BodyLate))??;
+    let limit = arrived.plus(table.limits.arrival.0.max(patience.0));
+    let body = read_body(body, table.limits.body);
+    let body = gw.clock.timeout_at(limit, body).await;
+    let body = body.ok_or_else(|| Refusal::new(ErrorKind::BodyLate))??;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let identity = identity_of(caller, &host, &parts, &body);
     Ok(Job {
@@ -254,12 +255,11 @@
     note_demand(gw, &job);
     let job = Rc::new(job);
     let mut permit = Permit::ask(gw, &job);
-    let limit = gw.clock.instant(job.deadline);
     let mut spare = None;
     loop {
-        let next = tokio::time::timeout_at(limit, permit.next()).await;
+        let next = gw.clock.timeout_at(job.deadline, permit.next()).await;
         let (attempt, upstream) = match next {
-            Ok(Some(RouteAction::Send {
+            Some(Some(RouteAction::Send {
                 attempt,
                 upstream,
                 expected,
@@ -268,12 +268,12 @@
                 permit.expected = expected;
                 (attempt, upstream)
             }
-            Ok(Some(RouteAction::Cancel { .. })) => continue,
-            Ok(Some(RouteAction::Refuse { kind, retry, .. })) => {
+            Some(Some(RouteAction::Cancel { .. })) => continue,
+            Some(Some(RouteAction::Refuse { kind, retry, .. })) => {
                 let refusal = Refusal::new(kind).with_retry(retry.or_else(|| come_back(gw, &job)));
                 return spare.unwrap_or_else(|| refuse::late(gw, &job, &permit, refusal));
             }
-            Ok(None) | Err(_) => {
+            Some(None) | None => {
                 return spare.unwrap_or_else(|| refuse::timed_out(gw, &job, &permit));
             }
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,6 @@
 //! What the tasks of a gateway share. All of them run on one thread.
 
 use crate::claiming::Inherited;
-use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::dispatch::Asked;
 use crate::ended::Ends;
@@ -19,7 +18,7 @@
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use shaleline_edge::{Gate, Pool, PoolSettings, Target};
+use shaleline_edge::{Clock, Gate, Pool, PoolSettings, Target};
 use shaleline_fleet::{Claim, ClaimSettings, Demand, Fleet, LastOrders, Sighting};
 use shaleline_route::{
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
@@ -143,9 +142,24 @@
         border: Border,
         outbox: mpsc::UnboundedSender<Addressed>,
     ) -> Result<Rc<Self>> {
-        let mut rng = SmallRng::from_os_rng();
+        Self::with_clock(
+            settings,
+            border,
+            outbox,
+            Clock::default(),
+            SmallRng::from_os_rng(),
+        )
+    }
+
+    /// A gateway whose time and draws are given.
+    pub(crate) fn with_clock(
+        settings: GatewaySettings,
+        border: Border,
+        outbox: mpsc::UnboundedSender<Addressed>,
+        clock: Clock,
+        mut rng: SmallRng,
+    ) -> Result<Rc<Self>> {
         let life = rng.random();
-        let clock = Clock::new();
         let now = clock.now();
         let me = Sender {
             instance: settings.instance.clone(),
@@ -155,6 +169,11 @@
             strength: settings.strength(),
         };
         let mesh = Mesh::new(me.clone());
+        let pool = PoolSettings {
+            connect: CONNECT,
+            dead: DEAD,
+            most: CONNECTIONS,
+        };
         let router = RouterSettings {
             token: settings.policy.token,
             seed: rng.random(),
@@ -170,12 +189,8 @@
             me,
             codec: border.codec,
             store: border.store,
-            pool: Pool::new(PoolSettings {
-                connect: CONNECT,
-                dead: DEAD,
-                most: CONNECTIONS,
-            }),
-            gate: Gate::new(IDLE, HEAD),
+            pool: Pool::with_clock(pool, clock.clone()),
+            gate: Gate::with_clock(IDLE, HEAD, clock.clone()),
             clock,
             metrics: Metrics::new()?,
             lines: LineBudget::new(now),
