Know a request again whatever address it comes from

A caller has another address in each data centre (all requests of one centre come from its own range), and the identity held the address: three data centres times three ends. Ruled out: lost news and silent choosers (tests with both end at most five). Change: the identity is method, host, path and body. As many callers may ask for the same thing without a body, what has just ended well beside other copies goes to any upstream.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -84,6 +84,7 @@
     #[path = "crashes/main.rs"]
     mod crashes;
     mod events;
+    mod identity;
     mod job;
     mod mesh;
     mod reading;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -218,7 +218,10 @@
 
 /// What a request has in common with its caller's other attempts: each has an id of its own,
 /// and comes on a connection of its own to any daemon.
-fn identity_of(
+///
+/// The address is no part of it: one caller has another address in each data centre, and a request
+/// that ends upstreams ended nine in place of three while it was.
+pub(crate) fn identity_of(
     caller: Option<CallerAddress>,
     host: &str,
     parts: &hyper::http::request::Parts,
--- a/crates/route/src/apart.rs
+++ b/crates/route/src/apart.rs
@@ -20,31 +20,58 @@
 /// A request under which so many upstreams ended runs apart from others of its kind.
 const APART_ENDS: usize = MOST_ENDS - 1;
 
+/// A request of which a copy has ended well so short a time ago is sound: many callers may ask for
+/// the same thing at once, such as the state of a service, and need all its upstreams.
+const SOUND_MS: u64 = 60_000;
+
+/// The most requests that are remembered as sound.
+const MOST_SOUND: usize = 1_024;
+
 /// The requests that are open, by what they have in common with other attempts.
 #[derive(Debug, Default)]
-pub(crate) struct Copies(BTreeMap<Fingerprint, BTreeSet<RequestId>>);
+pub(crate) struct Copies {
+    open: BTreeMap<Fingerprint, BTreeSet<RequestId>>,
+    /// Those of which one copy ended well while others were open, and when.
+    sound: BTreeMap<Fingerprint, Millis>,
+}
 
 impl Copies {
     pub(crate) fn insert(&mut self, ask: &Ask) {
         if let Some(identity) = ask.identity {
-            self.0.entry(identity.request).or_default().insert(ask.id);
+            let ids = self.open.entry(identity.request).or_default();
+            ids.insert(ask.id);
+        }
+    }
+
+    fn note_sound(&mut self, request: Fingerprint, now: Millis) {
+        let several = self.open.get(&request).is_some_and(|ids| ids.len() > 1);
+        if several && self.sound.len() < MOST_SOUND {
+            self.sound.insert(request, now);
         }
     }
 
+    fn is_sound(&self, request: &Fingerprint) -> bool {
+        self.sound.contains_key(request)
+    }
+
+    fn prune(&mut self, now: Millis) {
+        self.sound.retain(|_, at| now.since(*at) < SOUND_MS);
+    }
+
     pub(crate) fn remove(&mut self, ask: &Ask) {
         let Some(identity) = ask.identity else {
             return;
         };
-        if let Some(ids) = self.0.get_mut(&identity.request) {
+        if let Some(ids) = self.open.get_mut(&identity.request) {
             ids.remove(&ask.id);
             if ids.is_empty() {
-                self.0.remove(&identity.request);
+                self.open.remove(&identity.request);
             }
         }
     }
 
     fn of(&self, request: &Fingerprint) -> impl Iterator<Item = &RequestId> {
-        self.0.get(request).into_iter().flatten()
+        self.open.get(request).into_iter().flatten()
     }
 }
 
@@ -91,6 +118,7 @@
 
     pub(crate) fn drop_old_crashes(&mut self, now: Millis) {
         self.crashes.tick(now);
+        self.copies.prune(now);
     }
 
     /// Notes that an upstream ended under a request.
@@ -113,6 +141,7 @@
     pub(crate) fn note_good_end(&mut self, id: RequestId, now: Millis) {
         let identity = self.open.get(&id).and_then(|o| o.ask.identity);
         if let Some(identity) = identity {
+            self.copies.note_sound(identity.request, now);
             self.clear_crashes(&identity.request, now);
         }
     }
@@ -167,6 +196,9 @@
         if ends >= MOST_ENDS {
             return false;
         }
+        if ends == 0 && self.copies.is_sound(&identity.request) {
+            return true;
+        }
         let places = self.places_of(&identity.request);
         if places.contains(name) {
             return true;
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -11,11 +11,11 @@
 /// So many bytes are shown to people.
 const SHOWN: usize = 4;
 
-/// What a request is, whichever attempt of its caller it is: a keyed hash (BLAKE3) of who asks,
-/// what for, and with which body.
+/// What a request is, whichever attempt of its caller it is: a keyed hash (BLAKE3) of what is asked
+/// for, and with which body.
 ///
 /// 128 bits of a hash that resists collisions: no caller can make a request that is taken for
-/// another caller's. `docs/CRASHES.md` says what it is needed for.
+/// another one. `docs/CRASHES.md` says what it is needed for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint([u8; 16]);
 
@@ -37,22 +37,19 @@
 /// Whose request it is, and which.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Identity {
-    /// The caller as a hash, to tell whose requests are many. It refuses nothing by itself.
+    /// Where it came from as a hash, to tell whose requests are many. It refuses nothing by itself.
     pub caller: u64,
-    /// The request, its caller included.
+    /// The request.
     pub request: Fingerprint,
 }
 
 impl Identity {
-    /// The identity of a request of `caller` that is made of `parts`.
+    /// The identity of a request that came from `caller` and is made of `parts`.
     #[must_use]
     pub fn of(caller: &str, parts: &[&[u8]]) -> Self {
-        let all: Vec<&[u8]> = std::iter::once(caller.as_bytes())
-            .chain(parts.iter().copied())
-            .collect();
         Self {
             caller: stable_hash(&[caller]),
-            request: Fingerprint::of(&all),
+            request: Fingerprint::of(parts),
         }
     }
 }
