Keep in the store which requests are blocked, and let operators see and clear them

Guards against: all daemons killed at once, after which such a request would end three upstreams more. Tests: what is blocked outlasts all daemons; an operator sees and clears it; each kind of request reaches three upstreams that end, of six.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,9 +3,11 @@
 use crate::state::Gateway;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use shaleline_edge::{Handler, Reply, ReplyBody};
+use shaleline_route::{CrashRecord, MOST_ENDS};
+use shaleline_types::Fingerprint;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -16,18 +18,57 @@
 /// The path of the state dump.
 const STATE: &str = "/state";
 
+/// A call to this path, with a request's digest behind it, forgets what ended under that request.
+const CLEAR: &str = "/suspects/clear/";
+
 /// Answers what is no caller's request.
-pub(crate) struct Control(pub(crate) Rc<Gateway>);
+pub(crate) struct Control {
+    gw: Rc<Gateway>,
+    /// Whether operators call here, and not only the balancer.
+    operators: bool,
+}
+
+impl Control {
+    pub(crate) fn new(gw: &Rc<Gateway>, operators: bool) -> Self {
+        Self {
+            gw: Rc::clone(gw),
+            operators,
+        }
+    }
+}
 
 impl Handler for Control {
     fn handle(&self, request: Request<Incoming>) -> Pin<Box<dyn Future<Output = Reply>>> {
-        let reply = answer(&self.0, request.uri().path());
+        let path = request.uri().path();
+        let cleared = path.strip_prefix(CLEAR).filter(|_| self.operators);
+        let (status, text) = match cleared {
+            Some(digest) if request.method() == Method::POST => clear(&self.gw, digest),
+            _ => answer(&self.gw, path),
+        };
+        let mut reply = Response::new(ReplyBody::from_bytes(Bytes::from(text)));
+        *reply.status_mut() = status;
         Box::pin(std::future::ready(reply))
     }
 }
 
-fn answer(gw: &Gateway, path: &str) -> Reply {
-    let (status, text) = if path == gw.codec.ready_path() {
+/// Forgets what ended under a request, here and in all daemons.
+fn clear(gw: &Gateway, digest: &str) -> (StatusCode, String) {
+    let records = gw.router.borrow().crashes().records(gw.now());
+    let found = records.iter().map(|r| r.request);
+    let found: Vec<Fingerprint> = found.filter(|r| r.to_string() == digest).collect();
+    for request in &found {
+        let now = gw.now();
+        gw.router.borrow_mut().clear_crashes(request, now);
+    }
+    gw.tell_crashes();
+    match found.len() {
+        0 => (StatusCode::NOT_FOUND, "no such request\n".to_owned()),
+        cleared => (StatusCode::OK, format!("{cleared} cleared\n")),
+    }
+}
+
+fn answer(gw: &Gateway, path: &str) -> (StatusCode, String) {
+    if path == gw.codec.ready_path() {
         match gw.is_ready() {
             true => (StatusCode::OK, "ready\n".to_owned()),
             false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
@@ -38,10 +79,7 @@
         (StatusCode::OK, dump(gw))
     } else {
         (StatusCode::NOT_FOUND, "no such page\n".to_owned())
-    };
-    let mut reply = Response::new(ReplyBody::from_bytes(Bytes::from(text)));
-    *reply.status_mut() = status;
-    reply
+    }
 }
 
 /// What this daemon believes, for operators.
@@ -60,6 +98,14 @@
         (m.to_string(), json!(names))
     });
     let stats = gw.router.borrow().stats();
+    let suspects = gw.router.borrow().crashes().records(now);
+    let suspect = |s: &CrashRecord| {
+        let ended: Vec<String> = s.ended.iter().map(ToString::to_string).collect();
+        json!({
+            "request": s.request.to_string(), "blocked": ended.len() >= MOST_ENDS,
+            "ended": ended, "age_ms": s.age.0,
+        })
+    };
     json!({
         "instance": gw.me.instance.as_str(),
         "ready": gw.is_ready(),
@@ -71,6 +117,7 @@
         "requests": {"open": stats.open, "waiting": stats.waiting, "sent": stats.sent,
             "retried": stats.retried, "refused": stats.refused, "late": stats.late},
         "connections": {"callers": gw.gate.connections(), "opened": gw.pool.opened()},
+        "suspects": suspects.iter().map(suspect).collect::<Vec<_>>(),
         "models": models.collect::<serde_json::Map<_, _>>(),
         "upstreams": upstreams.iter().map(upstream).collect::<Vec<_>>(),
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 //!   gives the orders, `tags` names what the others told to be asked for, `told` is what they
 //!   were told.
 //! * `ended` tells whether an upstream ended when a send to it broke off, `suspects` tells the
-//!   others under which requests upstreams ended.
+//!   others under which requests upstreams ended, `kept` keeps that in the store.
 //! * `pulse` tells how late this process runs, and `ready` whether it should take work.
 //! * `control` answers the balancer and shows metrics and state; `start` brings all up
 //!   and down.
@@ -43,6 +43,7 @@
 mod handover;
 mod job;
 mod journal;
+mod kept;
 mod lead;
 mod link;
 mod members;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,7 +5,7 @@
 use crate::journal::emit;
 use crate::request::Callers;
 use crate::state::{Border, Gateway};
-use crate::{follow, gossip, lead, members, GatewaySettings};
+use crate::{follow, gossip, kept, lead, members, GatewaySettings};
 use eyre::{Result, WrapErr};
 use shaleline_edge::{Gate, Handler, Listener};
 use shaleline_route::{Drain, DrainAction, RouteEvent, Unfinished};
@@ -79,10 +79,11 @@
     let socket = Rc::new(socket.wrap_err("can't bind the peers' address")?);
     let control = Gate::new(CONTROL_IDLE, CONTROL_HEAD);
     listen(listens.callers, &gw.gate, Rc::new(Callers(Rc::clone(&gw))))?;
-    listen(listens.ready, &control, Rc::new(Control(Rc::clone(&gw))))?;
+    let answers = |operators| Rc::new(Control::new(&gw, operators));
+    listen(listens.ready, &control, answers(false))?;
     let peers = Gate::new(CONTROL_IDLE, CONTROL_HEAD);
     listen(listens.peers, &peers, Rc::new(Copies(Rc::clone(&gw))))?;
-    let metrics = listen(listens.metrics, &control, Rc::new(Control(Rc::clone(&gw))));
+    let metrics = listen(listens.metrics, &control, answers(true));
     if let Err(e) = metrics {
         emit(LogEvent::SettingsRefused, &format!("reason=\"{e:#}\""));
     }
@@ -92,6 +93,7 @@
     actix_rt::spawn(gossip::receive(Rc::clone(&gw), Rc::clone(&socket)));
     actix_rt::spawn(gossip::send(Rc::clone(&gw), socket, messages));
     actix_rt::spawn(lead::run(Rc::clone(&gw)));
+    actix_rt::spawn(kept::run(Rc::clone(&gw)));
     actix_rt::spawn(tick(Rc::clone(&gw)));
     Ok(Running { gw })
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,6 +16,8 @@
     Planner,
     /// The daemons' addresses.
     Members,
+    /// Requests that are not sent any more.
+    Blocked,
 }
 
 /// One record of a key. Without a value the key is gone.
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -32,6 +32,12 @@
         hasher.finalize_xof().fill(&mut bytes);
         Self(bytes)
     }
+
+    /// All of it in hexadecimal, as a key in a store.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|b| format!("{b:02x}")).collect()
+    }
 }
 
 /// Whose request it is, and which.
