Count the time in which an instance is suspended

Guards against: the steady clock and all timers leave a suspension out, so a daemon took its claim, configuration, deadlines and kept connections to be seconds younger than they were. Time is the kernel's boot time now, given to the gateway, its pool and its gates; a tick notices that it has parted from the steady clock, says so (event 1006), wakes who sleeps, and closes old connections. A waiting request whose time is over is not sent, and removals take effect before anything is sent in a tick. Tests: the claim, the configuration, a deadline, a kept connection, a removal that was held. The one of the deadline fails without its part; that of the removal passes with either order of the tick, so the order is by reasoning alone.

--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -1,6 +1,13 @@
 //! The clock by which everything in a process grows old.
+//!
+//! An instance may be suspended for seconds. The steady clock and every timer leave that time out:
+//! what a daemon believes, holds and waits for would seem younger than it is by as much, while the
+//! others have gone on. So time is the kernel's boot time, which counts it, and whoever sleeps is
+//! woken when a tick notices that the two have parted.
 
+use nix::time::{clock_gettime, ClockId};
 use shaleline_types::Millis;
+use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
@@ -16,13 +23,41 @@
     fn elapsed(&self) -> Duration;
 }
 
-/// The steady clock of the process.
+/// The time since the machine started, suspensions included.
 #[derive(Debug)]
-struct Steady(Instant);
+struct BootTime(Duration);
 
-impl Time for Steady {
+impl BootTime {
+    fn read() -> Duration {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        time.expect("every kernel that this runs on has it").into()
+    }
+}
+
+impl Time for BootTime {
     fn elapsed(&self) -> Duration {
-        self.0.elapsed()
+        Self::read().saturating_sub(self.0)
+    }
+}
+
+/// Two clocks that part by less than this differ by the grain of timers alone.
+const GRAIN_MS: u64 = 50;
+
+/// Notices that the machine was suspended: the boot time has gone on and the steady clock has not.
+#[derive(Debug, Default)]
+pub struct Suspensions {
+    /// How far the two were apart when they were looked at last, in milliseconds.
+    apart: Option<u64>,
+}
+
+impl Suspensions {
+    /// Takes in what both clocks show since the process started; how long the machine was suspended
+    /// since the last look.
+    pub fn look(&mut self, boot: Duration, steady: Duration) -> Option<Millis> {
+        let apart = boot.saturating_sub(steady).as_millis() as u64;
+        let before = self.apart.replace(apart).unwrap_or(apart);
+        let grown = apart.saturating_sub(before);
+        (grown >= GRAIN_MS).then_some(Millis(grown))
     }
 }
 
@@ -30,7 +65,9 @@
 #[derive(Clone)]
 pub struct Clock {
     time: Rc<dyn Time>,
+    started: Instant,
     jumped: Rc<Notify>,
+    suspensions: Rc<RefCell<Suspensions>>,
 }
 
 impl fmt::Debug for Clock {
@@ -41,7 +78,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        Self::from_time(Rc::new(Steady(Instant::now())))
+        Self::from_time(Rc::new(BootTime(BootTime::read())))
     }
 }
 
@@ -51,7 +88,9 @@
     pub fn from_time(time: Rc<dyn Time>) -> Self {
         Self {
             time,
+            started: Instant::now(),
             jumped: Rc::default(),
+            suspensions: Rc::default(),
         }
     }
 
@@ -61,9 +100,15 @@
         Millis(START + self.time.elapsed().as_millis() as u64)
     }
 
-    /// Tells those who sleep that more time has gone by than their timers know.
-    pub fn note_jump(&self) {
-        self.jumped.notify_waiters();
+    /// Looks whether the machine was suspended since the last look, for how long, and wakes those
+    /// who sleep then: their timers do not know of it.
+    pub fn look_for_suspension(&self) -> Option<Millis> {
+        let (boot, steady) = (self.time.elapsed(), self.started.elapsed());
+        let suspended = self.suspensions.borrow_mut().look(boot, steady);
+        if suspended.is_some() {
+            self.jumped.notify_waiters();
+        }
+        suspended
     }
 
     /// Sleeps until a time of this clock.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,7 @@
 mod pool;
 mod reply;
 
-pub use clock::{Clock, Time};
+pub use clock::{Clock, Suspensions, Time};
 pub use exchange::{Exchange, SendError};
 pub use gate::Gate;
 pub use listener::{CallerAddress, Handler, Listener};
--- /dev/null
+++ b/crates/edge/tests/suspended.rs
@@ -0,0 +1,120 @@
+//! An instance that was suspended: the boot time went on, the steady clock and all timers did not.
+//!
+//! After four seconds a daemon believed its connections, deadlines and whatever it had read to be
+//! four seconds younger than they were.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use shaleline_edge::{Clock, Pool, PoolSettings, Suspensions, Target, Time};
+use shaleline_testkit::cases;
+use shaleline_types::Upstream;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Boot time that the test lets go by, while the steady clock stands.
+#[derive(Default)]
+struct Boot(Cell<u64>);
+
+impl Time for Boot {
+    fn elapsed(&self) -> Duration {
+        Duration::from_millis(self.0.get())
+    }
+}
+
+fn clock() -> (Rc<Boot>, Clock) {
+    let boot = Rc::new(Boot::default());
+    let time: Rc<dyn Time> = boot.clone();
+    (boot, Clock::from_time(time))
+}
+
+/// How long the looks of a process say that it was suspended; each look is what the boot time and the
+/// steady clock show.
+fn suspended(looks: &[(u64, u64)]) -> Vec<u64> {
+    let mut suspensions = Suspensions::default();
+    let mut look = |(boot, steady): &(u64, u64)| {
+        let millis = Duration::from_millis;
+        let found = suspensions.look(millis(*boot), millis(*steady));
+        found.map_or(0, |m| m.0)
+    };
+    looks.iter().map(&mut look).collect()
+}
+
+cases! { suspended;
+    clocks_that_agree: &[(10, 10), (2_000, 2_000)] => vec![0, 0],
+    a_stall_is_no_suspension: &[(10, 10), (5_000, 4_990)] => vec![0, 0],
+    a_suspension: &[(10, 10), (4_020, 20), (4_030, 30)] => vec![0, 4_000, 0],
+    two_suspensions: &[(10, 10), (1_020, 20), (3_030, 30)] => vec![0, 1_000, 2_000],
+    one_before_the_process_started: &[(9_000, 10), (9_010, 20)] => vec![0, 0],
+}
+
+#[test]
+fn who_sleeps_wakes_once_the_time_is_over() {
+    actix_rt::System::new().block_on(async {
+        let (boot, clock) = clock();
+        let until = clock.now().plus(60_000);
+        let sleeper = actix_rt::spawn({
+            let clock = clock.clone();
+            async move { clock.timeout_at(until, std::future::pending::<()>()).await }
+        });
+        clock.look_for_suspension();
+        tokio::task::yield_now().await;
+        boot.0.set(60_000);
+        assert!(clock.look_for_suspension().is_some());
+        assert_eq!(sleeper.await.expect("it ends"), None);
+    });
+}
+
+#[test]
+fn a_kept_connection_is_not_used_beyond_its_time() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address: SocketAddr = listener.local_addr().expect("an address");
+        actix_rt::spawn(answer(listener));
+        let (boot, clock) = clock();
+        let settings = PoolSettings {
+            connect: Duration::from_secs(5),
+            dead: Duration::from_secs(5),
+            most: 4,
+        };
+        let pool = Pool::with_clock(settings, clock);
+        let target = Target {
+            name: Upstream::from_text("up").expect("a valid name"),
+            address,
+        };
+        ask(&pool, &target).await;
+        ask(&pool, &target).await;
+        assert_eq!(pool.opened(), 1);
+        boot.0.set(4_000);
+        ask(&pool, &target).await;
+        assert_eq!(pool.opened(), 2);
+    });
+}
+
+/// Asks once; the connection may be kept for three seconds.
+async fn ask(pool: &Pool, target: &Target) {
+    let request = Request::get("/").body(Full::new(Bytes::new()));
+    let exchange = pool.send(target, request.expect("valid")).await;
+    let mut exchange = exchange.expect("an answer");
+    exchange.collect(100).await.expect("a whole answer");
+    exchange.finish(Duration::from_secs(3));
+}
+
+/// Answers whatever comes.
+async fn answer(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        actix_rt::spawn(async move {
+            let mut buffer = [0; 1_024];
+            while matches!(stream.read(&mut buffer).await, Ok(1..)) {
+                let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                if stream.write_all(ok).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -85,6 +85,7 @@
     #[path = "crashes/main.rs"]
     mod crashes;
     mod events;
+    mod hand;
     mod identity;
     mod job;
     mod mesh;
@@ -92,4 +93,5 @@
     mod ready;
     mod roster;
     mod start;
+    mod suspended;
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -105,11 +105,8 @@
     let mut summed = gw.now();
     loop {
         let pace = wait_for_tick(&gw).await;
-        gw.pulse.borrow_mut().on_tick(pace, gw.now());
-        gw.route(RouteEvent::Tick);
-        gw.drive_choosing();
-        let changes = gw.roster.borrow_mut().tick(gw.now());
-        gw.apply_all(changes);
+        note_suspension(&gw);
+        look(&gw, pace);
         if ready != gw.is_ready() {
             ready = gw.is_ready();
             tell_ready(&gw, ready);
@@ -127,6 +124,26 @@
     }
 }
 
+/// Does what time alone brings about, `pace` milliseconds after the last time at the latest. First what
+/// is no longer believed: after a stall or a suspension nothing may be sent to an upstream whose
+/// removal should have taken effect meanwhile.
+pub(crate) fn look(gw: &Gateway, pace: u64) {
+    gw.pulse.borrow_mut().on_tick(pace, gw.now());
+    let changes = gw.roster.borrow_mut().tick(gw.now());
+    gw.apply_all(changes);
+    gw.route(RouteEvent::Tick);
+    gw.drive_choosing();
+}
+
+/// Drops kept connections that outlived their time while the instance was suspended. What is believed
+/// grows old by the same clock: nothing else needs to be told.
+fn note_suspension(gw: &Gateway) {
+    if let Some(suspended) = gw.clock.look_for_suspension() {
+        emit(LogEvent::Suspended, &format!("ms={}", suspended.0));
+        gw.pool.prune();
+    }
+}
+
 /// Waits for the next tick; returns how long that may take, in milliseconds.
 async fn wait_for_tick(gw: &Gateway) -> u64 {
     let pace = if gw.has_requests() { TICK } else { IDLE_TICK };
--- a/crates/gateway/tests/unit/crashes/main.rs
+++ b/crates/gateway/tests/unit/crashes/main.rs
@@ -14,8 +14,8 @@
 //! The evidence: at each of the engines one request on the same route had no byte of an answer yet, at
 //! another daemon each time; engines ended one at a time, and only while callers tried again.
 
-mod border;
-mod world;
+pub mod border;
+pub mod world;
 
 use crate::Repeat;
 use shaleline_testkit::cases;
--- a/crates/gateway/tests/unit/crashes/world.rs
+++ b/crates/gateway/tests/unit/crashes/world.rs
@@ -11,6 +11,7 @@
 use crate::message::Datagram;
 use crate::request::Permit;
 use crate::roster::Seen;
+use crate::start::look;
 use crate::state::{Border, Gateway};
 use crate::{Bounds, Entry, GatewaySettings, Head, Listen, Policy, Repeat, RouteRule};
 use bytes::Bytes;
@@ -19,17 +20,17 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, Time};
-use shaleline_route::{End, RouteAction, RouteEvent, MOST_ENDS};
+use shaleline_route::{End, RouteAction, MOST_ENDS};
 use shaleline_types::{
     DataCentre, ErrorKind, Identity, Incarnation, Instance, Millis, Service, Upstream,
 };
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc;
 
+use crate::unit::hand::Hand;
+
 use super::border;
 
 /// The daemons know each other and their hubs so long after the start.
@@ -61,16 +62,6 @@
 /// A caller's time.
 const PATIENCE: u64 = 5_000;
 
-/// Time that the test lets go by.
-#[derive(Debug, Default)]
-struct Hand(Cell<u64>);
-
-impl Time for Hand {
-    fn elapsed(&self) -> Duration {
-        Duration::from_millis(self.0.get())
-    }
-}
-
 struct Daemon {
     gw: Rc<Gateway>,
     outbox: mpsc::UnboundedReceiver<Addressed>,
@@ -154,7 +145,7 @@
     }
 }
 
-fn settings(index: usize, address: SocketAddr) -> GatewaySettings {
+pub fn settings(index: usize, address: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         instance: Instance::from_text(&format!("d{index}")).expect("a valid name"),
         ip: [127, 0, 0, 1].into(),
@@ -471,9 +462,7 @@
         let daemon = &mut self.daemons[index];
         let mut out = Vec::new();
         if daemon.alive && (now + index as u64) % TICK == 0 {
-            daemon.gw.pulse.borrow_mut().on_tick(TICK, daemon.gw.now());
-            daemon.gw.route(RouteEvent::Tick);
-            daemon.gw.drive_choosing();
+            look(&daemon.gw, TICK);
         }
         if daemon.alive && now >= daemon.round {
             daemon.round = now + daemon.gw.tell_every().0;
--- /dev/null
+++ b/crates/gateway/tests/unit/hand.rs
@@ -0,0 +1,15 @@
+//! Time that a test lets go by.
+
+use shaleline_edge::Time;
+use std::cell::Cell;
+use std::time::Duration;
+
+/// Shows so many milliseconds.
+#[derive(Debug, Default)]
+pub struct Hand(pub Cell<u64>);
+
+impl Time for Hand {
+    fn elapsed(&self) -> Duration {
+        Duration::from_millis(self.0.get())
+    }
+}
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -41,7 +41,9 @@
             let open = self.open.get(&h.id);
             let in_time = open.is_none_or(|o| self.chooser(&o.ask, now).allows(back, &o.ask));
             let refusing = open.is_some_and(|o| back.is_refusing(&o.ask.route, now));
-            let may_go = open.is_none_or(|o| self.may_go(&o.ask, upstream, back));
+            // After a suspension its time may be over before the next tick gives it up.
+            let due = open.is_none_or(|o| o.ask.due > now);
+            let may_go = due && open.is_none_or(|o| self.may_go(&o.ask, upstream, back));
             in_time && !refusing && back.has_room_for(h.org, now) && may_go
         });
         let best = allowed.min_by(|a, b| {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -50,6 +50,7 @@
     Stopping 1003 Info "The daemon was told to stop and finishes what is in flight.";
     Stopped 1004 Info "The daemon has finished and stops.";
     NotReady 1005 Info "The daemon should get no new callers: it stops, or it stalled and may have missed a version.";
+    Suspended 1006 Warn "The instance was suspended; what the daemon believes is older by as much.";
     LogLost 2001 Warn "The platform's log does not answer.";
     LogBack 2002 Info "The platform's log answers again.";
     LogGap 2003 Error "Records were dropped from the log before any snapshot covered them.";
