Refuse copies that wait where there is no room while there is room elsewhere

While three upstreams with the copies were full, the next copy stood first in line and kept all others from the fourth.

--- a/crates/route/src/apart.rs
+++ b/crates/route/src/apart.rs
@@ -219,15 +219,15 @@
         self.ends_of(ask) >= APART_ENDS
     }
 
-    /// Refuses what waits first in line and may go nowhere: others stand behind it.
-    pub(crate) fn refuse_barred(&mut self, out: &mut Vec<RouteAction>) {
+    /// Refuses what waits first in line and may not go where there is room: others stand behind it.
+    pub(crate) fn refuse_barred(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         let heads = self
             .queues
             .values()
             .flat_map(crate::queue::RouteQueue::heads);
         let barred = |id: &RequestId| {
             let ask = self.open.get(id).map(|o| &o.ask);
-            ask.is_some_and(|a| self.is_barred(a))
+            ask.is_some_and(|a| self.is_barred(a, now))
         };
         let ids: Vec<RequestId> = heads.map(|h| h.id).filter(barred).collect();
         for id in ids {
@@ -239,7 +239,7 @@
         }
     }
 
-    fn is_barred(&self, ask: &Ask) -> bool {
+    fn is_barred(&self, ask: &Ask, now: Millis) -> bool {
         let Some(identity) = ask.identity else {
             return false;
         };
@@ -247,11 +247,8 @@
         if ends == 0 && self.copies.of(&identity.request).nth(MOST_ENDS).is_none() {
             return false;
         }
-        let serving = self
-            .backs
-            .iter()
-            .filter(|(_, b)| b.routes.contains(&ask.route));
-        let mut able = serving.filter(|(name, back)| self.may_go(ask, name, back));
-        self.is_served(&ask.route) && able.next().is_none()
+        let roomy = |b: &Back| b.routes.contains(&ask.route) && b.has_room_for(&ask.org, now);
+        let mut with_room = self.backs.iter().filter(|(_, b)| roomy(b)).peekable();
+        with_room.peek().is_some() && !with_room.any(|(name, back)| self.may_go(ask, name, back))
     }
 }
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -58,7 +58,7 @@
 
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         self.refuse_overdue(now, out);
-        self.refuse_barred(out);
+        self.refuse_barred(now, out);
         self.move_stalled(now, out);
         self.pump_all(now, out);
         if now.since(self.pruned) >= PRUNE_EVERY {
