Keep in the store what ended two upstreams, not only what is blocked

Change: what ended two is written down as well, where it still stands at the reader's next look. Lines about single suspects keep to the budget of lines.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
     Planner,
     /// The daemons' addresses.
     Members,
-    /// Requests that are not sent any more.
+    /// Requests under which several upstreams ended.
     Blocked,
 }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -52,11 +52,13 @@
             cleared: [].into(),
             age: 0,
         };
-        let detail = format!(
-            "request={} upstream={} start={}",
-            identity.request, sent.upstream, sent.start
-        );
-        emit(LogEvent::RequestSuspected, &detail);
+        if self.lines.take(self.now()) {
+            let detail = format!(
+                "request={} upstream={} start={}",
+                identity.request, sent.upstream, sent.start
+            );
+            emit(LogEvent::RequestSuspected, &detail);
+        }
         self.take_crash_notes(None, vec![note]);
     }
 
--- a/crates/route/src/apart.rs
+++ b/crates/route/src/apart.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether no other copy of a request is open.
+    fn is_single(&self, request: &Fingerprint) -> bool {
+        self.open.get(request).is_none_or(|ids| ids.len() == 1)
+    }
+
     fn is_sound(&self, request: &Fingerprint) -> bool {
         self.sound.contains_key(request)
     }
@@ -196,7 +201,9 @@
         if ends >= MOST_ENDS {
             return false;
         }
-        if ends == 0 && self.copies.is_sound(&identity.request) {
+        let free =
+            self.copies.is_single(&identity.request) || self.copies.is_sound(&identity.request);
+        if ends == 0 && free {
             return true;
         }
         let places = self.places_of(&identity.request);
