--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -273,7 +273,9 @@
         );
         emit(LogEvent::SendFailed, &detail);
     }
-    gw.note_crash(job.identity, sent, failure);
+    if failure == Failure::Ended {
+        gw.note_crash(job.identity, sent);
+    }
     if let Some(end) = failure.to_end(*start) {
         permit.end(*attempt, end);
     }
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -22,6 +22,9 @@
 /// A request under which so many upstreams ended is written down.
 const KEPT_ENDS: usize = MOST_ENDS - 1;
 
+/// What is written down, with how many upstreams ended.
+type Written = BTreeMap<Fingerprint, usize>;
+
 /// Writes down such requests, for as long as the process lives.
 pub(crate) async fn run(gw: Rc<Gateway>) {
     let mut link = Link::new("blocked");
@@ -33,21 +36,35 @@
             written = None;
             continue;
         }
-        let result = match &mut written {
-            None => read(&gw).await.map(|all| written = Some(all)),
-            Some(written) => write(&gw, written).await,
-        };
-        let failed = result.is_err();
-        // Nothing to write is no call.
-        if failed {
+        while let Some(result) = step(&gw, &mut written).await {
             link.note(&gw, &result);
-            link.pause(&gw, true, || false).await;
+            if result.is_err() {
+                link.pause(&gw, true, || false).await;
+                break;
+            }
         }
     }
 }
 
-/// What is written down, with how many upstreams ended.
-type Written = BTreeMap<Fingerprint, usize>;
+/// Makes the next call to the store; none where all is written down.
+async fn step(gw: &Gateway, written: &mut Option<Written>) -> Option<StoreResult<()>> {
+    let Some(written) = written else {
+        let all = read(gw).await;
+        return Some(all.map(|all| *written = Some(all)));
+    };
+    let (request, note) = next(gw, written)?;
+    let value = note.as_ref().map_or_else(Vec::new, to_value);
+    let key = request.to_hex();
+    let appended = gw.store.append(Topic::Blocked, &key, &value, None).await;
+    Some(appended.map(|_| match note {
+        Some(note) => {
+            written.insert(request, note.ended.len());
+        }
+        None => {
+            written.remove(&request);
+        }
+    }))
+}
 
 /// Takes over what another daemon wrote down.
 async fn read(gw: &Gateway) -> StoreResult<Written> {
@@ -70,35 +87,26 @@
     note.ok()
 }
 
-/// Writes what counts now and was not written so, and drops what no longer counts.
-async fn write(gw: &Gateway, written: &mut Written) -> StoreResult<()> {
-    let kept = kept(gw, gw.now());
-    for note in &kept {
-        let request = note.identity.request;
-        let ends = note.ended.len();
-        // What is blocked need not be written again.
-        let known = written.get(&request).copied().unwrap_or(0);
-        if known < ends.min(MOST_ENDS) {
-            let value = serde_json::to_vec(note).expect("hashes and numbers serialize");
-            append(gw, &request, &value).await?;
-            written.insert(request, ends);
-        }
-    }
-    let open: BTreeSet<Fingerprint> = kept.iter().map(|n| n.identity.request).collect();
-    let over = written.keys().filter(|r| !open.contains(*r)).copied();
-    let over: Vec<Fingerprint> = over.collect();
-    for request in over {
-        append(gw, &request, &[]).await?;
-        written.remove(&request);
-    }
-    Ok(())
+fn to_value(note: &CrashNote) -> Vec<u8> {
+    serde_json::to_vec(note).expect("hashes and numbers serialize")
 }
 
-async fn append(gw: &Gateway, request: &Fingerprint, value: &[u8]) -> StoreResult<u64> {
-    let key = request.to_hex();
-    let appended = gw.store.append(Topic::Blocked, &key, value, None).await;
-    gw.metrics.count_store("blocked", appended.is_ok());
-    appended
+/// What to write next: a request that counts now and was not written so, or one that no longer counts,
+/// without a note.
+fn next(gw: &Gateway, written: &Written) -> Option<(Fingerprint, Option<CrashNote>)> {
+    let kept = kept(gw, gw.now());
+    let counts: BTreeSet<Fingerprint> = kept.iter().map(|n| n.identity.request).collect();
+    let is_new = |n: &CrashNote| {
+        let known = written.get(&n.identity.request).copied().unwrap_or(0);
+        // What is blocked need not be written again.
+        known < n.ended.len().min(MOST_ENDS)
+    };
+    let new = kept.into_iter().find(is_new);
+    let new = new.map(|n| (n.identity.request, Some(n)));
+    new.or_else(|| {
+        let over = written.keys().find(|r| !counts.contains(*r))?;
+        Some((*over, None))
+    })
 }
 
 /// The requests that are to be written down. Each is as new as when it is read: no two
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,12 +1,11 @@
 //! Requests under which upstreams ended, told among daemons.
 //!
-//! Whoever sees an upstream end under a request tells the one that chooses for it and its own hub,
-//! at once and by two ways, as any datagram may be lost; hubs tell each other, and where more than one
-//! upstream ended under it, all daemons. Hubs say with each tick how they know it; whoever knows it
+//! Whoever sees an upstream end under a request tells the one that chooses for it and all hubs at once,
+//! as any datagram may be lost and any hub may die; where more than one upstream ended under it, hubs
+//! tell all daemons. Hubs say with each tick how they know it; whoever knows it
 //! otherwise sends what it knows and gets back what it lacks: a daemon that has just started, was cut
 //! off, or missed a datagram. `docs/CRASHES.md` has the ways weighed and what it costs.
 
-use crate::attempt::Failure;
 use crate::ended::Sent;
 use crate::journal::emit;
 use crate::mesh::Concerns;
@@ -40,12 +39,9 @@
         true
     }
 
-    /// Notes that an upstream ended under a request of this daemon, and tells its hub. Whoever chose
-    /// the upstream is told how the send ended.
-    pub(crate) fn note_crash(&self, identity: Identity, sent: &Sent, failure: Failure) {
-        if failure != Failure::Ended {
-            return;
-        }
+    /// Notes that an upstream ended under a request of this daemon, and tells the hubs. Whoever
+    /// chose the upstream is told how the send ended.
+    pub(crate) fn note_crash(&self, identity: Identity, sent: &Sent) {
         let note = CrashNote {
             identity,
             ended: [sent.start].into(),
--- a/crates/gateway/tests/unit/crashes/world.rs
+++ b/crates/gateway/tests/unit/crashes/world.rs
@@ -3,6 +3,8 @@
 //! Datagrams between daemons take a few milliseconds and some are lost; an upstream that ended is
 //! listed for a while, refuses connections, and starts again after two seconds.
 
+mod servers;
+
 use crate::attempt::{note_failure, Failure};
 use crate::ended::Sent;
 use crate::gossip::{round, take, Addressed};
@@ -13,18 +15,16 @@
 use crate::roster::Seen;
 use crate::start::look;
 use crate::state::{Border, Gateway};
-use crate::{Bounds, Entry, GatewaySettings, Head, Listen, Policy, Repeat, RouteRule};
+use crate::{Bounds, GatewaySettings, Head, Listen, Policy, Repeat, RouteRule};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use hyper::{HeaderMap, Method};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, Time};
-use shaleline_route::{End, RouteAction, MOST_ENDS};
-use shaleline_types::{
-    DataCentre, ErrorKind, Identity, Incarnation, Instance, Millis, Service, Upstream,
-};
-use std::collections::{BTreeMap, BTreeSet};
+use shaleline_route::{RouteAction, MOST_ENDS};
+use shaleline_types::{DataCentre, ErrorKind, Identity, Instance, Millis, Service, Upstream};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -32,6 +32,7 @@
 use crate::unit::hand::Hand;
 
 use super::border;
+use servers::Server;
 
 /// The daemons know each other and their hubs so long after the start.
 pub const SETTLED: u64 = 4_000;
@@ -45,13 +46,6 @@
 /// One datagram in so many is lost.
 const LOST: u32 = 40;
 
-/// An upstream's entry lapses so long after its end, and it starts again so long after.
-const LAPSES: u64 = 3_600;
-const STARTS: u64 = 2_000;
-
-/// Entries are known to daemons so long after they were written.
-const READ: (u64, u64) = (50, 900);
-
 /// How long a request waits at an upstream before it runs, and how long it then takes.
 const WAITS: (u64, u64) = (20, 120);
 const RUNS: (u64, u64) = (200, 1_500);
@@ -70,15 +64,6 @@
     alive: bool,
 }
 
-/// One start of an upstream.
-struct Server {
-    name: Upstream,
-    incarnation: Incarnation,
-    up: bool,
-    /// Requests there: the call, when it begins, and when it ends or ends the upstream.
-    work: Vec<(usize, u64, u64)>,
-}
-
 /// What a request is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -303,84 +288,6 @@
         self.rng.random_ratio(1, LOST) || self.daemons.iter().any(dead)
     }
 
-    fn seen(&mut self, server: usize, listed: bool) -> Seen {
-        self.count += 1;
-        let Server {
-            name, incarnation, ..
-        } = &self.servers[server];
-        let entry = Entry {
-            service: Service::from_text("svc").expect("a valid name"),
-            address: SocketAddr::from(([10, 1, 0, (server % 250) as u8], 80)),
-            centre: DataCentre::from_text(&format!("dc{}", server % 3)).expect("a valid name"),
-            slots: 24,
-            leaving: false,
-            held: None,
-            incarnation: *incarnation,
-        };
-        Seen {
-            name: name.clone(),
-            offset: self.count,
-            entry: listed.then_some(entry),
-        }
-    }
-
-    fn publish(&mut self, server: usize, listed: bool, after: u64) {
-        let seen = self.seen(server, listed);
-        for daemon in 0..self.daemons.len() {
-            let at = self.now() + after + self.draw(READ);
-            self.count += 1;
-            let key = (at, self.count);
-            self.entries.insert(key, (daemon, seen.clone()));
-        }
-    }
-
-    fn start_server(&mut self) {
-        let number = self.servers.len();
-        let name = Upstream::from_text(&format!("i-{number}")).expect("a valid name");
-        self.servers.push(Server {
-            name,
-            incarnation: Incarnation::from_millis(self.now()),
-            up: true,
-            work: Vec::new(),
-        });
-        self.publish(number, true, 0);
-    }
-
-    /// Ends an upstream: all that is there breaks off, and connections are refused.
-    pub fn end_server(&mut self, server: usize) {
-        let Server { up, work, .. } = &mut self.servers[server];
-        if !std::mem::replace(up, false) {
-            return;
-        }
-        let work = std::mem::take(work);
-        self.publish(server, false, LAPSES);
-        self.starts.push((self.now() + STARTS, server));
-        for (call, ..) in work {
-            self.fail(call, Failure::Ended);
-        }
-    }
-
-    /// Resets all that is under way at an upstream, which goes on.
-    pub fn reset_server(&mut self, server: usize) {
-        let work = std::mem::take(&mut self.servers[server].work);
-        for (call, ..) in work {
-            self.fail(call, Failure::Broken);
-        }
-    }
-
-    /// The upstreams that run.
-    pub fn up(&self) -> Vec<usize> {
-        let up = (0..self.servers.len()).filter(|s| self.servers[*s].up);
-        up.collect()
-    }
-
-    /// The upstreams at which a request is.
-    pub fn places(&self, name: u64) -> BTreeSet<usize> {
-        let has = |s: &Server| s.work.iter().any(|(c, ..)| self.calls[*c].name == name);
-        let found = (0..self.servers.len()).filter(|s| has(&self.servers[*s]));
-        found.collect()
-    }
-
     /// A caller's attempt of a request, at a daemon.
     pub fn call(&mut self, name: u64, kind: Kind, repeat: Repeat, daemon: usize) {
         let gw = Rc::clone(&self.daemons[daemon].gw);
@@ -497,49 +404,6 @@
         }
     }
 
-    /// Every second upstream that ended starts again under another name, the others under theirs.
-    fn start_again(&mut self) {
-        let now = self.now();
-        let due: Vec<usize> = self
-            .starts
-            .iter()
-            .filter(|s| s.0 <= now)
-            .map(|s| s.1)
-            .collect();
-        self.starts.retain(|s| s.0 > now);
-        for server in due {
-            if server % 2 == 0 {
-                self.start_server();
-                continue;
-            }
-            self.servers[server].up = true;
-            self.servers[server].incarnation = Incarnation::from_millis(now);
-            self.publish(server, true, LAPSES - STARTS + 1);
-        }
-    }
-
-    fn work(&mut self) {
-        let now = self.now();
-        for server in 0..self.servers.len() {
-            let work = &self.servers[server].work;
-            let done: Vec<usize> = work.iter().filter(|w| w.2 <= now).map(|w| w.0).collect();
-            let fatal = done.iter().any(|c| self.calls[*c].kind == Kind::Fatal);
-            if fatal {
-                self.fatal_ends += 1;
-                self.end_server(server);
-                continue;
-            }
-            self.servers[server].work.retain(|w| w.2 > now);
-            for call in done {
-                let call = &mut self.calls[call];
-                if let (Some(permit), Some(sent)) = (&mut call.permit, &call.sent) {
-                    permit.end(sent.attempt, End::Whole);
-                    call.sent = None;
-                }
-            }
-        }
-    }
-
     /// Does what the daemons say of each call.
     fn look(&mut self, ended: &mut Vec<Ended>) {
         for index in 0..self.calls.len() {
--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -186,7 +186,7 @@
         })
     }
 
-    /// Drops what is too old, one end of each request at a time; whether anything changed.
+    /// Drops what is too old, one end of each request at a time.
     pub fn tick(&mut self, now: Millis) {
         for known in self.known.values_mut() {
             if now.since(known.since) < LIFE_MS {
