Count a second end of an upstream that started again unheard of, and look twice where a link loses packets

An upstream that starts again under its name is known as such only with its next entry; a second end before that bore the tag of the first and was not counted (test). One attempt to connect in forty gets no answer on a lossy link; a second one follows within the same 150 ms.

--- a/crates/gateway/src/ended.rs
+++ b/crates/gateway/src/ended.rs
@@ -15,8 +15,9 @@
 use tokio::sync::OnceCell;
 
 /// How long a connection may take that shows whether an upstream still listens: a refusal takes
-/// one way there and back, some milliseconds; the caller waits meanwhile.
-const LIMIT: Duration = Duration::from_millis(150);
+/// one way there and back, some milliseconds; the caller waits meanwhile. A second one follows where
+/// the first gets no answer: on a link that loses one packet in forty an end would go unseen as often.
+const LIMITS: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(90)];
 
 /// What was seen holds for sends that broke off within so long: they end with the upstream, at one
 /// moment, and are noticed within one round of tasks of a busy instance.
@@ -84,7 +85,12 @@
         };
         let seen = self.ends.borrow_mut().look(sent.start, self.now());
         let reach = seen.get_or_init(|| async {
-            let reach = self.pool.reach(&target, LIMIT).await;
+            let mut reach = Reach::Silent;
+            for limit in LIMITS {
+                if reach == Reach::Silent {
+                    reach = self.pool.reach(&target, limit).await;
+                }
+            }
             self.log_look(sent, reach);
             reach
         });
--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -26,6 +26,10 @@
 /// short enough that a mended engine needs no operator.
 const LIFE_MS: u64 = 600_000;
 
+/// Two ends of one start that are told so far apart are two ends: an upstream that starts again
+/// takes more than a second, and its entry is known to daemons only some seconds later.
+const SAME_END_MS: u64 = 1_000;
+
 /// A cleared request is remembered for so long, so that notes that come late do not bring back what
 /// was cleared: several times what a daemon that was cut off needs to catch up.
 const CLEARED_MS: u64 = 60_000;
@@ -100,6 +104,7 @@
         start: StartTag,
         now: Millis,
     ) -> Option<CrashNote> {
+        let start = self.distinct(&identity.request, start, now);
         let note = CrashNote {
             identity,
             ended: BTreeSet::from([start]),
@@ -110,6 +115,19 @@
             .then(|| self.note(&identity.request, now))?
     }
 
+    /// The start that ended now, where one of the same tag ended before: it has started again, and
+    /// whoever saw it end had not heard of that.
+    fn distinct(&self, request: &Fingerprint, start: StartTag, now: Millis) -> StartTag {
+        let Some(known) = self.known.get(request) else {
+            return start;
+        };
+        let mut distinct = start;
+        while now.since(known.since) >= SAME_END_MS && known.ended.contains(&distinct) {
+            distinct = distinct.next();
+        }
+        distinct
+    }
+
     /// Notes that a request ended well, or that an operator has cleared it: what ended under it was
     /// not its fault. Returns what to tell the others, where that is news.
     pub fn clear(&mut self, request: &Fingerprint, now: Millis) -> Option<CrashNote> {
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -43,6 +43,22 @@
     assert_eq!(crashes.ends(&request.request), 1);
 }
 
+#[test]
+fn an_upstream_that_started_again_unheard_of_counts_again() {
+    let mut crashes = Crashes::default();
+    let request = identity("a", 1);
+    crashes.on_end(request, start(1), NOW);
+    let later = NOW.plus(2_500);
+    let note = crashes.on_end(request, start(1), later).expect("news");
+    assert_eq!(crashes.ends(&request.request), 2);
+    // Another daemon that saw the same end tells it as the same.
+    let mut other = Crashes::default();
+    other.on_end(request, start(1), NOW);
+    other.on_end(request, start(1), later.plus(20));
+    other.merge(&note, later.plus(40));
+    assert_eq!(other.ends(&request.request), 2);
+}
+
 #[test]
 fn a_caller_with_many_requests_loses_its_own() {
     let mut crashes = Crashes::default();
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -81,6 +81,12 @@
     pub fn of(upstream: &Upstream, incarnation: Incarnation) -> Self {
         Self(stable_hash(&[upstream.as_str(), &incarnation.to_string()]))
     }
+
+    /// The tag of the start after this one, where nothing is known of it yet.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.wrapping_add(1))
+    }
 }
 
 impl fmt::Display for StartTag {
