Say what the planner knows of what callers ask for, and why an adapter stays away

Sight: the logs could not tell a planner that hears nobody from one that has no room. Event 5008 says every two seconds of how many daemons and hubs the planner has heard, how many rates and unmet asks it knows and how old they are; event 5009 names the eight longest waits for adapters that no engine has, with why: model away, engines at work, no place, or ordered now. shaleline losses names what was asked for four times or more and never served, with the planner's last reason, or that the planner did not know of it.

--- a/crates/explain/src/losses.rs
+++ b/crates/explain/src/losses.rs
@@ -30,12 +30,28 @@
     }
 }
 
-/// The tallies of all models, an adapter's with its model's.
+/// What became of the requests for one model or adapter, whatever else its model was asked for.
+#[derive(Debug, Clone, Default)]
+struct Key {
+    tries: u64,
+    served: u64,
+    /// Why it was not served, as the planner said last.
+    why: Option<String>,
+}
+
+/// The tallies of all models, an adapter's with its model's, and what was never served.
 #[derive(Debug, Clone, Default)]
 pub struct Losses {
     models: BTreeMap<String, Tally>,
+    keys: BTreeMap<String, Key>,
 }
 
+/// What was asked for less often is not missed for being never served.
+const ASKED_OFTEN: u64 = 4;
+
+/// Where the planner never spoke of what callers asked for.
+const UNKNOWN: &str = "the planner did not know of it";
+
 /// The requests to plain services stand under this name.
 const SERVICES: &str = "(services)";
 
@@ -48,6 +64,14 @@
             }
             return;
         }
+        if let (LogEvent::AdapterAway | LogEvent::ModelAway, Some(name)) =
+            (line.event, line.get("model"))
+        {
+            let free = line.get("free").map(|f| format!("model-away free={f}"));
+            let why = line.get("why").map(str::to_owned).or(free);
+            self.key(name).why = why;
+            return;
+        }
         // A request that was refused before it was looked at says not what it asked for.
         if line.get("asked").is_none() {
             return;
@@ -63,6 +87,28 @@
             _ => return,
         }
         tally.tries += 1;
+        if let Some(asked) = line.asked() {
+            let key = self.key(asked);
+            key.tries += 1;
+            key.served += u64::from(line.event == LogEvent::RequestEnded);
+        }
+    }
+
+    fn key(&mut self, name: &str) -> &mut Key {
+        self.keys.entry(name.to_owned()).or_default()
+    }
+
+    /// The models and adapters that were asked for several times and never served, most asked for
+    /// first: how often, and why, as the planner said last.
+    #[must_use]
+    pub fn never_served(&self) -> Vec<(&str, u64, &str)> {
+        let never = self.keys.iter();
+        let never = never.filter(|(_, k)| k.tries >= ASKED_OFTEN && k.served == 0);
+        let mut never: Vec<_> = never
+            .map(|(name, k)| (name.as_str(), k.tries, k.why.as_deref().unwrap_or(UNKNOWN)))
+            .collect();
+        never.sort_by_key(|(_, tries, _)| std::cmp::Reverse(*tries));
+        never
     }
 
     fn tally(&mut self, name: &str) -> &mut Tally {
@@ -91,6 +137,9 @@
                 write!(f, "{figure:>9}")?;
             }
         }
+        for (name, tries, why) in self.never_served() {
+            write!(f, "\nnever served: {name} tries={tries} why={why:?}")?;
+        }
         Ok(())
     }
 }
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -110,3 +110,33 @@
     assert_eq!(times, want);
     assert!(found.iter().all(|l| l.get("start") != Some("99")));
 }
+
+/// Four callers ask for each of three adapters; one is served, and of one the planner says why not.
+#[test]
+fn what_is_never_served_is_named_with_the_reason() {
+    let mut log = Vec::new();
+    for adapter in ["a1", "a2", "a3"] {
+        for _ in 0..4 {
+            log.push(format!(
+                "time=1 level=INFO event=8202 name=RequestRefused id=r code=no-upstream asked=models/frost+{adapter} serving=0"
+            ));
+        }
+    }
+    log.push(
+        "time=2 level=INFO event=8201 name=RequestEnded id=r code=ok asked=models/frost+a1 serving=1"
+            .to_owned(),
+    );
+    log.push(
+        "time=3 level=INFO event=5009 name=AdapterAway model=frost+a2 waited_ms=900 asked=0.40 serving=1 why=no-place"
+            .to_owned(),
+    );
+    let mut losses = Losses::default();
+    let lines = log.iter().filter_map(|l| Line::from_text(l));
+    lines.for_each(|l| losses.note(&l));
+    let never = losses.never_served();
+    let expected = [
+        ("frost+a2", 4, "no-place"),
+        ("frost+a3", 4, "the planner did not know of it"),
+    ];
+    assert_eq!(never, expected);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,7 @@
 pub use engine::{Engine, Held, Sighting};
 pub use fleet::Fleet;
 pub use handover::{Handover, LastOrders};
-pub use note::PlanNote;
+pub use note::{PlanNote, WaitReason};
 pub use order::{Order, OrderKind, OrderReply};
 pub use planner::{PlanSettings, PlanView, Planner};
 pub use services::ServicePlanners;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -1,6 +1,6 @@
 //! What a plan decided and why, for the log.
 
-use shaleline_types::{Millis, Model, Upstream};
+use shaleline_types::{Adapter, Millis, Model, Upstream};
 use std::fmt;
 
 /// One decision, with what decided it.
@@ -42,6 +42,21 @@
         /// How many loads from the weight store may begin.
         loads: usize,
     },
+    /// Callers wait for an adapter that no engine has.
+    Waiting {
+        /// The model.
+        model: Model,
+        /// The adapter.
+        adapter: Adapter,
+        /// For how long.
+        waited: Millis,
+        /// What is asked for of it, in requests a second.
+        asked: f32,
+        /// How many engines serve the model.
+        serving: usize,
+        /// Why none of them is getting it.
+        why: WaitReason,
+    },
     /// A model that callers asked for in vain is served again.
     Back {
         /// The model.
@@ -51,13 +66,37 @@
     },
 }
 
+/// Why an adapter that callers wait for is at no engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitReason {
+    /// No engine serves its model.
+    ModelAway,
+    /// Each engine that serves its model is at work on an order, or is left alone for a while.
+    EnginesBusy,
+    /// Their places are taken by what came a moment ago, or is asked for and not to make room.
+    NoPlace,
+    /// It is ordered now.
+    Ordered,
+}
+
+impl fmt::Display for WaitReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::ModelAway => "model-away",
+            Self::EnginesBusy => "engines-busy",
+            Self::NoPlace => "no-place",
+            Self::Ordered => "ordered",
+        })
+    }
+}
+
 impl PlanNote {
     /// The engine that is to be ordered.
     #[must_use]
     pub fn engine(&self) -> Option<&Upstream> {
         match self {
             Self::Move { engine, .. } => Some(engine),
-            Self::Away { .. } | Self::Back { .. } => None,
+            Self::Away { .. } | Self::Waiting { .. } | Self::Back { .. } => None,
         }
     }
 }
@@ -95,6 +134,17 @@
                 write!(f, " coming={coming} copies={copies} free={free}")?;
                 write!(f, " dropping={dropping} loads={loads}")
             }
+            Self::Waiting {
+                model,
+                adapter,
+                waited,
+                asked,
+                serving,
+                why,
+            } => {
+                write!(f, "model={model}+{adapter} waited_ms={}", waited.0)?;
+                write!(f, " asked={asked:.2} serving={serving} why={why}")
+            }
             Self::Back { model, away } => write!(f, "model={model} away_ms={}", away.0),
         }
     }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -145,6 +145,8 @@
         draft.make_moves(&mut board);
         draft.adapt(&board, self.settings.adapters);
         draft.use_lead();
+        let waiting = self.waits.to_notes(&draft);
+        self.notes.extend(waiting);
         let Draft {
             orders,
             intended,
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -1,13 +1,19 @@
 //! How long callers have waited for what no engine holds, as a planner sees it.
 
 use crate::adapt::AdapterCopies;
-use crate::{PlanView, Unmet};
+use crate::draft::Draft;
+use crate::{Order, PlanNote, PlanView, Unmet, WaitReason};
 use shaleline_types::{Adapter, Millis, Model};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// A caller that was refused for want of an adapter is told to come back a quarter of a second later.
 const COMES_BACK_MS: u64 = 600;
 
+/// The longest waits are told of so often, so many at a time.
+const TELL_MS: u64 = 2_000;
+const MOST_TOLD: usize = 8;
+
 /// What nobody asked for in so long is forgotten.
 const FORGET_MS: u64 = 30_000;
 
@@ -35,6 +41,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Waits {
     known: BTreeMap<Key, Known>,
+    told: Millis,
 }
 
 impl Waits {
@@ -75,6 +82,49 @@
     }
 }
 
+impl Waits {
+    /// The longest waits that a plan leaves, and why, now and then.
+    pub(crate) fn to_notes(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
+        let now = draft.snapshot.now;
+        if now.since(self.told) < TELL_MS || draft.waits.is_empty() {
+            return Vec::new();
+        }
+        self.told = now;
+        let mut waits: Vec<(&Key, Wait)> = draft.waits.iter().map(|(k, w)| (*k, *w)).collect();
+        waits.sort_by_key(|(_, w)| Reverse(w.waited));
+        let longest = waits.into_iter().take(MOST_TOLD);
+        longest.filter_map(|(k, w)| note_of(draft, k, w)).collect()
+    }
+}
+
+fn note_of(draft: &Draft<'_>, key: &Key, wait: Wait) -> Option<PlanNote> {
+    let snapshot = draft.snapshot;
+    let adapter = key.1.as_ref()?;
+    let serving = &snapshot.served[snapshot.numbers.get(&key.0)?];
+    let about = |o: &Order| o.model == key.0 && o.adapter.as_ref() == Some(adapter);
+    let ready = |p: &usize| {
+        let site = snapshot.places[*p];
+        site.row.takes_orders && site.rest == Millis(0)
+    };
+    let why = if draft.orders.iter().any(about) {
+        WaitReason::Ordered
+    } else if serving.is_empty() {
+        WaitReason::ModelAway
+    } else if serving.iter().any(ready) {
+        WaitReason::NoPlace
+    } else {
+        WaitReason::EnginesBusy
+    };
+    Some(PlanNote::Waiting {
+        model: key.0.clone(),
+        adapter: adapter.clone(),
+        waited: Millis(wait.waited),
+        asked: snapshot.view.rates.get(key).map_or(0.0, |r| r.count),
+        serving: serving.len(),
+        why,
+    })
+}
+
 impl Known {
     /// Whether somebody asked in vain after it was held last.
     fn concerns(&self, unmet: Unmet, now: Millis) -> bool {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -27,6 +27,9 @@
 /// Where somebody waits for an adapter, plans follow each other at this pace.
 const WANT_PLAN_MS: u64 = 40;
 
+/// How often a planner says what it plans by.
+const KNOWS_EVERY_MS: u64 = 2_000;
+
 /// What an adapter that somebody waits for counts at least, in milliseconds a second.
 const WANT_RATE: f32 = 1.0;
 
@@ -49,6 +52,8 @@
     leading: Cell<bool>,
     /// When this daemon planned last.
     planned: Cell<Millis>,
+    /// When it last said what it plans by.
+    said: Cell<Millis>,
 }
 
 impl Working {
@@ -126,6 +131,10 @@
             begin_leading(gw, working, fence);
         }
     }
+    if fence.is_some() && now.since(working.said.get()) >= KNOWS_EVERY_MS {
+        working.said.set(now);
+        emit(LogEvent::PlannerKnows, &gw.mesh.borrow_mut().knowledge(now));
+    }
     let since = now.since(working.planned.get());
     let due = since >= gw.settings.policy.plan_every.0;
     let wanted = (woken || !gw.wants.borrow().is_empty()) && since >= WANT_PLAN_MS;
@@ -284,6 +293,7 @@
         let event = match note {
             PlanNote::Move { .. } => LogEvent::MovePlanned,
             PlanNote::Away { .. } => LogEvent::ModelAway,
+            PlanNote::Waiting { .. } => LogEvent::AdapterAway,
             PlanNote::Back { away, .. } => {
                 gw.metrics.note_away(away.0);
                 LogEvent::ModelBack
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -556,6 +556,20 @@
         self.known_total(now)?.planner
     }
 
+    /// What is known of what all callers ask for, for the log.
+    pub(crate) fn knowledge(&mut self, now: Millis) -> String {
+        let hears = self.hears_enough(now);
+        let heard = Self::fresh(self.sums.values().map(|(_, told)| told), now).len();
+        let asked = self.whole_asked.as_ref();
+        let (rates, unmet) = asked.map_or((0, 0), |(_, a)| (a.rates.len(), a.unmet.len()));
+        let age = asked.map_or("none".to_owned(), |(at, _)| now.since(*at).to_string());
+        format!(
+            "daemons={} known={} hubs_heard={heard} hears_enough={hears} rates={rates} unmet={unmet} age_ms={age}",
+            self.alive(),
+            self.known(),
+        )
+    }
+
     /// Whether enough of the others is heard to plan for all: of its hub, or as a hub of half of the
     /// data centres.
     pub(crate) fn hears_enough(&mut self, now: Millis) -> bool {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -78,6 +78,8 @@
     MovePlanned 5005 Info "A plan moves a model, with what decided it.";
     ModelAway 5006 Info "Callers ask for a model that no engine serves.";
     ModelBack 5007 Info "A model that callers asked for in vain is served again.";
+    PlannerKnows 5008 Info "What the daemon that plans knows of what callers ask for.";
+    AdapterAway 5009 Info "Callers wait for an adapter that no engine has, and why it was not loaded.";
     KeyUnknown 6001 Warn "A keyed request has an unknown outcome.";
     KeyAbandoned 6002 Info "A begun keyed request was given up before it was sent.";
     MemberJoined 7001 Info "A daemon joined.";
