Let what an engine held when it was first seen make room at once

Nobody knows how long it has held that; only what has come while the planner looked on stays for a second.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -26,6 +26,14 @@
     pub incarnation: Incarnation,
 }
 
+impl Held {
+    /// The adapters, each with its model.
+    fn adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
+        let models = self.models.iter();
+        models.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)))
+    }
+}
+
 /// Where a sighting of an engine comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sighting {
@@ -98,6 +106,11 @@
 
 impl Engine {
     pub(crate) fn new(centre: DataCentre, held: Held) -> Self {
+        // Nobody knows how long it has held them; callers need not be about to come for them.
+        let adapters = held
+            .adapters()
+            .map(|(m, a)| ((m.clone(), a.clone()), Millis(0)));
+        let adapters_since = adapters.collect();
         Self {
             centre,
             leaving: false,
@@ -116,7 +129,7 @@
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
-            adapters_since: BTreeMap::new(),
+            adapters_since,
             revision: next_revision(),
         }
     }
@@ -206,11 +219,10 @@
 
     /// Every adapter that may take a place, in the worst case.
     pub(crate) fn worst_adapters(&self) -> BTreeSet<(&Model, &Adapter)> {
-        let proof = self.proof.iter().flat_map(|p| {
-            let held = p.models.iter();
-            let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
-            held.chain(p.coming.iter().map(|(m, a)| (m, a)))
-        });
+        let proof = self
+            .proof
+            .iter()
+            .flat_map(|p| p.adapters().chain(p.coming.iter().map(|(m, a)| (m, a))));
         let loads = self.open_orders().filter_map(|o| {
             let adapter = o.adapter.as_ref()?;
             (o.kind == OrderKind::Load).then_some((&o.model, adapter))
@@ -220,8 +232,7 @@
 
     /// The adapters that it holds for certain.
     pub(crate) fn certain_adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
-        let models = self.proof.iter().flat_map(|p| &p.models);
-        models.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)))
+        self.proof.iter().flat_map(Held::adapters)
     }
 
     /// The memory that may be taken, in the worst case.
@@ -284,11 +295,9 @@
         let models = &self.held.models;
         let held = |m: &Model, a: &Adapter| models.get(m).is_some_and(|all| all.contains(a));
         self.adapters_since.retain(|(m, a), _| held(m, a));
-        for (model, adapters) in models {
-            for adapter in adapters {
-                let place = (model.clone(), adapter.clone());
-                self.adapters_since.entry(place).or_insert(now);
-            }
+        for (model, adapter) in self.held.adapters() {
+            let place = (model.clone(), adapter.clone());
+            self.adapters_since.entry(place).or_insert(now);
         }
     }
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -145,7 +145,7 @@
         draft.make_moves(&mut board);
         draft.adapt(&board, self.settings.adapters);
         draft.use_lead();
-        let waiting = self.waits.to_notes(&draft);
+        let waiting = self.waits.tell(&draft);
         self.notes.extend(waiting);
         let Draft {
             orders,
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -84,7 +84,7 @@
 
 impl Waits {
     /// The longest waits that a plan leaves, and why, now and then.
-    pub(crate) fn to_notes(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
+    pub(crate) fn tell(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
         let now = draft.snapshot.now;
         if now.since(self.told) < TELL_MS || draft.waits.is_empty() {
             return Vec::new();
