--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -5,8 +5,8 @@
 //!
 //! The order of events: a daemon that had started among the first claimed the planner's lease. The others
 //! took another one for the hub of its data centre, so no note of theirs reached it. It renewed its claim in
-//! the store for 26 s of traffic and ordered what its own callers asked for, 18 times. When it fell
-//! silent its successor gave 315 orders in one second; by then demand had moved on.
+//! the store for 26 s of traffic and ordered what its own callers asked for, twelve times. When it fell
+//! silent its successor gave 323 orders in one second; by then demand had moved on.
 //!
 //! The cause: the claim hangs on the store, the knowledge of what is asked for on the other daemons' notes,
 //! and nothing tied the two. What was not heard was taken for idle. Besides, who asked in vain while no
