--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -14,7 +14,7 @@
 
 /// An adapter that is asked for.
 #[derive(Debug, Clone, Copy)]
-struct Asked<'a> {
+pub(crate) struct Asked<'a> {
     model: &'a Model,
     adapter: &'a Adapter,
     /// How long callers have waited for it, where no engine has it.
@@ -37,21 +37,21 @@
     }
 }
 
-/// How many engines have each adapter, or are getting it.
+/// How many engines have each adapter.
 pub(crate) type AdapterCopies<'a> = BTreeMap<(&'a Model, &'a Adapter), usize>;
 
 impl<'a> Draft<'a> {
     /// Loads adapters that are asked for where their model is, until `copies` engines have each. Those
     /// that callers wait for go first, the longest wait before all: by work alone one that is asked for
     /// rarely would come last at every plan.
-    pub(crate) fn adapt(&mut self, board: &Board<'a>, copies: usize) {
-        for asked in self.asked_adapters() {
-            self.adapt_one(board, &asked, copies);
+    pub(crate) fn adapt(&mut self, board: &Board<'a>, asked: &[Asked<'a>], copies: usize) {
+        for adapter in asked {
+            self.adapt_one(board, adapter, copies);
         }
     }
 
     /// The adapters that callers ask for or wait for, in the order of their turns.
-    fn asked_adapters(&self) -> Vec<Asked<'a>> {
+    pub(crate) fn asked_adapters(&self) -> Vec<Asked<'a>> {
         let rates = self.snapshot.view.rates;
         let rated = rates.iter().map(|(key, r)| (key, f64::from(r.work)));
         let waits = self.waits.keys().filter(|k| !rates.contains_key(k));
--- a/crates/fleet/src/draft.rs
+++ b/crates/fleet/src/draft.rs
@@ -32,6 +32,7 @@
     pub(crate) notes: Vec<PlanNote>,
     /// How many callers came in vain for each model that is away.
     pub(crate) in_vain: Vec<f64>,
+    /// How many engines have each adapter: the last one is missed more than one of several.
     pub(crate) adapter_copies: AdapterCopies<'a>,
     /// How long callers have waited for adapters that are nowhere.
     pub(crate) waits: BTreeMap<&'a (Model, Option<Adapter>), Wait>,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -141,9 +141,10 @@
         let mut board = Board::new(&draft, &self.churn);
         // An adapter is there within milliseconds; an engine that loads weights takes none for
         // seconds. So those that are nowhere go before weights, further copies after them.
-        draft.adapt(&board, 1);
+        let asked = draft.asked_adapters();
+        draft.adapt(&board, &asked, 1);
         draft.make_moves(&mut board);
-        draft.adapt(&board, self.settings.adapters);
+        draft.adapt(&board, &asked, self.settings.adapters);
         draft.use_lead();
         let waiting = self.waits.tell(&draft);
         self.notes.extend(waiting);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -237,12 +237,8 @@
         Message::PassedSum(note) => take_sum(gw, &from, note, now),
         Message::Total(total) => {
             heard_planner(gw, &total.load);
-            let mut mesh = gw.mesh.borrow_mut();
-            mesh.on_total(&from, &total, now);
-            let correction = mesh.correct_hub(&from, now);
-            drop(mesh);
-            let members = correction.map(|c| (from.address, Message::Members(c)));
-            gw.send(members.into_iter().collect());
+            gw.mesh.borrow_mut().on_total(&from, &total, now);
+            correct_hub(gw, &from, now);
             gw.compare_crashes(&from, total.crashes);
             take_mark(gw, &from, total.mark, now);
         }
@@ -293,13 +289,16 @@
     heard_planner(gw, &note.load);
     gw.compare_crashes(from, note.crashes);
     let mark = note.mark;
-    let mut mesh = gw.mesh.borrow_mut();
-    let correction = mesh.correct_hub(from, now);
-    mesh.on_sum(from, note, now);
-    drop(mesh);
+    correct_hub(gw, from, now);
+    gw.mesh.borrow_mut().on_sum(from, note, now);
+    take_mark(gw, from, mark, now);
+}
+
+/// Names the hub to a daemon that speaks as one beside it.
+fn correct_hub(gw: &Gateway, from: &Sender, now: Millis) {
+    let correction = gw.mesh.borrow_mut().correct_hub(from, now);
     let members = correction.map(|c| (from.address, Message::Members(c)));
     gw.send(members.into_iter().collect());
-    take_mark(gw, from, mark, now);
 }
 
 /// Takes in how far the one that this daemon follows knows the store.
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -303,15 +303,16 @@
     }
 }
 
+/// The engines of which it is not known for certain what they hold.
+pub(crate) fn unproven(gw: &Gateway) -> Vec<Upstream> {
+    let fleets = gw.fleets.borrow();
+    let names = fleets.values().flat_map(|f| f.unproven().cloned());
+    names.collect()
+}
+
 /// Asks engines what they hold, where that is not known for certain.
 fn look_again(gw: &Rc<Gateway>, working: &Rc<Working>) {
-    let fleets = gw.fleets.borrow();
-    let names: Vec<Upstream> = fleets
-        .values()
-        .flat_map(|f| f.unproven().cloned())
-        .collect();
-    drop(fleets);
-    for name in names {
+    for name in unproven(gw) {
         let start = gw.start_of(&name);
         if working.begin(&start) {
             let (gw, working) = (Rc::clone(gw), Rc::clone(working));
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -6,7 +6,7 @@
 use crate::claiming::{act, gives_up, next_claim, release};
 use crate::gossip::{round, take, Addressed};
 use crate::job::Job;
-use crate::lead::{step, Working};
+use crate::lead::{step, unproven, Working};
 use crate::message::{Datagram, Message};
 use crate::orders::{note_leaving, tell_held, tell_retiring};
 use crate::request::note_demand;
@@ -466,13 +466,7 @@
 
     /// Looks at engines of which it is not known for certain what they hold.
     fn look_again(&mut self, index: usize) {
-        let fleets = self.daemons[index].gw.fleets.borrow();
-        let names: Vec<Upstream> = fleets
-            .values()
-            .flat_map(|f| f.unproven().cloned())
-            .collect();
-        drop(fleets);
-        for name in names {
+        for name in unproven(&self.daemons[index].gw) {
             let Daemon { gw, working, .. } = &self.daemons[index];
             let start = gw.start_of(&name);
             if working.begin(&start) {
