Let no old entry bring back what an engine has dropped

What callers saw: an adapter was refused, asked for again, refused again, and nobody ordered it, for up to three seconds after it had made room for another.

Cause: an engine writes its entry every 1.2 s and it is read up to 0.9 s later. One that was written before a drop listed the adapter still, and was taken in as news: the planner believed that an engine had it and planned no load, and daemons sent requests there. Known things were kept against an entry that lacked them, but nothing was kept away that an entry still listed. Weights were open to the same as soon as a report had shown them gone.

Change: an engine's record notes what has gone and when; for the 2.5 s by which an entry may lag, an entry does not bring it back. A report does, and so does another start.

Tests: fleet/tests/entries.rs; four of its ten cases fail without the change.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -76,6 +76,8 @@
     reported: Millis,
     /// When each adapter that it holds was first seen there.
     adapters_since: BTreeMap<(Model, Adapter), Millis>,
+    /// When each model and adapter went away that an older entry may still list.
+    gone: BTreeMap<(Model, Option<Adapter>), Millis>,
     /// What it holds for certain, as of the number of orders it had accepted.
     proof: Option<Held>,
     /// Differs from every revision before, of this engine and of all others, wherever
@@ -130,6 +132,7 @@
             last_order: Millis(0),
             reported: Millis(0),
             adapters_since,
+            gone: BTreeMap::new(),
             revision: next_revision(),
         }
     }
@@ -272,12 +275,14 @@
             Sighting::Reported if next.seq < self.held.seq => return,
             Sighting::Reported => {
                 self.reported = now;
+                self.note_gone(&next, now);
                 self.proof = (!next.busy).then(|| next.clone());
             }
             Sighting::Listed => {
                 if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
                     self.keep_known(&mut next);
                 }
+                self.leave_out_gone(&mut next, now);
                 // An entry tells neither whether an order is under way nor how many were
                 // accepted.
                 next.busy = false;
@@ -290,6 +295,50 @@
         self.settle(now);
     }
 
+    /// Notes what a report no longer shows.
+    fn note_gone(&mut self, next: &Held, now: Millis) {
+        self.gone.retain(|(model, adapter), _| {
+            let all = next.models.get(model);
+            !all.is_some_and(|all| adapter.as_ref().is_none_or(|a| all.contains(a)))
+        });
+        for (model, adapters) in &self.held.models {
+            let Some(left) = next.models.get(model) else {
+                self.gone.insert((model.clone(), None), now);
+                continue;
+            };
+            for adapter in adapters.difference(left) {
+                let place = (model.clone(), Some(adapter.clone()));
+                self.gone.insert(place, now);
+            }
+        }
+    }
+
+    /// Takes out of an entry what has gone since the entry may have been written.
+    fn leave_out_gone(&self, next: &mut Held, now: Millis) {
+        let lately = self.gone.iter();
+        for ((model, adapter), _) in lately.filter(|(_, at)| now.since(**at) < LIST_LAG_MS) {
+            match adapter {
+                None => {
+                    next.models.remove(model);
+                }
+                Some(adapter) => {
+                    if let Some(all) = next.models.get_mut(model) {
+                        all.remove(adapter);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Notes that an adapter is no longer there, or won't be in a moment.
+    pub(crate) fn remove_adapter(&mut self, model: &Model, adapter: &Adapter, now: Millis) {
+        if let Some(adapters) = self.held.models.get_mut(model) {
+            adapters.remove(adapter);
+        }
+        let place = (model.clone(), Some(adapter.clone()));
+        self.gone.insert(place, now);
+    }
+
     /// Notes which adapters have come, and forgets those that have gone.
     fn note_adapters(&mut self, now: Millis) {
         let models = &self.held.models;
@@ -363,9 +412,7 @@
             self.retiring.insert(order.model.clone(), now);
         }
         if let (OrderKind::Unload, Some(adapter)) = (order.kind, &order.adapter) {
-            if let Some(adapters) = self.held.models.get_mut(&order.model) {
-                adapters.remove(adapter);
-            }
+            self.remove_adapter(&order.model, adapter, now);
         }
         self.last_order = now;
         self.pending.push(Pending {
@@ -428,6 +475,7 @@
 
     /// Drops what is only in doubt and has grown old.
     pub(crate) fn prune(&mut self, now: Millis) {
+        self.gone.retain(|_, at| now.since(*at) < LIST_LAG_MS);
         let settled = self.settle(now);
         let since = self.unreachable.map(|at| now.since(at));
         let down = since.is_some_and(|s| s < DOWN_MS);
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -55,11 +55,7 @@
             None => {
                 engine.retiring.insert(model.clone(), now);
             }
-            Some(adapter) => {
-                if let Some(adapters) = engine.held.models.get_mut(model) {
-                    adapters.remove(adapter);
-                }
-            }
+            Some(adapter) => engine.remove_adapter(model, adapter, now),
         }
     }
 
--- /dev/null
+++ b/crates/fleet/tests/entries.rs
@@ -0,0 +1,147 @@
+//! An entry in the platform's list is older than what is known of its engine.
+
+use shaleline_fleet::{Fleet, Held, Order, OrderKind, OrderReply, Sighting};
+use shaleline_testkit::cases;
+use shaleline_types::{Adapter, DataCentre, Incarnation, Millis, Model, Upstream};
+use std::collections::BTreeSet;
+
+const NOW: Millis = Millis(1_000_000);
+
+/// An entry that is read so long after a change was written after it.
+const LAG: u64 = 2_500;
+
+/// When the engine started.
+const STARTED: Incarnation = Incarnation::from_millis(1_000);
+
+fn model() -> Model {
+    Model::from_text("m").expect("a valid name")
+}
+
+fn adapter() -> Adapter {
+    Adapter::from_text("a").expect("a valid name")
+}
+
+fn engine() -> Upstream {
+    Upstream::from_text("e1").expect("a valid name")
+}
+
+/// The engine holds the model, with the adapter where that is said.
+fn held(seq: u64, with_adapter: bool) -> Held {
+    let adapters: BTreeSet<Adapter> = with_adapter.then(adapter).into_iter().collect();
+    Held {
+        models: [(model(), adapters)].into(),
+        seq,
+        incarnation: STARTED,
+        ..Held::default()
+    }
+}
+
+fn list(fleet: &mut Fleet, held: Held, now: Millis) {
+    let centre = DataCentre::from_text("dc1").expect("a valid name");
+    fleet.sight(&engine(), &centre, held, Sighting::Listed, now);
+}
+
+/// An engine that has reported the model with its adapter.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    list(&mut fleet, held(0, true), NOW);
+    fleet.report(&engine(), held(3, true), NOW);
+    fleet
+}
+
+fn drop_of(adapter: Option<Adapter>) -> Order {
+    Order {
+        engine: engine(),
+        kind: OrderKind::Unload,
+        model: model(),
+        adapter,
+        incarnation: STARTED,
+        expect: 3,
+        fence: 7,
+        holder: "me".to_owned(),
+    }
+}
+
+fn is_dropped_by_order(fleet: &mut Fleet) {
+    let order = drop_of(Some(adapter()));
+    fleet.note_sent(&order, NOW);
+    fleet.note_reply(&order, OrderReply::Done, NOW);
+}
+
+fn is_no_longer_reported(fleet: &mut Fleet) {
+    fleet.report(&engine(), held(4, false), NOW);
+}
+
+fn is_said_to_be_absent(fleet: &mut Fleet) {
+    fleet.note_absent(&engine(), &model(), Some(&adapter()), NOW);
+}
+
+fn is_refused_to_drop(fleet: &mut Fleet) {
+    let order = drop_of(Some(adapter()));
+    fleet.note_sent(&order, NOW);
+    fleet.note_reply(&order, OrderReply::Conflict, NOW);
+    fleet.report(&engine(), held(3, true), NOW);
+}
+
+fn is_loaded_again(fleet: &mut Fleet) {
+    is_no_longer_reported(fleet);
+    fleet.report(&engine(), held(5, true), NOW);
+}
+
+fn starts_again_with_it(fleet: &mut Fleet) {
+    is_dropped_by_order(fleet);
+    let again = Held {
+        incarnation: Incarnation::from_millis(NOW.0),
+        ..held(0, true)
+    };
+    list(fleet, again, NOW);
+}
+
+/// Whether the adapter is believed to be held when an entry that lists it is read so long after.
+fn is_believed((after, read): (fn(&mut Fleet), u64)) -> bool {
+    let mut fleet = fleet();
+    after(&mut fleet);
+    let listed = Held {
+        incarnation: fleet
+            .get(&engine())
+            .expect("it is known")
+            .held()
+            .incarnation,
+        ..held(0, true)
+    };
+    list(&mut fleet, listed, NOW.plus(read));
+    fleet.serves_adapter(&model(), &adapter())
+}
+
+cases! { is_believed;
+    an_old_entry_brings_no_dropped_adapter_back: (is_dropped_by_order, 900) => false,
+    an_old_entry_brings_no_adapter_back_that_a_report_lacks: (is_no_longer_reported, 900) => false,
+    an_old_entry_brings_no_adapter_back_that_the_engine_denied: (is_said_to_be_absent, 900) => false,
+    a_later_entry_brings_a_dropped_adapter_back: (is_dropped_by_order, LAG) => true,
+    a_later_entry_brings_an_adapter_back_that_a_report_lacked: (is_no_longer_reported, LAG) => true,
+    what_was_not_dropped_stays: (is_refused_to_drop, 900) => true,
+    what_was_loaded_again_stays: (is_loaded_again, 900) => true,
+    what_a_new_start_holds_is_believed: (starts_again_with_it, 900) => true,
+}
+
+fn no_longer_reports_the_model(fleet: &mut Fleet) {
+    let none = Held {
+        seq: 5,
+        incarnation: STARTED,
+        ..Held::default()
+    };
+    fleet.report(&engine(), none, NOW);
+}
+
+/// Whether the model is believed to be served when an entry that lists it is read so long after.
+fn is_served((after, read): (fn(&mut Fleet), u64)) -> bool {
+    let mut fleet = fleet();
+    after(&mut fleet);
+    list(&mut fleet, held(0, true), NOW.plus(read));
+    fleet.replicas(&model()) > 0
+}
+
+cases! { is_served;
+    an_old_entry_brings_no_model_back_that_a_report_lacks: (no_longer_reports_the_model, 900) => false,
+    a_later_entry_brings_a_model_back_that_a_report_lacked: (no_longer_reports_the_model, LAG) => true,
+}
