Keep an adapter's place for the caller who was told to come back

What callers saw: an adapter was loaded for a caller who had gone, and kept the place for a second, while the one for whom the next caller was about to come back found all places taken.

Cause: an adapter stayed for a second from its arrival, whoever came for it. Where a model has a hundred adapters and its engines 24 to 32 places, a second for each bounds the adapters that come to a place. It counted from the wrong moment: what matters is when a refused caller comes back.

Change: daemons tell with what was asked for in vain when the last caller comes back. The only copy of an adapter whose caller is about to come back stays; others may go from 0.6 s before that time. One that was waited for five seconds may take such a place too, so that its next caller finds it. What came in the last second goes only where nothing else can. Engines with fewer places kept go first.

Tests: fleet/tests/adapters.rs. The play prints the history of what was never served, and checks as before.

--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -8,10 +8,14 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// An adapter stays at an engine for so long at the least: whoever was refused for want of it is told to
-/// come back a moment later, and must not find that it has made room for the next.
+/// An adapter that came within this time makes room only where no other can: it has the fewest callers as
+/// yet, and would go again before any of them finds it.
 const STAY_MS: u64 = 1_000;
 
+/// An adapter that has been waited for as long may take the place of another though nobody is about to
+/// come back for it: its next caller should find it.
+const OVERDUE_MS: u64 = 5_000;
+
 /// An adapter that is asked for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asked<'a> {
@@ -27,13 +31,13 @@
     /// Its turn: what somebody comes back for a moment from now, the longest wait first; then what has
     /// been waited for; then by work.
     fn turn(&self) -> (Reverse<Option<(bool, u64)>>, f64) {
-        let wait = self.wait.map(|w| (w.recent, w.waited));
+        let wait = self.wait.map(|w| (w.due, w.waited));
         (Reverse(wait), self.work)
     }
 
     /// Whether another adapter that is asked for may make room for it.
     fn is_urgent(&self) -> bool {
-        self.wait.is_some_and(|w| w.recent)
+        self.wait.is_some_and(|w| w.due || w.waited >= OVERDUE_MS)
     }
 }
 
@@ -102,8 +106,9 @@
             } else {
                 Some(self.least_missed(engine, count == 0 && asked.is_urgent())?)
             };
+            let crowd = (victim.is_some(), self.due_at(engine));
             let load = board.load(*place) + used as f64;
-            Some((victim.is_some(), load, *place, victim))
+            Some((crowd, load, *place, victim))
         });
         let best = scored.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let Some((_, _, place, victim)) = best else {
@@ -116,26 +121,34 @@
         self.taken[place] = true;
     }
 
+    /// How many places of the engine are kept for callers who are about to come back.
+    fn due_at(&self, engine: &Engine) -> usize {
+        let key = |(m, a): (&Model, &Adapter)| (m.clone(), Some(a.clone()));
+        let places = engine.worst_adapters().into_iter();
+        places.filter(|p| self.due.contains(&key(*p))).count()
+    }
+
     /// The adapter on the engine that callers miss least: one that nobody asks for. Where another is
-    /// needed that is nowhere, also one that another engine has as well, or the one asked for least.
+    /// needed that is nowhere, also one that another engine has as well, or the one asked for least. The
+    /// only one for which a caller is about to come back stays: that caller was told that it would be there.
     fn least_missed(&self, engine: &'a Engine, needed: bool) -> Option<(&'a Model, &'a Adapter)> {
-        let rate = |(m, a): (&Model, &Adapter)| {
-            let key = (m.clone(), Some(a.clone()));
-            self.snapshot.view.rates.get(&key).map_or(0.0, |r| r.work)
-        };
+        let rates = self.snapshot.view.rates;
         let now = self.snapshot.now;
-        let held = engine.certain_adapters();
-        let stayed = held.filter(|(m, a)| now.since(engine.came(m, a)) >= STAY_MS);
-        let missed = stayed.map(|place| {
+        let missed = engine.certain_adapters().filter_map(|place| {
+            let key = (place.0.clone(), Some(place.1.clone()));
             let sole = self.adapter_copies.get(&place).is_none_or(|c| *c < 2);
-            (rate(place), sole, place)
+            if sole && self.due.contains(&key) {
+                return None;
+            }
+            let is_new = now.since(engine.came(place.0, place.1)) < STAY_MS;
+            let rate = rates.get(&key).map_or(0.0, |r| r.work);
+            Some(((is_new, rate > 0.0, sole), rate, place))
         });
-        let order = |a: &(f32, bool, _), b: &(f32, bool, _)| {
-            let asked = (a.0 > 0.0, a.1).cmp(&(b.0 > 0.0, b.1));
-            asked.then(a.0.total_cmp(&b.0))
+        let order = |a: &((bool, bool, bool), f32, _), b: &((bool, bool, bool), f32, _)| {
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
         };
-        let (work, _, least) = missed.min_by(order)?;
-        (needed || work == 0.0).then_some(least)
+        let ((is_new, ..), work, least) = missed.min_by(order)?;
+        (needed || (work == 0.0 && !is_new)).then_some(least)
     }
 }
 
--- a/crates/fleet/src/draft.rs
+++ b/crates/fleet/src/draft.rs
@@ -5,7 +5,7 @@
 use crate::waits::Wait;
 use crate::{ModelRule, Order, OrderKind, PlanNote, PlanSettings};
 use shaleline_types::{Adapter, Millis, Model, Upstream};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An engine that loads a model is worth waiting for if it is done within this time.
 const WAIT: Millis = Millis(1_500);
@@ -36,6 +36,8 @@
     pub(crate) adapter_copies: AdapterCopies<'a>,
     /// How long callers have waited for adapters that are nowhere.
     pub(crate) waits: BTreeMap<&'a (Model, Option<Adapter>), Wait>,
+    /// The adapters for which a caller is about to come back.
+    pub(crate) due: BTreeSet<&'a (Model, Option<Adapter>)>,
 }
 
 impl<'a> Draft<'a> {
@@ -59,6 +61,7 @@
             notes: Vec::new(),
             in_vain: Vec::new(),
             waits: BTreeMap::new(),
+            due: BTreeSet::new(),
             adapter_copies: count_copies(snapshot.places.iter().map(|p| p.engine)),
             open: Vec::new(),
             snapshot,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -138,6 +138,7 @@
         draft.notes = self.absences.observe(&draft);
         draft.in_vain = self.absences.in_vain(&snapshot);
         draft.waits = self.waits.observe(view, &draft.adapter_copies, now);
+        draft.due = self.waits.due(view, now);
         let mut board = Board::new(&draft, &self.churn);
         // An adapter is there within milliseconds; an engine that loads weights takes none for
         // seconds. So those that are nowhere go before weights, further copies after them.
--- a/crates/fleet/src/unmet.rs
+++ b/crates/fleet/src/unmet.rs
@@ -23,6 +23,9 @@
     pub last: u32,
     /// Their attempts.
     pub tries: u32,
+    /// The time until the last of those that were told to comes back, in milliseconds; 0 where that is
+    /// over.
+    pub back: u32,
 }
 
 impl Unmet {
@@ -31,6 +34,7 @@
         self.waited = self.waited.max(other.waited);
         self.last = self.last.min(other.last);
         self.tries = self.tries.saturating_add(other.tries);
+        self.back = self.back.max(other.back);
     }
 }
 
@@ -42,6 +46,8 @@
     first: Millis,
     last: Millis,
     tries: u32,
+    /// When the last of them comes back.
+    back: Millis,
 }
 
 /// What the callers of one daemon asked for in vain.
@@ -51,15 +57,18 @@
 }
 
 impl UnmetDemand {
-    /// Notes that a caller went away empty-handed, as no engine served what it asked for.
-    pub fn note(&mut self, model: &Model, adapter: Option<&Adapter>, now: Millis) {
+    /// Notes that a caller went away empty-handed, as no engine served what it asked for, and after which
+    /// time it was told to come back.
+    pub fn note(&mut self, model: &Model, adapter: Option<&Adapter>, retry: Millis, now: Millis) {
         let key = (model.clone(), adapter.cloned());
         let vain = self.keys.entry(key).or_insert(Vain {
             first: now,
             last: now,
             tries: 0,
+            back: now,
         });
         vain.last = now;
+        vain.back = vain.back.max(now.plus(retry.0));
         vain.tries += 1;
     }
 
@@ -76,11 +85,13 @@
         let mut all: Vec<(&Key, &Vain)> = self.keys.iter().collect();
         all.sort_by_key(|(_, v)| v.first);
         all.truncate(most);
-        let age = |at: Millis| u32::try_from(now.since(at)).unwrap_or(u32::MAX);
+        let millis = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+        let age = |at: Millis| millis(now.since(at));
         let unmet = |v: &Vain| Unmet {
             waited: age(v.first),
             last: age(v.last),
             tries: v.tries,
+            back: millis(v.back.since(now)),
         };
         let told = all.into_iter();
         told.map(|((m, a), v)| (m, a.as_ref(), unmet(v))).collect()
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -5,10 +5,14 @@
 use crate::{Order, PlanNote, PlanView, Unmet, WaitReason};
 use shaleline_types::{Adapter, Millis, Model};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// A caller that was refused for want of an adapter is told to come back a quarter of a second later.
-const COMES_BACK_MS: u64 = 600;
+/// A caller comes back so much later than it was told to at the most.
+const LATE_MS: u64 = 250;
+
+/// A caller's adapter may take the place of another so long before the caller comes back: to drop one
+/// and to load one takes two orders, which wait for others.
+const LEAD_MS: u64 = 600;
 
 /// The longest waits are told of so often, so many at a time.
 const TELL_MS: u64 = 2_000;
@@ -26,7 +30,7 @@
     /// The time since the first of them came in vain, in milliseconds.
     pub(crate) waited: u64,
     /// Whether one is about to come back.
-    pub(crate) recent: bool,
+    pub(crate) due: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +39,9 @@
     first: Option<Millis>,
     asked: Millis,
     held: Millis,
+    /// When the last caller that was refused comes back, and how many had been refused by then.
+    back: Option<Millis>,
+    tries: u32,
 }
 
 /// What a planner remembers of the adapters that callers ask for.
@@ -65,7 +72,10 @@
                 first: None,
                 asked: now,
                 held: Millis(0),
+                back: None,
+                tries: 0,
             });
+            known.note_back(unmet.copied(), now);
             if held {
                 known.held = now;
                 known.first = None;
@@ -83,6 +93,13 @@
 }
 
 impl Waits {
+    /// The adapters for which a caller is about to come back.
+    pub(crate) fn due<'a>(&self, view: &PlanView<'a>, now: Millis) -> BTreeSet<&'a Key> {
+        let keys = view.rates.keys().chain(view.unmet.keys());
+        keys.filter(|k| self.known.get(*k).is_some_and(|k| k.is_due(now)))
+            .collect()
+    }
+
     /// The longest waits that a plan leaves, and why, now and then.
     pub(crate) fn tell(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
         let now = draft.snapshot.now;
@@ -131,6 +148,23 @@
         now.since(self.held) > u64::from(unmet.last)
     }
 
+    /// Notes when the last caller comes back. What daemons say of one is some hundred milliseconds old
+    /// and is repeated, so it counts when it is heard first.
+    fn note_back(&mut self, unmet: Option<Unmet>, now: Millis) {
+        let tries = unmet.map_or(0, |u| u.tries);
+        if let Some(unmet) = unmet.filter(|u| u.back > 0 && u.tries > self.tries) {
+            let back = now.plus(u64::from(unmet.back));
+            self.back = self.back.max(Some(back));
+        }
+        self.tries = tries;
+    }
+
+    /// Whether a caller that was refused is about to come back.
+    fn is_due(&self, now: Millis) -> bool {
+        let is_near = |at: Millis| now.since(at) < LATE_MS && at.since(now) < LEAD_MS;
+        self.back.is_some_and(is_near)
+    }
+
     /// How long callers have waited; none where nobody did.
     fn wait(&mut self, unmet: Option<Unmet>, rated: bool, now: Millis) -> Option<Wait> {
         let unmet = unmet.filter(|u| self.concerns(*u, now));
@@ -141,7 +175,7 @@
         self.first = Some(first);
         Some(Wait {
             waited: now.since(first),
-            recent: unmet.is_some_and(|u| u64::from(u.last) < COMES_BACK_MS),
+            due: self.is_due(now),
         })
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/adapters.rs
@@ -0,0 +1,126 @@
+//! Which adapter makes room for one that callers wait for.
+//!
+//! Places for adapters are few: a model may have a hundred adapters and an engine eight places. What
+//! matters to callers is whether the adapter is there when they come back.
+
+use shaleline_fleet::{
+    Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, PlanSettings, PlanView, Planner, Rate,
+    Rates, Sighting, Unmet, UnmetByKey,
+};
+use shaleline_testkit::cases;
+use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
+use std::collections::BTreeMap;
+
+const NOW: Millis = Millis(1_000_000);
+
+/// The one place has been taken for so long.
+const TAKEN: u64 = 100;
+
+fn model() -> Model {
+    Model::from_text("m").expect("a valid name")
+}
+
+fn adapter(name: &str) -> Adapter {
+    Adapter::from_text(name).expect("a valid name")
+}
+
+fn engine() -> Upstream {
+    Upstream::from_text("e1").expect("a valid name")
+}
+
+/// One model with two adapters; an engine has a place for one.
+fn catalog() -> Catalog {
+    let rule = ModelRule {
+        size: Megabytes(70_000),
+        store: Millis(9_000),
+        disk: Millis(2_000),
+        warm: Millis(800),
+        adapters: vec![adapter("held"), adapter("wanted")],
+        adapter_size: Megabytes(50),
+    };
+    Catalog {
+        models: [(model(), rule)].into(),
+        memory: Megabytes(80_000),
+        places: 1,
+        rate: 10.0,
+        slots: 64,
+        copies: Megabytes(150_000),
+        disk: Megabytes(440_000),
+    }
+}
+
+/// An engine of which a report has shown lately that it got the adapter.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    let centre = DataCentre::from_text("dc1").expect("a valid name");
+    let empty = Held {
+        models: [(model(), [].into())].into(),
+        ..Held::default()
+    };
+    fleet.sight(&engine(), &centre, empty, Sighting::Listed, NOW);
+    let held = Held {
+        models: [(model(), [adapter("held")].into())].into(),
+        seq: 1,
+        ..Held::default()
+    };
+    fleet.report(&engine(), held, Millis(NOW.0 - TAKEN));
+    fleet
+}
+
+/// Callers who have asked in vain for so long; the last of them comes back after `back`.
+fn unmet(waited: u32, back: u32) -> Unmet {
+    Unmet {
+        waited,
+        last: 300,
+        tries: 2,
+        back,
+    }
+}
+
+/// What is ordered where callers of the adapter that is held, and of the one that is wanted, come back
+/// after these times, and the latter have waited for so long; both are asked for.
+fn ordered((held, wanted, waited): (u32, u32, u32)) -> Vec<String> {
+    let (catalog, fleet) = (catalog(), fleet());
+    let key = |name| (model(), Some(adapter(name)));
+    let rate = Rate {
+        work: 5.0,
+        count: 0.2,
+    };
+    let rates: Rates = [(key("held"), rate), (key("wanted"), rate)].into();
+    let unmet: UnmetByKey = [
+        (key("held"), unmet(1_000, held)),
+        (key("wanted"), unmet(waited, wanted)),
+    ]
+    .into();
+    let view = PlanView {
+        lead: LeadTime::Over,
+        catalog: &catalog,
+        fleet: &fleet,
+        rates: &rates,
+        unmet: &unmet,
+        fence: 7,
+        holder: "me",
+        resting: &BTreeMap::new(),
+    };
+    let mut window = LoadWindow::new(Millis(5_000), 1.1);
+    let orders = Planner::new(PlanSettings::default()).plan(&view, &mut window, NOW);
+    orders.iter().map(ToString::to_string).collect()
+}
+
+fn makes_room() -> Vec<String> {
+    vec!["unload m+held at e1 expecting 1".to_owned()]
+}
+
+fn stays() -> Vec<String> {
+    Vec::new()
+}
+
+cases! { ordered;
+    an_adapter_whose_caller_is_gone_makes_room: (0, 250, 1_000) => makes_room(),
+    an_adapter_whose_caller_comes_back_in_a_moment_stays: (250, 250, 1_000) => stays(),
+    an_adapter_whose_caller_comes_back_later_makes_room: (1_500, 250, 1_000) => makes_room(),
+    an_adapter_makes_no_room_for_a_caller_who_is_gone: (0, 0, 1_000) => stays(),
+    an_adapter_makes_no_room_for_a_caller_who_comes_back_later: (0, 1_500, 1_000) => stays(),
+    an_adapter_makes_room_for_one_that_was_waited_for_long: (0, 0, 5_000) => makes_room(),
+    an_adapter_whose_caller_comes_back_in_a_moment_stays_all_the_same: (250, 0, 5_000) => stays(),
+}
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -24,6 +24,9 @@
 /// An adapter that somebody waits for counts as asked for so long.
 const WANT_MS: u64 = 2_000;
 
+/// Whoever waits for an adapter is refused and comes back, or waits on, for so long.
+const WANT_BACK_MS: u32 = 500;
+
 /// Where somebody waits for an adapter, plans follow each other at this pace.
 const WANT_PLAN_MS: u64 = 40;
 
@@ -232,11 +235,10 @@
             waited: age,
             last: age,
             tries: 1,
+            back: WANT_BACK_MS.saturating_sub(age),
         };
         let known = unmet.entry(key);
-        known
-            .and_modify(|u| u.last = u.last.min(age))
-            .or_insert(wanted);
+        known.and_modify(|u| u.add(wanted)).or_insert(wanted);
     }
     (rates, unmet)
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -273,10 +273,11 @@
             }
             Some(Some(RouteAction::Cancel { .. })) => continue,
             Some(Some(RouteAction::Refuse { kind, retry, .. })) => {
+                let retry = retry.or_else(|| come_back(gw, &job));
                 if permit.sends == 0 {
-                    gw.note_unmet(&job);
+                    gw.note_unmet(&job, retry.unwrap_or_default());
                 }
-                let refusal = Refusal::new(kind).with_retry(retry.or_else(|| come_back(gw, &job)));
+                let refusal = Refusal::new(kind).with_retry(retry);
                 return spare.unwrap_or_else(|| refuse::late(gw, &job, &permit, refusal));
             }
             Some(None) | None => {
@@ -357,15 +358,16 @@
 }
 
 impl Gateway {
-    /// Notes that a caller goes away empty-handed; only who came for the first time counts, and only
-    /// where no engine is known to serve what it asked for.
-    pub(crate) fn note_unmet(&self, job: &Job) {
+    /// Notes that a caller goes away empty-handed and is told to come back after `retry`; only who came for
+    /// the first time counts, and only where no engine is known to serve what it asked for.
+    pub(crate) fn note_unmet(&self, job: &Job, retry: Millis) {
         let Some(model) = job.head.model.as_ref().filter(|_| !job.came_back) else {
             return;
         };
         if !self.router.borrow().is_served(&job.route()) {
             let adapter = job.head.adapter.as_ref();
-            self.unmet.borrow_mut().note(model, adapter, self.now());
+            let mut unmet = self.unmet.borrow_mut();
+            unmet.note(model, adapter, retry, self.now());
         }
     }
 
--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -73,6 +73,9 @@
     let longest = all.iter().map(|(_, a)| a.longest).max().unwrap_or(0);
     let worst: Vec<String> = all.iter().take(SHOWN).map(|a| format!("{a:?}")).collect();
     let worst = worst.join("\n");
+    for (key, _) in all.iter().filter(|(_, a)| a.served == 0) {
+        println!("{key:?}: {:#?}", world.history.get(*key));
+    }
     let (count, orders) = (all.len(), world.orders);
     println!(
         "{never} of {count} never served, longest wait {longest} ms, {orders} orders\n{worst}"
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -22,7 +22,7 @@
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, Time};
 use shaleline_fleet::{Order, OrderReply};
-use shaleline_types::{DataCentre, Service, Upstream};
+use shaleline_types::{DataCentre, Millis, Service, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,8 +58,8 @@
 const BACK: (u64, u64) = (10, 200);
 
 /// When it is told to come back for an adapter, and for a model that is nowhere.
-const ADAPTER_BACK: u64 = 250;
-const MODEL_BACK: u64 = 1_500;
+const ADAPTER_BACK: Millis = Millis(250);
+const MODEL_BACK: Millis = Millis(1_500);
 
 /// Where an engine's order is looked at again, and one whose state is not known.
 const ORDER_LOOK: u64 = 150;
@@ -133,6 +133,8 @@
     /// Callers that come back.
     back: BTreeMap<(u64, u64), Key>,
     pub asked: BTreeMap<Key, Asked>,
+    /// Who asked for each adapter and what was ordered of it, by time.
+    pub history: BTreeMap<Key, Vec<String>>,
     /// Waits count from here on.
     pub counted: u64,
     count: u64,
@@ -165,6 +167,7 @@
             events: BTreeMap::new(),
             back: BTreeMap::new(),
             asked: BTreeMap::new(),
+            history: BTreeMap::new(),
             counted: TRAFFIC,
             count: 0,
             due: 0.0,
@@ -265,8 +268,8 @@
             limits: CallerLimits {
                 head: 16_384,
                 body: 1 << 20,
-                arrival: shaleline_types::Millis(1_000),
-                idle: shaleline_types::Millis(10_000),
+                arrival: Millis(1_000),
+                idle: Millis(10_000),
             },
         }
     }
@@ -518,6 +521,9 @@
         }
         note_leaving(gw, working, service, order);
         let (reply, done) = self.engines.take(order, now);
+        let key = (order.model.clone(), order.adapter.clone());
+        let history = self.history.entry(key).or_default();
+        history.push(format!("{now} {order}: {reply:?}"));
         gw.with_fleet(&order.engine, |f| f.note_reply(order, reply, gw.now()));
         if reply == OrderReply::Done && order.drops_adapter() {
             working.end(&start);
@@ -570,9 +576,16 @@
         };
         note_demand(gw, &asked_for);
         let served = self.engines.serves(&key);
+        let history = self.history.entry(key.clone()).or_default();
+        let now = self.hand.0.get();
+        history.push(format!("{now} asked again={came_back} served={served}"));
+        let told = match self.engines.serves(&(key.0.clone(), None)) {
+            true => ADAPTER_BACK,
+            false => MODEL_BACK,
+        };
         match served {
             true => gw.note_met(&asked_for),
-            false => gw.note_unmet(&asked_for),
+            false => gw.note_unmet(&asked_for, told),
         }
         let now = self.now();
         let asked = self.asked.entry(key.clone()).or_insert(Asked {
@@ -586,11 +599,7 @@
             asked.since.get_or_insert(now);
         }
         if !served && !came_back {
-            let told = match self.engines.serves(&(key.0.clone(), None)) {
-                true => ADAPTER_BACK,
-                false => MODEL_BACK,
-            };
-            let key_at = (now + told + self.draw(BACK), self.next());
+            let key_at = (now + told.0 + self.draw(BACK), self.next());
             self.back.insert(key_at, key);
         }
     }
