Tell callers the time that a load takes, and how long nobody will plan

What callers saw: told to come back for an adapter after 250 ms, they came 10 to 100 ms before it was there, were refused again and did not come a third time. While nobody planned they were told the same and came back into the same gap.

Cause: the time was a constant. Making room takes an order to drop, one to load, and a plan before each; while nobody plans nothing is loaded at all, and a planner that dies is followed 4.6 s after its last renewal.

Evidence: histories of what was never served (295 daemons): m34+a11 back at 20,380 ms, loaded at 20,410; m0+a100 back at 18,330, loaded at 18,340; m2+a44 back at 23,490, loaded at 23,890. With planners replaced in turn, no plan from 17.1 to 22.8 s, 23.1 to 27.5 and 28.8 to 33.4 s; daemons asked 'to no planner' meanwhile and told 250 ms.

Change: an adapter's time is half a second. A daemon that has heard of no renewal for 1.3 s adds what is left of the lease, what a successor takes to order, and a turn by how long nobody planned, so that those refused first come back first and not all at once. The same holds for a model that is nowhere. The play asks the product for these times instead of having its own, which is stricter: callers come back when the product says so.

Ruled out: to wait less than the lease; the engines' rest between two planners' orders needs it.

--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -110,6 +110,15 @@
     recheck: bool,
 }
 
+/// A time without a holder of the claim, as far as is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Vacancy {
+    /// How long no renewal has been heard of.
+    pub lasted: Millis,
+    /// How long it takes until another daemon may hold the claim.
+    pub left: Millis,
+}
+
 /// The holder is taken to be silent once no renewal was heard of for so many milliseconds:
 /// one comes every 500, and is told on within another 600.
 const SILENT_MS: u64 = 1_300;
@@ -173,6 +182,20 @@
         }
     }
 
+    /// The time without a holder, where none is heard of; none where one is, or where nothing was ever
+    /// heard.
+    #[must_use]
+    pub fn vacancy(&self, now: Millis) -> Option<Vacancy> {
+        let (_, at) = self.heard.filter(|_| self.fence(now).is_none())?;
+        let lasted = now.since(at);
+        // A successor reads the topic's end now and then.
+        let left = self.settings.wait().saturating_sub(lasted);
+        (lasted >= SILENT_MS).then_some(Vacancy {
+            lasted: Millis(lasted),
+            left: Millis(left.max(self.settings.read.0)),
+        })
+    }
+
     /// Notes that the holder said it gives the claim up: the topic is read at once.
     pub fn on_release_heard(&mut self) {
         if !self.is_holder() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 mod window;
 
 pub use catalog::{Catalog, ModelRule};
-pub use claim::{Claim, ClaimAction, ClaimSettings, ClaimView};
+pub use claim::{Claim, ClaimAction, ClaimSettings, ClaimView, Vacancy};
 pub use demand::{Demand, Rate, Rates};
 pub use engine::{Engine, Held, Sighting};
 pub use fleet::Fleet;
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -1,7 +1,7 @@
 //! The planner's claim: never two at once, and never without a holder for long.
 
 use quickcheck::{Gen, QuickCheck, TestResult};
-use shaleline_fleet::{Claim, ClaimAction, ClaimSettings, ClaimView};
+use shaleline_fleet::{Claim, ClaimAction, ClaimSettings, ClaimView, Vacancy};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
 use std::collections::VecDeque;
@@ -253,3 +253,25 @@
     a_release_that_says_what_was_ordered_is_followed_at_once: true => 0,
     one_that_does_not_is_waited_out: false => 3_400,
 }
+
+/// What a daemon that heard of a renewal so long ago knows of the time without a holder: how long it has
+/// lasted, and how long it takes until another daemon may order.
+fn vacancy_after(ms: u64) -> Option<(u64, u64)> {
+    let settings = ClaimSettings::from_lease(LEASE);
+    let mut claim = Claim::new(settings, "d0".to_owned());
+    claim.heard(7, Millis(START));
+    let vacancy = claim.vacancy(Millis(START + ms));
+    vacancy.map(|Vacancy { lasted, left }| (lasted.0, left.0))
+}
+
+cases! { vacancy_after;
+    a_holder_that_was_heard_lately_is_there: 1_000 => None,
+    a_holder_that_is_silent_is_followed_after_its_lease: 2_000 => Some((2_000, 2_600)),
+    a_successor_that_is_due_takes_another_read: 6_000 => Some((6_000, 500)),
+}
+
+#[test]
+fn who_never_heard_of_a_holder_knows_of_no_vacancy() {
+    let claim = Claim::new(ClaimSettings::from_lease(LEASE), "d0".to_owned());
+    assert_eq!(claim.vacancy(Millis(START)), None);
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use hyper::header::HOST;
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Handler, Reply};
+use shaleline_fleet::Vacancy;
 use shaleline_route::{AttemptNumber, End, RouteAction};
 use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
@@ -302,10 +303,20 @@
 }
 
 /// Loading a model that nobody holds takes the planner and an engine with a copy so long.
-const LOAD: Millis = Millis(1_500);
+pub(crate) const LOAD: Millis = Millis(1_500);
 
-/// An adapter that nobody holds is there after a moment.
-const ADAPTER: Millis = Millis(250);
+/// An adapter that nobody holds is there after another one was dropped for it, each by an order of its own.
+pub(crate) const ADAPTER: Millis = Millis(500);
+
+/// Another planner orders what was waited for meanwhile within so long of its claim.
+const SUCCESSOR: Millis = Millis(700);
+
+/// Those who were refused while nobody planned come back over a part of that time, the first of them
+/// first: all at once they would find the places taken for each other.
+const RETURN_PART: u64 = 2;
+
+/// But no later than so long after the first, however long nobody planned.
+const RETURN_MOST: Millis = Millis(3_000);
 
 /// What is served is short of engines, and stays so until streams of some seconds end or
 /// another engine has loaded the model. Who comes back after a quarter of a second finds
@@ -320,12 +331,24 @@
     Some(if router.is_served(&job.route()) {
         CROWDED
     } else if router.is_served(&base) {
-        ADAPTER
+        load_retry(gw, ADAPTER)
     } else {
-        LOAD
+        load_retry(gw, LOAD)
     })
 }
 
+/// When to come back for what a planner has to load first, where that takes so long. While nobody plans,
+/// nothing is loaded.
+pub(crate) fn load_retry(gw: &Gateway, takes: Millis) -> Millis {
+    match gw.claim.borrow().vacancy(gw.now()) {
+        Some(Vacancy { lasted, left }) => {
+            let turn = (lasted.0 / RETURN_PART).min(RETURN_MOST.0);
+            takes.plus(left.0).plus(SUCCESSOR.0).plus(turn)
+        }
+        None => takes,
+    }
+}
+
 /// Counts what is asked for, and tells the planner of an adapter that nobody holds.
 pub(crate) fn note_demand(gw: &Gateway, job: &Job) {
     let Some(model) = &job.head.model else {
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -9,7 +9,7 @@
 use crate::lead::{step, unproven, Working};
 use crate::message::{Datagram, Message};
 use crate::orders::{note_leaving, tell_held, tell_retiring};
-use crate::request::note_demand;
+use crate::request::{load_retry, note_demand, ADAPTER, LOAD};
 use crate::roster::Seen;
 use crate::start::look;
 use crate::state::{Border, EngineStart, Gateway};
@@ -57,10 +57,6 @@
 /// A caller whose request is refused comes back once: so much later than it is told to.
 const BACK: (u64, u64) = (10, 200);
 
-/// When it is told to come back for an adapter, and for a model that is nowhere.
-const ADAPTER_BACK: Millis = Millis(250);
-const MODEL_BACK: Millis = Millis(1_500);
-
 /// Where an engine's order is looked at again, and one whose state is not known.
 const ORDER_LOOK: u64 = 150;
 const LOOK_PAUSE: u64 = 700;
@@ -580,8 +576,8 @@
         let now = self.hand.0.get();
         history.push(format!("{now} asked again={came_back} served={served}"));
         let told = match self.engines.serves(&(key.0.clone(), None)) {
-            true => ADAPTER_BACK,
-            false => MODEL_BACK,
+            true => load_retry(gw, ADAPTER),
+            false => load_retry(gw, LOAD),
         };
         match served {
             true => gw.note_met(&asked_for),
