--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -102,6 +102,8 @@
 cases! { planner_is_cut_off;
     all_is_served_where_the_planner_is_cut_off_before_9_daemons: (SMALL, 1) => true,
     all_is_served_where_the_planner_is_cut_off_before_295_daemons: (LARGE, 2) => true,
+    // A model with far more adapters than its replicas have places.
+    all_is_served_before_295_daemons_where_the_planner_is_cut_off_seed_3001: (LARGE, 3001) => true,
 }
 
 /// Nothing fails.
@@ -173,4 +175,7 @@
 cases! { engines_end;
     all_is_served_where_engines_end_with_the_planner_before_9_daemons: (SMALL, 7) => true,
     all_is_served_where_engines_end_with_the_planner_before_295_daemons: (LARGE, 8) => true,
+    // A model with far more adapters than its replicas have places.
+    all_is_served_before_295_daemons_where_engines_end_seed_1004: (LARGE, 1004) => true,
+    all_is_served_before_295_daemons_where_engines_end_seed_2004: (LARGE, 2004) => true,
 }
