--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -102,7 +102,7 @@
 cases! { planner_is_cut_off;
     all_is_served_where_the_planner_is_cut_off_before_9_daemons: (SMALL, 1) => true,
     all_is_served_where_the_planner_is_cut_off_before_295_daemons: (LARGE, 2) => true,
-    // A model with far more adapters than its replicas have places.
+    // Two callers of a rare adapter, one soon after the other.
     all_is_served_before_295_daemons_where_the_planner_is_cut_off_seed_3001: (LARGE, 3001) => true,
 }
 
