--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -104,6 +104,8 @@
     all_is_served_where_the_planner_is_cut_off_before_295_daemons: (LARGE, 2) => true,
     // Two callers of a rare adapter, one soon after the other.
     all_is_served_before_295_daemons_where_the_planner_is_cut_off_seed_3001: (LARGE, 3001) => true,
+    // A long wait for an adapter that is asked for rarely.
+    all_is_served_before_295_daemons_where_the_planner_is_cut_off_seed_4001: (LARGE, 4001) => true,
 }
 
 /// Nothing fails.
@@ -148,6 +150,8 @@
 cases! { replaced_in_turn;
     all_is_served_where_planners_are_replaced_before_9_daemons: (SMALL, 5) => true,
     all_is_served_where_planners_are_replaced_before_295_daemons: (LARGE, 6) => true,
+    // Rare callers of three adapters, most of them while nobody plans.
+    all_is_served_before_295_daemons_where_planners_are_replaced_seed_1003: (LARGE, 1003) => true,
 }
 
 /// A quarter of the engines ends, and the planner with them; the engines start again two seconds later
