Find out once for whom adapters are kept, without copies of names

A reading of the change: the adapters with a caller about to come back were gathered in a second pass over all keys, the count of refusals reset in a third, and each look-up on the way of a plan copied two names; an engine's adapters were worked out twice for each candidate. What a plan sees of waits is now one value of one pass, with borrowed names. Half a second for an adapter stood as two constants; the planner takes the one that callers are told.

--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -58,14 +58,18 @@
     pub(crate) fn asked_adapters(&self) -> Vec<Asked<'a>> {
         let rates = self.snapshot.view.rates;
         let rated = rates.iter().map(|(key, r)| (key, f64::from(r.work)));
-        let waits = self.waits.keys().filter(|k| !rates.contains_key(k));
+        let waits = self
+            .waiting
+            .nowhere
+            .keys()
+            .filter(|k| !rates.contains_key(k));
         let all = rated.chain(waits.map(|key| (*key, 0.0)));
         let mut asked: Vec<Asked<'a>> = all
             .filter_map(|(key, work)| {
                 Some(Asked {
                     model: &key.0,
                     adapter: key.1.as_ref()?,
-                    wait: self.waits.get(key).copied(),
+                    wait: self.waiting.nowhere.get(key).copied(),
                     work,
                 })
             })
@@ -96,7 +100,8 @@
             .filter(|p| !has(snapshot.places[**p].engine) && self.is_free(**p));
         let scored = candidates.filter_map(|place| {
             let engine = snapshot.places[*place].engine;
-            let used = engine.worst_adapters().len();
+            let taken = engine.worst_adapters();
+            let used = taken.len();
             let transit = engine.pending.iter().filter(|p| p.order.adapter.is_some());
             if transit.count() >= self.settings.transit {
                 return None;
@@ -106,7 +111,9 @@
             } else {
                 Some(self.least_missed(engine, count == 0 && asked.is_urgent())?)
             };
-            let crowd = (victim.is_some(), self.due_at(engine));
+            // Engines that keep fewer places for callers who are about to come back go first.
+            let kept = taken.iter().filter(|a| self.waiting.due.contains(*a));
+            let crowd = (victim.is_some(), kept.count());
             let load = board.load(*place) + used as f64;
             Some((crowd, load, *place, victim))
         });
@@ -121,13 +128,6 @@
         self.taken[place] = true;
     }
 
-    /// How many places of the engine are kept for callers who are about to come back.
-    fn due_at(&self, engine: &Engine) -> usize {
-        let key = |(m, a): (&Model, &Adapter)| (m.clone(), Some(a.clone()));
-        let places = engine.worst_adapters().into_iter();
-        places.filter(|p| self.due.contains(&key(*p))).count()
-    }
-
     /// The adapter on the engine that callers miss least: one that nobody asks for. Where another is
     /// needed that is nowhere, also one that another engine has as well, or the one asked for least. The
     /// only one for which a caller is about to come back stays: that caller was told that it would be there.
@@ -135,11 +135,11 @@
         let rates = self.snapshot.view.rates;
         let now = self.snapshot.now;
         let missed = engine.certain_adapters().filter_map(|place| {
-            let key = (place.0.clone(), Some(place.1.clone()));
             let sole = self.adapter_copies.get(&place).is_none_or(|c| *c < 2);
-            if sole && self.due.contains(&key) {
+            if sole && self.waiting.due.contains(&place) {
                 return None;
             }
+            let key = (place.0.clone(), Some(place.1.clone()));
             let is_new = now.since(engine.came(place.0, place.1)) < STAY_MS;
             let rate = rates.get(&key).map_or(0.0, |r| r.work);
             Some(((is_new, rate > 0.0, sole), rate, place))
--- a/crates/fleet/src/draft.rs
+++ b/crates/fleet/src/draft.rs
@@ -2,10 +2,9 @@
 
 use crate::adapt::{count_copies, AdapterCopies};
 use crate::snapshot::Snapshot;
-use crate::waits::Wait;
+use crate::waits::Waiting;
 use crate::{ModelRule, Order, OrderKind, PlanNote, PlanSettings};
 use shaleline_types::{Adapter, Millis, Model, Upstream};
-use std::collections::{BTreeMap, BTreeSet};
 
 /// An engine that loads a model is worth waiting for if it is done within this time.
 const WAIT: Millis = Millis(1_500);
@@ -34,10 +33,8 @@
     pub(crate) in_vain: Vec<f64>,
     /// How many engines have each adapter: the last one is missed more than one of several.
     pub(crate) adapter_copies: AdapterCopies<'a>,
-    /// How long callers have waited for adapters that are nowhere.
-    pub(crate) waits: BTreeMap<&'a (Model, Option<Adapter>), Wait>,
-    /// The adapters for which a caller is about to come back.
-    pub(crate) due: BTreeSet<&'a (Model, Option<Adapter>)>,
+    /// The adapters that callers wait for.
+    pub(crate) waiting: Waiting<'a>,
 }
 
 impl<'a> Draft<'a> {
@@ -60,8 +57,7 @@
             orders: Vec::new(),
             notes: Vec::new(),
             in_vain: Vec::new(),
-            waits: BTreeMap::new(),
-            due: BTreeSet::new(),
+            waiting: Waiting::default(),
             adapter_copies: count_copies(snapshot.places.iter().map(|p| p.engine)),
             open: Vec::new(),
             snapshot,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -137,8 +137,7 @@
         draft.most_loads = window.most(view.catalog.rate);
         draft.notes = self.absences.observe(&draft);
         draft.in_vain = self.absences.in_vain(&snapshot);
-        draft.waits = self.waits.observe(view, &draft.adapter_copies, now);
-        draft.due = self.waits.due(view, now);
+        draft.waiting = self.waits.observe(view, &draft.adapter_copies, now);
         let mut board = Board::new(&draft, &self.churn);
         // An adapter is there within milliseconds; an engine that loads weights takes none for
         // seconds. So those that are nowhere go before weights, further copies after them.
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -33,6 +33,15 @@
     pub(crate) due: bool,
 }
 
+/// The adapters that callers wait for, as one plan sees them.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting<'a> {
+    /// Those that are nowhere.
+    pub(crate) nowhere: BTreeMap<&'a Key, Wait>,
+    /// Those for which a caller is about to come back, wherever they are.
+    pub(crate) due: BTreeSet<(&'a Model, &'a Adapter)>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     /// When the first caller came in vain, where any did since it was held last.
@@ -52,15 +61,15 @@
 }
 
 impl Waits {
-    /// Takes in what a plan sees; the waits for adapters that are nowhere.
+    /// Takes in what a plan sees.
     pub(crate) fn observe<'a>(
         &mut self,
         view: &PlanView<'a>,
         copies: &AdapterCopies<'a>,
         now: Millis,
-    ) -> BTreeMap<&'a Key, Wait> {
+    ) -> Waiting<'a> {
         let unrated = view.unmet.keys().filter(|k| !view.rates.contains_key(k));
-        let mut waits = BTreeMap::new();
+        let mut waiting = Waiting::default();
         for key in view.rates.keys().chain(unrated) {
             let Some(adapter) = &key.1 else {
                 continue;
@@ -83,37 +92,35 @@
             if rated || unmet.is_some_and(|u| known.concerns(*u, now)) {
                 known.asked = now;
             }
+            let due = known.is_due(now);
+            if due {
+                waiting.due.insert((&key.0, adapter));
+            }
             if !held {
-                waits.extend(known.wait(unmet.copied(), rated, now).map(|w| (key, w)));
+                let waited = known.waited(unmet.copied(), rated, now);
+                let wait = waited.map(|waited| (key, Wait { waited, due }));
+                waiting.nowhere.extend(wait);
             }
         }
-        self.known.retain(|_, k| now.since(k.asked) < FORGET_MS);
-        for (key, known) in &mut self.known {
+        self.known.retain(|key, known| {
             // Whoever comes next is the first again.
             if !view.unmet.contains_key(key) {
                 known.tries = 0;
             }
-        }
-        waits
-    }
-}
-
-impl Waits {
-    /// The adapters for which a caller is about to come back.
-    pub(crate) fn due<'a>(&self, view: &PlanView<'a>, now: Millis) -> BTreeSet<&'a Key> {
-        let keys = view.rates.keys().chain(view.unmet.keys());
-        keys.filter(|k| self.known.get(*k).is_some_and(|k| k.is_due(now)))
-            .collect()
+            now.since(known.asked) < FORGET_MS
+        });
+        waiting
     }
 
     /// The longest waits that a plan leaves, and why, now and then.
     pub(crate) fn tell(&mut self, draft: &Draft<'_>) -> Vec<PlanNote> {
         let now = draft.snapshot.now;
-        if now.since(self.told) < TELL_MS || draft.waits.is_empty() {
+        if now.since(self.told) < TELL_MS || draft.waiting.nowhere.is_empty() {
             return Vec::new();
         }
         self.told = now;
-        let mut waits: Vec<(&Key, Wait)> = draft.waits.iter().map(|(k, w)| (*k, *w)).collect();
+        let nowhere = draft.waiting.nowhere.iter();
+        let mut waits: Vec<(&Key, Wait)> = nowhere.map(|(k, w)| (*k, *w)).collect();
         waits.sort_by_key(|(_, w)| Reverse(w.waited));
         let longest = waits.into_iter().take(MOST_TOLD);
         longest.filter_map(|(k, w)| note_of(draft, k, w)).collect()
@@ -171,17 +178,14 @@
         self.back.is_some_and(is_near)
     }
 
-    /// How long callers have waited; none where nobody did.
-    fn wait(&mut self, unmet: Option<Unmet>, rated: bool, now: Millis) -> Option<Wait> {
+    /// How long callers have waited, in milliseconds; none where nobody did.
+    fn waited(&mut self, unmet: Option<Unmet>, rated: bool, now: Millis) -> Option<u64> {
         let unmet = unmet.filter(|u| self.concerns(*u, now));
         let told = unmet.map(|u| Millis(now.0.saturating_sub(u64::from(u.waited))));
         let seen = rated.then_some(now);
         let first = [self.first, told, seen].into_iter().flatten().min()?;
         let first = first.max(self.held);
         self.first = Some(first);
-        Some(Wait {
-            waited: now.since(first),
-            due: self.is_due(now),
-        })
+        Some(now.since(first))
     }
 }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -3,6 +3,7 @@
 use crate::claiming::{act, gives_up, next_claim, release, Inherited};
 use crate::journal::emit;
 use crate::orders::{carry_out, look, watch};
+use crate::request::ADAPTER;
 use crate::state::{EngineStart, Gateway};
 use crate::tags::TagBook;
 use shaleline_fleet::{
@@ -24,9 +25,6 @@
 /// An adapter that somebody waits for counts as asked for so long.
 const WANT_MS: u64 = 2_000;
 
-/// Whoever waits for an adapter is refused and comes back, or waits on, for so long.
-const WANT_BACK_MS: u32 = 500;
-
 /// Where somebody waits for an adapter, plans follow each other at this pace.
 const WANT_PLAN_MS: u64 = 40;
 
@@ -235,7 +233,8 @@
             waited: age,
             last: age,
             tries: 1,
-            back: WANT_BACK_MS.saturating_sub(age),
+            // Whoever waits for it is told to come back, or waits on, for so long.
+            back: (ADAPTER.0 as u32).saturating_sub(age),
         };
         let known = unmet.entry(key);
         known.and_modify(|u| u.add(wanted)).or_insert(wanted);
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -559,6 +559,7 @@
         if !self.daemons[index].alive {
             return;
         }
+        let now = self.now();
         let gw = &self.daemons[index].gw;
         let head = Head {
             model: Some(key.0.clone()),
@@ -573,7 +574,6 @@
         note_demand(gw, &asked_for);
         let served = self.engines.serves(&key);
         let history = self.history.entry(key.clone()).or_default();
-        let now = self.hand.0.get();
         history.push(format!("{now} asked again={came_back} served={served}"));
         let told = match self.engines.serves(&(key.0.clone(), None)) {
             true => load_retry(gw, ADAPTER),
@@ -583,7 +583,6 @@
             true => gw.note_met(&asked_for),
             false => gw.note_unmet(&asked_for, told),
         }
-        let now = self.now();
         let asked = self.asked.entry(key.clone()).or_insert(Asked {
             first: now,
             ..Asked::default()
