--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -1,5 +1,6 @@
 //! What is believed of one engine.
 
+use crate::changes::Changes;
 use crate::{Catalog, ModelRule, Order, OrderKind};
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Adapter, DataCentre, Incarnation, Megabytes, Millis, Model};
@@ -28,7 +29,7 @@
 
 impl Held {
     /// The adapters, each with its model.
-    fn adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
         let models = self.models.iter();
         models.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)))
     }
@@ -74,10 +75,8 @@
     /// The models that it held when it was first seen.
     pub(crate) first: BTreeSet<Model>,
     reported: Millis,
-    /// When each adapter that it holds was first seen there.
-    adapters_since: BTreeMap<(Model, Adapter), Millis>,
-    /// When each model and adapter went away that an older entry may still list.
-    gone: BTreeMap<(Model, Option<Adapter>), Millis>,
+    /// What came and went there lately.
+    changes: Changes,
     /// What it holds for certain, as of the number of orders it had accepted.
     proof: Option<Held>,
     /// Differs from every revision before, of this engine and of all others, wherever
@@ -93,7 +92,7 @@
 
 /// An entry may be so much older than a report: engines write theirs about every 1.2 s,
 /// and it is read within another.
-const LIST_LAG_MS: u64 = 2_500;
+pub(crate) const LIST_LAG_MS: u64 = 2_500;
 
 /// A model that is said to be dropped soon gets nothing new for so long: by then the
 /// engine's entry tells whether it was.
@@ -108,11 +107,6 @@
 
 impl Engine {
     pub(crate) fn new(centre: DataCentre, held: Held) -> Self {
-        // Nobody knows how long it has held them; callers need not be about to come for them.
-        let adapters = held
-            .adapters()
-            .map(|(m, a)| ((m.clone(), a.clone()), Millis(0)));
-        let adapters_since = adapters.collect();
         Self {
             centre,
             leaving: false,
@@ -125,14 +119,13 @@
                 ..held.clone()
             }),
             first: held.models.keys().cloned().collect(),
+            changes: Changes::from_first(&held),
             held,
             pending: Vec::new(),
             strays: Vec::new(),
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             reported: Millis(0),
-            adapters_since,
-            gone: BTreeMap::new(),
             revision: next_revision(),
         }
     }
@@ -275,14 +268,14 @@
             Sighting::Reported if next.seq < self.held.seq => return,
             Sighting::Reported => {
                 self.reported = now;
-                self.note_gone(&next, now);
+                self.changes.on_report(&self.held, &next, now);
                 self.proof = (!next.busy).then(|| next.clone());
             }
             Sighting::Listed => {
                 if now.since(self.reported.max(self.last_order)) < LIST_LAG_MS {
                     self.keep_known(&mut next);
                 }
-                self.leave_out_gone(&mut next, now);
+                self.changes.leave_out_gone(&mut next, now);
                 // An entry tells neither whether an order is under way nor how many were
                 // accepted.
                 next.busy = false;
@@ -291,69 +284,21 @@
         }
         next.disk.extend(next.models.keys().cloned());
         self.held = next;
-        self.note_adapters(now);
+        self.changes.on_held(&self.held, now);
         self.settle(now);
     }
 
-    /// Notes what a report no longer shows.
-    fn note_gone(&mut self, next: &Held, now: Millis) {
-        self.gone.retain(|(model, adapter), _| {
-            let all = next.models.get(model);
-            !all.is_some_and(|all| adapter.as_ref().is_none_or(|a| all.contains(a)))
-        });
-        for (model, adapters) in &self.held.models {
-            let Some(left) = next.models.get(model) else {
-                self.gone.insert((model.clone(), None), now);
-                continue;
-            };
-            for adapter in adapters.difference(left) {
-                let place = (model.clone(), Some(adapter.clone()));
-                self.gone.insert(place, now);
-            }
-        }
-    }
-
-    /// Takes out of an entry what has gone since the entry may have been written.
-    fn leave_out_gone(&self, next: &mut Held, now: Millis) {
-        let lately = self.gone.iter();
-        for ((model, adapter), _) in lately.filter(|(_, at)| now.since(**at) < LIST_LAG_MS) {
-            match adapter {
-                None => {
-                    next.models.remove(model);
-                }
-                Some(adapter) => {
-                    if let Some(all) = next.models.get_mut(model) {
-                        all.remove(adapter);
-                    }
-                }
-            }
-        }
-    }
-
     /// Notes that an adapter is no longer there, or won't be in a moment.
     pub(crate) fn remove_adapter(&mut self, model: &Model, adapter: &Adapter, now: Millis) {
         if let Some(adapters) = self.held.models.get_mut(model) {
             adapters.remove(adapter);
         }
-        let place = (model.clone(), Some(adapter.clone()));
-        self.gone.insert(place, now);
-    }
-
-    /// Notes which adapters have come, and forgets those that have gone.
-    fn note_adapters(&mut self, now: Millis) {
-        let models = &self.held.models;
-        let held = |m: &Model, a: &Adapter| models.get(m).is_some_and(|all| all.contains(a));
-        self.adapters_since.retain(|(m, a), _| held(m, a));
-        for (model, adapter) in self.held.adapters() {
-            let place = (model.clone(), adapter.clone());
-            self.adapters_since.entry(place).or_insert(now);
-        }
+        self.changes.note_gone(model, Some(adapter), now);
     }
 
     /// When an adapter that it holds was first seen there.
     pub(crate) fn came(&self, model: &Model, adapter: &Adapter) -> Millis {
-        let place = (model.clone(), adapter.clone());
-        self.adapters_since.get(&place).copied().unwrap_or_default()
+        self.changes.came(model, adapter)
     }
 
     /// What was loaded stays until an order drops it: an entry that lacks it is older than
@@ -475,7 +420,7 @@
 
     /// Drops what is only in doubt and has grown old.
     pub(crate) fn prune(&mut self, now: Millis) {
-        self.gone.retain(|_, at| now.since(*at) < LIST_LAG_MS);
+        self.changes.prune(now);
         let settled = self.settle(now);
         let since = self.unreachable.map(|at| now.since(at));
         let down = since.is_some_and(|s| s < DOWN_MS);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod adapt;
 mod board;
 mod catalog;
+mod changes;
 mod choice;
 mod churn;
 mod claim;
