Let tests of plans share names and a catalog

The new test of adapters wrote again what those of restarts and plans had: names, and a catalog whose models load alike. The three use one module; figures, cases and expectations are as they were.

--- a/crates/fleet/tests/adapters.rs
+++ b/crates/fleet/tests/adapters.rs
@@ -3,12 +3,15 @@
 //! Places for adapters are few: a model may have a hundred adapters and an engine eight places. What
 //! matters to callers is whether the adapter is there when they come back.
 
+mod shared;
+
 use shaleline_fleet::{
-    Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, PlanSettings, PlanView, Planner, Rate,
-    Rates, Sighting, Unmet, UnmetByKey,
+    Catalog, Fleet, Held, LeadTime, LoadWindow, PlanSettings, PlanView, Planner, Rate, Rates,
+    Sighting, Unmet, UnmetByKey,
 };
 use shaleline_testkit::cases;
 use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
+use shared::{adapter, model};
 use std::collections::BTreeMap;
 
 const NOW: Millis = Millis(1_000_000);
@@ -16,36 +19,15 @@
 /// The one place has been taken for so long.
 const TAKEN: u64 = 100;
 
-fn model() -> Model {
-    Model::from_text("m").expect("a valid name")
-}
-
-fn adapter(name: &str) -> Adapter {
-    Adapter::from_text(name).expect("a valid name")
-}
-
 fn engine() -> Upstream {
     Upstream::from_text("e1").expect("a valid name")
 }
 
 /// One model with two adapters; an engine has a place for one.
 fn catalog() -> Catalog {
-    let rule = ModelRule {
-        size: Megabytes(70_000),
-        store: Millis(9_000),
-        disk: Millis(2_000),
-        warm: Millis(800),
-        adapters: vec![adapter("held"), adapter("wanted")],
-        adapter_size: Megabytes(50),
-    };
     Catalog {
-        models: [(model(), rule)].into(),
         memory: Megabytes(80_000),
-        places: 1,
-        rate: 10.0,
-        slots: 64,
-        copies: Megabytes(150_000),
-        disk: Megabytes(440_000),
+        ..shared::catalog(&["m"], &["held", "wanted"])
     }
 }
 
@@ -54,12 +36,12 @@
     let mut fleet = Fleet::default();
     let centre = DataCentre::from_text("dc1").expect("a valid name");
     let empty = Held {
-        models: [(model(), [].into())].into(),
+        models: [(model("m"), [].into())].into(),
         ..Held::default()
     };
     fleet.sight(&engine(), &centre, empty, Sighting::Listed, NOW);
     let held = Held {
-        models: [(model(), [adapter("held")].into())].into(),
+        models: [(model("m"), [adapter("held")].into())].into(),
         seq: 1,
         ..Held::default()
     };
@@ -89,7 +71,7 @@
 }
 
 fn key(name: &str) -> (Model, Option<Adapter>) {
-    (model(), Some(adapter(name)))
+    (model("m"), Some(adapter(name)))
 }
 
 /// What is ordered where the adapter that is held and what is asked for in vain have a rate.
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -1,11 +1,14 @@
 //! Placement: what is ordered, and what is not.
 
+mod shared;
+
 use shaleline_fleet::{
-    Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderKind, OrderReply,
-    PlanSettings, PlanView, Planner, Rate, Rates, Sighting, UnmetByKey,
+    Catalog, Fleet, Held, LeadTime, LoadWindow, Order, OrderKind, OrderReply, PlanSettings,
+    PlanView, Planner, Rate, Rates, Sighting, UnmetByKey,
 };
 use shaleline_testkit::cases;
-use shaleline_types::{Adapter, DataCentre, Megabytes, Millis, Model, Upstream};
+use shaleline_types::{DataCentre, Megabytes, Millis, Upstream};
+use shared::{adapter, model};
 use std::collections::{BTreeMap, BTreeSet};
 
 const NOW: Millis = Millis(1_000_000);
@@ -13,14 +16,6 @@
 /// The work of one request, in milliseconds.
 const REQUEST_WORK: f64 = 20.0;
 
-fn model(name: &str) -> Model {
-    Model::from_text(name).expect("a valid name")
-}
-
-fn adapter(name: &str) -> Adapter {
-    Adapter::from_text(name).expect("a valid name")
-}
-
 fn engine(name: &str) -> Upstream {
     Upstream::from_text(name).expect("a valid name")
 }
@@ -29,28 +24,9 @@
     DataCentre::from_text("dc1").expect("a valid name")
 }
 
-/// Models of 70 GB on engines of 150 GB: two fit, and one adapter beside them.
+/// Models with two adapters each.
 fn catalog(models: &[&str]) -> Catalog {
-    let rule = |name: &&str| {
-        let rule = ModelRule {
-            size: Megabytes(70_000),
-            store: Millis(9_000),
-            disk: Millis(2_000),
-            warm: Millis(800),
-            adapters: vec![adapter("a1"), adapter("a2")],
-            adapter_size: Megabytes(50),
-        };
-        (model(name), rule)
-    };
-    Catalog {
-        models: models.iter().map(rule).collect(),
-        memory: Megabytes(150_000),
-        places: 1,
-        rate: 10.0,
-        slots: 64,
-        copies: Megabytes(150_000),
-        disk: Megabytes(440_000),
-    }
+    shared::catalog(models, &["a1", "a2"])
 }
 
 fn held(models: &[&str], seq: u64) -> Held {
--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -1,11 +1,14 @@
 //! An engine that starts again under its name: it holds nothing and knows no order.
 
+mod shared;
+
 use shaleline_fleet::{
-    Catalog, Fleet, Held, LeadTime, LoadWindow, ModelRule, Order, OrderReply, PlanSettings,
-    PlanView, Planner, Rates, Sighting, UnmetByKey,
+    Fleet, Held, LeadTime, LoadWindow, Order, OrderReply, PlanSettings, PlanView, Planner, Rates,
+    Sighting, UnmetByKey,
 };
 use shaleline_testkit::cases;
-use shaleline_types::{DataCentre, Incarnation, Megabytes, Millis, Model, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Millis, Upstream};
+use shared::{catalog, model};
 use std::collections::{BTreeMap, BTreeSet};
 
 const NOW: Millis = Millis(1_000_000);
@@ -14,36 +17,10 @@
 const FIRST: u64 = 1_700_000_000_000;
 const SECOND: u64 = FIRST + 60_000;
 
-fn model(name: &str) -> Model {
-    Model::from_text(name).expect("a valid name")
-}
-
 fn engine() -> Upstream {
     Upstream::from_text("e1").expect("a valid name")
 }
 
-/// Three models, two of which fit on an engine.
-fn catalog() -> Catalog {
-    let rule = ModelRule {
-        size: Megabytes(70_000),
-        store: Millis(9_000),
-        disk: Millis(2_000),
-        warm: Millis(800),
-        adapters: Vec::new(),
-        adapter_size: Megabytes(50),
-    };
-    let models = ["a", "b", "c"].map(|m| (model(m), rule.clone()));
-    Catalog {
-        models: models.into(),
-        memory: Megabytes(150_000),
-        places: 1,
-        rate: 10.0,
-        slots: 64,
-        copies: Megabytes(150_000),
-        disk: Megabytes(440_000),
-    }
-}
-
 fn held(models: &[&str], seq: u64, started: u64) -> Held {
     let models = models.iter().map(|m| (model(m), BTreeSet::new()));
     Held {
@@ -61,7 +38,7 @@
 
 fn plan(fleet: &mut Fleet, now: Millis) -> Vec<Order> {
     fleet.prune(now);
-    let catalog = catalog();
+    let catalog = catalog(&["a", "b", "c"], &[]);
     let view = PlanView {
         lead: LeadTime::Over,
         catalog: &catalog,
--- /dev/null
+++ b/crates/fleet/tests/shared/mod.rs
@@ -0,0 +1,33 @@
+//! What several tests of plans share: names, and a catalog of models that load alike.
+
+use shaleline_fleet::{Catalog, ModelRule};
+use shaleline_types::{Adapter, Megabytes, Millis, Model};
+
+pub fn model(name: &str) -> Model {
+    Model::from_text(name).expect("a valid name")
+}
+
+pub fn adapter(name: &str) -> Adapter {
+    Adapter::from_text(name).expect("a valid name")
+}
+
+/// Models of 70 GB, each with these adapters, on engines of 150 GB: two fit, and one adapter beside them.
+pub fn catalog(models: &[&str], adapters: &[&str]) -> Catalog {
+    let rule = ModelRule {
+        size: Megabytes(70_000),
+        store: Millis(9_000),
+        disk: Millis(2_000),
+        warm: Millis(800),
+        adapters: adapters.iter().map(|a| adapter(a)).collect(),
+        adapter_size: Megabytes(50),
+    };
+    Catalog {
+        models: models.iter().map(|m| (model(m), rule.clone())).collect(),
+        memory: Megabytes(150_000),
+        places: 1,
+        rate: 10.0,
+        slots: 64,
+        copies: Megabytes(150_000),
+        disk: Megabytes(440_000),
+    }
+}
