--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -2,7 +2,7 @@
 
 use crate::compare::{self, CompareArgs};
 use crate::faults::{self, FaultArgs};
-use crate::{overhead, plans, slopes};
+use crate::{allowances, overhead, plans, slopes};
 use eyre::{bail, eyre, Result};
 use getopts::{Matches, Options};
 use shaleline_types::Safeguard;
@@ -13,6 +13,7 @@
   compare    policies side by side on the same traces
   slopes     what a unit of state, a message or a decision costs
   plans      what plans for the users' engines cost, by their number
+  allowances ways to hold organisations to their allowances, side by side
   overhead   what a daemon adds on the path
 ";
 
@@ -44,6 +45,7 @@
     }
     match matches.free[0].as_str() {
         "faults" => faults::run(&fault_args(&matches)?),
+        "allowances" => allowances::run(matches.opt_present("json")),
         "overhead" => overhead::run(matches.opt_present("json")),
         "plans" => plans::run(matches.opt_present("json")),
         "slopes" => slopes::run(matches.opt_present("json")),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,8 @@
 
 use std::process::ExitCode;
 
+mod allowance_ways;
+mod allowances;
 mod args;
 mod compare;
 mod costs;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,6 +106,7 @@
     let passage = Passage {
         left: shaleline_types::Millis(job.deadline.since(gw.now()).max(1)),
         upstream: upstream.clone(),
+        org: job.org.clone(),
         rank: job.rank(),
         resume: resume.map(str::to_owned),
     };
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -6,7 +6,9 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Order, OrderReply};
-use shaleline_types::{Adapter, DataCentre, Incarnation, Millis, Model, Service, Upstream};
+use shaleline_types::{
+    Adapter, DataCentre, Incarnation, KeyHash, Millis, Model, Org, Service, Upstream,
+};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,6 +36,10 @@
     pub model: Option<Model>,
     /// The adapter asked for on top of it.
     pub adapter: Option<Adapter>,
+    /// The caller's API key; none where it shows none, several, or what can be no key.
+    pub key: Option<KeyHash>,
+    /// Whether it says how many tokens it may take.
+    pub counted: bool,
     /// The tokens of the prompt.
     pub prompt: u64,
     /// The most tokens that may be generated.
@@ -42,6 +48,15 @@
     pub parts: Vec<(u64, u32)>,
 }
 
+impl Head {
+    /// The most tokens that it takes, where it says so.
+    #[must_use]
+    pub fn tokens(&self) -> Option<u64> {
+        let tokens = self.prompt.saturating_add(self.output);
+        self.counted.then_some(tokens)
+    }
+}
+
 /// What the gateway adds to a request that it passes on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Passage {
@@ -49,6 +64,8 @@
     pub left: Millis,
     /// The upstream that is meant, so that another at its address refuses.
     pub upstream: Upstream,
+    /// The organisation whose request it is.
+    pub org: Option<Org>,
     /// The rank at the engine, 0 to 9; 0 is served first.
     pub rank: Option<u8>,
     /// The last event that the caller has, where a stream is resumed.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -106,7 +106,14 @@
             "ended": ended, "age_ms": s.age.0,
         })
     };
+    let allowances = gw.allowances.borrow();
+    let levels = allowances.granter.levels();
+    let levels = levels.map(|(org, level)| (org.to_string(), json!(level.round())));
     json!({
+        "keys": {"known": gw.knows_keys(), "age_ms": gw.config_age().map(|a| a.0),
+            "organisations": gw.table().and_then(|t| Some(t.orgs.as_ref()?.iter().count()))},
+        "allowances": {"part": allowances.granter.part().of_all,
+            "left": levels.collect::<serde_json::Map<_, _>>()},
         "instance": gw.me.instance.as_str(),
         "ready": gw.is_ready(),
         "stopping": gw.stopping.get(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 //! centre. Whoever knows nothing fresh takes a copy from the one it follows, or from another hub
 //! ([`crate::handover`]), and else reads the store.
 
-use crate::handover::{self, ConfigCopy, EntriesCopy};
+use crate::handover::{self, ConfigCopy, EntriesCopy, Taken};
 use crate::journal::emit;
 use crate::link::Link;
 use crate::roster::{Change, Seen};
@@ -49,7 +49,10 @@
                 let empty = next.is_none() && batch.records.is_empty();
                 next = Some(batch.next);
                 let at = gw.came_at().max(asked);
-                gw.reading.borrow_mut().on_config(batch.next, at);
+                let mut reading = gw.reading.borrow_mut();
+                reading.on_config(batch.next, at);
+                reading.on_certain(batch.next, asked);
+                drop(reading);
                 take_config(&gw, &batch);
                 if empty {
                     link.pause(&gw, true, || false).await;
@@ -77,7 +80,7 @@
         return gw.store.newest(Topic::Config).await;
     };
     if gw.is_reader() {
-        let wait = gw.settings.config_wait(gw.bounds.borrow().apply);
+        let wait = gw.settings.read_wait(&gw.bounds.borrow());
         let waited = gw.store.tail(Topic::Config, from, wait).await;
         if waited != Err(StoreError::Lost) {
             return waited;
@@ -114,17 +117,25 @@
 /// Takes a copy of the configuration from another daemon. Returns whether it is at least as
 /// new as what is known.
 async fn copy_config(gw: &Gateway, next: &mut Option<u64>) -> bool {
-    let Some((copy, at)) = handover::config(gw).await else {
+    let Some(Taken { copy, at, asked }) = handover::config(gw).await else {
         return false;
     };
     let ConfigCopy {
-        next: end, record, ..
+        next: end,
+        record,
+        certain,
+        ..
     } = copy;
     if next.is_some_and(|n| n > end) {
         return false;
     }
     *next = Some(end);
-    gw.reading.borrow_mut().on_config_copied(end, at);
+    let mut reading = gw.reading.borrow_mut();
+    reading.on_config_copied(end, at);
+    if let Some(age) = certain {
+        reading.on_certain(end, Millis(asked.0.saturating_sub(age)));
+    }
+    drop(reading);
     if let Some(record) = record {
         take_config_record(gw, &record);
     }
@@ -215,7 +226,7 @@
 
 /// Takes a copy of the upstreams' entries from another daemon.
 async fn copy_entries(gw: &Gateway) -> bool {
-    let Some((copy, at)) = handover::entries(gw).await else {
+    let Some(Taken { copy, at, .. }) = handover::entries(gw).await else {
         return false;
     };
     let EntriesCopy {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,7 +3,7 @@
 use crate::journal::emit;
 use crate::mesh::{Concerns, Known, Outgoing};
 use crate::message::{
-    AskedNote, Datagram, HubNote, LoadNote, Mark, Message, News, PlannerNote, Sender, Tag,
+    AskedNote, Datagram, Echo, HubNote, LoadNote, Mark, Message, News, PlannerNote, Sender, Tag,
     UpstreamNote,
 };
 use crate::roster::Seen;
@@ -98,6 +98,7 @@
 /// What this daemon tells the others now.
 pub(crate) fn round(gw: &Gateway) -> Addressed {
     gw.share_budget();
+    gw.share_allowances();
     let sight = gw.sight();
     gw.router.borrow_mut().set_sight(sight);
     let now = gw.now();
@@ -143,6 +144,7 @@
         (claim.fence(now), claim.renewed().unwrap_or(0))
     };
     LoadNote {
+        sent: now,
         daemons: 1,
         planner: fence.map(|fence| PlannerNote {
             fence,
@@ -241,6 +243,7 @@
             correct_hub(gw, &from, now);
             gw.compare_crashes(&from, total.crashes);
             take_mark(gw, &from, total.mark, now);
+            take_echo(gw, &from, total.mark, total.echo, now);
         }
         Message::Crashes { notes } => gw.take_crash_notes(Some(&from), notes),
         Message::CrashesWanted { all } => gw.answer_crashes(&from, all),
@@ -271,6 +274,14 @@
             model,
             adapter,
         } => gw.take_missing(&engine, &model, adapter.as_ref()),
+        Message::Draw {
+            ticket,
+            org,
+            cost,
+            held,
+        } => gw.take_draw(&from, ticket, &org, cost, held),
+        Message::Drawn(ticket, reply) => gw.take_drawn(&from, ticket, reply),
+        Message::GivenBack { org, amount } => gw.take_given_back(&org, amount),
         Message::Resigned => gw.mesh.borrow_mut().on_resigned(&from),
         Message::Want { model, adapter } => {
             gw.wants.borrow_mut().insert((model, adapter), now);
@@ -288,10 +299,26 @@
 fn take_sum(gw: &Gateway, from: &Sender, note: HubNote, now: Millis) {
     heard_planner(gw, &note.load);
     gw.compare_crashes(from, note.crashes);
-    let mark = note.mark;
+    let (mark, echo) = (note.mark, note.echo);
     correct_hub(gw, from, now);
     gw.mesh.borrow_mut().on_sum(from, note, now);
     take_mark(gw, from, mark, now);
+    take_echo(gw, from, mark, echo, now);
+}
+
+/// Takes in as of when the configuration was certainly the newest: what came after a note of this
+/// daemon is no older than that, however long it was on its way.
+fn take_echo(gw: &Gateway, from: &Sender, mark: Option<Mark>, echo: Option<Echo>, now: Millis) {
+    let follows = gw.mesh.borrow_mut().follows(&from.instance, now);
+    let echo = echo.filter(|e| follows && e.life == gw.me.life);
+    let (Some(mark), Some(echo)) = (mark, echo) else {
+        return;
+    };
+    if let Some(age) = mark.certain_age {
+        let told = echo.sent.plus(u64::from(echo.held));
+        let at = Millis(told.0.saturating_sub(u64::from(age)));
+        gw.reading.borrow_mut().on_certain(mark.config, at);
+    }
 }
 
 /// Names the hub to a daemon that speaks as one beside it.
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -45,6 +45,8 @@
     pub(crate) next: u64,
     /// How long ago that was the end, in milliseconds.
     pub(crate) age: u64,
+    /// How long ago that was certainly the end.
+    pub(crate) certain: Option<u64>,
     /// The record itself; none where there is no configuration yet.
     pub(crate) record: Option<Vec<u8>>,
 }
@@ -96,6 +98,7 @@
     Some(ConfigCopy {
         next,
         age: gw.now().since(at),
+        certain: gw.config_age().map(|a| a.0),
         record: gw.config_record.borrow().as_ref().map(|r| r.to_vec()),
     })
 }
@@ -169,9 +172,16 @@
     Ok(copy)
 }
 
+/// A copy, as of when it is, and when it was asked for.
+pub(crate) struct Taken<T> {
+    pub(crate) copy: T,
+    pub(crate) at: Millis,
+    pub(crate) asked: Millis,
+}
+
 /// The first fresh copy that a daemon has which may have read the store for this one: a
-/// follower asks its hub, a hub the others. Comes with the time as of which it is.
-async fn take<T: Aged>(gw: &Gateway, path: &'static str, most: Millis) -> Option<(T, Millis)> {
+/// follower asks its hub, a hub the others.
+async fn take<T: Aged>(gw: &Gateway, path: &'static str, most: Millis) -> Option<Taken<T>> {
     let sources = gw.mesh.borrow_mut().sources(gw.now());
     for peer in sources {
         let asked = gw.now();
@@ -179,7 +189,7 @@
             Ok(copy) => {
                 let came = gw.came_at().max(asked);
                 let at = Millis(came.0.saturating_sub(copy.age()));
-                return Some((copy, at));
+                return Some(Taken { copy, at, asked });
             }
             Err(reason) if gw.lines.take(gw.now()) => {
                 let detail = format!("peer={peer} path={path} reason={reason:?}");
@@ -192,12 +202,12 @@
     None
 }
 
-/// A fresh copy of the configuration, and as of when it is.
-pub(crate) async fn config(gw: &Gateway) -> Option<(ConfigCopy, Millis)> {
+/// A fresh copy of the configuration.
+pub(crate) async fn config(gw: &Gateway) -> Option<Taken<ConfigCopy>> {
     take(gw, CONFIG_PATH, gw.freshness().config).await
 }
 
-/// A fresh copy of the upstreams' entries, and as of when it is.
-pub(crate) async fn entries(gw: &Gateway) -> Option<(EntriesCopy, Millis)> {
+/// A fresh copy of the upstreams' entries.
+pub(crate) async fn entries(gw: &Gateway) -> Option<Taken<EntriesCopy>> {
     take(gw, ENTRIES_PATH, gw.freshness().entries).await
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,6 +7,7 @@
 //! is short altogether, those that come first go before those that were refused before.
 //! Nothing here reads a clock or a socket. `docs/DECISIONS.md` has what each part is worth.
 
+use crate::allowance::Charge;
 use crate::{Head, RouteRule};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
@@ -94,6 +95,10 @@
     pub(crate) came_back: bool,
     /// When the caller's time or the route's is over, whichever is first.
     pub(crate) deadline: Millis,
+    /// The organisation whose request it is, where that is known.
+    pub(crate) org: Option<Org>,
+    /// What its organisation was charged.
+    pub(crate) charge: Option<Charge>,
 }
 
 impl Job {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,8 @@
 //!    long it waits and who goes first. For each model and service one daemon chooses with the
 //!    router of `shaleline_route`: `choosing` asks it (`chooser` says which), by what `dispatch`
 //!    and `desk` decide.
+//!    `admission` says whose request it is by the keys of `orgs`, `allowance` charges its
+//!    organisation.
 //! 2. `attempt` sends it and checks that the answer is its own; `relay` passes a stream on
 //!    and resumes it; `refuse` answers where no upstream did.
 //!
@@ -31,6 +33,8 @@
 //! The platform's own words are met through [`Codec`] and [`Store`] alone.
 //! `docs/PLATFORM.md` has the design.
 
+mod admission;
+mod allowance;
 mod attempt;
 mod chooser;
 mod choosing;
@@ -55,6 +59,7 @@
 mod message;
 mod metrics;
 mod orders;
+mod orgs;
 mod peers;
 mod pulse;
 mod reading;
@@ -74,8 +79,10 @@
 mod tags;
 mod told;
 
+pub use admission::Revocation;
 pub use codec::{AnswerHead, Call, Codec, Entry, Head, Malformed, Passage};
 pub use journal::start_journal;
+pub use orgs::{Counting, OrgRule, Orgs, OrgsFault};
 pub use settings::{Bounds, GatewaySettings, Listen, Policy};
 pub use start::{start, Running};
 pub use state::Border;
@@ -85,6 +92,7 @@
 #[cfg(test)]
 #[path = "../tests/unit"]
 mod unit {
+    mod admission;
     #[path = "catalogue/main.rs"]
     mod catalogue;
     mod choosing;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,10 +10,12 @@
 
 use crate::chooser::Chooser;
 use crate::message::{
-    AskedNote, HubNote, LoadNote, Mark, MembersNote, Message, PlannerNote, Sender, UpstreamNotes,
+    AskedNote, Echo, HubNote, LoadNote, Mark, MembersNote, Message, PlannerNote, Sender,
+    UpstreamNotes,
 };
 use crate::peers::Peers;
 use crate::seats::{Seats, SILENT_MS};
+use shaleline_route::Part;
 use shaleline_types::{DataCentre, Instance, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,9 +40,34 @@
 #[derive(Debug, Clone)]
 struct Told {
     at: Millis,
+    /// The life of the daemon that told it.
+    life: u64,
     note: LoadNote,
 }
 
+impl Told {
+    /// Tells its sender that it came.
+    fn echo(&self, now: Millis) -> Echo {
+        Echo {
+            life: self.life,
+            sent: self.note.sent,
+            held: now.since(self.at).min(u64::from(u32::MAX)) as u32,
+        }
+    }
+}
+
+/// A daemon that said whom it takes for its hub counts there for so long; in that time it may have
+/// moved to another.
+const VOTE_MS: u64 = 700;
+
+/// How many daemons a data centre has is remembered for so long, as daemons are themselves: those
+/// that are cut off are not heard, and keep their part.
+const NEAR_MS: u64 = 120_000;
+
+/// A daemon that knows of others, hears none and was never told how many there are takes its data
+/// centre for one of so many at least.
+const CUT_OFF: u32 = 100;
+
 /// What this daemon knows of the others.
 #[derive(Debug)]
 pub(crate) struct Mesh {
@@ -67,6 +94,8 @@
     was_hub: bool,
     /// What this daemon itself told last.
     own: UpstreamNotes,
+    /// How many daemons this data centre has, and when that was told.
+    near: (Millis, u32),
 }
 
 /// Whom news of the planner concerns.
@@ -106,6 +135,7 @@
             asked: None,
             was_hub: false,
             own: UpstreamNotes::new(),
+            near: (Millis(0), 0),
         }
     }
 
@@ -161,12 +191,20 @@
         self.peers.address(&hub)
     }
 
-    /// The addresses of the other hubs.
-    fn other_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
+    /// The other hubs, each with its address.
+    fn named_hubs(&mut self, now: Millis) -> Vec<(Instance, SocketAddr)> {
         let others = self.peers.centres().filter(|c| **c != self.me.centre);
         let others: Vec<DataCentre> = others.cloned().collect();
         let hubs: Vec<Instance> = others.iter().filter_map(|c| self.hub(c, now)).collect();
-        hubs.iter().filter_map(|h| self.peers.address(h)).collect()
+        let named = hubs.into_iter();
+        named
+            .filter_map(|h| self.peers.address(&h).map(|a| (h, a)))
+            .collect()
+    }
+
+    /// The addresses of the other hubs.
+    fn other_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.named_hubs(now).into_iter().map(|(_, a)| a).collect()
     }
 
     /// The addresses of the other daemons of this data centre.
@@ -332,7 +370,11 @@
     /// Takes in a note, a sum or a total.
     pub(crate) fn on_note(&mut self, from: &Sender, note: LoadNote, now: Millis) {
         self.asked = Some(now);
-        let told = Told { at: now, note };
+        let told = Told {
+            at: now,
+            life: from.life,
+            note,
+        };
         self.notes.insert(from.instance.clone(), told);
     }
 
@@ -347,6 +389,7 @@
         }
         let told = Told {
             at: now,
+            life: from.life,
             note: note.load,
         };
         let sum = (from.instance.clone(), told);
@@ -373,8 +416,10 @@
         if !note.load.asked.is_empty() {
             self.whole_asked = Some((now, note.load.asked.clone()));
         }
+        self.near = (now, note.near);
         self.total = Some(Told {
             at: now,
+            life: from.life,
             note: note.load.clone(),
         });
         true
@@ -430,14 +475,25 @@
     fn tell_as_hub(&mut self, own: &LoadNote, known: Known, now: Millis, out: &mut Outgoing) {
         let Known { mark, crashes } = known;
         let sum = self.sum(own, now);
-        let hubs = self.other_hubs(now);
+        let hubs = self.named_hubs(now);
+        let near = self.near_known(now);
         let sum = HubNote {
             load: sum,
             mark,
             hubs: Vec::new(),
             crashes,
+            echo: None,
+            near,
         };
-        out.extend(hubs.into_iter().map(|h| (h, Message::Sum(sum.clone()))));
+        for (hub, address) in hubs {
+            let told = self.sums.values().find(|(i, _)| *i == hub);
+            let echo = told.map(|(_, t)| t.echo(now));
+            let sum = HubNote {
+                echo,
+                ..sum.clone()
+            };
+            out.push((address, Message::Sum(sum)));
+        }
         let whole = self.whole(own, now);
         let planner = whole.planner.map(|p| p.address);
         // Only the planner needs to know what is asked for.
@@ -446,7 +502,7 @@
             ..whole.clone()
         };
         let heard = self.heard_hubs(now);
-        for address in self.neighbours() {
+        for (instance, address) in self.peers.near(&self.me.centre) {
             let load = if planner == Some(address) {
                 whole.clone()
             } else {
@@ -457,16 +513,73 @@
                 mark,
                 hubs: heard.clone(),
                 crashes,
+                echo: self.notes.get(instance).map(|t| t.echo(now)),
+                near,
             };
             out.push((address, Message::Total(note)));
         }
         self.whole_asked = Some((now, whole.asked.clone()));
         self.total = Some(Told {
             at: now,
+            life: self.me.life,
             note: whole,
         });
     }
 
+    /// How many daemons this data centre has, as its hub told lately.
+    fn near_told(&self, now: Millis) -> u32 {
+        let (at, near) = self.near;
+        match now.since(at) < NEAR_MS {
+            true => near,
+            false => 0,
+        }
+    }
+
+    /// How many daemons of this data centre are known, alive or not, this one included.
+    fn near_known(&self, now: Millis) -> u32 {
+        let others = self.peers.near(&self.me.centre).count() as u32;
+        (1 + others).max(self.near_told(now))
+    }
+
+    /// The part of all allowances that this daemon may grant from: that of its data centre, as far
+    /// as its daemons have told this one that they take it for their hub. Each tells one only, so
+    /// the parts of two that take themselves for the hub add up to no more.
+    pub(crate) fn granted_part(&mut self, centres: usize, now: Millis) -> Part {
+        let own = usize::from(self.sits(now));
+        let fresh = |t: &&Told| now.since(t.at) < VOTE_MS;
+        let votes = own + self.notes.values().filter(fresh).count();
+        let hears = votes > own || self.sums.values().any(|(_, t)| fresh(&t));
+        let told = hears || self.near_told(now) > 0 || self.peers.len() == 0;
+        let known = match told {
+            true => self.near_known(now),
+            false => self.near_known(now).max(CUT_OFF),
+        };
+        let centres = centres.max(self.peers.centres().count());
+        Part {
+            of_all: (votes as f64 / f64::from(known)).min(1.0) / centres as f64,
+            daemons: self.alive().max(self.known()),
+        }
+    }
+
+    /// Those that keep a part of the allowances, the one of this data centre first.
+    pub(crate) fn granters(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let first = match self.sits(now) {
+            true => Some(self.me.address),
+            false => self.own_hub(now),
+        };
+        let mut others = self.known_hubs(now);
+        if self.sits(now) {
+            others = self.heard_hubs(now);
+        }
+        others.retain(|o| Some(*o) != first);
+        let mut all: Vec<SocketAddr> = first.into_iter().chain(others).collect();
+        // Cut off, a daemon has what would be its own part.
+        if !all.contains(&self.me.address) {
+            all.push(self.me.address);
+        }
+        all
+    }
+
     /// Where to send news of the planner: to all of this data centre and the other hubs, or
     /// to the hub, which passes them on.
     pub(crate) fn spread(&mut self, concerns: Concerns, now: Millis) -> Vec<SocketAddr> {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Rate, Unmet};
 use shaleline_route::CrashNote;
-use shaleline_types::{stable_hash, Adapter, DataCentre, Incarnation, Instance, Model, Upstream};
+use shaleline_types::{
+    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Upstream,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -72,6 +74,18 @@
         model: Model,
         adapter: Option<Adapter>,
     },
+    /// To a daemon that keeps a part of the allowances: a request needs so much.
+    Draw {
+        ticket: Ticket,
+        org: Org,
+        cost: u64,
+        /// What its sender holds in advance.
+        held: u64,
+    },
+    /// From it.
+    Drawn(Ticket, DrawReply),
+    /// To it: what was granted for a request that did not run.
+    GivenBack { org: Org, amount: u64 },
     /// From a hub that stops: others take its place.
     Resigned,
     /// To the planner: an adapter is asked for that no engine holds.
@@ -85,6 +99,17 @@
     CrashesWanted { all: bool },
 }
 
+/// The answer to a daemon that needs a part of an allowance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum DrawReply {
+    /// So much of the organisation's allowance.
+    Granted(Org, u64),
+    /// Not now; when to come back, in milliseconds.
+    Denied(u32),
+    /// The organisation is not known here, or has no limit.
+    Unknown,
+}
+
 /// What the planner tells all daemons, before the engines' entries do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum News {
@@ -197,6 +222,8 @@
 /// The load of one daemon, or of those of a data centre.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LoadNote {
+    /// When its sender sent it, by its own clock; comes back to it in an [`Echo`].
+    pub(crate) sent: Millis,
     /// How many daemons it is of.
     pub(crate) daemons: u32,
     pub(crate) planner: Option<PlannerNote>,
@@ -204,12 +231,25 @@
     pub(crate) asked: AskedNote,
 }
 
+/// Tells a daemon which of its notes had come when this was sent: what comes with it is no older.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Echo {
+    /// The life of the daemon that sent the note.
+    pub(crate) life: u64,
+    /// See [`LoadNote::sent`].
+    pub(crate) sent: Millis,
+    /// How long ago it came, in milliseconds.
+    pub(crate) held: u32,
+}
+
 /// How far a hub knows the store, and as of how long ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Mark {
     /// The offset of the configuration to read on from.
     pub(crate) config: u64,
     pub(crate) config_age: u32,
+    /// How long ago the configuration was certainly the newest.
+    pub(crate) certain_age: Option<u32>,
     /// The number of the last message of changes.
     pub(crate) changes: u64,
     pub(crate) changes_age: u32,
@@ -227,4 +267,8 @@
     pub(crate) hubs: Vec<SocketAddr>,
     /// How it knows the requests under which upstreams ended.
     pub(crate) crashes: u64,
+    /// The last note or sum that came from whom this is for.
+    pub(crate) echo: Option<Echo>,
+    /// How many daemons of its data centre its sender knows, alive or not.
+    pub(crate) near: u32,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,15 +5,23 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use shaleline_types::Org;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+/// So many organisations are counted by name, the others together.
+const MOST_NAMED: usize = 64;
+const OTHERS: &str = "others";
+
 /// What a gateway counts.
 pub(crate) struct Metrics {
     registry: Registry,
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    admissions: Counter<u64>,
+    /// The organisations that are counted by name.
+    named: RefCell<BTreeSet<Org>>,
     store: Counter<u64>,
     /// Calls since the last summary, by topic.
     lately: RefCell<BTreeMap<&'static str, u64>>,
@@ -48,6 +56,11 @@
         Ok(Self {
             registry,
             requests: meter.u64_counter("shaleline_requests").build(),
+            admissions: meter
+                .u64_counter("shaleline_admissions")
+                .with_description("requests by organisation and whether its allowance let them in")
+                .build(),
+            named: RefCell::default(),
             store: meter.u64_counter("shaleline_store_calls").build(),
             lately: RefCell::default(),
             orders: meter.u64_counter("shaleline_orders").build(),
@@ -69,6 +82,21 @@
         self.requests.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a request of an organisation by what became of it at its allowance.
+    pub(crate) fn count_admission(&self, org: &Org, code: &'static str) {
+        let mut named = self.named.borrow_mut();
+        if !named.contains(org) && named.len() < MOST_NAMED {
+            named.insert(org.clone());
+        }
+        let name = if named.contains(org) {
+            org.as_str().to_owned()
+        } else {
+            OTHERS.to_owned()
+        };
+        let labels = [KeyValue::new("org", name), KeyValue::new("code", code)];
+        self.admissions.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub(crate) fn count_store(&self, call: &'static str, ok: bool) {
         *self.lately.borrow_mut().entry(call).or_default() += 1;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -162,6 +162,15 @@
         near.map(|p| p.address).collect()
     }
 
+    /// The daemons of a data centre with their addresses, this one left out.
+    pub(crate) fn near<'a>(
+        &'a self,
+        centre: &DataCentre,
+    ) -> impl Iterator<Item = (&'a Instance, SocketAddr)> {
+        let near = self.ranked(centre);
+        near.filter_map(|n| self.all.get(n).map(|p| (n, p.address)))
+    }
+
     /// How many other daemons are known, alive or not.
     pub(crate) fn len(&self) -> usize {
         self.all.len()
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -91,6 +91,8 @@
 pub(crate) struct Reading {
     number: u64,
     config: Option<(u64, Millis)>,
+    /// The same, but no later than what is certain: when a question was asked whose answer shows it.
+    certain: Option<(u64, Millis)>,
     changes: Option<Millis>,
     followed: Followed,
     config_reads: Reads,
@@ -104,6 +106,20 @@
         self.config_reads.on_read(at);
     }
 
+    /// Notes that the configuration up to `next` was certainly the newest at `at`: an answer shows
+    /// it to a question that was asked then. How long an answer or a note was on its way, or in a
+    /// suspended daemon, is not known.
+    pub(crate) fn on_certain(&mut self, next: u64, at: Millis) {
+        self.certain = self.certain.max(Some((next, at)));
+    }
+
+    /// As of when the configuration that this daemon has read was certainly the newest.
+    pub(crate) fn certain_at(&self) -> Option<Millis> {
+        let (next, at) = self.certain?;
+        let (known, _) = self.config?;
+        (next == known).then_some(at)
+    }
+
     /// Notes that a read of the configuration failed.
     pub(crate) fn on_config_failed(&mut self) {
         self.config_reads.failing = true;
@@ -161,6 +177,7 @@
         Some(Mark {
             config,
             config_age: age(config_at),
+            certain_age: self.certain_at().map(age),
             changes: self.number,
             changes_age: age(changes_at),
             reads: self.reads(now),
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -8,6 +8,7 @@
 //! other daemons as well; it goes on with what it has, which is better for its callers than
 //! nothing.
 
+use crate::admission::Age;
 use crate::pulse::Pulse;
 use crate::reading::{Freshness, Reading};
 use crate::state::Gateway;
@@ -30,7 +31,7 @@
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let knows = self.table().is_some() && self.listed.get();
-        knows && !self.stopping.get() && !self.is_behind()
+        knows && !self.stopping.get() && !self.is_behind() && self.knows_keys()
     }
 
     /// Whether the configuration may be out of date because this process stalled.
@@ -40,6 +41,19 @@
         is_behind(&self.reading.borrow(), &pulse, apply, self.now())
     }
 
+    /// How long ago the configuration in force was certainly the newest.
+    pub(crate) fn config_age(&self) -> Age {
+        let at = self.reading.borrow().certain_at()?;
+        Some(Millis(self.now().since(at)))
+    }
+
+    /// Whether callers' keys can be relied on, or none are needed.
+    pub(crate) fn knows_keys(&self) -> bool {
+        let needed = self.table().is_some_and(|t| t.orgs.is_some());
+        let revocation = self.bounds.borrow().revocation;
+        !needed || revocation.holds(self.config_age())
+    }
+
     /// The earliest time at which something may have come that is read now.
     pub(crate) fn came_at(&self) -> Millis {
         let now = self.now();
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// The word for its kind.
+    pub(crate) fn code(&self) -> &'static str {
+        self.kind.answer().code
+    }
+
     /// Says why more exactly.
     pub(crate) fn with_reason(mut self, reason: String) -> Self {
         self.reason = reason;
@@ -77,6 +82,9 @@
         _ => refusal,
     };
     let event = if refusal.kind.answer().outcome == Outcome::NotRun {
+        if let Some(charge) = &job.charge {
+            gw.give_back(charge);
+        }
         LogEvent::RequestRefused
     } else {
         LogEvent::RequestFailed
@@ -103,10 +111,11 @@
     }
     let detail =
         format!(
-        "id={} request={} code={code} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
+        "id={} request={} code={code} org={} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
          reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={}",
         job.head.id,
         job.identity.request,
+        job.org.as_ref().map_or("none", |o| o.as_str()),
         job.rule.name,
         job.route(),
         gw.router.borrow().serving(&job.route()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -112,6 +112,9 @@
                 }
                 return None;
             };
+            if gw.readmit(&job).is_err() {
+                return None;
+            }
             self.sent = gw.send_to(attempt, &upstream);
             self.permit.sends += 1;
             self.permit.last = Some(upstream.clone());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,13 +4,14 @@
 //! who goes before it, `attempt` sends it, `relay`
 //! passes a stream on, `refuse` answers where no upstream did.
 
+use crate::admission;
 use crate::attempt::{self, Ended};
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
-use crate::{Head, Table};
+use crate::{Head, RouteRule, Table};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -19,7 +20,7 @@
 use shaleline_edge::{CallerAddress, Handler, Reply};
 use shaleline_fleet::Vacancy;
 use shaleline_route::{AttemptNumber, End, RouteAction};
-use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
+use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, Org, RequestId, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -157,12 +158,51 @@
         return refuse::early(gw, &head.id, &Refusal::new(ErrorKind::NotReady));
     };
     let id = head.id.clone();
-    match to_job(gw, &table, head, request, arrived).await {
+    let job = match to_job(gw, &table, head, request, arrived).await {
+        Ok(job) => job,
+        Err(refusal) => return refuse::early(gw, &id, &refusal),
+    };
+    match charge(gw, &table, job).await {
         Ok(job) => serve(gw, job).await,
         Err(refusal) => refuse::early(gw, &id, &refusal),
     }
 }
 
+/// Charges a request to its organisation.
+async fn charge(gw: &Gateway, table: &Table, mut job: Job) -> Result<Job, Refusal> {
+    let rule = job.org.as_ref().zip(table.orgs.as_ref());
+    if let Some(rule) = rule.and_then(|(name, orgs)| orgs.get(name)) {
+        let charge = gw.charge(rule, job.head.tokens()).await;
+        let code = charge.as_ref().map_or_else(Refusal::code, |_| "admitted");
+        gw.metrics.count_admission(&rule.name, code);
+        job.charge = charge?;
+    }
+    Ok(job)
+}
+
+impl Gateway {
+    /// Whom a request is from by the configuration in force now.
+    fn judge(&self, table: &Table, rule: &RouteRule, head: &Head) -> Result<Option<Org>, Refusal> {
+        let bounds = self.bounds.borrow();
+        let (revocation, apply) = (bounds.revocation, bounds.apply);
+        let orgs = table.orgs.as_ref();
+        let org = admission::judge(orgs, rule, head, revocation, apply, self.config_age());
+        org.map(|o| o.map(|o| o.name.clone())).map_err(Refusal::new)
+    }
+
+    /// Looks again whether a request that waited may be sent: its key may have been taken away.
+    pub(crate) fn readmit(&self, job: &Job) -> Result<(), Refusal> {
+        let Some(table) = self.table() else {
+            return Err(Refusal::new(ErrorKind::NotReady));
+        };
+        let org = self.judge(&table, &job.rule, &job.head)?;
+        match org == job.org {
+            true => Ok(()),
+            false => Err(Refusal::new(ErrorKind::KeyUnknown)),
+        }
+    }
+}
+
 fn host_of(request: &Request<Incoming>) -> &str {
     let header = request.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = header.or_else(|| request.uri().host()).unwrap_or_default();
@@ -184,9 +224,14 @@
         return Err(Refusal::new(ErrorKind::HeadTooLarge));
     }
     let rule = table.find(host_of(&request), request.uri().path());
-    let rule = rule
+    let mut rule = rule
         .ok_or_else(|| Refusal::new(ErrorKind::NotFound))?
         .clone();
+    let org = gw.judge(table, &rule, &head)?;
+    let orgs = org.as_ref().zip(table.orgs.as_ref());
+    if let Some(priority) = orgs.and_then(|(name, orgs)| orgs.get(name)?.priority) {
+        rule.priority = priority;
+    }
     let service = rule.pick(gw.draw()).cloned();
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoUpstream))?;
     let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
@@ -214,6 +259,8 @@
         arrived,
         came_back,
         deadline,
+        org,
+        charge: None,
     })
 }
 
@@ -285,6 +332,9 @@
                 return spare.unwrap_or_else(|| refuse::timed_out(gw, &job, &permit));
             }
         };
+        if let Err(refusal) = gw.readmit(&job) {
+            return spare.unwrap_or_else(|| refuse::late(gw, &job, &permit, refusal));
+        }
         if permit.sends == 0 {
             gw.metrics.note_wait(gw.now().since(job.arrived));
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,7 @@
 //! What a gateway must be told before it starts.
 
+use crate::Revocation;
+use shaleline_route::Tolerance;
 use shaleline_types::{DataCentre, Instance, Millis};
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -36,6 +38,10 @@
     pub load_window: Millis,
     /// By how much the store's rate may be passed in that window.
     pub load_over: f64,
+    /// What holds for keys that are taken away.
+    pub revocation: Revocation,
+    /// By how much allowances may be passed.
+    pub tolerance: Tolerance,
 }
 
 /// All settings of a gateway.
@@ -47,6 +53,8 @@
     pub ip: Ipv4Addr,
     /// Its data centre.
     pub centre: DataCentre,
+    /// How many data centres there are, each of which keeps a part of the allowances.
+    pub centres: usize,
     /// Where it listens.
     pub listen: Listen,
     /// Where some other daemons listen for their peers; any of them may be gone.
@@ -77,6 +85,16 @@
         self.policy.config_wait.max(Millis(wait))
     }
 
+    /// How long the one that reads for all waits for a change. What callers' keys are relied on by is
+    /// as old as the beginning of its last read.
+    #[must_use]
+    pub fn read_wait(&self, bounds: &Bounds) -> Millis {
+        match bounds.revocation.closed {
+            true => self.policy.config_wait,
+            false => self.config_wait(bounds.apply),
+        }
+    }
+
     /// How well this instance can serve as a hub. A hub of 30 daemons sends some 3 Mbit/s
     /// in bursts and reads the store for them.
     #[must_use]
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -101,6 +101,7 @@
 /// Looks at what time alone changes, for as long as the process lives.
 async fn tick(gw: Rc<Gateway>) {
     let mut ready = false;
+    let mut keys = true;
     let mut cleaned = gw.now();
     let mut summed = gw.now();
     loop {
@@ -111,10 +112,15 @@
             ready = gw.is_ready();
             tell_ready(&gw, ready);
         }
+        if keys != gw.knows_keys() {
+            keys = !keys;
+            tell_keys(&gw, keys);
+        }
         let now = gw.now();
         if now.since(cleaned) >= HOUSEKEEPING_MS {
             cleaned = now;
             gw.pool.prune();
+            gw.allowances.borrow_mut().prune(now);
             drop_gone(&gw);
         }
         if now.since(summed) >= SUMMARY_MS {
@@ -163,6 +169,18 @@
     emit(event, &detail);
 }
 
+fn tell_keys(gw: &Gateway, known: bool) {
+    let event = match known {
+        true => LogEvent::KeysKnown,
+        false => LogEvent::KeysStale,
+    };
+    let age = gw
+        .config_age()
+        .map_or("none".to_owned(), |a| a.0.to_string());
+    let version = gw.table().map_or(0, |t| t.version);
+    emit(event, &format!("config={version} age_ms={age}"));
+}
+
 /// Forgets upstreams that are gone once nothing is at work there.
 fn drop_gone(gw: &Gateway) {
     let idle = |n: &Upstream| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What the tasks of a gateway share. All of them run on one thread.
 
+use crate::allowance::Allowances;
 use crate::claiming::Inherited;
 use crate::desk::Desk;
 use crate::dispatch::Asked;
@@ -25,7 +26,7 @@
     Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook, Site,
 };
 use shaleline_types::{
-    ErrorKind, Incarnation, LogEvent, Millis, Model, RequestId, Service, Upstream,
+    ErrorKind, Incarnation, LogEvent, Millis, Model, Org, RequestId, Service, Upstream,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -78,6 +79,7 @@
     pub(crate) roster: RefCell<Roster>,
     pub(crate) skipped: RefCell<Skipped>,
     pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
+    pub(crate) allowances: RefCell<Allowances>,
     pub(crate) demand: RefCell<Demand>,
     /// What this daemon's callers asked for in vain.
     pub(crate) unmet: RefCell<UnmetDemand>,
@@ -206,6 +208,7 @@
             roster: RefCell::new(Roster::default()),
             skipped: RefCell::new(Skipped::default()),
             fleets: RefCell::new(BTreeMap::new()),
+            allowances: RefCell::new(Allowances::new(settings.bounds.tolerance)),
             demand: RefCell::new(Demand::default()),
             unmet: RefCell::new(UnmetDemand::default()),
             mesh: RefCell::new(mesh),
@@ -253,17 +256,23 @@
     /// Puts a version of the configuration in force, unless it is no newer. Returns whether
     /// it did.
     pub(crate) fn set_table(&self, table: Table) -> bool {
-        let old = self.table.borrow().as_ref().map(|t| t.version);
+        let before = self.table();
+        let old = before.as_ref().map(|t| t.version);
         if old.is_some_and(|v| v >= table.version) {
             return false;
         }
+        if let Some(before) = before {
+            let same = |org: &Org| before.allowance(org) == table.allowance(org);
+            self.allowances.borrow_mut().keep(same);
+        }
         let idle = Duration::from_millis(table.limits.idle.0);
         self.gate.set_limits(idle, table.limits.head);
         let detail = format!(
-            "version={} before={} routes={}",
+            "version={} before={} routes={} organisations={}",
             table.version,
             old.unwrap_or(0),
-            table.rules.len()
+            table.rules.len(),
+            table.orgs.as_ref().map_or(0, |o| o.iter().count())
         );
         emit(LogEvent::TableInForce, &detail);
         *self.table.borrow_mut() = Some(Rc::new(table));
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,7 +1,9 @@
 //! The configuration in force, as the gateway uses it.
 
+use crate::Orgs;
 use shaleline_fleet::Catalog;
-use shaleline_types::{Millis, Service};
+use shaleline_route::Allowance;
+use shaleline_types::{Millis, Org, Service};
 use std::collections::BTreeMap;
 
 /// How often a request may run.
@@ -52,6 +54,8 @@
     pub pause: Option<Millis>,
     /// 0 is the most urgent.
     pub priority: u8,
+    /// Whether it takes requests that show no key.
+    pub public: bool,
     /// How many upstreams one request may reach.
     pub attempts: u32,
     /// The services that answer, each with its weight.
@@ -107,6 +111,8 @@
     pub services: BTreeMap<Service, ServiceRule>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// The organisations; without them callers need no key.
+    pub orgs: Option<Orgs>,
 }
 
 impl Table {
@@ -118,6 +124,12 @@
         rules.max_by_key(|r| r.prefix.len())
     }
 
+    /// What an organisation may use over all daemons; none without a limit.
+    #[must_use]
+    pub fn allowance(&self, org: &Org) -> Option<Allowance> {
+        self.orgs.as_ref()?.allowance(org)
+    }
+
     /// What the engines of the service may hold.
     #[must_use]
     pub fn catalog(&self, service: &Service) -> Option<&Catalog> {
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -258,6 +258,7 @@
             catalog: Some(self.engines.catalog.clone()),
         };
         Table {
+            orgs: None,
             version: 1,
             rules: Vec::new(),
             services: BTreeMap::from([(service(), rule)]),
--- a/crates/gateway/tests/unit/crashes/world.rs
+++ b/crates/gateway/tests/unit/crashes/world.rs
@@ -15,14 +15,14 @@
 use crate::roster::Seen;
 use crate::start::look;
 use crate::state::{Border, Gateway};
-use crate::{Bounds, GatewaySettings, Head, Listen, Policy, Repeat, RouteRule};
+use crate::{Bounds, GatewaySettings, Head, Listen, Policy, Repeat, Revocation, RouteRule};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use hyper::{HeaderMap, Method};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, Time};
-use shaleline_route::{RouteAction, MOST_ENDS};
+use shaleline_route::{RouteAction, Tolerance, MOST_ENDS};
 use shaleline_types::{DataCentre, ErrorKind, Identity, Instance, Millis, Service, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -119,6 +119,7 @@
 
 fn rule(repeat: Repeat) -> RouteRule {
     RouteRule {
+        public: false,
         name: "r".to_owned(),
         host: "h".to_owned(),
         prefix: "/".to_owned(),
@@ -134,6 +135,7 @@
 
 pub fn settings(index: usize, address: SocketAddr) -> GatewaySettings {
     GatewaySettings {
+        centres: 1,
         instance: Instance::from_text(&format!("d{index}")).expect("a valid name"),
         ip: [127, 0, 0, 1].into(),
         centre: DataCentre::from_text(&format!("dc{}", index % 3)).expect("a valid name"),
@@ -148,6 +150,15 @@
         cores: 0.25,
         first_start: true,
         bounds: Bounds {
+            revocation: Revocation {
+                closed: false,
+                within: Millis(5_000),
+            },
+            tolerance: Tolerance {
+                window: Millis(8_000),
+                over: 0.1,
+                slack: 0.0,
+            },
             drain: Millis(2_000),
             apply: Millis(2_000),
             grace: Millis(8_000),
@@ -164,6 +175,8 @@
 /// A caller's request for what its head says.
 pub fn job(head: Head, service: Service, now: Millis) -> Job {
     Job {
+        org: None,
+        charge: None,
         head,
         identity: identity(0),
         rule: rule(Repeat::Unsafe),
--- a/crates/gateway/tests/unit/job.rs
+++ b/crates/gateway/tests/unit/job.rs
@@ -18,12 +18,15 @@
         None => Repeat::Safe,
     };
     Job {
+        org: None,
+        charge: None,
         head: Head {
             model: pause.map(|_| Model::from_text("m").expect("a valid name")),
             ..Head::default()
         },
         identity: Identity::of("caller", &[]),
         rule: RouteRule {
+            public: false,
             name: "r".to_owned(),
             host: "h".to_owned(),
             prefix: "/".to_owned(),
--- a/crates/gateway/tests/unit/mesh.rs
+++ b/crates/gateway/tests/unit/mesh.rs
@@ -3,6 +3,7 @@
 use crate::mesh::{Known, Mesh};
 use crate::message::{HubNote, LoadNote, Message, Sender, Tag, UpstreamNote};
 use crate::seats::SILENT_MS;
+use shaleline_testkit::cases;
 use shaleline_types::{DataCentre, Instance, Millis, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -33,6 +34,8 @@
     daemons: BTreeMap<SocketAddr, (Sender, Mesh)>,
     now: Millis,
     down: BTreeSet<SocketAddr>,
+    /// These hear each other and nobody else, nor the others them.
+    apart: BTreeSet<SocketAddr>,
     messages: usize,
 }
 
@@ -52,6 +55,7 @@
             daemons,
             now: Millis(START),
             down: BTreeSet::new(),
+            apart: BTreeSet::new(),
             messages: 0,
         }
     }
@@ -78,7 +82,8 @@
         }
         self.messages = sent.len();
         while let Some((sender, to, message)) = sent.pop() {
-            if self.down.contains(&to) {
+            let crosses = self.apart.contains(&to) != self.apart.contains(&sender.address);
+            if self.down.contains(&to) || crosses {
                 continue;
             }
             let Some((_, mesh)) = self.daemons.get_mut(&to) else {
@@ -128,6 +133,65 @@
     }
 }
 
+/// Where the data centres differ in nothing, two of them keep half of the allowances each.
+const CENTRES: usize = 2;
+
+impl World {
+    /// The parts of the allowances that daemons keep, added up.
+    fn granted(&mut self) -> f64 {
+        let (now, down) = (self.now, &self.down);
+        let alive = self.daemons.iter_mut().filter(|(a, _)| !down.contains(a));
+        alive
+            .map(|(_, (_, m))| m.granted_part(CENTRES, now).of_all)
+            .sum()
+    }
+
+    /// The most that they added up to in any tick, while these are apart for so long.
+    fn most_granted(&mut self, apart: &[u8], ms: u64) -> f64 {
+        self.apart = apart.iter().map(|i| address(*i)).collect();
+        let mut most = self.granted();
+        for _ in 0..ms / TICK {
+            self.tick();
+            most = most.max(self.granted());
+        }
+        most
+    }
+}
+
+#[test]
+fn the_parts_of_the_allowances_add_up_to_all() {
+    let mut world = World::new(20);
+    world.run(3_000);
+    assert!((world.granted() - 1.0).abs() < 1e-9, "{}", world.granted());
+}
+
+/// The most that is kept while some are cut off, and what is kept then, in percent.
+fn kept_apart(apart: &[u8]) -> (u32, u32) {
+    let percent = |part: f64| (part * 100.0).round() as u32;
+    let mut world = World::new(20);
+    world.run(3_000);
+    let most = world.most_granted(apart, 10_000);
+    (percent(most), percent(world.granted()))
+}
+
+cases! { kept_apart;
+    nobody_is_cut_off: &[] => (100, 100),
+    a_daemon_alone_keeps_what_would_be_its_part: &[4] => (100, 100),
+    // The other side takes over what its daemons keep, once they no longer count for their hub.
+    a_hub_alone_keeps_what_would_be_its_part: &[19] => (100, 100),
+    a_part_of_a_data_centre: &[0, 2, 4, 6] => (100, 100),
+    a_data_centre: &[0, 2, 4, 6, 8, 10, 12, 14, 16, 18] => (100, 100),
+}
+
+#[test]
+fn what_daemons_that_are_gone_would_keep_nobody_keeps() {
+    let mut world = World::new(20);
+    world.run(3_000);
+    world.down = (0..5).map(|i| address(2 * i)).collect();
+    world.run(5_000);
+    assert!((world.granted() - 0.75).abs() < 1e-9, "{}", world.granted());
+}
+
 #[test]
 fn each_data_centre_has_one_hub_and_all_know_the_load() {
     let mut world = World::new(20);
@@ -177,6 +241,8 @@
     mesh.tick(&LoadNote::default(), Known::default(), now);
     assert!(!mesh.has_heard());
     let total = HubNote {
+        echo: None,
+        near: 0,
         load: LoadNote::default(),
         mark: None,
         hubs: Vec::new(),
--- a/crates/gateway/tests/unit/reading.rs
+++ b/crates/gateway/tests/unit/reading.rs
@@ -10,6 +10,7 @@
 
 fn mark(changes: u64, age: u32) -> Mark {
     Mark {
+        certain_age: None,
         config: 5,
         config_age: age,
         changes,
--- /dev/null
+++ b/crates/route/src/bucket.rs
@@ -0,0 +1,49 @@
+//! A token bucket.
+
+use shaleline_types::Millis;
+
+/// Fills up at a rate and may go into debt: what a request costs may be known only when it ends, or
+/// be more than the bucket ever holds.
+#[derive(Debug, Clone)]
+pub(crate) struct Bucket {
+    level: f64,
+    last: Millis,
+}
+
+impl Bucket {
+    pub(crate) fn new(level: f64, now: Millis) -> Self {
+        Self { level, last: now }
+    }
+
+    /// Adds what `rate` gives in a second, up to `most`.
+    pub(crate) fn refill(&mut self, rate: f64, most: f64, now: Millis) {
+        let gained = now.since(self.last) as f64 * rate / 1_000.0;
+        self.last = self.last.max(now);
+        self.level = (self.level + gained).min(most);
+    }
+
+    pub(crate) fn level(&self) -> f64 {
+        self.level
+    }
+
+    pub(crate) fn last(&self) -> Millis {
+        self.last
+    }
+
+    pub(crate) fn take(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
+    pub(crate) fn put_back(&mut self, amount: f64, most: f64) {
+        self.level = (self.level + amount).min(most);
+    }
+
+    /// How long until it holds `need`; without end where nothing comes in.
+    pub(crate) fn wait(&self, need: f64, rate: f64) -> Option<Millis> {
+        let lack = need - self.level;
+        if lack <= 0.0 {
+            return Some(Millis(0));
+        }
+        (rate > 0.0).then(|| Millis((lack * 1_000.0 / rate).ceil() as u64))
+    }
+}
--- /dev/null
+++ b/crates/route/src/granter.rs
@@ -0,0 +1,208 @@
+//! A daemon that keeps a part of each organisation's allowance and grants it in small amounts.
+//!
+//! The parts of all granters add up to one at most, so no two of them need to agree on anything
+//! but their parts. What is granted is taken off at once, whether it is used or lost.
+
+use crate::bucket::Bucket;
+use crate::{Allowance, Tolerance};
+use shaleline_types::{Millis, Org};
+use std::collections::HashMap;
+
+/// The longest time to come back that is told: callers do not wait longer.
+const MOST_WAIT: Millis = Millis(5_000);
+
+/// An account that was not asked for this long is dropped: it would be full.
+const IDLE_MS: u64 = 120_000;
+
+/// The part of all allowances that a granter keeps.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Part {
+    /// Between 0 and 1.
+    pub of_all: f64,
+    /// How many daemons there are that hold something in advance.
+    pub daemons: usize,
+}
+
+impl Part {
+    /// No part of anything.
+    pub const NONE: Self = Self {
+        of_all: 0.0,
+        daemons: 1,
+    };
+}
+
+/// The answer to a daemon that asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Grant {
+    /// What it asked for, and so much in advance.
+    Granted(u64),
+    /// Not now; when to come back.
+    Denied(Millis),
+}
+
+#[derive(Debug)]
+struct Account {
+    bucket: Bucket,
+    /// Callers who were sent away come back one after the other, up to this time.
+    booked: Millis,
+}
+
+/// What one granter has left for each organisation.
+#[derive(Debug)]
+pub struct Granter {
+    part: Part,
+    /// For how many seconds it has kept all there is, a part counted as a part of the time.
+    kept: f64,
+    /// Up to when that is counted.
+    counted: Millis,
+    tolerance: Tolerance,
+    accounts: HashMap<Org, Account>,
+}
+
+impl Granter {
+    /// A granter that keeps nothing yet.
+    #[must_use]
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self {
+            part: Part::NONE,
+            kept: 0.0,
+            counted: Millis(0),
+            tolerance,
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Takes over what the platform bears.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
+    /// Sets the part that it keeps from now on; up to now it kept the one before. `allowance_of` is
+    /// what an organisation may use, none where there is no limit or no such organisation.
+    pub fn set_part(
+        &mut self,
+        part: Part,
+        allowance_of: impl Fn(&Org) -> Option<Allowance>,
+        now: Millis,
+    ) {
+        let (before, tolerance) = (self.part, self.tolerance);
+        self.count(now);
+        if part.of_all <= 0.0 {
+            self.kept = 0.0;
+        }
+        self.accounts.retain(|org, account| {
+            let idle = now.since(account.bucket.last()) >= IDLE_MS;
+            let allowance = allowance_of(org).filter(|_| !idle);
+            if let Some(allowance) = allowance {
+                refill(account, &allowance, before, tolerance, now);
+                // A smaller part holds less.
+                refill(account, &allowance, part, tolerance, now);
+            }
+            allowance.is_some()
+        });
+        self.part = part;
+    }
+
+    /// The part that it keeps.
+    #[must_use]
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
+    /// Answers a daemon that needs `need` for a request and holds `held` in advance.
+    pub fn ask(
+        &mut self,
+        org: &Org,
+        allowance: &Allowance,
+        need: u64,
+        held: u64,
+        now: Millis,
+    ) -> Grant {
+        let (part, tolerance) = (self.part, self.tolerance);
+        let account = self.account(org, allowance, now);
+        refill(account, allowance, part, tolerance, now);
+        let cost = need as f64;
+        let most = capacity(allowance, part, tolerance);
+        let uses = tolerance.uses(allowance, part.daemons);
+        let debt = uses.debt * part.of_all;
+        let enough = account.bucket.level() >= cost.min(most);
+        if part.of_all > 0.0 && enough && account.bucket.level() - cost >= -debt {
+            account.bucket.take(cost);
+            let credit = uses.credit - held as f64;
+            // What others may need at once is not given away in advance.
+            let spare = account.bucket.level() - most / 2.0;
+            let advance = credit.min(spare).max(0.0).floor();
+            account.bucket.take(advance);
+            return Grant::Granted(need + advance as u64);
+        }
+        Grant::Denied(book(account, allowance, part, cost.min(most), now))
+    }
+
+    /// Takes back what was granted for a request that did not run.
+    pub fn give_back(&mut self, org: &Org, allowance: &Allowance, amount: u64, now: Millis) {
+        let most = capacity(allowance, self.part, self.tolerance);
+        let account = self.account(org, allowance, now);
+        account.bucket.put_back(amount as f64, most);
+    }
+
+    /// What is left for each organisation, for operators.
+    pub fn levels(&self) -> impl Iterator<Item = (&Org, f64)> {
+        self.accounts.iter().map(|(o, a)| (o, a.bucket.level()))
+    }
+
+    /// Counts for how long it has kept what it keeps.
+    fn count(&mut self, now: Millis) {
+        let seconds = now.since(self.counted) as f64 / 1_000.0;
+        self.kept += seconds * self.part.of_all;
+        self.counted = now;
+    }
+
+    /// What was used before this granter kept its part is not known: a new account has what came
+    /// in since.
+    fn account(&mut self, org: &Org, allowance: &Allowance, now: Millis) -> &mut Account {
+        self.count(now);
+        let earned = allowance.rate * self.kept;
+        let most = capacity(allowance, self.part, self.tolerance);
+        self.accounts.entry(org.clone()).or_insert_with(|| Account {
+            bucket: Bucket::new(earned.min(most), now),
+            booked: now,
+        })
+    }
+}
+
+/// The most that a part of an allowance holds at once.
+fn capacity(allowance: &Allowance, part: Part, tolerance: Tolerance) -> f64 {
+    let uses = tolerance.uses(allowance, part.daemons);
+    (allowance.burst + uses.storage) * part.of_all
+}
+
+fn refill(
+    account: &mut Account,
+    allowance: &Allowance,
+    part: Part,
+    tolerance: Tolerance,
+    now: Millis,
+) {
+    let most = capacity(allowance, part, tolerance);
+    let rate = allowance.rate * part.of_all;
+    account.bucket.refill(rate, most, now);
+}
+
+/// When to come back: each caller after the one before, so that they do not come all at once.
+fn book(
+    account: &mut Account,
+    allowance: &Allowance,
+    part: Part,
+    need: f64,
+    now: Millis,
+) -> Millis {
+    let rate = allowance.rate * part.of_all;
+    let Some(wait) = account.bucket.wait(need, rate) else {
+        return MOST_WAIT;
+    };
+    let latest = now.plus(MOST_WAIT.0);
+    let at = now.plus(wait.0).max(account.booked).min(latest);
+    let takes = (need * 1_000.0 / rate).ceil() as u64;
+    account.booked = at.plus(takes).min(latest);
+    Millis(at.since(now).max(1))
+}
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -1,5 +1,6 @@
 //! An organisation's limits, as far as this daemon may use them.
 
+use crate::bucket::Bucket;
 use crate::ShareBook;
 use shaleline_types::{Millis, Org};
 use std::collections::BTreeMap;
@@ -56,26 +57,15 @@
     }
 }
 
-/// A bucket that may go into debt: an answer's length is not known beforehand, so it is
-/// charged when it ends and the next request waits.
-#[derive(Debug, Clone)]
-struct Bucket {
-    level: f64,
-    last: Millis,
+fn refill(bucket: &mut Bucket, rate: u64, now: Millis) {
+    let most = (rate as f64 * BURST_MS / 1_000.0).max(1.0);
+    bucket.refill(rate as f64, most, now);
 }
 
-impl Bucket {
-    fn refill(&mut self, rate: u64, now: Millis) {
-        let gained = now.since(self.last) as f64 * rate as f64 / 1_000.0;
-        self.last = self.last.max(now);
-        let most = (rate as f64 * BURST_MS / 1_000.0).max(1.0);
-        self.level = (self.level + gained).min(most);
-    }
-
-    fn wait(&self, rate: u64) -> Millis {
-        let lack = (1.0 - self.level).max(0.0);
-        Millis((lack * 1_000.0 / rate.max(1) as f64).ceil() as u64)
-    }
+/// How long until one more is admitted.
+fn wait(bucket: &Bucket, rate: u64) -> Millis {
+    let wait = bucket.wait(1.0, rate.max(1) as f64);
+    wait.expect("something comes in")
 }
 
 #[derive(Debug)]
@@ -106,28 +96,27 @@
             part(LimitKind::Tokens),
             part(LimitKind::Concurrency),
         );
-        let full = |rate: u64| Bucket {
-            level: rate as f64,
-            last: now,
-        };
+        // An answer's length is not known beforehand: it is charged when it ends, and the next
+        // request waits.
+        let full = |rate: u64| Bucket::new(rate as f64, now);
         let fresh = || Use {
             rate: full(rate),
             tokens: full(tokens),
             running: 0,
         };
         let used = self.orgs.entry(org.clone()).or_insert_with(fresh);
-        used.rate.refill(rate, now);
-        used.tokens.refill(tokens, now);
+        refill(&mut used.rate, rate, now);
+        refill(&mut used.tokens, tokens, now);
         if used.running >= most {
             return Err((LimitKind::Concurrency, Millis(200)));
         }
-        if rate == 0 || used.rate.level < 1.0 {
-            return Err((LimitKind::Rate, used.rate.wait(rate)));
+        if rate == 0 || used.rate.level() < 1.0 {
+            return Err((LimitKind::Rate, wait(&used.rate, rate)));
         }
-        if tokens == 0 || used.tokens.level < 1.0 {
-            return Err((LimitKind::Tokens, used.tokens.wait(tokens)));
+        if tokens == 0 || used.tokens.level() < 1.0 {
+            return Err((LimitKind::Tokens, wait(&used.tokens, tokens)));
         }
-        used.rate.level -= 1.0;
+        used.rate.take(1.0);
         used.running += 1;
         Ok(())
     }
@@ -135,7 +124,7 @@
     /// Charges what an answer cost and frees its place.
     pub(crate) fn finish(&mut self, org: &Org, tokens: u64) {
         if let Some(used) = self.orgs.get_mut(org) {
-            used.tokens.level -= tokens as f64;
+            used.tokens.take(tokens as f64);
             used.running = used.running.saturating_sub(1);
         }
     }
@@ -147,7 +136,7 @@
 
     /// Forgets organisations with nothing running that have been quiet for a while.
     pub(crate) fn prune(&mut self, now: Millis) {
-        let quiet = |u: &Use| u.running == 0 && now.since(u.rate.last) > 60_000;
+        let quiet = |u: &Use| u.running == 0 && now.since(u.rate.last()) > 60_000;
         self.orgs.retain(|_, u| !quiet(u));
     }
 }
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -103,6 +103,7 @@
     HeadTooLarge "head-too-large" 431 NotRun Caller None, "The head of the request is larger than the limit.";
     BodyLate "body-late" 408 NotRun Later None, "The body of the request did not arrive in time.";
     Unauthenticated "unauthenticated" 401 NotRun Caller None, "The token is missing or wrong.";
+    KeyUnknown "key-unknown" 401 NotRun Caller None, "No organisation holds the API key, or the request shows none.";
     Forbidden "forbidden" 403 NotRun Caller None, "The token's role does not allow this.";
     UnknownModel "unknown-model" 404 NotRun Caller None, "The organisation has no such model or adapter.";
     UnknownService "unknown-service" 404 NotRun Caller None, "The organisation has no such service.";
@@ -115,6 +116,8 @@
     DeadlineUnmet "deadline-unmet" 503 NotRun Later Some(500), "The request can't start within its target.";
     NoUpstream "no-upstream" 503 NotRun Later Some(1_000), "No upstream serves this at the moment.";
     NotReady "not-ready" 503 NotRun Later Some(1_000), "The daemon has no current configuration.";
+    KeysStale "keys-stale" 503 NotRun Later Some(100), "The daemon can't know whether the API key still holds; another one may.";
+    AllowanceUnknown "allowance-unknown" 503 NotRun Later Some(100), "No daemon that keeps the organisation's allowance answers; another one may reach it.";
     Leaving "leaving" 503 NotRun Later Some(100), "The daemon is stopping.";
     LogUnavailable "log-unavailable" 503 NotRun Later Some(5_000), "The platform's log can't be reached, so nothing may begin.";
     JournalFull "journal-full" 503 NotRun Later Some(60_000), "The at-most-once journal holds as many keys as it may.";
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -67,6 +67,8 @@
     EntrySkipped 3103 Warn "A record of the platform's store can't be understood and is skipped.";
     SettingsChanged 3104 Info "The settings file changed.";
     SettingsRefused 3105 Warn "The settings file can't be understood; the settings before stay in force.";
+    KeysStale 3106 Warn "Callers' API keys can't be relied on any more: the configuration may be another one.";
+    KeysKnown 3107 Info "Callers' API keys can be relied on again.";
     LeaseTaken 4001 Info "This daemon became the owner.";
     LeaseLost 4002 Warn "This daemon is no longer the owner.";
     LeaseChallenged 4003 Info "An owner that seems gone was challenged.";
@@ -99,5 +101,6 @@
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a whole answer.";
     SendFailed 8204 Info "A send to an upstream failed, or the upstream did not run the request.";
+    AllowanceUsed 8205 Info "An organisation has used up what a daemon keeps of its allowance.";
     InvariantBroken 9001 Error "An invariant did not hold; the decision was stopped.";
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`Incarnation`] tells starts of one upstream apart.
 //! * [`Fingerprint`] tells that two requests are the same, [`StartTag`] names one start of an
 //!   upstream.
-//! * [`TokenHash`] is the only form in which a secret is kept.
+//! * [`TokenHash`] and [`KeyHash`] are the only forms in which a secret is kept.
 
 mod error;
 mod event;
@@ -33,5 +33,5 @@
 };
 pub use incarnation::Incarnation;
 pub use safeguard::Safeguard;
-pub use secret::TokenHash;
+pub use secret::{KeyHash, TokenHash};
 pub use unit::{Megabytes, Millis, Offset};
--- a/crates/types/src/secret.rs
+++ b/crates/types/src/secret.rs
@@ -38,6 +38,30 @@
     }
 }
 
+/// The key under which callers' API keys are hashed. It keeps these hashes apart from all others.
+const API_KEY: &[u8; 32] = b"shaleline API keys of callers  1";
+
+/// The hash of a caller's API key (BLAKE3), in which form alone a key is kept.
+///
+/// What a caller shows is looked up and compared as a hash: how long that takes tells nothing of
+/// how much of a key was right. Nothing shows a hash, as keys may be short.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyHash(blake3::Hash);
+
+impl KeyHash {
+    /// Hashes a key.
+    #[must_use]
+    pub fn from_key(key: &str) -> Self {
+        Self(blake3::keyed_hash(API_KEY, key.as_bytes()))
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyHash(..)")
+    }
+}
+
 impl fmt::Debug for TokenHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "TokenHash({}..)", self.0.get(..6).unwrap_or_default())
