Weigh replicas by the places that adapters lack; soak keys; compare ways to hold allowances

Cause: a model was worth another replica by its work alone. One with 113 adapters on four replicas of eight places kept callers of its tail away for good.

Change: a move gains the callers a second whose adapters find a place by it (fleet/shortage.rs).

Besides: the soak shows keys, takes them away and counts an allowance; the allowances command plays equal shares, loans and grants; a daemon that keeps no part denies nothing (callers were told to come back after 1 ms); explain names what led to 401, 429 and keys-stale.

--- a/crates/bench/src/allowances.rs
+++ b/crates/bench/src/allowances.rs
@@ -5,6 +5,7 @@
 //! daemons dies and starts again, a part is cut off and goes on serving, and one limit is lowered.
 //! `docs/design/allowances.md` has the figures.
 
+use crate::admission::{self, Decision};
 use crate::allowance_ways::{Equal, Grants, Loans, Way};
 use eyre::Result;
 use rand::rngs::SmallRng;
@@ -25,6 +26,8 @@
 /// What an organisation may use, by what it usually uses.
 const ALLOWED: f64 = 1.8;
 const LEAST_RATE: f64 = 4_200.0;
+/// The last organisations are small.
+const SMALL: usize = 4;
 /// One caller has so many requests a second.
 const CALLER: f64 = 3.5;
 /// A caller stays with a daemon so long.
@@ -53,7 +56,7 @@
     most: f64,
     /// What organisations got less than one bucket for all would have let in, in a thousand.
     short: f64,
-    /// The same of organisations with the least rate.
+    /// The same of small organisations.
     short_small: f64,
     /// Requests that were refused at daemons that were cut off, in a thousand.
     refused_cut: f64,
@@ -180,7 +183,7 @@
         limits: load.usual.iter().map(limit).collect(),
         orgs: names.collect(),
     };
-    let small: Vec<bool> = state.limits.iter().map(|l| l.rate <= LEAST_RATE).collect();
+    let small = (0..ORGS).map(|o| o >= ORGS - SMALL);
     let start = |l: &Allowance| (l.burst, state.now);
     let mut reference = Reference(state.limits.iter().map(start).collect());
     let mut windows: Vec<Window> = (0..ORGS).map(|_| Window::default()).collect();
@@ -331,25 +334,35 @@
         all.push(measure(daemons, move |s| Box::new(Loans::new(daemons, s))));
         all.push(measure(daemons, move |_| Box::new(Grants::new(daemons))));
     }
+    let decisions = admission::run();
     if json {
-        println!("{}", serde_json::to_string_pretty(&all)?);
+        let both = serde_json::json!({"ways": all, "decisions": decisions});
+        println!("{}", serde_json::to_string_pretty(&both)?);
     } else {
-        println!("way      daemons  broken  most    short  of small  cut off  waited  messages/s");
-        for f in &all {
-            println!(
-                "{:8} {:7} {:7} {:5.2} {:8.1} {:9.1} {:8.1} {:7.1} {:11.2}",
-                f.way,
-                f.daemons,
-                f.broken,
-                f.most,
-                f.short,
-                f.short_small,
-                f.refused_cut,
-                f.waited,
-                f.messages
-            );
-        }
+        print(&all, &decisions);
     }
     let used = all.iter().filter(|f| f.way == "grants");
     Ok(used.map(|f| f.broken).sum::<u64>() == 0)
 }
+
+fn print(all: &[Figures], decisions: &[Decision]) {
+    println!("way      daemons  broken  most    short  of small  cut off  waited  messages/s");
+    for f in all {
+        println!(
+            "{:8} {:7} {:7} {:5.2} {:8.1} {:9.1} {:8.1} {:7.1} {:11.2}",
+            f.way,
+            f.daemons,
+            f.broken,
+            f.most,
+            f.short,
+            f.short_small,
+            f.refused_cut,
+            f.waited,
+            f.messages
+        );
+    }
+    println!("organisations  us a decision  KB");
+    for d in decisions {
+        println!("{:13} {:14.3} {:7.0}", d.orgs, d.us, d.kb);
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+mod admission;
 mod allowance_ways;
 mod allowances;
 mod args;
--- a/crates/explain/src/trace.rs
+++ b/crates/explain/src/trace.rs
@@ -55,9 +55,38 @@
     ended.cloned().chain(about).collect()
 }
 
+/// Whether the line tells why a request was refused that was never asked an upstream for: its
+/// organisation had used up its allowance, or its key could not be relied on.
+fn is_cause(line: &Line<'_>, refused: &Line<'_>) -> bool {
+    match refused.get("code") {
+        Some("rate-limited") => {
+            line.event == LogEvent::AllowanceUsed && line.get("org") == refused.get("org")
+        }
+        Some("keys-stale") => matches!(
+            line.event,
+            LogEvent::KeysStale | LogEvent::KeysKnown | LogEvent::LogLost | LogEvent::LogBack
+        ),
+        Some("key-unknown") => line.event == LogEvent::TableInForce,
+        _ => false,
+    }
+}
+
+/// The last of the lines up to that time that tell of something.
+fn last_before<'a>(
+    lines: &[Line<'a>],
+    last: &Line<'a>,
+    about: impl Fn(&Line<'a>) -> bool,
+) -> Vec<Line<'a>> {
+    let before = lines.iter().filter(|l| l.time() <= last.time());
+    let mut found: Vec<Line<'a>> = before.filter(|l| about(l)).cloned().collect();
+    found.sort_by_key(Line::time);
+    let skipped = found.len().saturating_sub(PLANS);
+    found.split_off(skipped)
+}
+
 /// The lines about a request, about the upstreams that ended under it in any attempt, and where no
-/// engine served what it asked for, the planner's last lines about that model before; all by
-/// their time.
+/// engine served what it asked for, the planner's last lines about that model before; where it was
+/// refused for its key or its organisation's allowance, what led to that. All by their time.
 #[must_use]
 pub fn trace<'a>(lines: &[Line<'a>], id: &str) -> Vec<Line<'a>> {
     let mut found: Vec<Line<'a>> = lines
@@ -76,17 +105,13 @@
         return found;
     };
     let unserved = last.number("serving") == Some(0);
-    if let (Some(model), Some(asked), true) = (last.model(), last.asked(), unserved) {
-        let mut plans: Vec<Line<'a>> = lines
-            .iter()
-            .filter(|l| is_about(l, model, asked) || is_lease(l))
-            .filter(|l| l.time() <= last.time())
-            .cloned()
-            .collect();
-        plans.sort_by_key(Line::time);
-        let skipped = plans.len().saturating_sub(PLANS);
-        found.splice(0..0, plans.into_iter().skip(skipped));
-        found.sort_by_key(Line::time);
-    }
+    let causes = match (last.model(), last.asked(), unserved) {
+        (Some(model), Some(asked), true) => {
+            last_before(lines, &last, |l| is_about(l, model, asked) || is_lease(l))
+        }
+        _ => last_before(lines, &last, |l| is_cause(l, &last)),
+    };
+    found.splice(0..0, causes);
+    found.sort_by_key(Line::time);
     found
 }
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -140,3 +140,26 @@
     ];
     assert_eq!(never, expected);
 }
+
+const REFUSED: &str = "\
+time=10:00:00.500 event=3101 name=TableInForce version=7 before=5
+time=10:00:01.000 event=8205 name=AllowanceUsed org=a cost=1800 part=0.333 retry_ms=70 config=7
+time=10:00:01.500 event=8205 name=AllowanceUsed org=b cost=1800 part=0.333 retry_ms=70 config=7
+time=10:00:02.000 event=8202 name=RequestRefused id=q1 code=rate-limited org=a
+time=10:00:03.000 event=2001 name=LogLost topic=config error=Lost
+time=10:00:07.000 event=3106 name=KeysStale config=7 age_ms=5000
+time=10:00:08.000 event=8202 name=RequestRefused id=q2 code=keys-stale org=none
+time=10:00:09.000 event=3107 name=KeysKnown config=7 age_ms=90
+time=10:00:09.500 event=8202 name=RequestRefused id=q3 code=key-unknown org=none";
+
+/// The events that explain a refusal.
+fn explained(id: &str) -> Vec<u16> {
+    let lines: Vec<Line<'_>> = REFUSED.lines().filter_map(Line::from_text).collect();
+    trace(&lines, id).iter().map(|l| l.event.number()).collect()
+}
+
+cases! { explained;
+    an_allowance_that_was_used_up: "q1" => vec![8205, 8202],
+    a_daemon_out_of_touch: "q2" => vec![2001, 3106, 8202],
+    an_unknown_key: "q3" => vec![3101, 8202],
+}
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -7,6 +7,7 @@
 use crate::flow::Flow;
 use crate::holders::Holders;
 use crate::row::CopyKind;
+use crate::shortage::Shortage;
 use crate::snapshot::Snapshot;
 use crate::Rate;
 use shaleline_types::Millis;
@@ -57,6 +58,7 @@
     /// When the first replica of a model is there that is not there soon.
     due: Vec<Option<Millis>>,
     exposure: Exposure,
+    shortage: Shortage,
     /// All that is asked for, in requests a second.
     pub(crate) asked: f64,
     /// Changes that may still be weighed in full.
@@ -84,6 +86,7 @@
             later: Flow::new(engines, &later, asked, &missing),
             due,
             exposure: Exposure::new(snapshot, churn),
+            shortage: Shortage::new(snapshot),
             asked: asked.iter().map(|r| f64::from(r.count)).sum(),
             left: 0,
             candidates: Vec::new(),
@@ -118,10 +121,11 @@
         let exposed = self.exposed(model, None, None) / HORIZON_S;
         let around = self.soon.harm_around(model);
         let around = around.max(self.later.harm_around(model));
+        let short = self.shortage.gained(model, self.later.replicas(model));
         let fills = self.later.is_missing(model);
-        let worth = fills || (around + exposed) * HORIZON_S > MOVE_COST;
+        let worth = fills || (around + exposed + short) * HORIZON_S > MOVE_COST;
         let harm = self.soon.harm_of(model).max(self.later.harm_of(model));
-        worth.then_some(harm + exposed)
+        worth.then_some(harm + exposed + short)
     }
 
     /// What a move is worth, in requests over the horizon.
@@ -158,7 +162,18 @@
         } else {
             MOVE_COST + BLOCKED_COST * seconds(load)
         };
-        gain + self.insured(model, engine, victim) - later.loss * HORIZON_S - cost
+        let placed = self.placed(model, victim) * (HORIZON_S - until);
+        gain + placed + self.insured(model, engine, victim) - later.loss * HORIZON_S - cost
+    }
+
+    /// The callers a second who find a place for their adapter by a move.
+    fn placed(&self, model: usize, victim: Option<usize>) -> f64 {
+        let gained = self.shortage.gained(model, self.later.replicas(model));
+        let lost = victim.map_or(0.0, |v| {
+            let left = self.later.replicas(v).saturating_sub(1);
+            self.shortage.gained(v, left)
+        });
+        gained - lost
     }
 
     /// The callers that a move is expected to save when engines leave.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 mod planner;
 mod row;
 mod services;
+mod shortage;
 mod snapshot;
 mod spread;
 mod unmet;
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -105,11 +105,13 @@
             step = match step {
                 DrawStep::Admit => break,
                 DrawStep::Refuse(wait) => {
-                    let reason = format!("organisation {org} has used up its allowance");
-                    let refusal = Refusal::new(ErrorKind::RateLimited).with_reason(reason);
+                    let refusal = Refusal::new(ErrorKind::RateLimited).with_org(org.clone());
                     return Err(refusal.with_retry(Some(wait)));
                 }
-                DrawStep::Unanswered => return Err(Refusal::new(ErrorKind::AllowanceUnknown)),
+                DrawStep::Unanswered => {
+                    let refusal = Refusal::new(ErrorKind::AllowanceUnknown);
+                    return Err(refusal.with_org(org.clone()));
+                }
                 DrawStep::Ask(at) if at == me => {
                     let held = self.allowances.borrow().held(org);
                     let grant = self.grant(org, &allowance, cost, held);
@@ -149,6 +151,9 @@
         let now = self.now();
         let mut all = self.mesh.borrow_mut().granters(now);
         let allowances = self.allowances.borrow();
+        // Who keeps no part can deny nothing.
+        let keeps = allowances.granter.part().of_all > 0.0;
+        all.retain(|a| *a != self.me.address || keeps);
         let doubted = |a: &SocketAddr| allowances.doubt.get(a).is_some_and(|until| now < *until);
         all.sort_by_key(doubted);
         all
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -91,8 +91,8 @@
 pub(crate) struct Reading {
     number: u64,
     config: Option<(u64, Millis)>,
-    /// The same, but no later than what is certain: when a question was asked whose answer shows it.
-    certain: Option<(u64, Millis)>,
+    /// When there was certainly no newer configuration than the one that is known.
+    certain: Option<Millis>,
     changes: Option<Millis>,
     followed: Followed,
     config_reads: Reads,
@@ -110,14 +110,15 @@
     /// it to a question that was asked then. How long an answer or a note was on its way, or in a
     /// suspended daemon, is not known.
     pub(crate) fn on_certain(&mut self, next: u64, at: Millis) {
-        self.certain = self.certain.max(Some((next, at)));
+        // Of a newer one that is not known yet nothing is said by this.
+        if self.config.is_some_and(|(known, _)| next <= known) {
+            self.certain = self.certain.max(Some(at));
+        }
     }
 
     /// As of when the configuration that this daemon has read was certainly the newest.
     pub(crate) fn certain_at(&self) -> Option<Millis> {
-        let (next, at) = self.certain?;
-        let (known, _) = self.config?;
-        (next == known).then_some(at)
+        self.certain
     }
 
     /// Notes that a read of the configuration failed.
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
 use shaleline_edge::{Reply, ReplyBody};
-use shaleline_types::{ErrorKind, LogEvent, Millis, Outcome};
+use shaleline_types::{ErrorKind, LogEvent, Millis, Org, Outcome};
 
 /// Why a request gets no upstream's answer.
 #[derive(Debug, Clone)]
@@ -16,6 +16,8 @@
     kind: ErrorKind,
     retry: Option<Millis>,
     reason: String,
+    /// The organisation that it is about.
+    org: Option<Org>,
 }
 
 impl Refusal {
@@ -24,6 +26,7 @@
             kind,
             retry: kind.answer().retry,
             reason: kind.meaning().to_owned(),
+            org: None,
         }
     }
 
@@ -38,6 +41,12 @@
         self
     }
 
+    /// Says whose request it is.
+    pub(crate) fn with_org(mut self, org: Org) -> Self {
+        self.org = Some(org);
+        self
+    }
+
     /// Says when to come back, where that is known better than by kind.
     pub(crate) fn with_retry(mut self, retry: Option<Millis>) -> Self {
         self.retry = retry.or(self.retry);
@@ -66,7 +75,8 @@
 pub(crate) fn early(gw: &Gateway, id: &str, refusal: &Refusal) -> Reply {
     if gw.lines.take(gw.now()) {
         let code = refusal.kind.answer().code;
-        let detail = format!("id={id} code={code} reason={:?}", refusal.reason);
+        let org = refusal.org.as_ref().map_or("none", |o| o.as_str());
+        let detail = format!("id={id} code={code} org={org} reason={:?}", refusal.reason);
         emit(LogEvent::RequestRefused, &detail);
     }
     reply(gw, id, refusal)
--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -152,6 +152,8 @@
     all_is_served_where_planners_are_replaced_before_295_daemons: (LARGE, 6) => true,
     // Rare callers of three adapters, most of them while nobody plans.
     all_is_served_before_295_daemons_where_planners_are_replaced_seed_1003: (LARGE, 1003) => true,
+    all_is_served_before_295_daemons_where_planners_are_replaced_seed_3003: (LARGE, 3003) => true,
+    all_is_served_before_295_daemons_where_planners_are_replaced_seed_4003: (LARGE, 4003) => true,
 }
 
 /// A quarter of the engines ends, and the planner with them; the engines start again two seconds later
@@ -182,4 +184,5 @@
     // A model with far more adapters than its replicas have places.
     all_is_served_before_295_daemons_where_engines_end_seed_1004: (LARGE, 1004) => true,
     all_is_served_before_295_daemons_where_engines_end_seed_2004: (LARGE, 2004) => true,
+    all_is_served_before_295_daemons_where_engines_end_seed_4004: (LARGE, 4004) => true,
 }
--- a/crates/gateway/tests/unit/reading.rs
+++ b/crates/gateway/tests/unit/reading.rs
@@ -34,6 +34,20 @@
     assert_eq!(reading.config_known(), Some((5, NOW.plus(29_800))));
 }
 
+/// A daemon that was told of a newer configuration relied on no key at once, before it had it.
+#[test]
+fn word_of_a_newer_configuration_does_not_make_the_older_one_uncertain() {
+    let mut reading = Reading::default();
+    reading.on_config(5, NOW);
+    reading.on_certain(5, NOW);
+    reading.on_certain(6, NOW.plus(300));
+    assert_eq!(reading.certain_at(), Some(NOW));
+    reading.on_config(6, NOW.plus(400));
+    assert_eq!(reading.certain_at(), Some(NOW));
+    reading.on_certain(6, NOW.plus(300));
+    assert_eq!(reading.certain_at(), Some(NOW.plus(300)));
+}
+
 #[derive(Clone, Copy)]
 enum Step {
     /// The hub marks so many messages sent, read so long ago.
