--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -68,6 +68,16 @@
         self.said.retain(|_, at| now.since(*at) < SAY_AGAIN_MS);
     }
 
+    /// Whether it may be logged that an organisation has used up its part.
+    fn may_say(&mut self, org: &Org, now: Millis) -> bool {
+        let said = self.said.get(org);
+        let due = said.is_none_or(|at| now.since(*at) >= SAY_AGAIN_MS);
+        if due {
+            self.said.insert(org.clone(), now);
+        }
+        due
+    }
+
     /// What is in advance, as it is told: nothing more is wanted while a question is open.
     fn held(&self, org: &Org) -> u64 {
         match self.asked.values().any(|a| a.org == *org) {
@@ -199,16 +209,16 @@
         let mut allowances = self.allowances.borrow_mut();
         let grant = allowances.granter.ask(org, allowance, cost, held, now);
         if let Grant::Denied(wait) = grant {
-            let said = allowances.said.get(org);
-            if said.is_none_or(|at| now.since(*at) >= SAY_AGAIN_MS) {
-                allowances.said.insert(org.clone(), now);
+            if allowances.may_say(org, now) {
                 let part = allowances.granter.part().of_all;
-                let detail = format!(
-                    "org={org} cost={cost} part={part:.3} retry_ms={} config={}",
-                    wait.0,
-                    { self.table().map_or(0, |t| t.version) }
+                let version = self.table().map_or(0, |t| t.version);
+                let wait = wait.0;
+                emit(
+                    LogEvent::AllowanceUsed,
+                    &format!(
+                        "org={org} cost={cost} part={part:.3} retry_ms={wait} config={version}"
+                    ),
                 );
-                emit(LogEvent::AllowanceUsed, &detail);
             }
         }
         grant
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -49,10 +49,7 @@
                 let empty = next.is_none() && batch.records.is_empty();
                 next = Some(batch.next);
                 let at = gw.came_at().max(asked);
-                let mut reading = gw.reading.borrow_mut();
-                reading.on_config(batch.next, at);
-                reading.on_certain(batch.next, asked);
-                drop(reading);
+                note_read(&gw, batch.next, at, asked);
                 take_config(&gw, &batch);
                 if empty {
                     link.pause(&gw, true, || false).await;
@@ -72,6 +69,13 @@
     }
 }
 
+/// Notes a read of the configuration: as of when it is, and when it was asked for.
+fn note_read(gw: &Gateway, next: u64, at: Millis, asked: Millis) {
+    let mut reading = gw.reading.borrow_mut();
+    reading.on_config(next, at);
+    reading.on_certain(next, asked);
+}
+
 /// Reads the configuration from `next` on, or all of it. Only the one who reads for the others
 /// waits for a change; a read that hears nothing for longer than it waits is made once more
 /// without, as the store may have lost the first.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,8 +6,8 @@
 //!    long it waits and who goes first. For each model and service one daemon chooses with the
 //!    router of `shaleline_route`: `choosing` asks it (`chooser` says which), by what `dispatch`
 //!    and `desk` decide.
-//!    `admission` says whose request it is by the keys of `orgs`, `allowance` charges its
-//!    organisation.
+//!    `admit` finds out whose it is and charges it: `admission` decides by the keys of `orgs`,
+//!    `allowance` asks those that keep a part of the allowances.
 //! 2. `attempt` sends it and checks that the answer is its own; `relay` passes a stream on
 //!    and resumes it; `refuse` answers where no upstream did.
 //!
@@ -17,7 +17,7 @@
 //!   `roster` decides which upstreams there are, `skipped` bounds what is said of records that
 //!   name none.
 //! * `mesh` decides which daemons tell which others what, in the messages of `message`: `peers`
-//!   is who there is, `seats` who is a hub;
+//!   is who there is, `seats` who is a hub, `parts` which part of the allowances a daemon keeps;
 //!   `gossip` sends and receives them, `reading` is who reads the store, `handover` passes
 //!   on what was read, `members` is how daemons find each other.
 //! * `lead` plans with `shaleline_fleet` when `claiming` holds the planner's claim, which `hearing`
@@ -34,6 +34,7 @@
 //! `docs/PLATFORM.md` has the design.
 
 mod admission;
+mod admit;
 mod allowance;
 mod attempt;
 mod chooser;
@@ -60,6 +61,7 @@
 mod metrics;
 mod orders;
 mod orgs;
+mod parts;
 mod peers;
 mod pulse;
 mod reading;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -15,7 +15,6 @@
 };
 use crate::peers::Peers;
 use crate::seats::{Seats, SILENT_MS};
-use shaleline_route::Part;
 use shaleline_types::{DataCentre, Instance, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,8 +37,8 @@
 const MOST_SOURCES: usize = 2;
 
 #[derive(Debug, Clone)]
-struct Told {
-    at: Millis,
+pub(crate) struct Told {
+    pub(crate) at: Millis,
     /// The life of the daemon that told it.
     life: u64,
     note: LoadNote,
@@ -56,28 +55,16 @@
     }
 }
 
-/// A daemon that said whom it takes for its hub counts there for so long; in that time it may have
-/// moved to another.
-const VOTE_MS: u64 = 700;
-
-/// How many daemons a data centre has is remembered for so long, as daemons are themselves: those
-/// that are cut off are not heard, and keep their part.
-const NEAR_MS: u64 = 120_000;
-
-/// A daemon that knows of others, hears none and was never told how many there are takes its data
-/// centre for one of so many at least.
-const CUT_OFF: u32 = 100;
-
 /// What this daemon knows of the others.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    me: Sender,
-    peers: Peers,
+    pub(crate) me: Sender,
+    pub(crate) peers: Peers,
     seats: Seats,
     /// What the daemons of this data centre told, where this one is their hub.
-    notes: BTreeMap<Instance, Told>,
+    pub(crate) notes: BTreeMap<Instance, Told>,
     /// What the other hubs told.
-    sums: BTreeMap<DataCentre, (Instance, Told)>,
+    pub(crate) sums: BTreeMap<DataCentre, (Instance, Told)>,
     /// The hubs that this daemon's hub named last.
     hubs: Vec<SocketAddr>,
     /// The other hubs that read the store themselves, and when they last said so.
@@ -95,7 +82,7 @@
     /// What this daemon itself told last.
     own: UpstreamNotes,
     /// How many daemons this data centre has, and when that was told.
-    near: (Millis, u32),
+    pub(crate) near: (Millis, u32),
 }
 
 /// Whom news of the planner concerns.
@@ -186,7 +173,7 @@
     }
 
     /// The address of the hub of this data centre, where it is another daemon.
-    fn own_hub(&mut self, now: Millis) -> Option<SocketAddr> {
+    pub(crate) fn own_hub(&mut self, now: Millis) -> Option<SocketAddr> {
         let hub = self.near_hub(now)?;
         self.peers.address(&hub)
     }
@@ -213,13 +200,13 @@
     }
 
     /// Whether this daemon is the hub of its data centre, whoever else takes it for one.
-    fn sits(&mut self, now: Millis) -> bool {
+    pub(crate) fn sits(&mut self, now: Millis) -> bool {
         let hub = self.near_hub(now);
         hub.is_none_or(|h| h == self.me.instance) && !self.seats.has_resigned()
     }
 
     /// The hubs that this daemon hears, itself included, where it is one.
-    fn heard_hubs(&self, now: Millis) -> Vec<SocketAddr> {
+    pub(crate) fn heard_hubs(&self, now: Millis) -> Vec<SocketAddr> {
         let fresh = |(_, told): &&(Instance, Told)| now.since(told.at) < SILENT_MS;
         let others = self.sums.values().filter(fresh);
         let others = others.filter_map(|(i, _)| self.peers.address(i));
@@ -254,7 +241,7 @@
     }
 
     /// The hubs as far as they are known, this daemon left out.
-    fn known_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
+    pub(crate) fn known_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut hubs: Vec<SocketAddr> = self.own_hub(now).into_iter().collect();
         hubs.extend(self.hubs.iter().copied());
         hubs.sort_unstable();
@@ -526,60 +513,6 @@
         });
     }
 
-    /// How many daemons this data centre has, as its hub told lately.
-    fn near_told(&self, now: Millis) -> u32 {
-        let (at, near) = self.near;
-        match now.since(at) < NEAR_MS {
-            true => near,
-            false => 0,
-        }
-    }
-
-    /// How many daemons of this data centre are known, alive or not, this one included.
-    fn near_known(&self, now: Millis) -> u32 {
-        let others = self.peers.near(&self.me.centre).count() as u32;
-        (1 + others).max(self.near_told(now))
-    }
-
-    /// The part of all allowances that this daemon may grant from: that of its data centre, as far
-    /// as its daemons have told this one that they take it for their hub. Each tells one only, so
-    /// the parts of two that take themselves for the hub add up to no more.
-    pub(crate) fn granted_part(&mut self, centres: usize, now: Millis) -> Part {
-        let own = usize::from(self.sits(now));
-        let fresh = |t: &&Told| now.since(t.at) < VOTE_MS;
-        let votes = own + self.notes.values().filter(fresh).count();
-        let hears = votes > own || self.sums.values().any(|(_, t)| fresh(&t));
-        let told = hears || self.near_told(now) > 0 || self.peers.len() == 0;
-        let known = match told {
-            true => self.near_known(now),
-            false => self.near_known(now).max(CUT_OFF),
-        };
-        let centres = centres.max(self.peers.centres().count());
-        Part {
-            of_all: (votes as f64 / f64::from(known)).min(1.0) / centres as f64,
-            daemons: self.alive().max(self.known()),
-        }
-    }
-
-    /// Those that keep a part of the allowances, the one of this data centre first.
-    pub(crate) fn granters(&mut self, now: Millis) -> Vec<SocketAddr> {
-        let first = match self.sits(now) {
-            true => Some(self.me.address),
-            false => self.own_hub(now),
-        };
-        let mut others = self.known_hubs(now);
-        if self.sits(now) {
-            others = self.heard_hubs(now);
-        }
-        others.retain(|o| Some(*o) != first);
-        let mut all: Vec<SocketAddr> = first.into_iter().chain(others).collect();
-        // Cut off, a daemon has what would be its own part.
-        if !all.contains(&self.me.address) {
-            all.push(self.me.address);
-        }
-        all
-    }
-
     /// Where to send news of the planner: to all of this data centre and the other hubs, or
     /// to the hub, which passes them on.
     pub(crate) fn spread(&mut self, concerns: Concerns, now: Millis) -> Vec<SocketAddr> {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,14 +4,13 @@
 //! who goes before it, `attempt` sends it, `relay`
 //! passes a stream on, `refuse` answers where no upstream did.
 
-use crate::admission;
 use crate::attempt::{self, Ended};
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
-use crate::{Head, RouteRule, Table};
+use crate::{Head, Table};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -20,7 +19,7 @@
 use shaleline_edge::{CallerAddress, Handler, Reply};
 use shaleline_fleet::Vacancy;
 use shaleline_route::{AttemptNumber, End, RouteAction};
-use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, Org, RequestId, Upstream};
+use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -162,47 +161,12 @@
         Ok(job) => job,
         Err(refusal) => return refuse::early(gw, &id, &refusal),
     };
-    match charge(gw, &table, job).await {
+    match gw.charge_job(&table, job).await {
         Ok(job) => serve(gw, job).await,
         Err(refusal) => refuse::early(gw, &id, &refusal),
     }
 }
 
-/// Charges a request to its organisation.
-async fn charge(gw: &Gateway, table: &Table, mut job: Job) -> Result<Job, Refusal> {
-    let rule = job.org.as_ref().zip(table.orgs.as_ref());
-    if let Some(rule) = rule.and_then(|(name, orgs)| orgs.get(name)) {
-        let charge = gw.charge(rule, job.head.tokens()).await;
-        let code = charge.as_ref().map_or_else(Refusal::code, |_| "admitted");
-        gw.metrics.count_admission(&rule.name, code);
-        job.charge = charge?;
-    }
-    Ok(job)
-}
-
-impl Gateway {
-    /// Whom a request is from by the configuration in force now.
-    fn judge(&self, table: &Table, rule: &RouteRule, head: &Head) -> Result<Option<Org>, Refusal> {
-        let bounds = self.bounds.borrow();
-        let (revocation, apply) = (bounds.revocation, bounds.apply);
-        let orgs = table.orgs.as_ref();
-        let org = admission::judge(orgs, rule, head, revocation, apply, self.config_age());
-        org.map(|o| o.map(|o| o.name.clone())).map_err(Refusal::new)
-    }
-
-    /// Looks again whether a request that waited may be sent: its key may have been taken away.
-    pub(crate) fn readmit(&self, job: &Job) -> Result<(), Refusal> {
-        let Some(table) = self.table() else {
-            return Err(Refusal::new(ErrorKind::NotReady));
-        };
-        let org = self.judge(&table, &job.rule, &job.head)?;
-        match org == job.org {
-            true => Ok(()),
-            false => Err(Refusal::new(ErrorKind::KeyUnknown)),
-        }
-    }
-}
-
 fn host_of(request: &Request<Incoming>) -> &str {
     let header = request.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = header.or_else(|| request.uri().host()).unwrap_or_default();
