Tell the longest time for requests that no granter can ever hold

A request larger than what a granter holds and may owe was denied with a time to come back of 1 ms: the time was counted to a full bucket, which it was.

--- a/crates/route/src/granter.rs
+++ b/crates/route/src/granter.rs
@@ -11,9 +11,6 @@
 /// The longest time to come back that is told: callers do not wait longer.
 const MOST_WAIT: Millis = Millis(5_000);
 
-/// An account that was not asked for this long is dropped: it would be full.
-const IDLE_MS: u64 = 120_000;
-
 /// The part of all allowances that a granter keeps.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Part {
@@ -91,8 +88,7 @@
             self.kept = 0.0;
         }
         self.accounts.retain(|org, account| {
-            let idle = now.since(account.bucket.last()) >= IDLE_MS;
-            let allowance = allowance_of(org).filter(|_| !idle);
+            let allowance = allowance_of(org);
             if let Some(allowance) = allowance {
                 refill(account, &allowance, before, tolerance, now);
                 // A smaller part holds less.
@@ -124,9 +120,9 @@
         let cost = need as f64;
         let most = capacity(allowance, part, tolerance);
         let uses = tolerance.uses(allowance, part.daemons);
-        let debt = uses.debt * part.of_all;
-        let enough = account.bucket.level() >= cost.min(most);
-        if part.of_all > 0.0 && enough && account.bucket.level() - cost >= -debt {
+        // A request that is larger than all it may hold goes into debt.
+        let least = cost.min(most).max(cost - uses.debt * part.of_all);
+        if part.of_all > 0.0 && account.bucket.level() >= least {
             account.bucket.take(cost);
             let credit = uses.credit - held as f64;
             // What others may need at once is not given away in advance.
@@ -135,7 +131,10 @@
             account.bucket.take(advance);
             return Grant::Granted(need + advance as u64);
         }
-        Grant::Denied(book(account, allowance, part, cost.min(most), now))
+        if least > most {
+            return Grant::Denied(MOST_WAIT);
+        }
+        Grant::Denied(book(account, allowance, part, least, now))
     }
 
     /// Takes back what was granted for a request that did not run.
--- a/crates/route/tests/allowance.rs
+++ b/crates/route/tests/allowance.rs
@@ -108,6 +108,13 @@
     }
 }
 
+/// What is larger than all that may be held never gets through: it is not told to come back at once.
+#[test]
+fn what_can_not_be_granted_is_told_the_longest_time() {
+    let answer = granter(10_000).ask(&org(), &SMALL, 100_000, 0, START.plus(10_000));
+    assert_eq!(answer, Grant::Denied(Millis(5_000)));
+}
+
 /// One granter after the other is asked, and none again while it is known to have nothing.
 #[test]
 fn one_granter_after_the_other_is_asked() {
