Let a daemon that keeps no part of the allowances deny nothing

Cause: a daemon that had just become a hub, asked before any daemon had told it so, denied with the longest time to come back, 5 s, and daemons asked it no more for as long.

Change: such a daemon answers that it keeps nothing, and the next one is asked.

--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -233,7 +233,7 @@
             Some(Grant::Denied(wait)) => {
                 DrawReply::Denied(u32::try_from(wait.0).unwrap_or(u32::MAX))
             }
-            None => DrawReply::Unknown,
+            Some(Grant::Nothing) | None => DrawReply::Unknown,
         };
         self.send(vec![(from.address, Message::Drawn(ticket, reply))]);
     }
--- a/crates/route/src/credit.rs
+++ b/crates/route/src/credit.rs
@@ -137,6 +137,7 @@
                 }
                 self.next(credits, now)
             }
+            Grant::Nothing => self.next(credits, now),
         }
     }
 }
--- a/crates/route/src/granter.rs
+++ b/crates/route/src/granter.rs
@@ -35,6 +35,8 @@
     Granted(u64),
     /// Not now; when to come back.
     Denied(Millis),
+    /// It keeps no part, so it can neither grant nor deny.
+    Nothing,
 }
 
 #[derive(Debug)]
@@ -115,6 +117,9 @@
         now: Millis,
     ) -> Grant {
         let (part, tolerance) = (self.part, self.tolerance);
+        if part.of_all <= 0.0 {
+            return Grant::Nothing;
+        }
         let account = self.account(org, allowance, now);
         refill(account, allowance, part, tolerance, now);
         let cost = need as f64;
@@ -122,7 +127,7 @@
         let uses = tolerance.uses(allowance, part.daemons);
         // A request that is larger than all it may hold goes into debt.
         let least = cost.min(most).max(cost - uses.debt * part.of_all);
-        if part.of_all > 0.0 && account.bucket.level() >= least {
+        if account.bucket.level() >= least {
             account.bucket.take(cost);
             let credit = uses.credit - held as f64;
             // What others may need at once is not given away in advance.
