Look up an organisation's rule once, and whom a daemon follows once

What a reading of the change found; behaviour is as before. - Who keeps no part was left out of those to ask by a check of its own; since a granter answers that it keeps nothing, the check is not needed. - judge gives the organisation's rule, not a copy of its name that is looked up again; readmit, on each send, copies nothing. - take_echo asked again whom this daemon follows; take_mark takes the echo in. - addresses is a part of near; granters weighed both lists of hubs for one.

--- a/crates/bench/src/allowance_ways.rs
+++ b/crates/bench/src/allowance_ways.rs
@@ -257,12 +257,7 @@
         let mut draw = Draw::new(name.clone(), cost, &addresses);
         let mut step = draw.next(&mut self.credits[daemon], state.now);
         let mut asked = false;
-        loop {
-            let at = match step {
-                DrawStep::Ask(at) => at,
-                DrawStep::Admit => break,
-                DrawStep::Refuse(_) | DrawStep::Unanswered => break,
-            };
+        while let DrawStep::Ask(at) = step {
             let place = addresses.iter().position(|a| *a == at);
             let granter = granters[place.expect("one of them")];
             let remote = granter != daemon;
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -4,8 +4,8 @@
 use crate::job::Job;
 use crate::refuse::Refusal;
 use crate::state::Gateway;
-use crate::{Head, RouteRule, Table};
-use shaleline_types::{ErrorKind, Org};
+use crate::{Head, OrgRule, RouteRule, Table};
+use shaleline_types::ErrorKind;
 
 impl Gateway {
     /// Charges a request to its organisation.
@@ -21,17 +21,17 @@
     }
 
     /// Whom a request is from by the configuration in force now.
-    pub(crate) fn judge(
+    pub(crate) fn judge<'a>(
         &self,
-        table: &Table,
+        table: &'a Table,
         rule: &RouteRule,
         head: &Head,
-    ) -> Result<Option<Org>, Refusal> {
+    ) -> Result<Option<&'a OrgRule>, Refusal> {
         let bounds = self.bounds.borrow();
         let (revocation, apply) = (bounds.revocation, bounds.apply);
         let orgs = table.orgs.as_ref();
         let org = admission::judge(orgs, rule, head, revocation, apply, self.config_age());
-        org.map(|o| o.map(|o| o.name.clone())).map_err(Refusal::new)
+        org.map_err(Refusal::new)
     }
 
     /// Looks again whether a request that waited may be sent: its key may have been taken away.
@@ -40,7 +40,7 @@
             return Err(Refusal::new(ErrorKind::NotReady));
         };
         let org = self.judge(&table, &job.rule, &job.head)?;
-        match org == job.org {
+        match org.map(|o| &o.name) == job.org.as_ref() {
             true => Ok(()),
             false => Err(Refusal::new(ErrorKind::KeyUnknown)),
         }
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -161,9 +161,6 @@
         let now = self.now();
         let mut all = self.mesh.borrow_mut().granters(now);
         let allowances = self.allowances.borrow();
-        // Who keeps no part can deny nothing.
-        let keeps = allowances.granter.part().of_all > 0.0;
-        all.retain(|a| *a != self.me.address || keeps);
         let doubted = |a: &SocketAddr| allowances.doubt.get(a).is_some_and(|until| now < *until);
         all.sort_by_key(doubted);
         all
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -242,12 +242,11 @@
             gw.mesh.borrow_mut().on_total(&from, &total, now);
             correct_hub(gw, &from, now);
             gw.compare_crashes(&from, total.crashes);
-            take_mark(gw, &from, total.mark, now);
-            take_echo(gw, &from, total.mark, total.echo, now);
+            take_mark(gw, &from, total.mark, total.echo, now);
         }
         Message::Crashes { notes } => gw.take_crash_notes(Some(&from), notes),
         Message::CrashesWanted { all } => gw.answer_crashes(&from, all),
-        Message::Marked(mark) => take_mark(gw, &from, Some(mark), now),
+        Message::Marked(mark) => take_mark(gw, &from, Some(mark), None, now),
         Message::Hello => greet(gw, &from, now),
         Message::Members(note) => {
             gw.mesh.borrow_mut().on_members(&note, now);
@@ -302,23 +301,7 @@
     let (mark, echo) = (note.mark, note.echo);
     correct_hub(gw, from, now);
     gw.mesh.borrow_mut().on_sum(from, note, now);
-    take_mark(gw, from, mark, now);
-    take_echo(gw, from, mark, echo, now);
-}
-
-/// Takes in as of when the configuration was certainly the newest: what came after a note of this
-/// daemon is no older than that, however long it was on its way.
-fn take_echo(gw: &Gateway, from: &Sender, mark: Option<Mark>, echo: Option<Echo>, now: Millis) {
-    let follows = gw.mesh.borrow_mut().follows(&from.instance, now);
-    let echo = echo.filter(|e| follows && e.life == gw.me.life);
-    let (Some(mark), Some(echo)) = (mark, echo) else {
-        return;
-    };
-    if let Some(age) = mark.certain_age {
-        let told = echo.sent.plus(u64::from(echo.held));
-        let at = Millis(told.0.saturating_sub(u64::from(age)));
-        gw.reading.borrow_mut().on_certain(mark.config, at);
-    }
+    take_mark(gw, from, mark, echo, now);
 }
 
 /// Names the hub to a daemon that speaks as one beside it.
@@ -329,13 +312,23 @@
 }
 
 /// Takes in how far the one that this daemon follows knows the store.
-fn take_mark(gw: &Gateway, from: &Sender, mark: Option<Mark>, now: Millis) {
+fn take_mark(gw: &Gateway, from: &Sender, mark: Option<Mark>, echo: Option<Echo>, now: Millis) {
     let follows = gw.mesh.borrow_mut().follows(&from.instance, now);
-    if let (true, Some(mark)) = (follows, mark) {
-        let came = gw.came_at();
-        gw.reading.borrow_mut().on_mark(from.life, mark, came);
-        gw.marked.notify_waiters();
+    let Some(mark) = mark.filter(|_| follows) else {
+        return;
+    };
+    let came = gw.came_at();
+    let mut reading = gw.reading.borrow_mut();
+    reading.on_mark(from.life, mark, came);
+    let echo = echo.filter(|e| e.life == gw.me.life);
+    if let (Some(echo), Some(age)) = (echo, mark.certain_age) {
+        // What came after a note of this daemon is no older than that, however long it was on its way.
+        let told = echo.sent.plus(u64::from(echo.held));
+        let at = Millis(told.0.saturating_sub(u64::from(age)));
+        reading.on_certain(mark.config, at);
     }
+    drop(reading);
+    gw.marked.notify_waiters();
 }
 
 /// Tells a daemon that starts who the hubs are, once this one knows.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -106,7 +106,8 @@
     Granted(Org, u64),
     /// Not now; when to come back, in milliseconds.
     Denied(u32),
-    /// The organisation is not known here, or has no limit.
+    /// Nothing is kept here to answer by: the organisation is not known, has no limit, or this daemon keeps
+    /// no part of its allowance.
     Unknown,
 }
 
--- a/crates/gateway/src/parts.rs
+++ b/crates/gateway/src/parts.rs
@@ -58,14 +58,10 @@
 
     /// Those that keep a part of the allowances, the one of this data centre first.
     pub(crate) fn granters(&mut self, now: Millis) -> Vec<SocketAddr> {
-        let first = match self.sits(now) {
-            true => Some(self.me.address),
-            false => self.own_hub(now),
+        let (first, mut others) = match self.sits(now) {
+            true => (Some(self.me.address), self.heard_hubs(now)),
+            false => (self.own_hub(now), self.known_hubs(now)),
         };
-        let mut others = self.known_hubs(now);
-        if self.sits(now) {
-            others = self.heard_hubs(now);
-        }
         others.retain(|o| Some(*o) != first);
         let mut all: Vec<SocketAddr> = first.into_iter().chain(others).collect();
         // Cut off, a daemon has what would be its own part.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -158,8 +158,7 @@
 
     /// The addresses of the daemons of a data centre, this one left out.
     pub(crate) fn addresses(&self, centre: &DataCentre) -> Vec<SocketAddr> {
-        let near = self.ranked(centre).filter_map(|n| self.all.get(n));
-        near.map(|p| p.address).collect()
+        self.near(centre).map(|(_, address)| address).collect()
     }
 
     /// The daemons of a data centre with their addresses, this one left out.
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -74,7 +74,7 @@
 /// Refuses a request that has no place in the router.
 pub(crate) fn early(gw: &Gateway, id: &str, refusal: &Refusal) -> Reply {
     if gw.lines.take(gw.now()) {
-        let code = refusal.kind.answer().code;
+        let code = refusal.code();
         let org = refusal.org.as_ref().map_or("none", |o| o.as_str());
         let detail = format!("id={id} code={code} org={org} reason={:?}", refusal.reason);
         emit(LogEvent::RequestRefused, &detail);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -192,10 +192,10 @@
         .ok_or_else(|| Refusal::new(ErrorKind::NotFound))?
         .clone();
     let org = gw.judge(table, &rule, &head)?;
-    let orgs = org.as_ref().zip(table.orgs.as_ref());
-    if let Some(priority) = orgs.and_then(|(name, orgs)| orgs.get(name)?.priority) {
+    if let Some(priority) = org.and_then(|o| o.priority) {
         rule.priority = priority;
     }
+    let org = org.map(|o| o.name.clone());
     let service = rule.pick(gw.draw()).cloned();
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoUpstream))?;
     let patience = head.patience.unwrap_or(PATIENCE).min(rule.timeout);
