Count in the catalogue plays what callers lose, and take a seed by hand

The plays told how many adapters were never served and the longest wait, not how many callers were refused twice nor how many loads nobody used. They print both, and the time without a planner. A seed is played by hand with PLAY and SEED (an ignored test); checks, bound and seeds are as they were.

--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -80,6 +80,7 @@
     println!(
         "{never} of {count} never served, longest wait {longest} ms, {orders} orders\n{worst}"
     );
+    println!("{}", world.outcomes);
     assert_eq!(never, 0, "of {count} never served");
     assert!(
         longest <= BOUND,
@@ -186,3 +187,25 @@
     all_is_served_before_295_daemons_where_engines_end_seed_2004: (LARGE, 2004) => true,
     all_is_served_before_295_daemons_where_engines_end_seed_4004: (LARGE, 4004) => true,
 }
+
+/// The plays by name, for seeds that are given by hand.
+const PLAYS: [(&str, fn((Size, u64)) -> bool); 4] = [
+    ("planner_is_cut_off", planner_is_cut_off),
+    ("calm", calm),
+    ("replaced_in_turn", replaced_in_turn),
+    ("engines_end", engines_end),
+];
+
+/// Plays a seed of the largest deployment: `PLAY` names the play and `SEED` the seed.
+#[test]
+#[ignore = "takes a minute and a seed: PLAY=replaced_in_turn SEED=5003"]
+fn all_is_served_before_295_daemons_with_the_seed_given() {
+    let given = |key: &str| std::env::var(key).unwrap_or_else(|_| panic!("{key} is not set"));
+    let seed = given("SEED").parse().expect("SEED is a number");
+    let name = given("PLAY");
+    let (_, play) = PLAYS
+        .iter()
+        .find(|(known, _)| *known == name)
+        .unwrap_or_else(|| panic!("PLAY={name} is none of the plays"));
+    assert!(play((LARGE, seed)));
+}
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -23,7 +23,8 @@
 use shaleline_edge::{Clock, Time};
 use shaleline_fleet::{Order, OrderReply};
 use shaleline_types::{DataCentre, Millis, Service, Upstream};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -114,6 +115,69 @@
     pub longest: u64,
 }
 
+/// What became of callers and of the adapters that were loaded for them.
+#[derive(Debug, Clone, Default)]
+pub struct Outcomes {
+    pub callers: usize,
+    /// Callers who were refused once and served when they came back.
+    pub second: usize,
+    /// Callers who were refused again when they came back.
+    pub lost: usize,
+    /// Loads of adapters.
+    pub loads: usize,
+    /// Adapters whose only copy was dropped before any caller found it.
+    pub unused: usize,
+    /// How long no daemon could order after traffic began, in milliseconds.
+    pub vacant: u64,
+    /// Adapters that were loaded and that no caller has found yet.
+    fresh: BTreeSet<Key>,
+}
+
+impl Outcomes {
+    /// Notes an order and whether any engine serves what it is about now.
+    fn note_order(&mut self, key: &Key, order: &Order, reply: OrderReply, served: bool) {
+        if order.adapter.is_some() && reply == OrderReply::Accepted {
+            self.loads += 1;
+            if !served {
+                self.fresh.insert(key.clone());
+            }
+        } else if order.drops_adapter() && reply == OrderReply::Done && !served {
+            self.unused += usize::from(self.fresh.remove(key));
+        }
+    }
+
+    fn note_caller(&mut self, key: &Key, came_back: bool, served: bool) {
+        self.callers += usize::from(!came_back);
+        match (came_back, served) {
+            (true, true) => self.second += 1,
+            (true, false) => self.lost += 1,
+            (false, _) => {}
+        }
+        if served {
+            self.fresh.remove(key);
+        }
+    }
+}
+
+impl fmt::Display for Outcomes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            callers,
+            second,
+            lost,
+            loads,
+            unused,
+            vacant,
+            ..
+        } = self;
+        write!(
+            f,
+            "{callers} callers, {second} served when they came back, {lost} refused again; \
+             {loads} loads, {unused} dropped unused; {vacant} ms without a planner"
+        )
+    }
+}
+
 pub struct World {
     size: Size,
     hand: Rc<Hand>,
@@ -136,6 +200,7 @@
     count: u64,
     due: f64,
     pub orders: usize,
+    pub outcomes: Outcomes,
     /// The part of the packets between data centres that is lost.
     pub lossy: f64,
 }
@@ -168,6 +233,7 @@
             count: 0,
             due: 0.0,
             orders: 0,
+            outcomes: Outcomes::default(),
             lossy: 0.0,
         };
         for index in 0..size.daemons {
@@ -331,6 +397,8 @@
                 }
             }
             if self.now() > TRAFFIC {
+                let vacant = self.planner().is_none();
+                self.outcomes.vacant += if vacant { STEP } else { 0 };
                 self.call();
             }
             if self.now() % WAITS_LOOK == 0 {
@@ -519,6 +587,8 @@
         note_leaving(gw, working, service, order);
         let (reply, done) = self.engines.take(order, now);
         let key = (order.model.clone(), order.adapter.clone());
+        let served = self.engines.serves(&key);
+        self.outcomes.note_order(&key, order, reply, served);
         let history = self.history.entry(key).or_default();
         history.push(format!("{now} {order}: {reply:?}"));
         gw.with_fleet(&order.engine, |f| f.note_reply(order, reply, gw.now()));
@@ -574,6 +644,7 @@
         };
         note_demand(gw, &asked_for);
         let served = self.engines.serves(&key);
+        self.outcomes.note_caller(&key, came_back, served);
         let history = self.history.entry(key.clone()).or_default();
         history.push(format!("{now} asked again={came_back} served={served}"));
         let told = match self.engines.serves(&(key.0.clone(), None)) {
