Tell when the first caller comes back, not only the last, and after one was served

What callers saw: refused, told a time, they came back at it and were refused again, though a planner worked. Two callers of one adapter were told different times after seconds without a planner; only the last was awaited, so the first found the place taken. And once any caller was served, the daemon forgot what it had told the others.

Cause: Unmet held one time to come back, the latest; UnmetDemand removed the key when a caller was served.

Change: a daemon keeps when each comes back (eight at most), tells the first and the last, and goes on telling after one is served; such a key counts no tries, so it weighs nothing else.

--- a/crates/fleet/src/unmet.rs
+++ b/crates/fleet/src/unmet.rs
@@ -11,6 +11,9 @@
 /// Nobody comes back after so long without an attempt: what was asked for is given up.
 const FORGET_MS: u64 = 30_000;
 
+/// So many callers of one adapter who come back are told apart; a rare one has few.
+const MOST_BACKS: usize = 8;
+
 /// A model, and an adapter of it where one is asked for.
 type Key = (Model, Option<Adapter>);
 
@@ -21,10 +24,12 @@
     pub waited: u32,
     /// The time since the last, in milliseconds.
     pub last: u32,
-    /// Their attempts.
+    /// Their attempts; none where one was served since and others are told to come back.
     pub tries: u32,
-    /// The time until the last of those that were told to comes back, in milliseconds; 0 where that is
-    /// over.
+    /// The time until the first of those that were told to comes back, in milliseconds; 0 where all are
+    /// back.
+    pub next: u32,
+    /// The same for the last of them.
     pub back: u32,
 }
 
@@ -34,20 +39,56 @@
         self.waited = self.waited.max(other.waited);
         self.last = self.last.min(other.last);
         self.tries = self.tries.saturating_add(other.tries);
+        self.next = match (self.next, other.next) {
+            (0, next) | (next, 0) => next,
+            (a, b) => a.min(b),
+        };
         self.back = self.back.max(other.back);
     }
+
+    /// The same as of `age` milliseconds later: what is passed on has grown old meanwhile.
+    #[must_use]
+    pub fn aged(self, age: u32) -> Self {
+        Self {
+            waited: self.waited.saturating_add(age),
+            last: self.last.saturating_add(age),
+            tries: self.tries,
+            next: self.next.saturating_sub(age),
+            back: self.back.saturating_sub(age),
+        }
+    }
 }
 
 /// What is unmet of each model and adapter.
 pub type UnmetByKey = BTreeMap<Key, Unmet>;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Vain {
     first: Millis,
     last: Millis,
     tries: u32,
-    /// When the last of them comes back.
-    back: Millis,
+    /// When those come back who have not yet, the first one first.
+    backs: Vec<Millis>,
+}
+
+impl Vain {
+    /// Notes when a caller comes back. Of too many the first ones and the last are kept.
+    fn note_back(&mut self, back: Millis, now: Millis) {
+        self.backs.retain(|b| *b > now);
+        let at = self.backs.partition_point(|b| *b <= back);
+        self.backs.insert(at, back);
+        if self.backs.len() > MOST_BACKS {
+            self.backs.remove(MOST_BACKS - 1);
+        }
+    }
+
+    /// The time until a caller comes back, in milliseconds; the first one first.
+    fn backs(&self, now: Millis) -> impl DoubleEndedIterator<Item = u64> + '_ {
+        self.backs
+            .iter()
+            .map(move |b| b.since(now))
+            .filter(|b| *b > 0)
+    }
 }
 
 /// What the callers of one daemon asked for in vain.
@@ -65,17 +106,25 @@
             first: now,
             last: now,
             tries: 0,
-            back: now,
+            backs: Vec::new(),
         });
         vain.last = now;
-        vain.back = vain.back.max(now.plus(retry.0));
         vain.tries += 1;
+        vain.note_back(now.plus(retry.0), now);
     }
 
-    /// Notes that a caller was served.
-    pub fn on_served(&mut self, model: &Model, adapter: Option<&Adapter>) {
-        if !self.keys.is_empty() {
-            self.keys.remove(&(model.clone(), adapter.cloned()));
+    /// Notes that a caller was served. Others who were told to come back still do.
+    pub fn on_served(&mut self, model: &Model, adapter: Option<&Adapter>, now: Millis) {
+        if self.keys.is_empty() {
+            return;
+        }
+        let key = (model.clone(), adapter.cloned());
+        if let Some(vain) = self.keys.get_mut(&key) {
+            vain.first = now;
+            vain.tries = 0;
+            if vain.backs(now).next().is_none() {
+                self.keys.remove(&key);
+            }
         }
     }
 
@@ -91,7 +140,8 @@
             waited: age(v.first),
             last: age(v.last),
             tries: v.tries,
-            back: millis(v.back.since(now)),
+            next: millis(v.backs(now).next().unwrap_or(0)),
+            back: millis(v.backs(now).next_back().unwrap_or(0)),
         };
         let told = all.into_iter();
         told.map(|((m, a), v)| (m, a.as_ref(), unmet(v))).collect()
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -233,8 +233,8 @@
             waited: age,
             last: age,
             tries: 1,
-            // Whoever waits for it is told to come back, or waits on, for so long.
-            back: (ADAPTER.0 as u32).saturating_sub(age),
+            next: back,
+            back,
         };
         let known = unmet.entry(key);
         known.and_modify(|u| u.add(wanted)).or_insert(wanted);
@@ -246,6 +246,8 @@
     let mut orders = Vec::new();
     let Some(table) = gw.table() else {
         return orders;
+        // Whoever waits for it is told to come back, or waits on, for so long.
+        let back = (ADAPTER.0 as u32).saturating_sub(age);
     };
     let mut planners = working.planners.borrow_mut();
     let mut notes = Vec::new();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -412,7 +412,8 @@
     pub(crate) fn note_met(&self, job: &Job) {
         if let Some(model) = &job.head.model {
             let adapter = job.head.adapter.as_ref();
-            self.unmet.borrow_mut().on_served(model, adapter);
+            let mut unmet = self.unmet.borrow_mut();
+            unmet.on_served(model, adapter, self.now());
         }
     }
 
