Load adapters for callers who come back, and drop none for a wait that nobody ends

Change: a wait takes the place of another only where a caller was refused; what is loaded for it stays for the mean time between its callers (five seconds at most), in half of an engine's places at most, and makes room only for callers who are about to come back. Who was told a time is awaited, whatever was there in between. In the three seconds after a planner died its successor makes room for callers of the next five.

Ruled out: leaving a wait of five seconds without any claim: an adapter that is asked for rarely would wait for good (an_adapter_makes_room_for_one_that_was_waited_for_long holds as it was).

--- a/crates/bench/src/plans.rs
+++ b/crates/bench/src/plans.rs
@@ -200,6 +200,7 @@
             holder: "me",
             lead: LeadTime::Over,
             resting: &BTreeMap::new(),
+            succeeds: false,
         };
         let orders = self.planner.plan(&view, &mut self.window, now);
         let micros = began.elapsed().as_micros() as f64;
--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -16,6 +16,9 @@
 /// come back for it: its next caller should find it.
 const OVERDUE_MS: u64 = 5_000;
 
+/// At most one in so many of an engine's places is kept for callers who may come, and were told no time.
+const KEPT_PART: usize = 2;
+
 /// An adapter that is asked for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asked<'a> {
@@ -35,12 +38,27 @@
         (Reverse(wait), self.work)
     }
 
-    /// Whether another adapter that is asked for may make room for it.
-    fn is_urgent(&self) -> bool {
-        self.wait.is_some_and(|w| w.due || w.waited >= OVERDUE_MS)
+    /// Which adapters may make room for it.
+    fn claim(&self) -> Claim {
+        match self.wait {
+            Some(w) if w.due => Claim::Due,
+            Some(w) if w.soon || (w.refused && w.waited >= OVERDUE_MS) => Claim::Overdue,
+            _ => Claim::Spare,
+        }
     }
 }
 
+/// Which adapters may make room for another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Claim {
+    /// Only those that nobody asks for.
+    Spare,
+    /// Also those that are asked for, unless they were loaded for a wait a moment ago.
+    Overdue,
+    /// All but those for which a caller is about to come back.
+    Due,
+}
+
 /// How many engines have each adapter.
 pub(crate) type AdapterCopies<'a> = BTreeMap<(&'a Model, &'a Adapter), usize>;
 
@@ -109,7 +127,12 @@
             let victim = if used < snapshot.catalog.places {
                 None
             } else {
-                Some(self.least_missed(engine, count == 0 && asked.is_urgent())?)
+                let claim = if count == 0 {
+                    asked.claim()
+                } else {
+                    Claim::Spare
+                };
+                Some(self.least_missed(engine, claim)?)
             };
             // Engines that keep fewer places for callers who are about to come back go first.
             let kept = taken.iter().filter(|a| self.waiting.due.contains(*a));
@@ -131,7 +154,13 @@
     /// The adapter on the engine that callers miss least: one that nobody asks for. Where another is
     /// needed that is nowhere, also one that another engine has as well, or the one asked for least. The
     /// only one for which a caller is about to come back stays: that caller was told that it would be there.
-    fn least_missed(&self, engine: &'a Engine, needed: bool) -> Option<(&'a Model, &'a Adapter)> {
+    fn least_missed(&self, engine: &'a Engine, claim: Claim) -> Option<(&'a Model, &'a Adapter)> {
+        let kept = engine.certain_adapters();
+        let kept = kept.filter(|place| self.waiting.kept.contains(place));
+        let most = self.snapshot.catalog.places / KEPT_PART;
+        if claim == Claim::Overdue && kept.count() > most {
+            return None;
+        }
         let rates = self.snapshot.view.rates;
         let now = self.snapshot.now;
         let missed = engine.certain_adapters().filter_map(|place| {
@@ -140,15 +169,19 @@
                 return None;
             }
             let key = (place.0.clone(), Some(place.1.clone()));
+            let is_kept = sole && self.waiting.kept.contains(&place);
+            if is_kept && claim != Claim::Due {
+                return None;
+            }
             let is_new = now.since(engine.came(place.0, place.1)) < STAY_MS;
             let rate = rates.get(&key).map_or(0.0, |r| r.work);
-            Some(((is_new, rate > 0.0, sole), rate, place))
+            Some(([is_kept, is_new, rate > 0.0, sole], rate, place))
         });
-        let order = |a: &((bool, bool, bool), f32, _), b: &((bool, bool, bool), f32, _)| {
+        let order = |a: &([bool; 4], f32, _), b: &([bool; 4], f32, _)| {
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
         };
-        let ((is_new, ..), work, least) = missed.min_by(order)?;
-        (needed || (work == 0.0 && !is_new)).then_some(least)
+        let ([_, is_new, ..], work, least) = missed.min_by(order)?;
+        (claim != Claim::Spare || (work == 0.0 && !is_new)).then_some(least)
     }
 }
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -58,6 +58,9 @@
     /// Engines that a planner before ordered a moment ago, and until when they are left
     /// alone.
     pub resting: &'a BTreeMap<Upstream, Millis>,
+    /// Whether the planner before died a moment ago: this one may too, and nobody plans when callers
+    /// come back who were told a time.
+    pub succeeds: bool,
 }
 
 /// Proposes orders.
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -14,6 +14,13 @@
 /// and to load one takes two orders, which wait for others.
 const LEAD_MS: u64 = 600;
 
+/// Two times to come back of one adapter that are closer than this are taken for one.
+const SAME_MS: u64 = 100;
+
+/// An adapter is loaded for a caller no earlier than this before it comes back, and one that was loaded for
+/// a wait stays for its next caller no longer.
+const MOST_KEPT_MS: u64 = 5_000;
+
 /// The longest waits are told of so often, so many at a time.
 const TELL_MS: u64 = 2_000;
 const MOST_TOLD: usize = 8;
@@ -29,8 +36,12 @@
 pub(crate) struct Wait {
     /// The time since the first of them came in vain, in milliseconds.
     pub(crate) waited: u64,
+    /// Whether any was refused; else it is only asked for as its rate tells.
+    pub(crate) refused: bool,
     /// Whether one is about to come back.
     pub(crate) due: bool,
+    /// Whether one comes back within some seconds, when nobody may plan.
+    pub(crate) soon: bool,
 }
 
 /// The adapters that callers wait for, as one plan sees them.
@@ -40,17 +51,22 @@
     pub(crate) nowhere: BTreeMap<&'a Key, Wait>,
     /// Those for which a caller is about to come back, wherever they are.
     pub(crate) due: BTreeSet<(&'a Model, &'a Adapter)>,
+    /// Those that were loaded for a wait and whose next caller may still come.
+    pub(crate) kept: BTreeSet<(&'a Model, &'a Adapter)>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Known {
     /// When the first caller came in vain, where any did since it was held last.
     first: Option<Millis>,
     asked: Millis,
     held: Millis,
-    /// When the last caller that was refused comes back, and how many had been refused by then.
-    back: Option<Millis>,
-    tries: u32,
+    /// When callers that were refused come back.
+    backs: Vec<Millis>,
+    /// The mean time between two callers in vain, while it is nowhere.
+    pause: u64,
+    /// Until when it stays for its next caller, where it was loaded for a wait.
+    keep: Millis,
 }
 
 /// What a planner remembers of the adapters that callers ask for.
@@ -81,13 +97,16 @@
                 first: None,
                 asked: now,
                 held: Millis(0),
-                back: None,
-                tries: 0,
+                backs: Vec::new(),
+                pause: 0,
+                keep: Millis(0),
             });
-            known.note_back(unmet.copied(), now);
+            known.note_backs(unmet.copied(), now);
             if held {
-                known.held = now;
-                known.first = None;
+                known.note_held(now);
+                if now < known.keep || (view.succeeds && known.is_soon(now)) {
+                    waiting.kept.insert((&key.0, adapter));
+                }
             }
             if rated || unmet.is_some_and(|u| known.concerns(*u, now)) {
                 known.asked = now;
@@ -97,18 +116,21 @@
                 waiting.due.insert((&key.0, adapter));
             }
             if !held {
-                let waited = known.waited(unmet.copied(), rated, now);
-                let wait = waited.map(|waited| (key, Wait { waited, due }));
-                waiting.nowhere.extend(wait);
+                let refused = unmet.is_some_and(|u| known.concerns(*u, now));
+                let soon = view.succeeds && known.is_soon(now);
+                let told = unmet.copied().filter(|_| refused || due || soon);
+                let waited = known.waited(told, rated, now);
+                let wait = |waited| Wait {
+                    waited,
+                    refused,
+                    due,
+                    soon,
+                };
+                waiting.nowhere.extend(waited.map(|w| (key, wait(w))));
             }
         }
-        self.known.retain(|key, known| {
-            // Whoever comes next is the first again.
-            if !view.unmet.contains_key(key) {
-                known.tries = 0;
-            }
-            now.since(known.asked) < FORGET_MS
-        });
+        let is_asked = |known: &Known| now.since(known.asked) < FORGET_MS;
+        self.known.retain(|_, known| is_asked(known));
         waiting
     }
 
@@ -158,34 +180,50 @@
 impl Known {
     /// Whether somebody asked in vain after it was held last.
     fn concerns(&self, unmet: Unmet, now: Millis) -> bool {
-        now.since(self.held) > u64::from(unmet.last)
+        unmet.tries > 0 && now.since(self.held) > u64::from(unmet.last)
     }
 
-    /// Notes when the last caller comes back. What daemons say of one is some hundred milliseconds old
-    /// and is repeated, so it counts when it is heard first.
-    fn note_back(&mut self, unmet: Option<Unmet>, now: Millis) {
-        let tries = unmet.map_or(0, |u| u.tries);
-        if let Some(unmet) = unmet.filter(|u| u.back > 0 && u.tries > self.tries) {
-            let back = now.plus(u64::from(unmet.back));
-            self.back = self.back.max(Some(back));
+    /// Notes when callers come back. What is told again of one differs by what datagrams take.
+    fn note_backs(&mut self, unmet: Option<Unmet>, now: Millis) {
+        self.backs.retain(|at| now.since(*at) < LATE_MS);
+        let told = unmet.into_iter().flat_map(|u| [u.next, u.back]);
+        for at in told.filter(|t| *t > 0).map(|t| now.plus(u64::from(t))) {
+            let is_same = |known: &Millis| known.since(at).max(at.since(*known)) < SAME_MS;
+            if !self.backs.iter().any(is_same) {
+                self.backs.push(at);
+            }
         }
-        self.tries = tries;
     }
 
     /// Whether a caller that was refused is about to come back.
     fn is_due(&self, now: Millis) -> bool {
         let is_near = |at: Millis| now.since(at) < LATE_MS && at.since(now) < LEAD_MS;
-        self.back.is_some_and(is_near)
+        self.backs.iter().copied().any(is_near)
+    }
+
+    /// Whether one comes back within some seconds.
+    fn is_soon(&self, now: Millis) -> bool {
+        let is_soon = |at: &Millis| *at > now && at.since(now) < MOST_KEPT_MS;
+        self.backs.iter().any(is_soon)
+    }
+
+    /// Notes that an engine holds it. One that was waited for stays until its next caller can be expected.
+    fn note_held(&mut self, now: Millis) {
+        self.held = now;
+        if self.first.take().is_some() {
+            self.keep = now.plus(self.pause.min(MOST_KEPT_MS));
+        }
     }
 
     /// How long callers have waited, in milliseconds; none where nobody did.
     fn waited(&mut self, unmet: Option<Unmet>, rated: bool, now: Millis) -> Option<u64> {
-        let unmet = unmet.filter(|u| self.concerns(*u, now));
         let told = unmet.map(|u| Millis(now.0.saturating_sub(u64::from(u.waited))));
         let seen = rated.then_some(now);
         let first = [self.first, told, seen].into_iter().flatten().min()?;
         let first = first.max(self.held);
         self.first = Some(first);
-        Some(now.since(first))
+        let waited = now.since(first);
+        self.pause = unmet.map_or(0, |u| waited / u64::from(u.tries.max(1)));
+        Some(waited)
     }
 }
--- a/crates/fleet/tests/adapters.rs
+++ b/crates/fleet/tests/adapters.rs
@@ -19,6 +19,11 @@
 /// The one place has been taken for so long.
 const TAKEN: u64 = 100;
 
+const RATE: Rate = Rate {
+    work: 5.0,
+    count: 0.2,
+};
+
 fn engine() -> Upstream {
     Upstream::from_text("e1").expect("a valid name")
 }
@@ -31,8 +36,12 @@
     }
 }
 
-/// An engine of which a report has shown lately that it got the adapter.
 fn fleet() -> Fleet {
+    fleet_with("held")
+}
+
+/// An engine of which a report has shown lately that it got the adapter.
+fn fleet_with(name: &str) -> Fleet {
     let mut fleet = Fleet::default();
     let centre = DataCentre::from_text("dc1").expect("a valid name");
     let empty = Held {
@@ -41,7 +50,7 @@
     };
     fleet.sight(&engine(), &centre, empty, Sighting::Listed, NOW);
     let held = Held {
-        models: [(model("m"), [adapter("held")].into())].into(),
+        models: [(model("m"), [adapter(name)].into())].into(),
         seq: 1,
         ..Held::default()
     };
@@ -55,6 +64,7 @@
         waited,
         last: 300,
         tries: 2,
+        next: back,
         back,
     }
 }
@@ -76,21 +86,28 @@
 
 /// What is ordered where the adapter that is held and what is asked for in vain have a rate.
 fn plan(planner: &mut Planner, unmet: &UnmetByKey, now: Millis) -> Vec<String> {
-    let rate = Rate {
-        work: 5.0,
-        count: 0.2,
-    };
     let asked = unmet.keys().cloned().chain([key("held")]);
-    let rates: Rates = asked.map(|k| (k, rate)).collect();
+    let rates = asked.map(|k| (k, RATE)).collect();
+    plan_with(planner, &fleet(), (&rates, unmet), false, now)
+}
+
+fn plan_with(
+    planner: &mut Planner,
+    fleet: &Fleet,
+    (rates, unmet): (&Rates, &UnmetByKey),
+    succeeds: bool,
+    now: Millis,
+) -> Vec<String> {
     let view = PlanView {
         lead: LeadTime::Over,
         catalog: &catalog(),
-        fleet: &fleet(),
-        rates: &rates,
+        fleet,
+        rates,
         unmet,
         fence: 7,
         holder: "me",
         resting: &BTreeMap::new(),
+        succeeds,
     };
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
     let orders = planner.plan(&view, &mut window, now);
@@ -108,6 +125,61 @@
     assert_eq!(plan(&mut planner, &asked, later.plus(100)), makes_room());
 }
 
+/// The adapter came and went again before the caller who had been told to come back for it did. Who was told
+/// a time finds it there all the same, though nobody else has asked for it lately.
+#[test]
+fn a_caller_is_awaited_though_the_adapter_was_there_meanwhile() {
+    let mut planner = Planner::new(PlanSettings::default());
+    let asked_at = NOW;
+    let told = |now: Millis| Unmet {
+        waited: now.since(asked_at) as u32,
+        last: now.since(asked_at) as u32,
+        tries: 1,
+        next: 8_000 - now.since(asked_at) as u32,
+        back: 8_000 - now.since(asked_at) as u32,
+    };
+    let (nobody, rates) = (Rates::new(), Rates::from([(key("held"), RATE)]));
+    let came = asked_at.plus(1_000);
+    let unmet = UnmetByKey::from([(key("wanted"), told(came))]);
+    let order = plan_with(
+        &mut planner,
+        &fleet_with("wanted"),
+        (&nobody, &unmet),
+        false,
+        came,
+    );
+    assert_eq!(order, stays());
+    let due = asked_at.plus(7_500);
+    let unmet = UnmetByKey::from([(key("wanted"), told(due))]);
+    let order = plan_with(&mut planner, &fleet(), (&rates, &unmet), false, due);
+    assert_eq!(order, makes_room());
+}
+
+/// A caller comes back when the planner may have died as the one before it did: the adapter is there by then.
+#[test]
+fn a_planner_that_succeeds_a_dead_one_makes_room_ahead() {
+    let unmet = UnmetByKey::from([(key("wanted"), unmet(1_000, 3_000))]);
+    let rates = Rates::from([(key("held"), RATE), (key("wanted"), RATE)]);
+    let ordered = |succeeds| {
+        let mut planner = Planner::new(PlanSettings::default());
+        plan_with(&mut planner, &fleet(), (&rates, &unmet), succeeds, NOW)
+    };
+    assert_eq!(ordered(true), makes_room());
+    assert_eq!(ordered(false), stays());
+}
+
+/// Of two callers the first comes back in a moment, the other later.
+#[test]
+fn the_first_of_two_callers_is_awaited_too() {
+    let mut planner = Planner::new(PlanSettings::default());
+    let first = Unmet {
+        next: 250,
+        ..unmet(1_000, 4_000)
+    };
+    let asked = UnmetByKey::from([(key("wanted"), first)]);
+    assert_eq!(plan(&mut planner, &asked, NOW), makes_room());
+}
+
 fn makes_room() -> Vec<String> {
     vec!["unload m+held at e1 expecting 1".to_owned()]
 }
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -63,6 +63,7 @@
         fence: 7,
         holder: "me",
         resting: &BTreeMap::new(),
+        succeeds: false,
     };
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
     Planner::new(PlanSettings::default()).plan(&view, &mut window, NOW)
@@ -370,6 +371,7 @@
             fence: 7,
             holder: "me",
             resting: &BTreeMap::new(),
+            succeeds: false,
         };
         planner.plan(&view, &mut window, now)
     };
@@ -400,6 +402,7 @@
             fence: 7,
             holder: "me",
             resting,
+            succeeds: false,
         };
         let mut window = LoadWindow::new(Millis(5_000), 1.1);
         let mut planner = Planner::new(PlanSettings::default());
--- a/crates/fleet/tests/replaced/day.rs
+++ b/crates/fleet/tests/replaced/day.rs
@@ -88,6 +88,7 @@
         fence: 7,
         holder: "me",
         resting: &RESTING,
+        succeeds: false,
     }
 }
 
--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -48,6 +48,7 @@
         fence: 7,
         holder: "me",
         resting: &BTreeMap::new(),
+        succeeds: false,
     };
     let mut window = LoadWindow::new(Millis(5_000), 1.1);
     Planner::new(PlanSettings::default()).plan(&view, &mut window, now)
--- a/crates/fleet/tests/size.rs
+++ b/crates/fleet/tests/size.rs
@@ -118,6 +118,7 @@
             holder: "me",
             lead: LeadTime::Over,
             resting: &BTreeMap::new(),
+            succeeds: false,
         };
         self.planner.plan(&view, &mut self.window, at)
     }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -47,6 +47,8 @@
     /// Engines that a planner before ordered a moment ago, and until when they are left
     /// alone.
     resting: RefCell<BTreeMap<Upstream, Millis>>,
+    /// When this daemon took over from a planner that had died.
+    succeeded: Cell<Option<Millis>>,
     /// Until when copies may be spread before the first traffic: begun, and given back.
     lead: Cell<Option<(Millis, Millis)>>,
     /// Whether it was this daemon's turn when that was looked at last.
@@ -72,6 +74,12 @@
         self.engines.borrow().contains(start)
     }
 
+    /// Whether a planner that died was succeeded a moment ago.
+    fn succeeds(&self, now: Millis) -> bool {
+        let at = self.succeeded.get();
+        at.is_some_and(|at| now.since(at) < SUCCEEDS_MS)
+    }
+
     /// What may be done before the first traffic.
     fn lead_time(&self, quiet: bool, now: Millis) -> LeadTime {
         match self.lead.get() {
@@ -82,6 +90,9 @@
     }
 }
 
+/// What ended a planner may end its successor within so long.
+const SUCCEEDS_MS: u64 = 3_000;
+
 /// Copies are spread by the first planner of all: loads begin within this time, so that
 /// those of 9 s end about when the traffic starts, 10 s after the instances.
 const SPREAD_BEGIN_MS: u64 = 2_500;
@@ -198,6 +209,7 @@
         emit(LogEvent::LeaseInherited, &detail);
         *working.resting.borrow_mut() = resting;
     } else {
+        working.succeeded.set(Some(now));
         let lapsed = gw.claim.borrow().rest();
         window.block(now.plus(window.span().0.saturating_sub(lapsed.0)));
     }
@@ -234,6 +246,8 @@
             last: age,
             tries: 1,
             next: back,
+        // Whoever waits for it is told to come back, or waits on, for so long.
+        let back = (ADAPTER.0 as u32).saturating_sub(age);
             back,
         };
         let known = unmet.entry(key);
@@ -246,8 +260,6 @@
     let mut orders = Vec::new();
     let Some(table) = gw.table() else {
         return orders;
-        // Whoever waits for it is told to come back, or waits on, for so long.
-        let back = (ADAPTER.0 as u32).saturating_sub(age);
     };
     let mut planners = working.planners.borrow_mut();
     let mut notes = Vec::new();
@@ -284,6 +296,7 @@
         orders.extend(planned.into_iter().map(|o| (service.clone(), o)));
         notes.extend(why);
     }
+            succeeds: working.succeeds(now),
     // What is planned for an engine that is still at work is planned again until it is ordered.
     notes.retain(|n| n.engine().is_none_or(|e| !working.is_busy(&gw.start_of(e))));
     tell(gw, &notes);
