Tell a longer time where planners die one after the other

What callers saw: planners killed every 5.8 s left gaps from 17.4 to 22.8, 23.2 to 27.5 and 29.0 to 33.4 s.

Cause: the time told was what is left of the lease, whatever happened before. After a first death that is right; after a second within ten seconds of the first succession it was wrong both times.

Change: a daemon counts holders that died one soon after the other (one that nobody heard of leaves a longer silence) and adds one whole succession for each, two at most; those who come back are spread over as much more time.

Tests: longer_after and longer_within in fleet/tests/claim.rs.

--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -261,7 +261,7 @@
     let mut claim = Claim::new(settings, "d0".to_owned());
     claim.heard(7, Millis(START));
     let vacancy = claim.vacancy(Millis(START + ms));
-    vacancy.map(|Vacancy { lasted, left }| (lasted.0, left.0))
+    vacancy.map(|Vacancy { lasted, left, .. }| (lasted.0, left.0))
 }
 
 cases! { vacancy_after;
@@ -275,3 +275,44 @@
     let claim = Claim::new(ClaimSettings::from_lease(LEASE), "d0".to_owned());
     assert_eq!(claim.vacancy(Millis(START)), None);
 }
+
+/// How much longer a daemon tells callers to wait, one second into the silence of a holder, where holders
+/// before it died after renewing for so long each, and others took over after `SUCCEEDED`.
+fn longer_after(lives: &[u64]) -> u64 {
+    const SUCCEEDED: u64 = 5_000;
+    const INTO: u64 = 2_000;
+    let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "d0".to_owned());
+    let (mut now, mut end) = (START, 7);
+    for lived in lives {
+        for _ in 0..=lived / 500 {
+            claim.heard(end, Millis(now));
+            (now, end) = (now + 500, end + 1);
+        }
+        now += SUCCEEDED - 500;
+    }
+    let silent = now - SUCCEEDED + INTO;
+    let vacancy = claim.vacancy(Millis(silent)).expect("nobody renews");
+    vacancy.more.0
+}
+
+cases! { longer_after;
+    // Callers who were refused after one planner's death came back after its successor's.
+    one_death_is_waited_out: &[20_000] => 0,
+    a_second_death_soon_after_is_taken_for_a_series: &[20_000, 500] => 4_600,
+    a_third_one_too: &[20_000, 500, 1_500] => 9_200,
+    no_more_are_counted: &[20_000, 500, 500, 500] => 9_200,
+    a_death_long_after_is_the_first_again: &[20_000, 20_000] => 0,
+}
+
+/// A successor that dies before anybody hears of it leaves one long silence.
+fn longer_within(silent: u64) -> u64 {
+    let mut claim = Claim::new(ClaimSettings::from_lease(LEASE), "d0".to_owned());
+    claim.heard(7, Millis(START));
+    let vacancy = claim.vacancy(Millis(START + silent));
+    vacancy.expect("nobody renews").more.0
+}
+
+cases! { longer_within;
+    a_successor_that_is_late_has_not_died: 5_500 => 0,
+    a_successor_that_nobody_heard_of_has: 9_900 => 4_600,
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,7 +17,6 @@
 use hyper::header::HOST;
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Handler, Reply};
-use shaleline_fleet::Vacancy;
 use shaleline_route::{AttemptNumber, End, RouteAction};
 use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
@@ -329,7 +328,8 @@
 /// first: all at once they would find the places taken for each other.
 const RETURN_PART: u64 = 2;
 
-/// But no later than so long after the first, however long nobody planned.
+/// But no later than so long after the first, however long nobody planned, and as much for each planner
+/// that died before.
 const RETURN_MOST: Millis = Millis(3_000);
 
 /// What is served is short of engines, and stays so until streams of some seconds end or
@@ -355,9 +355,11 @@
 /// nothing is loaded.
 pub(crate) fn load_retry(gw: &Gateway, takes: Millis) -> Millis {
     match gw.claim.borrow().vacancy(gw.now()) {
-        Some(Vacancy { lasted, left }) => {
-            let turn = (lasted.0 / RETURN_PART).min(RETURN_MOST.0);
-            takes.plus(left.0).plus(SUCCESSOR.0).plus(turn)
+        Some(vacancy) => {
+            // As many more come meanwhile as more daemons plan in vain.
+            let turn = (vacancy.lasted.0 / RETURN_PART).min(RETURN_MOST.0) * (1 + vacancy.deaths);
+            let waits = vacancy.left.plus(vacancy.more.0).plus(SUCCESSOR.0);
+            takes.plus(waits.0).plus(turn)
         }
         None => takes,
     }
