Do not await callers who were refused twice; let what was loaded for a wait stay a moment

Cause: a request for an adapter that is nowhere is told to the planner, which expects its caller back half a second later. It was told for callers who had come back already, too, and were refused for good: each kept a place for nobody, so that the next one was late as well.

Now two seconds at most, and half a second at least.

--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -12,6 +12,10 @@
 /// yet, and would go again before any of them finds it.
 const STAY_MS: u64 = 1_000;
 
+/// One that was loaded for a wait stays so long even where a caller is about to come back for another: to
+/// load it took two orders.
+const LEAST_KEPT_MS: u64 = 500;
+
 /// An adapter that has been waited for as long may take the place of another though nobody is about to
 /// come back for it: its next caller should find it.
 const OVERDUE_MS: u64 = 5_000;
@@ -170,10 +174,11 @@
             }
             let key = (place.0.clone(), Some(place.1.clone()));
             let is_kept = sole && self.waiting.kept.contains(&place);
-            if is_kept && claim != Claim::Due {
+            let age = now.since(engine.came(place.0, place.1));
+            let is_new = age < STAY_MS;
+            if is_kept && (age < LEAST_KEPT_MS || claim != Claim::Due) {
                 return None;
             }
-            let is_new = now.since(engine.came(place.0, place.1)) < STAY_MS;
             let rate = rates.get(&key).map_or(0.0, |r| r.work);
             Some(([is_kept, is_new, rate > 0.0, sole], rate, place))
         });
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -17,9 +17,11 @@
 /// Two times to come back of one adapter that are closer than this are taken for one.
 const SAME_MS: u64 = 100;
 
-/// An adapter is loaded for a caller no earlier than this before it comes back, and one that was loaded for
-/// a wait stays for its next caller no longer.
-const MOST_KEPT_MS: u64 = 5_000;
+/// An adapter that was loaded for a wait stays for its next caller no longer than this: others wait too.
+const MOST_KEPT_MS: u64 = 2_000;
+
+/// Where nobody may plan when a caller comes back, an adapter is loaded for it no earlier than this.
+const AHEAD_MS: u64 = 5_000;
 
 /// The longest waits are told of so often, so many at a time.
 const TELL_MS: u64 = 2_000;
@@ -203,7 +205,7 @@
 
     /// Whether one comes back within some seconds.
     fn is_soon(&self, now: Millis) -> bool {
-        let is_soon = |at: &Millis| *at > now && at.since(now) < MOST_KEPT_MS;
+        let is_soon = |at: &Millis| *at > now && at.since(now) < AHEAD_MS;
         self.backs.iter().any(is_soon)
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -391,7 +391,8 @@
         let fleet = fleets.get(&job.service);
         fleet.is_some_and(|f| f.serves_adapter(model, adapter))
     };
-    if !held {
+    // Who came back and is refused again does not come once more.
+    if !held && !job.came_back {
         gw.want(model, adapter);
     }
 }
