--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -188,8 +188,11 @@
     all_is_served_before_295_daemons_where_engines_end_seed_4004: (LARGE, 4004) => true,
 }
 
+/// What a play is of: a size and a seed.
+type Play = fn((Size, u64)) -> bool;
+
 /// The plays by name, for seeds that are given by hand.
-const PLAYS: [(&str, fn((Size, u64)) -> bool); 4] = [
+const PLAYS: [(&str, Play); 4] = [
     ("planner_is_cut_off", planner_is_cut_off),
     ("calm", calm),
     ("replaced_in_turn", replaced_in_turn),
--- a/crates/gateway/tests/unit/choosing.rs
+++ b/crates/gateway/tests/unit/choosing.rs
@@ -57,7 +57,7 @@
     /// A caller asks one of the daemons.
     Call(usize),
     /// A datagram reaches the one that chooses.
-    ToDesk(Message),
+    ToDesk(Box<Message>),
     /// A datagram reaches a daemon.
     ToDaemon(usize, Ticket, Answer),
     /// An upstream has done a request.
@@ -144,7 +144,7 @@
 
     fn tell_desk(&mut self, message: Message) {
         if !self.lost() {
-            self.at(self.now + WAY, Event::ToDesk(message));
+            self.at(self.now + WAY, Event::ToDesk(Box::new(message)));
         }
     }
 
@@ -357,7 +357,7 @@
                 self.now = at;
                 match event {
                     Event::Call(daemon) => self.ask(daemon),
-                    Event::ToDesk(message) if !self.silent => self.take(message),
+                    Event::ToDesk(message) if !self.silent => self.take(*message),
                     Event::ToDesk(..) => {}
                     Event::ToDaemon(daemon, ticket, answer) => {
                         let now = Millis(self.now);
--- a/crates/gateway/tests/unit/mesh.rs
+++ b/crates/gateway/tests/unit/mesh.rs
@@ -273,11 +273,11 @@
     hub.on_note(&sender(2, 1, 0), note, Millis(START));
     let told = Millis(START + HELD);
     let out = hub.tick(&LoadNote::default(), Known::default(), told);
-    let sums = out.into_iter().filter_map(|(_, message)| match message {
+    let sum = out.into_iter().find_map(|(_, message)| match message {
         Message::Sum(sum) => Some(sum),
         _ => None,
     });
-    let sum = sums.last().expect("a sum for the other hub");
+    let sum = sum.expect("a sum for the other hub");
     assert_eq!(sum.load.asked.unmet[&model], unmet.aged(HELD as u32));
     assert_eq!(sum.load.planner.map(|p| p.age), Some(50 + HELD as u32));
 
