--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -16,6 +16,7 @@
 //! planner itself asked for; with a planner cut off here, two thirds of the catalogue stay unserved.
 
 mod engines;
+mod outcomes;
 mod records;
 mod world;
 
--- a/crates/gateway/tests/unit/catalogue/world.rs
+++ b/crates/gateway/tests/unit/catalogue/world.rs
@@ -2,6 +2,7 @@
 //! socket. Callers ask at any daemon; a request is served where some engine holds what it asks for.
 
 use super::engines::{Engines, Key, Tail};
+use super::outcomes::Outcomes;
 use super::records::{Records, Shared};
 use crate::claiming::{act, gives_up, next_claim, release};
 use crate::gossip::{round, take, Addressed};
@@ -23,8 +24,7 @@
 use shaleline_edge::{Clock, Time};
 use shaleline_fleet::{Order, OrderReply};
 use shaleline_types::{DataCentre, Millis, Service, Upstream};
-use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -115,69 +115,6 @@
     pub longest: u64,
 }
 
-/// What became of callers and of the adapters that were loaded for them.
-#[derive(Debug, Clone, Default)]
-pub struct Outcomes {
-    pub callers: usize,
-    /// Callers who were refused once and served when they came back.
-    pub second: usize,
-    /// Callers who were refused again when they came back.
-    pub lost: usize,
-    /// Loads of adapters.
-    pub loads: usize,
-    /// Adapters whose only copy was dropped before any caller found it.
-    pub unused: usize,
-    /// How long no daemon could order after traffic began, in milliseconds.
-    pub vacant: u64,
-    /// Adapters that were loaded and that no caller has found yet.
-    fresh: BTreeSet<Key>,
-}
-
-impl Outcomes {
-    /// Notes an order and whether any engine serves what it is about now.
-    fn note_order(&mut self, key: &Key, order: &Order, reply: OrderReply, served: bool) {
-        if order.adapter.is_some() && reply == OrderReply::Accepted {
-            self.loads += 1;
-            if !served {
-                self.fresh.insert(key.clone());
-            }
-        } else if order.drops_adapter() && reply == OrderReply::Done && !served {
-            self.unused += usize::from(self.fresh.remove(key));
-        }
-    }
-
-    fn note_caller(&mut self, key: &Key, came_back: bool, served: bool) {
-        self.callers += usize::from(!came_back);
-        match (came_back, served) {
-            (true, true) => self.second += 1,
-            (true, false) => self.lost += 1,
-            (false, _) => {}
-        }
-        if served {
-            self.fresh.remove(key);
-        }
-    }
-}
-
-impl fmt::Display for Outcomes {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            callers,
-            second,
-            lost,
-            loads,
-            unused,
-            vacant,
-            ..
-        } = self;
-        write!(
-            f,
-            "{callers} callers, {second} served when they came back, {lost} refused again; \
-             {loads} loads, {unused} dropped unused; {vacant} ms without a planner"
-        )
-    }
-}
-
 pub struct World {
     size: Size,
     hand: Rc<Hand>,
