--- a/crates/fleet/src/adapt.rs
+++ b/crates/fleet/src/adapt.rs
@@ -20,7 +20,8 @@
 /// come back for it: its next caller should find it.
 const OVERDUE_MS: u64 = 5_000;
 
-/// At most one in so many of an engine's places is kept for callers who may come, and were told no time.
+/// Once more than one in so many of an engine's places is kept for callers who may come and were told no
+/// time, no other wait takes a place there.
 const KEPT_PART: usize = 2;
 
 /// An adapter that is asked for.
@@ -43,24 +44,24 @@
     }
 
     /// Which adapters may make room for it.
-    fn claim(&self) -> Claim {
+    fn displaces(&self) -> Displaces {
         match self.wait {
-            Some(w) if w.due => Claim::Due,
-            Some(w) if w.soon || (w.refused && w.waited >= OVERDUE_MS) => Claim::Overdue,
-            _ => Claim::Spare,
+            Some(w) if w.due => Displaces::Kept,
+            Some(w) if w.soon || (w.refused && w.waited >= OVERDUE_MS) => Displaces::Asked,
+            _ => Displaces::Idle,
         }
     }
 }
 
 /// Which adapters may make room for another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Claim {
+enum Displaces {
     /// Only those that nobody asks for.
-    Spare,
-    /// Also those that are asked for, unless they were loaded for a wait a moment ago.
-    Overdue,
-    /// All but those for which a caller is about to come back.
-    Due,
+    Idle,
+    /// Also those that are asked for, unless they are kept for callers who may come.
+    Asked,
+    /// All but those for which a caller is about to come back, and those that have just come.
+    Kept,
 }
 
 /// How many engines have each adapter.
@@ -131,12 +132,11 @@
             let victim = if used < snapshot.catalog.places {
                 None
             } else {
-                let claim = if count == 0 {
-                    asked.claim()
-                } else {
-                    Claim::Spare
+                let displaces = match count {
+                    0 => asked.displaces(),
+                    _ => Displaces::Idle,
                 };
-                Some(self.least_missed(engine, claim)?)
+                Some(self.least_missed(engine, displaces)?)
             };
             // Engines that keep fewer places for callers who are about to come back go first.
             let kept = taken.iter().filter(|a| self.waiting.due.contains(*a));
@@ -158,11 +158,15 @@
     /// The adapter on the engine that callers miss least: one that nobody asks for. Where another is
     /// needed that is nowhere, also one that another engine has as well, or the one asked for least. The
     /// only one for which a caller is about to come back stays: that caller was told that it would be there.
-    fn least_missed(&self, engine: &'a Engine, claim: Claim) -> Option<(&'a Model, &'a Adapter)> {
+    fn least_missed(
+        &self,
+        engine: &'a Engine,
+        displaces: Displaces,
+    ) -> Option<(&'a Model, &'a Adapter)> {
         let kept = engine.certain_adapters();
         let kept = kept.filter(|place| self.waiting.kept.contains(place));
         let most = self.snapshot.catalog.places / KEPT_PART;
-        if claim == Claim::Overdue && kept.count() > most {
+        if displaces == Displaces::Asked && kept.count() > most {
             return None;
         }
         let rates = self.snapshot.view.rates;
@@ -176,7 +180,7 @@
             let is_kept = sole && self.waiting.kept.contains(&place);
             let age = now.since(engine.came(place.0, place.1));
             let is_new = age < STAY_MS;
-            if is_kept && (age < LEAST_KEPT_MS || claim != Claim::Due) {
+            if is_kept && (age < LEAST_KEPT_MS || displaces != Displaces::Kept) {
                 return None;
             }
             let rate = rates.get(&key).map_or(0.0, |r| r.work);
@@ -186,7 +190,7 @@
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
         };
         let ([_, is_new, ..], work, least) = missed.min_by(order)?;
-        (claim != Claim::Spare || (work == 0.0 && !is_new)).then_some(least)
+        (displaces != Displaces::Idle || (work == 0.0 && !is_new)).then_some(least)
     }
 }
 
