Give the least urgent request that waits a place now and then

What waits goes by urgency alone, so less urgent requests were sent only where no other waited.

Change: one in 16 places that become free at an upstream goes to the least urgent request that waits there.

Test: the_least_urgent_has_a_place_now_and_then fails before with none served.

--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -90,6 +90,8 @@
     refused: BTreeMap<Route, Millis>,
     fair: BTreeMap<Org, Fair>,
     clock: f64,
+    /// How many requests that had waited were sent there.
+    pub(crate) departures: u64,
 }
 
 impl Back {
@@ -111,6 +113,7 @@
             refused: BTreeMap::new(),
             fair: BTreeMap::new(),
             clock: 0.0,
+            departures: 0,
         }
     }
 
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -9,6 +9,10 @@
 /// How often old state is dropped, in milliseconds.
 const PRUNE_EVERY: u64 = 1_000;
 
+/// One in so many places that become free goes to the least urgent request that waits: with urgent work
+/// alone on an upstream that has too much of it, all other would wait until its time is over.
+const LEAST_URGENT_EVERY: u64 = 16;
+
 impl Router {
     /// Serves what waits for this upstream, while it has room.
     pub(crate) fn pump(&mut self, upstream: &Upstream, now: Millis, out: &mut Vec<RouteAction>) {
@@ -25,11 +29,15 @@
                 queue.remove(priority, &org, id);
                 queue.on_departure(now);
             }
+            if let Some(back) = self.backs.get_mut(upstream) {
+                back.departures += 1;
+            }
             self.send(id, upstream, now, out);
         }
     }
 
-    /// The most urgent request that may go there, the organisation served least first.
+    /// The most urgent request that may go there, the organisation served least first; now and then the
+    /// least urgent one.
     pub(crate) fn next_for(&self, upstream: &Upstream, now: Millis) -> Option<RequestId> {
         let back = self.backs.get(upstream)?;
         if !back.has_room(now) {
@@ -46,7 +54,12 @@
             let may_go = due && open.is_none_or(|o| self.may_go(&o.ask, upstream, back));
             in_time && !refusing && back.has_room_for(h.org, now) && may_go
         });
+        let least_urgent = (back.departures + 1) % LEAST_URGENT_EVERY == 0;
         let best = allowed.min_by(|a, b| {
+            let (a, b) = match least_urgent && a.priority != b.priority {
+                true => (b, a),
+                false => (a, b),
+            };
             let start = |h: &crate::queue::Head<'_>| back.start_of(h.org);
             a.priority
                 .cmp(&b.priority)
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -209,6 +209,27 @@
     assert_eq!(sent_to(&end(&mut r, 1, 1, End::Whole))[0].0, 3);
 }
 
+/// Requests on routes that a configuration had added were less urgent than others of their service. While it
+/// had more urgent ones than places, they waited until their time was over: 5 of 36 were served.
+#[test]
+fn the_least_urgent_has_a_place_now_and_then() {
+    const FREED: u64 = 64;
+    let mut r = router();
+    add(&mut r, "a", 1);
+    for id in 1..=2 * FREED {
+        arrive(&mut r, ask(id, "urgent", 0));
+    }
+    for id in 1_001..=1_000 + FREED {
+        arrive(&mut r, ask(id, "other", 5));
+    }
+    let (mut running, mut served) = (1, Vec::new());
+    for _ in 0..FREED {
+        running = sent_to(&end(&mut r, running, 1, End::Whole))[0].0;
+        served.extend((running > 1_000).then_some(running));
+    }
+    assert_eq!(served, [1_001, 1_002, 1_003, 1_004]);
+}
+
 #[test]
 fn organisations_of_one_priority_take_turns_whatever_their_queues() {
     let mut r = router();
