One place that says how long a count of daemons is remembered

Found by reading the change again: what a hub told and what a daemon counted lapsed by the same lines, written twice. Behaviour is as before.

--- a/crates/gateway/src/parts.rs
+++ b/crates/gateway/src/parts.rs
@@ -20,24 +20,24 @@
 /// centre for one of so many at least.
 const CUT_OFF: u32 = 100;
 
+/// A count that was noted at a time, as long as it is remembered; 0 afterwards.
+fn lately((at, count): (Millis, u32), now: Millis) -> u32 {
+    match now.since(at) < NEAR_MS {
+        true => count,
+        false => 0,
+    }
+}
+
 impl Mesh {
     /// How many daemons this data centre has, as its hub told lately.
     fn near_told(&self, now: Millis) -> u32 {
-        let (at, near) = self.near;
-        match now.since(at) < NEAR_MS {
-            true => near,
-            false => 0,
-        }
+        lately(self.near, now)
     }
 
     /// How many daemons of this data centre are known, alive or not, this one included: no fewer than were
     /// of late, whether they are heard or not.
     pub(crate) fn near_known(&self, now: Millis) -> u32 {
-        let (at, counted) = self.counted;
-        let counted = match now.since(at) < NEAR_MS {
-            true => counted,
-            false => 0,
-        };
+        let counted = lately(self.counted, now);
         self.near_count().max(counted).max(self.near_told(now))
     }
 
