Count in the catalogue plays why callers are refused again

The plays printed how many callers were refused on their retry, not why, so the hypotheses about the callers that are lost could not be told apart. Each is now counted by the first reason that applies: the model is away; no planner (known to the daemon that refused it, or not); a planner that has only just begun; engines in their cooldown; dropped in between; the planner does not know of it; loaded up to 100 ms or up to a second after the retry; not ordered.

--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -3,7 +3,7 @@
 //! engine holds the requested model or adapter.
 
 use super::engines::{Engines, Key, Popularity};
-use super::outcomes::Outcomes;
+use super::outcomes::{Conditions, Outcomes, Refusal};
 use super::records::{Records, SharedStore};
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
 use crate::job::Job;
@@ -69,6 +69,9 @@
 /// The interval at which waits are updated; a loaded adapter stays longer than that.
 const WAIT_CHECK_MS: u64 = 500;
 
+/// The time during which an engine takes no orders of the successor of a failed planner.
+const COOLDOWN_MS: u64 = 3_400;
+
 /// The size of a deployment.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -134,8 +137,10 @@
     in_flight: BTreeMap<(u64, u64), (SocketAddr, Datagram)>,
     entries: BTreeMap<(u64, u64), (usize, Vec<EntryRecord>)>,
     events: BTreeMap<(u64, u64), (usize, u64, Event)>,
-    /// The retries of callers.
-    retries: BTreeMap<(u64, u64), Key>,
+    /// The retries of callers, each with the first refusal.
+    retries: BTreeMap<(u64, u64), (Key, Refusal)>,
+    /// The last order to each engine, with its fencing token.
+    last_orders: BTreeMap<Upstream, (u64, u64)>,
     pub demand: BTreeMap<Key, Demand>,
     /// The requests and orders for each model and adapter, by time.
     pub history: BTreeMap<Key, Vec<String>>,
@@ -171,6 +176,7 @@
             entries: BTreeMap::new(),
             events: BTreeMap::new(),
             retries: BTreeMap::new(),
+            last_orders: BTreeMap::new(),
             demand: BTreeMap::new(),
             history: BTreeMap::new(),
             counted_from: TRAFFIC_START_MS,
@@ -347,6 +353,7 @@
             if self.now() > TRAFFIC_START_MS {
                 let planner_gap = self.planner().is_none();
                 self.outcomes.planner_gap += if planner_gap { STEP_MS } else { 0 };
+                self.outcomes.record_planner(self.now(), !planner_gap);
                 self.send_requests();
             }
             if self.now() % WAIT_CHECK_MS == 0 {
@@ -554,7 +561,9 @@
         let (reply, done_at) = self.engines.accept_order(order, now);
         let key = (order.model.clone(), order.adapter.clone());
         let served = self.engines.serves(&key);
-        self.outcomes.record_order(&key, order, reply, served);
+        self.outcomes.record_order(&key, order, reply, served, now);
+        let last_order = (now, order.fence);
+        self.last_orders.insert(order.engine.clone(), last_order);
         let history = self.history.entry(key).or_default();
         history.push(format!("{now} {order}: {reply:?}"));
         gw.with_fleet(&order.engine, |f| f.record_reply(order, reply, gw.now()));
@@ -584,18 +593,19 @@
     fn send_requests(&mut self) {
         let now = self.now();
         while let Some(entry) = self.retries.first_entry().filter(|e| e.key().0 <= now) {
-            let key = entry.remove();
-            self.request(key, true);
+            let (key, refusal) = entry.remove();
+            self.request(key, Some(refusal));
         }
         self.due_requests += self.size.request_rate * STEP_MS as f64 / 1_000.0;
         while self.due_requests >= 1.0 {
             self.due_requests -= 1.0;
             let key = self.popularity.draw(&mut self.rng);
-            self.request(key, false);
+            self.request(key, None);
         }
     }
 
-    fn request(&mut self, key: Key, is_retry: bool) {
+    fn request(&mut self, key: Key, refusal: Option<Refusal>) {
+        let is_retry = refusal.is_some();
         let index = self.rng.random_range(0..self.daemons.len());
         if !self.daemons[index].alive {
             return;
@@ -614,6 +624,11 @@
         };
         record_demand(gw, &request);
         let served = self.engines.serves(&key);
+        if let Some(refusal) = refusal.filter(|_| !served) {
+            let conditions = self.conditions(&key, refusal);
+            self.outcomes.record_refused_again(&key, conditions);
+        }
+        let gw = &self.daemons[index].gw;
         self.outcomes.record_caller(&key, is_retry, served);
         let history = self.history.entry(key.clone()).or_default();
         history.push(format!("{now} requested retry={is_retry} served={served}"));
@@ -637,7 +652,37 @@
         }
         if !served && !is_retry {
             let key_at = (now + retry_after.0 + self.draw(RETRY_DELAY_MS), self.next());
-            self.retries.insert(key_at, key);
+            let refusal = Refusal {
+                at: now,
+                gap_known: retry_after > LOAD_RETRY,
+            };
+            self.retries.insert(key_at, (key, refusal));
+        }
+    }
+
+    /// The conditions under which the retry of a refused caller is refused now.
+    fn conditions(&self, key: &Key, refusal: Refusal) -> Conditions {
+        let (model, adapter) = key;
+        let serving = self.engines.all.iter().filter(|(_, e)| e.up);
+        let mut serving = serving.filter(|(_, e)| e.held.models.contains_key(model));
+        let model_away = serving.clone().next().is_none();
+        let planner = self.planner().map(|index| &self.daemons[index].gw);
+        let fence = planner.and_then(|gw| gw.planner_lease.borrow().fence(gw.now()));
+        // An engine takes no orders of a new planner until the cooldown has passed.
+        let cooling = serving.all(|(name, _)| {
+            let last = self.last_orders.get(name);
+            last.is_some_and(|(at, f)| Some(*f) != fence && self.now() - at < COOLDOWN_MS)
+        });
+        let wanted = planner.zip(adapter.as_ref()).is_some_and(|(gw, a)| {
+            let wanted = gw.unmet_adapters.borrow();
+            wanted.contains_key(&(model.clone(), a.clone()))
+        });
+        Conditions {
+            first: refusal,
+            now: self.now(),
+            model_away,
+            cooling,
+            wanted,
         }
     }
 
