Let the successor of a failed planner order as soon as engines fence its orders

Callers were refused again because nothing is loaded for 4.3 to 5 s after each failure of a planner.

Cause: the successor waited for the holder's validity, the lease and the slack, since the orders of two planners to one engine must be a lease apart. Where engines reject orders with a lower fencing token (bounds.require-fence, set on every deployment), the platform asks this only of two holders that both run undisturbed; one that was killed, cut off or stopped can't order after its successor. The holder's own validity and the slack remain, so two daemons never order at the same time. Without that setting nothing changes. A planner that stops leaves out its last orders then, for the same reason; one that releases the lease since it hears too few reports hands them over as before.

The simulated engines check fencing tokens now, as the product relies on it.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -23,6 +23,17 @@
     pub blocked: u64,
 }
 
+impl Handover {
+    /// Leaves out the orders, so that the successor orders all engines at once.
+    #[must_use]
+    pub fn without_orders(self) -> Self {
+        Self {
+            orders: BTreeMap::new(),
+            ..self
+        }
+    }
+}
+
 /// The time of the last order to each engine, by any planner.
 #[derive(Debug, Clone, Default)]
 pub struct LastOrders {
--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -8,6 +8,10 @@
 //! end of the topic. A holder that stops appends a release with its last orders; its successor then
 //! waits only for the engines that had an order within the lease. Only monotonic clocks of single
 //! processes are compared.
+//!
+//! If engines reject orders with a lower fencing token than one they have seen, the orders of a
+//! failed holder can't follow those of its successor. The successor then waits until the holder's
+//! own validity has ended, and not for the lease: without a planner nothing is loaded.
 
 use shaleline_types::Millis;
 
@@ -22,6 +26,8 @@
     pub lease: Millis,
     /// The time that the successor waits beyond that, for orders in transit.
     pub slack: Millis,
+    /// Whether engines reject orders with a lower fencing token than one they have seen.
+    pub fencing: bool,
     /// The interval at which the topic is read while no holder is known.
     pub read_interval: Millis,
 }
@@ -36,15 +42,31 @@
             validity: Millis(1_200),
             lease,
             slack: Millis(400),
+            fencing: false,
             read_interval: Millis(500),
         }
     }
 
+    /// Sets whether engines reject orders with a lower fencing token than one they have seen.
+    #[must_use]
+    pub fn with_fencing(self, fencing: bool) -> Self {
+        Self { fencing, ..self }
+    }
+
     fn takeover_delay(&self) -> u64 {
-        self.validity.0 + self.cooldown().0
+        self.validity.0 + self.idle_time().0
     }
 
-    /// The time during which an engine gets no orders between those of two holders.
+    /// The time without orders between a holder that failed and its successor.
+    #[must_use]
+    pub fn idle_time(&self) -> Millis {
+        match self.fencing {
+            true => self.slack,
+            false => self.cooldown(),
+        }
+    }
+
+    /// The time during which an engine gets no orders between those of two holders that both run.
     #[must_use]
     pub fn cooldown(&self) -> Millis {
         self.lease.plus(self.slack.0)
@@ -176,10 +198,10 @@
         }
     }
 
-    /// The time during which an engine gets no orders between those of two holders.
+    /// The timing of the lease.
     #[must_use]
-    pub fn cooldown(&self) -> Millis {
-        self.settings.cooldown()
+    pub fn settings(&self) -> &PlannerLeaseSettings {
+        &self.settings
     }
 
     /// Whether this daemon holds the lease, even if it is no longer valid.
@@ -202,13 +224,13 @@
         }
     }
 
-    /// Records that a renewal is received now. After a lease time without one it is that of the
-    /// successor of a failed holder, since a planned stop takes far less.
+    /// Records that a renewal is received now. After the takeover delay without one it is that of
+    /// the successor of a failed holder, since a planned stop takes far less.
     fn record_succession(&mut self, now: Millis) {
         let Some((_, last)) = self.last_renewal else {
             return;
         };
-        if now.since(last) >= self.settings.lease.0 {
+        if now.since(last) >= self.settings.takeover_delay() {
             let failures = 1 + self.failures_before(last, now);
             self.failures = Some((failures, now));
         }
--- a/crates/fleet/tests/handover.rs
+++ b/crates/fleet/tests/handover.rs
@@ -54,6 +54,16 @@
         .quickcheck(is_lease_apart as fn(Vec<(u8, u8, u16)>) -> bool);
 }
 
+#[test]
+fn without_the_orders_no_engine_has_a_cooldown() {
+    let mut last = LastOrders::default();
+    last.record(&engine(1), NOW);
+    let handover = last.to_handover(None, NOW).without_orders();
+    let mut successor = LastOrders::default();
+    successor.inherit(&handover, NOW);
+    assert!(successor.cooldowns(COOLDOWN, NOW).is_empty());
+}
+
 #[test]
 fn only_recently_ordered_engines_have_a_cooldown() {
     let mut last = LastOrders::default();
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -193,8 +193,7 @@
 }
 
 /// Starts from the state of the previous planner. One that stopped has stored its last orders. One
-/// that fell silent may have used up the load window until its lease lapsed, which is as long ago
-/// as the cooldown of an engine. The first planner of all has no predecessor.
+/// that fell silent may have used up the load window until its lease lapsed. The first planner of all has no predecessor.
 fn on_lease_acquired(gw: &Gateway, state: &PlannerState, fence: Option<u64>) {
     if fence == state.last_fence.replace(fence) {
         // The lease had lapsed briefly, and no other daemon held it meanwhile.
@@ -212,7 +211,7 @@
         window = window.resume(&inherited.last, inherited.read);
         let mut ordered = gw.last_orders.borrow_mut();
         ordered.inherit(&inherited.last, inherited.read);
-        let cooldowns = ordered.cooldowns(gw.planner_lease.borrow().cooldown(), now);
+        let cooldowns = ordered.cooldowns(gw.planner_lease.borrow().settings().cooldown(), now);
         let detail = format!(
             "resting={} loads={}",
             cooldowns.len(),
@@ -222,7 +221,7 @@
         *state.cooldowns.borrow_mut() = cooldowns;
     } else {
         state.last_takeover.set(Some(now));
-        let lapsed = gw.planner_lease.borrow().cooldown();
+        let lapsed = gw.planner_lease.borrow().settings().idle_time();
         window.block(now.plus(window.span().0.saturating_sub(lapsed.0)));
     }
     *state.window.borrow_mut() = Some(window);
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -123,12 +123,16 @@
     }
 }
 
-/// The state that a successor needs from this planner.
+/// The state that a successor needs from this planner. Engines that reject the orders of an earlier
+/// planner need no cooldown after those of one that stops.
 fn handover(gw: &Gateway, state: &PlannerState) -> Handover {
     let window = state.window.borrow();
-    gw.last_orders
-        .borrow()
-        .to_handover(window.as_ref(), gw.now())
+    let orders = gw.last_orders.borrow();
+    let last = orders.to_handover(window.as_ref(), gw.now());
+    match gw.stopping.get() && gw.planner_lease.borrow().settings().fencing {
+        true => last.without_orders(),
+        false => last,
+    }
 }
 
 /// Whether this daemon releases the lease because it receives too few reports.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,8 +27,10 @@
     pub apply: Millis,
     /// The time from the request to stop until the process is killed.
     pub grace: Millis,
-    /// The time that must pass between the orders of two planners.
+    /// The time that must pass between the orders of two planners that both run.
     pub lease: Millis,
+    /// Whether engines reject orders with a lower fencing token than one they have seen.
+    pub fencing: bool,
     /// The fraction of a service's requests that may be sent again, over all daemons in a window;
     /// `retry_extra` is added to it.
     pub retry_ratio: f64,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -194,7 +194,8 @@
             ..RouterSettings::new(settings.centre.clone())
         };
         let name = settings.instance.as_str();
-        let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease);
+        let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease)
+            .with_fencing(settings.bounds.fencing);
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
             isolation: RefCell::new(Isolation::default()),
--- a/crates/gateway/tests/unit/catalogue/engines.rs
+++ b/crates/gateway/tests/unit/catalogue/engines.rs
@@ -25,6 +25,8 @@
 pub struct Engine {
     pub held: Held,
     pub up: bool,
+    /// The highest fencing token of an order since its start.
+    fence: u64,
     /// The order for model weights in progress, and its completion time.
     work: Option<(u64, Order)>,
     /// Adapter loads in progress, and their completion times.
@@ -110,6 +112,7 @@
             let new_engine = Engine {
                 held,
                 up: true,
+                fence: 0,
                 work: None,
                 pending_adapters: Vec::new(),
             };
@@ -135,6 +138,10 @@
         let Some(engine) = self.all.get_mut(&order.engine).filter(|e| e.up) else {
             return (OrderReply::Lost, now);
         };
+        if order.fence < engine.fence {
+            return (OrderReply::Fenced, now);
+        }
+        engine.fence = order.fence;
         let held = &mut engine.held;
         let is_current = order.expect == held.seq && order.incarnation == held.incarnation;
         if !is_current || engine.work.is_some() {
@@ -196,6 +203,7 @@
     pub fn start(&mut self, name: &Upstream, now: u64) {
         let engine = self.all.get_mut(name).expect("the engine exists");
         engine.up = true;
+        engine.fence = 0;
         engine.held = Held {
             disk: std::mem::take(&mut engine.held.disk),
             incarnation: Incarnation::from_millis(now),
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -162,6 +162,7 @@
             apply: Millis(2_000),
             grace: Millis(8_000),
             lease: Millis(3_000),
+            fencing: true,
             retry_ratio: 0.2,
             retry_extra: 52.0,
             load_window: Millis(5_000),
