Notice a failed planner by missing heartbeats, and allow for it in retry-after times

Cause: a daemon knows of a gap by renewals alone, which are half a second apart and reach it over two hubs; it waits for two missing ones, 1.1 s.

The planner now sends a heartbeat each 100 ms to the other hubs and to the two daemons that would succeed it as a hub. Who misses three in a row notifies its data centre once, and once more if the planner is heard again. The notice has the age of the last renewal, so all count the gap from the same time. Checks are counted, not milliseconds, so a stalled daemon does not take its own stall for silence. A false alarm makes retry-after times longer and orders nothing: the lease alone decides who may order.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -126,6 +126,8 @@
     /// The last renewal that was received from other daemons rather than read from the topic: the
     /// end of the topic after it, and the time at which it began.
     last_renewal: Option<(u64, Millis)>,
+    /// Whether heartbeats of the holder are missing since that renewal.
+    silent: bool,
     /// The number of holders that failed in quick succession, and when the last of them was
     /// succeeded.
     failures: Option<(u64, Millis)>,
@@ -160,8 +162,8 @@
 /// The topic is read if no renewal that began within this time was received.
 const SILENCE_MS: u64 = 1_300;
 
-/// Callers are informed of a gap once the last received renewal began this long ago. Two renewals
-/// have then been missed, as the age of each is sent with it.
+/// Without heartbeats of the holder, callers are informed of a gap once the last received renewal
+/// began this long ago. Two renewals have then been missed, as the age of each is sent with it.
 const GAP_THRESHOLD_MS: u64 = 1_100;
 
 /// A holder that fails within this time after it succeeded a failed one is assumed to fail for the
@@ -180,6 +182,7 @@
             daemon,
             state: State::Watching,
             last_renewal: None,
+            silent: false,
             failures: None,
             last_action: None,
             in_flight: false,
@@ -219,11 +222,27 @@
         }
         self.record_succession(started);
         self.last_renewal = Some((end, started));
+        self.silent = false;
         if matches!(self.state, State::Waiting { .. }) {
             self.state = State::Watching;
         }
     }
 
+    /// Records whether heartbeats of the holder are missing, after whose last known renewal the
+    /// topic ended at `end`.
+    pub fn on_silent(&mut self, end: u64, silent: bool) {
+        if self.last_renewal.is_some_and(|(known, _)| known <= end) {
+            self.silent = silent;
+        }
+    }
+
+    /// The last renewal that was received from other daemons.
+    #[must_use]
+    pub fn last_renewal(&self) -> Option<PlannerLeaseRenewal> {
+        self.last_renewal
+            .map(|(end, started)| PlannerLeaseRenewal { end, started })
+    }
+
     /// Records that a renewal is received now. After the takeover delay without one it is that of
     /// the successor of a failed holder, since a planned stop takes far less.
     fn record_succession(&mut self, now: Millis) {
@@ -271,7 +290,7 @@
         // A successor reads the end of the topic at an interval.
         let remaining = self.settings.takeover_delay().saturating_sub(elapsed);
         let failures = self.failures_before(at, now);
-        (elapsed >= GAP_THRESHOLD_MS).then_some(PlannerGap {
+        (self.silent || elapsed >= GAP_THRESHOLD_MS).then_some(PlannerGap {
             elapsed: Millis(elapsed),
             remaining: Millis(remaining.max(self.settings.read_interval.0)),
             failures,
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -328,6 +328,35 @@
     a_holder_with_a_recent_renewal_leaves_no_gap_with_fencing: 1_000 => None,
 }
 
+/// The duration of the gap that a daemon knows of 400 ms after a renewal, if it receives these
+/// notices that the holder is silent or not, each with the end of the topic.
+fn gap_after_notices(notices: &[(u64, bool)]) -> Option<u64> {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    let mut lease = PlannerLease::new(settings, "d0".to_owned());
+    lease.on_renewal(7, Millis(START));
+    for (end, silent) in notices {
+        lease.on_silent(*end, *silent);
+    }
+    let gap = lease.gap(Millis(START + 400));
+    gap.map(|g| g.remaining.0)
+}
+
+cases! { gap_after_notices;
+    // Callers that were refused within a second of a failure retried while there was no planner.
+    a_silent_holder_leaves_a_gap: &[(7, true)] => Some(1_200),
+    a_notice_about_an_earlier_renewal_is_outdated: &[(6, true)] => None,
+    a_holder_that_is_heard_again_leaves_none: &[(7, true), (7, false)] => None,
+}
+
+#[test]
+fn a_renewal_ends_the_silence() {
+    let mut lease = PlannerLease::new(PlannerLeaseSettings::from_lease(LEASE), "d0".to_owned());
+    lease.on_renewal(7, Millis(START));
+    lease.on_silent(7, true);
+    lease.on_renewal(8, Millis(START + 400));
+    assert_eq!(lease.gap(Millis(START + 500)), None);
+}
+
 #[test]
 fn without_any_received_renewal_no_gap_is_known() {
     let lease = PlannerLease::new(PlannerLeaseSettings::from_lease(LEASE), "d0".to_owned());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -424,7 +424,7 @@
     }
 
     /// Applies an update of the planner. Returns the daemons that it concerns.
-    fn on_planner_update(&self, update: &PlannerUpdate) -> Audience {
+    pub(crate) fn on_planner_update(&self, update: &PlannerUpdate) -> Audience {
         let now = self.now();
         match update {
             PlannerUpdate::Retire {
@@ -442,7 +442,25 @@
                 self.membership.borrow_mut().on_renewed(*planner, now);
                 Audience::Hubs
             }
+            PlannerUpdate::Heartbeat(planner) => {
+                on_planner_info(self, Some(*planner));
+                self.on_planner_heartbeat();
+                Audience::Receiver
+            }
+            PlannerUpdate::Silent { end, age } => {
+                let mut lease = self.planner_lease.borrow_mut();
+                lease.on_renewal(*end, Millis(now.0.saturating_sub(u64::from(*age))));
+                lease.on_silent(*end, true);
+                Audience::Receiver
+            }
+            PlannerUpdate::Heard { end, age } => {
+                let mut lease = self.planner_lease.borrow_mut();
+                lease.on_renewal(*end, Millis(now.0.saturating_sub(u64::from(*age))));
+                lease.on_silent(*end, false);
+                Audience::Receiver
+            }
             PlannerUpdate::Released => {
+                self.planner_watch.borrow_mut().on_released();
                 self.planner_lease.borrow_mut().on_release();
                 self.membership.borrow_mut().on_released();
                 Audience::Hubs
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod peers;
 mod planner;
 mod planner_lease;
+mod planner_watch;
 mod read_progress;
 mod ready;
 mod refuse;
@@ -107,6 +108,7 @@
     mod job;
     mod manual_clock;
     mod membership;
+    mod planner_watch;
     mod read_progress;
     mod ready;
     mod roster;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -39,6 +39,10 @@
 /// the time that the bounds allow.
 const MAX_SOURCES: usize = 2;
 
+/// The number of daemons that count as the successors of a hub. A hub may have just failed; two
+/// rarely fail at once.
+const SUCCESSORS: usize = 2;
+
 #[derive(Debug, Clone)]
 pub(crate) struct Received {
     pub(crate) at: Millis,
@@ -95,6 +99,8 @@
 /// The daemons that a planner update concerns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Audience {
+    /// The daemon that receives it.
+    Receiver,
     /// The daemons that may plan next.
     Hubs,
     /// Every daemon.
@@ -209,7 +215,7 @@
     }
 
     /// The addresses of the other daemons of this data centre.
-    fn neighbours(&self) -> Vec<SocketAddr> {
+    pub(crate) fn neighbours(&self) -> Vec<SocketAddr> {
         self.peers.addresses(&self.me.centre)
     }
 
@@ -322,9 +328,6 @@
 
     /// The hubs, and the daemons of each data centre that would succeed them.
     pub(crate) fn member_list(&mut self, now: Millis) -> MemberList {
-        /// The number of successors listed for a data centre. A hub may have just failed; two
-        /// rarely fail at once.
-        const SUCCESSORS: usize = 2;
         let centres: Vec<DataCentre> = self.peers.centres().cloned().collect();
         let mut list = MemberList::default();
         for centre in centres {
@@ -573,6 +576,16 @@
         }
     }
 
+    /// The daemons that watch the planner, where this daemon is the planner: the other hubs, and
+    /// those that would succeed it as the hub of its data centre.
+    pub(crate) fn watchers(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let mut all = self.other_hubs(now);
+        let ranked = self.peers.ranked(&self.me.centre);
+        let others = ranked.filter(|i| **i != self.me.instance).take(SUCCESSORS);
+        all.extend(others.filter_map(|i| self.peers.address(i)));
+        all
+    }
+
     /// The targets to which to forward an update that came from `from`.
     pub(crate) fn forward_targets(
         &mut self,
@@ -580,7 +593,7 @@
         audience: Audience,
         now: Millis,
     ) -> Vec<SocketAddr> {
-        if !self.is_hub(now) {
+        if !self.is_hub(now) || audience == Audience::Receiver {
             return Vec::new();
         }
         let mut all = Vec::new();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -135,6 +135,14 @@
         /// every daemon that sends requests, otherwise only those that may plan next.
         changed: bool,
     },
+    /// The planner runs; sent to the daemons that watch it.
+    Heartbeat(PlannerInfo),
+    /// From a daemon that watches the planner, to its data centre: heartbeats are missing. It has
+    /// the end of the topic after the last renewal that was received, and the age of that renewal
+    /// in milliseconds.
+    Silent { end: u64, age: u32 },
+    /// From a daemon that has sent [`PlannerUpdate::Silent`]: there are heartbeats again.
+    Heard { end: u64, age: u32 },
 }
 
 /// The hubs that a daemon knows.
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -141,6 +141,7 @@
     woken: bool,
 ) -> Option<Vec<(Service, Order)>> {
     let now = gw.now();
+    gw.watch_planner();
     let fence = gw.planner_lease.borrow().fence(now);
     if fence.is_some() != state.was_holder.replace(fence.is_some()) {
         let event = match fence {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::metrics::Metrics;
 use crate::peer_requests::PeerRequests;
 use crate::planner_lease::Inherited;
+use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
@@ -103,6 +104,8 @@
     /// Notifies waiters that a hub reported a new read position.
     pub(crate) position_changed: Notify,
     pub(crate) planner_lease: RefCell<PlannerLease>,
+    /// The heartbeats of the planner.
+    pub(crate) planner_watch: RefCell<PlannerWatch>,
     /// Whether this daemon is in contact with enough others to plan.
     pub(crate) isolation: RefCell<Isolation>,
     /// When engines had their last orders, from this daemon or from previous planners.
@@ -199,6 +202,7 @@
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
             isolation: RefCell::new(Isolation::default()),
+            planner_watch: RefCell::new(PlannerWatch::default()),
             planner_lease: RefCell::new(PlannerLease::new(
                 lease_settings,
                 format!("{name}/{incarnation:016x}"),
