Tell all daemons of a new planner at once

The first renewal of another planner goes to all daemons, later ones to the hubs as before, and a daemon takes the newest renewal it has received.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -439,8 +439,11 @@
             }
             PlannerUpdate::Renewed(planner) => {
                 on_planner_info(self, Some(*planner));
-                self.membership.borrow_mut().on_renewed(*planner, now);
-                Audience::Hubs
+                // Callers of every daemon wait for a new planner, and load reports are seldom.
+                match self.membership.borrow_mut().on_renewed(*planner, now) {
+                    true => Audience::All,
+                    false => Audience::Hubs,
+                }
             }
             PlannerUpdate::Heartbeat(planner) => {
                 on_planner_info(self, Some(*planner));
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -642,17 +642,21 @@
 
     /// The planner, if one is known.
     pub(crate) fn planner(&self, now: Millis) -> Option<PlannerInfo> {
-        self.fresh_total(now)?.planner
+        let reported = self.fresh_total(now).and_then(|total| total.planner);
+        let renewal = self.renewal;
+        let renewal = renewal.filter(|(at, _)| now.since(*at) < REPORT_STALE_MS);
+        later_renewal(reported, renewal.map(|(_, planner)| planner))
     }
 
-    /// Records that the planner has renewed its lease.
-    pub(crate) fn on_renewed(&mut self, planner: PlannerInfo, now: Millis) {
-        if self
-            .renewal
-            .is_none_or(|(_, known)| planner.end > known.end)
-        {
-            self.renewal = Some((now, planner));
+    /// Records that the planner has renewed its lease. Returns whether another daemon was known as
+    /// the planner before.
+    pub(crate) fn on_renewed(&mut self, planner: PlannerInfo, now: Millis) -> bool {
+        let known = self.renewal.map(|(_, known)| known);
+        if known.is_some_and(|k| planner.end <= k.end) {
+            return false;
         }
+        self.renewal = Some((now, planner));
+        known.is_none_or(|k| k.fence != planner.fence)
     }
 
     /// Records that the planner has released its lease.
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -230,6 +230,25 @@
     );
 }
 
+/// After a change of planner, callers' adapters were requested from the previous one until the next
+/// load report.
+#[test]
+fn a_new_planner_is_known_before_the_next_report() {
+    let now = Millis(START_MS);
+    let renewal = |fence, end| PlannerInfo {
+        fence,
+        address: address(fence as u8),
+        end,
+        age: 0,
+    };
+    let mut daemon = Membership::new(sender(1, 1, 0));
+    let is_new = [(7, 7), (7, 8), (9, 9), (7, 8)]
+        .map(|(fence, end)| daemon.on_renewed(renewal(fence, end), now));
+    assert_eq!(is_new, [true, false, true, false]);
+    assert_eq!(daemon.planner(now), Some(renewal(9, 9)));
+    assert_eq!(daemon.planner(now.plus(5_000)), None);
+}
+
 #[test]
 fn the_shares_of_stopped_daemons_stay_unallocated() {
     let mut cluster = Cluster::new(20);
