Report refusals to the planner until it acknowledges them

Cause: the planner learned of a refused caller by one datagram. If that was lost, or another daemon took over, it learned of it by the load reports, 300 to 600 ms later, and the retry comes after 500 ms. The datagram did not say when the caller retries either.

Each refusal is now sent to the planner with its retry time, every 100 ms until the planner acknowledges it or the retry is over, and again to a planner that takes over. The planner keeps the retry times by adapter.

Without the change four tests of unit/wanted.rs fail (run on the sources of the base, without the tests of the new types).

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -290,10 +290,9 @@
         Message::GrantReply(ticket, reply) => gw.handle_grant_reply(&from, ticket, reply),
         Message::GrantReturned { org, amount } => gw.handle_refund(&org, amount),
         Message::Resigned => gw.membership.borrow_mut().on_resigned(&from),
-        Message::AdapterWanted { model, adapter } => {
-            gw.unmet_adapters.borrow_mut().insert((model, adapter), now);
-            gw.plan_now.notify_one();
-        }
+        Message::AdapterWanted { model, adapter } => gw.on_adapter_wanted(&model, &adapter),
+        Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
+        Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
         Message::PlannerUpdate(update) => {
             let audience = gw.on_planner_update(&update);
             let targets = gw
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,8 +24,8 @@
 //!   `discovery` finds other daemons.
 //! * `planner` plans with `shaleline_fleet` while `planner_lease` holds the planner lease, which a
 //!   daemon gives up if `isolation` finds it in contact with too few others; `orders` sends the
-//!   orders, `tag_index` identifies demand that others reported, and `announced` has what was
-//!   announced to them.
+//!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
+//!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
@@ -83,6 +83,8 @@
 mod suspects;
 mod table;
 mod tag_index;
+mod wanted;
+mod wanted_reports;
 
 pub use admission::Revocation;
 pub use codec::{AnswerHead, Call, Codec, Entry, ForwardContext, Head, Malformed};
@@ -113,4 +115,5 @@
     mod selection;
     mod start;
     mod suspended;
+    mod wanted;
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -97,6 +97,34 @@
     /// Asks for the requests during which upstreams crashed: for those that concern every daemon,
     /// or for all of them where the sender is a new hub.
     CrashesRequest { all: bool },
+    /// To the planner: refused callers will retry for adapters that no engine holds. Sent again
+    /// until it is acknowledged.
+    AdaptersWanted { reports: Vec<WantedReport> },
+    /// From the planner: reports of wanted adapters have arrived.
+    AdaptersWantedAck(WantedAck),
+}
+
+/// Acknowledges reports of a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WantedAck {
+    /// The incarnation of the daemon that sent the reports.
+    pub(crate) incarnation: u64,
+    /// The planner's fencing token.
+    pub(crate) fence: u64,
+    pub(crate) numbers: Vec<u32>,
+}
+
+/// A refusal of a caller that will retry for an adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WantedReport {
+    /// Identifies the report at its sender.
+    pub(crate) number: u32,
+    pub(crate) model: Model,
+    pub(crate) adapter: Adapter,
+    /// The time since the refusal, in milliseconds.
+    pub(crate) waited: u32,
+    /// The time until the retry, in milliseconds; 0 if it is due.
+    pub(crate) retry: u32,
 }
 
 /// The reply to a daemon that needs a share of an allowance.
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -3,11 +3,10 @@
 use crate::journal::emit;
 use crate::orders::{await_completion, carry_out, query_engine};
 use crate::planner_lease::{next_action, perform, release, should_release, Inherited};
-use crate::request::ADAPTER_RETRY;
 use crate::state::{EngineStart, Gateway};
 use crate::tag_index::TagIndex;
 use shaleline_fleet::{
-    LoadWindow, Order, PlanNote, PlanView, Rates, ServicePlanners, Unmet, UnmetByKey, WarmupPhase,
+    LoadWindow, Order, PlanNote, PlanView, Rates, ServicePlanners, UnmetByKey, WarmupPhase,
 };
 use shaleline_types::{LogEvent, Millis, Service, Upstream};
 use std::cell::{Cell, RefCell};
@@ -22,9 +21,6 @@
 /// much as a health check.
 const QUERY_PAUSE: Duration = Duration::from_millis(700);
 
-/// The time for which an adapter that a request waits for counts as wanted.
-const WANTED_MS: u64 = 2_000;
-
 /// The interval between plans while a request waits for an adapter, in milliseconds.
 const WANTED_PLAN_MS: u64 = 40;
 
@@ -251,24 +247,16 @@
         named.map(|(key, u)| (key, u.aged(age))).collect()
     });
     let mut unmet: UnmetByKey = unmet.unwrap_or_default();
-    let mut wanted_at = gw.unmet_adapters.borrow_mut();
-    wanted_at.retain(|_, at| now.since(*at) < WANTED_MS);
-    for ((model, adapter), at) in wanted_at.iter() {
+    let mut wanted = gw.unmet_adapters.borrow_mut();
+    wanted.prune(now);
+    for ((model, adapter), reported, is_recent) in wanted.unmet(now) {
         let key = (model.clone(), Some(adapter.clone()));
-        let rate = rates.entry(key.clone()).or_default();
-        rate.work = rate.work.max(WANTED_RATE);
-        let age = now.since(*at) as u32;
-        // A request for the adapter has received this retry-after time, or waits this long.
-        let last_retry = (ADAPTER_RETRY.0 as u32).saturating_sub(age);
-        let wanted = Unmet {
-            waited: age,
-            last_age: age,
-            attempts: 1,
-            next_retry: last_retry,
-            last_retry,
-        };
+        if is_recent {
+            let rate = rates.entry(key.clone()).or_default();
+            rate.work = rate.work.max(WANTED_RATE);
+        }
         let known = unmet.entry(key);
-        known.and_modify(|u| u.add(wanted)).or_insert(wanted);
+        known.and_modify(|u| u.add(reported)).or_insert(reported);
     }
     (rates, unmet)
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -407,9 +407,15 @@
             return;
         };
         if !self.router.borrow().is_served(&job.route()) {
-            let adapter = job.head.adapter.as_ref();
-            let mut unmet = self.unmet.borrow_mut();
-            unmet.record(model, adapter, retry, self.now());
+            let (adapter, now) = (job.head.adapter.as_ref(), self.now());
+            self.unmet.borrow_mut().record(model, adapter, retry, now);
+            // A caller without a retry-after time does not retry.
+            if let Some(adapter) = adapter.filter(|_| retry > Millis(0)) {
+                let mut reports = self.wanted_reports.borrow_mut();
+                reports.record(model, adapter, retry, now);
+                drop(reports);
+                self.send_wanted_reports();
+            }
         }
     }
 
@@ -422,23 +428,6 @@
         }
     }
 
-    /// Requests an adapter from the planner, which may be this daemon.
-    fn request_adapter(&self, model: &shaleline_types::Model, adapter: &shaleline_types::Adapter) {
-        let now = self.now();
-        if self.planner_lease.borrow().fence(now).is_some() {
-            let key = (model.clone(), adapter.clone());
-            self.unmet_adapters.borrow_mut().insert(key, now);
-            self.plan_now.notify_one();
-            return;
-        }
-        let planner = self.membership.borrow().planner(now);
-        let message = crate::message::Message::AdapterWanted {
-            model: model.clone(),
-            adapter: adapter.clone(),
-        };
-        self.send(planner.map(|p| (p.address, message)).into_iter().collect());
-    }
-
     /// Records that another upstream has taken over this one's address. This one is gone, even if
     /// it is still listed.
     pub(crate) fn record_replaced(&self, upstream: &Upstream) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -144,6 +144,7 @@
     gw.apply_all(changes);
     gw.route(RouteEvent::Tick);
     gw.tick_selection();
+    gw.send_wanted_reports();
 }
 
 /// Drops kept connections that expired while the instance was suspended. All other state expires by
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,8 @@
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
+use crate::wanted::WantedAdapters;
+use crate::wanted_reports::WantedReports;
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
@@ -111,8 +113,10 @@
     pub(crate) inherited: RefCell<Option<Inherited>>,
     /// What this daemon announced about engines as the planner.
     pub(crate) announced: RefCell<Announced>,
-    /// Adapters that callers wait for, each with the time of its latest request.
-    pub(crate) unmet_adapters: RefCell<BTreeMap<(Model, shaleline_types::Adapter), Millis>>,
+    /// Adapters that callers wait for, as reported to this daemon as the planner.
+    pub(crate) unmet_adapters: RefCell<WantedAdapters>,
+    /// Refusals of this daemon's callers, as it reports them to the planner.
+    pub(crate) wanted_reports: RefCell<WantedReports>,
     /// Wakes the planner.
     pub(crate) plan_now: Notify,
     /// Messages to send to other daemons at once.
@@ -229,7 +233,8 @@
             hub_ready: Cell::new(false),
             position_changed: Notify::new(),
             announced: RefCell::new(Announced::default()),
-            unmet_adapters: RefCell::new(BTreeMap::new()),
+            unmet_adapters: RefCell::new(WantedAdapters::default()),
+            wanted_reports: RefCell::new(WantedReports::default()),
             plan_now: Notify::new(),
             outbox,
             rng: RefCell::new(rng),
