Report retries that wait for an adapter while they wait

A retry that waits in the router's queue for an adapter that no engine serves has been demand that nobody reported since, which left out callers who have retried and are refused again.

A retry that is neither sent nor ended at the next tick is now reported as due, again every 250 ms once acknowledged, until it is sent or ends. One that is answered in the same instant is not reported.

Tests: unit/waiting_retries.rs and three in unit/wanted.rs.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -115,5 +115,6 @@
     mod selection;
     mod start;
     mod suspended;
+    mod waiting_retries;
     mod wanted;
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -77,6 +77,7 @@
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
+        gw.begin_wait(id, job);
         gw.request_upstream(job.to_route_request(id, served));
         permit
     }
@@ -128,6 +129,7 @@
         if self.open {
             self.gw.on_caller_gone(self.id);
         }
+        self.gw.end_wait(self.id);
         self.gw.unregister(self.id);
     }
 }
@@ -298,6 +300,7 @@
         if let Err(refusal) = gw.recheck(&job) {
             return fallback.unwrap_or_else(|| refuse::after_routing(gw, &job, &permit, refusal));
         }
+        gw.end_wait(permit.id);
         if permit.sends == 0 {
             gw.metrics.record_wait(gw.now().since(job.arrived));
         }
--- a/crates/gateway/src/wanted_reports.rs
+++ b/crates/gateway/src/wanted_reports.rs
@@ -4,9 +4,11 @@
 //! reports. So each refusal is reported to the planner directly, and repeated until the planner
 //! acknowledges it. A planner that takes over is sent the refusals that its predecessor had.
 
+use crate::job::Job;
 use crate::message::{Message, Sender, WantedAck, WantedReport};
 use crate::state::Gateway;
-use shaleline_types::{Adapter, Millis, Model};
+use shaleline_types::{Adapter, Millis, Model, RequestId};
+use std::collections::BTreeSet;
 
 /// The interval at which a report without an acknowledgement is repeated.
 const REPEAT_MS: u64 = 100;
@@ -23,7 +25,11 @@
 /// The maximum number of reports in a datagram; one has some fifty bytes.
 const REPORTS_PER_DATAGRAM: usize = 16;
 
-/// A refusal of a caller that will retry.
+/// The interval at which the report of a waiting retry is repeated once it is acknowledged, so that
+/// the planner does not take the retry for over.
+const RENEW_MS: u64 = RETRY_LATE_MS;
+
+/// A refusal of a caller that will retry, or retries that wait.
 #[derive(Debug)]
 struct Refusal {
     number: u32,
@@ -31,6 +37,8 @@
     adapter: Adapter,
     refused_at: Millis,
     retry_at: Millis,
+    /// The retries that wait; empty for a refusal.
+    waiting: BTreeSet<RequestId>,
     /// The fence of the planner to which it was last sent, and when.
     sent: Option<(u64, Millis)>,
     /// The fence of the last planner that acknowledged it.
@@ -39,8 +47,25 @@
 
 impl Refusal {
     fn is_due(&self, fence: u64, now: Millis) -> bool {
+        // A retry that is answered at once does not wait.
+        if self.is_waiting() && now <= self.refused_at {
+            return false;
+        }
+        let interval = match (self.acked < Some(fence), self.is_waiting()) {
+            (true, _) => REPEAT_MS,
+            (false, true) => RENEW_MS,
+            (false, false) => return false,
+        };
         let sent = self.sent.filter(|(f, _)| *f == fence);
-        self.acked < Some(fence) && sent.is_none_or(|(_, at)| now.since(at) >= REPEAT_MS)
+        sent.is_none_or(|(_, at)| now.since(at) >= interval)
+    }
+
+    fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    fn is_for(&self, model: &Model, adapter: &Adapter) -> bool {
+        self.model == *model && self.adapter == *adapter
     }
 
     fn to_report(&self, now: Millis) -> WantedReport {
@@ -68,14 +93,47 @@
         let retry_at = now.plus(retry.0);
         let is_same = |r: &Refusal| {
             let apart = r.retry_at.since(retry_at).max(retry_at.since(r.retry_at));
-            r.model == *model && r.adapter == *adapter && apart < SAME_RETRY_MS
+            !r.is_waiting() && r.is_for(model, adapter) && apart < SAME_RETRY_MS
         };
         if self.refusals.iter().any(is_same) {
             return;
         }
+        self.insert(model, adapter, retry_at, now);
+    }
+
+    /// Records that a retry waits for an adapter, until [`Self::end_wait`].
+    pub(crate) fn begin_wait(
+        &mut self,
+        id: RequestId,
+        model: &Model,
+        adapter: &Adapter,
+        now: Millis,
+    ) {
+        let mut waiting = self.refusals.iter_mut().filter(|r| r.is_waiting());
+        if let Some(waiting) = waiting.find(|r| r.is_for(model, adapter)) {
+            waiting.waiting.insert(id);
+            return;
+        }
+        self.insert(model, adapter, now, now).waiting.insert(id);
+    }
+
+    /// Records that a retry no longer waits.
+    pub(crate) fn end_wait(&mut self, id: RequestId) {
+        let ended = |r: &mut Refusal| r.waiting.remove(&id) && r.waiting.is_empty();
+        self.refusals.retain_mut(|r| !ended(r));
+    }
+
+    fn insert(
+        &mut self,
+        model: &Model,
+        adapter: &Adapter,
+        retry_at: Millis,
+        now: Millis,
+    ) -> &mut Refusal {
         if self.refusals.len() >= MAX_REFUSALS {
             // The load reports still carry what is dropped here.
-            let ends_first = (0..self.refusals.len()).min_by_key(|i| self.refusals[*i].retry_at);
+            let ends = |i: &usize| (self.refusals[*i].is_waiting(), self.refusals[*i].retry_at);
+            let ends_first = (0..self.refusals.len()).min_by_key(ends);
             ends_first.map(|i| self.refusals.swap_remove(i));
         }
         self.last_number = self.last_number.wrapping_add(1);
@@ -85,15 +143,17 @@
             adapter: adapter.clone(),
             refused_at: now,
             retry_at,
+            waiting: BTreeSet::new(),
             sent: None,
             acked: None,
         });
+        self.refusals.last_mut().expect("one was added")
     }
 
     /// Returns the reports to send now to the planner with this fence.
     pub(crate) fn take_due(&mut self, fence: u64, now: Millis) -> Vec<WantedReport> {
         self.refusals
-            .retain(|r| now.since(r.retry_at) < RETRY_LATE_MS);
+            .retain(|r| r.is_waiting() || now.since(r.retry_at) < RETRY_LATE_MS);
         let due = self.refusals.iter_mut().filter(|r| r.is_due(fence, now));
         due.map(|r| {
             r.sent = Some((fence, now));
@@ -127,6 +187,24 @@
         self.send(planner.map(|p| (p.address, message)).into_iter().collect());
     }
 
+    /// Records that a retry begins to wait, if it is for an adapter that no engine is known to
+    /// serve. Its caller does not retry again, so nothing else reports it.
+    pub(crate) fn begin_wait(&self, id: RequestId, job: &Job) {
+        let (model, adapter) = (job.head.model.as_ref(), job.head.adapter.as_ref());
+        let Some((model, adapter)) = model.zip(adapter).filter(|_| job.is_retry) else {
+            return;
+        };
+        if !self.router.borrow().is_served(&job.route()) {
+            let mut reports = self.wanted_reports.borrow_mut();
+            reports.begin_wait(id, model, adapter, self.now());
+        }
+    }
+
+    /// Records that a request is sent or has ended.
+    pub(crate) fn end_wait(&self, id: RequestId) {
+        self.wanted_reports.borrow_mut().end_wait(id);
+    }
+
     /// Records as the planner that a request needs an adapter.
     pub(crate) fn on_adapter_wanted(&self, model: &Model, adapter: &Adapter) {
         let mut wanted = self.unmet_adapters.borrow_mut();
--- a/crates/gateway/tests/unit/wanted.rs
+++ b/crates/gateway/tests/unit/wanted.rs
@@ -7,7 +7,9 @@
 //! longer than the retry-after time.
 
 use crate::gossip::{on_datagram, Addressed};
+use crate::job::Job;
 use crate::message::{Datagram, HubReport, LoadReport, Message, PlannerInfo, WantedReport};
+use crate::request::Permit;
 use crate::start::run_tick;
 use crate::state::{Gateway, Platform};
 use crate::unit::crashes::{cluster, null_platform};
@@ -27,13 +29,13 @@
 use tokio::sync::mpsc;
 
 /// The interval of the daemons' ticks.
-const TICK_MS: u64 = 50;
+pub const TICK_MS: u64 = 50;
 
-fn model() -> Model {
+pub fn model() -> Model {
     Model::from_text("m").expect("a valid name")
 }
 
-fn adapter(number: usize) -> Adapter {
+pub fn adapter(number: usize) -> Adapter {
     Adapter::from_text(&format!("a{number}")).expect("a valid name")
 }
 
@@ -260,16 +262,28 @@
         assert_eq!(known.map(|p| p.fence), Some(fence));
     }
 
-    /// Refuses a caller that is to retry after `retry` milliseconds.
-    fn refuse_caller(&self, retry: u64) {
+    /// Begins a request or a retry for the adapter.
+    fn request(&self, is_retry: bool) -> Permit {
+        let job = Job {
+            is_retry,
+            ..self.job()
+        };
+        Permit::ask(&self.gw, &job)
+    }
+
+    fn job(&self) -> Job {
         let head = Head {
             model: Some(model()),
             adapter: Some(adapter(0)),
             ..Head::default()
         };
         let service = Service::from_text("llm").expect("a valid name");
-        let job = cluster::job(head, service, self.gw.now());
-        self.gw.record_unmet(&job, Millis(retry));
+        cluster::job(head, service, self.gw.now())
+    }
+
+    /// Refuses a caller that is to retry after `retry` milliseconds.
+    fn refuse_caller(&self, retry: u64) {
+        self.gw.record_unmet(&self.job(), Millis(retry));
     }
 
     fn run(&self, millis: u64) {
@@ -353,3 +367,30 @@
     planner.refuse_caller(500);
     assert!(planner.knows_wanted());
 }
+
+#[test]
+fn the_planner_knows_of_a_retry_that_waits_for_an_adapter() {
+    let planner = Daemon::start_planner(1, 5);
+    let retry = planner.request(true);
+    assert!(!planner.knows_wanted());
+    planner.run(TICK_MS);
+    assert!(planner.knows_wanted());
+    drop(retry);
+}
+
+#[test]
+fn a_retry_that_ends_at_once_is_not_reported() {
+    let planner = Daemon::start_planner(1, 5);
+    drop(planner.request(true));
+    planner.run(300);
+    assert!(!planner.knows_wanted());
+}
+
+#[test]
+fn a_first_attempt_that_waits_is_not_reported_as_a_retry() {
+    let planner = Daemon::start_planner(1, 5);
+    let request = planner.request(false);
+    planner.run(300);
+    assert!(!planner.knows_wanted());
+    drop(request);
+}
