Load adapters into free slots before they are requested

Seen by callers: the first caller of an adapter that no engine holds is refused and served only on its retry, although most engines have free slots.

Cause: the planner loads an adapter only once it has been requested.

Change: after everything else in a plan, an idle engine with more than one free slot loads an adapter of a model that it serves and that no engine holds, those of the most requested models first. It evicts nothing, leaves a slot free, keeps room for the weights that fit, and does so only where no caller waits for an adapter of the engine's models. A plan sends at most eight such orders.

Where slots are full, a caller's adapter takes two orders instead of one.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod plan_note;
 mod planner;
 mod planner_lease;
+mod prefetch;
 mod services;
 mod shortage;
 mod snapshot;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -2,9 +2,10 @@
 //!
 //! Each call plans from the current state of the fleet, including pending orders, and proposes the
 //! next step for engines that are not busy. Between calls a planner keeps only the reservations of
-//! engines that are making room, the models and adapters with unmet demand, the engines that left
-//! recently, and summaries of engines that have not changed. `snapshot` is the input of a plan and
-//! `draft` its decisions so far; `moves` decides about weights, `adapters` about adapters, and
+//! engines that are making room, the models and adapters with unmet demand, the adapters that were
+//! evicted, the engines that left recently, and summaries of engines that have not changed.
+//! `snapshot` is the input of a plan and `draft` its decisions so far; `moves` decides about
+//! weights, `adapters` about adapters, `prefetch` about adapters that nobody has requested yet, and
 //! `warmup` about the time before the first traffic. `docs/PLACEMENT.md` lists the alternatives
 //! considered.
 
@@ -13,6 +14,7 @@
 use crate::engine_summary::EngineSummaries;
 use crate::model_absence::AbsenceTracker;
 use crate::model_index::ModelIndex;
+use crate::prefetch::EvictedAdapters;
 use crate::snapshot::Snapshot;
 use crate::valuation::Valuation;
 use crate::waits::WaitTracker;
@@ -72,6 +74,7 @@
     absences: AbsenceTracker,
     waits: WaitTracker,
     churn: Churn,
+    evicted: EvictedAdapters,
     notes: Vec<PlanNote>,
     /// The model numbers of the catalog of the previous plan.
     model_index: Option<ModelIndex>,
@@ -130,6 +133,7 @@
         if !is_current {
             self.model_index = None;
             self.summaries.clear();
+            self.evicted.clear();
         }
         let model_index = self
             .model_index
@@ -156,6 +160,7 @@
         draft.plan_moves(&mut valuation);
         draft.load_adapters(&valuation, &demands, self.settings.adapter_replicas);
         draft.run_warmup();
+        draft.prefetch_adapters(&self.evicted);
         let wait_notes = self.waits.report(&draft);
         self.notes.extend(wait_notes);
         let Draft {
@@ -165,6 +170,7 @@
             ..
         } = draft;
         self.notes.extend(notes);
+        self.evicted.record(&orders);
         for (name, model) in reserved {
             let reservation = Reservation { model, since: now };
             self.reservations.insert(name, reservation);
