Spare the only engine of adapters that callers wait for

Seen by callers: retries were refused for seconds because the only engine that serves the model of their adapter was loading the weights of another model.

Cause: a move was valued without the callers of adapters that its engine cannot load meanwhile.

Change: between engines, a move costs the callers a second of waiting adapters that lose the only engine that could load them, times the time of the order. The load of a model without a replica is not forbidden by this, as it is worth more. Two of the three tests in tests/blocking.rs fail without the change.

--- a/crates/fleet/src/best_move.rs
+++ b/crates/fleet/src/best_move.rs
@@ -54,7 +54,10 @@
         }
         self.evaluations_left = self.evaluations_left.saturating_sub(candidates.len());
         let price = self.load_price(draft);
-        let mut best: Option<Move> = None;
+        // A model without a replica is worth more than adapters of one that is served: what its
+        // load blocks decides between engines, but does not forbid it.
+        let is_missing = self.later.is_missing(model);
+        let mut best: Option<(f64, Move)> = None;
         for candidate in &candidates {
             let Candidate {
                 engine,
@@ -65,18 +68,20 @@
             } = *candidate;
             let price = if from_store { price } else { 0.0 };
             let value = self.value(model, engine, victim, wait) - price;
-            if best.is_none_or(|b| value > b.value) {
-                best = Some(Move {
+            let net = value - self.blocked(model, engine, victim);
+            if value > 0.0 && best.is_none_or(|(most, _)| net > most) {
+                let chosen = Move {
                     engine,
                     victim,
-                    value,
+                    value: if is_missing { value } else { net },
                     from_store,
                     wait: wait.0 > 0,
-                });
+                };
+                best = Some((net, chosen));
             }
         }
         self.candidates = candidates;
-        best.filter(|b| b.value > 0.0)
+        best.map(|(_, chosen)| chosen).filter(|b| b.value > 0.0)
     }
 
     /// Collects the engines that may load the model, each with its possible victims.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod adapters;
 mod best_move;
+mod blocking;
 mod catalog;
 mod changes;
 mod churn;
--- a/crates/fleet/src/valuation.rs
+++ b/crates/fleet/src/valuation.rs
@@ -1,6 +1,7 @@
 //! Values a move of a model by the requests that it saves or loses.
 
 use crate::best_move::{Candidate, Move};
+use crate::blocking::Blocking;
 use crate::churn::Churn;
 use crate::distribution::Distribution;
 use crate::draft::Draft;
@@ -57,6 +58,7 @@
     due: Vec<Option<Millis>>,
     exposure: Exposure,
     shortage: Shortage,
+    blocking: Blocking,
     /// All requests a second.
     pub(crate) total_rate: f64,
     /// The evaluations that may still be made.
@@ -85,6 +87,7 @@
             due,
             exposure: Exposure::new(snapshot, churn),
             shortage: Shortage::new(snapshot),
+            blocking: Blocking::new(draft),
             total_rate: rates.iter().map(|r| f64::from(r.count)).sum(),
             evaluations_left: 0,
             candidates: Vec::new(),
@@ -138,12 +141,7 @@
         wait: Millis,
     ) -> f64 {
         let load = self.load_time(model, engine);
-        let in_use = victim.is_some_and(|v| self.later.share(v, engine) > IN_USE_WORK);
-        let drop = match (victim, in_use) {
-            (None, _) => Millis(0),
-            (Some(_), false) => UNLOAD_TIME,
-            (Some(_), true) => BUSY_UNLOAD_TIME,
-        };
+        let drop = self.unload_time(engine, victim);
         let until = seconds(Millis(wait.0 + drop.0 + load.0)).min(HORIZON_S);
         let later = self.later.evaluate(model, engine, victim);
         let gain = match self.due[model] {
@@ -169,6 +167,21 @@
             - cost
     }
 
+    /// The callers of adapters that are lost if the engine takes no adapter during a move.
+    pub(crate) fn blocked(&self, model: usize, engine: usize, victim: Option<usize>) -> f64 {
+        let time = self.unload_time(engine, victim).0 + self.load_time(model, engine).0;
+        self.blocking.lost_rate(self.snapshot, engine, victim) * seconds(Millis(time))
+    }
+
+    /// The time to unload the victim, if there is one.
+    fn unload_time(&self, engine: usize, victim: Option<usize>) -> Millis {
+        match victim {
+            None => Millis(0),
+            Some(v) if self.later.share(v, engine) > IN_USE_WORK => BUSY_UNLOAD_TIME,
+            Some(_) => UNLOAD_TIME,
+        }
+    }
+
     /// The callers a second that gain a slot for their adapter by a move.
     fn slot_gain(&self, model: usize, victim: Option<usize>) -> f64 {
         let gained = self.shortage.gained(model, self.later.replicas(model));
@@ -207,6 +220,7 @@
             self.soon.remove(victim, chosen.engine);
             self.later.remove(victim, chosen.engine);
         }
+        self.blocking.record_order(self.snapshot, chosen.engine);
         self.soon.add(model, chosen.engine);
         self.later.add(model, chosen.engine);
     }
