--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod adapters;
 mod best_move;
+mod blocking;
 mod catalog;
 mod changes;
 mod churn;
@@ -32,6 +33,7 @@
 mod plan_note;
 mod planner;
 mod planner_lease;
+mod prefetch;
 mod services;
 mod shortage;
 mod snapshot;
