Report an adapter whose caller is refused again, even if its first refusal can't be reported

Cause: the daemon that is cut off refused its only caller and reports to nobody; the retry came to another daemon, which left it out since a caller that was refused again does not retry. In the planner's list of the longest waits the adapter did not appear at all.

The second daemon now reports it as unmet demand without an expected retry, so no slot is kept for it. Reports of models are as before.

--- a/crates/fleet/src/unmet.rs
+++ b/crates/fleet/src/unmet.rs
@@ -114,6 +114,20 @@
         record.record_retry(now.plus(retry.0), now);
     }
 
+    /// Records that a caller of an adapter was refused again on its retry. It does not retry once
+    /// more, but its demand would be unknown if the daemon that refused it first can't report it.
+    pub fn record_again(&mut self, model: &Model, adapter: &Adapter, now: Millis) {
+        let key = (model.clone(), Some(adapter.clone()));
+        let record = self.keys.entry(key).or_insert(UnmetRecord {
+            since: now,
+            last: now,
+            attempts: 0,
+            retries: Vec::new(),
+        });
+        record.last = now;
+        record.attempts = record.attempts.max(1);
+    }
+
     /// Records that a caller was served. Other callers with a retry-after time still retry.
     pub fn on_served(&mut self, model: &Model, adapter: Option<&Adapter>, now: Millis) {
         if self.keys.is_empty() {
--- a/crates/fleet/tests/unmet.rs
+++ b/crates/fleet/tests/unmet.rs
@@ -36,6 +36,25 @@
     the_only_caller_is_served: (&[400], true) => None,
 }
 
+/// A daemon that was cut off from the others refused the only caller of an adapter. Its retry was
+/// refused by another daemon, which did not report it, and the adapter was not loaded for 25 s.
+#[test]
+fn a_refused_retry_is_reported_without_another_retry() {
+    let m = Model::from_text("m").expect("a valid name");
+    let a = Adapter::from_text("a").expect("a valid name");
+    let mut unmet = UnmetDemand::default();
+    unmet.record_again(&m, &a, START);
+    let reported = unmet.longest(8, START.plus(1_000));
+    let expected = Unmet {
+        waited: 1_000,
+        last_age: 1_000,
+        attempts: 1,
+        next_retry: 0,
+        last_retry: 0,
+    };
+    assert_eq!(reported, [(&m, Some(&a), expected)]);
+}
+
 #[test]
 fn forwarded_demand_ages() {
     let reported = Unmet {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -403,14 +403,20 @@
 }
 
 impl Gateway {
-    /// Records that a caller was refused with the retry-after time `retry`. Only first attempts
-    /// count, and only if no engine is known to serve the model or adapter.
+    /// Records that a caller was refused with the retry-after time `retry`, if no engine is known
+    /// to serve the model or adapter. Only a first attempt is followed by a retry.
     pub(crate) fn record_unmet(&self, job: &Job, retry: Millis) {
-        let Some(model) = job.head.model.as_ref().filter(|_| !job.is_retry) else {
+        let Some(model) = job.head.model.as_ref() else {
             return;
         };
         if !self.router.borrow().is_served(&job.route()) {
             let (adapter, now) = (job.head.adapter.as_ref(), self.now());
+            if job.is_retry {
+                if let Some(adapter) = adapter {
+                    self.unmet.borrow_mut().record_again(model, adapter, now);
+                }
+                return;
+            }
             self.unmet.borrow_mut().record(model, adapter, retry, now);
             // A caller without a retry-after time does not retry.
             if let Some(adapter) = adapter.filter(|_| retry > Millis(0)) {
