After review: no false alarm after a planned change, the store's delay in retry-after times, cooldowns of a running predecessor, acquire after the read

Callers of a model that no engine holds, refused in a known gap, were told to come three seconds before that; the time is added for them again. - A planner that stops left out all last orders, also those of a predecessor that had released the lease to it shortly before and still runs. A daemon that reads a release acquires the lease at once and not at its next check, 100 ms later.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -4,14 +4,12 @@
 //! daemon read its end. The offset of the record is the fencing token. The holder renews by
 //! appending again on the same kind of condition, so an acquisition in between is noticed at once.
 //! A holder sends orders only within [`PlannerLeaseSettings::validity`] of the start of its last
-//! renewal; a successor waits until that time and the lease have passed without a new record at the
-//! end of the topic. A holder that stops appends a release with its last orders; its successor then
-//! waits only for the engines that had an order within the lease. Only monotonic clocks of single
-//! processes are compared.
-//!
-//! If engines reject orders with a lower fencing token than one they have seen, the orders of a
-//! failed holder can't follow those of its successor. The successor then waits until the holder's
-//! own validity has ended, and not for the lease: without a planner nothing is loaded.
+//! renewal; a successor waits until that time has passed without a new record at the end of the
+//! topic, and then for the lease, unless engines reject orders with a lower fencing token than one
+//! they have seen: the orders of a failed holder can't follow those of its successor there. A
+//! holder that releases the lease appends its last orders; its successor then waits only for the
+//! engines that had an order within the lease. Only monotonic clocks of single processes are
+//! compared.
 
 use shaleline_types::Millis;
 
@@ -22,7 +20,7 @@
     pub renew_interval: Millis,
     /// The time after the start of its last renewal during which the holder may send orders.
     pub validity: Millis,
-    /// The time that must pass between the orders of two holders.
+    /// The time that must pass between the orders of two holders that both run.
     pub lease: Millis,
     /// The time that the successor waits beyond that, for orders in transit.
     pub slack: Millis,
@@ -148,6 +146,9 @@
     pub failures: u64,
     /// The additional time if as many more fail.
     pub extra: Millis,
+    /// The time after `remaining` during which no load from the weight store begins, as the last
+    /// ones of the failed holder are not known.
+    pub load_delay: Millis,
 }
 
 /// A renewal of the lease.
@@ -295,6 +296,7 @@
             remaining: Millis(remaining.max(self.settings.read_interval.0)),
             failures,
             extra: Millis(failures * self.settings.takeover_delay()),
+            load_delay: Millis(self.settings.cooldown().since(self.settings.idle_time())),
         })
     }
 
@@ -311,6 +313,14 @@
         self.last_renewal = None;
     }
 
+    /// Whether the next action is to acquire the lease.
+    #[must_use]
+    pub fn may_acquire(&self, now: Millis) -> bool {
+        let is_due =
+            matches!(self.state, State::Waiting { since, wait, .. } if now.since(since) >= wait);
+        is_due && !self.must_read && !self.in_flight
+    }
+
     /// Returns the next action, if there is one. Each action is answered by one of the `on_` calls.
     pub fn tick(&mut self, now: Millis) -> Option<PlannerLeaseAction> {
         if self.in_flight {
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -280,6 +280,11 @@
         fence: None,
     };
     let mut now = START;
+    while !lease.may_acquire(Millis(now)) {
+        assert_ne!(lease.tick(Millis(now)), Some(append));
+        lease.on_read(&view, Millis(now));
+        now += 50;
+    }
     while lease.tick(Millis(now)) != Some(append) {
         lease.on_read(&view, Millis(now));
         now += 50;
@@ -328,6 +333,17 @@
     a_holder_with_a_recent_renewal_leaves_no_gap_with_fencing: 1_000 => None,
 }
 
+#[test]
+fn loads_from_the_store_begin_a_lease_after_a_takeover_with_fencing() {
+    let delay = |fencing| {
+        let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(fencing);
+        let mut lease = PlannerLease::new(settings, "d0".to_owned());
+        lease.on_renewal(7, Millis(START));
+        lease.gap(Millis(START + 1_200)).expect("a gap").load_delay
+    };
+    assert_eq!((delay(false), delay(true)), (Millis(0), LEASE));
+}
+
 /// The duration of the gap that a daemon knows of 400 ms after a renewal, if it receives these
 /// notices that the holder is silent or not, each with the end of the topic.
 fn gap_after_notices(notices: &[(u64, bool)]) -> Option<u64> {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -446,7 +446,7 @@
             }
             PlannerUpdate::Heartbeat(planner) => {
                 on_planner_info(self, Some(*planner));
-                self.on_planner_heartbeat();
+                self.on_planner_heartbeat(planner.fence);
                 Audience::Receiver
             }
             PlannerUpdate::Silent { end, age } => {
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -73,6 +73,11 @@
         self.engines.borrow().contains(start)
     }
 
+    /// Whether some engines get no orders yet, because of those of the previous planner.
+    pub(crate) fn has_cooldowns(&self, now: Millis) -> bool {
+        self.cooldowns.borrow().values().any(|until| *until > now)
+    }
+
     /// Whether this daemon recently took over from a planner that failed.
     fn recently_took_over(&self, now: Millis) -> bool {
         let at = self.last_takeover.get();
@@ -190,7 +195,8 @@
 }
 
 /// Starts from the state of the previous planner. One that stopped has stored its last orders. One
-/// that fell silent may have used up the load window until its lease lapsed. The first planner of all has no predecessor.
+/// that fell silent may have used up the load window until its lease lapsed. The first planner of
+/// all has no predecessor.
 fn on_lease_acquired(gw: &Gateway, state: &PlannerState, fence: Option<u64>) {
     if fence == state.last_fence.replace(fence) {
         // The lease had lapsed briefly, and no other daemon held it meanwhile.
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -38,7 +38,16 @@
 /// Performs an action that was decided at `requested`.
 pub(crate) async fn perform(gw: &Gateway, action: PlannerLeaseAction, requested: Millis) {
     match action {
-        PlannerLeaseAction::Read => read(gw).await,
+        PlannerLeaseAction::Read => {
+            read(gw).await;
+            // A lease that was released is acquired without another check.
+            let now = gw.now();
+            let may_acquire = gw.planner_lease.borrow().may_acquire(now);
+            let next = may_acquire.then(|| next_action(gw)).flatten();
+            if let Some(PlannerLeaseAction::Append { end, .. }) = next {
+                append(gw, end, now).await;
+            }
+        }
         PlannerLeaseAction::Append { end, .. } => append(gw, end, requested).await,
     }
 }
@@ -124,12 +133,14 @@
 }
 
 /// The state that a successor needs from this planner. Engines that reject the orders of an earlier
-/// planner need no cooldown after those of one that stops.
+/// planner need no cooldown after those of one that stops, but they do after those of a planner
+/// that released the lease to this one shortly before and still runs.
 fn handover(gw: &Gateway, state: &PlannerState) -> Handover {
     let window = state.window.borrow();
     let orders = gw.last_orders.borrow();
     let last = orders.to_handover(window.as_ref(), gw.now());
-    match gw.stopping.get() && gw.planner_lease.borrow().settings().fencing {
+    let fencing = gw.planner_lease.borrow().settings().fencing;
+    match gw.stopping.get() && fencing && !state.has_cooldowns(gw.now()) {
         true => last.without_orders(),
         false => last,
     }
--- a/crates/gateway/src/planner_watch.rs
+++ b/crates/gateway/src/planner_watch.rs
@@ -37,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PlannerWatch {
     reception: Reception,
+    /// The fencing token of the planner that sent the last heartbeat.
+    fence: u64,
     /// When a heartbeat was last sent or checked for.
     last: Option<Millis>,
 }
@@ -48,8 +50,13 @@
         self.start_interval(now)
     }
 
-    /// Records a heartbeat. Returns whether the planner counted as silent.
-    pub(crate) fn on_heartbeat(&mut self) -> bool {
+    /// Records a heartbeat of the planner with this fencing token. Returns whether the planner
+    /// counted as silent.
+    pub(crate) fn on_heartbeat(&mut self, fence: u64) -> bool {
+        if fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
         std::mem::replace(&mut self.reception, Reception::Missed(0)) == Reception::Silent
     }
 
@@ -58,8 +65,12 @@
         self.reception = Reception::Unwatched;
     }
 
-    /// Checks for heartbeats. Returns whether the planner counts as silent from now on.
-    pub(crate) fn check(&mut self, now: Millis) -> bool {
+    /// Checks for heartbeats. Returns whether the planner counts as silent from now on. `current` is
+    /// the fencing token of the known planner, which may have other watchers than the one before.
+    pub(crate) fn check(&mut self, current: Option<u64>, now: Millis) -> bool {
+        if current > Some(self.fence) {
+            self.reception = Reception::Unwatched;
+        }
         let Reception::Missed(missed) = self.reception else {
             return false;
         };
@@ -90,7 +101,9 @@
     pub(crate) fn watch_planner(&self) {
         let now = self.now();
         let Some(planner) = planner_info(self, now) else {
-            if self.planner_watch.borrow_mut().check(now) {
+            let known = self.membership.borrow().planner(now);
+            let fence = known.map(|p| p.fence);
+            if self.planner_watch.borrow_mut().check(fence, now) {
                 self.report_planner(true);
             }
             return;
@@ -103,8 +116,8 @@
     }
 
     /// Handles a heartbeat of the planner.
-    pub(crate) fn on_planner_heartbeat(&self) {
-        if self.planner_watch.borrow_mut().on_heartbeat() {
+    pub(crate) fn on_planner_heartbeat(&self, fence: u64) {
+        if self.planner_watch.borrow_mut().on_heartbeat(fence) {
             self.report_planner(false);
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -358,13 +358,16 @@
 /// Nothing is loaded while there is no planner.
 pub(crate) fn load_retry(gw: &Gateway, takes: Millis) -> Millis {
     match gw.planner_lease.borrow().gap(gw.now()) {
-        Some(vacancy) => {
+        Some(gap) => {
             // The number of refused callers grows with the number of planners that failed in
             // between.
-            let turn =
-                (vacancy.elapsed.0 / SPREAD_DIVISOR).min(MAX_SPREAD.0) * (1 + vacancy.failures);
-            let waits = vacancy.remaining.plus(vacancy.extra.0).plus(TAKEOVER.0);
-            takes.plus(waits.0).plus(turn)
+            let turn = (gap.elapsed.0 / SPREAD_DIVISOR).min(MAX_SPREAD.0) * (1 + gap.failures);
+            let load_delay = match takes >= LOAD_RETRY {
+                true => gap.load_delay,
+                false => Millis(0),
+            };
+            let waits = gap.remaining.plus(gap.extra.0).plus(TAKEOVER.0);
+            takes.plus(waits.0).plus(load_delay.0).plus(turn)
         }
         None => takes,
     }
--- a/crates/gateway/tests/unit/planner_watch.rs
+++ b/crates/gateway/tests/unit/planner_watch.rs
@@ -15,21 +15,27 @@
     Heartbeat,
     Check,
     Released,
+    /// Another planner is known.
+    Succeeded,
 }
 
-use Event::{Check, Heartbeat, Released};
+use Event::{Check, Heartbeat, Released, Succeeded};
+
+const FENCE: u64 = 7;
 
 /// Returns the times at which the planner begins to count as silent.
 fn silent_at(events: &[(u64, Event)]) -> Vec<u64> {
     let mut watch = PlannerWatch::default();
     let mut silent = Vec::new();
+    let mut current = FENCE;
     for (at, event) in events {
         match event {
             Heartbeat => {
-                watch.on_heartbeat();
+                watch.on_heartbeat(FENCE);
             }
             Released => watch.on_released(),
-            Check if watch.check(Millis(START_MS + at)) => silent.push(*at),
+            Succeeded => current += 1,
+            Check if watch.check(Some(current), Millis(START_MS + at)) => silent.push(*at),
             Check => {}
         }
     }
@@ -69,6 +75,15 @@
         (300, Check),
         (400, Check),
     ] => Vec::<u64>::new(),
+    // A daemon that does not watch the next planner took its predecessor for a failed one.
+    a_planner_with_a_successor_is_not_silent: &[
+        (0, Heartbeat),
+        (100, Check),
+        (150, Succeeded),
+        (200, Check),
+        (300, Check),
+        (400, Check),
+    ] => Vec::<u64>::new(),
     it_can_fall_silent_again: &[
         (0, Heartbeat),
         (100, Check),
@@ -84,12 +99,16 @@
 #[test]
 fn a_heartbeat_after_silence_is_reported_once() {
     let mut watch = PlannerWatch::default();
-    assert!(!watch.on_heartbeat());
+    assert!(!watch.on_heartbeat(FENCE));
     for step in 1..=3 {
-        watch.check(Millis(START_MS + step * 100));
+        watch.check(Some(FENCE), Millis(START_MS + step * 100));
     }
-    assert!(watch.on_heartbeat());
-    assert!(!watch.on_heartbeat());
+    assert!(
+        !watch.on_heartbeat(FENCE - 1),
+        "an earlier planner is heard"
+    );
+    assert!(watch.on_heartbeat(FENCE));
+    assert!(!watch.on_heartbeat(FENCE));
 }
 
 #[test]
