Tell callers a planner's long gap while it is heard but can't renew its lease

The store is unavailable twice for seven seconds there, so the planner's lease lapses though it runs. With the shorter takeover callers were told two to three seconds, and were refused again.

The holder now goes on with its heartbeats while it can't renew. A gap counts as that of a failed planner only if heartbeats are missing; otherwise the time is the one of a successor that waits for the lease, as before.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -55,6 +55,11 @@
         self.validity.0 + self.idle_time().0
     }
 
+    /// The time from the last renewal of a holder to a successor that waits for the lease.
+    fn longest_delay(&self) -> u64 {
+        self.validity.0 + self.cooldown().0
+    }
+
     /// The time without orders between a holder that failed and its successor.
     #[must_use]
     pub fn idle_time(&self) -> Millis {
@@ -263,11 +268,28 @@
         let recent = self
             .failures
             .filter(|(_, at)| last.since(*at) < FAILURE_SERIES_MS);
-        let unobserved =
-            now.since(last).saturating_sub(SILENCE_MS) / self.settings.takeover_delay();
+        let unobserved = now.since(last).saturating_sub(SILENCE_MS) / self.expected_delay();
         (recent.map_or(0, |(failures, _)| failures) + unobserved).min(MAX_FAILURES)
     }
 
+    /// The expected time from the last renewal to a successor. A holder that is heard but does not
+    /// renew can't reach the store, which may take longer than a takeover.
+    fn expected_delay(&self) -> u64 {
+        match self.silent {
+            true => self.settings.takeover_delay(),
+            false => self.settings.longest_delay(),
+        }
+    }
+
+    /// The fencing token of this daemon while it holds the lease, even if it is no longer valid.
+    #[must_use]
+    pub fn token(&self) -> Option<u64> {
+        match self.state {
+            State::Holding { fence, .. } => Some(fence),
+            _ => None,
+        }
+    }
+
     /// This daemon's last renewal, to be sent to the others.
     #[must_use]
     pub fn renewal(&self) -> Option<PlannerLeaseRenewal> {
@@ -289,14 +311,15 @@
         let (_, at) = self.last_renewal.filter(|_| self.fence(now).is_none())?;
         let elapsed = now.since(at);
         // A successor reads the end of the topic at an interval.
-        let remaining = self.settings.takeover_delay().saturating_sub(elapsed);
+        let delay = self.expected_delay();
+        let remaining = delay.saturating_sub(elapsed);
         let failures = self.failures_before(at, now);
         (self.silent || elapsed >= GAP_THRESHOLD_MS).then_some(PlannerGap {
             elapsed: Millis(elapsed),
             remaining: Millis(remaining.max(self.settings.read_interval.0)),
             failures,
-            extra: Millis(failures * self.settings.takeover_delay()),
-            load_delay: Millis(self.settings.cooldown().since(self.settings.idle_time())),
+            extra: Millis(failures * delay),
+            load_delay: Millis(self.settings.longest_delay() - delay),
         })
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -151,15 +151,8 @@
 
 /// What this daemon reports of itself as the planner; none where it is not the planner.
 pub(crate) fn planner_info(gw: &Gateway, now: Millis) -> Option<PlannerInfo> {
-    let lease = gw.planner_lease.borrow();
-    let (fence, renewed) = (lease.fence(now)?, lease.renewal()?);
-    let info = PlannerInfo {
-        fence,
-        address: gw.membership.borrow().address(),
-        end: renewed.end,
-        age: 0,
-    };
-    Some(info.aged(now.since(renewed.started)))
+    gw.planner_lease.borrow().fence(now)?;
+    gw.holder_info(now)
 }
 
 /// The demand of this daemon's callers.
--- a/crates/gateway/src/planner_watch.rs
+++ b/crates/gateway/src/planner_watch.rs
@@ -7,9 +7,8 @@
 //! of these notifies its data centre when heartbeats are missing. A false alarm only makes some
 //! retry-after times longer. `docs/MEMBERSHIP.md` describes the messages.
 
-use crate::gossip::planner_info;
 use crate::journal::emit;
-use crate::message::{Message, PlannerUpdate};
+use crate::message::{Message, PlannerInfo, PlannerUpdate};
 use crate::state::Gateway;
 use shaleline_types::{LogEvent, Millis};
 
@@ -44,7 +43,7 @@
 }
 
 impl PlannerWatch {
-    /// Whether to send a heartbeat now, where this daemon is the planner.
+    /// Whether to send a heartbeat now, where this daemon holds the planner lease.
     pub(crate) fn is_due(&mut self, now: Millis) -> bool {
         self.reception = Reception::Unwatched;
         self.start_interval(now)
@@ -100,7 +99,7 @@
     /// otherwise.
     pub(crate) fn watch_planner(&self) {
         let now = self.now();
-        let Some(planner) = planner_info(self, now) else {
+        let Some(planner) = self.holder_info(now) else {
             let known = self.membership.borrow().planner(now);
             let fence = known.map(|p| p.fence);
             if self.planner_watch.borrow_mut().check(fence, now) {
@@ -115,6 +114,20 @@
         }
     }
 
+    /// What a heartbeat tells of this daemon while it holds the planner lease. It is sent even if
+    /// the lease is no longer valid: the planner has not failed then, but can't reach the store.
+    pub(crate) fn holder_info(&self, now: Millis) -> Option<PlannerInfo> {
+        let lease = self.planner_lease.borrow();
+        let (fence, renewal) = (lease.token()?, lease.renewal()?);
+        let info = PlannerInfo {
+            fence,
+            address: self.membership.borrow().address(),
+            end: renewal.end,
+            age: 0,
+        };
+        Some(info.aged(now.since(renewal.started)))
+    }
+
     /// Handles a heartbeat of the planner.
     pub(crate) fn on_planner_heartbeat(&self, fence: u64) {
         if self.planner_watch.borrow_mut().on_heartbeat(fence) {
