--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -60,9 +60,8 @@
         self.validity.0 + self.cooldown().0
     }
 
-    /// The time without orders between a holder that failed and its successor.
-    #[must_use]
-    pub fn idle_time(&self) -> Millis {
+    /// The time without orders between a holder that failed and its successor, at least.
+    fn idle_time(&self) -> Millis {
         match self.fencing {
             true => self.slack,
             false => self.cooldown(),
@@ -134,6 +133,8 @@
     /// The number of holders that failed in quick succession, and when the last of them was
     /// succeeded.
     failures: Option<(u64, Millis)>,
+    /// The last renewal of the holder that this daemon succeeds, or a later time.
+    succeeded: Millis,
     last_action: Option<Millis>,
     in_flight: bool,
     /// Whether the end of the topic must be read before the next append.
@@ -190,6 +191,7 @@
             last_renewal: None,
             silent: false,
             failures: None,
+            succeeded: Millis(0),
             last_action: None,
             in_flight: false,
             must_read: false,
@@ -207,6 +209,12 @@
         }
     }
 
+    /// The time that has passed since the last order of a failed holder that this daemon succeeds.
+    #[must_use]
+    pub fn idle_time(&self, now: Millis) -> Millis {
+        Millis(now.since(self.succeeded.plus(self.settings.validity.0)))
+    }
+
     /// The timing of the lease.
     #[must_use]
     pub fn settings(&self) -> &PlannerLeaseSettings {
@@ -359,6 +367,7 @@
                     .then_some(PlannerLeaseAction::Read)
             }
             State::Waiting { end, since, wait } if now.since(since) >= wait => {
+                self.succeeded = since;
                 self.state = State::Acquiring { end, started: now };
                 Some(PlannerLeaseAction::Append { end, fence: None })
             }
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -335,6 +335,27 @@
     a_holder_with_a_recent_renewal_leaves_no_gap_with_fencing: 1_000 => None,
 }
 
+/// The time without orders that a successor counts which acquires the lease this long after the
+/// last renewal, and finds the store available only then.
+fn idle_time_after(ms: u64) -> u64 {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    let mut lease = PlannerLease::new(settings, "me".to_owned());
+    lease.on_renewal(9, Millis(START));
+    let now = Millis(START + ms);
+    lease.tick(now);
+    lease.on_read(&view(9, Some("other")), now);
+    assert!(lease.may_acquire(now));
+    lease.tick(now);
+    lease.on_appended(9, now);
+    lease.idle_time(now).0
+}
+
+cases! { idle_time_after;
+    a_successor_that_is_in_time_counts_the_slack: 1_600 => 400,
+    // Loads from the weight store were blocked for 5 s after an outage of the store of 7 s.
+    a_successor_after_an_outage_counts_all_of_it: 7_000 => 5_800,
+}
+
 #[test]
 fn loads_from_the_store_begin_a_lease_after_a_takeover_with_fencing() {
     let delay = |fencing| {
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -224,7 +224,7 @@
         *state.cooldowns.borrow_mut() = cooldowns;
     } else {
         state.last_takeover.set(Some(now));
-        let lapsed = gw.planner_lease.borrow().settings().idle_time();
+        let lapsed = gw.planner_lease.borrow().idle_time(now);
         window.block(now.plus(window.span().0.saturating_sub(lapsed.0)));
     }
     *state.window.borrow_mut() = Some(window);
