--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -1,11 +1,9 @@
 //! The state that a stopping planner hands over to its successor, so that it need not wait.
 //!
-//! The orders of two planners to one engine must be a lease apart, and loads from the weight store
+//! The orders of two planners that both run must be a lease apart at one engine, and loads from the weight store
 //! must stay under its rate limit whichever planner begins them. A successor that knows when each
 //! engine had its last order, and when loads began, waits for those engines only and may use the
-//! rest of the window at once. Without a handover no orders are sent for 3.4 s after a planned
-//! stop, and no load from the store begins for 5 s more, so fewer chats are in time on overloaded
-//! days.
+//! rest of the window at once. Without a handover it would wait as after a failure.
 
 use crate::LoadWindow;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,7 +5,7 @@
 //! engines that are making room, the models and adapters with unmet demand, the adapters that were
 //! evicted, the engines that left recently, and summaries of engines that have not changed.
 //! `snapshot` is the input of a plan and `draft` its decisions so far; `moves` decides about
-//! weights, `adapters` about adapters, `prefetch` about adapters that nobody has requested yet, and
+//! weights, `adapters` about adapters, `prefetch` about adapters without a request so far, and
 //! `warmup` about the time before the first traffic. `docs/PLACEMENT.md` lists the alternatives
 //! considered.
 
--- a/crates/fleet/src/prefetch.rs
+++ b/crates/fleet/src/prefetch.rs
@@ -1,7 +1,7 @@
 //! Loads adapters into free slots before they are requested.
 //!
 //! The first caller of an adapter that no engine holds is refused and served only on its retry. A
-//! free slot costs nothing to fill: what nobody requests is evicted first.
+//! free slot costs nothing to fill: adapters without requests are evicted first.
 
 use crate::draft::Draft;
 use crate::{Order, OrderKind, WarmupPhase};
--- a/crates/fleet/src/unmet.rs
+++ b/crates/fleet/src/unmet.rs
@@ -102,14 +102,7 @@
     /// Records that a caller was refused since no engine served its model or adapter, and the
     /// retry-after time that it was given.
     pub fn record(&mut self, model: &Model, adapter: Option<&Adapter>, retry: Millis, now: Millis) {
-        let key = (model.clone(), adapter.cloned());
-        let record = self.keys.entry(key).or_insert(UnmetRecord {
-            since: now,
-            last: now,
-            attempts: 0,
-            retries: Vec::new(),
-        });
-        record.last = now;
+        let record = self.record_at(model, adapter, now);
         record.attempts += 1;
         record.record_retry(now.plus(retry.0), now);
     }
@@ -117,7 +110,18 @@
     /// Records that a caller of an adapter was refused again on its retry. It does not retry once
     /// more, but its demand would be unknown if the daemon that refused it first can't report it.
     pub fn record_again(&mut self, model: &Model, adapter: &Adapter, now: Millis) {
-        let key = (model.clone(), Some(adapter.clone()));
+        let record = self.record_at(model, Some(adapter), now);
+        record.attempts = record.attempts.max(1);
+    }
+
+    /// The record of a model or adapter with an attempt now.
+    fn record_at(
+        &mut self,
+        model: &Model,
+        adapter: Option<&Adapter>,
+        now: Millis,
+    ) -> &mut UnmetRecord {
+        let key = (model.clone(), adapter.cloned());
         let record = self.keys.entry(key).or_insert(UnmetRecord {
             since: now,
             last: now,
@@ -125,7 +129,7 @@
             retries: Vec::new(),
         });
         record.last = now;
-        record.attempts = record.attempts.max(1);
+        record
     }
 
     /// Records that a caller was served. Other callers with a retry-after time still retry.
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -256,8 +256,8 @@
     acquires_after_silence(settings, due);
 }
 
-/// A third of the callers of rare adapters who were refused while nobody planned were lost: engines
-/// got no orders for the lease after a planner had failed, although they reject its late orders.
+/// Engines got no orders for the lease after a planner had failed, although they reject its late
+/// orders.
 #[test]
 fn with_fencing_a_successor_waits_for_the_validity_only() {
     let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
@@ -329,8 +329,8 @@
 }
 
 cases! { gap_with_fencing_after;
-    // While the store was unavailable, callers were told the time after which a dead planner is
-    // followed, and were refused again.
+    // While the store was unavailable, callers got the retry-after time for a dead planner and were
+    // refused again.
     a_holder_that_can_not_renew_is_not_followed_soon: 2_000 => Some((2_000, 2_600)),
     a_holder_with_a_recent_renewal_leaves_no_gap_with_fencing: 1_000 => None,
 }
--- a/crates/fleet/tests/prefetch.rs
+++ b/crates/fleet/tests/prefetch.rs
@@ -134,7 +134,7 @@
     orders.iter().map(ToString::to_string).collect()
 }
 
-/// Callers request more adapters than there are slots left, so the adapters that nobody requests
+/// Callers request more adapters than there are slots left, so the adapters without requests
 /// make room. They are not loaded again.
 #[test]
 fn an_evicted_adapter_is_loaded_again_only_for_callers() {
