--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -442,16 +442,11 @@
                 self.on_planner_heartbeat(planner.fence);
                 Audience::Receiver
             }
-            PlannerUpdate::Silent { end, age } => {
+            PlannerUpdate::Silent { end, age } | PlannerUpdate::Heard { end, age } => {
+                let silent = matches!(update, PlannerUpdate::Silent { .. });
                 let mut lease = self.planner_lease.borrow_mut();
                 lease.on_renewal(*end, Millis(now.0.saturating_sub(u64::from(*age))));
-                lease.on_silent(*end, true);
-                Audience::Receiver
-            }
-            PlannerUpdate::Heard { end, age } => {
-                let mut lease = self.planner_lease.borrow_mut();
-                lease.on_renewal(*end, Millis(now.0.saturating_sub(u64::from(*age))));
-                lease.on_silent(*end, false);
+                lease.on_silent(*end, silent);
                 Audience::Receiver
             }
             PlannerUpdate::Released => {
