Read the limits that upstreams name, and log and spread them

Nothing read the limits, so neither log nor metric could tell a limit that no daemon knows from one that is counted for each daemon alone. Event 8107, a gauge, and notes among daemons; no decision depends on them yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -141,6 +141,9 @@
     if !own || answer.encoded || (status.is_success() && !proven) {
         return Err(Failure::Garbled);
     }
+    if answer.signed || answer.not_run {
+        gw.record_limits(upstream, &answer);
+    }
     if answer.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             let other = answer.instance.as_deref();
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -74,7 +74,7 @@
 }
 
 /// The head of an upstream's answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// The id of the request that it answers.
     pub id: Option<String>,
@@ -91,6 +91,12 @@
     pub instance: Option<String>,
     /// Whether the body is encoded, which no upstream does.
     pub encoded: bool,
+    /// The requests per second that the upstream takes from all daemons together, if it names a
+    /// limit.
+    pub rate_limit: Option<f64>,
+    /// The rejections per second for want of room above which the upstream crashes, if it names
+    /// any.
+    pub max_rejections: Option<f64>,
 }
 
 /// One upstream as the platform lists it.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -286,6 +286,7 @@
         Message::AdapterWanted { model, adapter } => gw.on_adapter_wanted(&model, &adapter),
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
+        Message::UpstreamLimits(notes) => gw.on_limit_notes(&from, notes),
         Message::PlannerUpdate(update) => {
             let audience = gw.on_planner_update(&update);
             let targets = gw
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
+//! * `upstream_limits` keeps the limits that upstreams name in their answers.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -84,6 +85,7 @@
 mod suspects;
 mod table;
 mod tag_index;
+mod upstream_limits;
 mod wanted;
 mod wanted_reports;
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
 use crate::dispatch::{Answer, AskNote, ProgressNote, Ticket};
+use crate::upstream_limits::LimitNote;
 use crate::Entry;
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Rate, Unmet};
@@ -102,6 +103,8 @@
     AdaptersWanted { reports: Vec<WantedReport> },
     /// From the planner: reports of wanted adapters have arrived.
     AdaptersWantedAck(WantedAck),
+    /// The limits that upstreams named.
+    UpstreamLimits(Vec<LimitNote>),
 }
 
 /// Acknowledges reports of a daemon.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,7 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
-use shaleline_types::Org;
+use shaleline_types::{Org, Upstream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -30,6 +30,7 @@
     wait: Histogram<f64>,
     unserved: Histogram<f64>,
     suspects: Gauge<u64>,
+    rate_limits: Gauge<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -73,6 +74,10 @@
                 .u64_gauge("shaleline_suspect_requests")
                 .with_description("requests under which upstreams ended")
                 .build(),
+            rate_limits: meter
+                .f64_gauge("shaleline_upstream_rate_limit")
+                .with_description("requests per second that an upstream takes; 0 without a limit")
+                .build(),
             _provider: provider,
         })
     }
@@ -138,6 +143,12 @@
         }
     }
 
+    /// Records the rate limit of an upstream, or 0 if it names none any more.
+    pub(crate) fn record_rate_limit(&self, upstream: &Upstream, rate: f64) {
+        let label = KeyValue::new("upstream", upstream.to_string());
+        self.rate_limits.record(rate, &[label]);
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -145,6 +145,7 @@
     gw.route(RouteEvent::Tick);
     gw.tick_selection();
     gw.send_wanted_reports();
+    gw.repeat_limits();
 }
 
 /// Drops kept connections that expired while the instance was suspended. All other state expires by
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
+use crate::upstream_limits::UpstreamLimits;
 use crate::wanted::WantedAdapters;
 use crate::wanted_reports::WantedReports;
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
@@ -136,6 +137,8 @@
     pub(crate) crashes_synced: Cell<Millis>,
     /// The recent probes of upstreams whose attempts broke off.
     pub(crate) crash_probes: RefCell<CrashProbes>,
+    /// The limits that upstreams named.
+    pub(crate) upstream_limits: RefCell<UpstreamLimits>,
     /// Upstreams that sent bytes for requests for which hubs selected.
     pub(crate) active_upstreams: RefCell<BTreeSet<Tag>>,
     /// When this daemon last reported its open requests, and to which hubs.
@@ -248,6 +251,7 @@
             delegated: RefCell::new(DelegatedRequests::new(incarnation, now)),
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
+            upstream_limits: RefCell::new(UpstreamLimits::default()),
             crashes_synced: Cell::new(Millis(0)),
             active_upstreams: RefCell::new(BTreeSet::new()),
             open_reported: Cell::new(now),
@@ -315,6 +319,7 @@
                     self.pool.close_idle(&target);
                 }
                 self.route(RouteEvent::Restarted(name.clone()));
+                self.forget_limits(&name);
                 self.apply_entry(&name);
             }
             Change::Gone(name) => {
@@ -323,6 +328,7 @@
                     fleet.remove(&name);
                 }
                 self.announced.borrow_mut().forget(&name);
+                self.forget_limits(&name);
                 let tag = Tag::of_upstream(&name);
                 self.upstream_tags.borrow_mut().remove(&tag);
                 self.route(RouteEvent::Leaving {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -98,6 +98,7 @@
     RequestSuspected 8104 Info "An upstream ended during a request; the request is watched until it completes.";
     RequestBlocked 8105 Warn "A request during which several upstreams ended is no longer sent.";
     RequestCleared 8106 Info "A request during which upstreams ended has completed, or was cleared by an operator.";
+    UpstreamLimited 8107 Info "An upstream named or changed a rate limit or a maximum of rejections, or no longer names it.";
     RequestEnded 8201 Info "A request ended.";
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a complete answer.";
