--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -110,6 +110,8 @@
     mod events;
     mod identity;
     mod job;
+    #[path = "limits/main.rs"]
+    mod limits;
     mod manual_clock;
     mod membership;
     mod planner_watch;
--- a/crates/gateway/tests/unit/catalogue/engines.rs
+++ b/crates/gateway/tests/unit/catalogue/engines.rs
@@ -65,7 +65,8 @@
     counts
 }
 
-fn catalog(models: usize, adapters: usize, load_rate: f64) -> Catalog {
+/// The catalog of so many models and adapters.
+pub fn catalog(models: usize, adapters: usize, load_rate: f64) -> Catalog {
     let counts = spread_adapters(models, adapters);
     let profile = |count: usize| ModelProfile {
         weights_size: Megabytes(70_000),
--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -18,7 +18,7 @@
 //! catalogue stay unserved.
 
 mod cluster;
-mod engines;
+pub mod engines;
 mod outcomes;
 mod records;
 
