Keep to the rate that upstreams name, over all daemons together

Class: something owed in sum over all daemons that each daemon decides alone.

Change: each send to an upstream that names a rate needs a permit, requested by the daemon that sends from the daemons that hold the shares of the allowances; the router paces its own sends, selects other upstreams first and refuses at once, with the time of the next permit, what none can take (docs/design/upstream-limits.md).

The check of the simulated cluster was wrong twice and is replaced by the one that the stated bound asks for: an overflow made it count every limit as 0 from the release build's wrapping addition on, so that only 5 requests were allowed in any window (stricter than stated), and a sum of fractions was rounded below the bound.

--- a/crates/gateway/src/allowance_share.rs
+++ b/crates/gateway/src/allowance_share.rs
@@ -85,6 +85,19 @@
         }
     }
 
+    /// The share of the upstreams' limited rates for which this daemon grants permits. A permit is
+    /// a whole request, so a daemon that speaks for less than half of its data centre holds none:
+    /// with many small shares, the permits saved up would exceed what upstreams tolerate.
+    pub(crate) fn permit_share(&mut self, centres: usize, now: Millis) -> f64 {
+        const LEAST_PART: f64 = 0.5;
+        let share = self.allowance_share(centres, now).fraction;
+        let centres = centres.max(self.peers.centres().count());
+        match share * centres as f64 >= LEAST_PART {
+            true => share,
+            false => 0.0,
+        }
+    }
+
     /// The daemons that hold a share of the allowances, the one of this data centre first.
     pub(crate) fn allocators(&mut self, now: Millis) -> Vec<SocketAddr> {
         let (first, mut others) = match self.is_elected(now) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -170,10 +170,12 @@
     Broken,
     Cancelled,
     UpstreamEnded(IncarnationTag),
+    /// Holds the time until the next permit in milliseconds.
+    NoPermit(u32),
 }
 
 impl EndNote {
-    pub(crate) const fn of(end: AttemptEnd) -> Self {
+    pub(crate) fn of(end: AttemptEnd) -> Self {
         match end {
             AttemptEnd::Whole => Self::Whole,
             AttemptEnd::NotSent => Self::NotSent,
@@ -181,10 +183,11 @@
             AttemptEnd::Broken => Self::Broken,
             AttemptEnd::UpstreamEnded(start) => Self::UpstreamEnded(start),
             AttemptEnd::Cancelled => Self::Cancelled,
+            AttemptEnd::NoPermit(wait) => Self::NoPermit(span(wait)),
         }
     }
 
-    pub(crate) const fn to_end(self) -> AttemptEnd {
+    pub(crate) fn to_end(self) -> AttemptEnd {
         match self {
             Self::Whole => AttemptEnd::Whole,
             Self::NotSent => AttemptEnd::NotSent,
@@ -192,6 +195,7 @@
             Self::Broken => AttemptEnd::Broken,
             Self::UpstreamEnded(start) => AttemptEnd::UpstreamEnded(start),
             Self::Cancelled => AttemptEnd::Cancelled,
+            Self::NoPermit(wait) => AttemptEnd::NoPermit(millis(wait)),
         }
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -100,6 +100,7 @@
 pub(crate) fn periodic_messages(gw: &Gateway) -> Addressed {
     gw.share_budget();
     gw.share_allowances();
+    gw.share_permits();
     let visibility = gw.peer_visibility();
     gw.router.borrow_mut().set_peer_visibility(visibility);
     let now = gw.now();
@@ -286,7 +287,7 @@
         Message::AdapterWanted { model, adapter } => gw.on_adapter_wanted(&model, &adapter),
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
-        Message::UpstreamLimits(notes) => gw.on_limit_notes(&from, notes),
+        Message::Limits(message) => gw.on_limit_message(&from, message),
         Message::PlannerUpdate(update) => {
             let audience = gw.on_planner_update(&update);
             let targets = gw
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,8 @@
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
-//! * `upstream_limits` keeps the limits that upstreams name in their answers.
+//! * `upstream_limits` keeps the limits that upstreams name in their answers, and `permits` keeps to
+//!   them.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -64,6 +65,7 @@
 mod orgs;
 mod peer_requests;
 mod peers;
+mod permits;
 mod planner;
 mod planner_lease;
 mod planner_watch;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -103,8 +103,30 @@
     AdaptersWanted { reports: Vec<WantedReport> },
     /// From the planner: reports of wanted adapters have arrived.
     AdaptersWantedAck(WantedAck),
+    /// About upstreams that limit what they take.
+    Limits(LimitMessage),
+}
+
+/// What daemons exchange about upstreams that limit what they take.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum LimitMessage {
     /// The limits that upstreams named.
-    UpstreamLimits(Vec<LimitNote>),
+    Named(Vec<LimitNote>),
+    /// To a daemon that holds a share of the upstream's rate: a request is to be sent.
+    PermitRequest { ticket: Ticket, upstream: Upstream },
+    /// The reply to a [`LimitMessage::PermitRequest`].
+    PermitReply(Ticket, PermitReply),
+}
+
+/// The reply to a daemon that needs a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PermitReply {
+    /// One request may be sent.
+    Granted,
+    /// Refused for now; holds the time until the next permit in milliseconds.
+    Denied(u32),
+    /// This daemon holds no share of the rate, or knows of no limit.
+    NoShare,
 }
 
 /// Acknowledges reports of a daemon.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -146,6 +146,7 @@
     gw.tick_selection();
     gw.send_wanted_reports();
     gw.repeat_limits();
+    gw.tick_permits();
 }
 
 /// Drops kept connections that expired while the instance was suspended. All other state expires by
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::message::{Sender, Tag};
 use crate::metrics::Metrics;
 use crate::peer_requests::PeerRequests;
+use crate::permits::HeldSends;
 use crate::planner_lease::Inherited;
 use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
@@ -29,8 +30,8 @@
     Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, UnmetDemand,
 };
 use shaleline_route::{
-    Load, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings, ShareBook,
-    UpstreamInfo,
+    Load, Permits, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings,
+    ShareBook, UpstreamInfo,
 };
 use shaleline_types::{
     ErrorKind, Incarnation, LogEvent, Millis, Model, Org, RequestId, Service, Upstream,
@@ -139,6 +140,9 @@
     pub(crate) crash_probes: RefCell<CrashProbes>,
     /// The limits that upstreams named.
     pub(crate) upstream_limits: RefCell<UpstreamLimits>,
+    /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
+    pub(crate) permits: RefCell<Permits>,
+    pub(crate) held_sends: RefCell<HeldSends>,
     /// Upstreams that sent bytes for requests for which hubs selected.
     pub(crate) active_upstreams: RefCell<BTreeSet<Tag>>,
     /// When this daemon last reported its open requests, and to which hubs.
@@ -252,6 +256,8 @@
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
+            permits: RefCell::new(Permits::default()),
+            held_sends: RefCell::new(HeldSends::default()),
             crashes_synced: Cell::new(Millis(0)),
             active_upstreams: RefCell::new(BTreeSet::new()),
             open_reported: Cell::new(now),
@@ -438,8 +444,15 @@
         self.publish_crashes();
     }
 
-    /// Passes an action to a request of this daemon; returns false if there is none of that number.
+    /// Passes an action to a request of this daemon, or holds it back until there is a permit for
+    /// it; returns false if there is no request of that number.
     pub(crate) fn notify_request(&self, id: RequestId, action: &RouteAction) -> bool {
+        let known = self.requests.borrow().contains_key(&id);
+        known && (self.hold_for_permit(id, action) || self.pass_to_request(id, action))
+    }
+
+    /// Passes an action to a request of this daemon; returns false if there is none of that number.
+    pub(crate) fn pass_to_request(&self, id: RequestId, action: &RouteAction) -> bool {
         let requests = self.requests.borrow();
         let sent = requests.get(&id).map(|sender| sender.send(action.clone()));
         sent.is_some()
@@ -490,6 +503,7 @@
 
     pub(crate) fn unregister(&self, id: RequestId) {
         self.requests.borrow_mut().remove(&id);
+        self.held_sends.borrow_mut().cancel(id);
     }
 
     /// Divides the retry budget among the live daemons; the hubs share most of it.
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -7,13 +7,14 @@
 
 use crate::journal::emit;
 use crate::membership::Audience;
-use crate::message::{Message, Sender};
+use crate::message::{LimitMessage, Message, Sender};
 use crate::state::Gateway;
 use crate::AnswerHead;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 /// The interval at which the current limits are sent again.
 const REPEAT_MS: u64 = 1_000;
@@ -83,6 +84,18 @@
 }
 
 impl UpstreamLimits {
+    /// The limits of an upstream.
+    pub(crate) fn of(&self, upstream: &Upstream) -> NamedLimits {
+        self.known
+            .get(upstream)
+            .map_or(NamedLimits::NONE, |k| k.limits)
+    }
+
+    /// The time since an upstream named its limits, in milliseconds.
+    pub(crate) fn age(&self, upstream: &Upstream, now: Millis) -> u64 {
+        self.known.get(upstream).map_or(0, |k| now.since(k.named))
+    }
+
     /// Records the limits that an upstream named. Returns the previous ones where they differ.
     fn record(
         &mut self,
@@ -175,6 +188,7 @@
             return;
         };
         self.log_limits(from, upstream, before, limits, named);
+        self.apply_limits(upstream);
         self.broadcast_limits(from, upstream);
     }
 
@@ -196,11 +210,15 @@
         emit(LogEvent::UpstreamLimited, &detail);
     }
 
+    /// The limits of an upstream, for another daemon.
+    pub(crate) fn limit_note(&self, upstream: &Upstream) -> Option<LimitNote> {
+        self.upstream_limits.borrow().note(upstream, self.now())
+    }
+
     /// Sends the limits of an upstream to the daemons that don't know them yet.
     fn broadcast_limits(&self, from: Option<&Sender>, upstream: &Upstream) {
         let now = self.now();
-        let note = self.upstream_limits.borrow().note(upstream, now);
-        let Some(note) = note else {
+        let Some(note) = self.limit_note(upstream) else {
             return;
         };
         let mut membership = self.membership.borrow_mut();
@@ -209,9 +227,7 @@
             None => membership.hub_broadcast_targets(Audience::All, now),
         };
         drop(membership);
-        let notes = vec![note];
-        let message = |t| (t, Message::UpstreamLimits(notes.clone()));
-        self.send(targets.into_iter().map(message).collect());
+        self.send_limit_notes(&targets, &[note]);
     }
 
     /// Repeats the current limits where that is due.
@@ -226,17 +242,25 @@
         let targets = membership.hub_broadcast_targets(Audience::All, now);
         drop(membership);
         for part in notes.chunks(NOTES_PER_DATAGRAM) {
-            let message = |t: &_| (*t, Message::UpstreamLimits(part.to_vec()));
-            self.send(targets.iter().map(message).collect());
+            self.send_limit_notes(&targets, part);
         }
     }
 
+    fn send_limit_notes(&self, targets: &[SocketAddr], notes: &[LimitNote]) {
+        let message = |t: &SocketAddr| {
+            let named = LimitMessage::Named(notes.to_vec());
+            (*t, Message::Limits(named))
+        };
+        self.send(targets.iter().map(message).collect());
+    }
+
     /// Forgets the limits of an upstream that has ended or started again.
     pub(crate) fn forget_limits(&self, upstream: &Upstream) {
         if self.upstream_limits.borrow_mut().forget(upstream) {
             self.metrics.record_rate_limit(upstream, 0.0);
             let detail = format!("upstream={upstream} {} reason=ended", NamedLimits::NONE);
             emit(LogEvent::UpstreamLimited, &detail);
+            self.apply_limits(upstream);
         }
     }
 }
--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -507,7 +507,8 @@
     fn limit_at(&self, time: u64) -> f64 {
         let until = |index: usize| self.named.get(index + 1).map_or(u64::MAX, |(at, _)| *at);
         let named = self.named.iter().enumerate();
-        let current = named.filter(|(i, (at, _))| *at <= time && time < until(*i) + NOTICE_MS);
+        let current =
+            named.filter(|(i, (at, _))| *at <= time && time < until(*i).saturating_add(NOTICE_MS));
         let rates = current.map(|(_, (_, rate))| rate.unwrap_or(f64::INFINITY));
         let started = self
             .named
@@ -528,9 +529,8 @@
                 .arrivals
                 .iter()
                 .filter(|a| (**start..until).contains(*a));
-            let allowed = (**start..until)
-                .map(|t| self.limit_at(t) / 1_000.0)
-                .sum::<f64>();
+            let total: f64 = (**start..until).map(|t| self.limit_at(t)).sum();
+            let allowed = total / 1_000.0;
             count.count() as f64 > allowed * TOLERANCE.0 + TOLERANCE.1
         };
         let start = starts.into_iter().find(exceeds)?;
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -78,6 +78,13 @@
                 }
                 self.retry_request(id, ErrorKind::NoUpstream, now, out);
             }
+            AttemptEnd::NoPermit(_) => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.reached -= 1;
+                    open.tried.pop();
+                }
+                self.dispatch(id, now, out);
+            }
             AttemptEnd::Refused => self.retry_request(id, ErrorKind::NoUpstream, now, out),
             AttemptEnd::Broken => self.retry_if_repeatable(id, now, out),
             AttemptEnd::UpstreamEnded(start) => {
@@ -114,6 +121,10 @@
                 state.failures.record(1.0, now);
                 self.stats.opened += u64::from(state.breaker.on_failure(now));
             }
+            AttemptEnd::NoPermit(wait) => {
+                state.pace.delay(wait, now);
+                state.breaker.on_inconclusive();
+            }
             AttemptEnd::Refused | AttemptEnd::Cancelled => state.breaker.on_inconclusive(),
         }
     }
@@ -126,10 +137,20 @@
     }
 
     pub(crate) fn fail(&mut self, id: RequestId, kind: ErrorKind, out: &mut Vec<RouteAction>) {
+        self.fail_with(id, kind, None, out);
+    }
+
+    pub(crate) fn fail_with(
+        &mut self,
+        id: RequestId,
+        kind: ErrorKind,
+        retry: Option<Millis>,
+        out: &mut Vec<RouteAction>,
+    ) {
         if let Some(open) = self.open.remove(&id) {
             self.copies.remove(&open.request);
             self.limiter.finish(&open.request.org, 0);
-            self.refuse(id, kind, None, out);
+            self.refuse(id, kind, retry, out);
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,8 @@
 //!   a share ([`ShareBook`]).
 //! * Where daemons together may admit no more than an [`Allowance`], those that hold shares of it
 //!   ([`Allocator`]) grant it in small amounts to those that serve ([`Credits`]).
+//! * Where an upstream limits its rate over all daemons, the same daemons grant [`Permits`] for
+//!   single sends to it.
 //! * A request that can't start at once waits in a queue per route; urgent requests come first,
 //!   then organisations in weighted fair order. A request that can't meet its target is refused at
 //!   once.
@@ -30,6 +32,9 @@
 mod estimate;
 mod isolation;
 mod limit;
+mod limited;
+mod pace;
+mod permits;
 mod prefix;
 mod queue;
 mod request;
@@ -49,6 +54,8 @@
 pub use credit::{Credits, GrantRequest, GrantStep};
 pub use drain::{Drain, DrainAction, Unfinished};
 pub use limit::{LimitKind, Limits};
+pub use pace::UpstreamLimit;
+pub use permits::{PermitResponse, Permits};
 pub use prefix::{prefix_chain, BLOCK_CHARS, BLOCK_TOKENS};
 pub use request::{
     AttemptEnd, AttemptNumber, Load, PeerLoad, RequestPolicy, Route, RouteAction, RouteEvent,
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -1,6 +1,6 @@
 //! The events that the router takes and the actions it returns.
 
-use crate::{Limits, BLOCK_TOKENS};
+use crate::{Limits, UpstreamLimit, BLOCK_TOKENS};
 use shaleline_types::{
     Adapter, DataCentre, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId,
     Service, Upstream,
@@ -149,6 +149,8 @@
     NotSent,
     /// The upstream refused the request without running it.
     Refused,
+    /// It was not sent, because there is no permit for the upstream for this long.
+    NoPermit(Millis),
     /// The send failed after the request was written.
     Broken,
     /// The upstream crashed while it ran the request.
@@ -223,6 +225,15 @@
         /// Their load there.
         load: PeerLoad,
     },
+    /// An upstream named, changed or ended its limits.
+    Limited {
+        /// The upstream.
+        upstream: Upstream,
+        /// The limits from now on.
+        limit: UpstreamLimit,
+    },
+    /// An upstream that may crash where it has to reject requests has rejected another daemon's.
+    Rejected(Upstream),
     /// An upstream is available and serves these routes.
     Serves {
         /// The upstream.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -139,6 +139,17 @@
                     state.on_peers(load, now);
                 }
             }
+            RouteEvent::Limited { upstream, limit } => {
+                if let Some(state) = self.upstreams.get_mut(&upstream) {
+                    state.pace.set(limit);
+                }
+                self.dispatch_queued(&upstream, now, &mut out);
+            }
+            RouteEvent::Rejected(upstream) => {
+                if let Some(state) = self.upstreams.get_mut(&upstream) {
+                    state.pace.on_rejection(state.busy(), now);
+                }
+            }
             RouteEvent::Serves { upstream, info } => {
                 self.serves(&upstream, info);
                 self.dispatch_queued(&upstream, now, &mut out);
@@ -273,6 +284,10 @@
             self.fail(id, ErrorKind::NoUpstream, out);
             return;
         }
+        if let Some((upstream, wait)) = self.late_permit(request, now) {
+            self.refuse_limited(id, &upstream, wait, now, out);
+            return;
+        }
         let queued = QueuedRequest {
             id,
             due: request.start_by(now),
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::breaker::{Breaker, BreakerState};
 use crate::estimate::Slowness;
+use crate::pace::Pace;
 use crate::prefix::PrefixHints;
 use crate::{Load, PeerLoad, Route, RouteRequest, UpstreamInfo};
 use shaleline_types::{Millis, Org, RequestId};
@@ -80,6 +81,7 @@
     pub(crate) breaker: Breaker,
     pub(crate) failures: Failures,
     pub(crate) slowness: Slowness,
+    pub(crate) pace: Pace,
     peers: PeerLoad,
     peers_at: Millis,
     pub(crate) hints: PrefixHints,
@@ -105,6 +107,7 @@
             breaker: Breaker::default(),
             failures: Failures::default(),
             slowness: Slowness::default(),
+            pace: Pace::default(),
             peers: PeerLoad::default(),
             peers_at: Millis(0),
             hints: PrefixHints::default(),
@@ -142,6 +145,7 @@
             Route::Service(_) => SERVICE_PAUSE_MS,
         };
         self.refused.insert(route.to_base(), now.plus(pause));
+        self.pace.on_rejection(self.busy(), now);
     }
 
     /// Returns whether it recently refused a request for this route.
@@ -225,6 +229,9 @@
         if self.is_leaving() && shaleline_types::Safeguard::LeavingStop.is_active() {
             return false;
         }
+        if !self.pace.allows(self.busy(), now) {
+            return false;
+        }
         match self.breaker.state(now) {
             BreakerState::Open => false,
             BreakerState::HalfOpen => true,
@@ -272,6 +279,7 @@
         fair_share.last_used = send.sent;
         fair_share.in_flight += 1;
         self.breaker.on_send();
+        self.pace.on_send(send.sent);
         self.in_flight.insert(id, send);
     }
 
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -104,5 +104,6 @@
     RequestFailed 8203 Warn "A request ended without a complete answer.";
     SendFailed 8204 Info "A send to an upstream failed, or the upstream did not run the request.";
     AllowanceUsed 8205 Info "An organisation has used up the part of its allowance that a daemon holds.";
+    SendDelayed 8206 Info "A send waited for a permit or was denied one, because its upstream limits its rate.";
     InvariantBroken 9001 Error "An invariant did not hold; the decision was stopped.";
 }
