Failing test: callers of a daemon that reaches no upstream are not served

Two daemons with real connections; the one whose connections to upstreams are refused, or get no answer, answers 503 to 12 of 12 requests.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -109,6 +109,8 @@
     mod catalogue;
     #[path = "crashes/main.rs"]
     mod crashes;
+    #[path = "detour/main.rs"]
+    mod detour;
     mod events;
     mod identity;
     mod job;
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -116,7 +116,8 @@
     pub crash_traffic: (usize, usize),
 }
 
-fn rule(repeat: Repeat) -> RouteRule {
+/// A route for such requests.
+pub fn rule(repeat: Repeat) -> RouteRule {
     RouteRule {
         public: false,
         name: "r".to_owned(),
--- /dev/null
+++ b/crates/gateway/tests/unit/detour/main.rs
@@ -0,0 +1,74 @@
+//! Tests that callers of a daemon which does not reach the upstreams are served through another
+//! one that does, with real connections.
+
+mod pair;
+
+use pair::{Break, Pair};
+use shaleline_testkit::cases;
+
+const REQUESTS: usize = 12;
+
+/// The requests at a daemon that are not served.
+fn unserved((broken, path): (Break, &'static str)) -> Vec<String> {
+    actix_rt::System::new().block_on(async {
+        let pair = Pair::start(broken).await;
+        let mut unserved = Vec::new();
+        for number in 0..REQUESTS {
+            let id = format!("r{number}");
+            let answer = pair.request(path, &id).await;
+            if answer != format!("200 {id} done") {
+                unserved.push(answer);
+            }
+        }
+        unserved
+    })
+}
+
+cases! {
+    unserved;
+    callers_of_a_daemon_whose_connections_are_refused_are_served:
+        (Break::Refuses, "/safe/x") => Vec::<String>::new(),
+    what_may_not_be_repeated_is_served_where_connections_are_refused:
+        (Break::Refuses, "/unsafe/x") => Vec::<String>::new(),
+    streams_are_served_where_connections_are_refused:
+        (Break::Refuses, "/stream/x") => Vec::<String>::new(),
+    callers_of_a_daemon_whose_connections_hang_are_served:
+        (Break::Hangs, "/safe/x") => Vec::<String>::new(),
+    what_may_not_be_repeated_is_served_where_connections_hang:
+        (Break::Hangs, "/unsafe/x") => Vec::<String>::new(),
+}
+
+#[test]
+fn each_request_runs_once_by_the_detour() {
+    actix_rt::System::new().block_on(async {
+        let pair = Pair::start(Break::Refuses).await;
+        for number in 0..REQUESTS {
+            pair.request("/unsafe/x", &format!("r{number}")).await;
+        }
+        let mut runs = pair.runs();
+        let count = runs.len();
+        runs.sort();
+        runs.dedup();
+        assert_eq!((count, runs.len()), (REQUESTS, REQUESTS));
+    });
+}
+
+#[test]
+fn a_daemon_that_stops_opens_no_detour() {
+    actix_rt::System::new().block_on(async {
+        let pair = Pair::start(Break::Refuses).await;
+        pair.stop_other();
+        let answer = pair.request("/unsafe/x", "r1").await;
+        assert!(answer.starts_with("503"), "{answer}");
+    });
+}
+
+#[test]
+fn an_upstream_that_both_daemons_find_closed_counts_as_crashed() {
+    actix_rt::System::new().block_on(async {
+        let pair = Pair::start(Break::Refuses).await;
+        pair.close_upstreams();
+        let answer = pair.request("/unsafe/x", "r1").await;
+        assert!(answer.starts_with("503"), "{answer}");
+    });
+}
