Reach upstreams through another daemon where the own path is broken

Cause: a request ends where its daemon opens no connection; nothing told a broken path from an upstream that is down, and there was no other way to it. Class: reachability is a property of the pair and was taken for one of the upstream; the same belief in crash detection (a path that resets connections looked like a crash) and in the breaker (what broke off with a path counted against the upstream for all daemons).

Change: a tunnel for bytes through another daemon (CONNECT), tried where a direct connection fails or takes long; the comparison of both says what is broken (docs/design/detours.md). Orders stay direct.

--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -135,7 +135,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(control.idle_timeout() + IDLE_CHECK_INTERVAL)
         .max_buf_size(control.max_head().max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service));
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades());
     let mut phase = control.subscribe();
     let mut shutting_down = false;
     loop {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of persistent connections to upstreams.
 
-use crate::{Clock, Exchange, SendError};
+use crate::detour::{self, Opened};
+use crate::{Clock, Detour, Exchange, SendError};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -56,6 +57,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     count: OpenCount,
+    /// Whether it takes a detour. Such a connection serves one request, so that the daemon in
+    /// between can stop without cutting off another one.
+    detoured: bool,
 }
 
 impl fmt::Debug for Channel {
@@ -135,15 +139,41 @@
         self.0.opened.get()
     }
 
-    /// Sends a request and waits for the head of its response. Dropping the future closes
-    /// the connection.
+    /// Sends a request on a direct connection and waits for the head of its response. Dropping the
+    /// future closes the connection.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if nothing was written, [`SendError::Broken`] otherwise.
     pub async fn send(
+        &self,
+        target: &Target,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        self.send_by(target, request, None).await
+    }
+
+    /// Sends a request like [`Pool::send`], but connects by the detour where the direct path is
+    /// broken.
+    ///
+    /// # Errors
+    /// As for [`Pool::send`].
+    pub async fn send_with(
+        &self,
+        target: &Target,
+        request: Request<Full<Bytes>>,
+        detour: &dyn Detour,
+    ) -> Result<Exchange, SendError> {
+        if detour.is_needed(target) {
+            self.drop_idle(target);
+        }
+        self.send_by(target, request, Some(detour)).await
+    }
+
+    async fn send_by(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
+        detour: Option<&dyn Detour>,
     ) -> Result<Exchange, SendError> {
         while let Some(mut channel) = self.take_idle(target) {
             if channel.sender.ready().await.is_err() {
@@ -157,7 +187,7 @@
                 },
             }
         }
-        let mut channel = self.open(target).await?;
+        let mut channel = self.open(target, detour).await?;
         match channel.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(target, channel, response)),
             Err(mut error) => Err(match error.take_message() {
@@ -196,7 +226,7 @@
     }
 
     pub(crate) fn put(&self, target: &Target, channel: Channel, max_idle: Duration) {
-        if max_idle.is_zero() || channel.sender.is_closed() {
+        if max_idle.is_zero() || channel.detoured || channel.sender.is_closed() {
             return;
         }
         let expires = self.0.clock.now().plus(max_idle.as_millis() as u64);
@@ -222,6 +252,13 @@
         self.0.targets.borrow_mut().remove(target);
     }
 
+    /// Closes the idle connections to an upstream that go by a broken path.
+    fn drop_idle(&self, target: &Target) {
+        if let Some(state) = self.0.targets.borrow_mut().get_mut(target) {
+            state.idle.clear();
+        }
+    }
+
     /// Connects once and closes the connection, to find out whether a process listens there.
     pub async fn probe(&self, target: &Target, limit: Duration) -> ProbeOutcome {
         self.0.opened.set(self.0.opened.get() + 1);
@@ -232,7 +269,11 @@
         }
     }
 
-    async fn open(&self, target: &Target) -> Result<Channel, SendError> {
+    async fn open(
+        &self,
+        target: &Target,
+        detour: Option<&dyn Detour>,
+    ) -> Result<Channel, SendError> {
         let counts = {
             let mut targets = self.0.targets.borrow_mut();
             Rc::clone(&targets.entry(target.clone()).or_default().counts)
@@ -243,18 +284,13 @@
         self.0.opened.set(self.0.opened.get() + 1);
         counts.borrow_mut().open += 1;
         let mut guard = OpeningGuard(Some(OpenCount(counts)));
-        let connect = TcpStream::connect(target.address);
-        let stream = timeout(self.0.settings.connect_timeout, connect).await;
-        let stream = stream
-            .map_err(|_| SendError::NotSent)?
-            .map_err(|_| SendError::NotSent)?;
-        let socket = SockRef::from(&stream);
-        // Both options only reduce latency or detect failures sooner; the connection works
-        // without them.
-        stream.set_nodelay(true).ok();
-        socket
-            .set_tcp_user_timeout(Some(self.0.settings.unacked_timeout))
-            .ok();
+        let limit = self.0.settings.connect_timeout;
+        let opened = match detour {
+            Some(detour) => detour::open(target, limit, detour).await,
+            None => detour::open_direct(target, limit).await,
+        };
+        let Opened { stream, detoured } = opened.map_err(|_| SendError::NotSent)?;
+        set_options(&stream, self.0.settings.unacked_timeout);
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
@@ -267,10 +303,19 @@
             sender,
             task,
             count,
+            detoured,
         })
     }
 }
 
+/// Sets the options of a connection. They only reduce latency or detect failures sooner; the
+/// connection works without them.
+pub(crate) fn set_options(stream: &TcpStream, unacked_timeout: Duration) {
+    stream.set_nodelay(true).ok();
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(unacked_timeout)).ok();
+}
+
 fn is_refusal(error: &io::Error) -> bool {
     use io::ErrorKind::{ConnectionRefused, ConnectionReset};
     matches!(error.kind(), ConnectionRefused | ConnectionReset)
--- /dev/null
+++ b/crates/edge/src/tunnel.rs
@@ -0,0 +1,102 @@
+//! Tunnels through another daemon by the method CONNECT (RFC 9110, section 9.3.6).
+
+use crate::pool::{set_options, Target};
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::client::conn::http1::handshake;
+use hyper::header::{HeaderValue, HOST};
+use hyper::upgrade::{OnUpgrade, Upgraded};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{copy, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn other(reason: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::other(reason)
+}
+
+/// Returns the connection under an upgrade, and what was read from it already.
+fn into_stream(upgraded: Upgraded) -> io::Result<(TcpStream, Bytes)> {
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| other("the upgraded connection is no TCP connection"))?;
+    Ok((parts.io.into_inner(), parts.read_buf))
+}
+
+/// Connects to a target through the daemon that listens at `relay`.
+///
+/// # Errors
+/// [`io::ErrorKind::HostUnreachable`] if the daemon does not reach the target either, another kind
+/// if the daemon itself can't be reached or opens no tunnel.
+pub async fn connect(
+    relay: SocketAddr,
+    target: &Target,
+    unacked_timeout: Duration,
+) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(relay).await?;
+    set_options(&stream, unacked_timeout);
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(other)?;
+    let task = actix_rt::spawn(connection.with_upgrades());
+    let authority = format!("{}:{}", target.name, target.address.port());
+    let host = HeaderValue::from_str(&authority).map_err(other)?;
+    let mut request = Request::new(Empty::<Bytes>::new());
+    *request.method_mut() = Method::CONNECT;
+    *request.uri_mut() = authority.parse().map_err(other)?;
+    request.headers_mut().insert(HOST, host);
+    let response = sender.send_request(request).await.map_err(other)?;
+    if response.status() != StatusCode::OK {
+        task.abort();
+        return Err(match response.status() {
+            StatusCode::BAD_GATEWAY => io::Error::from(io::ErrorKind::HostUnreachable),
+            status => other(format!("the relay answered {status}")),
+        });
+    }
+    let upgraded = hyper::upgrade::on(response).await.map_err(other)?;
+    let (stream, early) = into_stream(upgraded)?;
+    match early.is_empty() {
+        true => Ok(stream),
+        false => Err(other("the target sent bytes before it was asked")),
+    }
+}
+
+/// Passes bytes between a daemon and an upstream until either side ends.
+///
+/// A side that is reset resets the other one: a response may end with its connection, and one that
+/// was reset must not look complete.
+pub async fn run(upgrade: OnUpgrade, mut upstream: TcpStream, unacked_timeout: Duration) {
+    set_options(&upstream, unacked_timeout);
+    // The daemon has left already.
+    let Ok(upgraded) = upgrade.await else {
+        return;
+    };
+    let Ok((mut caller, early)) = into_stream(upgraded) else {
+        return;
+    };
+    set_options(&caller, unacked_timeout);
+    if upstream.write_all(&early).await.is_err() {
+        reset(&caller);
+        return;
+    }
+    let result = {
+        let (mut caller_in, mut caller_out) = caller.split();
+        let (mut upstream_in, mut upstream_out) = upstream.split();
+        tokio::select! {
+            up = copy(&mut caller_in, &mut upstream_out) => up,
+            down = copy(&mut upstream_in, &mut caller_out) => down,
+        }
+    };
+    if result.is_err() {
+        reset(&caller);
+        reset(&upstream);
+    }
+}
+
+/// Makes closing the connection send a reset.
+fn reset(stream: &TcpStream) {
+    // If this fails, the connection is closed normally; only the upstream's end is then taken for
+    // the end of its response, if that has no length.
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to an upstream.
 
 use crate::crash_probe::SentAttempt;
+use crate::detour::Detours;
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::log_end;
@@ -130,7 +131,9 @@
         return Err(Failure::NotSent);
     };
     let request = to_request(gw, job, upstream, resume);
-    let exchange = gw.pool.send(&target, request).await?;
+    gw.paths.borrow_mut().on_send(upstream, gw.now());
+    let exchange = gw.pool.send_with(&target, request, &Detours(gw)).await?;
+    gw.paths.borrow_mut().on_bytes(upstream);
     let status = exchange.status();
     let headers = exchange.head().headers();
     let answer = gw.codec.answer(status, headers);
@@ -282,7 +285,12 @@
     if failure == Failure::Ended {
         gw.record_crash(job.identity, sent);
     }
+    let path_broken = failure == Failure::Broken && gw.paths.borrow().is_broken(upstream);
     if let Some(end) = failure.to_end(*start) {
+        let end = match path_broken {
+            true => AttemptEnd::PathBroken,
+            false => end,
+        };
         permit.end(*attempt, end);
     }
 }
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -93,6 +93,12 @@
                     reach = self.pool.probe(&target, limit).await;
                 }
             }
+            // The path from this daemon may reset connections while the upstream runs.
+            let accepted = reach == ProbeOutcome::Accepted;
+            self.record_direct(&target.name, accepted);
+            if !accepted && self.is_reached_by_others(&target).await {
+                reach = ProbeOutcome::Unreachable;
+            }
             self.log_crash(sent, reach);
             reach
         });
--- /dev/null
+++ b/crates/gateway/src/detour.rs
@@ -0,0 +1,208 @@
+//! Reaches upstreams through another daemon, where the path from this one is broken.
+//!
+//! A daemon asks another one, by the method CONNECT, for a connection to an upstream that both know,
+//! and sends one request on it. Only the bytes take the detour: the daemon that has the request
+//! keeps every decision about it. The daemon in between connects to the upstream itself, so there is
+//! one hop at most. Orders to engines never take a detour: engines tell planners apart by the machine
+//! that orders come from. `docs/design/detours.md` compares the alternatives.
+
+use crate::journal::emit;
+use crate::paths::PathChange;
+use crate::state::{Gateway, DEAD_TIMEOUT};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use shaleline_edge::{tunnel, Detour, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target};
+use shaleline_types::{LogEvent, Upstream};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time in which a daemon must open a detour. It tries to connect for less than that.
+const DETOUR_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time in which a probe of the direct path must connect.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of daemons that are asked for a detour.
+const MAX_RELAYS: usize = 4;
+
+/// The number of daemons that must fail to reach an upstream as well before it counts as down.
+const WITNESSES: usize = 2;
+
+/// The most detours that a daemon serves at once, to keep descriptors for its own callers.
+const MAX_TUNNELS: usize = 500;
+
+/// The detours of a gateway.
+pub(crate) struct Detours<'a>(pub(crate) &'a Gateway);
+
+impl Detour for Detours<'_> {
+    fn is_needed(&self, target: &Target) -> bool {
+        self.0.paths.borrow().is_broken(&target.name)
+    }
+
+    fn is_allowed(&self, target: &Target) -> bool {
+        let gw = self.0;
+        gw.paths.borrow().may_detour(&target.name, gw.now())
+    }
+
+    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+        Box::pin(self.0.connect_by_detour(target))
+    }
+
+    fn on_direct(&self, target: &Target, opened: bool) {
+        self.0.record_direct(&target.name, opened);
+    }
+}
+
+/// Counts an open tunnel until it is dropped.
+struct TunnelGuard(Rc<Cell<usize>>);
+
+impl TunnelGuard {
+    fn begin(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for TunnelGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Gateway {
+    /// Connects through the first daemon that reaches the upstream.
+    async fn connect_by_detour(&self, target: &Target) -> io::Result<TcpStream> {
+        let mut witnesses = 0;
+        for relay in self.relays() {
+            let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
+            match timeout(DETOUR_TIMEOUT, connect).await {
+                Ok(Ok(stream)) => {
+                    self.last_relay.set(Some(relay));
+                    self.record_detour(&target.name, true);
+                    return Ok(stream);
+                }
+                Ok(Err(e)) if e.kind() == io::ErrorKind::HostUnreachable => witnesses += 1,
+                // This daemon is stopping, cut off or down itself, and says nothing of the upstream.
+                Ok(Err(_)) | Err(_) => {}
+            }
+            if self.last_relay.get() == Some(relay) {
+                self.last_relay.set(None);
+            }
+            if witnesses >= WITNESSES {
+                break;
+            }
+        }
+        self.record_detour(&target.name, false);
+        Err(io::Error::from(io::ErrorKind::HostUnreachable))
+    }
+
+    /// The daemons to ask for a detour, the one that served the last one first.
+    fn relays(&self) -> Vec<SocketAddr> {
+        let last = self.last_relay.get();
+        let mut relays = self.membership.borrow().relays(self.now());
+        relays.sort_by_key(|r| Some(*r) != last);
+        relays.truncate(MAX_RELAYS);
+        relays
+    }
+
+    /// Records whether a direct connection to an upstream was opened.
+    pub(crate) fn record_direct(&self, upstream: &Upstream, opened: bool) {
+        let now = self.now();
+        let change = self.paths.borrow_mut().on_direct(upstream, opened, now);
+        self.log_path(upstream, change);
+    }
+
+    fn record_detour(&self, upstream: &Upstream, opened: bool) {
+        let now = self.now();
+        let change = self.paths.borrow_mut().on_detour(upstream, opened, now);
+        self.log_path(upstream, change);
+    }
+
+    fn log_path(&self, upstream: &Upstream, change: Option<PathChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        let paths = self.paths.borrow();
+        let (broken, cut_off) = (paths.broken(), paths.is_cut_off());
+        self.metrics.record_broken_paths(broken);
+        let relay = self.last_relay.get();
+        let relay = relay.map_or("none".to_owned(), |r| r.to_string());
+        let detail = format!("upstream={upstream} broken={broken} cut_off={cut_off} relay={relay}");
+        match change {
+            PathChange::Broken => emit(LogEvent::PathBroken, &detail),
+            PathChange::Restored(after) => {
+                emit(
+                    LogEvent::PathRestored,
+                    &format!("{detail} after_ms={}", after.0),
+                );
+            }
+        }
+    }
+
+    /// Probes the paths that are due.
+    pub(crate) fn probe_paths(self: &Rc<Self>) {
+        let due = self.paths.borrow_mut().due_probes(self.now());
+        for upstream in due {
+            let Some(target) = self.target(&upstream) else {
+                self.paths.borrow_mut().forget(&upstream);
+                continue;
+            };
+            let gw = Rc::clone(self);
+            actix_rt::spawn(async move { gw.probe_path(&target).await });
+        }
+    }
+
+    async fn probe_path(&self, target: &Target) {
+        let opened = self.pool.probe(target, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
+        self.record_direct(&target.name, opened);
+        let known = self.paths.borrow().is_broken(&target.name);
+        if !opened && !known && Detours(self).is_allowed(target) {
+            // The connection only shows whether the upstream or the path has failed.
+            drop(self.connect_by_detour(target).await);
+        }
+    }
+
+    /// Whether another daemon reaches the upstream.
+    pub(crate) async fn is_reached_by_others(&self, target: &Target) -> bool {
+        self.paths.borrow().is_broken(&target.name)
+            || (Detours(self).is_allowed(target) && self.connect_by_detour(target).await.is_ok())
+    }
+
+    /// Opens a detour for another daemon.
+    pub(crate) async fn open_tunnel(&self, request: Request<Incoming>) -> Reply {
+        let name = request.uri().authority().map(|a| a.host().to_owned());
+        let name = name.and_then(|n| Upstream::from_text(&n).ok());
+        let target = name.and_then(|n| self.target(&n));
+        let Some(target) = target else {
+            return answer(StatusCode::NOT_FOUND);
+        };
+        let broken = self.paths.borrow().is_broken(&target.name);
+        if self.stopping.get() || broken || self.open_tunnels.get() >= MAX_TUNNELS {
+            return answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let guard = TunnelGuard::begin(&self.open_tunnels);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
+        let Ok(Ok(stream)) = stream else {
+            return answer(StatusCode::BAD_GATEWAY);
+        };
+        let upgrade = hyper::upgrade::on(request);
+        actix_rt::spawn(async move {
+            tunnel::run(upgrade, stream, DEAD_TIMEOUT).await;
+            drop(guard);
+        });
+        answer(StatusCode::OK)
+    }
+}
+
+fn answer(status: StatusCode) -> Reply {
+    let mut reply = Response::new(ReplyBody::from_bytes(Bytes::new()));
+    *reply.status_mut() = status;
+    reply
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -172,6 +172,7 @@
     UpstreamEnded(IncarnationTag),
     /// Holds the time until the next permit in milliseconds.
     NoPermit(u32),
+    PathBroken,
 }
 
 impl EndNote {
@@ -183,6 +184,7 @@
             AttemptEnd::Broken => Self::Broken,
             AttemptEnd::UpstreamEnded(start) => Self::UpstreamEnded(start),
             AttemptEnd::Cancelled => Self::Cancelled,
+            AttemptEnd::PathBroken => Self::PathBroken,
             AttemptEnd::NoPermit(wait) => Self::NoPermit(span(wait)),
         }
     }
@@ -195,6 +197,7 @@
             Self::Broken => AttemptEnd::Broken,
             Self::UpstreamEnded(start) => AttemptEnd::UpstreamEnded(start),
             Self::Cancelled => AttemptEnd::Cancelled,
+            Self::PathBroken => AttemptEnd::PathBroken,
             Self::NoPermit(wait) => AttemptEnd::NoPermit(millis(wait)),
         }
     }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, HOST};
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shaleline_edge::{Handler, Reply, ReplyBody, SendError, Target};
@@ -67,11 +67,15 @@
     pub(crate) entries: Vec<(Upstream, u64, Entry)>,
 }
 
-/// Serves copies to other daemons.
+/// Serves copies and detours to other daemons.
 pub(crate) struct CopyHandler(pub(crate) Rc<Gateway>);
 
 impl Handler for CopyHandler {
     fn handle(&self, request: Request<Incoming>) -> Pin<Box<dyn Future<Output = Reply>>> {
+        if request.method() == Method::CONNECT {
+            let gw = Rc::clone(&self.0);
+            return Box::pin(async move { gw.open_tunnel(request).await });
+        }
         let gw = &self.0;
         let copy = match request.uri().path() {
             CONFIG_PATH => config_copy(gw).and_then(|c| encode(&c)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,8 @@
 //!   daemon gives up if `isolation` finds it in contact with too few others; `orders` sends the
 //!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
 //!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
+//! * `paths` decides which upstreams this daemon reaches itself, and `detour` reaches the others
+//!   through another daemon.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
@@ -48,6 +50,7 @@
 mod codec;
 mod control;
 mod crash_probe;
+mod detour;
 mod discovery;
 mod dispatch;
 mod events;
@@ -63,6 +66,7 @@
 mod metrics;
 mod orders;
 mod orgs;
+mod paths;
 mod peer_requests;
 mod peers;
 mod permits;
@@ -118,6 +122,7 @@
     mod limits;
     mod manual_clock;
     mod membership;
+    mod paths;
     mod planner_watch;
     mod read_progress;
     mod ready;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -16,7 +16,7 @@
 };
 use crate::peers::Peers;
 use crate::selector::Selector;
-use shaleline_types::{DataCentre, Instance, Millis};
+use shaleline_types::{stable_hash, DataCentre, Instance, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -261,6 +261,16 @@
         }
     }
 
+    /// The daemons that this one has recently heard of, in an order of its own: those that can't
+    /// reach the upstreams themselves spread over the others.
+    pub(crate) fn relays(&self, now: Millis) -> Vec<SocketAddr> {
+        let recent = self.peers.recent(now, SILENT_MS);
+        let mut relays: Vec<SocketAddr> = recent.collect();
+        let me = self.me.address.to_string();
+        relays.sort_by_cached_key(|r| stable_hash(&[&me, &r.to_string()]));
+        relays
+    }
+
     /// The known hubs, without this daemon.
     pub(crate) fn known_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut hubs: Vec<SocketAddr> = self.own_hub(now).into_iter().collect();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     unserved: Histogram<f64>,
     suspects: Gauge<u64>,
     rate_limits: Gauge<f64>,
+    broken_paths: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -78,6 +79,10 @@
                 .f64_gauge("shaleline_upstream_rate_limit")
                 .with_description("requests per second that an upstream takes; 0 without a limit")
                 .build(),
+            broken_paths: meter
+                .u64_gauge("shaleline_broken_paths")
+                .with_description("upstreams that this daemon reaches through another one alone")
+                .build(),
             _provider: provider,
         })
     }
@@ -149,6 +154,11 @@
         self.rate_limits.record(rate, &[label]);
     }
 
+    /// Records the number of upstreams that this daemon does not reach itself.
+    pub(crate) fn record_broken_paths(&self, count: usize) {
+        self.broken_paths.record(count as u64, &[]);
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
--- /dev/null
+++ b/crates/gateway/src/paths.rs
@@ -0,0 +1,183 @@
+//! Which upstreams this daemon reaches itself.
+//!
+//! A failed connection has two possible causes: the upstream, or the path from this daemon. Another
+//! daemon's attempt tells them apart: where it succeeds, the path is broken and requests take the
+//! detour through such a daemon (`detour`); where it fails too, the upstream is down.
+
+use shaleline_types::{Millis, Upstream};
+use std::collections::BTreeMap;
+
+/// The time within which a failed direct connection and a successful detour count as one
+/// observation.
+const SAME_FAILURE_MS: u64 = 1_000;
+
+/// The interval at which a broken path is tried again.
+const PROBE_INTERVAL_MS: u64 = 500;
+
+/// The time for which no detour is tried to an upstream that other daemons did not reach either.
+const UNREACHED_MS: u64 = 500;
+
+/// Time without a byte of an upstream, while requests are sent there, after which the path to it is
+/// probed, and the interval between two such probes. Silence alone is no failure.
+const SILENCE_MS: u64 = 400;
+const SUSPECT_INTERVAL_MS: u64 = 1_000;
+
+/// The number of broken paths from which this daemon takes all its paths for broken, unless one of
+/// them has worked since the first broke.
+const CUT_OFF_PATHS: usize = 2;
+
+#[derive(Debug, Clone, Copy)]
+struct BrokenPath {
+    since: Millis,
+    probe_at: Millis,
+}
+
+/// What a change of an upstream's path amounts to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PathChange {
+    /// The path is broken.
+    Broken,
+    /// The path works again; it was broken for this long.
+    Restored(Millis),
+}
+
+/// The paths from this daemon to the upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Paths {
+    broken: BTreeMap<Upstream, BrokenPath>,
+    /// When a direct connection failed, and when a detour succeeded.
+    failed: BTreeMap<Upstream, Millis>,
+    detoured: BTreeMap<Upstream, Millis>,
+    /// Until when other daemons are not asked for a detour.
+    unreached: BTreeMap<Upstream, Millis>,
+    /// When a direct connection was last opened.
+    last_opened: Option<Millis>,
+    /// Since when an upstream has sent nothing though requests were sent there.
+    silent: BTreeMap<Upstream, Millis>,
+    /// When the path to a silent upstream is probed next.
+    suspect_at: BTreeMap<Upstream, Millis>,
+}
+
+impl Paths {
+    /// Whether requests to the upstream take the detour.
+    pub(crate) fn is_broken(&self, upstream: &Upstream) -> bool {
+        self.broken.contains_key(upstream) || self.is_cut_off()
+    }
+
+    /// Whether this daemon reaches no upstream at all, as far as it knows.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let first = self.broken.values().map(|b| b.since).min();
+        let works = |since| self.last_opened.is_some_and(|at| at > since);
+        self.broken.len() >= CUT_OFF_PATHS && !first.is_some_and(works)
+    }
+
+    /// The number of broken paths.
+    pub(crate) fn broken(&self) -> usize {
+        self.broken.len()
+    }
+
+    /// Whether another daemon may be asked for a detour.
+    pub(crate) fn may_detour(&self, upstream: &Upstream, now: Millis) -> bool {
+        let until = self.unreached.get(upstream);
+        until.is_none_or(|until| now >= *until)
+    }
+
+    /// Records whether a direct connection was opened.
+    pub(crate) fn on_direct(
+        &mut self,
+        upstream: &Upstream,
+        opened: bool,
+        now: Millis,
+    ) -> Option<PathChange> {
+        if !opened {
+            self.failed.insert(upstream.clone(), now);
+            return self.compare(upstream, now);
+        }
+        self.last_opened = Some(now);
+        self.failed.remove(upstream);
+        self.detoured.remove(upstream);
+        let broken = self.broken.remove(upstream)?;
+        Some(PathChange::Restored(Millis(now.since(broken.since))))
+    }
+
+    /// Records whether a detour reached the upstream.
+    pub(crate) fn on_detour(
+        &mut self,
+        upstream: &Upstream,
+        opened: bool,
+        now: Millis,
+    ) -> Option<PathChange> {
+        if !opened {
+            let until = now.plus(UNREACHED_MS);
+            self.unreached.insert(upstream.clone(), until);
+            return None;
+        }
+        self.detoured.insert(upstream.clone(), now);
+        self.compare(upstream, now)
+    }
+
+    /// Takes the path for broken if a direct connection failed and a detour succeeded.
+    fn compare(&mut self, upstream: &Upstream, now: Millis) -> Option<PathChange> {
+        let recent = |at: Option<&Millis>| at.is_some_and(|at| now.since(*at) < SAME_FAILURE_MS);
+        let both = recent(self.failed.get(upstream)) && recent(self.detoured.get(upstream));
+        if !both || self.broken.contains_key(upstream) {
+            return None;
+        }
+        let path = BrokenPath {
+            since: now,
+            probe_at: now.plus(PROBE_INTERVAL_MS),
+        };
+        self.broken.insert(upstream.clone(), path);
+        Some(PathChange::Broken)
+    }
+
+    /// Records that a request was sent directly.
+    pub(crate) fn on_send(&mut self, upstream: &Upstream, now: Millis) {
+        if !self.silent.contains_key(upstream) {
+            self.silent.insert(upstream.clone(), now);
+        }
+    }
+
+    /// Records that bytes of the upstream arrived.
+    pub(crate) fn on_bytes(&mut self, upstream: &Upstream) {
+        self.silent.remove(upstream);
+    }
+
+    /// The upstreams whose paths are to be probed now: broken ones, and those that are silent.
+    pub(crate) fn due_probes(&mut self, now: Millis) -> Vec<Upstream> {
+        let mut due = Vec::new();
+        for (upstream, path) in &mut self.broken {
+            if now >= path.probe_at {
+                path.probe_at = now.plus(PROBE_INTERVAL_MS);
+                due.push(upstream.clone());
+            }
+        }
+        for (upstream, since) in &self.silent {
+            let pause = self.suspect_at.get(upstream);
+            let is_due = now.since(*since) >= SILENCE_MS && pause.is_none_or(|at| now >= *at);
+            if is_due && !self.broken.contains_key(upstream) {
+                due.push(upstream.clone());
+                let next = now.plus(SUSPECT_INTERVAL_MS);
+                self.suspect_at.insert(upstream.clone(), next);
+            }
+        }
+        due
+    }
+
+    /// Drops what is old.
+    pub(crate) fn prune(&mut self, now: Millis) {
+        let recent = |at: &Millis| now.since(*at) < SAME_FAILURE_MS;
+        self.failed.retain(|_, at| recent(at));
+        self.detoured.retain(|_, at| recent(at));
+        self.unreached.retain(|_, until| now < *until);
+        self.suspect_at.retain(|_, at| now < *at);
+    }
+
+    /// Forgets an upstream that has ended or started again.
+    pub(crate) fn forget(&mut self, upstream: &Upstream) {
+        self.broken.remove(upstream);
+        self.failed.remove(upstream);
+        self.detoured.remove(upstream);
+        self.silent.remove(upstream);
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -173,6 +173,12 @@
         near.filter_map(|n| self.all.get(n).map(|p| (n, p.address)))
     }
 
+    /// The addresses of the daemons that sent a datagram within this time.
+    pub(crate) fn recent(&self, now: Millis, within: u64) -> impl Iterator<Item = SocketAddr> + '_ {
+        let recent = move |p: &&Peer| p.last_datagram.is_some_and(|at| now.since(at) < within);
+        self.all.values().filter(recent).map(|p| p.address)
+    }
+
     /// The number of other daemons known, alive or not.
     pub(crate) fn len(&self) -> usize {
         self.all.len()
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -51,6 +51,7 @@
 
     /// Records that more of an answer arrived from an upstream.
     pub(crate) fn on_progress(&self, id: RequestId, attempt: AttemptNumber, from: &Upstream) {
+        self.paths.borrow_mut().on_bytes(from);
         if self.delegated.borrow().has(id) {
             self.active_upstreams
                 .borrow_mut()
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -113,6 +113,7 @@
         let interval = wait_for_tick(&gw).await;
         record_suspension(&gw);
         run_tick(&gw, interval);
+        gw.probe_paths();
         if ready != gw.is_ready() {
             ready = gw.is_ready();
             log_ready(&gw, ready);
@@ -125,6 +126,7 @@
         if now.since(cleaned) >= HOUSEKEEPING_MS {
             cleaned = now;
             gw.pool.prune();
+            gw.paths.borrow_mut().prune(now);
             gw.allowances.borrow_mut().prune(now);
             remove_gone(&gw);
         }
@@ -257,7 +259,8 @@
             }
             tokio::time::sleep(TICK_INTERVAL).await;
             let left = Unfinished {
-                requests: gw.gate.busy(),
+                // Requests of other daemons that take a detour through this one end as well.
+                requests: gw.gate.busy() + gw.open_tunnels.get(),
                 records: 0,
             };
             action = drain.tick(left, gw.now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use crate::membership::Membership;
 use crate::message::{Sender, Tag};
 use crate::metrics::Metrics;
+use crate::paths::Paths;
 use crate::peer_requests::PeerRequests;
 use crate::permits::HeldSends;
 use crate::planner_lease::Inherited;
@@ -48,7 +49,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time after which a connection with unacknowledged bytes counts as dead.
-const DEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub(crate) const DEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Connections to one upstream if its limit is not known.
 const DEFAULT_CONNECTIONS: usize = 60;
@@ -138,6 +139,11 @@
     pub(crate) crashes_synced: Cell<Millis>,
     /// The recent probes of upstreams whose attempts broke off.
     pub(crate) crash_probes: RefCell<CrashProbes>,
+    /// Which upstreams this daemon reaches itself.
+    pub(crate) paths: RefCell<Paths>,
+    /// The daemon that served the last detour, and the number of detours served to others.
+    pub(crate) last_relay: Cell<Option<SocketAddr>>,
+    pub(crate) open_tunnels: Rc<Cell<usize>>,
     /// The limits that upstreams named.
     pub(crate) upstream_limits: RefCell<UpstreamLimits>,
     /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
@@ -255,6 +261,9 @@
             delegated: RefCell::new(DelegatedRequests::new(incarnation, now)),
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
+            paths: RefCell::new(Paths::default()),
+            last_relay: Cell::new(None),
+            open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
@@ -326,6 +335,7 @@
                 }
                 self.route(RouteEvent::Restarted(name.clone()));
                 self.forget_limits(&name);
+                self.paths.borrow_mut().forget(&name);
                 self.apply_entry(&name);
             }
             Change::Gone(name) => {
@@ -335,6 +345,7 @@
                 }
                 self.announced.borrow_mut().forget(&name);
                 self.forget_limits(&name);
+                self.paths.borrow_mut().forget(&name);
                 let tag = Tag::of_upstream(&name);
                 self.upstream_tags.borrow_mut().remove(&tag);
                 self.route(RouteEvent::Leaving {
--- /dev/null
+++ b/crates/gateway/tests/unit/paths.rs
@@ -0,0 +1,84 @@
+//! Telling a broken path from an upstream that is down.
+
+use crate::paths::{PathChange, Paths};
+use shaleline_testkit::cases;
+use shaleline_types::{Millis, Upstream};
+
+const NOW: Millis = Millis(10_000);
+
+fn up(number: usize) -> Upstream {
+    Upstream::from_text(&format!("i-{number}")).expect("a valid name")
+}
+
+/// An attempt to connect to the first upstream: its time, whether it was direct, and whether it
+/// succeeded.
+type Attempt = (u64, bool, bool);
+
+fn is_broken_after(attempts: &[Attempt]) -> bool {
+    let mut paths = Paths::default();
+    for (at, direct, opened) in attempts {
+        let now = NOW.plus(*at);
+        match direct {
+            true => paths.on_direct(&up(1), *opened, now),
+            false => paths.on_detour(&up(1), *opened, now),
+        };
+    }
+    paths.is_broken(&up(1))
+}
+
+cases! {
+    is_broken_after;
+    a_path_that_was_not_tried_is_whole: &[] => false,
+    one_failed_connection_breaks_no_path: &[(0, true, false)] => false,
+    an_upstream_that_nobody_reaches_has_no_broken_path:
+        &[(0, true, false), (5, false, false)] => false,
+    a_path_is_broken_if_only_the_detour_works: &[(0, true, false), (5, false, true)] => true,
+    a_path_is_broken_whichever_attempt_ends_first: &[(0, false, true), (500, true, false)] => true,
+    attempts_far_apart_say_nothing: &[(0, true, false), (5_000, false, true)] => false,
+    a_direct_connection_restores_the_path:
+        &[(0, true, false), (5, false, true), (600, true, true)] => false,
+}
+
+fn break_path(paths: &mut Paths, number: usize, now: Millis) {
+    paths.on_direct(&up(number), false, now);
+    let change = paths.on_detour(&up(number), true, now);
+    assert_eq!(change, Some(PathChange::Broken));
+}
+
+#[test]
+fn a_daemon_with_two_broken_paths_and_none_that_works_is_cut_off() {
+    let mut paths = Paths::default();
+    paths.on_direct(&up(3), true, NOW);
+    break_path(&mut paths, 1, NOW.plus(100));
+    assert!(!paths.is_broken(&up(9)));
+    break_path(&mut paths, 2, NOW.plus(200));
+    assert!(paths.is_cut_off() && paths.is_broken(&up(9)));
+    paths.on_direct(&up(3), true, NOW.plus(300));
+    assert!(!paths.is_cut_off() && !paths.is_broken(&up(9)));
+    assert!(paths.is_broken(&up(1)), "its own path has not worked since");
+}
+
+#[test]
+fn a_broken_path_is_probed_until_it_works() {
+    let mut paths = Paths::default();
+    break_path(&mut paths, 1, NOW);
+    let probes = |p: &mut Paths, from: u64, to: u64| -> usize {
+        (from..to).map(|t| p.due_probes(NOW.plus(t)).len()).sum()
+    };
+    assert_eq!(probes(&mut paths, 0, 2_100), 4);
+    let change = paths.on_direct(&up(1), true, NOW.plus(2_100));
+    assert_eq!(change, Some(PathChange::Restored(Millis(2_100))));
+    assert_eq!(probes(&mut paths, 2_100, 5_000), 0);
+}
+
+#[test]
+fn a_silent_upstream_is_probed_and_not_taken_for_unreachable() {
+    let mut paths = Paths::default();
+    paths.on_send(&up(1), NOW);
+    assert_eq!(paths.due_probes(NOW.plus(100)), []);
+    assert_eq!(paths.due_probes(NOW.plus(500)), [up(1)]);
+    assert!(!paths.is_broken(&up(1)));
+    assert_eq!(paths.due_probes(NOW.plus(600)), [], "not again at once");
+    paths.on_bytes(&up(1));
+    assert_eq!(paths.due_probes(NOW.plus(3_000)), []);
+}
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -86,7 +86,7 @@
                 self.dispatch(id, now, out);
             }
             AttemptEnd::Refused => self.retry_request(id, ErrorKind::NoUpstream, now, out),
-            AttemptEnd::Broken => self.retry_if_repeatable(id, now, out),
+            AttemptEnd::Broken | AttemptEnd::PathBroken => self.retry_if_repeatable(id, now, out),
             AttemptEnd::UpstreamEnded(start) => {
                 let identity = self.open.get(&id).and_then(|o| o.request.identity);
                 self.record_crash(identity, start, now, out);
@@ -125,7 +125,9 @@
                 state.pace.delay(wait, now);
                 state.breaker.on_inconclusive();
             }
-            AttemptEnd::Refused | AttemptEnd::Cancelled => state.breaker.on_inconclusive(),
+            AttemptEnd::Refused | AttemptEnd::Cancelled | AttemptEnd::PathBroken => {
+                state.breaker.on_inconclusive();
+            }
         }
     }
 
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -153,6 +153,9 @@
     NoPermit(Millis),
     /// The send failed after the request was written.
     Broken,
+    /// It failed like [`AttemptEnd::Broken`], but because of the path from the daemon that sent it:
+    /// another daemon reaches the upstream.
+    PathBroken,
     /// The upstream crashed while it ran the request.
     UpstreamEnded(IncarnationTag),
     /// The caller disconnected.
