--- a/crates/route/src/limited.rs
+++ b/crates/route/src/limited.rs
@@ -46,6 +46,6 @@
     ) {
         let state = self.upstreams.get_mut(upstream);
         let retry = state.map(|s| s.pace.reserve_retry(wait, now));
-        self.fail_with(id, ErrorKind::DeadlineUnmet, retry, out);
+        self.fail_with(id, ErrorKind::UpstreamsLimited, retry, out);
     }
 }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -132,7 +132,7 @@
 fn retry_after(actions: &[RouteAction]) -> Option<u64> {
     match actions {
         [RouteAction::Refuse { kind, retry, .. }] => {
-            assert_eq!(*kind, ErrorKind::DeadlineUnmet);
+            assert_eq!(*kind, ErrorKind::UpstreamsLimited);
             retry.map(|r| r.0)
         }
         _ => None,
