Ask for a detour until one daemon opens it

Cause: two daemons that did not reach an upstream counted as proof that it is down, and with all but one cut off both are mostly among those that are cut off; a daemon that is no hub knew only hubs as relays. Now up to eight daemons are asked, the next one when one fails or after 40 ms, and known daemons are asked after those heard of recently.

Test the_one_daemon_that_is_refused_no_connection_serves_for_all failed before (12 of 12 refused).

--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -29,8 +29,7 @@
 /// Connects to a target through the daemon that listens at `relay`.
 ///
 /// # Errors
-/// [`io::ErrorKind::HostUnreachable`] if the daemon does not reach the target either, another kind
-/// if the daemon itself can't be reached or opens no tunnel.
+/// If the daemon can't be reached, does not reach the target either, or opens no tunnel.
 pub async fn connect(
     relay: SocketAddr,
     target: &Target,
@@ -49,10 +48,7 @@
     let response = sender.send_request(request).await.map_err(other)?;
     if response.status() != StatusCode::OK {
         task.abort();
-        return Err(match response.status() {
-            StatusCode::BAD_GATEWAY => io::Error::from(io::ErrorKind::HostUnreachable),
-            status => other(format!("the relay answered {status}")),
-        });
+        return Err(other(format!("the relay answered {}", response.status())));
     }
     let upgraded = hyper::upgrade::on(response).await.map_err(other)?;
     let (stream, early) = into_stream(upgraded)?;
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -10,6 +10,8 @@
 use crate::paths::PathChange;
 use crate::state::{Gateway, DEAD_TIMEOUT};
 use bytes::Bytes;
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::{tunnel, Detour, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target};
@@ -29,11 +31,12 @@
 /// Time in which a probe of the direct path must connect.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The number of daemons that are asked for a detour.
-const MAX_RELAYS: usize = 4;
+/// Time after which another daemon is asked too.
+const RELAY_PAUSE: Duration = Duration::from_millis(40);
 
-/// The number of daemons that must fail to reach an upstream as well before it counts as down.
-const WITNESSES: usize = 2;
+/// The number of daemons that are asked for a detour: most of them may not reach the upstream
+/// either.
+const MAX_RELAYS: usize = 8;
 
 /// The most detours that a daemon serves at once, to keep descriptors for its own callers.
 const MAX_TUNNELS: usize = 500;
@@ -76,29 +79,36 @@
     }
 }
 
+/// Asks a daemon for a detour. It may be stopping, cut off or down itself.
+async fn ask_relay(relay: SocketAddr, target: &Target) -> Option<(SocketAddr, TcpStream)> {
+    let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
+    let stream = timeout(DETOUR_TIMEOUT, connect).await.ok()?.ok()?;
+    Some((relay, stream))
+}
+
 impl Gateway {
     /// Connects through the first daemon that reaches the upstream.
     async fn connect_by_detour(&self, target: &Target) -> io::Result<TcpStream> {
-        let mut witnesses = 0;
-        for relay in self.relays() {
-            let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
-            match timeout(DETOUR_TIMEOUT, connect).await {
-                Ok(Ok(stream)) => {
-                    self.last_relay.set(Some(relay));
-                    self.record_detour(&target.name, true);
-                    return Ok(stream);
-                }
-                Ok(Err(e)) if e.kind() == io::ErrorKind::HostUnreachable => witnesses += 1,
-                // This daemon is stopping, cut off or down itself, and says nothing of the upstream.
-                Ok(Err(_)) | Err(_) => {}
+        let mut relays = self.relays().into_iter();
+        let mut asked = FuturesUnordered::new();
+        loop {
+            match relays.next() {
+                Some(relay) => asked.push(ask_relay(relay, target)),
+                None if asked.is_empty() => break,
+                None => {}
             }
-            if self.last_relay.get() == Some(relay) {
-                self.last_relay.set(None);
-            }
-            if witnesses >= WITNESSES {
-                break;
+            // The next daemon is asked once one has failed, or is slow.
+            let pause = match relays.len() {
+                0 => DETOUR_TIMEOUT,
+                _ => RELAY_PAUSE,
+            };
+            if let Ok(Some(Some((relay, stream)))) = timeout(pause, asked.next()).await {
+                self.last_relay.set(Some(relay));
+                self.record_detour(&target.name, true);
+                return Ok(stream);
             }
         }
+        self.last_relay.set(None);
         self.record_detour(&target.name, false);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -261,14 +261,16 @@
         }
     }
 
-    /// The daemons that this one has recently heard of, in an order of its own: those that can't
-    /// reach the upstreams themselves spread over the others.
+    /// The daemons that this one knows: first those that recently sent a datagram, then the others,
+    /// as most daemons exchange datagrams with hubs alone. Each daemon has an order of its own, so
+    /// that those that can't reach the upstreams themselves spread over the others.
     pub(crate) fn relays(&self, now: Millis) -> Vec<SocketAddr> {
-        let recent = self.peers.recent(now, SILENT_MS);
-        let mut relays: Vec<SocketAddr> = recent.collect();
         let me = self.me.address.to_string();
-        relays.sort_by_cached_key(|r| stable_hash(&[&me, &r.to_string()]));
-        relays
+        let mut relays = self.peers.by_contact(now, SILENT_MS);
+        relays.sort_by_cached_key(|(address, recent)| {
+            (!*recent, stable_hash(&[&me, &address.to_string()]))
+        });
+        relays.into_iter().map(|(address, _)| address).collect()
     }
 
     /// The known hubs, without this daemon.
--- a/crates/gateway/tests/unit/detour/main.rs
+++ b/crates/gateway/tests/unit/detour/main.rs
@@ -8,10 +8,17 @@
 
 const REQUESTS: usize = 12;
 
-/// The requests at a daemon that are not served.
+/// The number of daemons whose paths are broken where all but one are.
+const ALL_BUT_ONE: usize = 5;
+
 fn unserved((broken, path): (Break, &'static str)) -> Vec<String> {
+    unserved_among((broken, path, 1))
+}
+
+/// The requests at a daemon that are not served, where so many daemons don't reach the upstreams.
+fn unserved_among((broken, path, cut): (Break, &'static str, usize)) -> Vec<String> {
     actix_rt::System::new().block_on(async {
-        let pair = Pair::start(broken).await;
+        let pair = Pair::start_with(broken, cut).await;
         let mut unserved = Vec::new();
         for number in 0..REQUESTS {
             let id = format!("r{number}");
@@ -38,6 +45,14 @@
         (Break::Hangs, "/unsafe/x") => Vec::<String>::new(),
 }
 
+cases! {
+    unserved_among;
+    the_one_daemon_that_is_refused_no_connection_serves_for_all:
+        (Break::Refuses, "/unsafe/x", ALL_BUT_ONE) => Vec::<String>::new(),
+    the_one_daemon_whose_connections_open_serves_for_all:
+        (Break::Hangs, "/unsafe/x", ALL_BUT_ONE) => Vec::<String>::new(),
+}
+
 #[test]
 fn each_request_runs_once_by_the_detour() {
     actix_rt::System::new().block_on(async {
--- a/crates/gateway/tests/unit/detour/pair.rs
+++ b/crates/gateway/tests/unit/detour/pair.rs
@@ -1,4 +1,4 @@
-//! Two daemons that reach each other, of which one does not reach the upstreams.
+//! Daemons that reach each other, of which only the last one reaches the upstreams.
 
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
 use crate::handover::CopyHandler;
@@ -275,6 +275,11 @@
 
 impl Pair {
     pub async fn start(broken: Break) -> Self {
+        Self::start_with(broken, 1).await
+    }
+
+    /// Starts this number of daemons whose paths are broken, and one whose paths are not.
+    pub async fn start_with(broken: Break, cut: usize) -> Self {
         let runs: Rc<RefCell<Vec<String>>> = Rc::default();
         let controls: Vec<ListenerControl> = (0..UPSTREAMS).map(|_| control()).collect();
         let ip = own_ip();
@@ -291,20 +296,27 @@
                 .map(|(l, _)| l.local_addr().expect("an address"))
                 .collect(),
         };
-        let first = start_daemon(0, &unreachable);
-        let second = start_daemon(1, &addresses);
-        let now = first.gw.now();
-        let (gw, other) = (Rc::clone(&first.gw), Rc::clone(&second.gw));
-        gw.membership.borrow_mut().learn_member(&other.me, now);
-        other.membership.borrow_mut().learn_member(&gw.me, now);
+        let daemons = (0..cut).map(|index| start_daemon(index, &unreachable));
+        let mut daemons: Vec<Daemon> = daemons.collect();
+        daemons.push(start_daemon(cut, &addresses));
+        for daemon in &daemons {
+            for other in daemons.iter().filter(|d| !Rc::ptr_eq(&d.gw, &daemon.gw)) {
+                let mut membership = daemon.gw.membership.borrow_mut();
+                membership.learn_member(&other.gw.me, daemon.gw.now());
+                // Small clusters hear of all daemons in time.
+                membership.on_datagram(&other.gw.me, daemon.gw.now());
+            }
+        }
+        let (gw, other) = (Rc::clone(&daemons[0].gw), Rc::clone(&daemons[cut].gw));
+        let count = daemons.len();
         let callers = listen(
             gw.settings.ip,
             gw.gate.clone(),
             Rc::new(Callers(Rc::clone(&gw))),
         );
-        actix_rt::spawn(run(vec![first, second]));
+        actix_rt::spawn(run(daemons));
         // The daemons have to receive each other's first reports.
-        while gw.membership.borrow().alive() < 2 {
+        while gw.membership.borrow().alive() < count {
             tokio::time::sleep(TICK).await;
         }
         Self {
