--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/connect.rs
@@ -11,30 +11,30 @@
 /// A boxed future of the current thread.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
-/// Time without a direct connection after which the detour is tried beside it. In a data centre a
+/// Time without a direct connection after which the tunnel is tried beside it. In a data centre a
 /// connection takes a few milliseconds.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 
-/// Another way to connect to upstreams, where the direct path is broken. One that is in use may be
-/// asked at any time, so the implementation decides when it is worth trying.
-pub trait Detour {
+/// Connects to upstreams through other instances, where the direct path is broken. A pool asks for
+/// each new connection; the implementation decides whether a tunnel is worth trying.
+pub trait Tunnels {
     /// Returns whether the direct path to the target is known to be broken.
     fn is_needed(&self, target: &Target) -> bool;
 
-    /// Returns whether the detour may be tried.
+    /// Returns whether the tunnel may be tried.
     fn is_allowed(&self, target: &Target) -> bool;
 
-    /// Connects by the detour.
+    /// Connects by a tunnel.
     fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>>;
 
     /// Records that a direct connection was opened, or was not.
     fn on_direct(&self, target: &Target, opened: bool);
 }
 
-/// A connection, and whether it takes the detour.
+/// A connection, and whether it goes through a tunnel.
 pub(crate) struct Opened {
     pub(crate) stream: TcpStream,
-    pub(crate) detoured: bool,
+    pub(crate) tunnelled: bool,
 }
 
 fn timed_out() -> io::Error {
@@ -51,23 +51,23 @@
     let stream = direct(target, limit).await?;
     Ok(Opened {
         stream,
-        detoured: false,
+        tunnelled: false,
     })
 }
 
-/// Connects directly or by the detour, whichever succeeds first. The detour is tried if the direct
+/// Connects directly or by a tunnel, whichever succeeds first. The tunnel is tried if the direct
 /// connection fails or takes long.
 pub(crate) async fn open(
     target: &Target,
     limit: Duration,
-    detour: &dyn Detour,
+    tunnels: &dyn Tunnels,
 ) -> io::Result<Opened> {
-    let by_detour = |stream| Opened {
+    let by_tunnel = |stream| Opened {
         stream,
-        detoured: true,
+        tunnelled: true,
     };
-    if detour.is_needed(target) {
-        return detour.connect(target).await.map(by_detour);
+    if tunnels.is_needed(target) {
+        return tunnels.connect(target).await.map(by_tunnel);
     }
     let mut direct = pin!(open_direct(target, limit));
     let first = tokio::select! {
@@ -75,35 +75,35 @@
         () = sleep(HEDGE_DELAY) => None,
     };
     if let Some(opened) = first {
-        detour.on_direct(target, opened.is_ok());
+        tunnels.on_direct(target, opened.is_ok());
         return match opened {
-            Err(e) if !detour.is_allowed(target) => Err(e),
-            Err(_) => detour.connect(target).await.map(by_detour),
+            Err(e) if !tunnels.is_allowed(target) => Err(e),
+            Err(_) => tunnels.connect(target).await.map(by_tunnel),
             Ok(opened) => Ok(opened),
         };
     }
-    if !detour.is_allowed(target) {
+    if !tunnels.is_allowed(target) {
         let opened = direct.await;
-        detour.on_direct(target, opened.is_ok());
+        tunnels.on_direct(target, opened.is_ok());
         return opened;
     }
-    let mut other = pin!(detour.connect(target));
+    let mut other = pin!(tunnels.connect(target));
     tokio::select! {
         opened = &mut direct => {
-            detour.on_direct(target, opened.is_ok());
+            tunnels.on_direct(target, opened.is_ok());
             match opened {
                 Ok(opened) => Ok(opened),
-                Err(_) => other.await.map(by_detour),
+                Err(_) => other.await.map(by_tunnel),
             }
         }
         stream = &mut other => match stream {
             Ok(stream) => {
-                detour.on_direct(target, false);
-                Ok(by_detour(stream))
+                tunnels.on_direct(target, false);
+                Ok(by_tunnel(stream))
             }
             Err(_) => {
                 let opened = direct.await;
-                detour.on_direct(target, opened.is_ok());
+                tunnels.on_direct(target, opened.is_ok());
                 opened
             }
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,12 +9,12 @@
 //! * [`Listener`] serves callers; its [`ListenerControl`] shuts it down in phases.
 //! * [`Pool`] keeps connections to upstreams; an [`Exchange`] is one request on one of
 //!   them, and dropping it closes the connection, which cancels the request.
-//! * A [`Detour`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
+//! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
 
 mod clock;
+mod connect;
 mod control;
-mod detour;
 mod exchange;
 mod listener;
 mod pool;
@@ -22,8 +22,8 @@
 pub mod tunnel;
 
 pub use clock::{Clock, SuspensionDetector, TimeSource};
+pub use connect::{LocalFuture, Tunnels};
 pub use control::ListenerControl;
-pub use detour::{Detour, LocalFuture};
 pub use exchange::{Exchange, SendError};
 pub use listener::{CallerAddress, Handler, Listener};
 pub use pool::{Pool, PoolSettings, ProbeOutcome, Target};
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,7 +1,7 @@
 //! A pool of persistent connections to upstreams.
 
-use crate::detour::{self, Opened};
-use crate::{Clock, Detour, Exchange, SendError};
+use crate::connect::{self, Opened};
+use crate::{Clock, Exchange, SendError, Tunnels};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -57,9 +57,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     count: OpenCount,
-    /// Whether it takes a detour. Such a connection serves one request, so that the daemon in
+    /// Whether it goes through a tunnel. Such a connection serves one request, so that the daemon in
     /// between can stop without cutting off another one.
-    detoured: bool,
+    tunnelled: bool,
 }
 
 impl fmt::Debug for Channel {
@@ -152,7 +152,7 @@
         self.send_by(target, request, None).await
     }
 
-    /// Sends a request like [`Pool::send`], but connects by the detour where the direct path is
+    /// Sends a request like [`Pool::send`], but connects by a tunnel where the direct path is
     /// broken.
     ///
     /// # Errors
@@ -161,19 +161,19 @@
         &self,
         target: &Target,
         request: Request<Full<Bytes>>,
-        detour: &dyn Detour,
+        tunnels: &dyn Tunnels,
     ) -> Result<Exchange, SendError> {
-        if detour.is_needed(target) {
+        if tunnels.is_needed(target) {
             self.drop_idle(target);
         }
-        self.send_by(target, request, Some(detour)).await
+        self.send_by(target, request, Some(tunnels)).await
     }
 
     async fn send_by(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
-        detour: Option<&dyn Detour>,
+        tunnels: Option<&dyn Tunnels>,
     ) -> Result<Exchange, SendError> {
         while let Some(mut channel) = self.take_idle(target) {
             if channel.sender.ready().await.is_err() {
@@ -187,7 +187,7 @@
                 },
             }
         }
-        let mut channel = self.open(target, detour).await?;
+        let mut channel = self.open(target, tunnels).await?;
         match channel.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(target, channel, response)),
             Err(mut error) => Err(match error.take_message() {
@@ -226,7 +226,7 @@
     }
 
     pub(crate) fn put(&self, target: &Target, channel: Channel, max_idle: Duration) {
-        if max_idle.is_zero() || channel.detoured || channel.sender.is_closed() {
+        if max_idle.is_zero() || channel.tunnelled || channel.sender.is_closed() {
             return;
         }
         let expires = self.0.clock.now().plus(max_idle.as_millis() as u64);
@@ -272,7 +272,7 @@
     async fn open(
         &self,
         target: &Target,
-        detour: Option<&dyn Detour>,
+        tunnels: Option<&dyn Tunnels>,
     ) -> Result<Channel, SendError> {
         let counts = {
             let mut targets = self.0.targets.borrow_mut();
@@ -285,11 +285,11 @@
         counts.borrow_mut().open += 1;
         let mut guard = OpeningGuard(Some(OpenCount(counts)));
         let limit = self.0.settings.connect_timeout;
-        let opened = match detour {
-            Some(detour) => detour::open(target, limit, detour).await,
-            None => detour::open_direct(target, limit).await,
+        let opened = match tunnels {
+            Some(tunnels) => connect::open(target, limit, tunnels).await,
+            None => connect::open_direct(target, limit).await,
         };
-        let Opened { stream, detoured } = opened.map_err(|_| SendError::NotSent)?;
+        let Opened { stream, tunnelled } = opened.map_err(|_| SendError::NotSent)?;
         set_options(&stream, self.0.settings.unacked_timeout);
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
@@ -303,7 +303,7 @@
             sender,
             task,
             count,
-            detoured,
+            tunnelled,
         })
     }
 }
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/tunnel.rs
@@ -5,8 +5,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::{
-    tunnel, Detour, Handler, Listener, ListenerControl, LocalFuture, Pool, PoolSettings, Reply,
-    ReplyBody, Target,
+    tunnel, Handler, Listener, ListenerControl, LocalFuture, Pool, PoolSettings, Reply, ReplyBody,
+    Target, Tunnels,
 };
 use shaleline_testkit::cases;
 use shaleline_types::Upstream;
@@ -41,10 +41,10 @@
     }
 }
 
-/// Always takes the detour through one daemon.
+/// Always connects by a tunnel through one daemon.
 struct Always(SocketAddr);
 
-impl Detour for Always {
+impl Tunnels for Always {
     fn is_needed(&self, _: &Target) -> bool {
         true
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt to send a request to an upstream.
 
 use crate::crash_probe::SentAttempt;
-use crate::detour::Detours;
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::log_end;
 use crate::request::Permit;
 use crate::state::Gateway;
+use crate::tunnels::GatewayTunnels;
 use crate::{relay, AnswerHead, ForwardContext};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -132,7 +132,10 @@
     };
     let request = to_request(gw, job, upstream, resume);
     gw.paths.borrow_mut().on_send(upstream, gw.now());
-    let exchange = gw.pool.send_with(&target, request, &Detours(gw)).await?;
+    let exchange = gw
+        .pool
+        .send_with(&target, request, &GatewayTunnels(gw))
+        .await?;
     gw.paths.borrow_mut().on_bytes(upstream);
     let status = exchange.status();
     let headers = exchange.head().headers();
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -67,7 +67,7 @@
     pub(crate) entries: Vec<(Upstream, u64, Entry)>,
 }
 
-/// Serves copies and detours to other daemons.
+/// Serves copies and tunnels to other daemons.
 pub(crate) struct CopyHandler(pub(crate) Rc<Gateway>);
 
 impl Handler for CopyHandler {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 //!   daemon gives up if `isolation` finds it in contact with too few others; `orders` sends the
 //!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
 //!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
-//! * `paths` decides which upstreams this daemon reaches itself, and `detour` reaches the others
+//! * `paths` decides which upstreams this daemon reaches itself, and `tunnels` reaches the others
 //!   through another daemon.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
@@ -50,7 +50,6 @@
 mod codec;
 mod control;
 mod crash_probe;
-mod detour;
 mod discovery;
 mod dispatch;
 mod events;
@@ -91,6 +90,7 @@
 mod suspects;
 mod table;
 mod tag_index;
+mod tunnels;
 mod upstream_limits;
 mod wanted;
 mod wanted_reports;
@@ -113,8 +113,6 @@
     mod catalogue;
     #[path = "crashes/main.rs"]
     mod crashes;
-    #[path = "detour/main.rs"]
-    mod detour;
     mod events;
     mod identity;
     mod job;
@@ -130,6 +128,8 @@
     mod selection;
     mod start;
     mod suspended;
+    #[path = "tunnels/main.rs"]
+    mod tunnels;
     mod waiting_retries;
     mod wanted;
 }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -1,20 +1,20 @@
 //! Which upstreams this daemon reaches itself.
 //!
 //! A failed connection has two possible causes: the upstream, or the path from this daemon. Another
-//! daemon's attempt tells them apart: where it succeeds, the path is broken and requests take the
-//! detour through such a daemon (`detour`); where it fails too, the upstream is down.
+//! daemon's attempt tells them apart: where it succeeds, the path is broken and requests go through
+//! a tunnel at such a daemon (`tunnels`); where it fails too, the upstream is down.
 
 use shaleline_types::{Millis, Upstream};
 use std::collections::BTreeMap;
 
-/// The time within which a failed direct connection and a successful detour count as one
+/// The time within which a failed direct connection and a successful tunnel count as one
 /// observation.
 const SAME_FAILURE_MS: u64 = 1_000;
 
 /// The interval at which a broken path is tried again.
 const PROBE_INTERVAL_MS: u64 = 500;
 
-/// The time for which no detour is tried to an upstream that other daemons did not reach either.
+/// The time for which no tunnel is tried to an upstream that other daemons did not reach either.
 const UNREACHED_MS: u64 = 500;
 
 /// Time without a byte of an upstream, while requests are sent there, after which the path to it is
@@ -45,10 +45,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
     broken: BTreeMap<Upstream, BrokenPath>,
-    /// When a direct connection failed, and when a detour succeeded.
+    /// When a direct connection failed, and when a tunnel succeeded.
     failed: BTreeMap<Upstream, Millis>,
-    detoured: BTreeMap<Upstream, Millis>,
-    /// Until when other daemons are not asked for a detour.
+    tunnelled: BTreeMap<Upstream, Millis>,
+    /// Until when other daemons are not asked for a tunnel.
     unreached: BTreeMap<Upstream, Millis>,
     /// When a direct connection was last opened.
     last_opened: Option<Millis>,
@@ -59,7 +59,7 @@
 }
 
 impl Paths {
-    /// Whether requests to the upstream take the detour.
+    /// Whether requests to the upstream go through a tunnel.
     pub(crate) fn is_broken(&self, upstream: &Upstream) -> bool {
         self.broken.contains_key(upstream) || self.is_cut_off()
     }
@@ -76,8 +76,8 @@
         self.broken.len()
     }
 
-    /// Whether another daemon may be asked for a detour.
-    pub(crate) fn may_detour(&self, upstream: &Upstream, now: Millis) -> bool {
+    /// Whether another daemon may be asked for a tunnel.
+    pub(crate) fn may_tunnel(&self, upstream: &Upstream, now: Millis) -> bool {
         let until = self.unreached.get(upstream);
         until.is_none_or(|until| now >= *until)
     }
@@ -95,13 +95,13 @@
         }
         self.last_opened = Some(now);
         self.failed.remove(upstream);
-        self.detoured.remove(upstream);
+        self.tunnelled.remove(upstream);
         let broken = self.broken.remove(upstream)?;
         Some(PathChange::Restored(Millis(now.since(broken.since))))
     }
 
-    /// Records whether a detour reached the upstream.
-    pub(crate) fn on_detour(
+    /// Records whether a tunnel reached the upstream.
+    pub(crate) fn on_tunnel(
         &mut self,
         upstream: &Upstream,
         opened: bool,
@@ -112,14 +112,14 @@
             self.unreached.insert(upstream.clone(), until);
             return None;
         }
-        self.detoured.insert(upstream.clone(), now);
+        self.tunnelled.insert(upstream.clone(), now);
         self.compare(upstream, now)
     }
 
-    /// Takes the path for broken if a direct connection failed and a detour succeeded.
+    /// Takes the path for broken if a direct connection failed and a tunnel succeeded.
     fn compare(&mut self, upstream: &Upstream, now: Millis) -> Option<PathChange> {
         let recent = |at: Option<&Millis>| at.is_some_and(|at| now.since(*at) < SAME_FAILURE_MS);
-        let both = recent(self.failed.get(upstream)) && recent(self.detoured.get(upstream));
+        let both = recent(self.failed.get(upstream)) && recent(self.tunnelled.get(upstream));
         if !both || self.broken.contains_key(upstream) {
             return None;
         }
@@ -168,7 +168,7 @@
     pub(crate) fn prune(&mut self, now: Millis) {
         let recent = |at: &Millis| now.since(*at) < SAME_FAILURE_MS;
         self.failed.retain(|_, at| recent(at));
-        self.detoured.retain(|_, at| recent(at));
+        self.tunnelled.retain(|_, at| recent(at));
         self.unreached.retain(|_, until| now < *until);
         self.suspect_at.retain(|_, at| now < *at);
     }
@@ -177,7 +177,7 @@
     pub(crate) fn forget(&mut self, upstream: &Upstream) {
         self.broken.remove(upstream);
         self.failed.remove(upstream);
-        self.detoured.remove(upstream);
+        self.tunnelled.remove(upstream);
         self.silent.remove(upstream);
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -259,7 +259,7 @@
             }
             tokio::time::sleep(TICK_INTERVAL).await;
             let left = Unfinished {
-                // Requests of other daemons that take a detour through this one end as well.
+                // Requests of other daemons that go through a tunnel through this one end as well.
                 requests: gw.gate.busy() + gw.open_tunnels.get(),
                 records: 0,
             };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -141,7 +141,7 @@
     pub(crate) crash_probes: RefCell<CrashProbes>,
     /// Which upstreams this daemon reaches itself.
     pub(crate) paths: RefCell<Paths>,
-    /// The daemon that served the last detour, and the number of detours served to others.
+    /// The daemon that opened the last tunnel, and the number of tunnels open for others.
     pub(crate) last_relay: Cell<Option<SocketAddr>>,
     pub(crate) open_tunnels: Rc<Cell<usize>>,
     /// The limits that upstreams named.
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -1,10 +1,10 @@
 //! Reaches upstreams through another daemon, where the path from this one is broken.
 //!
 //! A daemon asks another one, by the method CONNECT, for a connection to an upstream that both know,
-//! and sends one request on it. Only the bytes take the detour: the daemon that has the request
+//! and sends one request on it. Only the bytes go through the tunnel: the daemon that has the request
 //! keeps every decision about it. The daemon in between connects to the upstream itself, so there is
-//! one hop at most. Orders to engines never take a detour: engines tell planners apart by the machine
-//! that orders come from. `docs/design/detours.md` compares the alternatives.
+//! one hop at most. Orders to engines never go through a tunnel: engines tell planners apart by the
+//! machine that orders come from. `docs/design/tunnels.md` compares the alternatives.
 
 use crate::journal::emit;
 use crate::paths::PathChange;
@@ -14,7 +14,7 @@
 use futures_util::StreamExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use shaleline_edge::{tunnel, Detour, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target};
+use shaleline_edge::{tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnels};
 use shaleline_types::{LogEvent, Upstream};
 use std::cell::Cell;
 use std::io;
@@ -24,8 +24,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time in which a daemon must open a detour. It tries to connect for less than that.
-const DETOUR_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time in which a daemon must open a tunnel. It tries to connect for less than that.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time in which a probe of the direct path must connect.
@@ -34,28 +34,28 @@
 /// Time after which another daemon is asked too.
 const RELAY_PAUSE: Duration = Duration::from_millis(40);
 
-/// The number of daemons that are asked for a detour: most of them may not reach the upstream
+/// The number of daemons that are asked for a tunnel: most of them may not reach the upstream
 /// either.
 const MAX_RELAYS: usize = 8;
 
-/// The most detours that a daemon serves at once, to keep descriptors for its own callers.
+/// The most tunnels that a daemon serves at once, to keep descriptors for its own callers.
 const MAX_TUNNELS: usize = 500;
 
-/// The detours of a gateway.
-pub(crate) struct Detours<'a>(pub(crate) &'a Gateway);
+/// The tunnels of a gateway.
+pub(crate) struct GatewayTunnels<'a>(pub(crate) &'a Gateway);
 
-impl Detour for Detours<'_> {
+impl Tunnels for GatewayTunnels<'_> {
     fn is_needed(&self, target: &Target) -> bool {
         self.0.paths.borrow().is_broken(&target.name)
     }
 
     fn is_allowed(&self, target: &Target) -> bool {
         let gw = self.0;
-        gw.paths.borrow().may_detour(&target.name, gw.now())
+        gw.paths.borrow().may_tunnel(&target.name, gw.now())
     }
 
     fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
-        Box::pin(self.0.connect_by_detour(target))
+        Box::pin(self.0.connect_by_tunnel(target))
     }
 
     fn on_direct(&self, target: &Target, opened: bool) {
@@ -79,16 +79,16 @@
     }
 }
 
-/// Asks a daemon for a detour. It may be stopping, cut off or down itself.
+/// Asks a daemon for a tunnel. It may be stopping, cut off or down itself.
 async fn ask_relay(relay: SocketAddr, target: &Target) -> Option<(SocketAddr, TcpStream)> {
     let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
-    let stream = timeout(DETOUR_TIMEOUT, connect).await.ok()?.ok()?;
+    let stream = timeout(TUNNEL_TIMEOUT, connect).await.ok()?.ok()?;
     Some((relay, stream))
 }
 
 impl Gateway {
     /// Connects through the first daemon that reaches the upstream.
-    async fn connect_by_detour(&self, target: &Target) -> io::Result<TcpStream> {
+    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<TcpStream> {
         let mut relays = self.relays().into_iter();
         let mut asked = FuturesUnordered::new();
         loop {
@@ -99,21 +99,21 @@
             }
             // The next daemon is asked once one has failed, or is slow.
             let pause = match relays.len() {
-                0 => DETOUR_TIMEOUT,
+                0 => TUNNEL_TIMEOUT,
                 _ => RELAY_PAUSE,
             };
             if let Ok(Some(Some((relay, stream)))) = timeout(pause, asked.next()).await {
                 self.last_relay.set(Some(relay));
-                self.record_detour(&target.name, true);
+                self.record_tunnel(&target.name, true);
                 return Ok(stream);
             }
         }
         self.last_relay.set(None);
-        self.record_detour(&target.name, false);
+        self.record_tunnel(&target.name, false);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
 
-    /// The daemons to ask for a detour, the one that served the last one first.
+    /// The daemons to ask for a tunnel, the one that served the last one first.
     fn relays(&self) -> Vec<SocketAddr> {
         let last = self.last_relay.get();
         let mut relays = self.membership.borrow().relays(self.now());
@@ -129,9 +129,9 @@
         self.log_path(upstream, change);
     }
 
-    fn record_detour(&self, upstream: &Upstream, opened: bool) {
+    fn record_tunnel(&self, upstream: &Upstream, opened: bool) {
         let now = self.now();
-        let change = self.paths.borrow_mut().on_detour(upstream, opened, now);
+        let change = self.paths.borrow_mut().on_tunnel(upstream, opened, now);
         self.log_path(upstream, change);
     }
 
@@ -173,19 +173,20 @@
         let opened = self.pool.probe(target, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
         self.record_direct(&target.name, opened);
         let known = self.paths.borrow().is_broken(&target.name);
-        if !opened && !known && Detours(self).is_allowed(target) {
+        if !opened && !known && GatewayTunnels(self).is_allowed(target) {
             // The connection only shows whether the upstream or the path has failed.
-            drop(self.connect_by_detour(target).await);
+            drop(self.connect_by_tunnel(target).await);
         }
     }
 
     /// Whether another daemon reaches the upstream.
     pub(crate) async fn is_reached_by_others(&self, target: &Target) -> bool {
         self.paths.borrow().is_broken(&target.name)
-            || (Detours(self).is_allowed(target) && self.connect_by_detour(target).await.is_ok())
+            || (GatewayTunnels(self).is_allowed(target)
+                && self.connect_by_tunnel(target).await.is_ok())
     }
 
-    /// Opens a detour for another daemon.
+    /// Opens a tunnel for another daemon.
     pub(crate) async fn open_tunnel(&self, request: Request<Incoming>) -> Reply {
         let name = request.uri().authority().map(|a| a.host().to_owned());
         let name = name.and_then(|n| Upstream::from_text(&n).ok());
--- a/crates/gateway/tests/unit/paths.rs
+++ b/crates/gateway/tests/unit/paths.rs
@@ -20,7 +20,7 @@
         let now = NOW.plus(*at);
         match direct {
             true => paths.on_direct(&up(1), *opened, now),
-            false => paths.on_detour(&up(1), *opened, now),
+            false => paths.on_tunnel(&up(1), *opened, now),
         };
     }
     paths.is_broken(&up(1))
@@ -32,7 +32,7 @@
     one_failed_connection_breaks_no_path: &[(0, true, false)] => false,
     an_upstream_that_nobody_reaches_has_no_broken_path:
         &[(0, true, false), (5, false, false)] => false,
-    a_path_is_broken_if_only_the_detour_works: &[(0, true, false), (5, false, true)] => true,
+    a_path_is_broken_if_only_the_tunnel_works: &[(0, true, false), (5, false, true)] => true,
     a_path_is_broken_whichever_attempt_ends_first: &[(0, false, true), (500, true, false)] => true,
     attempts_far_apart_say_nothing: &[(0, true, false), (5_000, false, true)] => false,
     a_direct_connection_restores_the_path:
@@ -41,7 +41,7 @@
 
 fn break_path(paths: &mut Paths, number: usize, now: Millis) {
     paths.on_direct(&up(number), false, now);
-    let change = paths.on_detour(&up(number), true, now);
+    let change = paths.on_tunnel(&up(number), true, now);
     assert_eq!(change, Some(PathChange::Broken));
 }
 
--- a/crates/gateway/tests/unit/detour/main.rs
+++ b/crates/gateway/tests/unit/tunnels/main.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn each_request_runs_once_by_the_detour() {
+fn each_request_runs_once_through_a_tunnel() {
     actix_rt::System::new().block_on(async {
         let pair = Pair::start(Break::Refuses).await;
         for number in 0..REQUESTS {
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn a_daemon_that_stops_opens_no_detour() {
+fn a_daemon_that_stops_opens_no_tunnel() {
     actix_rt::System::new().block_on(async {
         let pair = Pair::start(Break::Refuses).await;
         pair.stop_other();
