Probe a silent upstream's path until it works, not for ever

Found by reading the diff: an upstream whose last request was cancelled without an answer stayed silent for good and was probed once a second, a new connection each time. Test a_path_that_works_is_not_probed_for_ever failed before. And a test, which held before, that several rejections at once count once.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -94,6 +94,8 @@
             return self.compare(upstream, now);
         }
         self.last_opened = Some(now);
+        // Whatever the upstream does with the requests, it is reached.
+        self.silent.remove(upstream);
         self.failed.remove(upstream);
         self.tunnelled.remove(upstream);
         let broken = self.broken.remove(upstream)?;
--- a/crates/gateway/tests/unit/paths.rs
+++ b/crates/gateway/tests/unit/paths.rs
@@ -82,3 +82,12 @@
     paths.on_bytes(&up(1));
     assert_eq!(paths.due_probes(NOW.plus(3_000)), []);
 }
+
+#[test]
+fn a_path_that_works_is_not_probed_for_ever() {
+    let mut paths = Paths::default();
+    paths.on_send(&up(1), NOW);
+    assert_eq!(paths.due_probes(NOW.plus(500)), [up(1)]);
+    paths.on_direct(&up(1), true, NOW.plus(505));
+    assert_eq!(paths.due_probes(NOW.plus(5_000)), []);
+}
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -180,6 +180,30 @@
     assert_eq!(retry_after(&refused), Some(1_500));
 }
 
+#[test]
+fn rejections_of_one_second_lower_the_number_of_requests_once() {
+    let mut router = router(&["i-1"]);
+    limit(&mut router, "i-1", None, Some(8));
+    let ids = 0..8;
+    let sent = ids.filter(|id| target(&arrive(&mut router, *id, NOW)).is_some());
+    assert_eq!(sent.count(), 8);
+    for _ in 0..3 {
+        router.step(RouteEvent::Rejected(up("i-1")), NOW);
+    }
+    let whole = |id| RouteEvent::Ended {
+        id: RequestId(id),
+        attempt: 1,
+        end: AttemptEnd::Whole,
+    };
+    for id in 0..8 {
+        router.step(whole(id), NOW.plus(500));
+    }
+    let later = NOW.plus(1_000);
+    let ids = 10..30;
+    let sent = ids.filter(|id| target(&arrive(&mut router, *id, later)).is_some());
+    assert_eq!(sent.count(), 6, "three quarters of eight");
+}
+
 #[test]
 fn a_limit_that_ends_holds_nothing_back() {
     let mut router = router(&["i-1"]);
