Probe paths and record denied permits by the pieces that exist

probe_path repeated the check of is_reached_by_others, and the shortest wait of a denied send was computed in two places.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -44,6 +44,12 @@
     wait: Option<Millis>,
 }
 
+impl HeldSend {
+    fn record_denied(&mut self, wait: Millis) {
+        self.wait = Some(self.wait.map_or(wait, |w| w.min(wait)));
+    }
+}
+
 /// The next step of a send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -80,8 +86,7 @@
             }
             let denied = self.denied.get(&(holder, send.upstream.clone()));
             if let Some(until) = denied.filter(|until| now < **until) {
-                let wait = Millis(until.since(now));
-                send.wait = Some(send.wait.map_or(wait, |w| w.min(wait)));
+                send.record_denied(Millis(until.since(now)));
                 continue;
             }
             send.asked = Some((holder, now));
@@ -94,7 +99,7 @@
         let Some(send) = self.sends.get_mut(&number) else {
             return;
         };
-        send.wait = Some(send.wait.map_or(wait, |w| w.min(wait)));
+        send.record_denied(wait);
         if let Some((holder, _)) = send.asked {
             let key = (holder, send.upstream.clone());
             self.denied.insert(key, now.plus(wait.0));
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -172,10 +172,9 @@
     async fn probe_path(&self, target: &Target) {
         let opened = self.pool.probe(target, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
         self.record_direct(&target.name, opened);
-        let known = self.paths.borrow().is_broken(&target.name);
-        if !opened && !known && GatewayTunnels(self).is_allowed(target) {
-            // The connection only shows whether the upstream or the path has failed.
-            drop(self.connect_by_tunnel(target).await);
+        if !opened {
+            // The answer is recorded: it shows whether the upstream or the path has failed.
+            self.is_reached_by_others(target).await;
         }
     }
 
--- a/crates/gateway/tests/unit/catalogue/engines.rs
+++ b/crates/gateway/tests/unit/catalogue/engines.rs
@@ -65,7 +65,7 @@
     counts
 }
 
-/// The catalog of so many models and adapters.
+/// A catalog with the given numbers of models and adapters.
 pub fn catalog(models: usize, adapters: usize, load_rate: f64) -> Catalog {
     let counts = spread_adapters(models, adapters);
     let profile = |count: usize| ModelProfile {
--- a/crates/gateway/tests/unit/tunnels/main.rs
+++ b/crates/gateway/tests/unit/tunnels/main.rs
@@ -15,7 +15,7 @@
     unserved_among((broken, path, 1))
 }
 
-/// The requests at a daemon that are not served, where so many daemons don't reach the upstreams.
+/// The requests at a daemon that are not served, where `cut` daemons don't reach the upstreams.
 fn unserved_among((broken, path, cut): (Break, &'static str, usize)) -> Vec<String> {
     actix_rt::System::new().block_on(async {
         let pair = Pair::start_with(broken, cut).await;
