--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use std::fmt;
 use std::time::Duration;
@@ -28,6 +29,30 @@
 
 impl std::error::Error for SendError {}
 
+/// How the end of a response's body is found (RFC 9112, section 6.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// It has a length, possibly zero.
+    Length,
+    /// It is sent in chunks, the last of which is empty.
+    Chunks,
+    /// It ends with its connection. The end of a response that was cut off by a closed connection
+    /// looks the same.
+    Close,
+}
+
+impl Framing {
+    /// Returns the name for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// A response that is being received. Dropping it before its end closes the connection, which
 /// cancels the request at the upstream; [`Exchange::finish`] keeps the connection for reuse.
 #[derive(Debug)]
@@ -59,6 +84,23 @@
         self.response.body().size_hint().exact()
     }
 
+    /// Returns how the end of the body is found.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        let headers = self.response.headers();
+        let status = self.response.status();
+        let empty = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+        let coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let chunked = |v: &HeaderValue| v.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
+        if coding.is_some_and(chunked) {
+            Framing::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) || empty {
+            Framing::Length
+        } else {
+            Framing::Close
+        }
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`Clock`] measures the age of connections, including suspensions of the instance.
 //! * [`Listener`] serves callers; its [`ListenerControl`] shuts it down in phases.
 //! * [`Pool`] keeps connections to upstreams; an [`Exchange`] is one request on one of
-//!   them, and dropping it closes the connection, which cancels the request.
+//!   them, and dropping it closes the connection, which cancels the request. Its [`Framing`] says
+//!   how the end of the response is found.
 //! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
 
@@ -24,7 +25,7 @@
 pub use clock::{Clock, SuspensionDetector, TimeSource};
 pub use connect::{LocalFuture, Tunnels};
 pub use control::ListenerControl;
-pub use exchange::{Exchange, SendError};
+pub use exchange::{Exchange, Framing, SendError};
 pub use listener::{CallerAddress, Handler, Listener};
 pub use pool::{Pool, PoolSettings, ProbeOutcome, Target};
 pub use reply::{Chunk, Reply, ReplyBody, ReplyStream};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -330,6 +330,7 @@
     };
     let (opened, body) = run_step(gw, job, permit, step).await?;
     permit.first_byte(attempt);
+    permit.framing = Some(opened.exchange.framing());
     let Opened {
         exchange,
         answer,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,45 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Finds the ends of events. Lines end with LF, CR or CRLF, and an empty line ends an event (HTML
+/// standard, section 9.2.6).
+#[derive(Debug, Default)]
+pub(crate) struct EventScanner {
+    /// Whether the current line has bytes.
+    in_line: bool,
+    /// Whether there were bytes since the end of the last event.
+    in_event: bool,
+    /// Whether the last byte was a CR, so that an LF belongs to the same line ending.
+    after_cr: bool,
+}
+
+impl EventScanner {
+    /// Scans more bytes. Returns how many of them come before the end of the last complete event.
+    pub(crate) fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            let after_cr = std::mem::replace(&mut self.after_cr, *byte == b'\r');
+            match byte {
+                b'\n' if after_cr => {}
+                b'\n' | b'\r' => self.in_event &= std::mem::take(&mut self.in_line),
+                _ => {
+                    self.in_line = true;
+                    self.in_event = true;
+                }
+            }
+            if !self.in_event {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    /// Returns whether an event has begun and not ended.
+    pub(crate) fn is_in_event(&self) -> bool {
+        self.in_event
+    }
+}
+
 /// The end of an event.
 const END: &[u8] = b"\n\n";
 
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
-use shaleline_edge::{Reply, ReplyBody};
+use shaleline_edge::{Framing, Reply, ReplyBody};
 use shaleline_types::{ErrorKind, LogEvent, Millis, Org, Outcome};
 
 /// Why a request gets no upstream's answer.
@@ -123,7 +123,7 @@
     let detail =
         format!(
         "id={} request={} code={code} org={} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
-         reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={}",
+         reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={} framing={} in_event={}",
         job.head.id,
         job.identity.request,
         job.org.as_ref().map_or("none", |o| o.as_str()),
@@ -140,6 +140,8 @@
         permit.time_to_first_text(job),
         permit.pause,
         job.deadline.since(now),
+        permit.framing.map_or("none", Framing::as_str),
+        permit.in_event,
     );
     emit(event, &detail);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{self, idle_timeout, Failure, Opened};
 use crate::crash_probe::SentAttempt;
-use crate::events::EventSplitter;
+use crate::events::{EventScanner, EventSplitter};
 use crate::job::Job;
 use crate::refuse::log_end;
 use crate::request::Permit;
@@ -62,9 +62,13 @@
     ) -> PartEnd {
         let mut next = first;
         let limit = self.job.deadline;
+        let mut scanner = EventScanner::default();
+        self.permit.framing = Some(opened.exchange.framing());
         loop {
             if let Some(bytes) = next.take() {
                 self.permit.progress(self.sent.attempt);
+                scanner.scan(&bytes);
+                self.permit.in_event = scanner.is_in_event();
                 let whole = match events {
                     Some(splitter) => splitter.push(&bytes),
                     None => Some(bytes),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::Request;
-use shaleline_edge::{CallerAddress, Handler, Reply};
+use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
 use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
 use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
 use std::future::Future;
@@ -51,6 +51,10 @@
     first_at: Option<Millis>,
     piece_at: Millis,
     pub(crate) pause: u64,
+    /// How the end of the latest answer's body is found.
+    pub(crate) framing: Option<Framing>,
+    /// Whether the latest answer ended inside an event.
+    pub(crate) in_event: bool,
 }
 
 impl Permit {
@@ -74,6 +78,8 @@
             first_at: None,
             piece_at: Millis(0),
             pause: 0,
+            framing: None,
+            in_event: false,
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
