Route: requests may exclude upstreams, and sends may be given back because of their upstream

Groundwork without effect so far: nothing ends an attempt as Leaving or Resting yet. Both are handled as a denied permit is, without an attempt or a part of the retry budget.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -189,6 +189,7 @@
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
+            excluded: std::collections::BTreeMap::new(),
         };
         let permit = Self {
             core: Arc::clone(core),
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -108,6 +108,7 @@
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
+            excluded: std::collections::BTreeMap::new(),
         };
         core.demand()
             .record(&completion.item.model, request.cost as f64, now);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -146,6 +146,7 @@
                 backlog_limit: self.pace.map(millis),
             },
             identity: self.identity,
+            excluded: BTreeMap::new(),
         }
     }
 }
@@ -173,6 +174,9 @@
     /// Holds the time until the next permit in milliseconds.
     NoPermit(u32),
     PathBroken,
+    Leaving,
+    /// Holds the time for which the upstream takes nothing from the daemon, in milliseconds.
+    Resting(u32),
 }
 
 impl EndNote {
@@ -186,6 +190,8 @@
             AttemptEnd::Cancelled => Self::Cancelled,
             AttemptEnd::PathBroken => Self::PathBroken,
             AttemptEnd::NoPermit(wait) => Self::NoPermit(span(wait)),
+            AttemptEnd::Leaving => Self::Leaving,
+            AttemptEnd::Resting(wait) => Self::Resting(span(wait)),
         }
     }
 
@@ -199,6 +205,8 @@
             Self::Cancelled => AttemptEnd::Cancelled,
             Self::PathBroken => AttemptEnd::PathBroken,
             Self::NoPermit(wait) => AttemptEnd::NoPermit(millis(wait)),
+            Self::Leaving => AttemptEnd::Leaving,
+            Self::Resting(wait) => AttemptEnd::Resting(millis(wait)),
         }
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method};
 use shaleline_route::{Limits, RequestPolicy, Route, RouteRequest};
 use shaleline_types::{stable_hash, Identity, Millis, Org, RequestId, Service};
+use std::collections::BTreeMap;
 
 /// Requests with a target of at most this are served before others.
 const URGENT_TARGET: Millis = Millis(2_000);
@@ -172,6 +173,7 @@
                 backlog_limit: self.prompt_backlog(),
             },
             identity: Some(self.identity),
+            excluded: BTreeMap::new(),
         }
     }
 
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -101,6 +101,7 @@
             },
             policy: RequestPolicy::default(),
             identity: None,
+            excluded: std::collections::BTreeMap::new(),
         };
         self.gw.route(RouteEvent::Arrive(Box::new(request)));
     }
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -78,10 +78,18 @@
                 }
                 self.retry_request(id, ErrorKind::NoUpstream, now, out);
             }
-            AttemptEnd::NoPermit(_) => {
+            AttemptEnd::NoPermit(_) | AttemptEnd::Leaving | AttemptEnd::Resting(_) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.reached -= 1;
                     open.tried.pop();
+                    if let AttemptEnd::Resting(wait) = end {
+                        open.request
+                            .excluded
+                            .insert(upstream.clone(), now.plus(wait.0));
+                    }
+                }
+                if end == AttemptEnd::Leaving {
+                    self.set_leaving(&upstream, true);
                 }
                 self.dispatch(id, now, out);
             }
@@ -125,7 +133,11 @@
                 state.pace.delay(wait, now);
                 state.breaker.on_inconclusive();
             }
-            AttemptEnd::Refused | AttemptEnd::Cancelled | AttemptEnd::PathBroken => {
+            AttemptEnd::Refused
+            | AttemptEnd::Cancelled
+            | AttemptEnd::PathBroken
+            | AttemptEnd::Leaving
+            | AttemptEnd::Resting(_) => {
                 state.breaker.on_inconclusive();
             }
         }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -5,6 +5,7 @@
     Adapter, DataCentre, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId,
     Service, Upstream,
 };
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// The number of a send of one request, from 1.
@@ -125,6 +126,8 @@
     pub policy: RequestPolicy,
     /// What it has in common with its caller's other attempts, if known.
     pub identity: Option<Identity>,
+    /// The upstreams to which its daemon may not send it, and until when.
+    pub excluded: BTreeMap<Upstream, Millis>,
 }
 
 impl RouteRequest {
@@ -133,6 +136,13 @@
         f64::from(self.block_sizes.get(index).copied().unwrap_or(BLOCK_TOKENS))
     }
 
+    /// Returns whether its daemon may not send it to an upstream now.
+    pub(crate) fn excludes(&self, upstream: &Upstream, now: Millis) -> bool {
+        self.excluded
+            .get(upstream)
+            .is_some_and(|until| now < *until)
+    }
+
     /// Returns the time at which it is refused if it was not sent by then.
     pub(crate) fn start_by(&self, now: Millis) -> Millis {
         let wait = self.policy.max_wait.map(|w| now.plus(w.0));
@@ -151,6 +161,10 @@
     Refused,
     /// It was not sent, because there is no permit for the upstream for this long.
     NoPermit(Millis),
+    /// It was not sent, because the upstream is leaving.
+    Leaving,
+    /// It was not sent, because the upstream takes nothing from its daemon for this long.
+    Resting(Millis),
     /// The send failed after the request was written.
     Broken,
     /// It failed like [`AttemptEnd::Broken`], but because of the path from the daemon that sent it:
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -319,6 +319,7 @@
             b.routes.contains(&request.route)
                 && b.has_free_slot_for(&request.org, now)
                 && !b.is_refusing(&request.route, now)
+                && !request.excludes(name, now)
                 && cost_model.allows(b, request)
                 && self.may_send_to(request, name, b)
         };
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -54,7 +54,9 @@
             let open = self.open.get(&h.id);
             let in_time =
                 open.is_none_or(|o| self.cost_model(&o.request, now).allows(state, &o.request));
-            let refusing = open.is_some_and(|o| state.is_refusing(&o.request.route, now));
+            let refusing = open.is_some_and(|o| {
+                state.is_refusing(&o.request.route, now) || o.request.excludes(upstream, now)
+            });
             // After a suspension the deadline may have passed before the next tick fails it.
             let due = open.is_none_or(|o| o.request.due > now);
             let may_send =
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -240,6 +240,7 @@
             },
             policy: RequestPolicy::default(),
             identity: Some(identity),
+            excluded: std::collections::BTreeMap::new(),
         };
         self.step(RouteEvent::Arrive(Box::new(request)));
     }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -118,6 +118,7 @@
             ..RequestPolicy::default()
         },
         identity: None,
+        excluded: std::collections::BTreeMap::new(),
     };
     router.step(RouteEvent::Arrive(Box::new(request)), now)
 }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -73,6 +73,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        excluded: std::collections::BTreeMap::new(),
     }
 }
 
