Take an answer to HEAD for complete though it has no length

An answer to HEAD, like one of some statuses, never has a body; since answers that end with their connection are checked, one without a length became a 502. The framing is read with the head, where the HTTP library knows that no body follows. The test got 502 before and 200 now.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::pool::{Channel, Pool, Target};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use std::fmt;
@@ -42,6 +42,21 @@
 }
 
 impl Framing {
+    /// Returns the framing of a response whose body has not been read yet.
+    pub(crate) fn of(response: &Response<Incoming>) -> Self {
+        let headers = response.headers();
+        let coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let chunked = |v: &HeaderValue| v.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
+        if coding.is_some_and(chunked) {
+            Self::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) || response.body().is_end_stream() {
+            // Answers to HEAD, and some statuses, never have a body.
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
     /// Returns the name for logs.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -61,6 +76,7 @@
     pub(crate) response: Response<Incoming>,
     pub(crate) target: Target,
     pub(crate) pool: Pool,
+    pub(crate) framing: Framing,
     pub(crate) ended: bool,
 }
 
@@ -80,25 +96,13 @@
     /// Returns the length of the body if it is known.
     #[must_use]
     pub fn length(&self) -> Option<u64> {
-        use hyper::body::Body as _;
         self.response.body().size_hint().exact()
     }
 
     /// Returns how the end of the body is found.
     #[must_use]
     pub fn framing(&self) -> Framing {
-        let headers = self.response.headers();
-        let status = self.response.status();
-        let empty = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-        let coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-        let chunked = |v: &HeaderValue| v.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
-        if coding.is_some_and(chunked) {
-            Framing::Chunks
-        } else if headers.contains_key(CONTENT_LENGTH) || empty {
-            Framing::Length
-        } else {
-            Framing::Close
-        }
+        self.framing
     }
 
     /// Returns the next bytes of the body, or `None` at its end.
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,7 +1,7 @@
 //! A pool of persistent connections to upstreams.
 
 use crate::connect::{self, Opened};
-use crate::{Clock, Exchange, SendError, Tunnels};
+use crate::{Clock, Exchange, Framing, SendError, Tunnels};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -205,6 +205,7 @@
     ) -> Exchange {
         Exchange {
             channel,
+            framing: Framing::of(&response),
             response,
             target: target.clone(),
             pool: self.clone(),
