Reset a caller's connection if a response that ends with it breaks off

Callers of HTTP/1.0 took a stream that broke off for complete: it has neither length nor chunks, the connection was closed regularly, and the system closes the connections of a killed process the same way.

A caller's connection is now set to be reset on closing (linger time zero) before the first byte of such a response, and this is undone only when the body has ended properly and all of it has been written. So a dropped sender, a dropped connection and a killed process all end in a reset. The body and the connection share one flag; no descriptor is duplicated. Tunnels take the plain connection out of the upgrade.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
 
+mod caller_stream;
 mod clock;
 mod connect;
 mod control;
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -1,12 +1,13 @@
 //! Serves callers on persistent connections.
 
+use crate::caller_stream::{CallerStream, Incomplete};
 use crate::control::{ListenerControl, Phase};
 use crate::Reply;
-use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::Request;
+use hyper::{Method, Request, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use shaleline_types::Millis;
 use std::cell::Cell;
@@ -99,6 +100,18 @@
     last_active: Cell<Millis>,
 }
 
+/// Whether the library sends neither a length nor chunks, so that the response ends with its
+/// connection.
+fn ends_with_connection(method: &Method, version: Version, reply: &Reply) -> bool {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&reply.status());
+    let body = reply.body();
+    let has_length = reply.headers().contains_key(CONTENT_LENGTH)
+        || body.is_end_stream()
+        || body.size_hint().exact().is_some();
+    let chunked = version != Version::HTTP_10 && reply.version() != Version::HTTP_10;
+    !(*method == Method::HEAD || bodiless || has_length || chunked)
+}
+
 async fn serve(
     stream: TcpStream,
     caller: CallerAddress,
@@ -112,8 +125,11 @@
         busy: Cell::new(0),
         last_active: Cell::new(control.now()),
     });
+    let incomplete = Incomplete::default();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
+        let (method, version) = (request.method().clone(), request.version());
+        let incomplete = incomplete.clone();
         let activity = Rc::clone(&activity);
         let control = control.clone();
         let response = handler.handle(request);
@@ -126,11 +142,16 @@
                 let close = HeaderValue::from_static("close");
                 reply.headers_mut().insert(CONNECTION, close);
             }
+            if ends_with_connection(&method, version, &reply) {
+                incomplete.set(true);
+                reply.body_mut().incomplete = Some(incomplete);
+            }
             reply.body_mut().busy = Some(busy);
             drop(guard);
             Ok::<_, Infallible>(reply)
         }
     });
+    let stream = CallerStream::new(stream, incomplete.clone());
     let mut connection = pin!(Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(control.idle_timeout() + IDLE_CHECK_INTERVAL)
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -1,5 +1,6 @@
 //! Responses to callers: complete, or streamed in chunks.
 
+use crate::caller_stream::Incomplete;
 use crate::control::RequestGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -56,6 +57,8 @@
     broken: bool,
     /// Counts the request as in progress until its body is written.
     pub(crate) busy: Option<RequestGuard>,
+    /// Cleared at [`Chunk::End`] if the response ends with its connection.
+    pub(crate) incomplete: Option<Incomplete>,
 }
 
 impl ReplyBody {
@@ -68,6 +71,7 @@
             source: Source::Whole(bytes),
             broken: false,
             busy: None,
+            incomplete: None,
         }
     }
 
@@ -80,6 +84,7 @@
             ended: false,
             broken: false,
             busy: None,
+            incomplete: None,
         };
         (sender, body)
     }
@@ -108,6 +113,9 @@
             Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Some(Chunk::End) => {
                 this.ended = true;
+                if let Some(incomplete) = &this.incomplete {
+                    incomplete.set(false);
+                }
                 Poll::Ready(None)
             }
             // The server flushes its buffer when the body is pending. Returning the error
--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -1,5 +1,6 @@
 //! Tunnels through another daemon by the method CONNECT (RFC 9110, section 9.3.6).
 
+use crate::caller_stream::CallerStream;
 use crate::pool::{set_options, Target};
 use bytes::Bytes;
 use http_body_util::Empty;
@@ -12,7 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{copy, AsyncWriteExt};
+use tokio::io::{copy, AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 fn other(reason: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
@@ -20,9 +21,11 @@
 }
 
 /// Returns the connection under an upgrade, and what was read from it already.
-fn into_stream(upgraded: Upgraded) -> io::Result<(TcpStream, Bytes)> {
-    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
-    let parts = parts.map_err(|_| other("the upgraded connection is no TCP connection"))?;
+fn into_parts<T: AsyncRead + AsyncWrite + Unpin + 'static>(
+    upgraded: Upgraded,
+) -> io::Result<(T, Bytes)> {
+    let parts = upgraded.downcast::<TokioIo<T>>();
+    let parts = parts.map_err(|_| other("the upgraded connection is of another type"))?;
     Ok((parts.io.into_inner(), parts.read_buf))
 }
 
@@ -51,7 +54,7 @@
         return Err(other(format!("the relay answered {}", response.status())));
     }
     let upgraded = hyper::upgrade::on(response).await.map_err(other)?;
-    let (stream, early) = into_stream(upgraded)?;
+    let (stream, early) = into_parts::<TcpStream>(upgraded)?;
     match early.is_empty() {
         true => Ok(stream),
         false => Err(other("the target sent bytes before it was asked")),
@@ -68,9 +71,10 @@
     let Ok(upgraded) = upgrade.await else {
         return;
     };
-    let Ok((mut caller, early)) = into_stream(upgraded) else {
+    let Ok((caller, early)) = into_parts::<CallerStream>(upgraded) else {
         return;
     };
+    let mut caller = caller.into_inner();
     set_options(&caller, unacked_timeout);
     if upstream.write_all(&early).await.is_err() {
         reset(&caller);
