Reset a tunnel towards its daemon unless the upstream has ended it

An answer without a length that came through a tunnel looked complete if the daemon between was killed, since the system closes its connections regularly, or if the caller's side had ended first.

The tunnel's connection to the calling daemon is now set to be reset on closing from the start. Only when the upstream has ended its side and all of it is passed on does it close regularly. As before, a tunnel ends whole when its caller ends it, so the upstream learns that at once.

tests/tunnel: 2 of 13 cases failed before: an aborted tunnel ("complete" instead of "broken"), and a caller that closes its sending side inside an answer (a regular end). Without lifting the reset three fail, among them an answer that is read after its tunnel has ended.

--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -1,6 +1,6 @@
 //! Tunnels through another daemon by the method CONNECT (RFC 9110, section 9.3.6).
 
-use crate::caller_stream::CallerStream;
+use crate::caller_stream::{set_reset_on_close, CallerStream};
 use crate::pool::{set_options, Target};
 use bytes::Bytes;
 use http_body_util::Empty;
@@ -9,7 +9,6 @@
 use hyper::upgrade::{OnUpgrade, Upgraded};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,8 +62,10 @@
 
 /// Passes bytes between a daemon and an upstream until either side ends.
 ///
-/// A side that is reset resets the other one: a response may end with its connection, and one that
-/// was reset must not look complete.
+/// A response may end with its connection, and one that was cut off must not look complete. The
+/// daemon's connection is therefore reset unless the upstream has ended its side regularly and all
+/// that it sent was passed on. Neither side can end before the other and still receive: daemons
+/// close a tunnel as a whole, which cancels the request at the upstream.
 pub async fn run(upgrade: OnUpgrade, mut upstream: TcpStream, unacked_timeout: Duration) {
     set_options(&upstream, unacked_timeout);
     // The daemon has left already.
@@ -76,27 +77,35 @@
     };
     let mut caller = caller.into_inner();
     set_options(&caller, unacked_timeout);
-    if upstream.write_all(&early).await.is_err() {
-        reset(&caller);
+    // Without this option nothing is sent on, so that the daemon gets no response at all.
+    if set_reset_on_close(&caller, true).is_err() {
         return;
     }
-    let result = {
-        let (mut caller_in, mut caller_out) = caller.split();
-        let (mut upstream_in, mut upstream_out) = upstream.split();
-        tokio::select! {
-            up = copy(&mut caller_in, &mut upstream_out) => up,
-            down = copy(&mut upstream_in, &mut caller_out) => down,
-        }
+    match forward(&mut caller, &mut upstream, &early).await {
+        // If this fails, the response looks cut off, and is not taken for a complete one.
+        Ok(Ended::Upstream) => set_reset_on_close(&caller, false).ok(),
+        Ok(Ended::Caller) => None,
+        // If this fails, the upstream sees a regular end; its request has a length.
+        Err(_) => set_reset_on_close(&upstream, true).ok(),
     };
-    if result.is_err() {
-        reset(&caller);
-        reset(&upstream);
-    }
 }
 
-/// Makes closing the connection send a reset.
-fn reset(stream: &TcpStream) {
-    // If this fails, the connection is closed normally; only the upstream's end is then taken for
-    // the end of its response, if that has no length.
-    SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
+/// The side that ended a tunnel regularly. All that it sent was passed on.
+enum Ended {
+    Caller,
+    Upstream,
+}
+
+async fn forward(
+    caller: &mut TcpStream,
+    upstream: &mut TcpStream,
+    early: &[u8],
+) -> io::Result<Ended> {
+    upstream.write_all(early).await?;
+    let (mut caller_in, mut caller_out) = caller.split();
+    let (mut upstream_in, mut upstream_out) = upstream.split();
+    tokio::select! {
+        up = copy(&mut caller_in, &mut upstream_out) => up.map(|_| Ended::Caller),
+        down = copy(&mut upstream_in, &mut caller_out) => down.map(|_| Ended::Upstream),
+    }
 }
