Dialect: report a service's response that was cut off as broken

Callers of the product's own interface got part of a service's response as the whole one: awc ends a body regularly when its connection closes, whether the response had a length or chunks, and the daemon then framed that part anew. Without a length, a response of version 1.1 lost its body altogether.

The other calls keep awc: what they receive (JSON, and the numbered tokens of a generation) shows its own end.

--- a/crates/dialect/src/http.rs
+++ b/crates/dialect/src/http.rs
@@ -1,4 +1,4 @@
-//! Access to the instance list, engines and plain services over HTTP.
+//! Access to the instance list and engines over HTTP.
 
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientBuilder, Connector};
@@ -7,23 +7,22 @@
 use futures_util::StreamExt;
 use shaleline_border::{
     Engines, GenerateEvent, GenerateRequest, GenerateStream, InstanceList, ListError,
-    ListedInstance, SendError, ServiceCall, ServiceResponse, Services, UpstreamReport,
+    ListedInstance, SendError, UpstreamReport,
 };
 use shaleline_place::Order;
 use shaleline_types::RequestId;
 use std::time::Duration;
 
 /// The timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The timeout for short calls.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The timeout for a whole request. The router abandons stalled requests much earlier.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 
 const CONFLICT: u16 = 409;
-const SERVICE_BODY_BYTES: usize = 4 << 20;
 const REPORT_BODY_BYTES: usize = 4 << 20;
 
 /// A client of the platform over HTTP. Each thread has its own, because connections belong to
@@ -163,34 +162,3 @@
         })
     }
 }
-
-impl Services for HttpPlatform {
-    fn call<'a>(
-        &'a self,
-        address: &'a str,
-        call: &'a ServiceCall,
-    ) -> LocalBoxFuture<'a, Result<ServiceResponse, SendError>> {
-        Box::pin(async move {
-            let method = call.method.parse().map_err(|_| SendError::NotSent)?;
-            let url = format!("http://{address}/call/{}", call.path);
-            let mut request = self.client.request(method, url).force_close();
-            if let Some(mime) = &call.mime {
-                request = request.insert_header(("content-type", mime.as_str()));
-            }
-            if let Some(key) = &call.key {
-                request = request.insert_header(("idempotency-key", key.as_str()));
-            }
-            let sent = request.send_body(call.body.clone()).await;
-            let mut response = sent.map_err(|e| send_error(&e))?;
-            let body = response.body().limit(SERVICE_BODY_BYTES).await;
-            let body = body.map_err(|_| SendError::Broken)?;
-            let mime = response.headers().get("content-type");
-            let mime = mime.and_then(|m| m.to_str().ok()).unwrap_or_default();
-            Ok(ServiceResponse {
-                status: response.status().as_u16(),
-                mime: mime.to_owned(),
-                body: body.to_vec(),
-            })
-        })
-    }
-}
--- a/crates/edge/tests/kin.rs
+++ b/crates/edge/tests/kin.rs
@@ -82,3 +82,24 @@
         assert!(error.contains("Connect(Disconnected)"), "{error}");
     });
 }
+
+/// A response that was cut off must not be taken for a complete one. `awc` returns the part that
+/// arrived, whatever length the response had.
+#[test]
+fn awc_takes_a_truncated_response_for_complete() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("an address");
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            let mut request = [0; 1_024];
+            let read = stream.read(&mut request).await.expect("read");
+            assert!(read > 0, "the request arrived");
+            let part = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart";
+            stream.write_all(part).await.expect("written");
+        });
+        let sent = awc::Client::new().get(format!("http://{address}/")).send();
+        let body = sent.await.expect("an answer").body().await;
+        assert_eq!(body.expect("no error").as_ref(), b"part");
+    });
+}
