Daemon: do not forward another daemon's response that was cut off

A keyed call that its daemon forwards to the owner of its shard got part of the owner's response as the whole one if the owner ended while it sent it: awc ends a body regularly when its connection closes.

unit::forward: without the check 4 of 6 cases failed (shorter than its length, none of its body, without its last chunk, ended by its connection); all 6 pass with it.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -5,7 +5,11 @@
 
 use crate::call::Job;
 use crate::caller::WorkerState;
+use actix_web::http::header::{HeaderMap, CONTENT_LENGTH};
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse};
+use awc::ClientRequest;
 use shaleline_peer::Member;
 use std::time::Duration;
 
@@ -38,18 +42,17 @@
         }
     }
     sent = sent.insert_header((FORWARDED_HEADER, "1"));
-    let mut received = sent.send_body(job.call.body.clone()).await.ok()?;
-    let status = received.status().as_u16();
-    let body = received.body().limit(MAX_BODY_BYTES).await.ok()?;
-    let unavailable = status == 503
-        && !received
-            .headers()
-            .contains_key(crate::response::OUTCOME_HEADER);
-    let leaving = body.windows(LEAVING.len()).any(|w| w == LEAVING) && status == 503;
+    let Received {
+        status,
+        headers,
+        body,
+    } = receive(sent, job.call.body.clone()).await?;
+    let refused = status == StatusCode::SERVICE_UNAVAILABLE;
+    let unavailable = refused && !headers.contains_key(crate::response::OUTCOME_HEADER);
+    let leaving = refused && body.windows(LEAVING.len()).any(|w| w == LEAVING);
     if unavailable || leaving {
         return None;
     }
-    let status = actix_web::http::StatusCode::from_u16(status).ok()?;
     let mut response = HttpResponse::build(status);
     let forwarded = [
         crate::response::OUTCOME_HEADER,
@@ -60,7 +63,7 @@
         "content-type",
     ];
     for name in forwarded {
-        if let Some(value) = received.headers().get(name) {
+        if let Some(value) = headers.get(name) {
             response.insert_header((name, value.as_bytes()));
         }
     }
@@ -69,3 +72,26 @@
 
 /// The error code of a daemon that is stopping. It did not run the call, so this daemon may.
 const LEAVING: &[u8] = b"\"leaving\"";
+
+/// A complete response of the owner.
+pub(crate) struct Received {
+    status: StatusCode,
+    headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Sends the call and receives the whole response. Daemons send these with a length, and `awc`
+/// takes a body that is shorter for complete.
+pub(crate) async fn receive(sent: ClientRequest, body: Vec<u8>) -> Option<Received> {
+    let bodiless = sent.get_method() == Method::HEAD;
+    let mut received = sent.send_body(body).await.ok()?;
+    let body = received.body().limit(MAX_BODY_BYTES).await.ok()?;
+    let headers = received.headers();
+    let length = headers.get(CONTENT_LENGTH)?.to_str().ok()?;
+    let complete = bodiless || length.parse() == Ok(body.len());
+    complete.then(|| Received {
+        status: received.status(),
+        headers: headers.clone(),
+        body,
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,3 +45,9 @@
 pub use flag::Flag;
 pub use settings::{Settings, SettingsError};
 pub use start::Daemon;
+
+#[cfg(test)]
+#[path = "../tests/unit"]
+mod unit {
+    mod forward;
+}
