--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -367,6 +367,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        excluded: BTreeMap::new(),
     }
 }
 
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -247,6 +247,7 @@
             limits: self.limits(),
             policy: RequestPolicy::default(),
             identity: None,
+            excluded: BTreeMap::new(),
         };
         let open = OpenRequest {
             arrival: arrival.clone(),
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -204,7 +204,7 @@
             },
             policy: RequestPolicy::default(),
             identity: None,
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
         }))
     }
 
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -182,7 +182,7 @@
                 max_wait: Some(Millis(75)),
                 ..RequestPolicy::default()
             },
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
         };
         self.calls.insert((daemon, id), (self.now, 0));
         let message = self.delegated[daemon].ask(request, selector_address(), Millis(self.now));
@@ -437,7 +437,7 @@
         limits: LIMITS,
         policy: RequestPolicy::default(),
         identity: None,
-        excluded: std::collections::BTreeMap::new(),
+        excluded: BTreeMap::new(),
     }
 }
 
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -240,7 +240,7 @@
             },
             policy: RequestPolicy::default(),
             identity: Some(identity),
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
         };
         self.step(RouteEvent::Arrive(Box::new(request)));
     }
