--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -83,12 +83,14 @@
 /// Sends the call and receives the whole response. Daemons send these with a length, and `awc`
 /// takes a body that is shorter for complete.
 pub(crate) async fn receive(sent: ClientRequest, body: Vec<u8>) -> Option<Received> {
-    let bodiless = sent.get_method() == Method::HEAD;
+    let is_head = sent.get_method() == Method::HEAD;
     let mut received = sent.send_body(body).await.ok()?;
     let body = received.body().limit(MAX_BODY_BYTES).await.ok()?;
     let headers = received.headers();
-    let length = headers.get(CONTENT_LENGTH)?.to_str().ok()?;
-    let complete = bodiless || length.parse() == Ok(body.len());
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&received.status());
+    let length = headers.get(CONTENT_LENGTH).and_then(|l| l.to_str().ok());
+    let is_whole = |l: &str| l.parse() == Ok(body.len());
+    let complete = is_head || bodiless || length.is_some_and(is_whole);
     complete.then(|| Received {
         status: received.status(),
         headers: headers.clone(),
--- a/crates/daemon/tests/unit/forward.rs
+++ b/crates/daemon/tests/unit/forward.rs
@@ -36,6 +36,8 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nall" => Some(b"all".to_vec()),
     an_empty_response_is_forwarded:
         "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" => Some(Vec::new()),
+    a_response_that_never_has_a_body_is_forwarded:
+        "HTTP/1.1 204 No Content\r\n\r\n" => Some(Vec::new()),
     a_response_shorter_than_its_length_is_not_forwarded:
         "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart" => None,
     a_response_without_the_first_byte_of_its_body_is_not_forwarded:
