Check the ends of resumed parts and of failures on stream routes

A resumed part without an event that ends with its connection counted as the rest of the stream, so that a caller got a complete stream without its last events; failures on stream routes were read outside the attempt's deadline and without the check of their end. Both now go by the pieces that plain answers use. The check does not run inside the attempt any more, where the deadline could end it with the answer there; an upstream of which a later incarnation is known has ended; a connection that was still being opened when the answer ended shows nothing; and the pieces of a first event count as progress.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -217,9 +217,11 @@
     permit.last_upstream = Some(upstream.clone());
     let sent = gw.begin_send(attempt, upstream);
     let result = if job.rule.repeat.is_stream() {
-        let opened = open_stream(gw, job, &mut permit, upstream).await;
-        match opened {
-            Ok(started) => return start_stream(gw, job, permit, sent, started).await,
+        match open_stream(gw, job, &mut permit, &sent).await {
+            Ok(Opening::Stream(started)) => {
+                return start_stream(gw, job, permit, sent, *started);
+            }
+            Ok(Opening::Failed(whole)) => Ok(receive_whole(&mut permit, &sent, *whole)),
             Err(failure) => Err(failure),
         }
     } else {
@@ -322,35 +324,48 @@
     }
 }
 
+/// An answer that was read to its end.
+struct WholeAnswer {
+    opened: Opened,
+    body: Bytes,
+}
+
+/// Reads an answer to its end.
+async fn collect(mut opened: Opened) -> Result<WholeAnswer, Failure> {
+    let body = opened.exchange.collect(MAX_BODY_BYTES).await?;
+    match body.is_empty() && opened.exchange.framing() == Framing::Close {
+        true => Err(Failure::Truncated),
+        false => Ok(WholeAnswer { opened, body }),
+    }
+}
+
 async fn send_whole(
     gw: &Gateway,
     job: &Job,
     permit: &mut Permit,
     sent: &SentAttempt,
 ) -> Result<(Reply, StatusCode), Failure> {
-    let step = async {
-        let mut opened = open(gw, job, &sent.upstream, None).await?;
-        let body = opened.exchange.collect(MAX_BODY_BYTES).await?;
-        if body.is_empty() && opened.exchange.framing() == Framing::Close {
-            return Err(Failure::Truncated);
-        }
-        gw.check_end(sent, &opened.exchange).await?;
-        Ok((opened, body))
-    };
-    let (opened, body) = run_step(gw, job, permit, step).await?;
+    let step = async { collect(open(gw, job, &sent.upstream, None).await?).await };
+    let whole = run_step(gw, job, permit, step).await?;
+    // Nothing ends the attempt meanwhile: the answer is there.
+    gw.check_end(sent, &whole.opened.exchange).await?;
+    Ok(receive_whole(permit, sent, whole))
+}
+
+/// Converts an upstream's answer to that for the caller.
+fn receive_whole(
+    permit: &mut Permit,
+    sent: &SentAttempt,
+    whole: WholeAnswer,
+) -> (Reply, StatusCode) {
+    let WholeAnswer { opened, body } = whole;
     permit.first_byte(sent.attempt);
     permit.framing = Some(opened.exchange.framing());
-    let Opened {
-        exchange,
-        answer,
-        headers,
-        status,
-    } = opened;
-    exchange.finish(idle_timeout(&answer));
+    opened.exchange.finish(idle_timeout(&opened.answer));
     let mut reply = Response::new(ReplyBody::from_bytes(body));
-    *reply.status_mut() = status;
-    *reply.headers_mut() = headers;
-    Ok((reply, status))
+    *reply.status_mut() = opened.status;
+    *reply.headers_mut() = opened.headers;
+    (reply, opened.status)
 }
 
 /// Ends the request with an upstream's answer. An upstream's failure is passed to the caller, but
@@ -379,26 +394,39 @@
     Outcome::Answered(reply)
 }
 
+/// The beginning of an answer on a stream route.
+enum Opening {
+    Stream(Box<StartedStream>),
+    /// A failure, which has a short body.
+    Failed(Box<WholeAnswer>),
+}
+
 async fn open_stream(
     gw: &Gateway,
     job: &Job,
     permit: &mut Permit,
-    upstream: &Upstream,
-) -> Result<StartedStream, Failure> {
+    sent: &SentAttempt,
+) -> Result<Opening, Failure> {
+    let id = permit.id();
     let step = async {
-        let mut opened = open(gw, job, upstream, None).await?;
+        let mut opened = open(gw, job, &sent.upstream, None).await?;
+        if !opened.status.is_success() {
+            return Ok(Opening::Failed(Box::new(collect(opened).await?)));
+        }
         let mut events = EventSplitter::default();
-        let first = match opened.status.is_success() {
-            true => first_events(&mut opened.exchange, &mut events).await?,
-            false => None,
-        };
-        Ok(StartedStream {
+        let on_bytes = || gw.on_progress(id, sent.attempt, &sent.upstream);
+        let first = first_events(&mut opened.exchange, &mut events, on_bytes).await?;
+        Ok(Opening::Stream(Box::new(StartedStream {
             opened,
             events,
             first,
-        })
+        })))
     };
-    run_step(gw, job, permit, step).await
+    let opening = run_step(gw, job, permit, step).await?;
+    if let Opening::Failed(whole) = &opening {
+        gw.check_end(sent, &whole.opened.exchange).await?;
+    }
+    Ok(opening)
 }
 
 /// Waits for the first complete event. Until then another upstream may be tried, and a stream
@@ -406,8 +434,10 @@
 async fn first_events(
     exchange: &mut Exchange,
     events: &mut EventSplitter,
+    on_bytes: impl Fn(),
 ) -> Result<Option<Bytes>, Failure> {
     while let Some(bytes) = exchange.next().await? {
+        on_bytes();
         let whole = events.push(&bytes);
         if let Some(whole) = whole.map_err(|EventTooLarge| Failure::Garbled)? {
             return Ok(Some(whole));
@@ -427,7 +457,7 @@
     pub(crate) first: Option<Bytes>,
 }
 
-async fn start_stream(
+fn start_stream(
     gw: &Rc<Gateway>,
     job: &Rc<Job>,
     mut permit: Permit,
@@ -436,9 +466,6 @@
 ) -> Outcome {
     permit.first_byte(sent.attempt);
     let opened = &mut started.opened;
-    if !opened.status.is_success() {
-        return failed_stream(gw, job, permit, &sent, started.opened).await;
-    }
     gw.metrics.record_first_byte(gw.now().since(job.arrived));
     let (sender, body) = ReplyBody::channel(STREAM_BUFFER, None);
     let mut reply = Response::new(body);
@@ -454,26 +481,3 @@
     actix_rt::spawn(relay.run(started));
     Outcome::Answered(reply)
 }
-
-/// Completes a stream that the upstream answered with a failure, which has a short body that is
-/// read whole.
-async fn failed_stream(
-    gw: &Gateway,
-    job: &Job,
-    mut permit: Permit,
-    sent: &SentAttempt,
-    mut opened: Opened,
-) -> Outcome {
-    let body = match opened.exchange.collect(MAX_BODY_BYTES).await {
-        Ok(body) => body,
-        Err(e) => {
-            fail(gw, job, &mut permit, sent, e.into()).await;
-            return Outcome::Unanswered(permit);
-        }
-    };
-    let mut reply = Response::new(ReplyBody::from_bytes(body));
-    *reply.status_mut() = opened.status;
-    *reply.headers_mut() = opened.headers;
-    opened.exchange.finish(idle_timeout(&opened.answer));
-    finish(gw, job, permit, sent.attempt, reply, opened.status)
-}
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -46,11 +46,11 @@
         Rc::clone(seen)
     }
 
-    /// Drops a probe whose connection was accepted.
-    fn drop_accepted(&mut self, start: IncarnationTag) {
-        let accepted = |seen: &ProbeResult| seen.get() == Some(&ProbeOutcome::Accepted);
+    /// Drops the probe of an incarnation unless its connection was refused.
+    fn keep_refused(&mut self, start: IncarnationTag) {
+        let refused = |seen: &ProbeResult| seen.get() == Some(&ProbeOutcome::Refused);
         self.probes
-            .retain(|tag, (_, seen)| *tag != start || !accepted(seen));
+            .retain(|tag, (_, seen)| *tag != start || refused(seen));
     }
 }
 
@@ -75,6 +75,19 @@
         }
     }
 
+    /// Whether a later incarnation of the attempt's upstream is known.
+    fn has_started_again(&self, sent: &SentAttempt) -> bool {
+        let listed = self
+            .roster
+            .borrow()
+            .get(&sent.upstream)
+            .map(|e| e.incarnation);
+        let Some(listed) = listed else {
+            return false;
+        };
+        sent.start != IncarnationTag::of(&sent.upstream, self.latest(&sent.upstream, listed))
+    }
+
     /// The latest incarnation known: an engine's own report may be newer than its entry.
     fn latest(&self, upstream: &Upstream, listed: Incarnation) -> Incarnation {
         let seen = self.start_of(upstream).1;
@@ -94,9 +107,9 @@
         if exchange.framing() != Framing::Close {
             return Ok(());
         }
-        // A connection that was accepted before this one ended shows nothing.
-        self.crash_probes.borrow_mut().drop_accepted(sent.start);
-        match self.has_crashed(sent).await {
+        // A connection that was opened before this one ended shows nothing.
+        self.crash_probes.borrow_mut().keep_refused(sent.start);
+        match self.has_started_again(sent) || self.has_crashed(sent).await {
             true => Err(Failure::Ended),
             false => Ok(()),
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use crate::table::Repeat;
 use bytes::Bytes;
-use shaleline_edge::Chunk;
+use shaleline_edge::{Chunk, Framing};
 use shaleline_route::{AttemptEnd, RouteAction};
 use shaleline_types::LogEvent;
 use std::rc::Rc;
@@ -65,6 +65,7 @@
         events: &mut EventSplitter,
     ) -> PartEnd {
         let mut next = first;
+        let mut has_events = next.is_some();
         let limit = self.job.deadline;
         self.permit.framing = Some(opened.exchange.framing());
         loop {
@@ -85,9 +86,15 @@
                         Ok(whole) => whole,
                         Err(EventTooLarge) => return PartEnd::Broken(Failure::Garbled),
                     };
+                    has_events |= next.is_some();
                     self.permit.in_event = events.has_partial();
                 }
-                Ok(None) if events.has_partial() => return PartEnd::Broken(Failure::Truncated),
+                Ok(None)
+                    if events.has_partial()
+                        || (!has_events && opened.exchange.framing() == Framing::Close) =>
+                {
+                    return PartEnd::Broken(Failure::Truncated);
+                }
                 Ok(None) => return self.close(opened).await,
                 Err(e) => return PartEnd::Broken(e.into()),
             }
