Log answers that say that their upstream is leaving

Neither of the hypotheses of docs/incidents/unheard-leaving.md could be told apart by the log: no line showed whether an answer had said so. Event 8110 does, with whether this daemon knew it by the entry. Nothing acts on it yet. What answers say is now recorded in one place, record_answer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -127,9 +127,10 @@
 pub(crate) async fn open(
     gw: &Gateway,
     job: &Job,
-    upstream: &Upstream,
+    sent: &SentAttempt,
     resume: Option<&str>,
 ) -> Result<Opened, Failure> {
+    let upstream = &sent.upstream;
     let Some(target) = gw.target(upstream) else {
         return Err(Failure::NotSent);
     };
@@ -151,7 +152,7 @@
         return Err(Failure::Garbled);
     }
     if answer.signed || answer.not_run {
-        gw.record_limits(upstream, &answer);
+        gw.record_answer(sent, &answer);
     }
     if answer.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -345,7 +346,7 @@
     permit: &mut Permit,
     sent: &SentAttempt,
 ) -> Result<(Reply, StatusCode), Failure> {
-    let step = async { collect(open(gw, job, &sent.upstream, None).await?).await };
+    let step = async { collect(open(gw, job, sent, None).await?).await };
     let whole = run_step(gw, job, permit, step).await?;
     // Nothing ends the attempt meanwhile: the answer is there.
     gw.check_end(sent, &whole.opened.exchange).await?;
@@ -409,7 +410,7 @@
 ) -> Result<Opening, Failure> {
     let id = permit.id();
     let step = async {
-        let mut opened = open(gw, job, &sent.upstream, None).await?;
+        let mut opened = open(gw, job, sent, None).await?;
         if !opened.status.is_success() {
             return Ok(Opening::Failed(Box::new(collect(opened).await?)));
         }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -97,6 +97,8 @@
     /// The rejections per second for want of room above which the upstream crashes, if it names
     /// any.
     pub max_rejections: Option<f64>,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: bool,
 }
 
 /// One upstream as the platform lists it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,8 @@
 //!   in the store.
 //! * `upstream_limits` keeps the limits that upstreams name in their answers, and `permits` keeps to
 //!   them.
+//! * `eligibility` records what else upstreams say in their answers about the requests that they
+//!   take.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -52,6 +54,7 @@
 mod crash_probe;
 mod discovery;
 mod dispatch;
+mod eligibility;
 mod events;
 mod follow;
 mod gossip;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -135,7 +135,7 @@
             self.permit.sends += 1;
             self.permit.last_upstream = Some(upstream.clone());
             self.permit.reached += 1;
-            let opened = attempt::open(&gw, &job, &upstream, last.as_deref());
+            let opened = attempt::open(&gw, &job, &self.sent, last.as_deref());
             let failure = match gw.clock.timeout_at(job.deadline, opened).await? {
                 Ok(opened) if opened.status.is_success() => return Some(opened),
                 Ok(_) => Failure::Broken,
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -156,10 +156,6 @@
 impl Gateway {
     /// Records the limits that an upstream names in an answer.
     pub(crate) fn record_limits(&self, upstream: &Upstream, answer: &AnswerHead) {
-        let other = answer.instance.as_deref();
-        if other.is_some_and(|i| i != upstream.as_str()) {
-            return;
-        }
         let named = self.earliest_arrival();
         self.on_limits(None, upstream, NamedLimits::of(answer), named);
     }
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -101,6 +101,7 @@
     UpstreamLimited 8107 Info "An upstream named or changed a rate limit or a maximum of rejections, or no longer names it.";
     PathBroken 8108 Warn "This daemon does not reach an upstream that another daemon reaches; requests to it go through that daemon.";
     PathRestored 8109 Info "This daemon reaches an upstream again.";
+    LeavingAnswer 8110 Info "An answer says that its upstream is leaving; the line says whether this daemon knew it.";
     RequestEnded 8201 Info "A request ended.";
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a complete answer.";
