Failing tests: requests reach upstreams whose answers said that they are leaving

An upstream whose answers say that it is leaving, and whose entry says ready, got all of 60 requests.

Requests arrive over 2 s after the answer.

--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -1,6 +1,7 @@
 //! A simulated cluster of daemons and engines that name rate limits in their answers. It runs the
 //! daemons' own code without sockets.
 
+use super::leavings::Leavings;
 use crate::attempt::{record_failure, Failure};
 use crate::crash_probe::SentAttempt;
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
@@ -92,6 +93,8 @@
     named: Vec<(u64, Option<f64>)>,
     arrivals: Vec<u64>,
     fragile: Option<Fragile>,
+    /// Whether its answers say that it is leaving.
+    leaving: bool,
     /// The requests that run or wait.
     running: usize,
     rejections: Vec<u64>,
@@ -126,6 +129,7 @@
     in_flight: BTreeMap<(u64, u64), (SocketAddr, Datagram)>,
     event_count: u64,
     due_requests: f64,
+    leavings: Leavings,
     served: usize,
     refused: usize,
     failed: usize,
@@ -156,6 +160,7 @@
             named: Vec::new(),
             arrivals: Vec::new(),
             fragile: None,
+            leaving: false,
             running: 0,
             rejections: Vec::new(),
             crashes: 0,
@@ -171,6 +176,7 @@
             in_flight: BTreeMap::new(),
             event_count: 0,
             due_requests: 0.0,
+            leavings: Leavings::default(),
             served: 0,
             refused: 0,
             failed: 0,
@@ -290,6 +296,7 @@
         for call in self.calls.iter_mut().filter(|c| c.daemon == index) {
             call.permit = None;
         }
+        self.leavings.on_restart(index);
         self.daemons[index] = self.start_daemon(index);
     }
 
@@ -318,6 +325,21 @@
         }
     }
 
+    /// Makes an engine say in its answers, from now on, that it is leaving. No entry says so.
+    pub fn announce_leaving(&mut self, engine: usize) {
+        self.engines[engine].leaving = true;
+    }
+
+    /// The requests that reached engines that are leaving.
+    pub fn leavings(&self) -> &Leavings {
+        &self.leavings
+    }
+
+    /// The requests that were not served.
+    pub fn unserved(&self) -> usize {
+        self.refused + self.failed
+    }
+
     /// How often engines crashed because they had to reject too much.
     pub fn crashes(&self) -> usize {
         self.engines.iter().map(|e| e.crashes).sum()
@@ -433,6 +455,7 @@
             let engine = &mut self.engines[run.engine];
             if now == run.arrives {
                 engine.arrivals.push(now);
+                self.leavings.on_arrival(run.engine, call.daemon, now);
                 run.rejected = engine.rejects(self.size.slots, now);
             }
             // A killed daemon's request still arrives.
@@ -450,10 +473,14 @@
             let answer = AnswerHead {
                 rate_limit: engine.limit,
                 max_rejections: engine.fragile.map(|f| f.max_rejections),
+                leaving: engine.leaving,
                 ..AnswerHead::default()
             };
+            if engine.leaving && (run.rejected || now >= run.head) {
+                self.leavings.on_answer(run.engine, call.daemon, now);
+            }
             if run.rejected {
-                gw.record_limits(&engine.name, &answer);
+                gw.record_answer(&run.sent, &answer);
                 permit.reached += 1;
                 let (sent, failure) = (run.sent.clone(), Failure::Refused(503));
                 call.run = None;
@@ -462,7 +489,7 @@
             }
             if now >= run.head {
                 run.head = u64::MAX;
-                gw.record_limits(&engine.name, &answer);
+                gw.record_answer(&run.sent, &answer);
                 permit.first_byte(run.sent.attempt);
             }
             if now >= run.end {
--- a/crates/gateway/tests/unit/limits/main.rs
+++ b/crates/gateway/tests/unit/limits/main.rs
@@ -1,6 +1,9 @@
-//! Tests that an upstream gets no more requests, from all daemons together, than it says it takes.
+//! Tests that an upstream gets no more requests, from all daemons together, than it says it takes,
+//! and none after it says that it is leaving.
 
 mod cluster;
+mod leaving;
+mod leavings;
 
 use cluster::{Cluster, Fragile, Size, NAMING_MS};
 use rand::rngs::SmallRng;
