Send nothing more to upstreams whose answers say that they are leaving

Callers' requests reached upstreams up to seven seconds after a daemon had passed on an answer in which they said that they were leaving.

Cause: only an upstream's entry in the store counted, and the store was away; the header was read nowhere. Where a request may be sent was decided by the daemon that selects alone, which hears no answers.

A new module, eligibility, keeps for each incarnation of an upstream that it said so, and decides at the moment of sending whether it may happen, whoever selected the upstream: first sends, repeats, resumed streams, sends released by a permit, tunnels. A send that may not happen is given back without an attempt or a part of the retry budget. All daemons are told by the way that limits go, whose code is shared.

Why it works: the daemon that hears an answer knows it before the answer's body is passed on, and asks itself before each send, so that no hub has to know in time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -268,6 +268,7 @@
         attempt,
         upstream,
         start,
+        ..
     } = sent;
     if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
         permit.reached -= 1;
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -60,6 +60,7 @@
     pub(crate) attempt: AttemptNumber,
     pub(crate) upstream: Upstream,
     pub(crate) start: IncarnationTag,
+    pub(crate) incarnation: Incarnation,
 }
 
 impl Gateway {
@@ -71,21 +72,25 @@
         SentAttempt {
             attempt,
             start: IncarnationTag::of(upstream, self.latest(upstream, incarnation)),
+            incarnation: self.incarnation_of(upstream),
             upstream: upstream.clone(),
         }
     }
 
     /// Whether a later incarnation of the attempt's upstream is known.
     fn has_started_again(&self, sent: &SentAttempt) -> bool {
-        let listed = self
-            .roster
-            .borrow()
-            .get(&sent.upstream)
-            .map(|e| e.incarnation);
-        let Some(listed) = listed else {
-            return false;
-        };
-        sent.start != IncarnationTag::of(&sent.upstream, self.latest(&sent.upstream, listed))
+        let known = self.incarnation_of(&sent.upstream);
+        known.compare_to(sent.incarnation) == std::cmp::Ordering::Greater
+    }
+
+    /// The latest known incarnation of an upstream. It is unknown if entries have no start time:
+    /// not every daemon sees the engines' own reports.
+    pub(crate) fn incarnation_of(&self, upstream: &Upstream) -> Incarnation {
+        let listed = self.roster.borrow().get(upstream).map(|e| e.incarnation);
+        match listed {
+            Some(listed) if listed != Incarnation::default() => self.latest(upstream, listed),
+            _ => Incarnation::default(),
+        }
     }
 
     /// The latest incarnation known: an engine's own report may be newer than its entry.
@@ -118,7 +123,7 @@
     /// Whether the upstream crashed during the attempt.
     pub(crate) async fn has_crashed(&self, sent: &SentAttempt) -> bool {
         // An upstream that leaves ends as planned, whatever it is still doing.
-        if self.roster.borrow().is_leaving(&sent.upstream) {
+        if self.is_leaving(&sent.upstream) {
             return false;
         }
         let Some(target) = self.target(&sent.upstream) else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,8 +33,7 @@
 //!   in the store.
 //! * `upstream_limits` keeps the limits that upstreams name in their answers, and `permits` keeps to
 //!   them.
-//! * `eligibility` records what else upstreams say in their answers about the requests that they
-//!   take.
+//! * `eligibility` decides whether this daemon may send to an upstream now, whoever selected it.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
 use crate::dispatch::{Answer, AskNote, ProgressNote, Ticket};
+use crate::eligibility::LeavingNote;
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
 use serde::{Deserialize, Serialize};
@@ -118,6 +119,8 @@
     PermitReply(Ticket, PermitReply),
     /// To the hubs: an upstream that may crash where it has to reject requests has rejected one.
     Rejected(Upstream),
+    /// Upstreams that said in an answer that they are leaving.
+    Leaving(Vec<LeavingNote>),
 }
 
 /// The reply to a daemon that needs a permit.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -131,24 +131,19 @@
 
 impl Gateway {
     /// Holds an action back that sends to an upstream with a limited rate, until there is a permit.
-    /// Returns whether it does.
-    pub(crate) fn hold_for_permit(&self, id: RequestId, action: &RouteAction) -> bool {
-        let RouteAction::Send {
-            attempt, upstream, ..
-        } = action
-        else {
-            self.held_sends.borrow_mut().cancel(id);
-            return false;
-        };
-        if self.upstream_limits.borrow().of(upstream).rate.is_none() {
-            return false;
-        }
+    pub(crate) fn hold_for_permit(
+        &self,
+        id: RequestId,
+        attempt: AttemptNumber,
+        upstream: &Upstream,
+        action: &RouteAction,
+    ) {
         let now = self.now();
         let mut remaining = self.membership.borrow_mut().allocators(now);
         remaining.reverse();
         let number = self.held_sends.borrow_mut().insert(HeldSend {
             id,
-            attempt: *attempt,
+            attempt,
             upstream: upstream.clone(),
             action: action.clone(),
             since: now,
@@ -157,7 +152,6 @@
             wait: None,
         });
         self.continue_send(number);
-        true
     }
 
     /// Asks the next holder of a share for a permit, or gives the send back to the router.
@@ -234,7 +228,10 @@
         if waited >= ANSWER_TIMEOUT_MS {
             self.log_send(send, "granted", Millis(waited));
         }
-        self.pass_to_request(send.id, &send.action);
+        // The upstream may have announced something since.
+        if !self.give_back(send.id, send.attempt, &send.upstream) {
+            self.pass_to_request(send.id, &send.action);
+        }
     }
 
     fn deny_send(&self, number: u64, wait: Millis) {
@@ -295,6 +292,7 @@
                 self.handle_permit_reply(from, ticket, reply);
             }
             LimitMessage::Rejected(upstream) => self.route(RouteEvent::Rejected(upstream)),
+            LimitMessage::Leaving(notes) => self.on_leaving_notes(from, notes),
         }
     }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -233,24 +233,7 @@
             .delegated
             .borrow_mut()
             .on_answer(ticket, answer, self.now());
-        for action in actions {
-            match &action {
-                RouteAction::Send {
-                    id,
-                    attempt,
-                    upstream,
-                    ..
-                } if self.is_out_of_use(upstream) => {
-                    self.on_end(*id, *attempt, AttemptEnd::Refused);
-                }
-                _ => self.deliver(&action),
-            }
-        }
-    }
-
-    /// Whether an upstream is known to take no new work, or is not known at all.
-    fn is_out_of_use(&self, upstream: &Upstream) -> bool {
-        self.roster.borrow().is_leaving(upstream)
+        actions.iter().for_each(|a| self.deliver(a));
     }
 
     /// Delivers an action to its request, of this daemon or of another one.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -148,6 +148,7 @@
     gw.tick_selection();
     gw.send_wanted_reports();
     gw.repeat_limits();
+    gw.repeat_leavings();
     gw.tick_permits();
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use crate::announced::Announced;
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
+use crate::eligibility::Announcements;
 use crate::gossip::Addressed;
 use crate::isolation::Isolation;
 use crate::journal::{emit, LineLimiter};
@@ -146,6 +147,8 @@
     pub(crate) open_tunnels: Rc<Cell<usize>>,
     /// The limits that upstreams named.
     pub(crate) upstream_limits: RefCell<UpstreamLimits>,
+    /// What upstreams said in their answers about their end.
+    pub(crate) announcements: RefCell<Announcements>,
     /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
     pub(crate) permits: RefCell<Permits>,
     pub(crate) held_sends: RefCell<HeldSends>,
@@ -265,6 +268,7 @@
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
+            announcements: RefCell::new(Announcements::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
             crashes_synced: Cell::new(Millis(0)),
@@ -335,6 +339,7 @@
                 }
                 self.route(RouteEvent::Restarted(name.clone()));
                 self.forget_limits(&name);
+                self.announcements.borrow_mut().on_ended(&name);
                 self.paths.borrow_mut().forget(&name);
                 self.apply_entry(&name);
             }
@@ -345,6 +350,7 @@
                 }
                 self.announced.borrow_mut().forget(&name);
                 self.forget_limits(&name);
+                self.announcements.borrow_mut().on_ended(&name);
                 self.paths.borrow_mut().forget(&name);
                 let tag = Tag::of_upstream(&name);
                 self.upstream_tags.borrow_mut().remove(&tag);
@@ -358,13 +364,10 @@
 
     fn apply_entry(&self, name: &Upstream) {
         let now = self.now();
-        let (entry, leaving) = {
-            let roster = self.roster.borrow();
-            let Some(entry) = roster.get(name) else {
-                return;
-            };
-            (entry.clone(), roster.is_leaving(name))
+        let Some(entry) = self.roster.borrow().get(name).cloned() else {
+            return;
         };
+        let leaving = self.is_leaving(name);
         if let Some(held) = entry.held.clone() {
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(entry.service.clone()).or_default();
@@ -373,7 +376,7 @@
         }
         let was = self.router.borrow().is_leaving(name);
         if leaving && was == Some(false) {
-            emit(LogEvent::UpstreamLeaving, &format!("upstream={name}"));
+            self.log_leaving(name);
         }
         self.publish(name);
         let tag = Tag::of_upstream(name);
@@ -455,11 +458,11 @@
         self.publish_crashes();
     }
 
-    /// Passes an action to a request of this daemon, or holds it back until there is a permit for
-    /// it; returns false if there is no request of that number.
+    /// Passes an action to a request of this daemon, unless it sends where nothing may be sent now;
+    /// returns false if there is no request of that number.
     pub(crate) fn notify_request(&self, id: RequestId, action: &RouteAction) -> bool {
         let known = self.requests.borrow().contains_key(&id);
-        known && (self.hold_for_permit(id, action) || self.pass_to_request(id, action))
+        known && (self.withhold(id, action) || self.pass_to_request(id, action))
     }
 
     /// Passes an action to a request of this daemon; returns false if there is none of that number.
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -193,6 +193,9 @@
         let Some(target) = target else {
             return answer(StatusCode::NOT_FOUND);
         };
+        if !self.may_tunnel_to(&target.name) {
+            return answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let broken = self.paths.borrow().is_broken(&target.name);
         if self.stopping.get() || broken || self.open_tunnels.get() >= MAX_TUNNELS {
             return answer(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -14,17 +14,16 @@
 use shaleline_types::{LogEvent, Millis, Upstream};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
 
 /// The interval at which the current limits are sent again.
-const REPEAT_MS: u64 = 1_000;
+pub(crate) const REPEAT_MS: u64 = 1_000;
 
 /// The time for which it is remembered that an upstream named no limits any more, so that an older
 /// report of a limit is not taken for a newer one.
 const ENDED_TTL_MS: u64 = 10_000;
 
 /// The most notes in a datagram.
-const NOTES_PER_DATAGRAM: usize = 12;
+pub(crate) const NOTES_PER_DATAGRAM: usize = 12;
 
 /// The limits that an upstream names.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -213,17 +212,24 @@
 
     /// Sends the limits of an upstream to the daemons that don't know them yet.
     fn broadcast_limits(&self, from: Option<&Sender>, upstream: &Upstream) {
-        let now = self.now();
         let Some(note) = self.limit_note(upstream) else {
             return;
         };
+        self.spread(from, LimitMessage::Named(vec![note]));
+    }
+
+    /// Sends what this daemon learned about upstreams, from an answer or from another daemon, to
+    /// the daemons that don't know it yet.
+    pub(crate) fn spread(&self, from: Option<&Sender>, message: LimitMessage) {
+        let now = self.now();
         let mut membership = self.membership.borrow_mut();
         let targets = match from {
             Some(from) => membership.forward_targets(from, Audience::All, now),
             None => membership.hub_broadcast_targets(Audience::All, now),
         };
         drop(membership);
-        self.send_limit_notes(&targets, &[note]);
+        let message = Message::Limits(message);
+        self.send(targets.into_iter().map(|t| (t, message.clone())).collect());
     }
 
     /// Repeats the current limits where that is due.
@@ -231,25 +237,11 @@
         let now = self.now();
         let is_hub = self.membership.borrow_mut().is_hub(now);
         let notes = self.upstream_limits.borrow_mut().due(is_hub, now);
-        if notes.is_empty() {
-            return;
-        }
-        let mut membership = self.membership.borrow_mut();
-        let targets = membership.hub_broadcast_targets(Audience::All, now);
-        drop(membership);
         for part in notes.chunks(NOTES_PER_DATAGRAM) {
-            self.send_limit_notes(&targets, part);
+            self.spread(None, LimitMessage::Named(part.to_vec()));
         }
     }
 
-    fn send_limit_notes(&self, targets: &[SocketAddr], notes: &[LimitNote]) {
-        let message = |t: &SocketAddr| {
-            let named = LimitMessage::Named(notes.to_vec());
-            (*t, Message::Limits(named))
-        };
-        self.send(targets.iter().map(message).collect());
-    }
-
     /// Forgets the limits of an upstream that has ended or started again.
     pub(crate) fn forget_limits(&self, upstream: &Upstream) {
         if self.upstream_limits.borrow_mut().forget(upstream) {
