BUDGET: sends that were given back do not use up the sends of a request

A request is sent six times at most, and a send that its daemon gives back because the upstream is leaving or takes nothing from it was one of them: a request that was given back six times was failed as no-upstream at its first refusal, though it had reached one upstream. They are now counted apart, and are no retries in the statistics. A send given back for no time at all excludes its upstream for a millisecond, so that it is not selected again at once.

--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -4,7 +4,8 @@
 use crate::{AttemptEnd, AttemptNumber, RouteAction, RouteRequest, Router};
 use shaleline_types::{ErrorKind, Millis, RequestId, Safeguard, Upstream};
 
-/// The most sends of a request, including those that didn't reach an upstream.
+/// The most sends of a request, including those that didn't reach an upstream, but not those that
+/// its daemon gave back.
 const MAX_SENDS: AttemptNumber = 6;
 
 impl Router {
@@ -81,11 +82,12 @@
             AttemptEnd::NoPermit(_) | AttemptEnd::Leaving | AttemptEnd::Resting(_) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.reached -= 1;
+                    open.given_back += 1;
                     open.tried.pop();
                     if let AttemptEnd::Resting(wait) = end {
-                        open.request
-                            .excluded
-                            .insert(upstream.clone(), now.plus(wait.0));
+                        // Without any wait it would be selected again at once.
+                        let until = now.plus(wait.0.max(1));
+                        open.request.excluded.insert(upstream.clone(), until);
                     }
                 }
                 if end == AttemptEnd::Leaving {
@@ -202,8 +204,8 @@
             .policy
             .max_attempts
             .unwrap_or(self.settings.max_attempts);
-        let left =
-            open.reached < max_attempts && open.attempt < MAX_SENDS.max(self.settings.max_attempts);
+        let sends = open.attempt - open.given_back;
+        let left = open.reached < max_attempts && sends < MAX_SENDS.max(self.settings.max_attempts);
         if left && in_time && self.budget.take() {
             self.dispatch(id, now, out);
         } else {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -24,6 +24,8 @@
     pub(crate) attempt: AttemptNumber,
     /// The number of sends that may have reached an upstream.
     pub(crate) reached: AttemptNumber,
+    /// The number of sends that its daemon gave back because of the upstream.
+    pub(crate) given_back: AttemptNumber,
     pub(crate) upstream: Option<Upstream>,
     pub(crate) tried: Vec<Upstream>,
     pub(crate) first_byte: bool,
@@ -244,6 +246,7 @@
             request,
             attempt: 0,
             reached: 0,
+            given_back: 0,
             upstream: None,
             tried: Vec::new(),
             first_byte: false,
@@ -364,7 +367,7 @@
         );
         self.send_count += 1;
         self.stats.sent += 1;
-        self.stats.retried += u64::from(open.attempt > 0);
+        self.stats.retried += u64::from(open.attempt > open.given_back);
         open.attempt += 1;
         open.reached += 1;
         open.first_byte = false;
