BUDGET: a request that excludes an upstream does not hold up those behind it

A queue was served from the head of each organisation's line only, and all callers of the platform are one organisation to the router. A request that waits because it may not be sent to the upstream with free slots held up all others of its priority, of other daemons too. A freed slot now goes to the first request of the line that may be sent there.

Both new tests failed before: nothing was sent, instead of the request behind.

--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -50,8 +50,17 @@
     /// Returns the first request of every organisation and priority: where an organisation with
     /// urgent requests has no slots left, the others come next.
     pub(crate) fn heads(&self) -> impl Iterator<Item = Head<'_>> {
-        self.subqueues.iter().filter_map(|((priority, org), line)| {
-            let id = line.front()?.id;
+        self.heads_where(|_| true)
+    }
+
+    /// Returns the same, passing over requests that don't count.
+    pub(crate) fn heads_where<'a>(
+        &'a self,
+        counts: impl Fn(RequestId) -> bool + 'a,
+    ) -> impl Iterator<Item = Head<'a>> {
+        let lines = self.subqueues.iter();
+        lines.filter_map(move |((priority, org), line)| {
+            let id = line.iter().map(|w| w.id).find(|id| counts(*id))?;
             Some(Head {
                 priority: *priority,
                 org,
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -49,14 +49,17 @@
             return None;
         }
         let queues = state.routes.iter().filter_map(|r| self.queues.get(r));
-        let heads = queues.flat_map(RouteQueue::heads);
+        // Requests that may not be sent there don't hold up those behind them.
+        let excludes = |id| {
+            let open = self.open.get(&id);
+            open.is_some_and(|o| o.request.excludes(upstream, now))
+        };
+        let heads = queues.flat_map(|q| q.heads_where(|id| !excludes(id)));
         let allowed = heads.filter(|h| {
             let open = self.open.get(&h.id);
             let in_time =
                 open.is_none_or(|o| self.cost_model(&o.request, now).allows(state, &o.request));
-            let refusing = open.is_some_and(|o| {
-                state.is_refusing(&o.request.route, now) || o.request.excludes(upstream, now)
-            });
+            let refusing = open.is_some_and(|o| state.is_refusing(&o.request.route, now));
             // After a suspension the deadline may have passed before the next tick fails it.
             let due = open.is_none_or(|o| o.request.due > now);
             let may_send =
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -172,6 +172,31 @@
     assert_eq!(targets(&freed), [(3, "b")]);
 }
 
+/// A queue was served from its head only: one request that had to wait for the upstream at which it
+/// may not be sent held up all others.
+#[test]
+fn regression_a_request_that_excludes_an_upstream_does_not_hold_up_those_behind_it() {
+    let mut router = router(&[("a", 1), ("b", 1)]);
+    arrive(&mut router, except(1, &[("b", 3_000)]), NOW);
+    arrive(&mut router, except(2, &[("a", 3_000)]), NOW);
+    arrive(&mut router, except(3, &[("a", 3_000)]), NOW);
+    arrive(&mut router, request(4), NOW);
+    arrive(&mut router, request(5), NOW);
+    let freed = end(&mut router, 1, 1, AttemptEnd::Whole, NOW);
+    assert_eq!(targets(&freed), [(4, "a")]);
+    let freed = end(&mut router, 2, 1, AttemptEnd::Whole, NOW);
+    assert_eq!(targets(&freed), [(3, "b")]);
+}
+
+#[test]
+fn a_request_behind_one_that_excludes_a_free_upstream_is_sent_at_once() {
+    let mut router = router(&[("a", 4), ("b", 1)]);
+    arrive(&mut router, except(1, &[("a", 3_000)]), NOW);
+    let waits = arrive(&mut router, except(2, &[("a", 3_000)]), NOW);
+    assert_eq!(targets(&waits), []);
+    assert_eq!(targets(&arrive(&mut router, request(3), NOW)), [(3, "a")]);
+}
+
 /// How often the breaker opens with sends that end so one after the other.
 fn opened(ends: &[AttemptEnd]) -> u64 {
     let mut router = router(&[("a", 100)]);
