BUDGET: a request that no upstream takes in time is refused at once, with the earliest end

Callers whose daemon had been turned away by all upstreams of a route waited in the queue as long as they might, and were then told the time of their kind of error, half a second, while the upstreams took nothing from that daemon for seconds: they returned in vain, and each return was one more send.

Rate limits had this already: late_permit looked at upstreams that all limit their rates. next_start now says when the first upstream takes a request, whether that waits for a permit, for the end of the time for which the request excludes the upstream, or for both, and also where one upstream is limited and another excluded. If that is later than the request may start, it is refused with that time. A request that waited for an upstream which then left is told the end at the one that remains, no longer half a second. A time beyond five seconds is told as it is.

Upstreams that turned a daemon away are short of room, so those that come back are spread by 20 ms for each upstream: refused callers in the order of their refusals, over a second after the end, and queued requests as their end comes. A request counts those that wait for the same upstream before it decides whether it waits.

The kind of error stays upstreams-limited; its text now covers both cases.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,7 @@
 mod queue;
 mod request;
 mod retry;
+mod returns;
 mod router;
 mod select;
 mod settings;
--- a/crates/route/src/limited.rs
+++ b/crates/route/src/limited.rs
@@ -1,20 +1,32 @@
-//! Requests whose upstreams all limit their rates.
+//! Requests that no upstream takes yet, because all limit their rates or are excluded.
 
 use crate::breaker::BreakerState;
 use crate::queue::RouteQueue;
+use crate::returns::RETURN_INTERVAL_MS;
 use crate::upstream::UpstreamState;
-use crate::{RouteAction, RouteRequest, Router};
+use crate::{Route, RouteAction, RouteRequest, Router};
 use shaleline_types::{ErrorKind, Millis, RequestId, Upstream};
 
+/// When the first upstream takes a request.
+#[derive(Debug)]
+pub(crate) struct NextStart {
+    upstream: Upstream,
+    /// The time until then in milliseconds, that for the queued requests included.
+    wait: f64,
+    /// The part of it for which the request excludes the upstream.
+    excluded: f64,
+}
+
+impl NextStart {
+    pub(crate) fn is_excluded(&self) -> bool {
+        self.excluded > 0.0
+    }
+}
+
 impl Router {
-    /// Returns the upstream whose next permit is due first, with the time until then in
-    /// milliseconds, if every upstream that serves the request limits its rate and that time is
-    /// later than the request may start.
-    pub(crate) fn late_permit(
-        &self,
-        request: &RouteRequest,
-        now: Millis,
-    ) -> Option<(Upstream, f64)> {
+    /// Returns when the first upstream takes the request, if every upstream that serves it limits
+    /// its rate or is excluded.
+    pub(crate) fn next_start(&self, request: &RouteRequest, now: Millis) -> Option<NextStart> {
         let queue = self.queues.get(&request.route);
         let ahead = queue.map_or(0, RouteQueue::len);
         let serves = |(_, b): &(&Upstream, &UpstreamState)| {
@@ -22,30 +34,76 @@
             b.routes.contains(&request.route) && !b.is_leaving() && !open
         };
         let serving = self.upstreams.iter().filter(serves);
-        let mut first: Option<(&Upstream, f64)> = None;
+        let mut first: Option<NextStart> = None;
         for (name, state) in serving {
-            state.pace.interval()?;
-            let wait = state.pace.wait(ahead, now);
-            if first.is_none_or(|(_, least)| wait < least) {
-                first = Some((name, wait));
+            let excluded = request.excluded_for(name, now).0 as f64;
+            let limited = state.pace.interval().is_some();
+            if !limited && excluded == 0.0 {
+                return None;
+            }
+            let mut wait = state.pace.wait(ahead, now);
+            if excluded > 0.0 {
+                wait = wait.max(excluded + self.returns_ahead(&request.route, name));
+            }
+            if first.as_ref().is_none_or(|f| wait < f.wait) {
+                first = Some(NextStart {
+                    upstream: name.clone(),
+                    wait,
+                    excluded,
+                });
             }
         }
-        let (name, wait) = first?;
-        let late = now.0 as f64 + wait > request.start_by(now).0 as f64;
-        late.then(|| (name.clone(), wait))
+        first
     }
 
-    /// Refuses a request with the time at which a permit is due.
+    /// Returns the same if it is later than the request may start.
+    pub(crate) fn late_start(&self, request: &RouteRequest, now: Millis) -> Option<NextStart> {
+        let late = |s: &NextStart| now.0 as f64 + s.wait > request.start_by(now).0 as f64;
+        self.next_start(request, now).filter(late)
+    }
+
+    /// Returns the time in milliseconds that the queued requests take that wait for the upstream.
+    fn returns_ahead(&self, route: &Route, upstream: &Upstream) -> f64 {
+        let queued = self.queues.get(route).into_iter().flat_map(RouteQueue::ids);
+        let waits = |id: &RequestId| {
+            let open = self.open.get(id);
+            open.is_some_and(|o| o.request.excluded.contains_key(upstream))
+        };
+        (queued.filter(waits).count() as u64 * RETURN_INTERVAL_MS) as f64
+    }
+
+    /// Refuses a request with the time at which the first upstream takes it.
     pub(crate) fn refuse_limited(
         &mut self,
         id: RequestId,
-        upstream: &Upstream,
-        wait: f64,
+        start: &NextStart,
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) {
-        let state = self.upstreams.get_mut(upstream);
-        let retry = state.map(|s| s.pace.reserve_retry(wait, now));
+        let state = self.upstreams.get_mut(&start.upstream);
+        let retry = state.map(|state| {
+            let limited = state.pace.interval().is_some();
+            let paced = limited.then(|| state.pace.reserve_retry(start.wait, now));
+            if !start.is_excluded() {
+                return paced.unwrap_or_default();
+            }
+            let wait = paced.map_or(start.excluded, |p| start.excluded.max(p.0 as f64));
+            let at = state.returns.reserve(now.plus(wait as u64), now);
+            Millis(at.since(now))
+        });
         self.fail_with(id, ErrorKind::UpstreamsLimited, retry, out);
     }
+
+    /// Returns whether a request may not be sent to an upstream yet, as its daemon may not send it
+    /// there or others that had to wait come first.
+    pub(crate) fn is_excluded(
+        &self,
+        request: &RouteRequest,
+        name: &Upstream,
+        state: &UpstreamState,
+        now: Millis,
+    ) -> bool {
+        let until = request.excluded.get(name);
+        until.is_some_and(|until| now < *until || !state.returns.is_due(now))
+    }
 }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -136,11 +136,10 @@
         f64::from(self.block_sizes.get(index).copied().unwrap_or(BLOCK_TOKENS))
     }
 
-    /// Returns whether its daemon may not send it to an upstream now.
-    pub(crate) fn excludes(&self, upstream: &Upstream, now: Millis) -> bool {
-        self.excluded
-            .get(upstream)
-            .is_some_and(|until| now < *until)
+    /// Returns for how long its daemon may not send it to an upstream.
+    pub(crate) fn excluded_for(&self, upstream: &Upstream, now: Millis) -> Millis {
+        let until = self.excluded.get(upstream);
+        Millis(until.map_or(0, |until| until.since(now)))
     }
 
     /// Returns the time at which it is refused if it was not sent by then.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -8,6 +8,7 @@
 use crate::retry::RetryBudget;
 use crate::select::{sample_by_cost, CostModel};
 use crate::upstream::{InFlight, UpstreamState};
+use crate::waiting::stall_timeout;
 use crate::{
     AttemptNumber, CrashNote, Crashes, LimitKind, Limits, PeerVisibility, RetrySettings, Route,
     RouteAction, RouteEvent, RouteRequest, RouterSettings, RouterStats, ShareBook, UpstreamInfo,
@@ -287,8 +288,8 @@
             self.fail(id, ErrorKind::NoUpstream, out);
             return;
         }
-        if let Some((upstream, wait)) = self.late_permit(request, now) {
-            self.refuse_limited(id, &upstream, wait, now, out);
+        if let Some(start) = self.late_start(request, now) {
+            self.refuse_limited(id, &start, now, out);
             return;
         }
         let queued = QueuedRequest {
@@ -322,7 +323,7 @@
             b.routes.contains(&request.route)
                 && b.has_free_slot_for(&request.org, now)
                 && !b.is_refusing(&request.route, now)
-                && !request.excludes(name, now)
+                && !self.is_excluded(request, name, b, now)
                 && cost_model.allows(b, request)
                 && self.may_send_to(request, name, b)
         };
@@ -387,6 +388,9 @@
         };
         let cost = open.request.cost as f64 / open.request.weight.max(1) as f64;
         state.hints.record(&open.request.prefix);
+        if open.request.excluded.contains_key(upstream) {
+            state.returns.on_send(now);
+        }
         state.on_send(id, send, cost);
         out.push(RouteAction::Send {
             id,
@@ -396,12 +400,3 @@
         });
     }
 }
-
-/// The shortest silence that counts as hanging, however little time a request has left.
-const MIN_STALL_MS: u64 = 200;
-
-/// Returns half of the time that a request has left, so that another upstream can still meet its
-/// target, and at most the setting.
-fn stall_timeout(setting: Millis, due: Millis, now: Millis) -> u64 {
-    setting.0.min((due.since(now) / 2).max(MIN_STALL_MS))
-}
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -4,6 +4,7 @@
 use crate::estimate::Slowness;
 use crate::pace::Pace;
 use crate::prefix::PrefixHints;
+use crate::returns::Returns;
 use crate::{Load, PeerLoad, Route, RouteRequest, UpstreamInfo};
 use shaleline_types::{Millis, Org, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -82,6 +83,7 @@
     pub(crate) failures: Failures,
     pub(crate) slowness: Slowness,
     pub(crate) pace: Pace,
+    pub(crate) returns: Returns,
     peers: PeerLoad,
     peers_at: Millis,
     pub(crate) hints: PrefixHints,
@@ -108,6 +110,7 @@
             failures: Failures::default(),
             slowness: Slowness::default(),
             pace: Pace::default(),
+            returns: Returns::default(),
             peers: PeerLoad::default(),
             peers_at: Millis(0),
             hints: PrefixHints::default(),
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -13,6 +13,9 @@
 /// too many urgent requests, all others would otherwise wait until their deadline.
 const LEAST_URGENT_INTERVAL: u64 = 16;
 
+/// The shortest silence that counts as hanging, however little time a request has left.
+const MIN_STALL_MS: u64 = 200;
+
 impl Router {
     /// Sends queued requests to this upstream while it has free slots.
     pub(crate) fn dispatch_queued(
@@ -52,7 +55,7 @@
         // Requests that may not be sent there don't hold up those behind them.
         let excludes = |id| {
             let open = self.open.get(&id);
-            open.is_some_and(|o| o.request.excludes(upstream, now))
+            open.is_some_and(|o| self.is_excluded(&o.request, upstream, state, now))
         };
         let heads = queues.flat_map(|q| q.heads_where(|id| !excludes(id)));
         let allowed = heads.filter(|h| {
@@ -116,7 +119,13 @@
             let request = open.request.clone();
             let served = self.is_served(&request.route);
             self.dequeue(&request);
-            let kind = match (served, was_started(self.open.get(&id))) {
+            let started = was_started(self.open.get(&id));
+            let start = self.next_start(&request, now);
+            if let Some(start) = start.filter(|s| s.is_excluded() && !started) {
+                self.refuse_limited(id, &start, now, out);
+                continue;
+            }
+            let kind = match (served, started) {
                 (_, true) => ErrorKind::BrokenStream,
                 (true, false) => ErrorKind::DeadlineUnmet,
                 (false, false) => ErrorKind::NoUpstream,
@@ -199,3 +208,9 @@
 fn was_started(open: Option<&OpenRequest>) -> bool {
     open.is_some_and(|o| o.attempt > 0 && o.first_byte)
 }
+
+/// Returns half of the time that a request has left, so that another upstream can still meet its
+/// target, and at most the setting.
+pub(crate) fn stall_timeout(setting: Millis, due: Millis, now: Millis) -> u64 {
+    setting.0.min((due.since(now) / 2).max(MIN_STALL_MS))
+}
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -3,11 +3,11 @@
 
 use shaleline_route::{
     AttemptEnd, Limits, Load, RequestPolicy, Route, RouteAction, RouteEvent, RouteRequest, Router,
-    RouterSettings, ShareBook, UpstreamInfo,
+    RouterSettings, ShareBook, UpstreamInfo, UpstreamLimit,
 };
 use shaleline_testkit::cases;
-use shaleline_types::{DataCentre, Millis, Org, RequestId, Service, Upstream};
-use std::collections::BTreeMap;
+use shaleline_types::{DataCentre, ErrorKind, Millis, Org, RequestId, Service, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
 
 const NOW: Millis = Millis(10_000);
 const REST: Millis = Millis(3_000);
@@ -219,3 +219,213 @@
     by_failures_around_what_is_given_back: &[FAILED, FAILED, GIVEN_BACK, FAILED, FAILED, FAILED] => 1,
     not_by_fewer_failures_and_what_is_given_back: &[FAILED, FAILED, GIVEN_BACK, FAILED, FAILED] => 0,
 }
+
+fn limit(router: &mut Router, name: &str, rate: f64) {
+    let limit = UpstreamLimit {
+        rate: Some(rate),
+        fragile_slots: None,
+    };
+    let upstream = up(name);
+    router.step(RouteEvent::Limited { upstream, limit }, NOW);
+}
+
+/// Gives a request this much time until it starts.
+fn within(wait: u64, request: RouteRequest) -> RouteRequest {
+    RouteRequest {
+        policy: RequestPolicy {
+            max_wait: Some(Millis(wait)),
+            ..RequestPolicy::default()
+        },
+        ..request
+    }
+}
+
+fn retry_after(actions: &[RouteAction]) -> Option<u64> {
+    match actions {
+        [RouteAction::Refuse { kind, retry, .. }] => {
+            assert_eq!(*kind, ErrorKind::UpstreamsLimited);
+            retry.map(|r| r.0)
+        }
+        _ => None,
+    }
+}
+
+/// What a request that excludes these upstreams, of those named `a` and `b`, is told on arrival;
+/// `limited` has its permits used up for two seconds.
+fn told((excluded, limited): (&[(&str, u64)], Option<&str>)) -> Option<u64> {
+    let mut router = router(&[("a", 4), ("b", 4)]);
+    if let Some(name) = limited {
+        limit(&mut router, name, 0.5);
+        let other = if name == "a" { "b" } else { "a" };
+        let sent = arrive(&mut router, except(1, &[(other, 10_000)]), NOW);
+        assert_eq!(targets(&sent), [(1, name)]);
+    }
+    retry_after(&arrive(&mut router, within(100, except(2, excluded)), NOW))
+}
+
+cases! { told;
+    nothing_where_one_upstream_is_left: (&[("a", 3_000)], None) => None,
+    the_earliest_end_of_all: (&[("a", 3_000), ("b", 2_000)], None) => Some(2_000),
+    nothing_if_one_ends_in_time: (&[("a", 3_000), ("b", 90)], None) => None,
+    the_end_where_that_is_before_the_permit: (&[("a", 1_500)], Some("b")) => Some(1_500),
+    the_permit_where_that_is_before_the_end: (&[("a", 3_000)], Some("b")) => Some(2_000),
+    the_permit_where_it_is_limited_and_excluded: (&[("a", 9_000), ("b", 500)], Some("b")) => Some(2_000),
+    the_end_where_it_is_limited_and_excluded: (&[("a", 9_000), ("b", 2_500)], Some("b")) => Some(2_500),
+    an_end_that_is_far_off: (&[("a", 90_000), ("b", 30_000)], None) => Some(30_000),
+}
+
+#[test]
+fn an_upstream_that_leaves_is_not_waited_for() {
+    let mut router = router(&[("a", 4), ("b", 4)]);
+    let (upstream, on) = (up("b"), true);
+    router.step(RouteEvent::Leaving { upstream, on }, NOW);
+    let refused = arrive(&mut router, within(100, except(1, &[("a", 3_000)])), NOW);
+    assert_eq!(retry_after(&refused), Some(3_000));
+}
+
+#[test]
+fn a_request_given_back_by_all_upstreams_is_refused_with_the_earliest_end() {
+    let mut router = router(&[("a", 4), ("b", 4)]);
+    arrive(&mut router, within(100, request(1)), NOW);
+    let rests = |ms| AttemptEnd::Resting(Millis(ms));
+    end(&mut router, 1, 1, rests(3_000), NOW);
+    let refused = end(&mut router, 1, 2, rests(2_000), NOW.plus(10));
+    assert_eq!(retry_after(&refused), Some(2_000));
+}
+
+#[test]
+fn a_request_waits_for_an_end_within_its_time() {
+    let mut router = router(&[("a", 4)]);
+    let waits = arrive(&mut router, within(500, except(1, &[("a", 300)])), NOW);
+    assert_eq!(waits, []);
+    assert_eq!(router.step(RouteEvent::Tick, NOW.plus(290)), []);
+    let sent = router.step(RouteEvent::Tick, NOW.plus(300));
+    assert_eq!(targets(&sent), [(1, "a")]);
+}
+
+/// A request waited for an upstream that then left, and was told a time before the end of the rest
+/// at the only other one.
+#[test]
+fn a_request_that_waited_in_vain_is_told_the_end_at_the_upstream_that_is_left() {
+    let mut router = router(&[("a", 4), ("b", 1)]);
+    arrive(&mut router, except(1, &[("a", 3_000)]), NOW);
+    let waits = arrive(&mut router, within(500, except(2, &[("a", 3_000)])), NOW);
+    assert_eq!(waits, []);
+    let (upstream, on) = (up("b"), true);
+    router.step(RouteEvent::Leaving { upstream, on }, NOW.plus(100));
+    let refused = router.step(RouteEvent::Tick, NOW.plus(500));
+    assert_eq!(retry_after(&refused), Some(2_500));
+}
+
+/// The urgent ones of several are told the earlier times, though they arrived later.
+#[test]
+fn waiting_requests_that_are_refused_together_come_back_urgent_first() {
+    let mut router = router(&[("a", 4), ("b", 1)]);
+    arrive(&mut router, except(1, &[("a", 3_000)]), NOW);
+    for (id, priority) in [(2, 1), (3, 1), (4, 0), (5, 0)] {
+        let request = within(500, except(id, &[("a", 3_000)]));
+        arrive(
+            &mut router,
+            RouteRequest {
+                priority,
+                ..request
+            },
+            NOW,
+        );
+    }
+    let (upstream, on) = (up("b"), true);
+    router.step(RouteEvent::Leaving { upstream, on }, NOW);
+    let refused = router.step(RouteEvent::Tick, NOW.plus(500));
+    let order: Vec<u64> = refused
+        .iter()
+        .filter_map(|a| match a {
+            RouteAction::Refuse { id, .. } => Some(id.0),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(order, [4, 5, 2, 3]);
+    let times: Vec<_> = refused
+        .iter()
+        .map(|a| retry_after(std::slice::from_ref(a)))
+        .collect();
+    assert!(times.is_sorted(), "{times:?}");
+    assert!(times[0] < times[3], "{times:?}");
+}
+
+/// The most callers in one span of 50 ms among `count` that are refused by one daemon or two whose
+/// exclusions end at different times.
+fn most_at_once((count, ends): (u64, &[u64])) -> usize {
+    let mut router = router(&[("a", 4)]);
+    let mut times = Vec::new();
+    for id in 0..count {
+        let end = ends[id as usize % ends.len()];
+        let refused = arrive(&mut router, within(100, except(id, &[("a", end)])), NOW);
+        let time = retry_after(&refused).expect("it is refused");
+        assert!(time >= end, "{time} is before the end");
+        assert!(time < end + 1_000, "{time} is too late");
+        times.push(time);
+    }
+    let within = |from: &u64| {
+        times
+            .iter()
+            .filter(|t| (*from..from + 50).contains(*t))
+            .count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+cases! { most_at_once;
+    of_few: (3, &[3_000]) => 3,
+    of_many: (50, &[3_000]) => 3,
+    of_many_of_two_daemons: (50, &[3_000, 3_011]) => 3,
+    of_more_than_a_second_takes: (100, &[3_000]) => 6,
+}
+
+#[test]
+fn callers_come_back_in_the_order_of_their_refusals() {
+    let mut router = router(&[("a", 4)]);
+    let mut told = |id| {
+        let refused = arrive(&mut router, within(100, except(id, &[("a", 3_000)])), NOW);
+        retry_after(&refused).expect("it is refused")
+    };
+    let times: Vec<u64> = (0..40).map(&mut told).collect();
+    assert!(times.is_sorted_by(|a, b| a < b), "{times:?}");
+    assert_eq!(times.iter().collect::<BTreeSet<_>>().len(), 40);
+}
+
+#[test]
+fn requests_that_waited_for_the_same_end_are_sent_one_after_the_other() {
+    let mut router = router(&[("a", 100)]);
+    for id in 0..10 {
+        let waits = arrive(&mut router, within(900, except(id, &[("a", 300)])), NOW);
+        assert_eq!(waits, []);
+    }
+    let mut sent = BTreeMap::new();
+    for time in (0..900).step_by(10) {
+        for (id, _) in targets(&router.step(RouteEvent::Tick, NOW.plus(time))) {
+            sent.insert(time, id);
+        }
+    }
+    let expected = (0..10).map(|id| (300 + id * 20, id));
+    assert_eq!(sent, expected.collect());
+}
+
+/// How many of the requests that arrive together wait for an end that is 50 ms off, if each may
+/// wait this long.
+fn waiting(wait: u64) -> usize {
+    let mut router = router(&[("a", 100)]);
+    let refused = |id| {
+        let request = within(wait, except(id, &[("a", 50)]));
+        retry_after(&arrive(&mut router, request, NOW))
+    };
+    let refused: Vec<u64> = (0..20).filter_map(refused).collect();
+    assert!(refused.iter().all(|told| *told >= 50), "{refused:?}");
+    router.stats().waiting
+}
+
+cases! { waiting;
+    none_where_the_end_is_late: 40 => 0,
+    one_where_it_is_just_in_time: 50 => 1,
+    those_whose_turn_is_in_time: 100 => 3,
+    all_where_there_is_time: 1_000 => 20,
+}
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -128,7 +128,7 @@
     OutcomeUnknown "outcome-unknown" 409 Unknown Doubt None, "The request was begun earlier and its end is not known; it will not be run again.";
     Halted "halted" 503 NotRun System Some(10_000), "A record of the log can't be understood; the daemon stopped applying.";
     Internal "internal" 500 Unknown System None, "An invariant did not hold.";
-    UpstreamsLimited "upstreams-limited" 503 NotRun Later Some(1_000), "Every upstream that serves this limits its rate, and no permit is due in time.";
+    UpstreamsLimited "upstreams-limited" 503 NotRun Later Some(1_000), "Every upstream that serves this limits what it takes, and none takes the request in time.";
 }
 
 /// An error with its kind, a human-readable detail and a retry-after time.
