BUDGET: an upstream that restarts is no longer excluded

What an upstream asked of a daemon holds for the start that asked it. Requests that were open went on excluding the upstream under its name after it had restarted, and waited or were refused though it would have taken them. If the sending daemon has not noticed the restart, it gives the send back, which excludes the upstream again.

regression_an_upstream_that_restarts_is_no_longer_excluded failed before: nothing was sent.

--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    pub(crate) fn restarted(&mut self, upstream: &Upstream) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.reset_learned();
+        }
+        for open in self.open.values_mut() {
+            open.request.excluded.remove(upstream);
+        }
+    }
+
     pub(crate) fn removed(&mut self, upstream: &Upstream, now: Millis, out: &mut Vec<RouteAction>) {
         let Some(state) = self.upstreams.remove(upstream) else {
             return;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -161,11 +161,7 @@
                 self.set_leaving(&upstream, on);
                 self.dispatch_queued(&upstream, now, &mut out);
             }
-            RouteEvent::Restarted(upstream) => {
-                if let Some(state) = self.upstreams.get_mut(&upstream) {
-                    state.reset_learned();
-                }
-            }
+            RouteEvent::Restarted(upstream) => self.restarted(&upstream),
             RouteEvent::Removed(upstream) => self.removed(&upstream, now, &mut out),
             RouteEvent::Cached { upstream, blocks } => {
                 if let Some(state) = self.upstreams.get_mut(&upstream) {
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -429,3 +429,15 @@
     those_whose_turn_is_in_time: 100 => 3,
     all_where_there_is_time: 1_000 => 20,
 }
+
+/// A request kept waiting for the end that an upstream's earlier start had asked for.
+#[test]
+fn regression_an_upstream_that_restarts_is_no_longer_excluded() {
+    let mut router = router(&[("a", 4), ("b", 1)]);
+    arrive(&mut router, except(1, &[("a", 3_000)]), NOW);
+    let waits = arrive(&mut router, except(2, &[("a", 3_000)]), NOW);
+    assert_eq!(targets(&waits), []);
+    router.step(RouteEvent::Restarted(up("a")), NOW);
+    let sent = router.step(RouteEvent::Tick, NOW.plus(10));
+    assert_eq!(targets(&sent), [(2, "a")]);
+}
