BUDGET: a hub is told which upstreams take nothing from the daemon that asks

A hub selects for all daemons and can't know which of them an upstream has turned away: it named that upstream again, the daemon gave the send back, and each request made this round trip once for each such upstream.

A daemon now sends the upstreams that take nothing from it with the request, as short hashes with the time left, at most fifty, those that last longest first; a resent request carries the time that is left then. The message is a new variant that is only used where there is something to tell, so daemons of earlier versions understand all others. One of them that is asked with it drops it; the asking daemon then goes to the next hub after 60 ms, as with a hub that doesn't answer.

Gateway::resting, which says what the sending side knows, is empty here.

Run with the variant in place and the list ignored, no_upstream_where_none_takes_anything, the_second_upstream_where_the_first_takes_nothing and the_second_upstream_beside_one_that_is_not_known failed (the hub named the first upstream).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,7 +10,7 @@
 //! [`DelegatedRequests`] is the asking side; `peer_requests` is the side that selects.
 //! `docs/ROUTING.md` compares the alternatives.
 
-use crate::message::Message;
+use crate::message::{Message, Tag};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{
     AttemptEnd, AttemptNumber, Limits, RequestPolicy, Route, RouteAction, RouteRequest,
@@ -18,6 +18,7 @@
 use shaleline_types::{
     Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service, Upstream,
 };
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -38,6 +39,10 @@
 /// Time for which a hub that did not answer is not asked.
 const AVOID_MS: u64 = 1_000;
 
+/// The most upstreams that a hub is told to exclude, which bounds the message; sends to others are
+/// given back.
+const MAX_EXCLUSIONS: usize = 50;
+
 /// Identifies a request among those of all daemons: the incarnation of its daemon, and its number
 /// there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -151,6 +156,32 @@
     }
 }
 
+/// An upstream that takes nothing from a daemon, and for how many milliseconds.
+pub(crate) type Exclusion = (Tag, u32);
+
+/// The exclusions of a request that are left, those that last longest first.
+fn exclusions(ask: &RouteRequest, now: Millis) -> Vec<Exclusion> {
+    let left = ask.excluded.iter().map(|(upstream, until)| {
+        let left = span(Millis(until.since(now)));
+        (Tag::of_upstream(upstream), left)
+    });
+    let mut left: Vec<Exclusion> = left.filter(|(_, left)| *left > 0).collect();
+    left.sort_by_key(|(_, left)| Reverse(*left));
+    left.truncate(MAX_EXCLUSIONS);
+    left
+}
+
+/// The message that asks a hub for an upstream.
+fn ask_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
+    let note = Box::new(AskNote::of(ask, now));
+    let excluded = exclusions(ask, now);
+    // Daemons of earlier versions only know the message without exclusions.
+    if excluded.is_empty() {
+        return Message::Ask(ticket, note);
+    }
+    Message::AskExcept(ticket, note, excluded)
+}
+
 /// The progress of a request, as it is reported to the hub that selected its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ProgressNote {
@@ -347,7 +378,7 @@
     /// Records the request as delegated to the hub and returns the message that asks it for an
     /// upstream.
     pub(crate) fn ask(&mut self, ask: RouteRequest, to: SocketAddr, now: Millis) -> Message {
-        let message = self.ask_message(&ask, now);
+        let message = ask_message(self.ticket(ask.id), &ask, now);
         let request = Delegated {
             to,
             stage: Stage::Requested {
@@ -362,10 +393,6 @@
         message
     }
 
-    fn ask_message(&self, ask: &RouteRequest, now: Millis) -> Message {
-        Message::Ask(self.ticket(ask.id), Box::new(AskNote::of(ask, now)))
-    }
-
     /// Whether the request is delegated to a hub.
     pub(crate) fn has(&self, id: RequestId) -> bool {
         self.requests.contains_key(&id)
@@ -481,8 +508,8 @@
                         lost.push(*id);
                     } else if waited >= RESEND_MS && !*resent {
                         *resent = true;
-                        let note = Box::new(AskNote::of(&request.ask, now));
-                        steps.push(Step::Send(request.to, Box::new(Message::Ask(ticket, note))));
+                        let message = Box::new(ask_message(ticket, &request.ask, now));
+                        steps.push(Step::Send(request.to, message));
                     }
                 }
                 Stage::Queued { polled, unanswered } => {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 };
 use crate::roster::EntryRecord;
 use crate::state::Gateway;
+use crate::Entry;
 use shaleline_fleet::Rate;
 use shaleline_route::{PeerLoad, PeerVisibility, RouteEvent};
 use shaleline_types::{LogEvent, Millis, Upstream};
@@ -210,6 +211,14 @@
     }
 }
 
+fn to_record((name, offset, entry): (Upstream, u64, Option<Entry>)) -> EntryRecord {
+    EntryRecord {
+        name,
+        offset,
+        entry,
+    }
+}
+
 /// Handles a datagram of another daemon.
 pub(crate) fn on_datagram(gw: &Gateway, datagram: Datagram) {
     let now = gw.now();
@@ -255,17 +264,14 @@
         Message::EntryChanges { number, entries } => {
             let next = gw.reading.borrow_mut().on_changes(from.incarnation, number);
             if next {
-                let records = entries
-                    .into_iter()
-                    .map(|(name, offset, entry)| EntryRecord {
-                        name,
-                        offset,
-                        entry,
-                    });
+                let records = entries.into_iter().map(to_record);
                 gw.apply_entries(records.collect(), now);
             }
         }
-        Message::Ask(ticket, note) => gw.handle_ask(&from, ticket, *note),
+        Message::Ask(ticket, note) => gw.handle_ask(&from, ticket, *note, &[]),
+        Message::AskExcept(ticket, note, excluded) => {
+            gw.handle_ask(&from, ticket, *note, &excluded);
+        }
         Message::Poll(ticket) => gw.handle_poll(&from, ticket),
         Message::Progressed(ticket, what) => gw.handle_progress(ticket, what),
         Message::Open { requests, alive } => gw.handle_open(&from, &requests, &alive),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
-use crate::dispatch::{Answer, AskNote, ProgressNote, Ticket};
+use crate::dispatch::{Answer, AskNote, Exclusion, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
@@ -106,6 +106,8 @@
     AdaptersWantedAck(WantedAck),
     /// About upstreams that limit what they take.
     Limits(LimitMessage),
+    /// Like [`Message::Ask`], with the upstreams that take nothing from the sender.
+    AskExcept(Ticket, Box<AskNote>, Vec<Exclusion>),
 }
 
 /// What daemons exchange about upstreams that limit what they take.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,15 +4,15 @@
 //! router; requests that other daemons delegate go to the local router. The decisions are in
 //! `dispatch` and `peer_requests`.
 
-use crate::dispatch::{Answer, AskNote, EndNote, ProgressNote, Step, Ticket};
+use crate::dispatch::{Answer, AskNote, EndNote, Exclusion, ProgressNote, Step, Ticket};
 use crate::job::{org, LIMITS};
 use crate::message::{Message, Sender, Tag};
 use crate::peer_requests::OPEN_INTERVAL_MS;
 use crate::selector::Selector;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
-use shaleline_types::{Adapter, ErrorKind, Model, RequestId, Upstream};
-use std::collections::BTreeSet;
+use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The key by which hubs share the selection: a model with its adapters, or a service.
@@ -25,8 +25,9 @@
 
 impl Gateway {
     /// Requests an upstream, from the local router or from a hub.
-    pub(crate) fn request_upstream(&self, request: RouteRequest) {
+    pub(crate) fn request_upstream(&self, mut request: RouteRequest) {
         let now = self.now();
+        request.excluded = self.resting();
         let available = |hub| self.delegated.borrow().is_available(hub, now);
         let key = sharing_key(&request.route);
         let selector = self.membership.borrow_mut().selector(key, available, now);
@@ -42,6 +43,11 @@
         }
     }
 
+    /// The upstreams that take nothing from this daemon, and until when.
+    fn resting(&self) -> BTreeMap<Upstream, Millis> {
+        BTreeMap::new()
+    }
+
     /// Records the first byte of an answer.
     pub(crate) fn on_first_byte(&self, id: RequestId, attempt: AttemptNumber) {
         if !self.report(id, ProgressNote::FirstByte(attempt)) {
@@ -157,8 +163,15 @@
         self.send(vec![(to, Message::Answer(ticket, answer))]);
     }
 
-    /// Handles a request that another daemon delegates.
-    pub(crate) fn handle_ask(&self, from: &Sender, ticket: Ticket, note: AskNote) {
+    /// Handles a request that another daemon delegates, to which these upstreams take nothing from
+    /// that daemon.
+    pub(crate) fn handle_ask(
+        &self,
+        from: &Sender,
+        ticket: Ticket,
+        note: AskNote,
+        excluded: &[Exclusion],
+    ) {
         let now = self.now();
         if !self.peer_requests.borrow().contains(ticket) {
             let id = self.next_id();
@@ -166,7 +179,8 @@
                 .borrow_mut()
                 .open(ticket, from.address, id, now);
             self.first_request.notify_one();
-            let request = note.into_route_request(id, org(), LIMITS, now);
+            let mut request = note.into_route_request(id, org(), LIMITS, now);
+            request.excluded = self.resolve_exclusions(excluded);
             self.route(RouteEvent::Arrive(Box::new(request)));
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
@@ -176,6 +190,18 @@
         self.handle_poll(from, ticket);
     }
 
+    /// Returns until when the upstreams are excluded. Those that this daemon does not know, it does
+    /// not select either.
+    fn resolve_exclusions(&self, excluded: &[Exclusion]) -> BTreeMap<Upstream, Millis> {
+        let now = self.now();
+        let names = self.upstream_tags.borrow();
+        let known = excluded.iter().filter_map(|(tag, left)| {
+            let name = names.get(tag)?;
+            Some((name.clone(), now.plus(u64::from(*left))))
+        });
+        known.collect()
+    }
+
     /// Sends the last answer to a request of another daemon again.
     pub(crate) fn handle_poll(&self, from: &Sender, ticket: Ticket) {
         let answer = self.peer_requests.borrow_mut().answer(ticket, self.now());
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -6,18 +6,29 @@
 //! another. At a third of the capacity, one request in nine was rejected and one in five was late.
 
 use crate::dispatch::{Answer, DelegatedRequests, EndNote, ProgressNote, Step, Ticket};
+use crate::gossip::{on_datagram, Outbox};
 use crate::job::{org, LIMITS};
-use crate::message::Message;
+use crate::message::{Datagram, Message, Sender, Tag};
 use crate::peer_requests::{PeerRequests, OPEN_INTERVAL_MS};
+use crate::roster::EntryRecord;
+use crate::state::{Gateway, Platform};
+use crate::unit::crashes::{cluster, null_platform};
+use crate::unit::manual_clock::ManualClock;
+use crate::Entry;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use shaleline_edge::Clock;
 use shaleline_route::{
     AttemptEnd, Load, RequestPolicy, Route, RouteAction, RouteEvent, RouteRequest, Router,
     RouterSettings, ShareBook, UpstreamInfo,
 };
-use shaleline_types::{DataCentre, Millis, RequestId, Service, Upstream};
+use shaleline_types::{
+    DataCentre, ErrorKind, Incarnation, Instance, Millis, RequestId, Service, Upstream,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::mpsc;
 
 const START_MS: u64 = 1_000_000;
 const DAEMONS: usize = 300;
@@ -495,3 +506,146 @@
         "their daemon has sent nothing for seconds"
     );
 }
+
+/// A request that excludes the upstreams numbered from 0, for these times.
+fn except(times: &[u64]) -> RouteRequest {
+    let until = |(number, time): (usize, &u64)| (upstream(number), Millis(START_MS + time));
+    RouteRequest {
+        excluded: times.iter().enumerate().map(until).collect(),
+        ..request(5)
+    }
+}
+
+fn tag(number: usize) -> Tag {
+    Tag::of_upstream(&upstream(number))
+}
+
+/// What a hub is told to exclude; `None` with the message that daemons of earlier versions know.
+fn told(message: &Message) -> Option<Vec<(Tag, u32)>> {
+    match message {
+        Message::AskExcept(_, _, excluded) => Some(excluded.clone()),
+        Message::Ask(..) => None,
+        _ => panic!("{message:?}"),
+    }
+}
+
+fn asked(times: &[u64]) -> Option<Vec<(Tag, u32)>> {
+    let now = Millis(START_MS);
+    let mut delegated = DelegatedRequests::new(1, now);
+    told(&delegated.ask(except(times), selector_address(), now))
+}
+
+shaleline_testkit::cases! { asked;
+    for_any_upstream: &[] => None,
+    for_any_upstream_after_the_time: &[0] => None,
+    for_others_than_one: &[3_000] => Some(vec![(tag(0), 3_000)]),
+    for_others_than_some: &[10, 0, 3_000] => Some(vec![(tag(2), 3_000), (tag(0), 10)]),
+}
+
+#[test]
+fn of_many_excluded_upstreams_the_hub_is_told_those_that_last_longest() {
+    let times: Vec<u64> = (1..=1_000).collect();
+    let told = asked(&times).expect("some are told");
+    assert_eq!(told.len(), 50);
+    assert!(told.iter().all(|(_, left)| *left > 950), "{told:?}");
+}
+
+#[test]
+fn a_request_that_is_resent_tells_the_time_that_is_left() {
+    let now = Millis(START_MS);
+    let mut delegated = DelegatedRequests::new(1, now);
+    delegated.ask(except(&[20, 3_000]), selector_address(), now);
+    let resent = delegated.tick(now.plus(25));
+    let [Step::Send(_, message)] = &resent[..] else {
+        panic!("{resent:?}");
+    };
+    assert_eq!(told(message), Some(vec![(tag(1), 2_975)]));
+}
+
+/// A hub with two upstreams, and the daemon that asks it.
+struct Hub {
+    gw: Rc<Gateway>,
+    outbox: Outbox,
+    asking: Sender,
+}
+
+impl Hub {
+    fn new() -> Self {
+        let platform = Platform {
+            codec: Box::new(null_platform::StubCodec),
+            store: Box::new(null_platform::UnavailableStore),
+        };
+        let settings = cluster::settings(0, selector_address());
+        let (sender, outbox) = mpsc::unbounded_channel();
+        let clock = Clock::from_time(Rc::new(ManualClock::default()));
+        let rng = SmallRng::seed_from_u64(1);
+        let gw = Gateway::with_clock(settings, platform, sender, clock, rng).expect("a gateway");
+        let entry = Entry {
+            service: Service::from_text("svc").expect("a valid name"),
+            address: SocketAddr::from(([10, 1, 0, 1], 80)),
+            centre: DataCentre::from_text("dc0").expect("a valid name"),
+            slots: SLOTS,
+            leaving: false,
+            held: None,
+            incarnation: Incarnation::default(),
+        };
+        let record = |number| EntryRecord {
+            name: upstream(number),
+            offset: number as u64,
+            entry: Some(entry.clone()),
+        };
+        gw.apply_entries((0..2).map(record).collect(), gw.now());
+        let asking = Sender {
+            instance: Instance::from_text("m1").expect("a valid name"),
+            centre: DataCentre::from_text("dc0").expect("a valid name"),
+            incarnation: 1,
+            address: SocketAddr::from(([10, 0, 0, 2], 7_000)),
+            strength: 1,
+        };
+        Self { gw, outbox, asking }
+    }
+
+    /// Returns the hub's answer to a request that may wait for 100 ms.
+    fn answer(&mut self, times: &[(usize, u64)]) -> Answer {
+        let now = self.gw.now();
+        let until = |(number, time): &(usize, u64)| (upstream(*number), now.plus(*time));
+        let ask = RouteRequest {
+            due: now.plus(2_500),
+            policy: RequestPolicy {
+                max_wait: Some(Millis(100)),
+                ..RequestPolicy::default()
+            },
+            excluded: times.iter().map(until).collect(),
+            ..request(5)
+        };
+        let mut delegated = DelegatedRequests::new(1, now);
+        let message = delegated.ask(ask, selector_address(), now);
+        let from = self.asking.clone();
+        on_datagram(&self.gw, Datagram { from, message });
+        let sent = std::iter::from_fn(|| self.outbox.try_recv().ok()).flatten();
+        let answers = sent.filter_map(|(_, datagram)| match datagram.message {
+            Message::Answer(_, answer) => Some(answer),
+            _ => None,
+        });
+        answers.last().expect("an answer")
+    }
+}
+
+/// The upstream that a hub selects for a daemon, or the time at which its caller should return.
+fn selected(times: &[(usize, u64)]) -> Result<Upstream, Option<u32>> {
+    match Hub::new().answer(times) {
+        Answer::Send { upstream, .. } => Ok(upstream),
+        Answer::Refuse { kind, retry } => {
+            assert_eq!(kind, ErrorKind::UpstreamsLimited);
+            Err(retry)
+        }
+        answer => panic!("{answer:?}"),
+    }
+}
+
+shaleline_testkit::cases! { selected;
+    the_second_upstream_where_the_first_takes_nothing: &[(0, 3_000)] => Ok(upstream(1)),
+    the_first_upstream_where_the_second_takes_nothing: &[(1, 3_000)] => Ok(upstream(0)),
+    the_second_upstream_beside_one_that_is_not_known: &[(0, 3_000), (7, 3_000)] => Ok(upstream(1)),
+    no_upstream_where_none_takes_anything: &[(0, 3_000), (1, 2_000)] => Err(Some(2_000)),
+}
