BUDGET: callers come back after those that are queued for the same end

Refused callers and queued requests were spread apart from each other, so both were sent from the moment of the end on, and a caller beyond the fifty of a second got the earliest time again. Callers now get a time after the turns of those that are queued, over two seconds, and beyond that the last times are shared first, as the upstream has least room at the beginning. Requests that are refused together leave the queue before their times are computed.

--- a/crates/route/src/limited.rs
+++ b/crates/route/src/limited.rs
@@ -87,7 +87,8 @@
             if !start.is_excluded() {
                 return paced.unwrap_or_default();
             }
-            let wait = paced.map_or(start.excluded, |p| start.excluded.max(p.0 as f64));
+            // Those that are queued for the same time come first.
+            let wait = paced.map_or(start.wait, |p| start.wait.max(p.0 as f64));
             let at = state.returns.reserve(now.plus(wait as u64), now);
             Millis(at.since(now))
         });
--- a/crates/route/src/returns.rs
+++ b/crates/route/src/returns.rs
@@ -10,8 +10,8 @@
 /// The time between two requests that come back.
 pub(crate) const RETURN_INTERVAL_MS: u64 = 20;
 
-/// The time over which refused callers are spread. If more come back, several get the same time.
-const SPREAD_MS: u64 = 1_000;
+/// The time over which refused callers are spread. If more come back, some get the same time.
+const SPREAD_MS: u64 = 2_000;
 
 /// When requests come back to an upstream.
 #[derive(Debug, Default)]
@@ -41,7 +41,8 @@
             self.promised.insert(at, 1);
             return at;
         }
-        let told = self.promised.range_mut(earliest..end);
+        // The last times first, as the upstream has least room at the beginning.
+        let told = self.promised.range_mut(earliest..end).rev();
         let least = told.min_by_key(|(_, count)| **count);
         least.map_or(earliest, |(at, count)| {
             *count += 1;
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -3,7 +3,7 @@
 use crate::queue::RouteQueue;
 use crate::router::OpenRequest;
 use crate::upstream::InFlight;
-use crate::{RouteAction, Router};
+use crate::{RouteAction, RouteRequest, Router};
 use shaleline_types::{ErrorKind, Millis, RequestId, Upstream};
 
 /// The interval between removals of old state, in milliseconds.
@@ -112,13 +112,12 @@
     /// Fails requests that can no longer start in time.
     pub(crate) fn refuse_overdue(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         let overdue: Vec<RequestId> = self.queues.values().flat_map(|q| q.overdue(now)).collect();
-        for id in overdue {
-            let Some(open) = self.open.get(&id) else {
-                continue;
-            };
-            let request = open.request.clone();
+        let request = |id| self.open.get(id).map(|o| o.request.clone());
+        let overdue: Vec<RouteRequest> = overdue.iter().filter_map(request).collect();
+        overdue.iter().for_each(|request| self.dequeue(request));
+        for request in overdue {
+            let id = request.id;
             let served = self.is_served(&request.route);
-            self.dequeue(&request);
             let started = was_started(self.open.get(&id));
             let start = self.next_start(&request, now);
             if let Some(start) = start.filter(|s| s.is_excluded() && !started) {
