BUDGET: what an upstream does not take concerns all requests of the daemon

A hub kept the end of a rest with the request that had been given back. Other queued requests of the same daemon were handed to the upstream, given back in their turn, and where they waited to the end they were told half a second while no upstream would take them. The hub now records it for all requests of that daemon, its own included, and only if the end is that of the current attempt.

--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -48,6 +48,11 @@
         open.then_some(*id)
     }
 
+    /// The incarnation of the daemon whose request it is, if it is another one's.
+    pub(crate) fn daemon_of(&self, id: RequestId) -> Option<u64> {
+        self.requests.get(&id).map(|r| r.ticket.incarnation)
+    }
+
     /// Whether the request is known.
     pub(crate) fn contains(&self, ticket: Ticket) -> bool {
         self.by_ticket.contains_key(&ticket)
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -70,6 +70,7 @@
     /// Records how an attempt ended.
     pub(crate) fn on_end(&self, id: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
         if !self.report(id, ProgressNote::Ended(attempt, EndNote::of(end))) {
+            self.exclude_upstream(id, attempt, end);
             self.route(RouteEvent::Ended { id, attempt, end });
         }
     }
@@ -221,6 +222,7 @@
                 if end == AttemptEnd::NotSent {
                     self.record_refused_connection(id);
                 }
+                self.exclude_upstream(id, attempt, end);
                 self.peer_requests.borrow_mut().set_queued(id);
                 self.route(RouteEvent::Ended { id, attempt, end });
                 if matches!(end, AttemptEnd::Whole | AttemptEnd::Cancelled) {
@@ -230,6 +232,24 @@
         }
     }
 
+    /// Records that an upstream takes nothing from the daemon of a request, for all of that
+    /// daemon's requests.
+    fn exclude_upstream(&self, id: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
+        let AttemptEnd::Resting(wait) = end else {
+            return;
+        };
+        let requests = self.peer_requests.borrow();
+        let mut router = self.router.borrow_mut();
+        let Some(upstream) = router.upstream_of_attempt(id, attempt).cloned() else {
+            return;
+        };
+        let daemon = requests.daemon_of(id);
+        let until = self.now().plus(wait.0);
+        router.exclude(&upstream, until, |other| {
+            requests.daemon_of(other) == daemon
+        });
+    }
+
     /// Records that an engine refused another daemon's connection.
     fn record_refused_connection(&self, id: RequestId) {
         let at = self.router.borrow().upstream_of(id).cloned();
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -605,8 +605,26 @@
         Self { gw, outbox, asking }
     }
 
-    /// Returns the hub's answer to a request that may wait for 100 ms.
-    fn answer(&mut self, times: &[(usize, u64)]) -> Answer {
+    fn receive(&self, daemon: u64, message: Message) {
+        let from = Sender {
+            incarnation: daemon,
+            ..self.asking.clone()
+        };
+        on_datagram(&self.gw, Datagram { from, message });
+    }
+
+    /// The answers that were sent since the last call.
+    fn answers(&mut self) -> Vec<(Ticket, Answer)> {
+        let sent = std::iter::from_fn(|| self.outbox.try_recv().ok()).flatten();
+        let answers = sent.filter_map(|(_, datagram)| match datagram.message {
+            Message::Answer(ticket, answer) => Some((ticket, answer)),
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    /// Asks for an upstream for a request that may wait for 100 ms.
+    fn ask(&self, daemon: u64, id: u64, times: &[(usize, u64)]) {
         let now = self.gw.now();
         let until = |(number, time): &(usize, u64)| (upstream(*number), now.plus(*time));
         let ask = RouteRequest {
@@ -616,24 +634,20 @@
                 ..RequestPolicy::default()
             },
             excluded: times.iter().map(until).collect(),
-            ..request(5)
+            ..request(id)
         };
-        let mut delegated = DelegatedRequests::new(1, now);
+        let mut delegated = DelegatedRequests::new(daemon, now);
         let message = delegated.ask(ask, selector_address(), now);
-        let from = self.asking.clone();
-        on_datagram(&self.gw, Datagram { from, message });
-        let sent = std::iter::from_fn(|| self.outbox.try_recv().ok()).flatten();
-        let answers = sent.filter_map(|(_, datagram)| match datagram.message {
-            Message::Answer(_, answer) => Some(answer),
-            _ => None,
-        });
-        answers.last().expect("an answer")
+        self.receive(daemon, message);
     }
 }
 
 /// The upstream that a hub selects for a daemon, or the time at which its caller should return.
 fn selected(times: &[(usize, u64)]) -> Result<Upstream, Option<u32>> {
-    match Hub::new().answer(times) {
+    let mut hub = Hub::new();
+    hub.ask(1, 5, times);
+    let (_, answer) = hub.answers().pop().expect("an answer");
+    match answer {
         Answer::Send { upstream, .. } => Ok(upstream),
         Answer::Refuse { kind, retry } => {
             assert_eq!(kind, ErrorKind::UpstreamsLimited);
@@ -649,3 +663,25 @@
     the_second_upstream_beside_one_that_is_not_known: &[(0, 3_000), (7, 3_000)] => Ok(upstream(1)),
     no_upstream_where_none_takes_anything: &[(0, 3_000), (1, 2_000)] => Err(Some(2_000)),
 }
+
+/// A queued request of the same daemon was handed to the upstream, and given back in its turn.
+#[test]
+fn regression_what_an_upstream_does_not_take_concerns_all_requests_of_the_daemon() {
+    let mut hub = Hub::new();
+    let slots = (2 * SLOTS) as u64;
+    (0..slots).for_each(|id| hub.ask(1, id, &[]));
+    let first = |(_, a): &(Ticket, Answer)| matches!(a, Answer::Send { upstream: u, .. } if *u == upstream(0));
+    let (ticket, _) = hub
+        .answers()
+        .into_iter()
+        .find(first)
+        .expect("one is sent there");
+    hub.ask(1, slots, &[]);
+    hub.ask(2, slots, &[]);
+    assert!(hub.answers().iter().all(|(_, a)| *a == Answer::Queued));
+    let given_back = ProgressNote::Ended(1, EndNote::Resting(3_000));
+    hub.receive(1, Message::Progressed(ticket, given_back));
+    let sent = hub.answers();
+    let sent: Vec<u64> = sent.iter().map(|(ticket, _)| ticket.incarnation).collect();
+    assert_eq!(sent, [2]);
+}
--- a/crates/route/src/limited.rs
+++ b/crates/route/src/limited.rs
@@ -95,6 +95,22 @@
         self.fail_with(id, ErrorKind::UpstreamsLimited, retry, out);
     }
 
+    /// Records until when an upstream takes none of some requests: those of one daemon, of which
+    /// one was given back.
+    pub fn exclude(
+        &mut self,
+        upstream: &Upstream,
+        until: Millis,
+        concerns: impl Fn(RequestId) -> bool,
+    ) {
+        let open = self.open.iter_mut().filter(|(id, _)| concerns(**id));
+        for (_, open) in open {
+            let excluded = &mut open.request.excluded;
+            let known = excluded.entry(upstream.clone()).or_insert(until);
+            *known = until.max(*known);
+        }
+    }
+
     /// Returns whether a request may not be sent to an upstream yet, as its daemon may not send it
     /// there or others that had to wait come first.
     pub(crate) fn is_excluded(
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -3,7 +3,7 @@
 use crate::breaker::BreakerState;
 use crate::queue::RouteQueue;
 use crate::upstream::UpstreamState;
-use crate::{PeerLoad, Route, Router, RouterStats, UpstreamStats};
+use crate::{AttemptNumber, PeerLoad, Route, Router, RouterStats, UpstreamStats};
 use shaleline_types::{Millis, RequestId, Upstream};
 
 impl Router {
@@ -39,6 +39,13 @@
         self.upstreams.get(upstream).map(UpstreamState::is_leaving)
     }
 
+    /// Returns the upstream that an attempt is in flight to, if it is the request's current one.
+    #[must_use]
+    pub fn upstream_of_attempt(&self, id: RequestId, attempt: AttemptNumber) -> Option<&Upstream> {
+        let current = self.open.get(&id).filter(|o| o.attempt == attempt)?;
+        current.upstream.as_ref()
+    }
+
     /// Returns the upstream that a request is in flight to.
     #[must_use]
     pub fn upstream_of(&self, id: RequestId) -> Option<&Upstream> {
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -441,3 +441,15 @@
     let sent = router.step(RouteEvent::Tick, NOW.plus(10));
     assert_eq!(targets(&sent), [(2, "a")]);
 }
+
+#[test]
+fn a_late_end_is_not_taken_for_that_of_the_current_attempt() {
+    let mut router = router(&[("a", 4), ("b", 4)]);
+    let sent = arrive(&mut router, request(1), NOW);
+    let first = up(targets(&sent)[0].1);
+    assert_eq!(router.upstream_of_attempt(RequestId(1), 1), Some(&first));
+    end(&mut router, 1, 1, AttemptEnd::Resting(REST), NOW);
+    assert_eq!(router.upstream_of_attempt(RequestId(1), 1), None);
+    let second = router.upstream_of_attempt(RequestId(1), 2);
+    assert!(second.is_some_and(|u| *u != first));
+}
