Probe an upstream again that crashes after it accepted a probe

Since answers that end with their connection are checked by a probe, a crash within 300 ms of such an answer went unnoticed: the attempts that it broke off took the earlier probe, which the upstream had accepted, for theirs.

A probe that was accepted is not shared any more; attempts that break off together share one that is under way or was refused. The test names what is shared; it was not run on the code before, where the function was private.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -26,7 +26,7 @@
 const PROBE_VALID_MS: u64 = 300;
 
 /// The result of a probe, which several attempts may wait for.
-type ProbeResult = Rc<OnceCell<ProbeOutcome>>;
+pub(crate) type ProbeResult = Rc<OnceCell<ProbeOutcome>>;
 
 /// The recent probes of upstreams, each with its time.
 #[derive(Debug, Default)]
@@ -35,23 +35,19 @@
 }
 
 impl CrashProbes {
-    /// The probe of an incarnation of an upstream, which attempts that break off together share.
-    fn probe(&mut self, start: IncarnationTag, now: Millis) -> ProbeResult {
-        self.probes
-            .retain(|_, (at, _)| now.since(*at) < PROBE_VALID_MS);
+    /// The probe of an incarnation of an upstream, which attempts that break off together share. A
+    /// connection that was accepted shows nothing for attempts that broke off after it.
+    pub(crate) fn probe(&mut self, start: IncarnationTag, now: Millis) -> ProbeResult {
+        let is_valid = |at: &Millis, seen: &ProbeResult| {
+            now.since(*at) < PROBE_VALID_MS && seen.get() != Some(&ProbeOutcome::Accepted)
+        };
+        self.probes.retain(|_, (at, seen)| is_valid(at, seen));
         let (_, seen) = self
             .probes
             .entry(start)
             .or_insert_with(|| (now, ProbeResult::default()));
         Rc::clone(seen)
     }
-
-    /// Drops the probe of an incarnation unless its connection was refused.
-    fn keep_refused(&mut self, start: IncarnationTag) {
-        let refused = |seen: &ProbeResult| seen.get() == Some(&ProbeOutcome::Refused);
-        self.probes
-            .retain(|tag, (_, seen)| *tag != start || refused(seen));
-    }
 }
 
 /// An attempt, with its upstream and the upstream's incarnation.
@@ -112,8 +108,6 @@
         if exchange.framing() != Framing::Close {
             return Ok(());
         }
-        // A connection that was opened before this one ended shows nothing.
-        self.crash_probes.borrow_mut().keep_refused(sent.start);
         match self.has_started_again(sent) || self.has_crashed(sent).await {
             true => Err(Failure::Ended),
             false => Ok(()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -113,6 +113,7 @@
     mod admission;
     #[path = "catalogue/main.rs"]
     mod catalogue;
+    mod crash_probe;
     #[path = "crashes/main.rs"]
     mod crashes;
     mod events;
