Resume a stream only at the software version that began it, within one answer

Callers got events of two software versions in one answer: the gateway dropped the version of an entry, and a stream that broke off went on at any upstream.

Entries and the router's upstreams now have the version; upstreams that name none share one of its own. Before a stream is resumed its request is bound to the version of the upstream that began it, at the router or at the hub that selects (a message appended to the enum). The daemon that sends checks each attempt again and gives back those of another version, without an attempt or budget, because the message to the hub may be lost; it also gives back attempts to an upstream that it saw crash during the request and of which no newer start is listed, which may have started again with another version. A bound request without an upstream of its version is refused at once, also while it is queued, and does not hold up those behind it. The lines of ended requests have version=.

A daemon of the release before can't decode messages about entries with a version, nor the new messages: it logs PeerMessageBad, misses the message's number and reads the store itself; a daemon of this release does the same with the messages of the one before (none decodes to a wrong entry: the next name's length is no valid tag). An upstream that starts again with another version is known by it only once its entry is read; a stream that reaches it earlier can't be told apart.

--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -316,6 +316,7 @@
         let info = UpstreamInfo {
             centre: centre.clone(),
             routes: vec![route.clone()],
+            version: shaleline_types::SoftwareVersion::default(),
         };
         router.step(
             RouteEvent::Serves {
@@ -367,6 +368,8 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        excluded: BTreeMap::new(),
+        version: None,
     }
 }
 
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -247,6 +247,8 @@
             limits: self.limits(),
             policy: RequestPolicy::default(),
             identity: None,
+            excluded: BTreeMap::new(),
+            version: None,
         };
         let open = OpenRequest {
             arrival: arrival.clone(),
@@ -436,6 +438,7 @@
             let info = UpstreamInfo {
                 centre: engine.state.spec().centre.clone(),
                 routes: ledger.resident.iter().map(serves).collect(),
+                version: shaleline_types::SoftwareVersion::default(),
             };
             self.placement.reports.insert(upstream(index), ledger);
             let due = self.now + REPORT_DELAY_MS;
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -190,6 +190,7 @@
             policy: RequestPolicy::default(),
             identity: None,
             excluded: std::collections::BTreeMap::new(),
+            version: None,
         };
         let permit = Self {
             core: Arc::clone(core),
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -109,6 +109,7 @@
             policy: RequestPolicy::default(),
             identity: None,
             excluded: std::collections::BTreeMap::new(),
+            version: None,
         };
         core.demand()
             .record(&completion.item.model, request.cost as f64, now);
--- a/crates/daemon/src/upstream_actor.rs
+++ b/crates/daemon/src/upstream_actor.rs
@@ -133,6 +133,7 @@
         UpstreamInfo {
             centre: entry.centre.clone(),
             routes: routes(core, name, entry),
+            version: shaleline_types::SoftwareVersion::default(),
         }
     };
     let memory = report.engine.as_ref().map_or(0, |e| e.memory.0);
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -87,6 +87,7 @@
     UpstreamInfo {
         centre: DataCentre::from_text(&format!("dc{number}")).expect("the name is valid"),
         routes,
+        version: shaleline_types::SoftwareVersion::default(),
     }
 }
 
@@ -204,7 +205,8 @@
             },
             policy: RequestPolicy::default(),
             identity: None,
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
+            version: None,
         }))
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -250,6 +250,9 @@
         true => Failure::Ended,
         false => failure,
     };
+    if failure == Failure::Ended {
+        permit.crashed.push(sent.start);
+    }
     record_failure(gw, job, permit, sent, failure);
 }
 
@@ -265,6 +268,7 @@
         attempt,
         upstream,
         start,
+        ..
     } = sent;
     if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
         permit.reached -= 1;
@@ -439,6 +443,9 @@
     if !opened.status.is_success() {
         return failed_stream(gw, job, permit, &sent, started.opened).await;
     }
+    if job.is_idempotent() {
+        permit.version = Some(sent.version.clone());
+    }
     gw.metrics.record_first_byte(gw.now().since(job.arrived));
     let (sender, body) = ReplyBody::channel(STREAM_BUFFER, None);
     let mut reply = Response::new(body);
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Order, OrderReply};
 use shaleline_types::{
-    Adapter, DataCentre, Incarnation, KeyHash, Millis, Model, Org, Service, Upstream,
+    Adapter, DataCentre, Incarnation, KeyHash, Millis, Model, Org, Service, SoftwareVersion,
+    Upstream,
 };
 use std::fmt;
 use std::net::SocketAddr;
@@ -116,6 +117,8 @@
     pub held: Option<Held>,
     /// The incarnation of the upstream that the entry describes.
     pub incarnation: Incarnation,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
 
 /// A call to an upstream that is not a caller's request.
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use shaleline_edge::{Exchange, Framing, ProbeOutcome};
 use shaleline_route::AttemptNumber;
-use shaleline_types::{Incarnation, IncarnationTag, LogEvent, Millis, Upstream};
+use shaleline_types::{Incarnation, IncarnationTag, LogEvent, Millis, SoftwareVersion, Upstream};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,12 +54,13 @@
     }
 }
 
-/// An attempt, with its upstream and the upstream's incarnation.
+/// An attempt, with its upstream, the upstream's incarnation and the version of its software.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct SentAttempt {
     pub(crate) attempt: AttemptNumber,
     pub(crate) upstream: Upstream,
     pub(crate) start: IncarnationTag,
+    pub(crate) version: SoftwareVersion,
 }
 
 impl Gateway {
@@ -72,6 +73,7 @@
             attempt,
             start: IncarnationTag::of(upstream, self.latest(upstream, incarnation)),
             upstream: upstream.clone(),
+            version: self.version_of(upstream),
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,13 +10,14 @@
 //! [`DelegatedRequests`] is the asking side; `peer_requests` is the side that selects.
 //! `docs/ROUTING.md` compares the alternatives.
 
-use crate::message::Message;
+use crate::message::{Message, VersionMessage};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{
     AttemptEnd, AttemptNumber, Limits, RequestPolicy, Route, RouteAction, RouteRequest,
 };
 use shaleline_types::{
-    Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service, Upstream,
+    Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service,
+    SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -147,6 +148,7 @@
             },
             identity: self.identity,
             excluded: BTreeMap::new(),
+            version: None,
         }
     }
 }
@@ -347,7 +349,7 @@
     /// Records the request as delegated to the hub and returns the message that asks it for an
     /// upstream.
     pub(crate) fn ask(&mut self, ask: RouteRequest, to: SocketAddr, now: Millis) -> Message {
-        let message = self.ask_message(&ask, now);
+        let message = ask_message(self.ticket(ask.id), &ask, now);
         let request = Delegated {
             to,
             stage: Stage::Requested {
@@ -362,8 +364,18 @@
         message
     }
 
-    fn ask_message(&self, ask: &RouteRequest, now: Millis) -> Message {
-        Message::Ask(self.ticket(ask.id), Box::new(AskNote::of(ask, now)))
+    /// Binds a request to a software version; returns the message that reports it to the hub, if
+    /// the request is delegated.
+    pub(crate) fn bind(
+        &mut self,
+        id: RequestId,
+        version: &SoftwareVersion,
+    ) -> Option<(SocketAddr, Message)> {
+        let ticket = self.ticket(id);
+        let request = self.requests.get_mut(&id)?;
+        request.ask.version = Some(version.clone());
+        let bound = VersionMessage::Bound(ticket, version.clone());
+        Some((request.to, Message::Versions(bound)))
     }
 
     /// Whether the request is delegated to a hub.
@@ -481,8 +493,8 @@
                         lost.push(*id);
                     } else if waited >= RESEND_MS && !*resent {
                         *resent = true;
-                        let note = Box::new(AskNote::of(&request.ask, now));
-                        steps.push(Step::Send(request.to, Box::new(Message::Ask(ticket, note))));
+                        let message = ask_message(ticket, &request.ask, now);
+                        steps.push(Step::Send(request.to, Box::new(message)));
                     }
                 }
                 Stage::Queued { polled, unanswered } => {
@@ -532,3 +544,12 @@
         open
     }
 }
+
+/// The message that asks a hub for an upstream.
+fn ask_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
+    let note = Box::new(AskNote::of(ask, now));
+    match &ask.version {
+        None => Message::Ask(ticket, note),
+        Some(version) => Message::Versions(VersionMessage::Ask(ticket, note, version.clone())),
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -265,7 +265,7 @@
                 gw.apply_entries(records.collect(), now);
             }
         }
-        Message::Ask(ticket, note) => gw.handle_ask(&from, ticket, *note),
+        Message::Ask(ticket, note) => gw.handle_ask(&from, ticket, *note, None),
         Message::Poll(ticket) => gw.handle_poll(&from, ticket),
         Message::Progressed(ticket, what) => gw.handle_progress(ticket, what),
         Message::Open { requests, alive } => gw.handle_open(&from, &requests, &alive),
@@ -288,22 +288,21 @@
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
         Message::Limits(message) => gw.on_limit_message(&from, message),
-        Message::PlannerUpdate(update) => {
-            let audience = gw.on_planner_update(&update);
-            let targets = gw
-                .membership
-                .borrow_mut()
-                .forward_targets(&from, audience, now);
-            let passed = targets.into_iter();
-            gw.send(
-                passed
-                    .map(|t| (t, Message::PlannerUpdate(update.clone())))
-                    .collect(),
-            );
-        }
+        Message::Versions(message) => gw.on_version_message(&from, message),
+        Message::PlannerUpdate(update) => forward_update(gw, &from, &update, now),
     }
 }
 
+/// Applies an update of the planner and forwards it.
+fn forward_update(gw: &Gateway, from: &Sender, update: &PlannerUpdate, now: Millis) {
+    let audience = gw.on_planner_update(update);
+    let mut membership = gw.membership.borrow_mut();
+    let targets = membership.forward_targets(from, audience, now);
+    drop(membership);
+    let message = |t| (t, Message::PlannerUpdate(update.clone()));
+    gw.send(targets.into_iter().map(message).collect());
+}
+
 fn on_centre_load(gw: &Gateway, from: &Sender, report: HubReport, now: Millis) {
     on_planner_info(gw, report.load.planner);
     gw.on_crashes_digest(from, report.crashes);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -174,6 +174,7 @@
             },
             identity: Some(self.identity),
             excluded: BTreeMap::new(),
+            version: None,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 //!   in the store.
 //! * `upstream_limits` keeps the limits that upstreams name in their answers, and `permits` keeps to
 //!   them.
+//! * `version_binding` keeps a stream to the software version that began it.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -92,6 +93,7 @@
 mod tag_index;
 mod tunnels;
 mod upstream_limits;
+mod version_binding;
 mod wanted;
 mod wanted_reports;
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,7 +7,8 @@
 use shaleline_fleet::{Held, Rate, Unmet};
 use shaleline_route::CrashNote;
 use shaleline_types::{
-    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Upstream,
+    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, SoftwareVersion,
+    Upstream,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -105,6 +106,17 @@
     AdaptersWantedAck(WantedAck),
     /// About upstreams that limit what they take.
     Limits(LimitMessage),
+    /// About streams that are bound to a software version.
+    Versions(VersionMessage),
+}
+
+/// What daemons exchange about streams that are bound to a software version.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum VersionMessage {
+    /// A [`Message::Ask`] for a request that is bound to a version.
+    Ask(Ticket, Box<AskNote>, SoftwareVersion),
+    /// To the hub that selects for a request: it is bound to a version from now on.
+    Bound(Ticket, SoftwareVersion),
 }
 
 /// What daemons exchange about upstreams that limit what they take.
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -123,7 +123,8 @@
     let detail =
         format!(
         "id={} request={} code={code} org={} route={} asked={} serving={} kind={} config={} sends={} upstream={} \
-         reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={} framing={} in_event={}",
+         reached={} ms={} expected_ms={} first_ms={} pause_ms={} left_ms={} framing={} in_event={} \
+         version={}",
         job.head.id,
         job.identity.request,
         job.org.as_ref().map_or("none", |o| o.as_str()),
@@ -142,6 +143,10 @@
         job.deadline.since(now),
         permit.framing.map_or("none", Framing::as_str),
         permit.in_event,
+        permit
+            .version
+            .as_ref()
+            .map_or("none".to_owned(), ToString::to_string),
     );
     emit(event, &detail);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -108,6 +108,9 @@
     /// Resumes the stream at another upstream after the last complete event.
     async fn resume(&mut self, failure: Failure, last: Option<String>) -> Option<Opened> {
         let (gw, job) = (Rc::clone(&self.gw), Rc::clone(&self.job));
+        if let Some(version) = &self.permit.version {
+            gw.bind_request(self.permit.id(), version);
+        }
         attempt::fail(&gw, &job, &mut self.permit, &self.sent, failure).await;
         loop {
             let next = self.permit.next();
@@ -124,7 +127,11 @@
             if gw.recheck(&job).is_err() {
                 return None;
             }
-            self.sent = gw.begin_send(attempt, &upstream);
+            let sent = gw.begin_send(attempt, &upstream);
+            if self.permit.gives_back(&sent) {
+                continue;
+            }
+            self.sent = sent;
             self.permit.sends += 1;
             self.permit.last_upstream = Some(upstream.clone());
             self.permit.reached += 1;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,7 +17,9 @@
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
 use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
-use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
+use shaleline_types::{
+    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, SoftwareVersion, Upstream,
+};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -55,6 +57,10 @@
     pub(crate) framing: Option<Framing>,
     /// Whether the latest answer ended inside an event.
     pub(crate) in_event: bool,
+    /// The software version to which it is bound.
+    pub(crate) version: Option<SoftwareVersion>,
+    /// The upstreams that crashed during its attempts.
+    pub(crate) crashed: Vec<IncarnationTag>,
 }
 
 impl Permit {
@@ -80,6 +86,8 @@
             pause: 0,
             framing: None,
             in_event: false,
+            version: None,
+            crashed: Vec::new(),
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -11,7 +11,7 @@
 use crate::selector::Selector;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
-use shaleline_types::{Adapter, ErrorKind, Model, RequestId, Upstream};
+use shaleline_types::{Adapter, ErrorKind, Model, RequestId, SoftwareVersion, Upstream};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -158,7 +158,13 @@
     }
 
     /// Handles a request that another daemon delegates.
-    pub(crate) fn handle_ask(&self, from: &Sender, ticket: Ticket, note: AskNote) {
+    pub(crate) fn handle_ask(
+        &self,
+        from: &Sender,
+        ticket: Ticket,
+        note: AskNote,
+        version: Option<SoftwareVersion>,
+    ) {
         let now = self.now();
         if !self.peer_requests.borrow().contains(ticket) {
             let id = self.next_id();
@@ -167,6 +173,7 @@
                 .open(ticket, from.address, id, now);
             self.first_request.notify_one();
             let request = note.into_route_request(id, org(), LIMITS, now);
+            let request = RouteRequest { version, ..request };
             self.route(RouteEvent::Arrive(Box::new(request)));
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -435,6 +435,7 @@
         Some(UpstreamInfo {
             centre: entry.centre.clone(),
             routes,
+            version: entry.version.clone(),
         })
     }
 
--- /dev/null
+++ b/crates/gateway/src/version_binding.rs
@@ -0,0 +1,67 @@
+//! Binds requests to the software version of the upstream that began their stream.
+//!
+//! What two versions write does not fit together, and upstreams don't check which version began a
+//! stream. The router that selects keeps to the binding; the daemon that sends checks it again,
+//! because the message that binds a request at a hub may be lost.
+
+use crate::crash_probe::SentAttempt;
+use crate::message::{Sender, VersionMessage};
+use crate::request::Permit;
+use crate::state::Gateway;
+use shaleline_route::{AttemptEnd, RouteEvent};
+use shaleline_types::{Millis, RequestId, SoftwareVersion, Upstream};
+
+/// The time for which an upstream that does not fit a request is not selected for it again; longer
+/// than any request.
+const EXCLUDED: Millis = Millis(3_600_000);
+
+impl Gateway {
+    /// The version of an upstream's software by its latest entry.
+    pub(crate) fn version_of(&self, upstream: &Upstream) -> SoftwareVersion {
+        let roster = self.roster.borrow();
+        let entry = roster.get(upstream);
+        entry.map(|e| e.version.clone()).unwrap_or_default()
+    }
+
+    /// Binds a request at the router that selects its upstreams.
+    pub(crate) fn bind_request(&self, id: RequestId, version: &SoftwareVersion) {
+        let message = self.delegated.borrow_mut().bind(id, version);
+        match message {
+            Some(message) => self.send(vec![message]),
+            None => self.route(RouteEvent::Bound {
+                id,
+                version: version.clone(),
+            }),
+        }
+    }
+
+    /// Handles another daemon's message.
+    pub(crate) fn on_version_message(&self, from: &Sender, message: VersionMessage) {
+        match message {
+            VersionMessage::Ask(ticket, note, version) => {
+                self.handle_ask(from, ticket, *note, Some(version));
+            }
+            VersionMessage::Bound(ticket, version) => {
+                let id = self.peer_requests.borrow().find(ticket);
+                if let Some(id) = id {
+                    self.route(RouteEvent::Bound { id, version });
+                }
+            }
+        }
+    }
+}
+
+impl Permit {
+    /// Gives an attempt back that must not be sent: its upstream has another version, or it has
+    /// crashed during the request and may have started again with one. Returns whether it did.
+    pub(crate) fn gives_back(&mut self, sent: &SentAttempt) -> bool {
+        let Some(version) = &self.version else {
+            return false;
+        };
+        if *version == sent.version && !self.crashed.contains(&sent.start) {
+            return false;
+        }
+        self.end(sent.attempt, AttemptEnd::Resting(EXCLUDED));
+        true
+    }
+}
--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -306,6 +306,7 @@
                     leaving: false,
                     held: Some(e.held.clone()),
                     incarnation: e.held.incarnation,
+                    version: shaleline_types::SoftwareVersion::default(),
                 }),
             };
         self.engines.all.iter().enumerate().map(entry).collect()
--- a/crates/gateway/tests/unit/crashes/cluster/servers.rs
+++ b/crates/gateway/tests/unit/crashes/cluster/servers.rs
@@ -40,6 +40,7 @@
             leaving: false,
             held: None,
             incarnation: *incarnation,
+            version: shaleline_types::SoftwareVersion::default(),
         };
         EntryRecord {
             name: name.clone(),
--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -267,6 +267,7 @@
                 slots: self.size.slots,
                 leaving: false,
                 incarnation: held.incarnation,
+                version: shaleline_types::SoftwareVersion::default(),
                 held: Some(held),
             };
             EntryRecord {
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -20,6 +20,7 @@
         leaving,
         held: None,
         incarnation: Incarnation::default(),
+        version: shaleline_types::SoftwareVersion::default(),
     }
 }
 
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -103,6 +103,7 @@
             let info = UpstreamInfo {
                 centre: centre.clone(),
                 routes: vec![route()],
+                version: shaleline_types::SoftwareVersion::default(),
             };
             let load = Load {
                 slots: SLOTS,
@@ -182,7 +183,8 @@
                 max_wait: Some(Millis(75)),
                 ..RequestPolicy::default()
             },
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
+            version: None,
         };
         self.calls.insert((daemon, id), (self.now, 0));
         let message = self.delegated[daemon].ask(request, selector_address(), Millis(self.now));
@@ -437,7 +439,8 @@
         limits: LIMITS,
         policy: RequestPolicy::default(),
         identity: None,
-        excluded: std::collections::BTreeMap::new(),
+        excluded: BTreeMap::new(),
+        version: None,
     }
 }
 
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -72,6 +72,7 @@
             leaving: false,
             held: None,
             incarnation: Incarnation::default(),
+            version: shaleline_types::SoftwareVersion::default(),
         };
         let record = EntryRecord {
             name: self.upstream(),
@@ -102,6 +103,7 @@
             policy: RequestPolicy::default(),
             identity: None,
             excluded: std::collections::BTreeMap::new(),
+            version: None,
         };
         self.gw.route(RouteEvent::Arrive(Box::new(request)));
     }
--- a/crates/gateway/tests/unit/tunnels/pair.rs
+++ b/crates/gateway/tests/unit/tunnels/pair.rs
@@ -252,6 +252,7 @@
             leaving: false,
             held: None,
             incarnation: Incarnation::from_millis(1),
+            version: shaleline_types::SoftwareVersion::default(),
         }),
     };
     gw.apply_entries(addresses.iter().enumerate().map(record).collect(), gw.now());
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,8 @@
 //!   prefixes it may have cached ([`prefix_chain`]).
 //! * A request during which upstreams crashed is tracked ([`Crashes`]) and not sent any more after
 //!   three crashes.
+//! * A request whose answer has begun is bound to the software version of the upstream that began
+//!   it.
 //! * An answer counts only for the attempt that it belongs to.
 //!
 //! `docs/ROUTING.md` compares the alternatives.
@@ -45,6 +47,7 @@
 mod share;
 mod stats;
 mod upstream;
+mod versions;
 mod view;
 mod waiting;
 
--- a/crates/route/src/limited.rs
+++ b/crates/route/src/limited.rs
@@ -19,7 +19,10 @@
         let ahead = queue.map_or(0, RouteQueue::len);
         let serves = |(_, b): &(&Upstream, &UpstreamState)| {
             let open = b.breaker.state(now) == BreakerState::Open;
-            b.routes.contains(&request.route) && !b.is_leaving() && !open
+            b.routes.contains(&request.route)
+                && request.allows(&b.info.version)
+                && !b.is_leaving()
+                && !open
         };
         let serving = self.upstreams.iter().filter(serves);
         let mut first: Option<(&Upstream, f64)> = None;
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -8,9 +8,11 @@
 pub(crate) struct QueuedRequest {
     pub(crate) id: RequestId,
     pub(crate) due: Millis,
+    /// Whether only upstreams of one software version may serve it.
+    pub(crate) bound: bool,
 }
 
-/// The first request of one organisation's queue.
+/// A request that may be the next of one organisation's queue.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Head<'a> {
     pub(crate) priority: u8,
@@ -47,19 +49,26 @@
         self.len += 1;
     }
 
-    /// Returns the first request of every organisation and priority: where an organisation with
-    /// urgent requests has no slots left, the others come next.
+    /// Returns the first requests of every organisation and priority: where an organisation with
+    /// urgent requests has no slots left, the others come next. Bound requests don't hold up those
+    /// behind them, which other upstreams may serve.
     pub(crate) fn heads(&self) -> impl Iterator<Item = Head<'_>> {
-        self.subqueues.iter().filter_map(|((priority, org), line)| {
-            let id = line.front()?.id;
-            Some(Head {
+        self.subqueues.iter().flat_map(|((priority, org), line)| {
+            let bound = line.iter().take_while(|w| w.bound).count();
+            line.iter().take(bound + 1).map(move |w| Head {
                 priority: *priority,
                 org,
-                id,
+                id: w.id,
             })
         })
     }
 
+    /// Returns the queued requests that are bound to a software version.
+    pub(crate) fn bound_ids(&self) -> impl Iterator<Item = RequestId> + '_ {
+        let queued = self.subqueues.values().flatten();
+        queued.filter(|w| w.bound).map(|w| w.id)
+    }
+
     /// Returns how many queued requests would be served before a new one of this priority, counting
     /// only a fair share of each other organisation's queue.
     pub(crate) fn ahead(&self, priority: u8, org: &Org) -> usize {
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -3,7 +3,7 @@
 use crate::{Limits, UpstreamLimit, BLOCK_TOKENS};
 use shaleline_types::{
     Adapter, DataCentre, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId,
-    Service, Upstream,
+    Service, SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
 use std::fmt;
@@ -128,6 +128,9 @@
     pub identity: Option<Identity>,
     /// The upstreams to which its daemon may not send it, and until when.
     pub excluded: BTreeMap<Upstream, Millis>,
+    /// The software version to which it is bound, because an upstream of that version has begun its
+    /// answer.
+    pub version: Option<SoftwareVersion>,
 }
 
 impl RouteRequest {
@@ -143,6 +146,11 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Returns whether an upstream of a software version may serve it.
+    pub(crate) fn allows(&self, version: &SoftwareVersion) -> bool {
+        self.version.as_ref().is_none_or(|v| v == version)
+    }
+
     /// Returns the time at which it is refused if it was not sent by then.
     pub(crate) fn start_by(&self, now: Millis) -> Millis {
         let wait = self.policy.max_wait.map(|w| now.plus(w.0));
@@ -196,6 +204,8 @@
     pub centre: DataCentre,
     /// The models and services it serves now.
     pub routes: Vec<Route>,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
 
 /// An event for the router.
@@ -217,6 +227,14 @@
         /// The attempt it answers.
         attempt: AttemptNumber,
     },
+    /// An upstream of a software version has begun an answer that others may continue, so that only
+    /// upstreams of this version may.
+    Bound {
+        /// The request.
+        id: RequestId,
+        /// The version.
+        version: SoftwareVersion,
+    },
     /// A send ended.
     Ended {
         /// The request.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -126,6 +126,7 @@
                 }
             }
             RouteEvent::Progress { id, attempt } => self.on_byte(id, attempt, false, now),
+            RouteEvent::Bound { id, version } => self.bind(id, version),
             RouteEvent::Ended { id, attempt, end } => self.ended(id, attempt, end, now, &mut out),
             RouteEvent::CallerGone(id) => self.caller_gone(id, now, &mut out),
             RouteEvent::Report { upstream, load } => {
@@ -284,6 +285,10 @@
             self.fail(id, ErrorKind::NoUpstream, out);
             return;
         }
+        if self.lacks_version(request) {
+            self.fail(id, ErrorKind::VersionUnavailable, out);
+            return;
+        }
         if let Some((upstream, wait)) = self.late_permit(request, now) {
             self.refuse_limited(id, &upstream, wait, now, out);
             return;
@@ -291,6 +296,7 @@
         let queued = QueuedRequest {
             id,
             due: request.start_by(now),
+            bound: request.version.is_some(),
         };
         let (route, priority, org) = (request.route.clone(), request.priority, request.org.clone());
         let eligible = self.select(open, now);
@@ -320,6 +326,7 @@
                 && b.has_free_slot_for(&request.org, now)
                 && !b.is_refusing(&request.route, now)
                 && !request.excludes(name, now)
+                && request.allows(&b.info.version)
                 && cost_model.allows(b, request)
                 && self.may_send_to(request, name, b)
         };
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -55,7 +55,9 @@
             let in_time =
                 open.is_none_or(|o| self.cost_model(&o.request, now).allows(state, &o.request));
             let refusing = open.is_some_and(|o| {
-                state.is_refusing(&o.request.route, now) || o.request.excludes(upstream, now)
+                state.is_refusing(&o.request.route, now)
+                    || o.request.excludes(upstream, now)
+                    || !o.request.allows(&state.info.version)
             });
             // After a suspension the deadline may have passed before the next tick fails it.
             let due = open.is_none_or(|o| o.request.due > now);
@@ -80,6 +82,7 @@
 
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         self.refuse_overdue(now, out);
+        self.refuse_versionless(out);
         self.refuse_unplaceable(now, out);
         self.reroute_stalled(now, out);
         self.dispatch_all_queued(now, out);
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -181,6 +181,7 @@
             let info = UpstreamInfo {
                 centre: centre.clone(),
                 routes: vec![route()],
+                version: shaleline_types::SoftwareVersion::default(),
             };
             let serves = RouteEvent::Serves {
                 upstream: upstream.clone(),
@@ -240,7 +241,8 @@
             },
             policy: RequestPolicy::default(),
             identity: Some(identity),
-            excluded: std::collections::BTreeMap::new(),
+            excluded: BTreeMap::new(),
+            version: None,
         };
         self.step(RouteEvent::Arrive(Box::new(request)));
     }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -74,6 +74,7 @@
         let info = UpstreamInfo {
             centre: centre.clone(),
             routes: vec![route()],
+            version: shaleline_types::SoftwareVersion::default(),
         };
         let upstream = up(name);
         router.step(RouteEvent::Serves { upstream, info }, NOW);
@@ -119,6 +120,7 @@
         },
         identity: None,
         excluded: std::collections::BTreeMap::new(),
+        version: None,
     };
     router.step(RouteEvent::Arrive(Box::new(request)), now)
 }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -33,6 +33,7 @@
     let info = UpstreamInfo {
         centre: centre(),
         routes: vec![route()],
+        version: shaleline_types::SoftwareVersion::default(),
     };
     router.step(
         RouteEvent::Serves {
@@ -74,6 +75,7 @@
         policy: RequestPolicy::default(),
         identity: None,
         excluded: std::collections::BTreeMap::new(),
+        version: None,
     }
 }
 
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -129,6 +129,7 @@
     Halted "halted" 503 NotRun System Some(10_000), "A record of the log can't be understood; the daemon stopped applying.";
     Internal "internal" 500 Unknown System None, "An invariant did not hold.";
     UpstreamsLimited "upstreams-limited" 503 NotRun Later Some(1_000), "Every upstream that serves this limits its rate, and no permit is due in time.";
+    VersionUnavailable "version-unavailable" 503 NotRun Later Some(1_000), "No upstream of the software version that began this stream serves it, or that version is not known.";
 }
 
 /// An error with its kind, a human-readable detail and a retry-after time.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`LogEvent`] lists the numbered log events of `docs/EVENTS.md`.
 //! * [`rank`] orders candidates by rendezvous hashing, which distributes work over daemons
 //!   without coordination.
-//! * [`Incarnation`] distinguishes the starts of one upstream.
+//! * [`Incarnation`] distinguishes the starts of one upstream, and [`SoftwareVersion`] the software
+//!   of several.
 //! * [`Fingerprint`] identifies equal requests, and [`IncarnationTag`] identifies one incarnation
 //!   of an upstream.
 //! * [`TokenHash`] and [`KeyHash`] are the only forms in which secrets are stored.
@@ -21,6 +22,7 @@
 mod incarnation;
 mod safeguard;
 mod secret;
+mod software;
 mod unit;
 
 pub use error::{Answer, Category, Error, ErrorKind, Outcome, Result};
@@ -34,4 +36,5 @@
 pub use incarnation::Incarnation;
 pub use safeguard::Safeguard;
 pub use secret::{KeyHash, TokenHash};
+pub use software::SoftwareVersion;
 pub use unit::{Megabytes, Millis, Offset};
