Drop a stream's answer whose upstream was listed with another version meanwhile

An upstream may start again under its name with another version while a request is on its way. If its entry has another version by the time its answer begins than when it was sent, it is not known which version answers: the attempt has failed, and the request goes to another upstream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -219,6 +219,7 @@
     let result = if job.rule.repeat.is_stream() {
         let opened = open_stream(gw, job, &mut permit, upstream).await;
         match opened {
+            Ok(_) if job.is_idempotent() && gw.has_new_version(&sent) => Err(Failure::Garbled),
             Ok(started) => return start_stream(gw, job, permit, sent, started).await,
             Err(failure) => Err(failure),
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -137,6 +137,7 @@
             self.permit.reached += 1;
             let opened = attempt::open(&gw, &job, &upstream, last.as_deref());
             let failure = match gw.clock.timeout_at(job.deadline, opened).await? {
+                Ok(_) if gw.has_new_version(&self.sent) => Failure::Garbled,
                 Ok(opened) if opened.status.is_success() => return Some(opened),
                 Ok(_) => Failure::Broken,
                 Err(failure) => failure,
--- a/crates/gateway/src/version_binding.rs
+++ b/crates/gateway/src/version_binding.rs
@@ -23,6 +23,14 @@
         entry.map(|e| e.version.clone()).unwrap_or_default()
     }
 
+    /// Whether a later entry of an attempt's upstream has another version, so that it is not known
+    /// which one answers.
+    pub(crate) fn has_new_version(&self, sent: &SentAttempt) -> bool {
+        let roster = self.roster.borrow();
+        let entry = roster.get(&sent.upstream);
+        entry.is_some_and(|e| e.version != sent.version)
+    }
+
     /// Binds a request at the router that selects its upstreams.
     pub(crate) fn bind_request(&self, id: RequestId, version: &SoftwareVersion) {
         let message = self.delegated.borrow_mut().bind(id, version);
