Resume callers' streams only at the software version that began them

A caller that resumed a stream by another attempt, at the same daemon or another one, got events of any version.

The caller names the attempt that brought its first event, which is decoded into Head::resumes and passed on as it is. The daemon of a stream records its version before the first event is passed on and tells all hubs, which remember it for the longest timeout of a route and 5 s, at most 20,000 streams. A daemon that doesn't know a stream asks all hubs for at most 130 ms. If none knows it, the only version that the service has had for that long is the answer; hubs are told nothing in that time. They are told of running streams when a second version is listed or their daemon stops. The messages are appended variants. docs/design/stream-versions.md has the design.

Why it works: a version is taken only from a record made when the stream began, or from lists that have been known without a gap for longer than the stream can exist; a daemon that no hub answers counts as cut off.

Not played: the whole system with several versions, and two releases of the daemon side by side.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -446,6 +446,7 @@
     }
     if job.is_idempotent() {
         permit.version = Some(sent.version.clone());
+        gw.record_stream(job, &sent.upstream, &sent.version);
     }
     gw.metrics.record_first_byte(gw.now().since(job.arrived));
     let (sender, body) = ReplyBody::channel(STREAM_BUFFER, None);
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -48,6 +48,8 @@
     pub output: u64,
     /// The parts of the prompt in order, each with its identity and tokens.
     pub parts: Vec<(u64, u32)>,
+    /// The id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 impl Head {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use shaleline_route::{Limits, RequestPolicy, Route, RouteRequest};
-use shaleline_types::{stable_hash, Identity, Millis, Org, RequestId, Service};
+use shaleline_types::{stable_hash, Identity, Millis, Org, RequestId, Service, SoftwareVersion};
 use std::collections::BTreeMap;
 
 /// Requests with a target of at most this are served before others.
@@ -101,6 +101,8 @@
     pub(crate) org: Option<Org>,
     /// The charge to its organisation's allowance.
     pub(crate) charge: Option<Charge>,
+    /// The software version that began the stream that it resumes.
+    pub(crate) bound: Option<SoftwareVersion>,
 }
 
 impl Job {
@@ -174,7 +176,7 @@
             },
             identity: Some(self.identity),
             excluded: BTreeMap::new(),
-            version: None,
+            version: self.bound.clone(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,8 @@
 //!   in the store.
 //! * `upstream_limits` keeps the limits that upstreams name in their answers, and `permits` keeps to
 //!   them.
-//! * `version_binding` keeps a stream to the software version that began it.
+//! * `version_binding` keeps a stream to the software version that began it. `stream_versions` has
+//!   the versions of streams that callers may resume, and `version_lookup` asks the hubs for them.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -88,12 +89,14 @@
 mod state;
 mod store;
 mod store_health;
+mod stream_versions;
 mod suspects;
 mod table;
 mod tag_index;
 mod tunnels;
 mod upstream_limits;
 mod version_binding;
+mod version_lookup;
 mod wanted;
 mod wanted_reports;
 
@@ -129,6 +132,8 @@
     mod roster;
     mod selection;
     mod start;
+    #[path = "stream_versions/main.rs"]
+    mod stream_versions;
     mod suspended;
     #[path = "tunnels/main.rs"]
     mod tunnels;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,14 +1,15 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
 use crate::dispatch::{Answer, AskNote, ProgressNote, Ticket};
+use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Rate, Unmet};
 use shaleline_route::CrashNote;
 use shaleline_types::{
-    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, SoftwareVersion,
-    Upstream,
+    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Service,
+    SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -117,6 +118,16 @@
     Ask(Ticket, Box<AskNote>, SoftwareVersion),
     /// To the hub that selects for a request: it is bound to a version from now on.
     Bound(Ticket, SoftwareVersion),
+    /// To the hubs: where streams began.
+    Began(Vec<(StreamKey, Origin)>),
+    /// To a hub: where did a stream of a service begin?
+    Question {
+        ticket: Ticket,
+        key: StreamKey,
+        service: Service,
+    },
+    /// The reply to a [`VersionMessage::Question`].
+    Reply(Ticket, Knowledge),
 }
 
 /// What daemons exchange about upstreams that limit what they take.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,6 +173,7 @@
             }
             _ => {}
         }
+        gw.on_stream_ended(&job);
         gw.metrics.count_request(code);
         log_end(&gw, &job, &permit, event, code);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -86,7 +86,7 @@
             pause: 0,
             framing: None,
             in_event: false,
-            version: None,
+            version: job.bound.clone(),
             crashed: Vec::new(),
         };
         let base = job.base();
@@ -175,6 +175,10 @@
         Ok(job) => job,
         Err(refusal) => return refuse::before_routing(gw, &id, &refusal),
     };
+    let job = match gw.bind_resumed(job).await {
+        Ok(job) => job,
+        Err(refusal) => return refuse::before_routing(gw, &id, &refusal),
+    };
     match gw.charge_job(&table, job).await {
         Ok(job) => serve(gw, job).await,
         Err(refusal) => refuse::before_routing(gw, &id, &refusal),
@@ -239,6 +243,7 @@
         deadline,
         org,
         charge: None,
+        bound: None,
     })
 }
 
@@ -314,6 +319,10 @@
         if let Err(refusal) = gw.recheck(&job) {
             return fallback.unwrap_or_else(|| refuse::after_routing(gw, &job, &permit, refusal));
         }
+        let bound = permit.version.is_some();
+        if bound && permit.gives_back(&gw.begin_send(attempt, &upstream)) {
+            continue;
+        }
         gw.end_wait(permit.id);
         if permit.sends == 0 {
             gw.metrics.record_wait(gw.now().since(job.arrived));
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -149,6 +149,7 @@
     gw.send_wanted_reports();
     gw.repeat_limits();
     gw.tick_permits();
+    gw.tick_versions();
 }
 
 /// Drops kept connections that expired while the instance was suspended. All other state expires by
@@ -240,6 +241,7 @@
     pub async fn stop(self) {
         let gw = self.gw;
         gw.stopping.set(true);
+        gw.tell_streams();
         gw.resign();
         gw.plan_now.notify_one();
         emit(LogEvent::Stopping, &format!("in_flight={}", gw.gate.busy()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,9 @@
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
+use crate::stream_versions::StreamVersions;
 use crate::upstream_limits::UpstreamLimits;
+use crate::version_lookup::LookUps;
 use crate::wanted::WantedAdapters;
 use crate::wanted_reports::WantedReports;
 use crate::{Bounds, Codec, GatewaySettings, Store, Table};
@@ -149,6 +151,9 @@
     /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
     pub(crate) permits: RefCell<Permits>,
     pub(crate) held_sends: RefCell<HeldSends>,
+    /// The software versions of streams, and the questions about those that others began.
+    pub(crate) stream_versions: RefCell<StreamVersions>,
+    pub(crate) look_ups: RefCell<LookUps>,
     /// Upstreams that sent bytes for requests for which hubs selected.
     pub(crate) active_upstreams: RefCell<BTreeSet<Tag>>,
     /// When this daemon last reported its open requests, and to which hubs.
@@ -267,6 +272,8 @@
             upstream_limits: RefCell::new(UpstreamLimits::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
+            stream_versions: RefCell::new(StreamVersions::default()),
+            look_ups: RefCell::new(LookUps::default()),
             crashes_synced: Cell::new(Millis(0)),
             active_upstreams: RefCell::new(BTreeSet::new()),
             open_reported: Cell::new(now),
@@ -365,6 +372,7 @@
             };
             (entry.clone(), roster.is_leaving(name))
         };
+        self.on_version_listed(&entry.service, &entry.version);
         if let Some(held) = entry.held.clone() {
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(entry.service.clone()).or_default();
@@ -510,7 +518,9 @@
 
     /// Whether there are open requests, of this daemon or of those for which it selects.
     pub(crate) fn has_requests(&self) -> bool {
-        !self.requests.borrow().is_empty() || self.peer_requests.borrow().len() > 0
+        !self.requests.borrow().is_empty()
+            || self.peer_requests.borrow().len() > 0
+            || !self.look_ups.borrow().is_empty()
     }
 
     pub(crate) fn unregister(&self, id: RequestId) {
--- /dev/null
+++ b/crates/gateway/src/stream_versions.rs
@@ -0,0 +1,303 @@
+//! Remembers at which software version resumable streams began, over all attempts of their callers.
+//!
+//! A caller may resume its stream at any daemon, which then has to find out the version that began
+//! it. The daemon of a stream tells the hubs before the first event is passed on; hubs keep what
+//! they are told for as long as a caller may resume the stream, and repeat nothing. A daemon that
+//! doesn't know a stream asks the hubs. While all upstreams of a service have one version, that
+//! version is the answer, and the hubs are told nothing.
+//!
+//! A version that is not known stays unknown: a stream whose version was guessed may hold events
+//! that don't fit together. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has the design.
+
+use serde::{Deserialize, Serialize};
+use shaleline_types::{stable_hash, Millis, Service, SoftwareVersion};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// The most streams that are remembered, which takes some megabytes.
+const MAX_STREAMS: usize = 20_000;
+
+/// The time for which the end of a stream may not have reached its caller.
+const LINGER_MS: u64 = 5_000;
+
+/// The longest time without a current list of upstreams after which its history counts as known.
+const MAX_GAP_MS: u64 = 3_000;
+
+/// The interval at which unanswered questions are sent again, and the time after which missing
+/// answers are not waited for: the caller waits meanwhile.
+const RESEND_MS: u64 = 40;
+const ANSWER_TIMEOUT_MS: u64 = 130;
+
+/// Identifies a stream: a hash of the id of the caller's attempt that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct StreamKey(u64);
+
+impl StreamKey {
+    pub(crate) fn of(id: &str) -> Self {
+        Self(stable_hash(&[id]))
+    }
+}
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Origin {
+    pub(crate) service: Service,
+    pub(crate) version: SoftwareVersion,
+}
+
+/// What a daemon answers to a question about a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Knowledge {
+    /// The stream began there.
+    Began(Origin),
+    /// The stream is not known, and its service has had this version alone for as long as the
+    /// stream can have existed.
+    Only(SoftwareVersion),
+    /// The stream is not known, and its service has had several versions.
+    Several,
+    /// Neither the stream nor the versions of its service are known for long enough.
+    Nothing,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    origin: Origin,
+    since: Millis,
+    /// When a stream of this daemon ended, if it did.
+    ended: Option<Millis>,
+    /// Whether it is a stream of this daemon.
+    own: bool,
+}
+
+/// The versions of streams, and the versions that services have had.
+#[derive(Debug)]
+pub(crate) struct StreamVersions {
+    streams: HashMap<StreamKey, Known>,
+    /// The streams in the order in which they were recorded.
+    order: VecDeque<(Millis, StreamKey)>,
+    /// When each version of a service was last listed.
+    listed: BTreeMap<Service, BTreeMap<SoftwareVersion, Millis>>,
+    /// Since when the list of upstreams has been known without a gap, and when it last was.
+    known_since: Option<Millis>,
+    observed: Millis,
+    /// The time for which a caller may resume a stream.
+    lifetime: Millis,
+}
+
+impl Default for StreamVersions {
+    fn default() -> Self {
+        Self {
+            streams: HashMap::new(),
+            order: VecDeque::new(),
+            listed: BTreeMap::new(),
+            known_since: None,
+            observed: Millis(0),
+            lifetime: Millis(u64::MAX),
+        }
+    }
+}
+
+impl StreamVersions {
+    /// Sets the time for which a caller may resume a stream.
+    pub(crate) fn set_lifetime(&mut self, lifetime: Millis) {
+        self.lifetime = lifetime;
+    }
+
+    /// Records that the list of upstreams is current, and drops versions that were last listed
+    /// before any stream that may be resumed.
+    pub(crate) fn on_current_list(&mut self, now: Millis) {
+        if self.known_since.is_none() || now.since(self.observed) > MAX_GAP_MS {
+            self.known_since = Some(now);
+        }
+        self.observed = now;
+        let lifetime = self.lifetime.0;
+        for versions in self.listed.values_mut() {
+            versions.retain(|_, at| now.since(*at) < lifetime);
+        }
+    }
+
+    /// Records that an upstream of a version is listed. Returns whether its service has several
+    /// versions only since now.
+    pub(crate) fn on_listed(
+        &mut self,
+        service: &Service,
+        version: &SoftwareVersion,
+        now: Millis,
+    ) -> bool {
+        let versions = self.listed.entry(service.clone()).or_default();
+        let known = versions.insert(version.clone(), now).is_some();
+        !known && versions.len() == 2
+    }
+
+    /// Records where a stream began.
+    pub(crate) fn record(&mut self, key: StreamKey, origin: Origin, own: bool, now: Millis) {
+        let was_own = self.streams.get(&key).is_some_and(|k| k.own);
+        let known = Known {
+            origin,
+            since: now,
+            ended: None,
+            own: own || was_own,
+        };
+        self.streams.insert(key, known);
+        self.order.push_back((now, key));
+        while let Some((at, key)) = self.order.front().copied() {
+            if self.order.len() <= MAX_STREAMS && now.since(at) < self.lifetime.0 {
+                return;
+            }
+            self.order.pop_front();
+            if self.streams.get(&key).is_some_and(|k| k.since == at) {
+                self.streams.remove(&key);
+            }
+        }
+    }
+
+    /// Records that a stream of this daemon has ended.
+    pub(crate) fn on_ended(&mut self, key: StreamKey, now: Millis) {
+        if let Some(known) = self.streams.get_mut(&key) {
+            known.ended = Some(now);
+        }
+    }
+
+    /// What is known of a stream; `fresh` says whether the list of upstreams is current.
+    pub(crate) fn knowledge(
+        &self,
+        key: StreamKey,
+        service: &Service,
+        fresh: bool,
+        now: Millis,
+    ) -> Knowledge {
+        let stream = self.streams.get(&key);
+        if let Some(known) = stream.filter(|k| now.since(k.since) < self.lifetime.0) {
+            return Knowledge::Began(known.origin.clone());
+        }
+        let mut versions = self
+            .listed
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::keys);
+        let (first, second) = (versions.next(), versions.next());
+        match (first, second) {
+            (Some(_), Some(_)) => Knowledge::Several,
+            (Some(version), None) if fresh && self.knows_history(now) => {
+                Knowledge::Only(version.clone())
+            }
+            _ => Knowledge::Nothing,
+        }
+    }
+
+    fn knows_history(&self, now: Millis) -> bool {
+        self.known_since
+            .is_some_and(|at| now.since(at) >= self.lifetime.0)
+    }
+
+    /// Whether the hubs have to be told of the streams of a service.
+    pub(crate) fn is_told(&self, service: &Service, now: Millis) -> bool {
+        let count = self.listed.get(service).map_or(0, BTreeMap::len);
+        count != 1 || !self.knows_history(now)
+    }
+
+    /// The services of which upstreams are or were listed.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Service> {
+        self.listed.keys()
+    }
+
+    /// The streams of a service at this daemon that may still be resumed elsewhere.
+    pub(crate) fn own(&self, service: &Service, now: Millis) -> Vec<(StreamKey, Origin)> {
+        let resumable = |k: &Known| {
+            let ended = k.ended.is_some_and(|at| now.since(at) >= LINGER_MS);
+            k.own && !ended && k.origin.service == *service
+        };
+        let own = self.streams.iter().filter(|(_, k)| resumable(k));
+        own.map(|(key, k)| (*key, k.origin.clone())).collect()
+    }
+}
+
+/// A question about a stream to the hubs.
+#[derive(Debug)]
+pub(crate) struct LookUp {
+    /// What each hub answered, if it did.
+    answers: BTreeMap<SocketAddr, Option<Knowledge>>,
+    own: Knowledge,
+    since: Millis,
+    asked: Millis,
+}
+
+/// The next action for a question.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum LookUpStep {
+    /// Wait for answers.
+    Wait,
+    /// Ask these hubs again.
+    Ask(Vec<SocketAddr>),
+    /// The stream began there, as far as that is known.
+    Done(Option<Found>),
+}
+
+/// The version to which a resumed stream is bound.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Found {
+    /// The service in which it began, if that is known.
+    pub(crate) service: Option<Service>,
+    pub(crate) version: SoftwareVersion,
+}
+
+impl LookUp {
+    pub(crate) fn new(own: Knowledge, hubs: &[SocketAddr], now: Millis) -> Self {
+        Self {
+            answers: hubs.iter().map(|h| (*h, None)).collect(),
+            own,
+            since: now,
+            asked: now,
+        }
+    }
+
+    pub(crate) fn on_answer(&mut self, from: SocketAddr, answer: Knowledge) {
+        if let Some(known) = self.answers.get_mut(&from) {
+            *known = Some(answer);
+        }
+    }
+
+    /// Decides as soon as a daemon knows the stream, all have answered, or it takes too long.
+    pub(crate) fn step(&mut self, now: Millis) -> LookUpStep {
+        let all: Vec<&Knowledge> = self.answers.values().flatten().chain([&self.own]).collect();
+        let began = all.iter().find_map(|k| match k {
+            Knowledge::Began(origin) => Some(origin),
+            _ => None,
+        });
+        if let Some(origin) = began {
+            return LookUpStep::Done(Some(Found {
+                service: Some(origin.service.clone()),
+                version: origin.version.clone(),
+            }));
+        }
+        let silent = self.answers.iter().filter(|(_, a)| a.is_none());
+        let silent: Vec<SocketAddr> = silent.map(|(hub, _)| *hub).collect();
+        if silent.is_empty() || now.since(self.since) >= ANSWER_TIMEOUT_MS {
+            // A daemon that reaches no hub may have missed all of them.
+            let cut_off = !self.answers.is_empty() && silent.len() == self.answers.len();
+            return LookUpStep::Done(only(&all).filter(|_| !cut_off));
+        }
+        if now.since(self.asked) < RESEND_MS {
+            return LookUpStep::Wait;
+        }
+        self.asked = now;
+        LookUpStep::Ask(silent)
+    }
+}
+
+/// The only version that daemons know of a service.
+fn only(all: &[&Knowledge]) -> Option<Found> {
+    let mut found: Option<&SoftwareVersion> = None;
+    for knowledge in all {
+        match knowledge {
+            Knowledge::Began(_) | Knowledge::Nothing => {}
+            Knowledge::Several => return None,
+            Knowledge::Only(version) if found.is_some_and(|f| f != version) => return None,
+            Knowledge::Only(version) => found = Some(version),
+        }
+    }
+    found.map(|version| Found {
+        service: None,
+        version: version.clone(),
+    })
+}
--- a/crates/gateway/src/version_binding.rs
+++ b/crates/gateway/src/version_binding.rs
@@ -55,6 +55,13 @@
                     self.route(RouteEvent::Bound { id, version });
                 }
             }
+            VersionMessage::Began(streams) => self.handle_began(streams),
+            VersionMessage::Question {
+                ticket,
+                key,
+                service,
+            } => self.handle_question(from, ticket, key, &service),
+            VersionMessage::Reply(ticket, answer) => self.handle_reply(from, ticket, answer),
         }
     }
 }
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -178,6 +178,7 @@
     Job {
         org: None,
         charge: None,
+        bound: None,
         head,
         identity: identity(0),
         rule: rule(Repeat::Unsafe),
--- a/crates/gateway/tests/unit/job.rs
+++ b/crates/gateway/tests/unit/job.rs
@@ -20,6 +20,7 @@
     Job {
         org: None,
         charge: None,
+        bound: None,
         head: Head {
             model: pause.map(|_| Model::from_text("m").expect("a valid name")),
             ..Head::default()
--- /dev/null
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -0,0 +1,222 @@
+//! Tests that the daemons find out the software version that began a stream, or know that they
+//! don't.
+
+mod cluster;
+
+use crate::stream_versions::{
+    Found, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
+};
+use cluster::{service, version, Cluster};
+use shaleline_testkit::cases;
+use shaleline_types::Millis;
+use std::net::SocketAddr;
+
+const LIFETIME: Millis = Millis(10_000);
+
+fn origin(number: usize) -> Origin {
+    Origin {
+        service: service(),
+        version: version(number),
+    }
+}
+
+/// What is known of a stream after these versions were listed, each at a time, and at a time.
+fn knowledge((listed, now): (&[(usize, u64)], u64)) -> Knowledge {
+    let mut versions = StreamVersions::default();
+    versions.set_lifetime(LIFETIME);
+    for at in (1_000..=now).step_by(500) {
+        for (number, _) in listed.iter().filter(|(_, until)| at <= *until) {
+            versions.on_listed(&service(), &version(*number), Millis(at));
+        }
+        versions.on_current_list(Millis(at));
+    }
+    versions.knowledge(StreamKey::of("r"), &service(), true, Millis(now))
+}
+
+const ALWAYS: u64 = u64::MAX;
+
+cases! { knowledge;
+    the_only_version_for_long_enough_is_the_answer:
+        (&[(1, ALWAYS)], 11_000) => Knowledge::Only(version(1)),
+    a_version_is_not_the_answer_before_its_history_is_known:
+        (&[(1, ALWAYS)], 10_500) => Knowledge::Nothing,
+    of_two_versions_none_is_the_answer:
+        (&[(1, ALWAYS), (2, ALWAYS)], 30_000) => Knowledge::Several,
+    a_version_counts_while_its_streams_may_be_resumed:
+        (&[(1, ALWAYS), (2, 20_000)], 29_500) => Knowledge::Several,
+    a_version_does_not_count_longer:
+        (&[(1, ALWAYS), (2, 20_000)], 30_500) => Knowledge::Only(version(1)),
+    without_any_version_nothing_is_known: (&[], 30_000) => Knowledge::Nothing,
+}
+
+#[test]
+fn a_gap_in_the_list_ends_what_is_known_of_its_history() {
+    let mut versions = StreamVersions::default();
+    versions.set_lifetime(LIFETIME);
+    for at in [1_000, 2_000, 10_000, 13_000, 16_000, 19_000] {
+        versions.on_listed(&service(), &version(1), Millis(at));
+        versions.on_current_list(Millis(at));
+    }
+    let at = |now| versions.knowledge(StreamKey::of("r"), &service(), true, Millis(now));
+    assert_eq!(at(19_500), Knowledge::Nothing);
+    assert_eq!(at(20_000), Knowledge::Only(version(1)));
+}
+
+#[test]
+fn a_stream_is_remembered_for_as_long_as_it_may_be_resumed() {
+    let mut versions = StreamVersions::default();
+    versions.set_lifetime(LIFETIME);
+    let key = StreamKey::of("r");
+    versions.record(key, origin(1), false, Millis(0));
+    let at = |now| versions.knowledge(key, &service(), true, Millis(now));
+    assert_eq!(at(9_999), Knowledge::Began(origin(1)));
+    assert_eq!(at(10_000), Knowledge::Nothing);
+}
+
+#[test]
+fn the_number_of_remembered_streams_is_limited() {
+    let mut versions = StreamVersions::default();
+    versions.set_lifetime(LIFETIME);
+    let key = |number: u64| StreamKey::of(&number.to_string());
+    for number in 0..30_000 {
+        versions.record(key(number), origin(1), false, Millis(number / 10));
+    }
+    let at = |number| versions.knowledge(key(number), &service(), true, Millis(3_000));
+    assert_eq!(at(0), Knowledge::Nothing);
+    assert_eq!(at(29_999), Knowledge::Began(origin(1)));
+}
+
+fn hub(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 1))
+}
+
+/// The version that a daemon finds where it knows this itself and the hubs answer this, or nothing
+/// at all.
+fn found((own, answers): (Knowledge, &[Option<Knowledge>])) -> Option<Found> {
+    let hubs: Vec<SocketAddr> = (0..answers.len()).map(|n| hub(n as u8)).collect();
+    let mut look_up = LookUp::new(own, &hubs, Millis(0));
+    for (hub, answer) in hubs.iter().zip(answers) {
+        if let Some(answer) = answer {
+            look_up.on_answer(*hub, answer.clone());
+        }
+    }
+    for now in 0..1_000 {
+        if let LookUpStep::Done(found) = look_up.step(Millis(now)) {
+            return found;
+        }
+    }
+    panic!("no end");
+}
+
+fn began() -> Option<Knowledge> {
+    Some(Knowledge::Began(origin(1)))
+}
+
+fn only(number: usize) -> Option<Knowledge> {
+    Some(Knowledge::Only(version(number)))
+}
+
+fn known(with_service: bool) -> Option<Found> {
+    Some(Found {
+        service: with_service.then(service),
+        version: version(1),
+    })
+}
+
+cases! { found;
+    a_stream_that_began_here_is_known:
+        (Knowledge::Began(origin(1)), &[None, None]) => known(true),
+    a_stream_that_one_hub_knows_is_known:
+        (Knowledge::Several, &[Some(Knowledge::Several), began(), None]) => known(true),
+    a_stream_that_no_hub_knows_is_unknown:
+        (Knowledge::Several, &[Some(Knowledge::Several), Some(Knowledge::Several)]) => None,
+    the_only_version_is_the_answer: (Knowledge::Only(version(1)), &[only(1), only(1)]) => known(false),
+    a_daemon_that_just_started_relies_on_the_hubs: (Knowledge::Nothing, &[only(1)]) => known(false),
+    a_hub_that_just_started_says_nothing:
+        (Knowledge::Only(version(1)), &[Some(Knowledge::Nothing)]) => known(false),
+    daemons_that_list_different_versions_know_none: (Knowledge::Only(version(1)), &[only(2)]) => None,
+    a_hub_that_lists_two_versions_is_believed:
+        (Knowledge::Only(version(1)), &[only(1), Some(Knowledge::Several)]) => None,
+    a_daemon_that_no_hub_answers_knows_nothing: (Knowledge::Only(version(1)), &[None, None]) => None,
+    a_daemon_alone_knows_itself: (Knowledge::Only(version(1)), &[]) => known(false),
+    a_daemon_alone_that_just_started_knows_nothing: (Knowledge::Nothing, &[]) => None,
+}
+
+#[test]
+fn hubs_that_do_not_answer_are_asked_again() {
+    let mut look_up = LookUp::new(Knowledge::Several, &[hub(0), hub(1)], Millis(0));
+    assert_eq!(look_up.step(Millis(0)), LookUpStep::Wait);
+    look_up.on_answer(hub(0), Knowledge::Several);
+    let asked: Vec<LookUpStep> = (1..130).map(|now| look_up.step(Millis(now))).collect();
+    let again = asked.iter().filter(|s| **s != LookUpStep::Wait);
+    let again: Vec<&LookUpStep> = again.collect();
+    assert_eq!(again, vec![&LookUpStep::Ask(vec![hub(1)]); 3]);
+    assert_eq!(look_up.step(Millis(130)), LookUpStep::Done(None));
+}
+
+/// What fails while two versions serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    /// One datagram in a hundred is lost.
+    Nothing,
+    /// One datagram in ten is lost.
+    Losses,
+    /// Daemons are killed and start again, among them the hubs.
+    Kills,
+    /// Daemons exchange no datagrams with others and don't read the list of upstreams.
+    Cuts,
+    All,
+}
+
+const SEEDS: u64 = 12;
+
+/// Begins with one version; a second one appears, and the first one is removed. Returns the numbers
+/// of streams of two versions, and of runs in which under half of the streams go on once there are
+/// two versions.
+fn play(trouble: Trouble) -> (usize, usize) {
+    let is = |kind| trouble == kind || trouble == Trouble::All;
+    let (mut mixed, mut lost) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut cluster = Cluster::new(seed, if is(Trouble::Losses) { 10 } else { 100 });
+        cluster.list(1, true);
+        for step in 0..60 {
+            match step {
+                24 => {
+                    cluster.list(2, true);
+                    // Before, every stream is of the only version.
+                    (cluster.resumed, cluster.went_on) = (0, 0);
+                }
+                44 => cluster.list(1, false),
+                _ => {}
+            }
+            if is(Trouble::Kills) && step % 4 == 0 {
+                let daemon = cluster.draw_daemon();
+                cluster.restart(daemon);
+            }
+            if is(Trouble::Cuts) && step % 8 == 2 {
+                let (daemon, millis) = (cluster.draw_daemon(), cluster.draw((500, 4_000)));
+                cluster.cut(daemon, millis);
+            }
+            cluster.run(500);
+        }
+        let Cluster {
+            resumed, went_on, ..
+        } = cluster;
+        println!(
+            "seed {seed}: {went_on} of {resumed}, {} mixed",
+            cluster.mixed
+        );
+        assert!(resumed > 100, "seed {seed}: {resumed}");
+        mixed += cluster.mixed;
+        lost += usize::from(went_on * 2 < resumed);
+    }
+    (mixed, lost)
+}
+
+cases! { play;
+    streams_go_on_at_their_version: Trouble::Nothing => (0, 0),
+    streams_go_on_at_their_version_while_datagrams_are_lost: Trouble::Losses => (0, 0),
+    streams_go_on_at_their_version_while_daemons_are_killed: Trouble::Kills => (0, 0),
+    streams_go_on_at_their_version_while_daemons_are_cut_off: Trouble::Cuts => (0, 0),
+    streams_go_on_at_their_version_in_all_troubles: Trouble::All => (0, 0),
+}
