--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -219,6 +219,9 @@
     let sent = gw.begin_send(attempt, upstream);
     let result = if job.rule.repeat.is_stream() {
         match open_stream(gw, job, &mut permit, &sent).await {
+            Ok(Opening::Stream(_)) if job.is_idempotent() && gw.has_new_version(&sent) => {
+                Err(Failure::Garbled)
+            }
             Ok(Opening::Stream(started)) => {
                 return start_stream(gw, job, permit, sent, *started);
             }
@@ -253,6 +256,9 @@
         true => Failure::Ended,
         false => failure,
     };
+    if failure == Failure::Ended {
+        permit.crashed.push(sent.start);
+    }
     record_failure(gw, job, permit, sent, failure);
 }
 
@@ -468,6 +474,10 @@
 ) -> Outcome {
     permit.first_byte(sent.attempt);
     let opened = &mut started.opened;
+    if job.is_idempotent() {
+        permit.version = Some(sent.version.clone());
+        gw.record_stream(job, &sent.upstream, &sent.version);
+    }
     gw.metrics.record_first_byte(gw.now().since(job.arrived));
     let (sender, body) = ReplyBody::channel(STREAM_BUFFER, None);
     let mut reply = Response::new(body);
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use shaleline_edge::{Exchange, Framing, ProbeOutcome};
 use shaleline_route::AttemptNumber;
-use shaleline_types::{Incarnation, IncarnationTag, LogEvent, Millis, Upstream};
+use shaleline_types::{Incarnation, IncarnationTag, LogEvent, Millis, SoftwareVersion, Upstream};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,13 +50,14 @@
     }
 }
 
-/// An attempt, with its upstream and the upstream's incarnation.
+/// An attempt, with its upstream, the upstream's incarnation and the version of its software.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct SentAttempt {
     pub(crate) attempt: AttemptNumber,
     pub(crate) upstream: Upstream,
     pub(crate) start: IncarnationTag,
     pub(crate) incarnation: Incarnation,
+    pub(crate) version: SoftwareVersion,
 }
 
 impl Gateway {
@@ -70,6 +71,7 @@
             start: IncarnationTag::of(upstream, self.latest(upstream, incarnation)),
             incarnation: self.incarnation_of(upstream),
             upstream: upstream.clone(),
+            version: self.version_of(upstream),
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,13 +10,14 @@
 //! [`DelegatedRequests`] is the asking side; `peer_requests` is the side that selects.
 //! `docs/ROUTING.md` compares the alternatives.
 
-use crate::message::{Message, Tag};
+use crate::message::{Message, Tag, VersionMessage};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{
     AttemptEnd, AttemptNumber, Limits, RequestPolicy, Route, RouteAction, RouteRequest,
 };
 use shaleline_types::{
-    Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service, Upstream,
+    Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service,
+    SoftwareVersion, Upstream,
 };
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -152,6 +153,7 @@
             },
             identity: self.identity,
             excluded: BTreeMap::new(),
+            version: None,
         }
     }
 }
@@ -175,7 +177,11 @@
 fn ask_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
     let note = Box::new(AskNote::of(ask, now));
     let excluded = exclusions(ask, now);
-    // Daemons of earlier versions only know the message without exclusions.
+    if let Some(version) = ask.version.clone() {
+        let ask = VersionMessage::Ask(ticket, note, version, excluded);
+        return Message::Versions(ask);
+    }
+    // Daemons of earlier releases only know the message without exclusions.
     if excluded.is_empty() {
         return Message::Ask(ticket, note);
     }
@@ -393,6 +399,20 @@
         message
     }
 
+    /// Binds a request to a software version; returns the message that reports it to the hub, if
+    /// the request is delegated.
+    pub(crate) fn bind(
+        &mut self,
+        id: RequestId,
+        version: &SoftwareVersion,
+    ) -> Option<(SocketAddr, Message)> {
+        let ticket = self.ticket(id);
+        let request = self.requests.get_mut(&id)?;
+        request.ask.version = Some(version.clone());
+        let bound = VersionMessage::Bound(ticket, version.clone());
+        Some((request.to, Message::Versions(bound)))
+    }
+
     /// Whether the request is delegated to a hub.
     pub(crate) fn has(&self, id: RequestId) -> bool {
         self.requests.contains_key(&id)
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,13 +2,15 @@
 
 use crate::dispatch::{Answer, AskNote, Exclusion, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
+use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Rate, Unmet};
 use shaleline_route::CrashNote;
 use shaleline_types::{
-    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Upstream,
+    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Service,
+    SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -108,6 +110,27 @@
     Limits(LimitMessage),
     /// Like [`Message::Ask`], with the upstreams that take nothing from the sender.
     AskExcept(Ticket, Box<AskNote>, Vec<Exclusion>),
+    /// About streams that are bound to a software version.
+    Versions(VersionMessage),
+}
+
+/// What daemons exchange about streams that are bound to a software version.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum VersionMessage {
+    /// A [`Message::AskExcept`] for a request that is bound to a version.
+    Ask(Ticket, Box<AskNote>, SoftwareVersion, Vec<Exclusion>),
+    /// To the hub that selects for a request: it is bound to a version from now on.
+    Bound(Ticket, SoftwareVersion),
+    /// To the hubs: where streams began.
+    Began(Vec<(StreamKey, Origin)>),
+    /// To a hub: where did a stream of a service begin?
+    Question {
+        ticket: Ticket,
+        key: StreamKey,
+        service: Service,
+    },
+    /// The reply to a [`VersionMessage::Question`].
+    Reply(Ticket, Knowledge),
 }
 
 /// What daemons exchange about upstreams that limit what they take.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -115,6 +115,9 @@
     /// Resumes the stream at another upstream after the last complete event.
     async fn resume(&mut self, failure: Failure, last: Option<String>) -> Option<Opened> {
         let (gw, job) = (Rc::clone(&self.gw), Rc::clone(&self.job));
+        if let Some(version) = &self.permit.version {
+            gw.bind_request(self.permit.id(), version);
+        }
         attempt::fail(&gw, &job, &mut self.permit, &self.sent, failure).await;
         loop {
             let next = self.permit.next();
@@ -131,12 +134,17 @@
             if gw.recheck(&job).is_err() {
                 return None;
             }
-            self.sent = gw.begin_send(attempt, &upstream);
+            let sent = gw.begin_send(attempt, &upstream);
+            if self.permit.gives_back(&sent) {
+                continue;
+            }
+            self.sent = sent;
             self.permit.sends += 1;
             self.permit.last_upstream = Some(upstream.clone());
             self.permit.reached += 1;
             let opened = attempt::open(&gw, &job, &self.sent, last.as_deref());
             let failure = match gw.clock.timeout_at(job.deadline, opened).await? {
+                Ok(_) if gw.has_new_version(&self.sent) => Failure::Garbled,
                 Ok(opened) if opened.status.is_success() => return Some(opened),
                 Ok(_) => Failure::Broken,
                 Err(failure) => failure,
@@ -172,6 +180,7 @@
             }
             _ => {}
         }
+        gw.on_stream_ended(&job);
         gw.metrics.count_request(code);
         log_end(&gw, &job, &permit, event, code);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,7 +17,9 @@
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
 use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
-use shaleline_types::{ErrorKind, Identity, LogEvent, Millis, RequestId, Upstream};
+use shaleline_types::{
+    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, SoftwareVersion, Upstream,
+};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -55,6 +57,10 @@
     pub(crate) framing: Option<Framing>,
     /// Whether the latest answer ended inside an event.
     pub(crate) in_event: bool,
+    /// The software version to which it is bound.
+    pub(crate) version: Option<SoftwareVersion>,
+    /// The upstreams that crashed during its attempts.
+    pub(crate) crashed: Vec<IncarnationTag>,
 }
 
 impl Permit {
@@ -80,6 +86,8 @@
             pause: 0,
             framing: None,
             in_event: false,
+            version: job.bound.clone(),
+            crashed: Vec::new(),
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
@@ -167,6 +175,10 @@
         Ok(job) => job,
         Err(refusal) => return refuse::before_routing(gw, &id, &refusal),
     };
+    let job = match gw.bind_resumed(job).await {
+        Ok(job) => job,
+        Err(refusal) => return refuse::before_routing(gw, &id, &refusal),
+    };
     match gw.charge_job(&table, job).await {
         Ok(job) => serve(gw, job).await,
         Err(refusal) => refuse::before_routing(gw, &id, &refusal),
@@ -231,6 +243,7 @@
         deadline,
         org,
         charge: None,
+        bound: None,
     })
 }
 
@@ -306,6 +319,10 @@
         if let Err(refusal) = gw.recheck(&job) {
             return fallback.unwrap_or_else(|| refuse::after_routing(gw, &job, &permit, refusal));
         }
+        let bound = permit.version.is_some();
+        if bound && permit.gives_back(&gw.begin_send(attempt, &upstream)) {
+            continue;
+        }
         gw.end_wait(permit.id);
         if permit.sends == 0 {
             gw.metrics.record_wait(gw.now().since(job.arrived));
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -11,7 +11,7 @@
 use crate::selector::Selector;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
-use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, Upstream};
+use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, SoftwareVersion, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -165,13 +165,14 @@
     }
 
     /// Handles a request that another daemon delegates, to which these upstreams take nothing from
-    /// that daemon.
+    /// that daemon; it may be bound to a software version.
     pub(crate) fn handle_ask(
         &self,
         from: &Sender,
         ticket: Ticket,
         note: AskNote,
         excluded: &[Exclusion],
+        version: Option<SoftwareVersion>,
     ) {
         let now = self.now();
         if !self.peer_requests.borrow().contains(ticket) {
@@ -182,6 +183,7 @@
             self.first_request.notify_one();
             let mut request = note.into_route_request(id, org(), LIMITS, now);
             request.excluded = self.resolve_exclusions(excluded);
+            request.version = version;
             self.route(RouteEvent::Arrive(Box::new(request)));
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -114,6 +114,7 @@
             let info = UpstreamInfo {
                 centre: centre.clone(),
                 routes: vec![route()],
+                version: shaleline_types::SoftwareVersion::default(),
             };
             let load = Load {
                 slots: SLOTS,
@@ -194,6 +195,7 @@
                 ..RequestPolicy::default()
             },
             excluded: BTreeMap::new(),
+            version: None,
         };
         self.calls.insert((daemon, id), (self.now, 0));
         let message = self.delegated[daemon].ask(request, selector_address(), Millis(self.now));
@@ -449,6 +451,7 @@
         policy: RequestPolicy::default(),
         identity: None,
         excluded: BTreeMap::new(),
+        version: None,
     }
 }
 
@@ -588,6 +591,7 @@
             leaving: false,
             held: None,
             incarnation: Incarnation::default(),
+            version: shaleline_types::SoftwareVersion::default(),
         };
         let record = |number| EntryRecord {
             name: upstream(number),
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -8,9 +8,11 @@
 pub(crate) struct QueuedRequest {
     pub(crate) id: RequestId,
     pub(crate) due: Millis,
+    /// Whether only upstreams of one software version may serve it.
+    pub(crate) bound: bool,
 }
 
-/// The first request of one organisation's queue.
+/// A request that may be the next of one organisation's queue.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Head<'a> {
     pub(crate) priority: u8,
@@ -69,6 +71,12 @@
         })
     }
 
+    /// Returns the queued requests that are bound to a software version.
+    pub(crate) fn bound_ids(&self) -> impl Iterator<Item = RequestId> + '_ {
+        let queued = self.subqueues.values().flatten();
+        queued.filter(|w| w.bound).map(|w| w.id)
+    }
+
     /// Returns how many queued requests would be served before a new one of this priority, counting
     /// only a fair share of each other organisation's queue.
     pub(crate) fn ahead(&self, priority: u8, org: &Org) -> usize {
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -55,7 +55,10 @@
         // Requests that may not be sent there don't hold up those behind them.
         let excludes = |id| {
             let open = self.open.get(&id);
-            open.is_some_and(|o| self.is_excluded(&o.request, upstream, state, now))
+            open.is_some_and(|o| {
+                self.is_excluded(&o.request, upstream, state, now)
+                    || !o.request.allows(&state.info.version)
+            })
         };
         let heads = queues.flat_map(|q| q.heads_where(|id| !excludes(id)));
         let allowed = heads.filter(|h| {
@@ -86,6 +89,7 @@
 
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         self.refuse_overdue(now, out);
+        self.refuse_versionless(out);
         self.refuse_unplaceable(now, out);
         self.reroute_stalled(now, out);
         self.dispatch_all_queued(now, out);
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -28,6 +28,7 @@
         let info = UpstreamInfo {
             centre: centre.clone(),
             routes: vec![route()],
+            version: shaleline_types::SoftwareVersion::default(),
         };
         let upstream = up(name);
         router.step(RouteEvent::Serves { upstream, info }, NOW);
@@ -61,6 +62,7 @@
         policy: RequestPolicy::default(),
         identity: None,
         excluded: BTreeMap::new(),
+        version: None,
     }
 }
 
--- a/crates/route/tests/rests.rs
+++ b/crates/route/tests/rests.rs
@@ -105,6 +105,7 @@
             let info = UpstreamInfo {
                 centre: centre.clone(),
                 routes: vec![route()],
+                version: shaleline_types::SoftwareVersion::default(),
             };
             let upstream = up(number);
             router.step(RouteEvent::Serves { upstream, info }, now);
@@ -182,6 +183,7 @@
             },
             identity: None,
             excluded: excluded.collect(),
+            version: None,
         };
         self.calls.insert(id, (call, 0));
         self.step(RouteEvent::Arrive(Box::new(request)));
