--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -3,6 +3,7 @@
 use crate::pool::Target;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -31,10 +32,17 @@
     fn on_direct(&self, target: &Target, opened: bool);
 }
 
-/// A connection, and whether it goes through a tunnel.
+/// A connection, and the address of the daemon in between if it goes through a tunnel.
 pub(crate) struct Opened {
     pub(crate) stream: TcpStream,
-    pub(crate) tunnelled: bool,
+    pub(crate) relay: Option<SocketAddr>,
+}
+
+impl Opened {
+    fn by_tunnel(stream: TcpStream) -> io::Result<Self> {
+        let relay = Some(stream.peer_addr()?);
+        Ok(Self { stream, relay })
+    }
 }
 
 fn timed_out() -> io::Error {
@@ -51,7 +59,7 @@
     let stream = direct(target, limit).await?;
     Ok(Opened {
         stream,
-        tunnelled: false,
+        relay: None,
     })
 }
 
@@ -62,12 +70,8 @@
     limit: Duration,
     tunnels: &dyn Tunnels,
 ) -> io::Result<Opened> {
-    let by_tunnel = |stream| Opened {
-        stream,
-        tunnelled: true,
-    };
     if tunnels.is_needed(target) {
-        return tunnels.connect(target).await.map(by_tunnel);
+        return tunnels.connect(target).await.and_then(Opened::by_tunnel);
     }
     let mut direct = pin!(open_direct(target, limit));
     let first = tokio::select! {
@@ -78,7 +82,7 @@
         tunnels.on_direct(target, opened.is_ok());
         return match opened {
             Err(e) if !tunnels.is_allowed(target) => Err(e),
-            Err(_) => tunnels.connect(target).await.map(by_tunnel),
+            Err(_) => tunnels.connect(target).await.and_then(Opened::by_tunnel),
             Ok(opened) => Ok(opened),
         };
     }
@@ -93,13 +97,13 @@
             tunnels.on_direct(target, opened.is_ok());
             match opened {
                 Ok(opened) => Ok(opened),
-                Err(_) => other.await.map(by_tunnel),
+                Err(_) => other.await.and_then(Opened::by_tunnel),
             }
         }
         stream = &mut other => match stream {
             Ok(stream) => {
                 tunnels.on_direct(target, false);
-                Ok(by_tunnel(stream))
+                Opened::by_tunnel(stream)
             }
             Err(_) => {
                 let opened = direct.await;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,6 +7,7 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Why a request has no response.
@@ -87,6 +88,12 @@
         &self.response
     }
 
+    /// Returns the address of the daemon through which the request went, if it went through a tunnel.
+    #[must_use]
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.channel.relay
+    }
+
     /// Returns the status of the response.
     #[must_use]
     pub fn status(&self) -> StatusCode {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -57,9 +57,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     count: OpenCount,
-    /// Whether it goes through a tunnel. Such a connection serves one request, so that the daemon in
-    /// between can stop without cutting off another one.
-    tunnelled: bool,
+    /// The address of the daemon in between, if it goes through a tunnel. Such a connection serves
+    /// one request, so that this daemon can stop without cutting off another one.
+    pub(crate) relay: Option<SocketAddr>,
 }
 
 impl fmt::Debug for Channel {
@@ -227,7 +227,7 @@
     }
 
     pub(crate) fn put(&self, target: &Target, channel: Channel, max_idle: Duration) {
-        if max_idle.is_zero() || channel.tunnelled || channel.sender.is_closed() {
+        if max_idle.is_zero() || channel.relay.is_some() || channel.sender.is_closed() {
             return;
         }
         let expires = self.0.clock.now().plus(max_idle.as_millis() as u64);
@@ -290,7 +290,7 @@
             Some(tunnels) => connect::open(target, limit, tunnels).await,
             None => connect::open_direct(target, limit).await,
         };
-        let Opened { stream, tunnelled } = opened.map_err(|_| SendError::NotSent)?;
+        let Opened { stream, relay } = opened.map_err(|_| SendError::NotSent)?;
         set_options(&stream, self.0.settings.unacked_timeout);
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
@@ -304,7 +304,7 @@
             sender,
             task,
             count,
-            tunnelled,
+            relay,
         })
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -153,6 +153,9 @@
     }
     if answer.signed || answer.not_run {
         gw.record_answer(sent, &answer);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            gw.record_rest(sent, &answer, exchange.relay());
+        }
     }
     if answer.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -12,7 +12,7 @@
 };
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// A message that can't be parsed, and why.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,6 +102,17 @@
     pub max_rejections: Option<f64>,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
+    /// When the upstream may be sent to again, if it says so.
+    pub retry_after: Option<RetryAfter>,
+}
+
+/// A time to come back, in one of the forms of RFC 9110, section 10.2.3.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// A time from the answer on.
+    Delay(Duration),
+    /// A point in time, from an answer without a date of its own.
+    At(SystemTime),
 }
 
 /// One upstream as the platform lists it.
--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -14,17 +14,32 @@
 use crate::roster::Change;
 use crate::state::Gateway;
 use crate::upstream_limits::{NOTES_PER_DATAGRAM, REPEAT_MS};
-use crate::AnswerHead;
+use crate::{AnswerHead, RetryAfter};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
 use shaleline_types::{Incarnation, LogEvent, Millis, RequestId, Upstream};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
 
 /// The time for which it is remembered that an upstream said that it is leaving, while its entry is
 /// missing. An entry also lapses while the store is unavailable.
 const UNLISTED_TTL_MS: u64 = 3_600_000;
 
+/// The longest time for which an upstream is believed that it takes nothing.
+const MAX_REST: Duration = Duration::from_secs(3_600);
+
+/// The time that an answer names, from now on.
+fn rest_of(retry: RetryAfter) -> Millis {
+    let rest = match retry {
+        RetryAfter::Delay(delay) => delay,
+        // A point in time that has passed asks for no rest.
+        RetryAfter::At(at) => at.duration_since(SystemTime::now()).unwrap_or_default(),
+    };
+    Millis(rest.min(MAX_REST).as_millis() as u64)
+}
+
 /// Whether a daemon may send to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Eligibility {
@@ -227,6 +242,37 @@
         }
     }
 
+    /// Records for how long an upstream that turned a request away takes nothing from this daemon,
+    /// or from the one through which the request went.
+    pub(crate) fn record_rest(
+        &self,
+        sent: &SentAttempt,
+        answer: &AnswerHead,
+        relay: Option<SocketAddr>,
+    ) {
+        let other = answer.instance.as_deref();
+        if other.is_some_and(|i| i != sent.upstream.as_str()) {
+            return;
+        }
+        let Some(rest) = answer.retry_after.map(rest_of).filter(|r| r.0 > 0) else {
+            return;
+        };
+        self.log_rest(sent, rest, relay);
+    }
+
+    fn log_rest(&self, sent: &SentAttempt, rest: Millis, relay: Option<SocketAddr>) {
+        if !self.log_budget.take(self.now()) {
+            return;
+        }
+        let (upstream, start) = (&sent.upstream, sent.start);
+        let relay = relay.map_or("none".to_owned(), |r| r.to_string());
+        let detail = format!(
+            "upstream={upstream} start={start} rest_ms={} relay={relay}",
+            rest.0
+        );
+        emit(LogEvent::RestAsked, &detail);
+    }
+
     /// Handles the notes of another daemon.
     pub(crate) fn on_leaving_notes(&self, from: &Sender, notes: Vec<LeavingNote>) {
         for note in notes {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -103,7 +103,7 @@
 mod wanted_reports;
 
 pub use admission::Revocation;
-pub use codec::{AnswerHead, Call, Codec, Entry, ForwardContext, Head, Malformed};
+pub use codec::{AnswerHead, Call, Codec, Entry, ForwardContext, Head, Malformed, RetryAfter};
 pub use journal::start_journal;
 pub use orgs::{CostUnit, OrgRule, Orgs, OrgsError};
 pub use settings::{Bounds, GatewaySettings, Listen, Policy};
