--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -2,6 +2,7 @@
 //! daemons' own code without sockets.
 
 use super::leavings::Leavings;
+use super::rests::Rests;
 use crate::attempt::{record_failure, Failure};
 use crate::crash_probe::SentAttempt;
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
@@ -15,7 +16,9 @@
 use crate::unit::crashes::cluster::{job, settings};
 use crate::unit::crashes::null_platform::{StubCodec, UnavailableStore};
 use crate::unit::manual_clock::ManualClock;
-use crate::{AnswerHead, CallerLimits, Entry, GatewaySettings, Head, ServiceRule, Table};
+use crate::{
+    AnswerHead, CallerLimits, Entry, GatewaySettings, Head, RetryAfter, ServiceRule, Table,
+};
 use futures_util::FutureExt;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,6 +29,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// The time after the start at which the daemons know each other and their hubs.
@@ -95,6 +99,8 @@
     fragile: Option<Fragile>,
     /// Whether its answers say that it is leaving.
     leaving: bool,
+    /// Until when it turns every request away, asking for rest until then.
+    sheds_until: u64,
     /// The requests that run or wait.
     running: usize,
     rejections: Vec<u64>,
@@ -130,6 +136,7 @@
     event_count: u64,
     due_requests: f64,
     leavings: Leavings,
+    rests: Rests,
     served: usize,
     refused: usize,
     failed: usize,
@@ -161,6 +168,7 @@
             arrivals: Vec::new(),
             fragile: None,
             leaving: false,
+            sheds_until: 0,
             running: 0,
             rejections: Vec::new(),
             crashes: 0,
@@ -177,6 +185,7 @@
             event_count: 0,
             due_requests: 0.0,
             leavings: Leavings::default(),
+            rests: Rests::default(),
             served: 0,
             refused: 0,
             failed: 0,
@@ -298,16 +307,19 @@
             call.permit = None;
         }
         self.leavings.on_restart(index);
+        self.rests.excuse(index);
         self.daemons[index] = self.start_daemon(index);
     }
 
     /// Cuts a daemon off from all others for some time.
     pub fn cut(&mut self, index: usize, millis: u64) {
+        self.rests.excuse(index);
         self.daemons[index].cut_until = self.now() + millis;
     }
 
     /// Stalls a daemon for some time.
     pub fn stall(&mut self, index: usize, millis: u64) {
+        self.rests.excuse(index);
         self.daemons[index].stalled_until = self.now() + millis;
     }
 
@@ -336,6 +348,16 @@
         &self.leavings
     }
 
+    /// Makes an engine turn every request away for some time, asking for rest until then.
+    pub fn shed(&mut self, engine: usize, millis: u64) {
+        self.engines[engine].sheds_until = self.now() + millis;
+    }
+
+    /// The requests that reached engines that asked for rest.
+    pub fn rests(&self) -> &Rests {
+        &self.rests
+    }
+
     /// The requests that were not served.
     pub fn unserved(&self) -> usize {
         self.refused + self.failed
@@ -457,7 +479,8 @@
             if now == run.arrives {
                 engine.arrivals.push(now);
                 self.leavings.on_arrival(run.engine, call.daemon, now);
-                run.rejected = engine.rejects(self.size.slots, now);
+                self.rests.on_arrival(run.engine, call.daemon, now);
+                run.rejected = now < engine.sheds_until || engine.rejects(self.size.slots, now);
             }
             // A killed daemon's request still arrives.
             let Some(permit) = &mut call.permit else {
@@ -482,6 +505,16 @@
             }
             if run.rejected {
                 gw.record_answer(&run.sent, &answer);
+                let rest = engine.sheds_until.saturating_sub(now);
+                if rest > 0 {
+                    self.rests.on_answer(run.engine, call.daemon, now, rest);
+                    let delay = Duration::from_millis(rest);
+                    let answer = AnswerHead {
+                        retry_after: Some(RetryAfter::Delay(delay)),
+                        ..answer
+                    };
+                    gw.record_rest(&run.sent, &answer, None);
+                }
                 permit.reached += 1;
                 let (sent, failure) = (run.sent.clone(), Failure::Refused(503));
                 call.run = None;
--- a/crates/gateway/tests/unit/limits/main.rs
+++ b/crates/gateway/tests/unit/limits/main.rs
@@ -1,9 +1,11 @@
 //! Tests that an upstream gets no more requests, from all daemons together, than it says it takes,
-//! and none after it says that it is leaving.
+//! and none after it says that it is leaving or asks for rest.
 
 mod cluster;
 mod leaving;
 mod leavings;
+mod rest;
+mod rests;
 
 use cluster::{Cluster, Fragile, Size, NAMING_MS};
 use rand::rngs::SmallRng;
