Send nothing to upstreams in the rest that they asked for

An upstream that had answered a daemon 503 with Retry-After got four to eight requests from it in that time.

Cause: the time in an upstream's refusal was read nowhere. The hub skips the upstream for half a second, for one model; it does not know which daemon was told.

eligibility keeps, for each incarnation, until when an upstream takes nothing from this daemon, and gives sends back with the time left where they are handed to their request, where a permit releases them, and where a tunnel is asked for. The daemon in between is told where a request went through a tunnel.

Why it works: the daemon that was told asks itself before each send, so no hub has to know which one it was.

Not tested: the datagram to the daemon in between; a point in time without a date beside it, beyond its decoding.

--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -7,10 +7,13 @@
 //!
 //! An upstream that said once that it is leaving never takes that back, whatever its entries say;
 //! only another incarnation under its name is not leaving. All daemons are told, as of limits.
+//!
+//! An upstream that turns a request away may ask for rest. That concerns the daemon that it answered
+//! alone, or the one in between if the request went through a tunnel.
 
 use crate::crash_probe::SentAttempt;
 use crate::journal::emit;
-use crate::message::{LimitMessage, Sender};
+use crate::message::{LimitMessage, Message, Sender};
 use crate::roster::Change;
 use crate::state::Gateway;
 use crate::upstream_limits::{NOTES_PER_DATAGRAM, REPEAT_MS};
@@ -47,6 +50,8 @@
     /// Each request needs a permit.
     NeedsPermit,
     Leaving,
+    /// It takes nothing from this daemon for this long.
+    Resting(Millis),
     /// It has no entry.
     Unlisted,
 }
@@ -70,9 +75,18 @@
     confirmed: bool,
 }
 
-/// The upstreams that said in an answer that they are leaving.
+/// A time in which an upstream takes nothing from this daemon.
+#[derive(Debug, Clone, Copy)]
+struct Rest {
+    incarnation: Incarnation,
+    until: Millis,
+}
+
+/// What upstreams said in their answers: that they are leaving, and until when they take nothing
+/// from this daemon.
 #[derive(Debug, Default)]
 pub(crate) struct Announcements {
+    resting: BTreeMap<Upstream, Rest>,
     leaving: BTreeMap<Upstream, Leaving>,
     repeated: Millis,
 }
@@ -104,12 +118,37 @@
         true
     }
 
+    /// For how long this incarnation of an upstream takes nothing from this daemon, if it does.
+    fn rest(&self, upstream: &Upstream, incarnation: Incarnation, now: Millis) -> Option<Millis> {
+        let rest = self.resting.get(upstream)?;
+        let later = incarnation.compare_to(rest.incarnation) == Ordering::Greater;
+        (!later && now < rest.until).then(|| Millis(rest.until.since(now)))
+    }
+
+    /// Records that an upstream takes nothing from this daemon until then. Of several times that
+    /// one incarnation names the latest holds.
+    fn record_rest(&mut self, upstream: &Upstream, rest: Rest, now: Millis) {
+        self.resting.retain(|_, r| now < r.until);
+        let known = self.resting.get(upstream);
+        let known = known.filter(|k| {
+            let order = rest.incarnation.compare_to(k.incarnation);
+            order == Ordering::Less || (order == Ordering::Equal && k.until >= rest.until)
+        });
+        if known.is_none() {
+            self.resting.insert(upstream.clone(), rest);
+        }
+    }
+
     /// Forgets an upstream that has ended or started again, if its incarnations can't be told apart.
     pub(crate) fn on_ended(&mut self, upstream: &Upstream) {
         let unknown = |l: &Leaving| l.incarnation == Incarnation::default();
         if self.leaving.get(upstream).is_some_and(unknown) {
             self.leaving.remove(upstream);
         }
+        let rest = self.resting.get(upstream);
+        if rest.is_some_and(|r| r.incarnation == Incarnation::default()) {
+            self.resting.remove(upstream);
+        }
     }
 
     /// Where this daemon has it from that an upstream is leaving.
@@ -168,6 +207,11 @@
         if self.is_leaving(upstream) {
             return Eligibility::Leaving;
         }
+        let incarnation = self.incarnation_of(upstream);
+        let announcements = self.announcements.borrow();
+        if let Some(rest) = announcements.rest(upstream, incarnation, self.now()) {
+            return Eligibility::Resting(rest);
+        }
         match self.upstream_limits.borrow().of(upstream).rate {
             Some(_) => Eligibility::NeedsPermit,
             None => Eligibility::Allowed,
@@ -211,6 +255,7 @@
         let end = match self.eligibility(upstream) {
             Eligibility::Allowed | Eligibility::NeedsPermit => return false,
             Eligibility::Leaving => AttemptEnd::Leaving,
+            Eligibility::Resting(rest) => AttemptEnd::Resting(rest),
             // The daemon that selected it may be right: this one may not have read the entry yet.
             Eligibility::Unlisted => AttemptEnd::Refused,
         };
@@ -258,6 +303,25 @@
             return;
         };
         self.log_rest(sent, rest, relay);
+        self.on_rest(&sent.upstream, sent.incarnation, rest);
+        // The upstream takes the daemon in between for the sender.
+        if let Some(relay) = relay {
+            let message = LimitMessage::Resting {
+                upstream: sent.upstream.clone(),
+                incarnation: sent.incarnation,
+                millis: u32::try_from(rest.0).unwrap_or(u32::MAX),
+            };
+            self.send(vec![(relay, Message::Limits(message))]);
+        }
+    }
+
+    /// Records that an upstream takes nothing from this daemon for some time.
+    pub(crate) fn on_rest(&self, upstream: &Upstream, incarnation: Incarnation, rest: Millis) {
+        let now = self.now();
+        let until = now.plus(rest.0.min(MAX_REST.as_millis() as u64));
+        let rest = Rest { incarnation, until };
+        let mut announcements = self.announcements.borrow_mut();
+        announcements.record_rest(upstream, rest, now);
     }
 
     fn log_rest(&self, sent: &SentAttempt, rest: Millis, relay: Option<SocketAddr>) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -146,6 +146,13 @@
     Rejected(Upstream),
     /// Upstreams that said in an answer that they are leaving.
     Leaving(Vec<LeavingNote>),
+    /// To a daemon through which a request went: the upstream takes nothing from it for this many
+    /// milliseconds.
+    Resting {
+        upstream: Upstream,
+        incarnation: Incarnation,
+        millis: u32,
+    },
 }
 
 /// The reply to a daemon that needs a permit.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -293,6 +293,11 @@
             }
             LimitMessage::Rejected(upstream) => self.route(RouteEvent::Rejected(upstream)),
             LimitMessage::Leaving(notes) => self.on_leaving_notes(from, notes),
+            LimitMessage::Resting {
+                upstream,
+                incarnation,
+                millis,
+            } => self.on_rest(&upstream, incarnation, Millis(u64::from(millis))),
         }
     }
 
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -109,7 +109,7 @@
     SendFailed 8204 Info "A send to an upstream failed, or the upstream did not run the request.";
     AllowanceUsed 8205 Info "An organisation has used up the part of its allowance that a daemon holds.";
     SendDelayed 8206 Info "A send waited for a permit or was denied one, because its upstream limits its rate.";
-    SendGivenBack 8207 Info "A send went back to the router because its upstream is leaving or has no entry.";
+    SendGivenBack 8207 Info "A send went back to the router because its upstream is leaving, rests or has no entry.";
     StreamUnknown 8208 Info "A caller resumes a stream, and the software version that began it is not known.";
     InvariantBroken 9001 Error "An invariant did not hold; the decision was stopped.";
 }
