--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -322,6 +322,19 @@
         let rest = Rest { incarnation, until };
         let mut announcements = self.announcements.borrow_mut();
         announcements.record_rest(upstream, rest, now);
+        self.exclude(upstream, until);
+    }
+
+    /// The upstreams that take nothing from this daemon, and until when.
+    pub(crate) fn resting(&self) -> BTreeMap<Upstream, Millis> {
+        let now = self.now();
+        let announcements = self.announcements.borrow();
+        let names = announcements.resting.keys();
+        let until = names.filter_map(|name| {
+            let rest = announcements.rest(name, self.incarnation_of(name), now)?;
+            Some((name.clone(), now.plus(rest.0)))
+        });
+        until.collect()
     }
 
     fn log_rest(&self, sent: &SentAttempt, rest: Millis, relay: Option<SocketAddr>) {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -43,11 +43,6 @@
         }
     }
 
-    /// The upstreams that take nothing from this daemon, and until when.
-    fn resting(&self) -> BTreeMap<Upstream, Millis> {
-        BTreeMap::new()
-    }
-
     /// Records the first byte of an answer.
     pub(crate) fn on_first_byte(&self, id: RequestId, attempt: AttemptNumber) {
         if !self.report(id, ProgressNote::FirstByte(attempt)) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -474,6 +474,13 @@
         known && (self.withhold(id, action) || self.pass_to_request(id, action))
     }
 
+    /// Keeps the router from selecting an upstream for requests of this daemon until then.
+    pub(crate) fn exclude(&self, upstream: &Upstream, until: Millis) {
+        let requests = self.requests.borrow();
+        let mut router = self.router.borrow_mut();
+        router.exclude(upstream, until, |id| requests.contains_key(&id));
+    }
+
     /// Passes an action to a request of this daemon; returns false if there is none of that number.
     pub(crate) fn pass_to_request(&self, id: RequestId, action: &RouteAction) -> bool {
         let requests = self.requests.borrow();
