Don't keep all daemons from an upstream because one takes it for leaving

A daemon that has not read yet that an upstream has started again gives sends to it back as Leaving. The hub, which had read it, then took the new incarnation for leaving, until its entry changed. Found by reading.

A hub that does not know the upstream to be leaving now has only that request avoid it, for half a second: by then one of the two has learned of the note or of the entry.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -214,6 +214,7 @@
     Leaving,
     /// Holds the time for which the upstream takes nothing from the daemon, in milliseconds.
     Resting(u32),
+    Unfit,
 }
 
 impl EndNote {
@@ -229,6 +230,7 @@
             AttemptEnd::NoPermit(wait) => Self::NoPermit(span(wait)),
             AttemptEnd::Leaving => Self::Leaving,
             AttemptEnd::Resting(wait) => Self::Resting(span(wait)),
+            AttemptEnd::Unfit => Self::Unfit,
         }
     }
 
@@ -244,6 +246,7 @@
             Self::NoPermit(wait) => AttemptEnd::NoPermit(millis(wait)),
             Self::Leaving => AttemptEnd::Leaving,
             Self::Resting(wait) => AttemptEnd::Resting(millis(wait)),
+            Self::Unfit => AttemptEnd::Unfit,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -121,6 +121,7 @@
     mod crash_probe;
     #[path = "crashes/main.rs"]
     mod crashes;
+    mod eligibility;
     mod events;
     mod identity;
     mod job;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -215,7 +215,7 @@
             ProgressNote::FirstByte(attempt) => self.route(RouteEvent::FirstByte { id, attempt }),
             ProgressNote::Gone => self.close_peer_request(id),
             ProgressNote::Ended(attempt, end) => {
-                let end = end.to_end();
+                let end = self.reconcile_leaving(id, end.to_end());
                 if end == AttemptEnd::NotSent {
                     self.record_refused_connection(id);
                 }
@@ -247,6 +247,18 @@
         });
     }
 
+    /// Replaces the end of another daemon's send that did not happen because its upstream is
+    /// leaving, if that is not known here. One of the two daemons is about to learn of it, or of a
+    /// later incarnation, so that only this request avoids the upstream for a while.
+    fn reconcile_leaving(&self, id: RequestId, end: AttemptEnd) -> AttemptEnd {
+        let router = self.router.borrow();
+        let known = router.upstream_of(id).is_none_or(|at| self.is_leaving(at));
+        match end {
+            AttemptEnd::Leaving if !known => AttemptEnd::Unfit,
+            end => end,
+        }
+    }
+
     /// Records that an engine refused another daemon's connection.
     fn record_refused_connection(&self, id: RequestId) {
         let at = self.router.borrow().upstream_of(id).cloned();
--- a/crates/gateway/src/version_binding.rs
+++ b/crates/gateway/src/version_binding.rs
@@ -9,11 +9,7 @@
 use crate::request::Permit;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, RouteEvent};
-use shaleline_types::{Millis, RequestId, SoftwareVersion, Upstream};
-
-/// The time for which an upstream that does not fit a request is not selected for it again; longer
-/// than any request.
-const EXCLUDED: Millis = Millis(3_600_000);
+use shaleline_types::{RequestId, SoftwareVersion, Upstream};
 
 impl Gateway {
     /// The version of an upstream's software by its latest entry.
@@ -76,7 +72,7 @@
         if *version == sent.version && !self.crashed.contains(&sent.start) {
             return false;
         }
-        self.end(sent.attempt, AttemptEnd::Resting(EXCLUDED));
+        self.end(sent.attempt, AttemptEnd::Unfit);
         true
     }
 }
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -23,13 +23,13 @@
 /// The duration of the suspension, longer than every bound on the age of a daemon's data.
 const SUSPENDED_MS: u64 = 6_000;
 
-struct Daemon {
+pub(super) struct Daemon {
     manual_clock: Rc<ManualClock>,
-    gw: Rc<Gateway>,
+    pub(super) gw: Rc<Gateway>,
 }
 
 impl Daemon {
-    fn start() -> Self {
+    pub(super) fn start() -> Self {
         let manual_clock = Rc::new(ManualClock::default());
         let time: Rc<dyn TimeSource> = manual_clock.clone();
         let platform = Platform {
@@ -59,11 +59,11 @@
             .set(self.manual_clock.0.get() + SUSPENDED_MS);
     }
 
-    fn upstream(&self) -> Upstream {
+    pub(super) fn upstream(&self) -> Upstream {
         Upstream::from_text("i-1").expect("a valid name")
     }
 
-    fn list(&self, offset: u64, listed: bool) {
+    pub(super) fn list(&self, offset: u64, listed: bool) {
         let entry = Entry {
             service: Service::from_text("svc").expect("a valid name"),
             address: SocketAddr::from(([10, 1, 0, 1], 80)),
@@ -82,9 +82,9 @@
         self.gw.apply_entries(vec![record], self.gw.now());
     }
 
-    /// Submits a request with a deadline in two seconds.
-    fn submit(&self, id: u64) {
-        let request = RouteRequest {
+    /// A request with a deadline in two seconds.
+    pub(super) fn request(&self, id: u64) -> RouteRequest {
+        RouteRequest {
             id: RequestId(id),
             org: Org::from_text("o").expect("a valid name"),
             route: Route::Service(Service::from_text("svc").expect("a valid name")),
@@ -104,11 +104,16 @@
             identity: None,
             excluded: std::collections::BTreeMap::new(),
             version: None,
-        };
-        self.gw.route(RouteEvent::Arrive(Box::new(request)));
+        }
+    }
+
+    /// Submits a request.
+    fn submit(&self, id: u64) {
+        let request = Box::new(self.request(id));
+        self.gw.route(RouteEvent::Arrive(request));
     }
 
-    fn sent(&self) -> u64 {
+    pub(super) fn sent(&self) -> u64 {
         self.gw.router.borrow().stats().sent
     }
 }
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -8,6 +8,10 @@
 /// its daemon gave back.
 const MAX_SENDS: AttemptNumber = 6;
 
+/// Time for which a request avoids an upstream that did not fit it. Its daemon may learn meanwhile
+/// of a change of the upstream, and otherwise gives the next send back as well.
+const UNFIT_MS: u64 = 500;
+
 impl Router {
     /// Returns whether an answer belongs to the current attempt.
     pub(crate) fn is_current(&mut self, id: RequestId, attempt: AttemptNumber) -> bool {
@@ -79,16 +83,22 @@
                 }
                 self.retry_request(id, ErrorKind::NoUpstream, now, out);
             }
-            AttemptEnd::NoPermit(_) | AttemptEnd::Leaving | AttemptEnd::Resting(_) => {
+            AttemptEnd::NoPermit(_)
+            | AttemptEnd::Leaving
+            | AttemptEnd::Resting(_)
+            | AttemptEnd::Unfit => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.reached -= 1;
                     open.given_back += 1;
                     open.tried.pop();
-                    if let AttemptEnd::Resting(wait) = end {
+                    let wait = match end {
                         // Without any wait it would be selected again at once.
-                        let until = now.plus(wait.0.max(1));
-                        open.request.excluded.insert(upstream.clone(), until);
-                    }
+                        AttemptEnd::Resting(wait) => Some(wait.0.max(1)),
+                        AttemptEnd::Unfit => Some(UNFIT_MS),
+                        _ => None,
+                    };
+                    let until = wait.map(|w| (upstream.clone(), now.plus(w)));
+                    open.request.excluded.extend(until);
                 }
                 if end == AttemptEnd::Leaving {
                     self.set_leaving(&upstream, true);
@@ -139,7 +149,8 @@
             | AttemptEnd::Cancelled
             | AttemptEnd::PathBroken
             | AttemptEnd::Leaving
-            | AttemptEnd::Resting(_) => {
+            | AttemptEnd::Resting(_)
+            | AttemptEnd::Unfit => {
                 state.breaker.on_inconclusive();
             }
         }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -172,6 +172,8 @@
     Leaving,
     /// It was not sent, because the upstream takes nothing from its daemon for this long.
     Resting(Millis),
+    /// It was not sent, because the upstream does not fit this request by what its daemon knows.
+    Unfit,
     /// The send failed after the request was written.
     Broken,
     /// It failed like [`AttemptEnd::Broken`], but because of the path from the daemon that sent it:
