--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -689,3 +689,24 @@
     let sent: Vec<u64> = sent.iter().map(|(ticket, _)| ticket.incarnation).collect();
     assert_eq!(sent, [2]);
 }
+
+/// One request is bound to another software version; the others are not.
+#[test]
+fn an_upstream_that_does_not_fit_one_request_serves_the_daemons_others() {
+    let mut hub = Hub::new();
+    let slots = (2 * SLOTS) as u64;
+    (0..slots).for_each(|id| hub.ask(1, id, &[]));
+    let first = |(_, a): &(Ticket, Answer)| matches!(a, Answer::Send { upstream: u, .. } if *u == upstream(0));
+    let (ticket, _) = hub
+        .answers()
+        .into_iter()
+        .find(first)
+        .expect("one is sent there");
+    hub.ask(1, slots, &[]);
+    assert!(hub.answers().iter().all(|(_, a)| *a == Answer::Queued));
+    let given_back = ProgressNote::Ended(1, EndNote::Unfit);
+    hub.receive(1, Message::Progressed(ticket, given_back));
+    let sent = hub.answers();
+    let sent: Vec<u64> = sent.iter().map(|(ticket, _)| ticket.id).collect();
+    assert_eq!(sent, [slots]);
+}
