--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -668,9 +668,9 @@
     no_upstream_where_none_takes_anything: &[(0, 3_000), (1, 2_000)] => Err(Some(2_000)),
 }
 
-/// A queued request of the same daemon was handed to the upstream, and given back in its turn.
-#[test]
-fn regression_what_an_upstream_does_not_take_concerns_all_requests_of_the_daemon() {
+/// A hub that has sent one daemon's requests to all slots, their number, and a request that went to
+/// the first upstream.
+fn full_hub() -> (Hub, u64, Ticket) {
     let mut hub = Hub::new();
     let slots = (2 * SLOTS) as u64;
     (0..slots).for_each(|id| hub.ask(1, id, &[]));
@@ -680,6 +680,13 @@
         .into_iter()
         .find(first)
         .expect("one is sent there");
+    (hub, slots, ticket)
+}
+
+/// A queued request of the same daemon was handed to the upstream, and given back in its turn.
+#[test]
+fn regression_what_an_upstream_does_not_take_concerns_all_requests_of_the_daemon() {
+    let (mut hub, slots, ticket) = full_hub();
     hub.ask(1, slots, &[]);
     hub.ask(2, slots, &[]);
     assert!(hub.answers().iter().all(|(_, a)| *a == Answer::Queued));
@@ -693,15 +700,7 @@
 /// One request is bound to another software version; the others are not.
 #[test]
 fn an_upstream_that_does_not_fit_one_request_serves_the_daemons_others() {
-    let mut hub = Hub::new();
-    let slots = (2 * SLOTS) as u64;
-    (0..slots).for_each(|id| hub.ask(1, id, &[]));
-    let first = |(_, a): &(Ticket, Answer)| matches!(a, Answer::Send { upstream: u, .. } if *u == upstream(0));
-    let (ticket, _) = hub
-        .answers()
-        .into_iter()
-        .find(first)
-        .expect("one is sent there");
+    let (mut hub, slots, ticket) = full_hub();
     hub.ask(1, slots, &[]);
     assert!(hub.answers().iter().all(|(_, a)| *a == Answer::Queued));
     let given_back = ProgressNote::Ended(1, EndNote::Unfit);
