--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -40,7 +40,7 @@
 /// Time for which a hub that did not answer is not asked.
 const AVOID_MS: u64 = 1_000;
 
-/// The most upstreams that a hub is told to exclude, which bounds the message; sends to others are
+/// The most upstreams that a message names as excluded, which bounds its size; sends to others are
 /// given back.
 const MAX_EXCLUSIONS: usize = 50;
 
--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -6,7 +6,8 @@
 //! or a part of the retry budget.
 //!
 //! An upstream that said once that it is leaving never takes that back, whatever its entries say;
-//! only another incarnation under its name is not leaving. All daemons are told, as of limits.
+//! only another incarnation under its name is not leaving. The fact spreads to all daemons as limits
+//! do.
 //!
 //! An upstream that turns a request away may ask for rest. That concerns the daemon that it answered
 //! alone, or the one in between if the request went through a tunnel.
@@ -139,7 +140,8 @@
         }
     }
 
-    /// Forgets an upstream that has ended or started again, if its incarnations can't be told apart.
+    /// Forgets an upstream that has ended or started again, if its incarnations can't be
+    /// distinguished.
     pub(crate) fn on_ended(&mut self, upstream: &Upstream) {
         let unknown = |l: &Leaving| l.incarnation == Incarnation::default();
         if self.leaving.get(upstream).is_some_and(unknown) {
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -1,10 +1,10 @@
 //! Remembers at which software version resumable streams began, over all attempts of their callers.
 //!
 //! A caller may resume its stream at any daemon, which then has to find out the version that began
-//! it. The daemon of a stream tells the hubs before the first event is passed on; hubs keep what
-//! they are told for as long as a caller may resume the stream, and repeat nothing. A daemon that
+//! it. The daemon of a stream reports it to the hubs before the first event is passed on; hubs keep
+//! the record for as long as a caller may resume the stream, and don't repeat it. A daemon that
 //! doesn't know a stream asks the hubs. While all upstreams of a service have one version, that
-//! version is the answer, and the hubs are told nothing.
+//! version is the answer, and nothing is reported.
 //!
 //! A version that is not known stays unknown: a stream whose version was guessed may hold events
 //! that don't fit together. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has the design.
