--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -112,6 +112,8 @@
     event_count: u64,
     /// The number of upstreams that a fatal request crashed.
     pub fatal_crashes: usize,
+    /// The times at which fatal requests reached an upstream.
+    pub fatal_arrivals: Vec<u64>,
     /// The number of datagrams about crashes, and their bytes.
     pub crash_traffic: (usize, usize),
 }
@@ -215,6 +217,7 @@
             restarts: Vec::new(),
             event_count: 0,
             fatal_crashes: 0,
+            fatal_arrivals: Vec::new(),
             crash_traffic: (0, 0),
         };
         for index in 0..daemons {
@@ -330,16 +333,27 @@
 
     /// Sends a caller's attempt of a request to a daemon.
     pub fn call(&mut self, name: u64, kind: Kind, repeat: Repeat, daemon: usize) {
+        self.call_with_parts(name, kind, (repeat, Vec::new()), daemon);
+    }
+
+    /// Sends a caller's attempt of a request whose prompt has these parts to a daemon.
+    pub fn call_with_parts(
+        &mut self,
+        name: u64,
+        kind: Kind,
+        (repeat, parts): (Repeat, Vec<u64>),
+        daemon: usize,
+    ) {
         let gw = Rc::clone(&self.daemons[daemon].gw);
         let now = gw.now();
+        let head = Head {
+            parts: parts.into_iter().map(|part| (part, 100)).collect(),
+            ..Head::default()
+        };
         let job = Job {
             identity: identity(name),
             rule: rule(repeat),
-            ..job(
-                Head::default(),
-                Service::from_text("svc").expect("a valid name"),
-                now,
-            )
+            ..job(head, Service::from_text("svc").expect("a valid name"), now)
         };
         let job = Rc::new(job);
         let permit = Permit::ask(&gw, &job);
@@ -502,6 +516,9 @@
             self.fail(index, Failure::NotSent);
             return;
         };
+        if call.kind == Kind::Fatal {
+            self.fatal_arrivals.push(now);
+        }
         let starts_at = now + queue_time;
         let duration = match call.kind {
             Kind::Fatal => crash_delay,
--- a/crates/gateway/tests/unit/crashes/main.rs
+++ b/crates/gateway/tests/unit/crashes/main.rs
@@ -16,6 +16,7 @@
 
 pub mod cluster;
 pub mod null_platform;
+mod parts;
 
 use crate::Repeat;
 use cluster::{Cluster, Ended, Kind, Outcome};
