Log the model and the parts of the prompt of failed sends

A failed send's line (8204) names what was asked for and a digest of each part of the prompt but the last, so that what several failed sends have in common can be told: a part, a model, or nothing. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use shaleline_edge::{Exchange, Framing, Reply, ReplyBody, SendError};
 use shaleline_route::{AttemptEnd, AttemptNumber, Load, RouteAction, RouteEvent};
-use shaleline_types::{IncarnationTag, LogEvent, Upstream};
+use shaleline_types::{Fingerprint, IncarnationTag, LogEvent, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -265,6 +265,15 @@
     record_failure(gw, job, permit, sent, failure);
 }
 
+/// The digests of a prompt's parts for a log line.
+fn parts_text(parts: &[Fingerprint]) -> String {
+    let digests: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    if digests.is_empty() {
+        return "none".to_owned();
+    }
+    digests.join(",")
+}
+
 /// Records that an attempt failed; `failure` says whether its upstream crashed.
 pub(crate) fn record_failure(
     gw: &Gateway,
@@ -296,11 +305,13 @@
     if gw.log_budget.take(gw.now()) {
         let detail = format!(
             "id={} request={} upstream={upstream} start={start} send={attempt} failure={failure:?} \
-             first_ms={} route={}",
+             first_ms={} route={} asked={} parts={}",
             job.head.id,
             job.identity.request,
             permit.time_to_first_text(job),
-            job.rule.name
+            job.rule.name,
+            job.route(),
+            parts_text(&job.shared_parts()),
         );
         emit(LogEvent::SendFailed, &detail);
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -12,7 +12,9 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use shaleline_route::{Limits, RequestPolicy, Route, RouteRequest};
-use shaleline_types::{stable_hash, Identity, Millis, Org, RequestId, Service, SoftwareVersion};
+use shaleline_types::{
+    stable_hash, Fingerprint, Identity, Millis, Org, RequestId, Service, SoftwareVersion,
+};
 use std::collections::BTreeMap;
 
 /// Requests with a target of at most this are served before others.
@@ -65,6 +67,10 @@
 const STALL_TARGETS: u64 = 2;
 const STALL_BOUNDS_MS: (u64, u64) = (200, 3_000);
 
+/// The most parts of one prompt that may be blamed for a crash, which bounds messages and state.
+/// Prompts of the deployments in force have two to four parts.
+const MAX_SHARED_PARTS: usize = 24;
+
 /// The organisation of all callers in the router, because the platform's routes name none.
 const CALLERS_ORG: &str = "platform";
 
@@ -207,6 +213,17 @@
         (target / WAIT_DIVISOR).max(MIN_WAIT_MS)
     }
 
+    /// The parts of the prompt that other requests may share, which may be the cause of a crash: all
+    /// but the last, which belongs to this request or its session.
+    pub(crate) fn shared_parts(&self) -> Vec<Fingerprint> {
+        let mut ids: Vec<u64> = self.head.parts.iter().map(|(id, _)| *id).collect();
+        ids.pop();
+        ids.truncate(MAX_SHARED_PARTS);
+        ids.sort_unstable();
+        ids.dedup();
+        ids.into_iter().map(Fingerprint::of_part).collect()
+    }
+
     /// The hashes of the growing prefixes of the prompt, and their sizes. An engine caches prefixes
     /// by model and adapter, so the hashes include both.
     fn prefix(&self) -> (Vec<u64>, Vec<u32>) {
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -8,6 +8,10 @@
 /// must be the same in every daemon, and the hash is collision-resistant without a secret key.
 const FINGERPRINT_KEY: &[u8; 32] = b"shaleline identity of a request ";
 
+/// The last bytes of the fingerprint of a prompt's part. A request's fingerprint ends in them with
+/// a probability of 2^-32.
+const PART_SUFFIX: [u8; 4] = *b"part";
+
 /// The number of bytes that `Display` prints.
 const DISPLAYED_BYTES: usize = 4;
 
@@ -34,6 +38,21 @@
         Self(bytes)
     }
 
+    /// The fingerprint of a part of prompts, which many requests share. It can be told from a
+    /// request's by its end, so that messages and records of both have one format.
+    #[must_use]
+    pub fn of_part(part: u64) -> Self {
+        let Self(mut bytes) = Self::of(&[&part.to_le_bytes()]);
+        bytes[16 - PART_SUFFIX.len()..].copy_from_slice(&PART_SUFFIX);
+        Self(bytes)
+    }
+
+    /// Whether it is the fingerprint of a part of prompts.
+    #[must_use]
+    pub fn is_part(&self) -> bool {
+        self.0.ends_with(&PART_SUFFIX)
+    }
+
     /// The whole fingerprint in hexadecimal, for use as a key in a store.
     #[must_use]
     pub fn to_hex(&self) -> String {
@@ -41,17 +60,27 @@
     }
 }
 
-/// A request together with its caller.
+/// A request together with its caller, or a part of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Identity {
     /// A hash of the request's origin, to detect callers with many requests. No request is refused
     /// because of this hash alone.
     pub caller: u64,
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub request: Fingerprint,
 }
 
 impl Identity {
+    /// The identity of a part of this request's prompt. It counts apart from the caller's requests,
+    /// so that many requests don't displace the few parts that they share.
+    #[must_use]
+    pub fn with_part(self, part: Fingerprint) -> Self {
+        Self {
+            caller: stable_hash(&[&self.caller.to_string(), "parts"]),
+            request: part,
+        }
+    }
+
     /// The identity of a request from `caller` that consists of `parts`.
     #[must_use]
     pub fn of(caller: &str, parts: &[&[u8]]) -> Self {
