--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -368,6 +368,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        parts: Vec::new(),
         excluded: BTreeMap::new(),
         version: None,
     }
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -247,6 +247,7 @@
             limits: self.limits(),
             policy: RequestPolicy::default(),
             identity: None,
+            parts: Vec::new(),
             excluded: BTreeMap::new(),
             version: None,
         };
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -189,6 +189,7 @@
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
+            parts: Vec::new(),
             excluded: std::collections::BTreeMap::new(),
             version: None,
         };
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -108,6 +108,7 @@
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
+            parts: Vec::new(),
             excluded: std::collections::BTreeMap::new(),
             version: None,
         };
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -205,6 +205,7 @@
             },
             policy: RequestPolicy::default(),
             identity: None,
+            parts: Vec::new(),
             excluded: BTreeMap::new(),
             version: None,
         }))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -316,7 +316,7 @@
         emit(LogEvent::SendFailed, &detail);
     }
     if failure == Failure::Ended {
-        gw.record_crash(job.identity, sent);
+        gw.record_crash(job, sent, permit.time_to_first(job).is_some());
     }
     let path_broken = failure == Failure::Broken && gw.paths.borrow().is_broken(upstream);
     if let Some(end) = failure.to_end(*start) {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -101,8 +101,12 @@
     let suspects = gw.router.borrow().crashes().records(now);
     let suspect = |s: &CrashRecord| {
         let ended: Vec<String> = s.ended.iter().map(ToString::to_string).collect();
+        let kind = match s.request.is_part() {
+            true => "part",
+            false => "request",
+        };
         json!({
-            "request": s.request.to_string(), "blocked": ended.len() >= MAX_CRASHES,
+            kind: s.request.to_string(), "blocked": ended.len() >= MAX_CRASHES,
             "ended": ended, "age_ms": s.age.0,
         })
     };
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,8 +16,8 @@
     AttemptEnd, AttemptNumber, Limits, RequestPolicy, Route, RouteAction, RouteRequest,
 };
 use shaleline_types::{
-    Adapter, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId, Service,
-    SoftwareVersion, Upstream,
+    Adapter, ErrorKind, Fingerprint, Identity, IncarnationTag, Millis, Model, Org, RequestId,
+    Service, SoftwareVersion, Upstream,
 };
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -152,6 +152,7 @@
                 backlog_limit: self.pace.map(millis),
             },
             identity: self.identity,
+            parts: Vec::new(),
             excluded: BTreeMap::new(),
             version: None,
         }
@@ -173,10 +174,45 @@
     left
 }
 
+/// What a hub needs to know to select an upstream for a request of another daemon.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Ask {
+    pub(crate) ticket: Ticket,
+    pub(crate) note: AskNote,
+    /// The upstreams that take nothing from that daemon.
+    pub(crate) excluded: Vec<Exclusion>,
+    /// The software version to which the request is bound.
+    pub(crate) version: Option<SoftwareVersion>,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<Fingerprint>,
+}
+
+impl Ask {
+    /// A request whose prompt has no shared parts, bound to no version.
+    pub(crate) const fn plain(ticket: Ticket, note: AskNote) -> Self {
+        Self {
+            ticket,
+            note,
+            excluded: Vec::new(),
+            version: None,
+            parts: Vec::new(),
+        }
+    }
+}
+
 /// The message that asks a hub for an upstream.
 fn ask_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
     let note = Box::new(AskNote::of(ask, now));
     let excluded = exclusions(ask, now);
+    if !ask.parts.is_empty() {
+        return Message::AskParts(Box::new(Ask {
+            ticket,
+            note: *note,
+            excluded,
+            version: ask.version.clone(),
+            parts: ask.parts.clone(),
+        }));
+    }
     if let Some(version) = ask.version.clone() {
         let ask = VersionMessage::Ask(ticket, note, version, excluded);
         return Message::Versions(ask);
@@ -416,6 +452,12 @@
         Some((request.to, Message::Versions(bound)))
     }
 
+    /// The parts of a delegated request's prompt that other requests may share.
+    pub(crate) fn parts_of(&self, id: RequestId) -> Vec<Fingerprint> {
+        let request = self.requests.get(&id);
+        request.map_or_else(Vec::new, |r| r.ask.parts.clone())
+    }
+
     /// Whether the request is delegated to a hub.
     pub(crate) fn has(&self, id: RequestId) -> bool {
         self.requests.contains_key(&id)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Sends and receives the daemons' datagrams.
 
+use crate::dispatch::Ask;
 use crate::journal::emit;
 use crate::membership::{Audience, HubStatus, Outgoing};
 use crate::message::{
@@ -268,10 +269,12 @@
                 gw.apply_entries(records.collect(), now);
             }
         }
-        Message::Ask(ticket, note) => gw.handle_ask(&from, ticket, *note, &[], None),
+        Message::Ask(ticket, note) => gw.handle_ask(&from, Ask::plain(ticket, *note)),
         Message::AskExcept(ticket, note, excluded) => {
-            gw.handle_ask(&from, ticket, *note, &excluded, None);
+            let plain = Ask::plain(ticket, *note);
+            gw.handle_ask(&from, Ask { excluded, ..plain });
         }
+        Message::AskParts(ask) => gw.handle_ask(&from, *ask),
         Message::Poll(ticket) => gw.handle_poll(&from, ticket),
         Message::Progressed(ticket, what) => gw.handle_progress(ticket, what),
         Message::Open { requests, alive } => gw.handle_open(&from, &requests, &alive),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -181,6 +181,7 @@
                 backlog_limit: self.prompt_backlog(),
             },
             identity: Some(self.identity),
+            parts: self.shared_parts(),
             excluded: BTreeMap::new(),
             version: self.bound.clone(),
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
-use crate::dispatch::{Answer, AskNote, Exclusion, ProgressNote, Ticket};
+use crate::dispatch::{Answer, Ask, AskNote, Exclusion, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
 use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
@@ -112,6 +112,8 @@
     AskExcept(Ticket, Box<AskNote>, Vec<Exclusion>),
     /// About streams that are bound to a software version.
     Versions(VersionMessage),
+    /// Like [`Message::AskExcept`], for a request whose prompt has parts that others may share.
+    AskParts(Box<Ask>),
 }
 
 /// What daemons exchange about streams that are bound to a software version.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,14 +4,14 @@
 //! router; requests that other daemons delegate go to the local router. The decisions are in
 //! `dispatch` and `peer_requests`.
 
-use crate::dispatch::{Answer, AskNote, EndNote, Exclusion, ProgressNote, Step, Ticket};
+use crate::dispatch::{Answer, Ask, EndNote, Exclusion, ProgressNote, Step, Ticket};
 use crate::job::{org, LIMITS};
 use crate::message::{Message, Sender, Tag};
 use crate::peer_requests::OPEN_INTERVAL_MS;
 use crate::selector::Selector;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
-use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, SoftwareVersion, Upstream};
+use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -64,6 +64,10 @@
 
     /// Records how an attempt ended.
     pub(crate) fn on_end(&self, id: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
+        if end == AttemptEnd::Whole {
+            let parts = self.delegated.borrow().parts_of(id);
+            self.router.borrow_mut().record_answered(&parts, self.now());
+        }
         if !self.report(id, ProgressNote::Ended(attempt, EndNote::of(end))) {
             self.exclude_upstream(id, attempt, end);
             self.route(RouteEvent::Ended { id, attempt, end });
@@ -159,26 +163,19 @@
         self.send(vec![(to, Message::Answer(ticket, answer))]);
     }
 
-    /// Handles a request that another daemon delegates, to which these upstreams take nothing from
-    /// that daemon; it may be bound to a software version.
-    pub(crate) fn handle_ask(
-        &self,
-        from: &Sender,
-        ticket: Ticket,
-        note: AskNote,
-        excluded: &[Exclusion],
-        version: Option<SoftwareVersion>,
-    ) {
-        let now = self.now();
+    /// Handles a request that another daemon delegates.
+    pub(crate) fn handle_ask(&self, from: &Sender, ask: Ask) {
+        let (now, ticket) = (self.now(), ask.ticket);
         if !self.peer_requests.borrow().contains(ticket) {
             let id = self.next_id();
             self.peer_requests
                 .borrow_mut()
                 .open(ticket, from.address, id, now);
             self.first_request.notify_one();
-            let mut request = note.into_route_request(id, org(), LIMITS, now);
-            request.excluded = self.resolve_exclusions(excluded);
-            request.version = version;
+            let mut request = ask.note.into_route_request(id, org(), LIMITS, now);
+            request.excluded = self.resolve_exclusions(&ask.excluded);
+            request.version = ask.version;
+            request.parts = ask.parts;
             self.route(RouteEvent::Arrive(Box::new(request)));
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,4 +1,5 @@
-//! Exchanges the requests during which upstreams crashed among daemons.
+//! Exchanges the causes of crashes among daemons: the requests, and parts of prompts, during which
+//! upstreams crashed.
 //!
 //! A daemon that sees an upstream crash during a request reports it at once to the daemon that
 //! selects for the request and to all hubs, as any datagram may be lost and any hub may fail. Where
@@ -8,6 +9,7 @@
 //! `docs/CRASHES.md` compares the alternatives and their cost.
 
 use crate::crash_probe::SentAttempt;
+use crate::job::Job;
 use crate::journal::emit;
 use crate::membership::Audience;
 use crate::message::{Message, Sender};
@@ -23,6 +25,14 @@
 /// in any case.
 const SYNC_INTERVAL_MS: u64 = 500;
 
+/// The name and digest of a request or part in log lines.
+fn label(cause: &Fingerprint) -> String {
+    match cause.is_part() {
+        true => format!("part={cause}"),
+        false => format!("request={cause}"),
+    }
+}
+
 impl Gateway {
     /// Refuses a request that must not be sent at all, or not by this daemon alone. While the
     /// daemon that selects for a request does not answer, a request during which upstreams crashed
@@ -41,22 +51,34 @@
     }
 
     /// Records that an upstream crashed during a request of this daemon, and reports it to the
-    /// hubs. The daemon that selected the upstream learns how the attempt ended.
-    pub(crate) fn record_crash(&self, identity: Identity, sent: &SentAttempt) {
-        let note = CrashNote {
+    /// hubs; `begun` is whether the upstream had begun its answer. The daemon that selected the
+    /// upstream learns how the attempt ended.
+    pub(crate) fn record_crash(&self, job: &Job, sent: &SentAttempt, begun: bool) {
+        let parts = match begun {
+            true => Vec::new(),
+            false => job.shared_parts(),
+        };
+        let mut router = self.router.borrow_mut();
+        let suspects = router.suspects(job.identity, &parts, sent.start);
+        drop(router);
+        let note = |identity: Identity| CrashNote {
             identity,
             ended: [sent.start].into(),
             cleared: [].into(),
             age: 0,
         };
-        if self.log_budget.take(self.now()) {
-            let detail = format!(
-                "request={} upstream={} start={}",
-                identity.request, sent.upstream, sent.start
-            );
-            emit(LogEvent::RequestSuspected, &detail);
+        for suspect in &suspects {
+            if self.log_budget.take(self.now()) {
+                let detail = format!(
+                    "{} upstream={} start={}",
+                    label(&suspect.request),
+                    sent.upstream,
+                    sent.start
+                );
+                emit(LogEvent::RequestSuspected, &detail);
+            }
         }
-        self.on_crash_notes(None, vec![note]);
+        self.on_crash_notes(None, suspects.into_iter().map(note).collect());
     }
 
     /// Sends the notes that this daemon's router has added.
@@ -92,7 +114,7 @@
             MAX_CRASHES.. => LogEvent::RequestBlocked,
             _ => return,
         };
-        emit(event, &format!("request={request}"));
+        emit(event, &label(request));
     }
 
     fn broadcast_crashes(&self, from: Option<&Sender>, notes: &[CrashNote]) {
--- a/crates/gateway/src/version_binding.rs
+++ b/crates/gateway/src/version_binding.rs
@@ -5,6 +5,7 @@
 //! because the message that binds a request at a hub may be lost.
 
 use crate::crash_probe::SentAttempt;
+use crate::dispatch::Ask;
 use crate::message::{Sender, VersionMessage};
 use crate::request::Permit;
 use crate::state::Gateway;
@@ -43,7 +44,12 @@
     pub(crate) fn on_version_message(&self, from: &Sender, message: VersionMessage) {
         match message {
             VersionMessage::Ask(ticket, note, version, excluded) => {
-                self.handle_ask(from, ticket, *note, &excluded, Some(version));
+                let ask = Ask {
+                    excluded,
+                    version: Some(version),
+                    ..Ask::plain(ticket, *note)
+                };
+                self.handle_ask(from, ask);
             }
             VersionMessage::Bound(ticket, version) => {
                 let id = self.peer_requests.borrow().find(ticket);
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -88,6 +88,8 @@
     job: Rc<Job>,
     permit: Option<Permit>,
     sent: Option<SentAttempt>,
+    /// Whether the upstream has begun its answer.
+    begun: bool,
 }
 
 /// An attempt that has ended.
@@ -95,6 +97,18 @@
     /// The number of the request.
     pub name: u64,
     pub outcome: Outcome,
+    /// Whether it was refused because upstreams crashed under it or a part of its prompt.
+    pub blocked: bool,
+}
+
+impl Ended {
+    const fn new(name: u64, outcome: Outcome) -> Self {
+        Self {
+            name,
+            outcome,
+            blocked: false,
+        }
+    }
 }
 
 pub struct Cluster {
@@ -364,6 +378,7 @@
             job,
             permit: Some(permit),
             sent: None,
+            begun: false,
         });
     }
 
@@ -463,8 +478,7 @@
             };
             if !permit.open {
                 call.permit = None;
-                let (name, outcome) = (call.name, Outcome::Served);
-                ended.push(Ended { name, outcome });
+                ended.push(Ended::new(call.name, Outcome::Served));
                 continue;
             }
             match permit.next().now_or_never() {
@@ -476,7 +490,11 @@
                     let name = call.name;
                     call.permit = None;
                     let outcome = Outcome::Refused(kind.answer().status);
-                    ended.push(Ended { name, outcome });
+                    let blocked = kind == ErrorKind::EndsUpstreams;
+                    ended.push(Ended {
+                        blocked,
+                        ..Ended::new(name, outcome)
+                    });
                 }
                 Some(None) | None => self.expire(index, ended),
             }
@@ -491,7 +509,7 @@
         call.permit = None;
         let name = call.name;
         let outcome = Outcome::Refused(ErrorKind::TimedOut.answer().status);
-        ended.push(Ended { name, outcome });
+        ended.push(Ended::new(name, outcome));
         self.cancel(index);
     }
 
@@ -511,6 +529,7 @@
         let call = &mut self.calls[index];
         let gw = &self.daemons[call.daemon].gw;
         call.sent = Some(gw.begin_send(attempt, upstream));
+        call.begun = false;
         let server = self.servers.iter_mut().rfind(|s| s.name == *upstream);
         let Some(server) = server.filter(|s| s.up) else {
             self.fail(index, Failure::NotSent);
--- a/crates/gateway/tests/unit/crashes/cluster/servers.rs
+++ b/crates/gateway/tests/unit/crashes/cluster/servers.rs
@@ -127,6 +127,17 @@
         }
     }
 
+    /// Reports the first byte of an answer. Fatal requests crash their upstream before it.
+    fn begin_answer(&mut self, call: usize) {
+        let call = &mut self.calls[call];
+        if call.kind == Kind::Fatal || std::mem::replace(&mut call.begun, true) {
+            return;
+        }
+        if let (Some(permit), Some(sent)) = (&mut call.permit, &call.sent) {
+            permit.first_byte(sent.attempt);
+        }
+    }
+
     pub(super) fn complete_work(&mut self) {
         let now = self.now();
         for server in 0..self.servers.len() {
@@ -138,6 +149,8 @@
                 self.crash_server(server);
                 continue;
             }
+            let begun: Vec<usize> = work.iter().filter(|w| w.1 <= now).map(|w| w.0).collect();
+            begun.into_iter().for_each(|call| self.begin_answer(call));
             self.servers[server].work.retain(|w| w.2 > now);
             for call in done {
                 let call = &mut self.calls[call];
--- a/crates/gateway/tests/unit/crashes/main.rs
+++ b/crates/gateway/tests/unit/crashes/main.rs
@@ -299,7 +299,8 @@
 const MAX_ATTEMPTS: usize = 5;
 
 /// Runs harmless requests, 40 per second, each retried up to four times, while upstreams crash.
-fn run_with_crashes(crashes: Crashes, seed: u64) -> RunResult {
+/// Their prompts have shared parts if `with_parts` is set.
+fn run_with_crashes(crashes: Crashes, seed: u64, with_parts: bool) -> RunResult {
     const DURATION_MS: u64 = 30_000;
     let mut cluster = Cluster::new(9, 12, seed);
     let mut attempts: BTreeMap<u64, usize> = BTreeMap::new();
@@ -314,16 +315,27 @@
         for name in retries.drain(..) {
             *attempts.entry(name).or_default() += 1;
             let daemon = cluster.any_daemon();
-            cluster.call(name, Kind::Harmless, Repeat::Unsafe, daemon);
+            let parts = match with_parts {
+                true => parts::prompt(&mut cluster, name, 3),
+                false => Vec::new(),
+            };
+            cluster.call_with_parts(name, Kind::Harmless, (Repeat::Unsafe, parts), daemon);
         }
         if cluster.now() >= crash_at {
             crash_at += crash(&mut cluster, crashes);
         }
-        for Ended { name, outcome } in cluster.run(25) {
+        for Ended {
+            name,
+            outcome,
+            blocked,
+        } in cluster.run(25)
+        {
             match outcome {
                 Outcome::Served => result.served += 1,
                 Outcome::Refused(_) if attempts[&name] < MAX_ATTEMPTS => retries.push(name),
-                Outcome::Refused(_) => result.blocked += usize::from(cluster.is_blocked(name)),
+                Outcome::Refused(_) => {
+                    result.blocked += usize::from(blocked || cluster.is_blocked(name));
+                }
             }
         }
     }
@@ -357,7 +369,24 @@
 /// request, 11,970, 10,375 and 11,086 would be served.
 fn harmless_requests_are_served(case: (Crashes, u64, usize, usize)) -> bool {
     let (crashes, seed, min_served, max_blocked) = case;
-    let result = run_with_crashes(crashes, seed);
+    check_served(
+        &run_with_crashes(crashes, seed, false),
+        min_served,
+        max_blocked,
+    )
+}
+
+/// The same bounds hold if prompts share parts.
+fn prompts_with_shared_parts_are_served(case: (Crashes, u64, usize, usize)) -> bool {
+    let (crashes, seed, min_served, max_blocked) = case;
+    check_served(
+        &run_with_crashes(crashes, seed, true),
+        min_served,
+        max_blocked,
+    )
+}
+
+fn check_served(result: &RunResult, min_served: usize, max_blocked: usize) -> bool {
     assert!(
         result.served * 1_000 >= min_served * result.requests,
         "{result:?}"
@@ -374,3 +403,9 @@
     harmless_requests_are_served_while_upstreams_crash_all_the_time: (Crashes::One { every: 300 }, 13, 920, 20) => true,
     harmless_requests_are_served_while_racks_crash: (Crashes::Half { every: 4_000 }, 14, 995, 0) => true,
 }
+
+cases! { prompts_with_shared_parts_are_served;
+    shared_parts_are_served_while_one_upstream_crashes_each_second: (Crashes::One { every: 1_000 }, 12, 995, 2) => true,
+    shared_parts_are_served_while_upstreams_crash_all_the_time: (Crashes::One { every: 300 }, 13, 920, 20) => true,
+    shared_parts_are_served_while_racks_crash: (Crashes::Half { every: 4_000 }, 14, 995, 0) => true,
+}
--- a/crates/gateway/tests/unit/crashes/parts.rs
+++ b/crates/gateway/tests/unit/crashes/parts.rs
@@ -48,6 +48,7 @@
 }
 
 /// A play: callers send sound requests all the time and fatal ones at random intervals.
+#[derive(Debug, Clone, Copy)]
 struct Play {
     daemons: usize,
     seed: u64,
@@ -104,10 +105,12 @@
     late_served: usize,
     sound: usize,
     served: usize,
+    /// The sound requests that were refused as if they crashed upstreams.
+    blamed: usize,
 }
 
 /// The parts of a prompt: shared ones, and a last one of its own.
-fn prompt(cluster: &mut Cluster, name: u64, length: usize) -> Vec<u64> {
+pub(super) fn prompt(cluster: &mut Cluster, name: u64, length: usize) -> Vec<u64> {
     let mut parts = vec![0x1000 + cluster.pick(FIRST_PARTS) as u64];
     while parts.len() + 1 < length {
         let part = cluster.pick(SECOND_PARTS) as u64;
@@ -193,9 +196,9 @@
             let (least, most) = play.interval;
             next_fatal += least + cluster.pick((most - least) as usize) as u64;
         }
-        for Ended { name, outcome } in cluster.run(STEP_MS) {
-            if let Some(at) = sent.get(&name) {
-                result.record(*at, outcome);
+        for ended in cluster.run(STEP_MS) {
+            if let Some(at) = sent.get(&ended.name) {
+                result.record(*at, &ended);
             }
         }
         if cluster.fatal_crashes > result.crashes {
@@ -213,11 +216,12 @@
 }
 
 impl Result {
-    fn record(&mut self, at: u64, outcome: Outcome) {
+    fn record(&mut self, at: u64, ended: &Ended) {
         let (late, served) = (
             usize::from(at >= self.last_crash + RECOVERY_MS),
-            usize::from(outcome == Outcome::Served),
+            usize::from(ended.outcome == Outcome::Served),
         );
+        self.blamed += usize::from(ended.blocked);
         self.sound += 1;
         self.served += served;
         self.late += late;
@@ -236,6 +240,7 @@
     assert!(result.crashes > 0, "the part crashed no upstream");
     assert!(result.crashes <= most, "{result:?}");
     assert!(result.late_arrivals <= MAX_LATE_ARRIVALS, "{result:?}");
+    assert_eq!(result.blamed, 0, "{result:?}");
     assert!(result.late >= 20, "{result:?}");
     assert!(result.late_served * 100 >= result.late * 95, "{result:?}");
     assert!(result.served * 100 >= result.sound * 90, "{result:?}");
@@ -275,11 +280,9 @@
         ]
     };
     let failed = (1_000..1_020).flat_map(plays).filter(|play| {
-        let result = std::panic::catch_unwind(|| {
-            a_part_crashes_few_upstreams(Play { ..*play });
-        });
+        let result = std::panic::catch_unwind(|| a_part_crashes_few_upstreams(*play));
         if result.is_err() {
-            println!("seed {} {:?}", play.seed, play.trouble);
+            println!("{play:?}");
         }
         result.is_err()
     });
--- a/crates/gateway/tests/unit/eligibility.rs
+++ b/crates/gateway/tests/unit/eligibility.rs
@@ -1,7 +1,7 @@
 //! Tests of what a selecting daemon makes of sends that another daemon gives back.
 
 use super::suspended::Daemon;
-use crate::dispatch::{AskNote, EndNote, ProgressNote, Ticket};
+use crate::dispatch::{Ask, AskNote, EndNote, ProgressNote, Ticket};
 use shaleline_testkit::cases;
 
 const TICKET: Ticket = Ticket {
@@ -15,7 +15,7 @@
     daemon.list(1, true);
     let (gw, other) = (&daemon.gw, daemon.gw.me.clone());
     let request = daemon.request(1);
-    gw.handle_ask(&other, TICKET, AskNote::of(&request, gw.now()), &[], None);
+    gw.handle_ask(&other, Ask::plain(TICKET, AskNote::of(&request, gw.now())));
     assert_eq!(daemon.sent(), 1);
     gw.handle_progress(TICKET, ProgressNote::Ended(1, end));
     let leaving = gw.router.borrow().is_leaving(&daemon.upstream());
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -179,6 +179,7 @@
         let id = RequestId(self.next);
         let request = RouteRequest {
             identity: None,
+            parts: Vec::new(),
             id,
             org: org(),
             route: route(),
@@ -450,6 +451,7 @@
         limits: LIMITS,
         policy: RequestPolicy::default(),
         identity: None,
+        parts: Vec::new(),
         excluded: BTreeMap::new(),
         version: None,
     }
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -102,6 +102,7 @@
             },
             policy: RequestPolicy::default(),
             identity: None,
+            parts: Vec::new(),
             excluded: std::collections::BTreeMap::new(),
             version: None,
         }
--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -1,22 +1,26 @@
-//! Requests during which upstreams crashed.
+//! Causes of crashes: requests, and parts of prompts, during which upstreams crashed.
 //!
-//! A request may crash each upstream that runs it, and may be repeated at any daemon. The upstream
-//! is not at fault then, and the next one that it is sent to crashes as well. Each upstream that
-//! crashes while it runs a request is therefore recorded as a crash of that request, in every
-//! daemon; a successful answer clears the record.
+//! A request may crash each upstream that runs it, and may be repeated at any daemon; or all
+//! requests do whose prompts share a part. The upstream is not at fault then, and the next one that
+//! gets such a request crashes as well. Each upstream that crashes while it runs a request is
+//! therefore recorded as a crash of that request and of parts of its prompt, in every daemon; a
+//! successful answer clears the record.
 //!
 //! A whole batch of requests may be in flight at an upstream that crashes, and at most one of them
 //! caused it. The cause is the one that was present each time: a harmless request that is retried
-//! succeeds sooner or later and is cleared. `docs/CRASHES.md` compares the alternatives.
+//! succeeds sooner or later and is cleared, and so are parts that other requests share. A crash
+//! that a blocked cause explains does not count for others. `docs/CRASHES.md` compares the
+//! alternatives.
 //!
 //! Daemons need no agreement: the sets in a note only grow, so notes may be lost, duplicated or
 //! late, and daemons that received the same notes have the same state.
 
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Fingerprint, Identity, IncarnationTag, Millis};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The number of crashes after which a request is not sent any more. Each crash costs the answers
+/// The number of crashes after which requests with the cause are not sent any more. Each crash costs the answers
 /// of a batch, loaded weights and seconds of an engine. With a lower limit, more harmless requests
 /// are never answered while an upstream keeps crashing; see `docs/CAPACITY.md`, "Values of
 /// constants".
@@ -42,10 +46,14 @@
 /// dropped.
 const MAX_PER_CALLER: usize = 32;
 
-/// The crashes of one request, as daemons exchange them.
+/// The most parts of one caller's prompts that are kept. It holds the parts of two requests, so
+/// that a part that both have in common is counted twice before it could be dropped.
+const MAX_PARTS_PER_CALLER: usize = 64;
+
+/// The crashes of one request or part, as daemons exchange them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
-    /// The request and its caller.
+    /// The request or part, and the caller.
     pub identity: Identity,
     /// The starts of upstreams that crashed during it.
     pub ended: BTreeSet<IncarnationTag>,
@@ -74,10 +82,10 @@
     }
 }
 
-/// The crashes of one request, as shown to operators.
+/// The crashes of one request or part, as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRecord {
-    /// The request's fingerprint.
+    /// The fingerprint of the request or part.
     pub request: Fingerprint,
     /// The starts of upstreams that crashed during it and still count.
     pub ended: Vec<IncarnationTag>,
@@ -85,17 +93,64 @@
     pub age: Millis,
 }
 
-/// The requests during which upstreams crashed, as known to this daemon.
+/// The causes of crashes, as known to this daemon.
 #[derive(Debug, Default)]
 pub struct Crashes {
     known: BTreeMap<Fingerprint, CrashState>,
+    /// The causes that are blocked, derived from `known`.
+    blocked: BTreeSet<Fingerprint>,
+    /// The crashes that the blocked causes explain.
+    explained: BTreeSet<IncarnationTag>,
 }
 
 impl Crashes {
-    /// Returns the number of crashes that count for a request.
+    /// Returns the number of crashes that count for a request or part: those that no other blocked
+    /// cause explains.
     #[must_use]
-    pub fn crash_count(&self, request: &Fingerprint) -> usize {
-        self.known.get(request).map_or(0, CrashState::crash_count)
+    pub fn crash_count(&self, cause: &Fingerprint) -> usize {
+        let known = self.known.get(cause);
+        known.map_or(0, |k| self.counted(cause, k).count())
+    }
+
+    fn counted<'a>(
+        &'a self,
+        cause: &Fingerprint,
+        state: &'a CrashState,
+    ) -> impl Iterator<Item = &'a IncarnationTag> {
+        let blocked = self.blocked.contains(cause);
+        let active = state.active();
+        active.filter(move |start| blocked || !self.explained.contains(*start))
+    }
+
+    /// Derives the blocked causes: those with most crashes first, then the next ones with enough
+    /// crashes that the first don't explain. Where a request and a part have equally many, the
+    /// request goes first, as fewer requests are refused then; if it is the part, the next crash
+    /// shows that.
+    fn update_blocked(&mut self) {
+        self.blocked.clear();
+        self.explained.clear();
+        let mut ranks: BTreeMap<(Reverse<usize>, bool), Vec<Fingerprint>> = BTreeMap::new();
+        for (cause, known) in &self.known {
+            let count = known.crash_count();
+            if count >= MAX_CRASHES {
+                let rank = (Reverse(count), cause.is_part());
+                ranks.entry(rank).or_default().push(*cause);
+            }
+        }
+        for causes in ranks.into_values() {
+            let is_unexplained = |c: &Fingerprint| self.crash_count(c) >= MAX_CRASHES;
+            let blocked: Vec<Fingerprint> = causes.into_iter().filter(is_unexplained).collect();
+            for cause in &blocked {
+                let ended = self.known.get(cause).map(|k| &k.ended);
+                self.explained.extend(ended.into_iter().flatten());
+            }
+            self.blocked.extend(blocked);
+        }
+    }
+
+    /// Returns the blocked requests and parts.
+    pub(crate) const fn blocked(&self) -> &BTreeSet<Fingerprint> {
+        &self.blocked
     }
 
     /// Records a crash during a request. Returns the note to send to other daemons if the crash is
@@ -144,9 +199,16 @@
         }
         known.cleared.clone_from(&known.ended);
         known.since = now;
+        self.update_blocked();
         self.note(request, now)
     }
 
+    /// Returns when a request or part with crashes that are not cleared was last seen at one.
+    pub(crate) fn last_crash(&self, cause: &Fingerprint) -> Option<Millis> {
+        let known = self.known.get(cause)?;
+        (known.crash_count() > 0).then_some(known.since)
+    }
+
     /// Merges another daemon's note. Returns whether it contained anything new.
     pub fn merge(&mut self, note: &CrashNote, now: Millis) -> bool {
         let request = note.identity.request;
@@ -156,7 +218,7 @@
             if old && note.cleared.is_empty() {
                 return false;
             }
-            self.make_room(note.identity.caller, now);
+            self.make_room(&note.identity, now);
         }
         let known = self.known.entry(request).or_insert_with(|| CrashState {
             caller: note.identity.caller,
@@ -170,6 +232,7 @@
         let changed = known.ended.len() + known.cleared.len() > before;
         if changed {
             known.since = known.since.max(since);
+            self.update_blocked();
         }
         changed
     }
@@ -195,8 +258,8 @@
         known.filter_map(|r| self.note(r, now)).collect()
     }
 
-    /// Returns the notes that every daemon needs: those of requests with more than one crash. A
-    /// request with a single crash is mostly a bystander, and only daemons that select upstreams
+    /// Returns the notes that every daemon needs: those of causes with more than one crash. One
+    /// with a single crash is mostly a bystander, and only daemons that select upstreams
     /// need to know it.
     #[must_use]
     pub fn repeated(&self, now: Millis) -> Vec<CrashNote> {
@@ -234,17 +297,23 @@
         }
         let keep = |k: &CrashState| k.crash_count() > 0 || now.since(k.since) < CLEARED_MS;
         self.known.retain(|_, k| keep(k));
+        self.update_blocked();
     }
 
     /// Makes room for one more request of a caller. A caller at its limit loses one of its own
     /// requests; at the overall limit, the caller with the most requests loses one.
-    fn make_room(&mut self, caller: u64, now: Millis) {
+    fn make_room(&mut self, identity: &Identity, now: Millis) {
+        let caller = identity.caller;
+        let limit = match identity.request.is_part() {
+            true => MAX_PARTS_PER_CALLER,
+            false => MAX_PER_CALLER,
+        };
         let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         self.known
             .values()
             .for_each(|k| *counts.entry(k.caller).or_default() += 1);
         let own = counts.get(&caller).copied().unwrap_or(0);
-        let victim = if own >= MAX_PER_CALLER {
+        let victim = if own >= limit {
             Some(caller)
         } else if self.known.len() >= MAX_REQUESTS {
             counts.iter().max_by_key(|(_, n)| **n).map(|(c, _)| *c)
@@ -255,8 +324,10 @@
             return;
         };
         let of_victim = self.known.iter().filter(|(_, k)| k.caller == victim);
-        let evicted =
-            of_victim.min_by_key(|(_, k)| (k.crash_count(), u64::MAX - now.since(k.since)));
+        let evicted = of_victim.min_by_key(|(cause, known)| {
+            let count = self.counted(cause, known).count();
+            (count, u64::MAX - now.since(known.since))
+        });
         if let Some(request) = evicted.map(|(r, _)| *r) {
             self.known.remove(&request);
         }
@@ -265,21 +336,21 @@
     /// Returns the requests that are blocked or may soon be, for operators.
     #[must_use]
     pub fn records(&self, now: Millis) -> Vec<CrashRecord> {
-        let active = self.known.iter().filter(|(_, k)| k.crash_count() > 0);
         let record = |(request, known): (&Fingerprint, &CrashState)| CrashRecord {
             request: *request,
-            ended: known.active().copied().collect(),
+            ended: self.counted(request, known).copied().collect(),
             age: Millis(now.since(known.since)),
         };
-        active.map(record).collect()
+        let records = self.known.iter().map(record);
+        records.filter(|r| !r.ended.is_empty()).collect()
     }
 
-    /// Returns the number of requests with crashes, and the number of them that are blocked.
+    /// Returns the number of requests and parts with crashes, and the number of them that are
+    /// blocked.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
-        let crash_count = self.known.values().map(CrashState::crash_count);
-        let active: Vec<usize> = crash_count.filter(|e| *e > 0).collect();
-        let blocked = active.iter().filter(|e| **e >= MAX_CRASHES).count();
-        (active.len(), blocked)
+        let known = self.known.keys();
+        let active = known.filter(|cause| self.crash_count(cause) > 0).count();
+        (active, self.blocked.len())
     }
 }
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -36,7 +36,9 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        open.first_byte |= first;
+        if first {
+            open.first_byte.get_or_insert(now);
+        }
         let Some(state) = open
             .upstream
             .as_ref()
@@ -108,8 +110,7 @@
             AttemptEnd::Refused => self.retry_request(id, ErrorKind::NoUpstream, now, out),
             AttemptEnd::Broken | AttemptEnd::PathBroken => self.retry_if_repeatable(id, now, out),
             AttemptEnd::UpstreamEnded(start) => {
-                let identity = self.open.get(&id).and_then(|o| o.request.identity);
-                self.record_crash(identity, start, now, out);
+                self.record_crash(id, start, now, out);
                 self.retry_if_repeatable(id, now, out);
             }
         }
@@ -208,7 +209,7 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        let started = open.first_byte;
+        let started = open.first_byte.is_some();
         let in_time = started || open.request.due > now;
         let max_attempts = open
             .request
--- a/crates/route/src/isolation.rs
+++ b/crates/route/src/isolation.rs
@@ -1,13 +1,15 @@
 //! Restricts where requests with crashes may be sent.
 //!
 //! The case that matters: a request that crashes each upstream that runs it, sent in several copies
-//! at once, beside harmless requests that were in flight when an upstream crashed. Three rules
-//! bound the cost:
+//! at once, beside harmless requests that were in flight when an upstream crashed. A part of prompts
+//! may do the same; copies are then the requests whose prompts contain it. Three rules bound the
+//! cost:
 //!
 //! * The upstreams that crashed during a request and those that run it now are at most
 //!   [`MAX_CRASHES`] together. Further copies go to an upstream that runs one already, or are
 //!   refused. A request thus crashes at most three upstreams, however many copies arrive before the
-//!   first crash.
+//!   first crash. Many sound requests share a part, so that this rule holds for parts from the first
+//!   crash on.
 //! * A request with two crashes goes only where no other such request runs. The next crash then has
 //!   one suspect, and a bystander of both doesn't get a third.
 //! * A request with three crashes is not sent any more.
@@ -30,7 +32,8 @@
 /// The most requests that are remembered as harmless.
 const MAX_HARMLESS: usize = 1_024;
 
-/// The open requests, by the fingerprint that copies have in common.
+/// The open requests, by the fingerprints that copies have in common: their own and those of the
+/// parts of their prompts.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
     open: BTreeMap<Fingerprint, BTreeSet<RequestId>>,
@@ -40,9 +43,8 @@
 
 impl Copies {
     pub(crate) fn insert(&mut self, request: &RouteRequest) {
-        if let Some(identity) = request.identity {
-            let ids = self.open.entry(identity.request).or_default();
-            ids.insert(request.id);
+        for cause in request.causes() {
+            self.open.entry(*cause).or_default().insert(request.id);
         }
     }
 
@@ -68,13 +70,13 @@
     }
 
     pub(crate) fn remove(&mut self, request: &RouteRequest) {
-        let Some(identity) = request.identity else {
-            return;
-        };
-        if let Some(ids) = self.open.get_mut(&identity.request) {
+        for cause in request.causes() {
+            let Some(ids) = self.open.get_mut(cause) else {
+                continue;
+            };
             ids.remove(&request.id);
             if ids.is_empty() {
-                self.open.remove(&identity.request);
+                self.open.remove(cause);
             }
         }
     }
@@ -91,12 +93,11 @@
         &self.crashes
     }
 
-    /// Returns the number of crashes of a request.
+    /// Returns the number of crashes of a request, or of the part of its prompt that has most.
     #[must_use]
     pub fn crash_count(&self, request: &RouteRequest) -> usize {
-        request
-            .identity
-            .map_or(0, |i| self.crashes.crash_count(&i.request))
+        let counts = request.causes().map(|c| self.crashes.crash_count(c));
+        counts.max().unwrap_or(0)
     }
 
     /// Takes the crash notes that were created since the last call.
@@ -111,13 +112,14 @@
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) -> Vec<CrashNote> {
+        let before = self.crashes.blocked().clone();
         let mut new_notes = Vec::new();
         for note in notes {
             if self.crashes.merge(&note, now) {
-                self.stop_blocked(&note.identity.request, out);
                 new_notes.push(note);
             }
         }
+        self.stop_blocked(&before, out);
         new_notes
     }
 
@@ -130,27 +132,68 @@
     pub(crate) fn drop_old_crashes(&mut self, now: Millis) {
         self.crashes.tick(now);
         self.copies.prune(now);
+        self.sound_parts.prune(now);
+    }
+
+    /// Returns what may have caused the crash of an upstream that ran a request: the request, and
+    /// parts of its prompt if the upstream was about to begin its answer.
+    pub fn suspects(
+        &mut self,
+        identity: Identity,
+        parts: &[Fingerprint],
+        start: IncarnationTag,
+    ) -> Vec<Identity> {
+        let parts = self.sound_parts.suspects(parts, start).into_iter();
+        let parts = parts.map(|part| identity.with_part(part));
+        std::iter::once(identity).chain(parts).collect()
     }
 
     /// Records a crash of an upstream during a request.
     pub(crate) fn record_crash(
         &mut self,
-        identity: Option<Identity>,
+        id: RequestId,
         start: IncarnationTag,
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) {
-        let Some(identity) = identity else {
+        let Some(open) = self.open.get(&id) else {
             return;
         };
-        let note = self.crashes.on_end(identity, start, now);
-        self.crash_notes.extend(note);
-        self.stop_blocked(&identity.request, out);
+        let Some(identity) = open.request.identity else {
+            return;
+        };
+        let parts = match open.first_byte {
+            None => open.request.parts.clone(),
+            Some(_) => Vec::new(),
+        };
+        let before = self.crashes.blocked().clone();
+        for cause in self.suspects(identity, &parts, start) {
+            let note = self.crashes.on_end(cause, start, now);
+            self.crash_notes.extend(note);
+        }
+        self.stop_blocked(&before, out);
+    }
+
+    /// Records that a request whose upstream another daemon selected was answered.
+    pub fn record_answered(&mut self, parts: &[Fingerprint], now: Millis) {
+        self.sound_parts.record(parts, now);
     }
 
-    /// Records that a request succeeded.
+    /// Records that a request succeeded. A part of its prompt is cleared if the answer began after
+    /// the part's last crash.
     pub(crate) fn record_success(&mut self, id: RequestId, now: Millis) {
-        let identity = self.open.get(&id).and_then(|o| o.request.identity);
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let (identity, begun) = (open.request.identity, open.first_byte);
+        let parts = open.request.parts.clone();
+        self.sound_parts.record(&parts, now);
+        for part in &parts {
+            let last = self.crashes.last_crash(part);
+            if last.is_some_and(|last| begun.is_some_and(|begun| begun > last)) {
+                self.clear_crashes(part, now);
+            }
+        }
         if let Some(identity) = identity {
             self.copies.record_harmless(identity.request, now);
             self.clear_crashes(&identity.request, now);
@@ -162,13 +205,14 @@
         self.crash_count(request) >= MAX_CRASHES
     }
 
-    /// Fails all open copies of a blocked request: one may still be queued at an upstream, which it
-    /// need not crash as well.
-    fn stop_blocked(&mut self, fingerprint: &Fingerprint, out: &mut Vec<RouteAction>) {
-        if self.crashes.crash_count(fingerprint) < MAX_CRASHES {
-            return;
-        }
-        let ids: Vec<RequestId> = self.copies.of(fingerprint).copied().collect();
+    /// Fails all open copies of what was not blocked before: one may still be queued at an upstream,
+    /// which it need not crash as well.
+    fn stop_blocked(&mut self, before: &BTreeSet<Fingerprint>, out: &mut Vec<RouteAction>) {
+        let new = self.crashes.blocked().difference(before);
+        let ids: BTreeSet<RequestId> = new
+            .flat_map(|cause| self.copies.of(cause))
+            .copied()
+            .collect();
         for id in ids {
             let Some(open) = self.open.get(&id) else {
                 continue;
@@ -209,19 +253,26 @@
         name: &Upstream,
         state: &UpstreamState,
     ) -> bool {
-        let Some(identity) = request.identity else {
-            return true;
-        };
-        let crash_count = self.crashes.crash_count(&identity.request);
+        let mut causes = request.causes();
+        causes.all(|cause| self.may_send_copy_to(cause, name, state))
+    }
+
+    /// Returns whether a request with this fingerprint, or with this part, may be sent to an
+    /// upstream.
+    fn may_send_copy_to(
+        &self,
+        cause: &Fingerprint,
+        name: &Upstream,
+        state: &UpstreamState,
+    ) -> bool {
+        let crash_count = self.crashes.crash_count(cause);
         if crash_count >= MAX_CRASHES {
             return false;
         }
-        let unrestricted =
-            self.copies.is_single(&identity.request) || self.copies.is_harmless(&identity.request);
-        if crash_count == 0 && unrestricted {
+        if crash_count == 0 && self.is_unrestricted(cause) {
             return true;
         }
-        let upstreams = self.upstreams_of(&identity.request);
+        let upstreams = self.upstreams_of(cause);
         if upstreams.contains(name) {
             return true;
         }
@@ -229,6 +280,11 @@
             && (crash_count < ISOLATION_CRASHES || self.has_no_suspects(state))
     }
 
+    /// Returns whether copies without a crash may run on any number of upstreams.
+    fn is_unrestricted(&self, cause: &Fingerprint) -> bool {
+        cause.is_part() || self.copies.is_single(cause) || self.copies.is_harmless(cause)
+    }
+
     /// Returns whether the upstream runs no request that must be isolated.
     fn has_no_suspects(&self, state: &UpstreamState) -> bool {
         let open = state.in_flight.keys().filter_map(|id| self.open.get(id));
@@ -264,11 +320,11 @@
     }
 
     fn is_unplaceable(&self, request: &RouteRequest, now: Millis) -> bool {
-        let Some(identity) = request.identity else {
-            return false;
+        let is_restricted = |cause: &Fingerprint| {
+            let many = || self.copies.of(cause).nth(MAX_CRASHES).is_some();
+            self.crashes.crash_count(cause) > 0 || (!cause.is_part() && many())
         };
-        let crash_count = self.crashes.crash_count(&identity.request);
-        if crash_count == 0 && self.copies.of(&identity.request).nth(MAX_CRASHES).is_none() {
+        if !request.causes().any(is_restricted) {
             return false;
         }
         let has_slot = |b: &UpstreamState| {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,7 +16,7 @@
 //! * An upstream is selected by its reported load, what this daemon has sent it since, and the
 //!   prefixes it may have cached ([`prefix_chain`]).
 //! * A request during which upstreams crashed is tracked ([`Crashes`]) and not sent any more after
-//!   three crashes.
+//!   three crashes; likewise a part of prompts, with all requests whose prompts contain it.
 //! * A request whose answer has begun is bound to the software version of the upstream that began
 //!   it.
 //! * An answer counts only for the attempt that it belongs to.
@@ -46,6 +46,7 @@
 mod select;
 mod settings;
 mod share;
+mod sound_parts;
 mod stats;
 mod upstream;
 mod versions;
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -2,8 +2,8 @@
 
 use crate::{Limits, UpstreamLimit, BLOCK_TOKENS};
 use shaleline_types::{
-    Adapter, DataCentre, ErrorKind, Identity, IncarnationTag, Millis, Model, Org, RequestId,
-    Service, SoftwareVersion, Upstream,
+    Adapter, DataCentre, ErrorKind, Fingerprint, Identity, IncarnationTag, Millis, Model, Org,
+    RequestId, Service, SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
 use std::fmt;
@@ -126,6 +126,8 @@
     pub policy: RequestPolicy,
     /// What it has in common with its caller's other attempts, if known.
     pub identity: Option<Identity>,
+    /// The parts of its prompt that other requests may share, in any order.
+    pub parts: Vec<Fingerprint>,
     /// The upstreams to which its daemon may not send it, and until when.
     pub excluded: BTreeMap<Upstream, Millis>,
     /// The software version to which it is bound, because an upstream of that version has begun its
@@ -134,6 +136,12 @@
 }
 
 impl RouteRequest {
+    /// Returns the fingerprints that it has in common with others which may crash upstreams like it.
+    pub(crate) fn causes(&self) -> impl Iterator<Item = &Fingerprint> {
+        let own = self.identity.iter().map(|i| &i.request);
+        own.chain(&self.parts)
+    }
+
     /// Returns the tokens of the block at `index`.
     pub(crate) fn size(&self, index: usize) -> f64 {
         f64::from(self.block_sizes.get(index).copied().unwrap_or(BLOCK_TOKENS))
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -7,6 +7,7 @@
 use crate::queue::{QueuedRequest, RouteQueue};
 use crate::retry::RetryBudget;
 use crate::select::{sample_by_cost, CostModel};
+use crate::sound_parts::SoundParts;
 use crate::upstream::{InFlight, UpstreamState};
 use crate::waiting::stall_timeout;
 use crate::{
@@ -29,7 +30,8 @@
     pub(crate) given_back: AttemptNumber,
     pub(crate) upstream: Option<Upstream>,
     pub(crate) tried: Vec<Upstream>,
-    pub(crate) first_byte: bool,
+    /// When the first byte of the current attempt's answer was received.
+    pub(crate) first_byte: Option<Millis>,
 }
 
 /// Admits, queues, sends, retries and refuses requests.
@@ -53,6 +55,7 @@
     pub(crate) stats: RouterStats,
     pub(crate) crashes: Crashes,
     pub(crate) copies: Copies,
+    pub(crate) sound_parts: SoundParts,
     /// Crash notes that were not taken yet.
     pub(crate) crash_notes: Vec<CrashNote>,
     /// The time of the last removal of old state.
@@ -79,6 +82,7 @@
             stats: RouterStats::default(),
             crashes: Crashes::default(),
             copies: Copies::default(),
+            sound_parts: SoundParts::default(),
             crash_notes: Vec::new(),
             last_prune: Millis(0),
             settings,
@@ -247,7 +251,7 @@
             given_back: 0,
             upstream: None,
             tried: Vec::new(),
-            first_byte: false,
+            first_byte: None,
         };
         self.copies.insert(&open.request);
         self.open.insert(id, open);
@@ -374,7 +378,7 @@
         self.stats.retried += u64::from(open.attempt > open.given_back);
         open.attempt += 1;
         open.reached += 1;
-        open.first_byte = false;
+        open.first_byte = None;
         open.upstream = Some(upstream.clone());
         open.tried.push(upstream.clone());
         let send = InFlight {
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -209,7 +209,7 @@
 }
 
 fn was_started(open: Option<&OpenRequest>) -> bool {
-    open.is_some_and(|o| o.attempt > 0 && o.first_byte)
+    open.is_some_and(|o| o.attempt > 0 && o.first_byte.is_some())
 }
 
 /// Returns half of the time that a request has left, so that another upstream can still meet its
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -23,6 +23,18 @@
     Identity::of(caller, &[caller.as_bytes(), &number.to_le_bytes()])
 }
 
+fn part(number: u64) -> Fingerprint {
+    Fingerprint::of_part(number)
+}
+
+/// A request below three, else a part.
+fn cause(number: u64) -> Identity {
+    match number {
+        0..3 => identity("a", number),
+        _ => identity("a", 0).with_part(part(number)),
+    }
+}
+
 fn start(number: u64) -> IncarnationTag {
     let name = Upstream::from_text(&format!("i-{number}")).expect("a valid name");
     IncarnationTag::of(&name, Incarnation::default())
@@ -124,7 +136,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let events: Vec<(u64, u64, bool)> = Vec::<(u8, u8, u8)>::arbitrary(g)
             .into_iter()
-            .map(|(r, s, clears)| (u64::from(r % 3), u64::from(s % 5), clears % 6 == 0))
+            .map(|(r, s, clears)| (u64::from(r % 6), u64::from(s % 5), clears % 6 == 0))
             .collect();
         let order = Vec::<u8>::arbitrary(g).into_iter().map(usize::from);
         Self {
@@ -139,7 +151,7 @@
     let mut first = Crashes::default();
     let mut notes: Vec<CrashNote> = Vec::new();
     for (request, number, clears) in delivery.events {
-        let request = identity("a", request);
+        let request = cause(request);
         notes.extend(match clears {
             true => first.clear(&request.request, NOW),
             false => first.on_end(request, start(number), NOW),
@@ -151,10 +163,10 @@
         second.merge(n, NOW);
     });
     let same = |r: u64| {
-        let request = identity("a", r).request;
+        let request = cause(r).request;
         first.crash_count(&request) == second.crash_count(&request)
     };
-    first.digest() == second.digest() && (0..3).all(same)
+    first.digest() == second.digest() && (0..6).all(same)
 }
 
 #[test]
@@ -223,6 +235,10 @@
     }
 
     fn arrive(&mut self, id: u64, identity: Identity) {
+        self.arrive_with(id, identity, Vec::new());
+    }
+
+    fn arrive_with(&mut self, id: u64, identity: Identity, parts: Vec<Fingerprint>) {
         let request = RouteRequest {
             id: RequestId(id),
             org: Org::from_text("o").expect("a valid name"),
@@ -241,6 +257,7 @@
             },
             policy: RequestPolicy::default(),
             identity: Some(identity),
+            parts,
             excluded: BTreeMap::new(),
             version: None,
         };
@@ -253,6 +270,27 @@
         self.step(RouteEvent::Ended { id, attempt, end });
     }
 
+    /// Answers a request, whose answer begins now.
+    fn answer(&mut self, id: u64) {
+        let attempt = self.in_flight[&id].0;
+        let request = RequestId(id);
+        self.step(RouteEvent::FirstByte {
+            id: request,
+            attempt,
+        });
+        self.end(id, AttemptEnd::Whole);
+    }
+
+    /// Sends a request of its own identity with these parts, during which an upstream crashes.
+    fn crash(&mut self, id: u64, parts: &[Fingerprint]) {
+        self.arrive_with(id, identity("a", id), parts.to_vec());
+        self.end(id, AttemptEnd::UpstreamEnded(start(1_000 + id)));
+    }
+
+    fn crash_count(&self, part: Fingerprint) -> usize {
+        self.router.crashes().crash_count(&part)
+    }
+
     fn upstreams_of(&self, ids: std::ops::Range<u64>) -> std::collections::BTreeSet<&Upstream> {
         ids.filter_map(|id| self.in_flight.get(&id).map(|a| &a.1))
             .collect()
@@ -349,3 +387,119 @@
     assert_eq!(shown.len(), 8);
     assert!(Fingerprint::of(&[b"secret"]).to_hex().starts_with(&shown));
 }
+
+#[test]
+fn a_part_is_blocked_after_three_crashes_of_different_requests() {
+    let mut fixture = RouterFixture::new(8, 20);
+    (0..3).for_each(|id| fixture.crash(id, &[part(1)]));
+    fixture.arrive_with(10, identity("b", 10), vec![part(2), part(1)]);
+    assert_eq!(fixture.refused.get(&10), Some(&ErrorKind::EndsUpstreams));
+    fixture.arrive_with(11, identity("b", 10), vec![part(2)]);
+    assert!(fixture.in_flight.contains_key(&11));
+}
+
+#[test]
+fn open_requests_with_a_blocked_part_fail() {
+    let mut fixture = RouterFixture::new(8, 20);
+    fixture.arrive_with(10, identity("b", 10), vec![part(1)]);
+    (0..3).for_each(|id| fixture.crash(id, &[part(1)]));
+    assert_eq!(fixture.refused.get(&10), Some(&ErrorKind::EndsUpstreams));
+}
+
+#[test]
+fn a_part_that_was_answered_lately_is_not_blamed_for_one_crash() {
+    let mut fixture = RouterFixture::new(8, 20);
+    fixture.arrive_with(0, identity("a", 0), vec![part(1)]);
+    fixture.answer(0);
+    fixture.crash(1, &[part(1), part(2)]);
+    assert_eq!(
+        (fixture.crash_count(part(1)), fixture.crash_count(part(2))),
+        (0, 1)
+    );
+    // Without an answer in between it may have become the cause.
+    fixture.crash(2, &[part(1), part(2)]);
+    assert_eq!(
+        (fixture.crash_count(part(1)), fixture.crash_count(part(2))),
+        (1, 2)
+    );
+}
+
+#[test]
+fn a_part_is_cleared_by_an_answer_that_began_after_its_crash() {
+    let mut fixture = RouterFixture::new(8, 20);
+    fixture.crash(0, &[part(1)]);
+    let later = NOW.plus(5);
+    for (id, begins, left) in [(1, NOW, 1), (2, later, 0)] {
+        fixture.arrive_with(id, identity("a", id), vec![part(1)]);
+        let attempt = fixture.in_flight[&id].0;
+        let request = RequestId(id);
+        let first = RouteEvent::FirstByte {
+            id: request,
+            attempt,
+        };
+        fixture.router.step(first, begins);
+        fixture.end(id, AttemptEnd::Whole);
+        assert_eq!(fixture.crash_count(part(1)), left);
+    }
+}
+
+#[test]
+fn a_part_is_not_blamed_if_the_answer_had_begun() {
+    let mut fixture = RouterFixture::new(8, 20);
+    fixture.arrive_with(0, identity("a", 0), vec![part(1)]);
+    let attempt = fixture.in_flight[&0].0;
+    fixture.step(RouteEvent::FirstByte {
+        id: RequestId(0),
+        attempt,
+    });
+    fixture.end(0, AttemptEnd::UpstreamEnded(start(1)));
+    assert_eq!(fixture.crash_count(part(1)), 0);
+    assert_eq!(fixture.router.crashes().counts(), (1, 0));
+}
+
+#[test]
+fn a_crash_that_a_blocked_cause_explains_does_not_count_for_others() {
+    let mut crashes = Crashes::default();
+    let (guilty, bystander) = (cause(3), cause(4));
+    // The bystander was present each time, the guilty part once more.
+    crash_many(&mut crashes, bystander, MAX_CRASHES, NOW);
+    crash_many(&mut crashes, guilty, MAX_CRASHES + 1, NOW);
+    assert_eq!(crashes.crash_count(&guilty.request), MAX_CRASHES + 1);
+    assert_eq!(crashes.crash_count(&bystander.request), 0);
+    assert_eq!(crashes.counts(), (1, 1));
+}
+
+#[test]
+fn a_request_is_blamed_before_the_parts_of_its_prompt() {
+    let mut crashes = Crashes::default();
+    for blamed in [cause(0), cause(3)] {
+        crash_many(&mut crashes, blamed, MAX_CRASHES, NOW);
+    }
+    assert_eq!(crashes.crash_count(&cause(0).request), MAX_CRASHES);
+    assert_eq!(crashes.crash_count(&cause(3).request), 0);
+}
+
+#[test]
+fn a_part_is_counted_among_many_requests_and_parts_of_its_caller() {
+    let mut fixture = RouterFixture::new(40, 20);
+    for id in 0..2 {
+        let others = (0..23).map(|other| part(100 * (id + 1) + other));
+        let parts: Vec<Fingerprint> = others.chain([part(1)]).collect();
+        fixture.crash(id, &parts);
+    }
+    (10..60).for_each(|id| fixture.crash(id, &[]));
+    assert_eq!(fixture.crash_count(part(1)), 2);
+    fixture.crash(99, &[part(1)]);
+    assert_eq!(fixture.crash_count(part(1)), MAX_CRASHES);
+}
+
+#[test]
+fn parts_of_one_caller_stay_within_their_limit() {
+    const MAX_PARTS_PER_CALLER: usize = 64;
+    let mut crashes = Crashes::default();
+    for number in 0..10 * MAX_PARTS_PER_CALLER as u64 {
+        let blamed = identity("a", number).with_part(part(number));
+        crashes.on_end(blamed, start(number), NOW);
+    }
+    assert_eq!(crashes.counts().0, MAX_PARTS_PER_CALLER);
+}
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -61,6 +61,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        parts: Vec::new(),
         excluded: BTreeMap::new(),
         version: None,
     }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -119,6 +119,7 @@
             ..RequestPolicy::default()
         },
         identity: None,
+        parts: Vec::new(),
         excluded: std::collections::BTreeMap::new(),
         version: None,
     };
--- a/crates/route/tests/rests.rs
+++ b/crates/route/tests/rests.rs
@@ -182,6 +182,7 @@
                 ..RequestPolicy::default()
             },
             identity: None,
+            parts: Vec::new(),
             excluded: excluded.collect(),
             version: None,
         };
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -74,6 +74,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        parts: Vec::new(),
         excluded: std::collections::BTreeMap::new(),
         version: None,
     }
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -72,6 +72,7 @@
         },
         policy: RequestPolicy::default(),
         identity: None,
+        parts: Vec::new(),
         excluded: BTreeMap::new(),
         version: bound.map(version),
     };
