Test that one daemon with most new connections serves as before

Seven cases in simulated time with 9 and 30 daemons: nine tenths to one daemon, to the one that selects, to the next once the first is gone, with upstreams that crash, at full load. All pass on the code as it is: hubs select for all daemons, so that shares of retries and of loads do not bind. Processor time is not simulated.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -129,6 +129,7 @@
     mod limits;
     mod manual_clock;
     mod membership;
+    mod one_daemon;
     mod paths;
     mod planner_watch;
     mod read_progress;
