Close most new connections unread while there is too little processor time

Cause: nothing limits the connections that an instance accepts. A caller whose connection is closed unread turns to another instance at once, whatever its request is.

Change: delays of the process's own wake-ups that make up most of a second, in three rounds or more, count as overload; three of four new connections are closed then before anything is read, open ones are served on. One stall or a suspension is none.

Tests: edge/tests/listener.rs (two), unit::ready (six cases).

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+/// One of this many connections is kept under overload: a part that an instance with several times
+/// the work that it can do still serves.
+const KEPT_INTERVAL: u64 = 4;
+
 /// The phase of a listener's shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -30,6 +34,9 @@
     max_head: Cell<usize>,
     connections: Cell<usize>,
     busy: Cell<usize>,
+    overloaded: Cell<bool>,
+    /// The number of connections that arrived while overloaded.
+    arrived: Cell<u64>,
 }
 
 impl ListenerControl {
@@ -51,6 +58,8 @@
             max_head: Cell::new(max_head),
             connections: Cell::new(0),
             busy: Cell::new(0),
+            overloaded: Cell::new(false),
+            arrived: Cell::new(0),
         }))
     }
 
@@ -60,6 +69,23 @@
         self.0.max_head.set(max_head);
     }
 
+    /// Sets whether this process has too little processor time. Most new connections are then closed
+    /// before anything is read from them, so that their callers turn to other instances at once.
+    pub fn set_overloaded(&self, overloaded: bool) {
+        self.0.overloaded.set(overloaded);
+    }
+
+    /// Returns whether a new connection is to be closed unread. Some are kept under overload: an
+    /// instance that is ready must not turn all callers away.
+    pub(crate) fn sheds_connection(&self) -> bool {
+        if !self.0.overloaded.get() {
+            return false;
+        }
+        let arrived = self.0.arrived.get();
+        self.0.arrived.set(arrived.wrapping_add(1));
+        arrived % KEPT_INTERVAL != 0
+    }
+
     /// Makes every later response close its connection.
     pub fn begin_closing(&self) {
         self.0.phase.send_replace(Phase::Closing);
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -75,7 +75,7 @@
     }
 
     /// Accepts connections until the control closes the listener. Each connection is served by
-    /// its own task.
+    /// its own task; under overload most are closed instead.
     pub async fn run(self, handler: Rc<dyn Handler>) {
         let mut phase = self.control.subscribe();
         loop {
@@ -87,6 +87,9 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            if self.control.sheds_connection() {
+                continue;
+            }
             let caller = CallerAddress(from.ip());
             let connection = serve(stream, caller, self.control.clone(), Rc::clone(&handler));
             actix_rt::spawn(connection);
--- a/crates/edge/tests/listener.rs
+++ b/crates/edge/tests/listener.rs
@@ -169,3 +169,48 @@
         stream.read_to_end(&mut rest).await.expect("closed");
     });
 }
+
+/// Guards against an instance that reads more requests than it has processor time for.
+#[test]
+fn an_overloaded_listener_closes_most_new_connections_unread() {
+    const CONNECTIONS: usize = 12;
+    let request = "GET /echo HTTP/1.1\r\nhost: a\r\n\r\n";
+    actix_rt::System::new().block_on(async {
+        let mut server = serve();
+        server.control.set_overloaded(true);
+        let mut answered = 0;
+        for _ in 0..CONNECTIONS {
+            let mut stream = TcpStream::connect(server.address).await.expect("connected");
+            // The connection may be closed before the request is written.
+            stream.write_all(request.as_bytes()).await.ok();
+            stream.shutdown().await.ok();
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.ok();
+            answered += usize::from(!answer.is_empty());
+        }
+        let mut read = 0;
+        while server.events.try_recv().is_ok() {
+            read += 1;
+        }
+        assert_eq!((answered, read), (CONNECTIONS / 4, CONNECTIONS / 4));
+        server.control.set_overloaded(false);
+        let answer = exchange(server.address, request).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+#[test]
+fn an_overloaded_listener_serves_open_connections() {
+    actix_rt::System::new().block_on(async {
+        let server = serve();
+        let mut stream = TcpStream::connect(server.address).await.expect("connected");
+        let request = b"GET /echo HTTP/1.1\r\nhost: a\r\n\r\n";
+        for _ in 0..5 {
+            stream.write_all(request).await.expect("written");
+            let mut answer = [0; 512];
+            let length = stream.read(&mut answer).await.expect("an answer");
+            assert!(answer[..length].starts_with(b"HTTP/1.1 200"));
+            server.control.set_overloaded(true);
+        }
+    });
+}
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -2,7 +2,8 @@
 //!
 //! A process that was stopped, or got no processor time, acts on outdated state. What it receives
 //! next has waited in the meantime, so it is older than it looks. A task wakes at a steady
-//! interval; its delay shows for how long no other task ran either.
+//! interval; its delay shows for how long no other task ran either. Delays in series show that the
+//! process has more work than processor time.
 
 use shaleline_types::Millis;
 use std::collections::VecDeque;
@@ -18,6 +19,12 @@
 /// each have a backlog.
 const CATCH_UP_MS: u64 = 1_000;
 
+/// The number of delays within `CATCH_UP_MS`, and their sum, from which the process counts as
+/// overloaded: for most of that time what is due has waited, and not because of a single stall. A
+/// process that is throttled in each tenth of a second and has work left then looks the same.
+const OVERLOAD_GAPS: usize = 3;
+const OVERLOAD_SUM_MS: u64 = 600;
+
 #[derive(Debug, Clone, Copy)]
 struct Gap {
     ended: Millis,
@@ -65,6 +72,12 @@
         longest.unwrap_or(0).max(now.since(self.last))
     }
 
+    /// Whether the process has had too little processor time for its work lately.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        let sum: u64 = self.gaps.iter().map(|g| g.length).sum();
+        self.gaps.len() >= OVERLOAD_GAPS && sum >= OVERLOAD_SUM_MS
+    }
+
     /// Whether the process has stalled since `at`.
     pub(crate) fn stalled_since(&self, at: Millis, now: Millis) -> bool {
         let before = self.stalled.is_some_and(|ended| ended > at);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -107,6 +107,7 @@
 async fn tick(gw: Rc<Gateway>) {
     let mut ready = false;
     let mut keys = true;
+    let mut overloaded = false;
     let mut cleaned = gw.now();
     let mut summed = gw.now();
     loop {
@@ -122,6 +123,11 @@
             keys = !keys;
             log_keys(&gw, keys);
         }
+        if overloaded != gw.stall_detector.borrow().is_overloaded() {
+            overloaded = !overloaded;
+            gw.gate.set_overloaded(overloaded);
+            emit(LogEvent::Overloaded, &format!("overloaded={overloaded}"));
+        }
         let now = gw.now();
         if now.since(cleaned) >= HOUSEKEEPING_MS {
             cleaned = now;
--- a/crates/gateway/tests/unit/one_daemon.rs
+++ b/crates/gateway/tests/unit/one_daemon.rs
@@ -85,14 +85,14 @@
                 let victim = cluster.pick(running.len());
                 cluster.crash_server(running[victim]);
             }
-            record(&mut counts, &sent, cluster.run(case.interval));
+            record(&mut counts, &sent, &cluster.run(case.interval));
         }
     }
-    record(&mut counts, &sent, cluster.run(5_000));
+    record(&mut counts, &sent, &cluster.run(5_000));
     counts
 }
 
-fn record(counts: &mut [Counts; 3], sent: &BTreeMap<u64, usize>, ended: Vec<Ended>) {
+fn record(counts: &mut [Counts; 3], sent: &BTreeMap<u64, usize>, ended: &[Ended]) {
     for ended in ended.iter().filter(|e| e.outcome == Outcome::Served) {
         if let Some(phase) = sent.get(&ended.name) {
             counts[*phase].served += 1;
--- a/crates/gateway/tests/unit/ready.rs
+++ b/crates/gateway/tests/unit/ready.rs
@@ -54,6 +54,34 @@
     is_behind(&reading, &detector, APPLY_BOUND, now)
 }
 
+/// Whether a daemon counts as overloaded after these steps.
+fn is_overloaded_after(steps: &[Step]) -> bool {
+    let mut now = Millis(START_MS);
+    let mut detector = StallDetector::new(now);
+    for step in steps {
+        let (rounds, interval) = match *step {
+            Run(ms) => (ms / TICK_MS, TICK_MS),
+            Stall(ms) => (1, ms),
+            Read => continue,
+        };
+        for _ in 0..rounds {
+            now = now.plus(interval);
+            detector.on_tick(TICK_MS, now);
+        }
+    }
+    detector.is_overloaded()
+}
+
+cases! { is_overloaded_after;
+    a_daemon_in_time_is_not_overloaded: &[Run(5_000)] => false,
+    a_suspended_daemon_is_not_overloaded: &[Run(1_000), Stall(4_000), Run(10)] => false,
+    short_delays_are_no_overload: &[Stall(60), Run(100), Stall(90), Run(100), Stall(80), Run(100)] => false,
+    rounds_that_take_long_are_an_overload: &[Stall(220), Stall(250), Stall(240), Stall(230)] => true,
+    a_throttled_daemon_with_work_left_is_overloaded:
+        &[Stall(85), Stall(85), Stall(85), Stall(85), Stall(85), Stall(85), Stall(85), Stall(85), Stall(85), Stall(85)] => true,
+    an_overload_ends: &[Stall(220), Stall(250), Stall(240), Stall(230), Run(1_200)] => false,
+}
+
 cases! { is_behind_after;
     not_with_the_newest_configuration: &[Read, Run(1_000)] => false,
     not_while_the_store_does_not_answer: &[Read, Run(60_000)] => false,
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -69,6 +69,7 @@
     SettingsRefused 3105 Warn "The settings file is malformed; the previous settings stay in force.";
     KeysStale 3106 Warn "Callers' API keys can no longer be verified: the configuration may have changed.";
     KeysKnown 3107 Info "Callers' API keys can be verified again.";
+    Overloaded 3108 Warn "This daemon has too little processor time and closes most new connections unread, or has enough again.";
     LeaseTaken 4001 Info "This daemon became the owner.";
     LeaseLost 4002 Warn "This daemon is no longer the owner.";
     LeaseChallenged 4003 Info "An owner that appears to have failed was challenged.";
@@ -95,9 +96,9 @@
     UpstreamGone 8101 Info "An upstream is no longer listed and gets no new work.";
     UpstreamRestarted 8102 Info "An upstream restarted under its name; the state kept for it is dropped.";
     UpstreamEnded 8103 Warn "An upstream ended while it had requests in flight.";
-    RequestSuspected 8104 Info "An upstream ended during a request; the request is watched until it completes.";
-    RequestBlocked 8105 Warn "A request during which several upstreams ended is no longer sent.";
-    RequestCleared 8106 Info "A request during which upstreams ended has completed, or was cleared by an operator.";
+    RequestSuspected 8104 Info "An upstream ended during a request; the request, or a part of its prompt, is watched until it completes.";
+    RequestBlocked 8105 Warn "A request, or a part of prompts, during which several upstreams ended is no longer sent.";
+    RequestCleared 8106 Info "A request, or a part of prompts, during which upstreams ended has completed, or was cleared by an operator.";
     UpstreamLimited 8107 Info "An upstream named or changed a rate limit or a maximum of rejections, or no longer names it.";
     PathBroken 8108 Warn "This daemon does not reach an upstream that another daemon reaches; requests to it go through that daemon.";
     PathRestored 8109 Info "This daemon reaches an upstream again.";
