Don't panic where the reader of a command's output has gone

What users saw: 'shaleline state | head' ended with a panic and status 101.

Cause: println! panics on any failure to write. A closed pipe counts as success now, other failures are reported. The script's curl had the same race and writes to a file; the check is the same.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod command;
 mod file;
+mod output;
 mod saved;
 
 use std::process::ExitCode;
@@ -14,10 +15,7 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     match args::parse(&args) {
-        Ok(args::Parsed::Help(text)) => {
-            print!("{text}");
-            ExitCode::SUCCESS
-        }
+        Ok(args::Parsed::Help(text)) => print(&text),
         Ok(args::Parsed::Run(run)) => execute(&run),
         Err(e) => {
             eprintln!("shaleline: {e:#}");
@@ -26,16 +24,29 @@
     }
 }
 
+fn print(text: &str) -> ExitCode {
+    match output::write(&mut std::io::stdout(), text) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("shaleline: can't write the result: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn execute(run: &args::Run) -> ExitCode {
     let result = actix_rt::System::new().block_on(command::run(run));
     match result {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
+        Ok(text) => print(&format!("{text}\n")),
         Err(e) => {
             eprintln!("shaleline: {e:#}");
             ExitCode::FAILURE
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit"]
+mod unit {
+    mod output;
+}
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -122,7 +122,8 @@
 grep -q '"event":1004' "$out/daemon-2.log" || fail "the daemon says that it stopped"
 step "a planned stop cut off nothing"
 
-curl -sf 127.0.0.1:7211/metrics | grep -q shaleline_requests || fail "metrics are shown"
+curl -sf 127.0.0.1:7211/metrics >"$out/metrics.txt" && grep -q shaleline_requests "$out/metrics.txt" ||
+  fail "metrics are shown"
 "$bin/shaleline" state | grep -q '"instance": "entry-1"' || fail "state is shown"
 step "metrics and state are shown"
 echo "$passed passed, 0 failed"
