Serve on parts of prompts that were answered just now

Cause: many engines crash at once, and a part that all requests share was about to be answered at several of them, by daemons that had not answered it before. Three crashes blocked it everywhere, and what would have cleared it could no longer be sent.

Change: a part's crashes do not count at a router that has seen an answer with it within three seconds; a daemon that asks a hub leaves the decision on parts to it. A part that becomes the cause is blocked once the three seconds are over, within the platform's bound after the fifth crash.

Test: a_part_that_was_answered_just_now_is_served_on_after_many_crashes. The tests of parts and crashes pass as before.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -38,13 +38,18 @@
     /// daemon that selects for a request does not answer, a request during which upstreams crashed
     /// is refused, since this daemon does not know where its other copies are.
     pub(crate) fn refuse_suspect(&self, request: &RouteRequest, alone: bool) -> bool {
-        let crash_count = self.router.borrow().crash_count(request);
+        let router = self.router.borrow();
+        let crash_count = router.crash_count(request);
         let kind = match crash_count {
             0 => return false,
-            MAX_CRASHES.. => ErrorKind::EndsUpstreams,
+            MAX_CRASHES.. if alone || router.is_request_blocked(request) => {
+                ErrorKind::EndsUpstreams
+            }
             _ if alone => ErrorKind::NoUpstream,
+            // Whether a part of the prompt was answered just now, the hub knows better.
             _ => return false,
         };
+        drop(router);
         let (id, retry) = (request.id, None);
         self.deliver(&RouteAction::Refuse { id, kind, retry });
         true
--- a/crates/route/src/isolation.rs
+++ b/crates/route/src/isolation.rs
@@ -96,10 +96,26 @@
     /// Returns the number of crashes of a request, or of the part of its prompt that has most.
     #[must_use]
     pub fn crash_count(&self, request: &RouteRequest) -> usize {
-        let counts = request.causes().map(|c| self.crashes.crash_count(c));
+        let counts = request.causes().map(|c| self.count_of(c));
         counts.max().unwrap_or(0)
     }
 
+    /// Returns the number of crashes that count here for a request or part: none for a part that
+    /// was answered just now.
+    fn count_of(&self, cause: &Fingerprint) -> usize {
+        match cause.is_part() && self.sound_parts.is_recent(cause) {
+            true => 0,
+            false => self.crashes.crash_count(cause),
+        }
+    }
+
+    /// Returns whether the request itself is blocked, whatever its prompt.
+    #[must_use]
+    pub fn is_request_blocked(&self, request: &RouteRequest) -> bool {
+        let own = request.identity.map(|i| self.count_of(&i.request));
+        own.is_some_and(|count| count >= MAX_CRASHES)
+    }
+
     /// Takes the crash notes that were created since the last call.
     pub fn take_crash_notes(&mut self) -> Vec<CrashNote> {
         std::mem::take(&mut self.crash_notes)
@@ -112,6 +128,7 @@
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) -> Vec<CrashNote> {
+        self.sound_parts.advance(now);
         let before = self.crashes.blocked().clone();
         let mut new_notes = Vec::new();
         for note in notes {
@@ -209,6 +226,7 @@
     /// which it need not crash as well.
     fn stop_blocked(&mut self, before: &BTreeSet<Fingerprint>, out: &mut Vec<RouteAction>) {
         let new = self.crashes.blocked().difference(before);
+        let new = new.filter(|cause| self.count_of(cause) >= MAX_CRASHES);
         let ids: BTreeSet<RequestId> = new
             .flat_map(|cause| self.copies.of(cause))
             .copied()
@@ -265,7 +283,7 @@
         name: &Upstream,
         state: &UpstreamState,
     ) -> bool {
-        let crash_count = self.crashes.crash_count(cause);
+        let crash_count = self.count_of(cause);
         if crash_count >= MAX_CRASHES {
             return false;
         }
@@ -322,7 +340,7 @@
     fn is_unplaceable(&self, request: &RouteRequest, now: Millis) -> bool {
         let is_restricted = |cause: &Fingerprint| {
             let many = || self.copies.of(cause).nth(MAX_CRASHES).is_some();
-            self.crashes.crash_count(cause) > 0 || (!cause.is_part() && many())
+            self.count_of(cause) > 0 || (!cause.is_part() && many())
         };
         if !request.causes().any(is_restricted) {
             return false;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -122,6 +122,7 @@
     /// Handles an event and returns the actions to carry out.
     pub fn step(&mut self, event: RouteEvent, now: Millis) -> Vec<RouteAction> {
         let mut out = Vec::new();
+        self.sound_parts.advance(now);
         match event {
             RouteEvent::Arrive(request) => self.arrive(*request, now, &mut out),
             RouteEvent::FirstByte { id, attempt } => {
--- a/crates/route/src/sound_parts.rs
+++ b/crates/route/src/sound_parts.rs
@@ -12,6 +12,12 @@
 /// every few seconds, those of a conversation with each of its turns.
 const SOUND_MS: u64 = 60_000;
 
+/// Time after an answer for which a part's crashes don't count here. Where many upstreams crash at
+/// once, a part that many requests share is present at several of them before it can be answered
+/// again; and the answer that clears it needs an upstream. A part that has become the cause is
+/// blocked when this time is over.
+const RECENT_MS: u64 = 3_000;
+
 /// The most parts that are kept, which take about 200 KB. Others may be blamed and are cleared by
 /// their next answer.
 const MAX_PARTS: usize = 4_096;
@@ -27,9 +33,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct SoundParts {
     parts: BTreeMap<Fingerprint, Answered>,
+    /// The time of the router's latest event.
+    now: Millis,
 }
 
 impl SoundParts {
+    /// Sets the time to which [`Self::is_recent`] refers.
+    pub(crate) fn advance(&mut self, now: Millis) {
+        self.now = now;
+    }
+
+    /// Whether a request with this part was answered just now.
+    pub(crate) fn is_recent(&self, part: &Fingerprint) -> bool {
+        let answered = self.parts.get(part);
+        answered.is_some_and(|a| self.now.since(a.at) < RECENT_MS)
+    }
+
     /// Records that a request with these parts was answered.
     pub(crate) fn record(&mut self, parts: &[Fingerprint], now: Millis) {
         for part in parts {
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -239,7 +239,12 @@
     }
 
     fn arrive_with(&mut self, id: u64, identity: Identity, parts: Vec<Fingerprint>) {
-        let request = RouteRequest {
+        let request = Self::request(id, identity, parts);
+        self.step(RouteEvent::Arrive(Box::new(request)));
+    }
+
+    fn request(id: u64, identity: Identity, parts: Vec<Fingerprint>) -> RouteRequest {
+        RouteRequest {
             id: RequestId(id),
             org: Org::from_text("o").expect("a valid name"),
             route: route(),
@@ -260,8 +265,7 @@
             parts,
             excluded: BTreeMap::new(),
             version: None,
-        };
-        self.step(RouteEvent::Arrive(Box::new(request)));
+        }
     }
 
     fn end(&mut self, id: u64, end: AttemptEnd) {
@@ -503,3 +507,40 @@
     }
     assert_eq!(crashes.counts().0, MAX_PARTS_PER_CALLER);
 }
+
+/// Guards against a first part of all prompts that is blocked because many upstreams crash at once.
+#[test]
+fn a_part_that_was_answered_just_now_is_served_on_after_many_crashes() {
+    let mut fixture = RouterFixture::new(12, 20);
+    fixture.arrive_with(0, identity("a", 0), vec![part(1)]);
+    fixture.answer(0);
+    let note = CrashNote {
+        identity: identity("b", 0).with_part(part(1)),
+        ended: (0..6).map(start).collect(),
+        cleared: [].into(),
+        age: 0,
+    };
+    fixture.arrive_with(1, identity("a", 1), vec![part(1)]);
+    let mut out = Vec::new();
+    fixture.router.merge_crashes(vec![note], NOW, &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    fixture.arrive_with(2, identity("a", 2), vec![part(1)]);
+    assert!(fixture.in_flight.contains_key(&2), "{:?}", fixture.refused);
+    // Without a further answer it may be the cause.
+    fixture.router.step(RouteEvent::Tick, NOW.plus(3_000));
+    let late = RouteEvent::Arrive(Box::new(RouteRequest {
+        due: NOW.plus(9_000),
+        ..RouterFixture::request(3, identity("a", 3), vec![part(1)])
+    }));
+    let actions = fixture.router.step(late, NOW.plus(3_000));
+    let is_refusal = |a: &RouteAction| {
+        matches!(
+            a,
+            RouteAction::Refuse {
+                kind: ErrorKind::EndsUpstreams,
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(is_refusal), "{actions:?}");
+}
