--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -38,8 +38,8 @@
         Self(bytes)
     }
 
-    /// The fingerprint of a part of prompts, which many requests share. It can be told from a
-    /// request's by its end, so that messages and records of both have one format.
+    /// The fingerprint of a part of prompts, which many requests share. Its last bytes distinguish it
+    /// from a request's, so that messages and records of both have one format.
     #[must_use]
     pub fn of_part(part: u64) -> Self {
         let Self(mut bytes) = Self::of(&[&part.to_le_bytes()]);
