Log failed searches for a tunnel; connect through a trait

Event 8112 gives how many daemons were asked, and how many of them did not answer (silent), can't help (unavailable) or did not reach the upstream (unreached).

Connections to upstreams and relays are opened through the trait Network, which a simulation replaces. No decision changes.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -25,23 +25,42 @@
     /// Returns whether the tunnel may be tried.
     fn is_allowed(&self, target: &Target) -> bool;
 
-    /// Connects by a tunnel.
-    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>>;
+    /// Connects directly.
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(target.address))
+    }
+
+    /// Connects by a tunnel. Returns the connection and the address of the daemon in between.
+    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<Tunnel>>;
 
     /// Records that a direct connection was opened, or was not.
     fn on_direct(&self, target: &Target, opened: bool);
 }
 
+/// A connection through another daemon, and that daemon's address.
+#[derive(Debug)]
+pub struct Tunnel {
+    /// The connection.
+    pub stream: TcpStream,
+    /// The daemon in between.
+    pub relay: SocketAddr,
+}
+
 /// A connection, and the address of the daemon in between if it goes through a tunnel.
-pub(crate) struct Opened {
-    pub(crate) stream: TcpStream,
-    pub(crate) relay: Option<SocketAddr>,
+#[derive(Debug)]
+pub struct Opened {
+    /// The connection.
+    pub stream: TcpStream,
+    /// The daemon in between, if there is one.
+    pub relay: Option<SocketAddr>,
 }
 
 impl Opened {
-    fn by_tunnel(stream: TcpStream) -> io::Result<Self> {
-        let relay = Some(stream.peer_addr()?);
-        Ok(Self { stream, relay })
+    fn by_tunnel(tunnel: Tunnel) -> Self {
+        Self {
+            stream: tunnel.stream,
+            relay: Some(tunnel.relay),
+        }
     }
 }
 
@@ -49,14 +68,12 @@
     io::Error::from(io::ErrorKind::TimedOut)
 }
 
-async fn direct(target: &Target, limit: Duration) -> io::Result<TcpStream> {
-    let connect = TcpStream::connect(target.address);
-    timeout(limit, connect).await.map_err(|_| timed_out())?
-}
-
-/// Connects directly.
-pub(crate) async fn open_direct(target: &Target, limit: Duration) -> io::Result<Opened> {
-    let stream = direct(target, limit).await?;
+/// Connects directly, within the limit.
+pub(crate) async fn open_direct(
+    connect: impl Future<Output = io::Result<TcpStream>>,
+    limit: Duration,
+) -> io::Result<Opened> {
+    let stream = timeout(limit, connect).await.map_err(|_| timed_out())??;
     Ok(Opened {
         stream,
         relay: None,
@@ -65,15 +82,14 @@
 
 /// Connects directly or by a tunnel, whichever succeeds first. The tunnel is tried if the direct
 /// connection fails or takes long.
-pub(crate) async fn open(
-    target: &Target,
-    limit: Duration,
-    tunnels: &dyn Tunnels,
-) -> io::Result<Opened> {
+///
+/// # Errors
+/// If neither way connects within its limit.
+pub async fn open(target: &Target, limit: Duration, tunnels: &dyn Tunnels) -> io::Result<Opened> {
     if tunnels.is_needed(target) {
-        return tunnels.connect(target).await.and_then(Opened::by_tunnel);
+        return tunnels.connect(target).await.map(Opened::by_tunnel);
     }
-    let mut direct = pin!(open_direct(target, limit));
+    let mut direct = pin!(open_direct(tunnels.direct(target), limit));
     let first = tokio::select! {
         opened = &mut direct => Some(opened),
         () = sleep(HEDGE_DELAY) => None,
@@ -82,7 +98,7 @@
         tunnels.on_direct(target, opened.is_ok());
         return match opened {
             Err(e) if !tunnels.is_allowed(target) => Err(e),
-            Err(_) => tunnels.connect(target).await.and_then(Opened::by_tunnel),
+            Err(_) => tunnels.connect(target).await.map(Opened::by_tunnel),
             Ok(opened) => Ok(opened),
         };
     }
@@ -97,13 +113,13 @@
             tunnels.on_direct(target, opened.is_ok());
             match opened {
                 Ok(opened) => Ok(opened),
-                Err(_) => other.await.and_then(Opened::by_tunnel),
+                Err(_) => other.await.map(Opened::by_tunnel),
             }
         }
-        stream = &mut other => match stream {
-            Ok(stream) => {
+        tunnel = &mut other => match tunnel {
+            Ok(tunnel) => {
                 tunnels.on_direct(target, false);
-                Opened::by_tunnel(stream)
+                Ok(Opened::by_tunnel(tunnel))
             }
             Err(_) => {
                 let opened = direct.await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod tunnel;
 
 pub use clock::{Clock, SuspensionDetector, TimeSource};
-pub use connect::{LocalFuture, Tunnels};
+pub use connect::{open as open_connection, LocalFuture, Opened, Tunnel, Tunnels};
 pub use control::ListenerControl;
 pub use exchange::{Exchange, Framing, SendError};
 pub use listener::{CallerAddress, Handler, Listener};
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -13,6 +13,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -262,8 +263,18 @@
 
     /// Connects once and closes the connection, to find out whether a process listens there.
     pub async fn probe(&self, target: &Target, limit: Duration) -> ProbeOutcome {
+        self.probe_by(TcpStream::connect(target.address), limit)
+            .await
+    }
+
+    /// Probes like [`Pool::probe`] by a given way to connect.
+    pub async fn probe_by(
+        &self,
+        connect: impl Future<Output = io::Result<TcpStream>>,
+        limit: Duration,
+    ) -> ProbeOutcome {
         self.0.opened.set(self.0.opened.get() + 1);
-        match timeout(limit, TcpStream::connect(target.address)).await {
+        match timeout(limit, connect).await {
             Ok(Ok(_)) => ProbeOutcome::Accepted,
             Ok(Err(e)) if is_refusal(&e) => ProbeOutcome::Refused,
             Ok(Err(_)) | Err(_) => ProbeOutcome::Unreachable,
@@ -288,7 +299,7 @@
         let limit = self.0.settings.connect_timeout;
         let opened = match tunnels {
             Some(tunnels) => connect::open(target, limit, tunnels).await,
-            None => connect::open_direct(target, limit).await,
+            None => connect::open_direct(TcpStream::connect(target.address), limit).await,
         };
         let Opened { stream, relay } = opened.map_err(|_| SendError::NotSent)?;
         set_options(&stream, self.0.settings.unacked_timeout);
--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -28,6 +28,21 @@
     Ok((parts.io.into_inner(), parts.read_buf))
 }
 
+/// Why a daemon opened no tunnel.
+#[derive(Debug)]
+pub enum TunnelError {
+    /// The daemon answered with this status.
+    Refused(StatusCode),
+    /// The daemon could not be reached, or its answer makes no sense.
+    Failed(io::Error),
+}
+
+impl From<io::Error> for TunnelError {
+    fn from(error: io::Error) -> Self {
+        Self::Failed(error)
+    }
+}
+
 /// Connects to a target through the daemon that listens at `relay`.
 ///
 /// # Errors
@@ -36,7 +51,7 @@
     relay: SocketAddr,
     target: &Target,
     unacked_timeout: Duration,
-) -> io::Result<TcpStream> {
+) -> Result<TcpStream, TunnelError> {
     let stream = TcpStream::connect(relay).await?;
     set_options(&stream, unacked_timeout);
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(other)?;
@@ -50,13 +65,13 @@
     let response = sender.send_request(request).await.map_err(other)?;
     if response.status() != StatusCode::OK {
         task.abort();
-        return Err(other(format!("the relay answered {}", response.status())));
+        return Err(TunnelError::Refused(response.status()));
     }
     let upgraded = hyper::upgrade::on(response).await.map_err(other)?;
     let (stream, early) = into_parts::<TcpStream>(upgraded)?;
     match early.is_empty() {
         true => Ok(stream),
-        false => Err(other("the target sent bytes before it was asked")),
+        false => Err(other("the target sent bytes before it was asked").into()),
     }
 }
 
--- a/crates/edge/tests/tunnel.rs
+++ b/crates/edge/tests/tunnel.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::{
     tunnel, Exchange, Handler, Listener, ListenerControl, LocalFuture, Pool, PoolSettings, Reply,
-    ReplyBody, SendError, Target, Tunnels,
+    ReplyBody, SendError, Target, Tunnel, Tunnels,
 };
 use shaleline_testkit::cases;
 use shaleline_types::Upstream;
@@ -68,8 +68,13 @@
         true
     }
 
-    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
-        Box::pin(tunnel::connect(self.0, target, TIMEOUT))
+    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<Tunnel>> {
+        Box::pin(async {
+            let stream = tunnel::connect(self.0, target, TIMEOUT).await;
+            let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::HostUnreachable))?;
+            let relay = self.0;
+            Ok(Tunnel { stream, relay })
+        })
     }
 
     fn on_direct(&self, _: &Target, _: bool) {}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,7 @@
 //!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
 //!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
 //! * `paths` decides which upstreams this daemon reaches itself, and `tunnels` reaches the others
-//!   through another daemon.
+//!   through another daemon; `network` opens the connections.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
@@ -67,6 +67,7 @@
 mod membership;
 mod message;
 mod metrics;
+mod network;
 mod orders;
 mod orgs;
 mod paths;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::membership::Membership;
 use crate::message::{Sender, Tag};
 use crate::metrics::Metrics;
+use crate::network::{Network, SystemNetwork};
 use crate::paths::Paths;
 use crate::peer_requests::PeerRequests;
 use crate::permits::HeldSends;
@@ -142,6 +143,8 @@
     pub(crate) crashes_synced: Cell<Millis>,
     /// The recent probes of upstreams whose attempts broke off.
     pub(crate) crash_probes: RefCell<CrashProbes>,
+    /// Opens connections to upstreams.
+    pub(crate) network: Box<dyn Network>,
     /// Which upstreams this daemon reaches itself.
     pub(crate) paths: RefCell<Paths>,
     /// The daemon that opened the last tunnel, and the number of tunnels open for others.
@@ -199,6 +202,18 @@
         platform: Platform,
         outbox: mpsc::UnboundedSender<Addressed>,
         clock: Clock,
+        rng: SmallRng,
+    ) -> Result<Rc<Self>> {
+        let network = Box::new(SystemNetwork);
+        Self::with_network(settings, platform, outbox, (clock, network), rng)
+    }
+
+    /// A gateway with the given clock, network and random number generator.
+    pub(crate) fn with_network(
+        settings: GatewaySettings,
+        platform: Platform,
+        outbox: mpsc::UnboundedSender<Addressed>,
+        (clock, network): (Clock, Box<dyn Network>),
         mut rng: SmallRng,
     ) -> Result<Rc<Self>> {
         let incarnation = rng.random();
@@ -269,6 +284,7 @@
             delegated: RefCell::new(DelegatedRequests::new(incarnation, now)),
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
+            network,
             paths: RefCell::new(Paths::default()),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -7,6 +7,7 @@
 //! machine that orders come from. `docs/design/tunnels.md` compares the alternatives.
 
 use crate::journal::emit;
+use crate::network::Network;
 use crate::paths::PathChange;
 use crate::state::{Gateway, DEAD_TIMEOUT};
 use bytes::Bytes;
@@ -14,7 +15,10 @@
 use futures_util::StreamExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use shaleline_edge::{tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnels};
+use shaleline_edge::tunnel::TunnelError;
+use shaleline_edge::{
+    tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnel, Tunnels,
+};
 use shaleline_types::{LogEvent, Upstream};
 use std::cell::Cell;
 use std::io;
@@ -54,7 +58,11 @@
         gw.paths.borrow().may_tunnel(&target.name, gw.now())
     }
 
-    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+        self.0.connect_directly(target)
+    }
+
+    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<Tunnel>> {
         Box::pin(self.0.connect_by_tunnel(target))
     }
 
@@ -64,7 +72,7 @@
 }
 
 /// Counts an open tunnel until it is dropped.
-struct TunnelGuard(Rc<Cell<usize>>);
+pub(crate) struct TunnelGuard(Rc<Cell<usize>>);
 
 impl TunnelGuard {
     fn begin(open: &Rc<Cell<usize>>) -> Self {
@@ -79,21 +87,46 @@
     }
 }
 
+/// Why a daemon opened no tunnel, as its answer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Missed {
+    /// It gave no answer, or none that makes sense.
+    Silent,
+    /// It answered with this status.
+    Status(StatusCode),
+}
+
 /// Asks a daemon for a tunnel. It may be stopping, cut off or down itself.
-async fn ask_relay(relay: SocketAddr, target: &Target) -> Option<(SocketAddr, TcpStream)> {
-    let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
-    let stream = timeout(TUNNEL_TIMEOUT, connect).await.ok()?.ok()?;
-    Some((relay, stream))
+async fn ask_relay(
+    network: &dyn Network,
+    relay: SocketAddr,
+    target: &Target,
+) -> Result<Tunnel, Missed> {
+    let connect = network.tunnel(relay, target);
+    match timeout(TUNNEL_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => Ok(Tunnel { stream, relay }),
+        Ok(Err(TunnelError::Refused(status))) => Err(Missed::Status(status)),
+        Ok(Err(TunnelError::Failed(_))) | Err(_) => Err(Missed::Silent),
+    }
 }
 
 impl Gateway {
+    /// Connects directly.
+    pub(crate) fn connect_directly<'a>(
+        &'a self,
+        target: &'a Target,
+    ) -> LocalFuture<'a, io::Result<TcpStream>> {
+        self.network.direct(target)
+    }
+
     /// Connects through the first daemon that reaches the upstream.
-    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<TcpStream> {
+    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<Tunnel> {
         let mut relays = self.relays().into_iter();
         let mut asked = FuturesUnordered::new();
+        let mut missed = Vec::new();
         loop {
             match relays.next() {
-                Some(relay) => asked.push(ask_relay(relay, target)),
+                Some(relay) => asked.push(ask_relay(&*self.network, relay, target)),
                 None if asked.is_empty() => break,
                 None => {}
             }
@@ -102,14 +135,19 @@
                 0 => TUNNEL_TIMEOUT,
                 _ => RELAY_PAUSE,
             };
-            if let Ok(Some(Some((relay, stream)))) = timeout(pause, asked.next()).await {
-                self.last_relay.set(Some(relay));
-                self.record_tunnel(&target.name, true);
-                return Ok(stream);
+            match timeout(pause, asked.next()).await {
+                Ok(Some(Ok(tunnel))) => {
+                    self.last_relay.set(Some(tunnel.relay));
+                    self.record_tunnel(&target.name, true);
+                    return Ok(tunnel);
+                }
+                Ok(Some(Err(reason))) => missed.push(reason),
+                Ok(None) | Err(_) => {}
             }
         }
         self.last_relay.set(None);
         self.record_tunnel(&target.name, false);
+        self.log_missed(target, &missed);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
 
@@ -156,6 +194,28 @@
         }
     }
 
+    fn log_missed(&self, target: &Target, missed: &[Missed]) {
+        if !self.log_budget.take(self.now()) {
+            return;
+        }
+        let count = |status: StatusCode| {
+            let same = missed.iter().filter(|m| **m == Missed::Status(status));
+            same.count()
+        };
+        let silent = missed.iter().filter(|m| **m == Missed::Silent).count();
+        let paths = self.paths.borrow();
+        let detail = format!(
+            "upstream={} asked={} silent={silent} unavailable={} unreached={} broken={} cut_off={}",
+            target.name,
+            missed.len(),
+            count(StatusCode::SERVICE_UNAVAILABLE),
+            count(StatusCode::BAD_GATEWAY),
+            paths.broken(),
+            paths.is_cut_off(),
+        );
+        emit(LogEvent::TunnelMissed, &detail);
+    }
+
     /// Probes the paths that are due.
     pub(crate) fn probe_paths(self: &Rc<Self>) {
         let due = self.paths.borrow_mut().due_probes(self.now());
@@ -170,7 +230,8 @@
     }
 
     async fn probe_path(&self, target: &Target) {
-        let opened = self.pool.probe(target, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
+        let connect = self.connect_directly(target);
+        let opened = self.pool.probe_by(connect, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
         self.record_direct(&target.name, opened);
         if !opened {
             // The answer is recorded: it shows whether the upstream or the path has failed.
@@ -189,21 +250,12 @@
     pub(crate) async fn open_tunnel(&self, request: Request<Incoming>) -> Reply {
         let name = request.uri().authority().map(|a| a.host().to_owned());
         let name = name.and_then(|n| Upstream::from_text(&n).ok());
-        let target = name.and_then(|n| self.target(&n));
-        let Some(target) = target else {
+        let Some(name) = name else {
             return answer(StatusCode::NOT_FOUND);
         };
-        if !self.may_tunnel_to(&target.name) {
-            return answer(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let broken = self.paths.borrow().is_broken(&target.name);
-        if self.stopping.get() || broken || self.open_tunnels.get() >= MAX_TUNNELS {
-            return answer(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let guard = TunnelGuard::begin(&self.open_tunnels);
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
-        let Ok(Ok(stream)) = stream else {
-            return answer(StatusCode::BAD_GATEWAY);
+        let (stream, guard) = match self.connect_for(&name).await {
+            Ok(connected) => connected,
+            Err(status) => return answer(status),
         };
         let upgrade = hyper::upgrade::on(request);
         actix_rt::spawn(async move {
@@ -212,6 +264,24 @@
         });
         answer(StatusCode::OK)
     }
+
+    /// Connects to an upstream for another daemon.
+    pub(crate) async fn connect_for(
+        &self,
+        name: &Upstream,
+    ) -> Result<(TcpStream, TunnelGuard), StatusCode> {
+        let target = self.target(name).ok_or(StatusCode::NOT_FOUND)?;
+        let broken = self.paths.borrow().is_broken(name);
+        let full = self.open_tunnels.get() >= MAX_TUNNELS;
+        if !self.may_tunnel_to(name) || self.stopping.get() || broken || full {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let guard = TunnelGuard::begin(&self.open_tunnels);
+        match timeout(CONNECT_TIMEOUT, self.connect_directly(&target)).await {
+            Ok(Ok(stream)) => Ok((stream, guard)),
+            Ok(Err(_)) | Err(_) => Err(StatusCode::BAD_GATEWAY),
+        }
+    }
 }
 
 fn answer(status: StatusCode) -> Reply {
