Failing tests: daemons of large deployments that lose all upstreams

Simulated time, 9, 90 and 295 daemons in three data centres that know each other by their own messages alone, 30 upstreams.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -117,6 +117,8 @@
 #[path = "../tests/unit"]
 mod unit {
     mod admission;
+    #[path = "broken_paths/main.rs"]
+    mod broken_paths;
     #[path = "catalogue/main.rs"]
     mod catalogue;
     mod crash_probe;
