Let the hubs name relays, and learn from what they answer

Cause: absence of a way was taken for a death of the upstream. A daemon knows some nine others, hubs and their successors. Those that it heard of last came first, the own hub before all, cut off or not; a relay that failed was asked again for the next connection; and if none of eight opened a tunnel, the upstream counted as down for half a second. Hubs carried the tunnels of all.

Why it works: hubs name daemons of their data centres at random, without those that report that they reach nothing, so any daemon that reaches the upstreams is found and none has to carry all. Only a relay that can tell speaks for the upstream. With some paths broken, the others get a head start of 20 ms and lose their idle connections until they work.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -16,12 +16,21 @@
 /// connection takes a few milliseconds.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 
+/// The same time where the direct path is doubtful: a connection to another data centre still opens
+/// within it.
+const DOUBTFUL_HEDGE_DELAY: Duration = Duration::from_millis(20);
+
 /// Connects to upstreams through other instances, where the direct path is broken. A pool asks for
 /// each new connection; the implementation decides whether a tunnel is worth trying.
 pub trait Tunnels {
     /// Returns whether the direct path to the target is known to be broken.
     fn is_needed(&self, target: &Target) -> bool;
 
+    /// Returns whether the direct path to the target may be broken, as others are.
+    fn is_doubtful(&self, _target: &Target) -> bool {
+        false
+    }
+
     /// Returns whether the tunnel may be tried.
     fn is_allowed(&self, target: &Target) -> bool;
 
@@ -90,9 +99,13 @@
         return tunnels.connect(target).await.map(Opened::by_tunnel);
     }
     let mut direct = pin!(open_direct(tunnels.direct(target), limit));
+    let delay = match tunnels.is_doubtful(target) {
+        true => DOUBTFUL_HEDGE_DELAY,
+        false => HEDGE_DELAY,
+    };
     let first = tokio::select! {
         opened = &mut direct => Some(opened),
-        () = sleep(HEDGE_DELAY) => None,
+        () = sleep(delay) => None,
     };
     if let Some(opened) = first {
         tunnels.on_direct(target, opened.is_ok());
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -164,7 +164,7 @@
         request: Request<Full<Bytes>>,
         tunnels: &dyn Tunnels,
     ) -> Result<Exchange, SendError> {
-        if tunnels.is_needed(target) {
+        if tunnels.is_needed(target) || tunnels.is_doubtful(target) {
             self.drop_idle(target);
         }
         self.send_by(target, request, Some(tunnels)).await
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -30,6 +30,10 @@
 /// Number of stream pieces that are buffered between the upstream and the caller.
 const STREAM_BUFFER: usize = 8;
 
+/// The sends of a request that count as unfit, and not against their upstreams, if this daemon has
+/// lost its paths and finds no way around them.
+const MAX_UNFIT_SENDS: u32 = 2;
+
 /// The result of an attempt.
 pub(crate) enum Outcome {
     /// The caller has its answer, or the answer is being streamed.
@@ -141,6 +145,9 @@
         .send_with(&target, request, &GatewayTunnels(gw))
         .await?;
     gw.paths.borrow_mut().on_bytes(upstream);
+    if exchange.relay().is_none() {
+        gw.paths.borrow_mut().on_answer();
+    }
     let status = exchange.status();
     let headers = exchange.head().headers();
     let answer = gw.codec.answer(status, headers);
@@ -299,7 +306,8 @@
     if matches!(failure, Failure::Refused(_)) && failure != misdirected {
         gw.report_rejection(upstream);
     }
-    if failure == Failure::NotSent && job.head.model.is_some() {
+    let lost = failure == Failure::NotSent && gw.paths.borrow().is_unable();
+    if failure == Failure::NotSent && !lost && job.head.model.is_some() {
         gw.with_fleet(upstream, |f| f.record_unreachable(upstream, gw.now()));
     }
     if gw.log_budget.take(gw.now()) {
@@ -320,9 +328,10 @@
     }
     let path_broken = failure == Failure::Broken && gw.paths.borrow().is_broken(upstream);
     if let Some(end) = failure.to_end(*start) {
-        let end = match path_broken {
-            true => AttemptEnd::PathBroken,
-            false => end,
+        let end = match (path_broken, lost && permit.sends <= MAX_UNFIT_SENDS) {
+            (true, _) => AttemptEnd::PathBroken,
+            (false, true) => AttemptEnd::Unfit,
+            (false, false) => end,
         };
         permit.end(*attempt, end);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -297,6 +297,7 @@
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
         Message::Limits(message) => gw.on_limit_message(&from, message),
+        Message::Relays(message) => gw.on_relay_message(&from, &message),
         Message::Versions(message) => gw.on_version_message(&from, message),
         Message::PlannerUpdate(update) => forward_update(gw, &from, &update, now),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,7 @@
 //!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
 //!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
 //! * `paths` decides which upstreams this daemon reaches itself, and `tunnels` reaches the others
-//!   through another daemon; `network` opens the connections.
+//!   through another daemon, which `relays` selects; `network` opens the connections.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
@@ -81,6 +81,7 @@
 mod ready;
 mod refuse;
 mod relay;
+mod relays;
 mod request;
 mod roster;
 mod selection;
@@ -137,6 +138,7 @@
     mod planner_watch;
     mod read_progress;
     mod ready;
+    mod relays;
     mod roster;
     mod selection;
     mod start;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -16,7 +16,7 @@
 };
 use crate::peers::Peers;
 use crate::selector::Selector;
-use shaleline_types::{stable_hash, DataCentre, Instance, Millis};
+use shaleline_types::{DataCentre, Instance, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -261,16 +261,17 @@
         }
     }
 
-    /// The daemons that this one knows: first those that recently sent a datagram, then the others,
-    /// as most daemons exchange datagrams with hubs alone. Each daemon has an order of its own, so
-    /// that those that can't reach the upstreams themselves spread over the others.
-    pub(crate) fn relays(&self, now: Millis) -> Vec<SocketAddr> {
-        let me = self.me.address.to_string();
-        let mut relays = self.peers.by_contact(now, SILENT_MS);
-        relays.sort_by_cached_key(|(address, recent)| {
-            (!*recent, stable_hash(&[&me, &address.to_string()]))
-        });
-        relays.into_iter().map(|(address, _)| address).collect()
+    /// The addresses of all daemons that this one knows.
+    pub(crate) fn known_addresses(&self) -> Vec<SocketAddr> {
+        self.peers.all_addresses().collect()
+    }
+
+    /// The daemons of this data centre that report to this one as their hub.
+    pub(crate) fn reporting(&self, now: Millis) -> Vec<SocketAddr> {
+        let fresh = |(_, r): &(&Instance, &Received)| now.since(r.at) < REPORT_STALE_MS;
+        let reporting = self.reports.iter().filter(fresh);
+        let addresses = reporting.filter_map(|(i, _)| self.peers.address(i));
+        addresses.collect()
     }
 
     /// The known hubs, without this daemon.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatch::{Answer, Ask, AskNote, Exclusion, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
+use crate::relays::RelayMessage;
 use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
@@ -114,6 +115,8 @@
     Versions(VersionMessage),
     /// Like [`Message::AskExcept`], for a request whose prompt has parts that others may share.
     AskParts(Box<Ask>),
+    /// About daemons that open tunnels for others.
+    Relays(RelayMessage),
 }
 
 /// What daemons exchange about streams that are bound to a software version.
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -5,7 +5,7 @@
 //! a tunnel at such a daemon (`tunnels`); where it fails too, the upstream is down.
 
 use shaleline_types::{Millis, Upstream};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The time within which a failed direct connection and a successful tunnel count as one
 /// observation.
@@ -22,6 +22,13 @@
 const SILENCE_MS: u64 = 400;
 const SUSPECT_INTERVAL_MS: u64 = 1_000;
 
+/// The number of upstreams without a connection, while no other one answers, from which this daemon
+/// can't help others.
+const UNABLE_PATHS: usize = 2;
+
+/// The time after a failed connection for which a daemon that can't help others does not try to.
+const UNABLE_MS: u64 = 500;
+
 /// The number of broken paths from which this daemon takes all its paths for broken, unless one of
 /// them has worked since the first broke.
 const CUT_OFF_PATHS: usize = 2;
@@ -50,8 +57,13 @@
     tunnelled: BTreeMap<Upstream, Millis>,
     /// Until when other daemons are not asked for a tunnel.
     unreached: BTreeMap<Upstream, Millis>,
-    /// When a direct connection was last opened.
+    /// When a direct connection was last opened, to any upstream and to each of them.
     last_opened: Option<Millis>,
+    opened: BTreeMap<Upstream, Millis>,
+    /// The upstreams that could not be connected to since any of them answered, and when the last
+    /// connection failed.
+    failing: BTreeSet<Upstream>,
+    last_failed: Option<Millis>,
     /// Since when an upstream has sent nothing though requests were sent there.
     silent: BTreeMap<Upstream, Millis>,
     /// When the path to a silent upstream is probed next.
@@ -71,6 +83,26 @@
         self.broken.len() >= CUT_OFF_PATHS && !first.is_some_and(works)
     }
 
+    /// Whether the path to the upstream has not worked since others were found to be broken.
+    pub(crate) fn is_doubtful(&self, upstream: &Upstream) -> bool {
+        let first = self.broken.values().map(|b| b.since).min();
+        let opened = self.opened.get(upstream).copied();
+        self.broken.len() >= CUT_OFF_PATHS && opened < first
+    }
+
+    /// Whether this daemon may not reach any upstream, and if so can't help others. Unlike
+    /// [`Self::is_cut_off`] this needs no daemon that does.
+    pub(crate) fn is_unable(&self) -> bool {
+        self.is_cut_off() || self.failing.len() >= UNABLE_PATHS
+    }
+
+    /// Whether this daemon may connect to the upstream for another one.
+    pub(crate) fn may_relay(&self, upstream: &Upstream, now: Millis) -> bool {
+        let failed = self.last_failed;
+        let failed = failed.is_some_and(|at| now.since(at) < UNABLE_MS);
+        !(self.is_broken(upstream) || self.is_unable() && failed)
+    }
+
     /// The number of broken paths.
     pub(crate) fn broken(&self) -> usize {
         self.broken.len()
@@ -91,9 +123,13 @@
     ) -> Option<PathChange> {
         if !opened {
             self.failed.insert(upstream.clone(), now);
+            self.failing.insert(upstream.clone());
+            self.last_failed = Some(now);
             return self.compare(upstream, now);
         }
         self.last_opened = Some(now);
+        self.opened.insert(upstream.clone(), now);
+        self.failing.clear();
         // Whatever the upstream does with the requests, it is reached.
         self.silent.remove(upstream);
         self.failed.remove(upstream);
@@ -102,16 +138,19 @@
         Some(PathChange::Restored(Millis(now.since(broken.since))))
     }
 
-    /// Records whether a tunnel reached the upstream.
+    /// Records whether a tunnel reached the upstream. If none did, the upstream is only down if
+    /// `reliable` is set: the daemons that were asked could tell.
     pub(crate) fn on_tunnel(
         &mut self,
         upstream: &Upstream,
-        opened: bool,
+        (opened, reliable): (bool, bool),
         now: Millis,
     ) -> Option<PathChange> {
         if !opened {
-            let until = now.plus(UNREACHED_MS);
-            self.unreached.insert(upstream.clone(), until);
+            if reliable {
+                let until = now.plus(UNREACHED_MS);
+                self.unreached.insert(upstream.clone(), until);
+            }
             return None;
         }
         self.tunnelled.insert(upstream.clone(), now);
@@ -140,6 +179,11 @@
         }
     }
 
+    /// Records that an upstream answered on a direct connection.
+    pub(crate) fn on_answer(&mut self) {
+        self.failing.clear();
+    }
+
     /// Records that bytes of the upstream arrived.
     pub(crate) fn on_bytes(&mut self, upstream: &Upstream) {
         self.silent.remove(upstream);
@@ -181,5 +225,7 @@
         self.failed.remove(upstream);
         self.tunnelled.remove(upstream);
         self.silent.remove(upstream);
+        self.opened.remove(upstream);
+        self.failing.remove(upstream);
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -173,11 +173,9 @@
         near.filter_map(|n| self.all.get(n).map(|p| (n, p.address)))
     }
 
-    /// The addresses of all daemons, each with whether it sent a datagram within this time.
-    pub(crate) fn by_contact(&self, now: Millis, within: u64) -> Vec<(SocketAddr, bool)> {
-        let recent = |p: &Peer| p.last_datagram.is_some_and(|at| now.since(at) < within);
-        let all = self.all.values();
-        all.map(|p| (p.address, recent(p))).collect()
+    /// The addresses of all daemons, without this one.
+    pub(crate) fn all_addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.all.values().map(|p| p.address)
     }
 
     /// The number of other daemons known, alive or not.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -133,6 +133,7 @@
             cleaned = now;
             gw.pool.prune();
             gw.paths.borrow_mut().prune(now);
+            gw.relays.borrow_mut().prune(now);
             gw.allowances.borrow_mut().prune(now);
             remove_gone(&gw);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::planner_lease::Inherited;
 use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
+use crate::relays::Relays;
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
@@ -147,6 +148,8 @@
     pub(crate) network: Box<dyn Network>,
     /// Which upstreams this daemon reaches itself.
     pub(crate) paths: RefCell<Paths>,
+    /// The daemons as relays.
+    pub(crate) relays: RefCell<Relays>,
     /// The daemon that opened the last tunnel, and the number of tunnels open for others.
     pub(crate) last_relay: Cell<Option<SocketAddr>>,
     pub(crate) open_tunnels: Rc<Cell<usize>>,
@@ -286,6 +289,7 @@
             crash_probes: RefCell::new(CrashProbes::default()),
             network,
             paths: RefCell::new(Paths::default()),
+            relays: RefCell::new(Relays::default()),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -7,8 +7,10 @@
 //! machine that orders come from. `docs/design/tunnels.md` compares the alternatives.
 
 use crate::journal::emit;
+use crate::message::{Message, Sender};
 use crate::network::Network;
 use crate::paths::PathChange;
+use crate::relays::RelayMessage;
 use crate::state::{Gateway, DEAD_TIMEOUT};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -21,12 +23,13 @@
 };
 use shaleline_types::{LogEvent, Upstream};
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time in which a daemon must open a tunnel. It tries to connect for less than that.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -53,6 +56,10 @@
         self.0.paths.borrow().is_broken(&target.name)
     }
 
+    fn is_doubtful(&self, target: &Target) -> bool {
+        self.0.paths.borrow().is_doubtful(&target.name)
+    }
+
     fn is_allowed(&self, target: &Target) -> bool {
         let gw = self.0;
         gw.paths.borrow().may_tunnel(&target.name, gw.now())
@@ -101,13 +108,14 @@
     network: &dyn Network,
     relay: SocketAddr,
     target: &Target,
-) -> Result<Tunnel, Missed> {
+) -> (SocketAddr, Result<TcpStream, Missed>) {
     let connect = network.tunnel(relay, target);
-    match timeout(TUNNEL_TIMEOUT, connect).await {
-        Ok(Ok(stream)) => Ok(Tunnel { stream, relay }),
+    let answer = match timeout(TUNNEL_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => Ok(stream),
         Ok(Err(TunnelError::Refused(status))) => Err(Missed::Status(status)),
         Ok(Err(TunnelError::Failed(_))) | Err(_) => Err(Missed::Silent),
-    }
+    };
+    (relay, answer)
 }
 
 impl Gateway {
@@ -121,43 +129,120 @@
 
     /// Connects through the first daemon that reaches the upstream.
     async fn connect_by_tunnel(&self, target: &Target) -> io::Result<Tunnel> {
-        let mut relays = self.relays().into_iter();
+        self.begin_search();
         let mut asked = FuturesUnordered::new();
+        let mut tried = BTreeSet::new();
         let mut missed = Vec::new();
+        let mut waited = false;
         loop {
-            match relays.next() {
-                Some(relay) => asked.push(ask_relay(&*self.network, relay, target)),
-                None if asked.is_empty() => break,
-                None => {}
+            let relay = match tried.len() < MAX_RELAYS {
+                true => self.relays.borrow_mut().next(&tried, self.now()),
+                false => None,
+            };
+            if let Some(relay) = relay {
+                tried.insert(relay);
+                asked.push(ask_relay(&*self.network, relay, target));
+            }
+            if asked.is_empty() {
+                if std::mem::replace(&mut waited, true) {
+                    break;
+                }
+                // The hubs may name daemons meanwhile.
+                sleep(RELAY_PAUSE).await;
+                continue;
             }
             // The next daemon is asked once one has failed, or is slow.
-            let pause = match relays.len() {
-                0 => TUNNEL_TIMEOUT,
-                _ => RELAY_PAUSE,
-            };
-            match timeout(pause, asked.next()).await {
-                Ok(Some(Ok(tunnel))) => {
-                    self.last_relay.set(Some(tunnel.relay));
-                    self.record_tunnel(&target.name, true);
-                    return Ok(tunnel);
+            match timeout(RELAY_PAUSE, asked.next()).await {
+                Ok(Some((relay, Ok(stream)))) => {
+                    self.last_relay.set(Some(relay));
+                    self.record_answer_of(relay, true);
+                    self.record_tunnel(&target.name, true, true);
+                    return Ok(Tunnel { stream, relay });
+                }
+                Ok(Some((relay, Err(reason)))) => {
+                    if reason != Missed::Status(StatusCode::NOT_FOUND) {
+                        self.record_answer_of(relay, false);
+                    }
+                    missed.push(reason);
                 }
-                Ok(Some(Err(reason))) => missed.push(reason),
                 Ok(None) | Err(_) => {}
             }
         }
         self.last_relay.set(None);
-        self.record_tunnel(&target.name, false);
+        let tried_upstream = missed.contains(&Missed::Status(StatusCode::BAD_GATEWAY));
+        let reliable = tried_upstream || !self.paths.borrow().is_unable();
+        self.record_tunnel(&target.name, false, reliable);
         self.log_missed(target, &missed);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
 
-    /// The daemons to ask for a tunnel, the one that served the last one first.
-    fn relays(&self) -> Vec<SocketAddr> {
-        let last = self.last_relay.get();
-        let mut relays = self.membership.borrow().relays(self.now());
-        relays.sort_by_key(|r| Some(*r) != last);
-        relays.truncate(MAX_RELAYS);
-        relays
+    /// Collects the daemons that may be asked, and asks the hubs for more.
+    fn begin_search(&self) {
+        let now = self.now();
+        let known = self.membership.borrow().known_addresses();
+        let mut relays = self.relays.borrow_mut();
+        relays.on_known(&known, || self.random(), now);
+        relays.on_search();
+        drop(relays);
+        self.request_relays();
+    }
+
+    /// Asks the hubs for relays, unless that happened just now.
+    pub(crate) fn request_relays(&self) {
+        let now = self.now();
+        if !self.relays.borrow_mut().take_request(now) {
+            return;
+        }
+        let unable = self.paths.borrow().is_unable();
+        let hubs = self.membership.borrow_mut().known_hubs(now);
+        let request = |hub| (hub, Message::Relays(RelayMessage::Request { unable }));
+        self.send(hubs.into_iter().map(request).collect());
+        if let Some(own) = self.relay_list(self.me.address) {
+            self.learn_relays(&own);
+        }
+    }
+
+    /// The daemons that this one names as relays, if it is a hub.
+    fn relay_list(&self, asker: SocketAddr) -> Option<Vec<SocketAddr>> {
+        let now = self.now();
+        let mut membership = self.membership.borrow_mut();
+        if !membership.is_hub(now) {
+            return None;
+        }
+        let unable = self.paths.borrow().is_unable();
+        let me = (!unable).then_some(self.me.address);
+        let alive = membership.reporting(now).into_iter().chain(me);
+        let alive = alive.filter(|a| *a != asker);
+        let relays = self.relays.borrow();
+        Some(relays.list(alive, || self.random(), now))
+    }
+
+    fn learn_relays(&self, listed: &[SocketAddr]) {
+        let now = self.now();
+        let mut relays = self.relays.borrow_mut();
+        relays.on_known(listed, || self.random(), now);
+        relays.on_listed(listed, now);
+    }
+
+    /// Handles a message about relays.
+    pub(crate) fn on_relay_message(&self, from: &Sender, message: &RelayMessage) {
+        match message {
+            RelayMessage::Request { unable } => {
+                let now = self.now();
+                self.relays
+                    .borrow_mut()
+                    .on_report(from.address, *unable, now);
+                let list = self.relay_list(from.address);
+                let list = list.map(|l| (from.address, Message::Relays(RelayMessage::List(l))));
+                self.send(list.into_iter().collect());
+            }
+            RelayMessage::List(listed) => self.learn_relays(listed),
+        }
+    }
+
+    fn record_answer_of(&self, relay: SocketAddr, opened: bool) {
+        let now = self.now();
+        self.relays.borrow_mut().on_answer(relay, opened, now);
     }
 
     /// Records whether a direct connection to an upstream was opened.
@@ -167,9 +252,10 @@
         self.log_path(upstream, change);
     }
 
-    fn record_tunnel(&self, upstream: &Upstream, opened: bool) {
+    fn record_tunnel(&self, upstream: &Upstream, opened: bool, reliable: bool) {
         let now = self.now();
-        let change = self.paths.borrow_mut().on_tunnel(upstream, opened, now);
+        let outcome = (opened, reliable);
+        let change = self.paths.borrow_mut().on_tunnel(upstream, outcome, now);
         self.log_path(upstream, change);
     }
 
@@ -218,6 +304,9 @@
 
     /// Probes the paths that are due.
     pub(crate) fn probe_paths(self: &Rc<Self>) {
+        if self.paths.borrow().is_unable() {
+            self.request_relays();
+        }
         let due = self.paths.borrow_mut().due_probes(self.now());
         for upstream in due {
             let Some(target) = self.target(&upstream) else {
@@ -271,14 +360,20 @@
         name: &Upstream,
     ) -> Result<(TcpStream, TunnelGuard), StatusCode> {
         let target = self.target(name).ok_or(StatusCode::NOT_FOUND)?;
-        let broken = self.paths.borrow().is_broken(name);
+        let broken = !self.paths.borrow().may_relay(name, self.now());
         let full = self.open_tunnels.get() >= MAX_TUNNELS;
         if !self.may_tunnel_to(name) || self.stopping.get() || broken || full {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         let guard = TunnelGuard::begin(&self.open_tunnels);
-        match timeout(CONNECT_TIMEOUT, self.connect_directly(&target)).await {
+        let connected = timeout(CONNECT_TIMEOUT, self.connect_directly(&target)).await;
+        self.record_direct(name, matches!(connected, Ok(Ok(_))));
+        match connected {
             Ok(Ok(stream)) => Ok((stream, guard)),
+            // It is not known whether the upstream or this daemon's path to it has failed.
+            Ok(Err(_)) | Err(_) if self.paths.borrow().is_unable() => {
+                Err(StatusCode::SERVICE_UNAVAILABLE)
+            }
             Ok(Err(_)) | Err(_) => Err(StatusCode::BAD_GATEWAY),
         }
     }
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -277,7 +277,7 @@
         let hubs = self.hubs();
         let other = (0..self.len()).rfind(|d| !hubs.contains(d) && *d >= SEEDS);
         let gw = Rc::clone(&self.world.daemon(other.expect("a daemon")).gw);
-        let known = gw.membership.borrow().relays(gw.now());
+        let known = gw.membership.borrow().known_addresses();
         let is_known = |d: &usize| known.contains(&self.world.daemon(*d).address);
         (0..self.len()).filter(is_known).collect()
     }
@@ -327,14 +327,14 @@
         let gw = Rc::clone(&self.world.daemon(index).gw);
         let phase = now + 7 * index as u64;
         let mut out = Addressed::new();
-        if phase.is_multiple_of(TICK_MS) {
+        if phase % TICK_MS == 0 {
             run_tick(&gw, TICK_MS);
             gw.probe_paths();
         }
-        if phase.is_multiple_of(gw.report_interval().0) {
+        if phase % gw.report_interval().0 == 0 {
             out.extend(periodic_messages(&gw));
         }
-        if now < HELLO_MS && phase.is_multiple_of(HELLO_INTERVAL_MS) {
+        if now < HELLO_MS && phase % HELLO_INTERVAL_MS == 0 {
             let seeds = self.world.daemons.borrow();
             let hello = seeds
                 .iter()
@@ -355,7 +355,7 @@
 
     /// Lets a request arrive at a daemon if one is due.
     fn request(&mut self, index: usize, served: Option<&Rc<RefCell<Served>>>) {
-        if !(self.now() + 11 * index as u64).is_multiple_of(self.interval) {
+        if (self.now() + 11 * index as u64) % self.interval != 0 {
             return;
         }
         let daemon = self.world.daemon(index);
--- a/crates/gateway/tests/unit/paths.rs
+++ b/crates/gateway/tests/unit/paths.rs
@@ -20,7 +20,7 @@
         let now = NOW.plus(*at);
         match direct {
             true => paths.on_direct(&up(1), *opened, now),
-            false => paths.on_tunnel(&up(1), *opened, now),
+            false => paths.on_tunnel(&up(1), (*opened, true), now),
         };
     }
     paths.is_broken(&up(1))
@@ -41,7 +41,7 @@
 
 fn break_path(paths: &mut Paths, number: usize, now: Millis) {
     paths.on_direct(&up(number), false, now);
-    let change = paths.on_tunnel(&up(number), true, now);
+    let change = paths.on_tunnel(&up(number), (true, true), now);
     assert_eq!(change, Some(PathChange::Broken));
 }
 
@@ -91,3 +91,55 @@
     paths.on_direct(&up(1), true, NOW.plus(505));
     assert_eq!(paths.due_probes(NOW.plus(5_000)), []);
 }
+
+/// Whether a daemon that failed to connect to this many upstreams can't help others, and one of
+/// whose upstreams answered in between if `answered` is set.
+fn is_unable_after((failures, answered): (usize, bool)) -> bool {
+    let mut paths = Paths::default();
+    for number in 0..failures {
+        paths.on_direct(&up(number), false, NOW.plus(number as u64));
+        if answered {
+            paths.on_answer();
+        }
+    }
+    paths.is_unable()
+}
+
+cases! {
+    is_unable_after;
+    one_upstream_without_a_connection_says_nothing_of_the_others: (1, false) => false,
+    a_daemon_that_reaches_none_of_several_upstreams_cannot_help: (2, false) => true,
+    a_daemon_whose_other_upstreams_answer_can_help: (35, true) => false,
+}
+
+#[test]
+fn a_daemon_that_reaches_nothing_helps_nobody_until_a_connection_opens() {
+    let mut paths = Paths::default();
+    paths.on_direct(&up(1), false, NOW);
+    paths.on_direct(&up(2), false, NOW);
+    assert!(!paths.may_relay(&up(3), NOW.plus(400)));
+    assert!(paths.may_relay(&up(3), NOW.plus(500)), "it has to find out");
+    paths.on_direct(&up(3), true, NOW.plus(510));
+    assert!(paths.may_relay(&up(4), NOW.plus(520)));
+}
+
+#[test]
+fn a_search_that_nobody_could_judge_says_nothing_of_the_upstream() {
+    let mut paths = Paths::default();
+    paths.on_tunnel(&up(1), (false, false), NOW);
+    assert!(paths.may_tunnel(&up(1), NOW));
+    paths.on_tunnel(&up(1), (false, true), NOW);
+    assert!(!paths.may_tunnel(&up(1), NOW));
+}
+
+#[test]
+fn paths_are_doubtful_until_they_work_again_where_others_are_broken() {
+    let mut paths = Paths::default();
+    paths.on_direct(&up(3), true, NOW);
+    break_path(&mut paths, 1, NOW.plus(100));
+    assert!(!paths.is_doubtful(&up(3)));
+    break_path(&mut paths, 2, NOW.plus(200));
+    assert!(paths.is_doubtful(&up(3)) && paths.is_doubtful(&up(4)));
+    paths.on_direct(&up(3), true, NOW.plus(300));
+    assert!(!paths.is_doubtful(&up(3)) && paths.is_doubtful(&up(4)));
+}
