--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,12 +11,14 @@
 use crate::membership::Membership;
 use crate::message::{Sender, Tag};
 use crate::metrics::Metrics;
+use crate::network::{Network, SystemNetwork};
 use crate::paths::Paths;
 use crate::peer_requests::PeerRequests;
 use crate::permits::HeldSends;
 use crate::planner_lease::Inherited;
 use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
+use crate::relays::Relays;
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
@@ -142,8 +144,12 @@
     pub(crate) crashes_synced: Cell<Millis>,
     /// The recent probes of upstreams whose attempts broke off.
     pub(crate) crash_probes: RefCell<CrashProbes>,
+    /// Opens connections to upstreams.
+    pub(crate) network: Box<dyn Network>,
     /// Which upstreams this daemon reaches itself.
     pub(crate) paths: RefCell<Paths>,
+    /// The daemons as relays.
+    pub(crate) relays: RefCell<Relays>,
     /// The daemon that opened the last tunnel, and the number of tunnels open for others.
     pub(crate) last_relay: Cell<Option<SocketAddr>>,
     pub(crate) open_tunnels: Rc<Cell<usize>>,
@@ -199,6 +205,18 @@
         platform: Platform,
         outbox: mpsc::UnboundedSender<Addressed>,
         clock: Clock,
+        rng: SmallRng,
+    ) -> Result<Rc<Self>> {
+        let network = Box::new(SystemNetwork);
+        Self::with_network(settings, platform, outbox, (clock, network), rng)
+    }
+
+    /// A gateway with the given clock, network and random number generator.
+    pub(crate) fn with_network(
+        settings: GatewaySettings,
+        platform: Platform,
+        outbox: mpsc::UnboundedSender<Addressed>,
+        (clock, network): (Clock, Box<dyn Network>),
         mut rng: SmallRng,
     ) -> Result<Rc<Self>> {
         let incarnation = rng.random();
@@ -269,7 +287,9 @@
             delegated: RefCell::new(DelegatedRequests::new(incarnation, now)),
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
+            network,
             paths: RefCell::new(Paths::default()),
+            relays: RefCell::new(Relays::default()),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -7,22 +7,29 @@
 //! machine that orders come from. `docs/design/tunnels.md` compares the alternatives.
 
 use crate::journal::emit;
+use crate::message::{Message, Sender};
+use crate::network::Network;
 use crate::paths::PathChange;
+use crate::relays::RelayMessage;
 use crate::state::{Gateway, DEAD_TIMEOUT};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use shaleline_edge::{tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnels};
+use shaleline_edge::tunnel::TunnelError;
+use shaleline_edge::{
+    tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnel, Tunnels,
+};
 use shaleline_types::{LogEvent, Upstream};
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time in which a daemon must open a tunnel. It tries to connect for less than that.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -49,12 +56,20 @@
         self.0.paths.borrow().is_broken(&target.name)
     }
 
+    fn is_doubtful(&self, target: &Target) -> bool {
+        self.0.paths.borrow().is_doubtful(&target.name)
+    }
+
     fn is_allowed(&self, target: &Target) -> bool {
         let gw = self.0;
         gw.paths.borrow().may_tunnel(&target.name, gw.now())
     }
 
-    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+        self.0.connect_directly(target)
+    }
+
+    fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<Tunnel>> {
         Box::pin(self.0.connect_by_tunnel(target))
     }
 
@@ -64,7 +79,7 @@
 }
 
 /// Counts an open tunnel until it is dropped.
-struct TunnelGuard(Rc<Cell<usize>>);
+pub(crate) struct TunnelGuard(Rc<Cell<usize>>);
 
 impl TunnelGuard {
     fn begin(open: &Rc<Cell<usize>>) -> Self {
@@ -79,47 +94,155 @@
     }
 }
 
+/// Why a daemon opened no tunnel, as its answer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Missed {
+    /// It gave no answer, or none that makes sense.
+    Silent,
+    /// It answered with this status.
+    Status(StatusCode),
+}
+
 /// Asks a daemon for a tunnel. It may be stopping, cut off or down itself.
-async fn ask_relay(relay: SocketAddr, target: &Target) -> Option<(SocketAddr, TcpStream)> {
-    let connect = tunnel::connect(relay, target, DEAD_TIMEOUT);
-    let stream = timeout(TUNNEL_TIMEOUT, connect).await.ok()?.ok()?;
-    Some((relay, stream))
+async fn ask_relay(
+    network: &dyn Network,
+    relay: SocketAddr,
+    target: &Target,
+) -> (SocketAddr, Result<TcpStream, Missed>) {
+    let connect = network.tunnel(relay, target);
+    let answer = match timeout(TUNNEL_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(TunnelError::Refused(status))) => Err(Missed::Status(status)),
+        Ok(Err(TunnelError::Failed(_))) | Err(_) => Err(Missed::Silent),
+    };
+    (relay, answer)
 }
 
 impl Gateway {
+    /// Connects directly.
+    pub(crate) fn connect_directly<'a>(
+        &'a self,
+        target: &'a Target,
+    ) -> LocalFuture<'a, io::Result<TcpStream>> {
+        self.network.direct(target)
+    }
+
     /// Connects through the first daemon that reaches the upstream.
-    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<TcpStream> {
-        let mut relays = self.relays().into_iter();
+    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<Tunnel> {
+        self.begin_search();
         let mut asked = FuturesUnordered::new();
+        let mut tried = BTreeSet::new();
+        let mut missed = Vec::new();
+        let mut waited = false;
         loop {
-            match relays.next() {
-                Some(relay) => asked.push(ask_relay(relay, target)),
-                None if asked.is_empty() => break,
-                None => {}
+            let relay = match tried.len() < MAX_RELAYS {
+                true => self.relays.borrow_mut().next(&tried, self.now()),
+                false => None,
+            };
+            if let Some(relay) = relay {
+                tried.insert(relay);
+                asked.push(ask_relay(&*self.network, relay, target));
+            }
+            if asked.is_empty() {
+                if std::mem::replace(&mut waited, true) {
+                    break;
+                }
+                // The hubs may name daemons meanwhile.
+                sleep(RELAY_PAUSE).await;
+                continue;
             }
             // The next daemon is asked once one has failed, or is slow.
-            let pause = match relays.len() {
-                0 => TUNNEL_TIMEOUT,
-                _ => RELAY_PAUSE,
-            };
-            if let Ok(Some(Some((relay, stream)))) = timeout(pause, asked.next()).await {
-                self.last_relay.set(Some(relay));
-                self.record_tunnel(&target.name, true);
-                return Ok(stream);
+            match timeout(RELAY_PAUSE, asked.next()).await {
+                Ok(Some((relay, Ok(stream)))) => {
+                    self.last_relay.set(Some(relay));
+                    self.record_answer_of(relay, true);
+                    self.record_tunnel(&target.name, true, true);
+                    return Ok(Tunnel { stream, relay });
+                }
+                Ok(Some((relay, Err(reason)))) => {
+                    if reason != Missed::Status(StatusCode::NOT_FOUND) {
+                        self.record_answer_of(relay, false);
+                    }
+                    missed.push(reason);
+                }
+                Ok(None) | Err(_) => {}
             }
         }
         self.last_relay.set(None);
-        self.record_tunnel(&target.name, false);
+        let tried_upstream = missed.contains(&Missed::Status(StatusCode::BAD_GATEWAY));
+        let reliable = tried_upstream || !self.paths.borrow().is_unable();
+        self.record_tunnel(&target.name, false, reliable);
+        self.log_missed(target, &missed);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
 
-    /// The daemons to ask for a tunnel, the one that served the last one first.
-    fn relays(&self) -> Vec<SocketAddr> {
-        let last = self.last_relay.get();
-        let mut relays = self.membership.borrow().relays(self.now());
-        relays.sort_by_key(|r| Some(*r) != last);
-        relays.truncate(MAX_RELAYS);
-        relays
+    /// Collects the daemons that may be asked, and asks the hubs for more.
+    fn begin_search(&self) {
+        let now = self.now();
+        let known = self.membership.borrow().known_addresses();
+        let mut relays = self.relays.borrow_mut();
+        relays.on_known(&known, || self.random(), now);
+        relays.on_search();
+        drop(relays);
+        self.request_relays();
+    }
+
+    /// Asks the hubs for relays, unless that happened just now.
+    pub(crate) fn request_relays(&self) {
+        let now = self.now();
+        if !self.relays.borrow_mut().take_request(now) {
+            return;
+        }
+        let unable = self.paths.borrow().is_unable();
+        let hubs = self.membership.borrow_mut().known_hubs(now);
+        let request = |hub| (hub, Message::Relays(RelayMessage::Request { unable }));
+        self.send(hubs.into_iter().map(request).collect());
+        if let Some(own) = self.relay_list(self.me.address) {
+            self.learn_relays(&own);
+        }
+    }
+
+    /// The daemons that this one names as relays, if it is a hub.
+    fn relay_list(&self, asker: SocketAddr) -> Option<Vec<SocketAddr>> {
+        let now = self.now();
+        let mut membership = self.membership.borrow_mut();
+        if !membership.is_hub(now) {
+            return None;
+        }
+        let unable = self.paths.borrow().is_unable();
+        let me = (!unable).then_some(self.me.address);
+        let alive = membership.reporting(now).into_iter().chain(me);
+        let alive = alive.filter(|a| *a != asker);
+        let relays = self.relays.borrow();
+        Some(relays.list(alive, || self.random(), now))
+    }
+
+    fn learn_relays(&self, listed: &[SocketAddr]) {
+        let now = self.now();
+        let mut relays = self.relays.borrow_mut();
+        relays.on_known(listed, || self.random(), now);
+        relays.on_listed(listed, now);
+    }
+
+    /// Handles a message about relays.
+    pub(crate) fn on_relay_message(&self, from: &Sender, message: &RelayMessage) {
+        match message {
+            RelayMessage::Request { unable } => {
+                let now = self.now();
+                self.relays
+                    .borrow_mut()
+                    .on_report(from.address, *unable, now);
+                let list = self.relay_list(from.address);
+                let list = list.map(|l| (from.address, Message::Relays(RelayMessage::List(l))));
+                self.send(list.into_iter().collect());
+            }
+            RelayMessage::List(listed) => self.learn_relays(listed),
+        }
+    }
+
+    fn record_answer_of(&self, relay: SocketAddr, opened: bool) {
+        let now = self.now();
+        self.relays.borrow_mut().on_answer(relay, opened, now);
     }
 
     /// Records whether a direct connection to an upstream was opened.
@@ -129,9 +252,10 @@
         self.log_path(upstream, change);
     }
 
-    fn record_tunnel(&self, upstream: &Upstream, opened: bool) {
+    fn record_tunnel(&self, upstream: &Upstream, opened: bool, reliable: bool) {
         let now = self.now();
-        let change = self.paths.borrow_mut().on_tunnel(upstream, opened, now);
+        let outcome = (opened, reliable);
+        let change = self.paths.borrow_mut().on_tunnel(upstream, outcome, now);
         self.log_path(upstream, change);
     }
 
@@ -156,8 +280,33 @@
         }
     }
 
+    fn log_missed(&self, target: &Target, missed: &[Missed]) {
+        if !self.log_budget.take(self.now()) {
+            return;
+        }
+        let count = |status: StatusCode| {
+            let same = missed.iter().filter(|m| **m == Missed::Status(status));
+            same.count()
+        };
+        let silent = missed.iter().filter(|m| **m == Missed::Silent).count();
+        let paths = self.paths.borrow();
+        let detail = format!(
+            "upstream={} asked={} silent={silent} unavailable={} unreached={} broken={} cut_off={}",
+            target.name,
+            missed.len(),
+            count(StatusCode::SERVICE_UNAVAILABLE),
+            count(StatusCode::BAD_GATEWAY),
+            paths.broken(),
+            paths.is_cut_off(),
+        );
+        emit(LogEvent::TunnelMissed, &detail);
+    }
+
     /// Probes the paths that are due.
     pub(crate) fn probe_paths(self: &Rc<Self>) {
+        if self.paths.borrow().is_unable() {
+            self.request_relays();
+        }
         let due = self.paths.borrow_mut().due_probes(self.now());
         for upstream in due {
             let Some(target) = self.target(&upstream) else {
@@ -170,7 +319,8 @@
     }
 
     async fn probe_path(&self, target: &Target) {
-        let opened = self.pool.probe(target, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
+        let connect = self.connect_directly(target);
+        let opened = self.pool.probe_by(connect, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
         self.record_direct(&target.name, opened);
         if !opened {
             // The answer is recorded: it shows whether the upstream or the path has failed.
@@ -189,21 +339,12 @@
     pub(crate) async fn open_tunnel(&self, request: Request<Incoming>) -> Reply {
         let name = request.uri().authority().map(|a| a.host().to_owned());
         let name = name.and_then(|n| Upstream::from_text(&n).ok());
-        let target = name.and_then(|n| self.target(&n));
-        let Some(target) = target else {
+        let Some(name) = name else {
             return answer(StatusCode::NOT_FOUND);
         };
-        if !self.may_tunnel_to(&target.name) {
-            return answer(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let broken = self.paths.borrow().is_broken(&target.name);
-        if self.stopping.get() || broken || self.open_tunnels.get() >= MAX_TUNNELS {
-            return answer(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let guard = TunnelGuard::begin(&self.open_tunnels);
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
-        let Ok(Ok(stream)) = stream else {
-            return answer(StatusCode::BAD_GATEWAY);
+        let (stream, guard) = match self.connect_for(&name).await {
+            Ok(connected) => connected,
+            Err(status) => return answer(status),
         };
         let upgrade = hyper::upgrade::on(request);
         actix_rt::spawn(async move {
@@ -212,6 +353,30 @@
         });
         answer(StatusCode::OK)
     }
+
+    /// Connects to an upstream for another daemon.
+    pub(crate) async fn connect_for(
+        &self,
+        name: &Upstream,
+    ) -> Result<(TcpStream, TunnelGuard), StatusCode> {
+        let target = self.target(name).ok_or(StatusCode::NOT_FOUND)?;
+        let broken = !self.paths.borrow().may_relay(name, self.now());
+        let full = self.open_tunnels.get() >= MAX_TUNNELS;
+        if !self.may_tunnel_to(name) || self.stopping.get() || broken || full {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let guard = TunnelGuard::begin(&self.open_tunnels);
+        let connected = timeout(CONNECT_TIMEOUT, self.connect_directly(&target)).await;
+        self.record_direct(name, matches!(connected, Ok(Ok(_))));
+        match connected {
+            Ok(Ok(stream)) => Ok((stream, guard)),
+            // It is not known whether the upstream or this daemon's path to it has failed.
+            Ok(Err(_)) | Err(_) if self.paths.borrow().is_unable() => {
+                Err(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            Ok(Err(_)) | Err(_) => Err(StatusCode::BAD_GATEWAY),
+        }
+    }
 }
 
 fn answer(status: StatusCode) -> Reply {
