Order positions in the store by the era that the store names

Cause: positions were compared without the era in which the store gave them out.

Daemons learn of a new era from the store and from each other (event 2103). Between daemons a position stays one number, the same as before while the store names no era.

Tests changed: offsets in tests became positions of era 0; no check is different.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::state::Gateway;
 use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
 use crate::store_health::StoreHealth;
-use shaleline_types::{LogEvent, Millis, Upstream};
+use shaleline_types::{LogEvent, Millis, Position, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,9 +43,10 @@
         let requested = gw.now();
         let result = read_config(&gw, next).await;
         health.record(&gw, &result);
+        gw.check_era();
         match result {
             Ok(batch) => {
-                // There is no offset to wait at before the first configuration.
+                // There is no position to wait at before the first configuration.
                 let empty = next.is_none() && batch.records.is_empty();
                 next = Some(batch.next);
                 let at = gw.earliest_arrival().max(requested);
@@ -70,7 +71,7 @@
 }
 
 /// Records a read of the configuration: as of when it is, and when it was requested.
-fn record_read(gw: &Gateway, next: u64, at: Millis, requested: Millis) {
+fn record_read(gw: &Gateway, next: Position, at: Millis, requested: Millis) {
     let mut reading = gw.reading.borrow_mut();
     reading.on_config(next, at);
     reading.on_confirmed(next, requested);
@@ -79,7 +80,7 @@
 /// Reads the configuration from `next` on, or all of it. Only the daemon that reads for the others
 /// waits for a change. A read without an answer within its waiting time is repeated without
 /// waiting, as the store may have lost the first request.
-async fn read_config(gw: &Gateway, next: Option<u64>) -> StoreResult<Batch> {
+async fn read_config(gw: &Gateway, next: Option<Position>) -> StoreResult<Batch> {
     let Some(from) = next else {
         return gw.store.newest(Topic::Config).await;
     };
@@ -119,7 +120,7 @@
 
 /// Takes a copy of the configuration from another daemon. Returns whether it is at least as new as
 /// what is known.
-async fn copy_config(gw: &Gateway, next: &mut Option<u64>) -> bool {
+async fn copy_config(gw: &Gateway, next: &mut Option<Position>) -> bool {
     let Some(Fetched {
         copy,
         at,
@@ -134,7 +135,8 @@
         confirmed,
         ..
     } = copy;
-    if next.is_some_and(|n| n > end) {
+    gw.on_era(end.era());
+    if next.is_some_and(|n| n > end) || end < gw.era_start() {
         return false;
     }
     *next = Some(end);
@@ -152,9 +154,10 @@
 
 /// Waits while the followed daemon reports that it recently knew the configuration up to `next` and
 /// no further.
-async fn wait_for_change(gw: &Gateway, next: Option<u64>) {
+async fn wait_for_change(gw: &Gateway, next: Option<Position>) {
     while let Some(next) = next {
-        if gw.is_reader() || gw.followed_config().is_none_or(|r| r > next) {
+        let is_old = next.era() < gw.era.get();
+        if is_old || gw.is_reader() || gw.followed_config().is_none_or(|r| r > next) {
             return;
         }
         tokio::select! {
@@ -195,7 +198,7 @@
         let every = gw.settings.policy.read_interval.0;
         let reader = gw.is_reader();
         if !reader && (gw.follows() || copy_entries(&gw).await) {
-            // Changes arrive as messages meanwhile; their offset in the topic is not known.
+            // Changes arrive as messages meanwhile; their position in the topic is not known.
             next = None;
             tokio::time::sleep(Duration::from_millis(every / 4)).await;
             continue;
@@ -207,11 +210,12 @@
             Some(from) => gw.store.tail(Topic::Upstreams, from, Millis(0)).await,
         };
         health.record(&gw, &result);
+        gw.check_era();
         match result {
             Ok(batch) => {
                 apply_batch(&gw, &batch, next.is_none());
                 next = Some(batch.next);
-                gw.entries_offset.set(batch.next);
+                gw.entries_end.set(batch.next);
                 gw.upstreams_known.set(true);
                 let at = gw.earliest_arrival().max(requested);
                 gw.reading.borrow_mut().on_entries(position, at);
@@ -249,9 +253,9 @@
     } = copy;
     let records = entries
         .into_iter()
-        .map(|(name, offset, entry)| EntryRecord {
+        .map(|(name, position, entry)| EntryRecord {
             name,
-            offset,
+            position,
             entry: Some(entry),
         });
     let now = gw.now();
@@ -262,7 +266,7 @@
     let changes = roster.on_snapshot(records.collect(), next, now);
     drop(roster);
     gw.apply_all(changes);
-    gw.entries_offset.set(gw.entries_offset.get().max(next));
+    gw.entries_end.set(gw.entries_end.get().max(next));
     gw.upstreams_known.set(true);
     gw.reading
         .borrow_mut()
@@ -283,7 +287,7 @@
     }
 
     /// How far the configuration is known through the followed daemon.
-    fn followed_config(&self) -> Option<u64> {
+    fn followed_config(&self) -> Option<Position> {
         let reading = self.reading.borrow();
         reading.followed_config(self.freshness(), self.now())
     }
@@ -320,7 +324,7 @@
             let name = c.upstream();
             EntryRecord {
                 name: name.clone(),
-                offset: roster.offset(name),
+                position: roster.position(name),
                 entry: roster.get(name).cloned(),
             }
         });
@@ -351,7 +355,7 @@
     });
     Some(EntryRecord {
         name,
-        offset: record.offset,
+        position: record.position,
         entry,
     })
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,7 +12,7 @@
 use crate::Entry;
 use shaleline_fleet::Rate;
 use shaleline_route::{PeerLoad, PeerVisibility, RouteEvent};
-use shaleline_types::{LogEvent, Millis, Upstream};
+use shaleline_types::{LogEvent, Millis, Position, Upstream};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -212,10 +212,10 @@
     }
 }
 
-fn to_record((name, offset, entry): (Upstream, u64, Option<Entry>)) -> EntryRecord {
+fn to_record((name, position, entry): (Upstream, Position, Option<Entry>)) -> EntryRecord {
     EntryRecord {
         name,
-        offset,
+        position,
         entry,
     }
 }
@@ -341,6 +341,7 @@
     let Some(position) = position.filter(|_| follows) else {
         return;
     };
+    gw.on_era(position.config.era());
     let came = gw.earliest_arrival();
     let mut reading = gw.reading.borrow_mut();
     reading.on_position(from.incarnation, position, came);
@@ -506,7 +507,7 @@
             let number = self.reading.borrow_mut().next_number();
             let message = |t: &SocketAddr| {
                 let entries = part.iter();
-                let entries = entries.map(|s| (s.name.clone(), s.offset, s.entry.clone()));
+                let entries = entries.map(|s| (s.name.clone(), s.position, s.entry.clone()));
                 let entries = entries.collect();
                 (*t, Message::EntryChanges { number, entries })
             };
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shaleline_edge::{Handler, Reply, ReplyBody, SendError, Target};
-use shaleline_types::{LogEvent, Millis, Upstream};
+use shaleline_types::{LogEvent, Millis, Position, Upstream};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -40,8 +40,8 @@
 /// The configuration as a daemon has read it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ConfigCopy {
-    /// The offset at which the next read starts.
-    pub(crate) next: u64,
+    /// The position at which the next read starts.
+    pub(crate) next: Position,
     /// How long ago that was known to be the end, in milliseconds.
     pub(crate) age: u64,
     /// How long ago that was confirmed to be the end, in milliseconds.
@@ -57,14 +57,14 @@
     pub(crate) incarnation: u64,
     /// The last message of changes that the copy covers.
     pub(crate) number: u64,
-    /// The offset at which the next read starts.
-    pub(crate) next: u64,
+    /// The position at which the next read starts.
+    pub(crate) next: Position,
     /// How long ago that was known to be the end, in milliseconds.
     pub(crate) age: u64,
     /// Whether the store recently failed to answer its reader properly.
     pub(crate) disturbed: bool,
-    /// Each with the offset of its record.
-    pub(crate) entries: Vec<(Upstream, u64, Entry)>,
+    /// Each with the position of its record.
+    pub(crate) entries: Vec<(Upstream, Position, Entry)>,
 }
 
 /// Serves copies and tunnels to other daemons.
@@ -111,11 +111,11 @@
     let at = reading.entries_known_at()?;
     let roster = gw.roster.borrow();
     let entries = roster.iter();
-    let entries = entries.map(|(n, e)| (n.clone(), roster.offset(n), e.clone()));
+    let entries = entries.map(|(n, e)| (n.clone(), roster.position(n), e.clone()));
     Some(EntriesCopy {
         incarnation: gw.me.incarnation,
         number: reading.number(),
-        next: gw.entries_offset.get(),
+        next: gw.entries_end.get(),
         disturbed: roster.is_store_unstable(gw.now()),
         age: gw.now().since(at),
         entries: entries.collect(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 //! Around it:
 //!
 //! * `follow` follows the platform's [`Store`], which it calls through `store_health`; `roster`
-//!   keeps the list of upstreams, and `skipped_records` limits the log lines about records that
+//!   keeps the list of upstreams, `era` notices that the store came back from an older copy, and `skipped_records` limits the log lines about records that
 //!   name none.
 //! * `membership` decides which daemons exchange which data, in the messages of `message`: `peers`
 //!   lists the daemons, `hub_election` selects the hubs, and `allowance_share` computes the share
@@ -56,6 +56,7 @@
 mod discovery;
 mod dispatch;
 mod eligibility;
+mod era;
 mod events;
 mod follow;
 mod gossip;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use shaleline_fleet::{Held, Rate, Unmet};
 use shaleline_route::CrashNote;
 use shaleline_types::{
-    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Service,
+    stable_hash, Adapter, DataCentre, Incarnation, Instance, Millis, Model, Org, Position, Service,
     SoftwareVersion, Upstream,
 };
 use std::collections::BTreeMap;
@@ -59,8 +59,8 @@
     EntryChanges {
         /// Numbers these messages consecutively, so that a loss is detected.
         number: u64,
-        /// Each with the offset of its record.
-        entries: Vec<(Upstream, u64, Option<Entry>)>,
+        /// Each with the position of its record.
+        entries: Vec<(Upstream, Position, Option<Entry>)>,
     },
     /// To the hub that selects for the model or service: a request needs an upstream.
     Ask(Ticket, Box<AskNote>),
@@ -327,7 +327,8 @@
 pub(crate) struct PlannerInfo {
     pub(crate) fence: u64,
     pub(crate) address: SocketAddr,
-    /// The offset at which the topic of the planner lease ended after the last renewal.
+    /// The position at which the topic of the planner lease ended after the last renewal, as a
+    /// number.
     pub(crate) end: u64,
     /// The minimum age of the start of that renewal, in milliseconds.
     pub(crate) age: u32,
@@ -371,8 +372,8 @@
 /// How far a hub has read the store, with the ages of what it knows in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReadPosition {
-    /// The offset at which the next read of the configuration starts.
-    pub(crate) config: u64,
+    /// The position at which the next read of the configuration starts.
+    pub(crate) config: Position,
     pub(crate) config_age: u32,
     /// The age of the last confirmation that the configuration was the newest.
     pub(crate) confirmed_age: Option<u32>,
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -8,7 +8,7 @@
 use crate::store::{Batch, StoreError, Topic};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Handover, PlannerLeaseAction, PlannerLeaseView};
-use shaleline_types::{LogEvent, Millis};
+use shaleline_types::{LogEvent, Millis, Position};
 
 /// The key of the lease.
 const KEY: &str = "planner";
@@ -75,7 +75,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Inherited {
     pub(crate) last: Handover,
-    /// The offset at which the topic ended after its record.
+    /// The position at which the topic ended after its record, as a number.
     pub(crate) end: u64,
     /// When it was read.
     pub(crate) read: Millis,
@@ -95,7 +95,7 @@
     let released = record.as_ref().is_some_and(|r| r.released);
     let last = record.as_ref().and_then(|r| r.last.clone());
     let view = PlannerLeaseView {
-        end: batch.next,
+        end: batch.next.to_u64(),
         released,
         has_handover: last.is_some(),
         holder: record.map(|r| r.holder),
@@ -116,12 +116,12 @@
     let value = record(gw, None);
     let result = gw
         .store
-        .append(Topic::Planner, KEY, &value, Some(end))
+        .append(Topic::Planner, KEY, &value, Some(Position::from_u64(end)))
         .await;
     gw.metrics.count_store("planner", result.is_ok());
     let mut lease = gw.planner_lease.borrow_mut();
     match result {
-        Ok(offset) => lease.on_appended(offset, started),
+        Ok(position) => lease.on_appended(position.to_u64(), started),
         Err(StoreError::Moved(_)) => lease.on_conflict(),
         Err(_) => lease.on_failed(),
     }
--- a/crates/gateway/src/read_progress.rs
+++ b/crates/gateway/src/read_progress.rs
@@ -7,7 +7,7 @@
 //! asks for a copy, and then reads the store itself.
 
 use crate::message::ReadPosition;
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Position};
 
 /// The age up to which followers rely on what another daemon knows.
 #[derive(Debug, Clone, Copy)]
@@ -55,7 +55,7 @@
     covered: Option<u64>,
     /// The number of the last message that it reported as sent.
     last_sent: u64,
-    config: u64,
+    config: Position,
     config_at: Millis,
     changes_at: Millis,
 }
@@ -92,18 +92,32 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReadProgress {
     number: u64,
-    config: Option<(u64, Millis)>,
+    config: Option<(Position, Millis)>,
     /// When the known configuration was last confirmed to be the newest.
     confirmed: Option<Millis>,
     changes: Option<Millis>,
+    /// The era of the store.
+    era: u64,
     followed: Followed,
     config_reads: Reads,
     entries_reads: Reads,
 }
 
 impl ReadProgress {
+    /// Learns of a later era of the store: what other daemons report of earlier ones is no longer the
+    /// state of the store. Returns whether anything was known of an earlier one.
+    pub(crate) fn on_era(&mut self, era: u64) -> bool {
+        self.era = self.era.max(era);
+        let followed = self.followed.config;
+        if followed.era() < self.era {
+            self.followed.config_at = Millis(0);
+        }
+        let known = self.config.map(|(next, _)| next);
+        known.is_some_and(|next| next.era() < era) || followed != Position::default()
+    }
+
     /// Records that this daemon itself has read the configuration, as it was at `at`.
-    pub(crate) fn on_config(&mut self, next: u64, at: Millis) {
+    pub(crate) fn on_config(&mut self, next: Position, at: Millis) {
         self.config = self.config.max(Some((next, at)));
         self.config_reads.on_read(at);
     }
@@ -111,7 +125,7 @@
     /// Records that the configuration up to `next` is confirmed to have been the newest at `at`, by
     /// the answer to a question asked at that time. The time of the answer itself would not do: how
     /// long it took in transit or in a suspended daemon is unknown.
-    pub(crate) fn on_confirmed(&mut self, next: u64, at: Millis) {
+    pub(crate) fn on_confirmed(&mut self, next: Position, at: Millis) {
         // A confirmation of a newer configuration that is not known yet says nothing about this
         // one.
         if self.config.is_some_and(|(known, _)| next <= known) {
@@ -172,7 +186,7 @@
     }
 
     /// How far this daemon knows the configuration, and as of when that is the newest.
-    pub(crate) fn config_known(&self) -> Option<(u64, Millis)> {
+    pub(crate) fn config_known(&self) -> Option<(Position, Millis)> {
         self.config
     }
 
@@ -193,7 +207,7 @@
 
     /// Records that the configuration was copied from a daemon that knew it up to `next` at `at`:
     /// nothing newer is known of it until the next read position arrives.
-    pub(crate) fn on_config_copied(&mut self, next: u64, at: Millis) {
+    pub(crate) fn on_config_copied(&mut self, next: Position, at: Millis) {
         self.config = self.config.max(Some((next, at)));
         self.followed.config = self.followed.config.max(next);
         self.followed.config_at = self.followed.config_at.max(at);
@@ -236,9 +250,13 @@
         // The message of changes itself may still be in transit.
         followed.last_sent = read_position.changes;
         let before = |age: u32| Millis(at.0.saturating_sub(u64::from(age)));
+        followed.changes_at = before(read_position.changes_age);
+        // A daemon that has not noticed the new era yet reports what the store had before.
+        if read_position.config.era() < self.era {
+            return;
+        }
         followed.config = read_position.config;
         followed.config_at = before(read_position.config_age);
-        followed.changes_at = before(read_position.changes_age);
         let known_at = followed.config_at;
         if let Some((_, at)) = self
             .config
@@ -281,7 +299,7 @@
     }
 
     /// How far the followed daemon knows the configuration, where that is recent enough.
-    pub(crate) fn followed_config(&self, fresh: Freshness, now: Millis) -> Option<u64> {
+    pub(crate) fn followed_config(&self, fresh: Freshness, now: Millis) -> Option<Position> {
         let fresh = now.since(self.followed.config_at) < fresh.config.0;
         fresh.then_some(self.followed.config)
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,10 +3,10 @@
 //! The removal of an entry means that the upstream is gone or soon will be. While the store itself
 //! is unavailable, entries also lapse although their upstreams are alive; those return within
 //! seconds. Removals that coincide with a disturbance of the store therefore take effect late.
-//! Records arrive by several ways, some of them late; their offsets show which are newer.
+//! Records arrive by several ways, some of them late; their positions show which are newer.
 
 use crate::Entry;
-use shaleline_types::{Incarnation, Millis, Upstream};
+use shaleline_types::{Incarnation, Millis, Position, Upstream};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
@@ -47,12 +47,12 @@
     }
 }
 
-/// An upstream's record as it was read. Of two records the one with the higher offset is newer,
+/// An upstream's record as it was read. Of two records the one with the later position is newer,
 /// however they arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct EntryRecord {
     pub(crate) name: Upstream,
-    pub(crate) offset: u64,
+    pub(crate) position: Position,
     /// None where the record was removed, or names no upstream to use.
     pub(crate) entry: Option<Entry>,
 }
@@ -60,10 +60,10 @@
 #[derive(Debug, Clone)]
 struct Listed {
     entry: Entry,
-    /// The offset of this entry.
-    offset: u64,
-    /// The offset of its removal, while that is held.
-    removed: Option<u64>,
+    /// The position of this entry.
+    position: Position,
+    /// The position of its removal, while that is held.
+    removed: Option<Position>,
     /// Whether the upstream is leaving. Once set, it stays set whatever later entries say.
     leaving: bool,
     /// When its removal takes effect.
@@ -71,17 +71,17 @@
 }
 
 impl Listed {
-    /// The offset of the newest known record.
-    fn newest(&self) -> u64 {
-        self.removed.unwrap_or(self.offset)
+    /// The position of the newest known record.
+    fn newest(&self) -> Position {
+        self.removed.unwrap_or(self.position)
     }
 }
 
 /// An upstream that is gone.
 #[derive(Debug, Clone, Copy)]
 struct Gone {
-    /// The offset of the removal.
-    offset: u64,
+    /// The position of the removal.
+    position: Position,
     /// When the removal took effect.
     at: Millis,
     incarnation: Incarnation,
@@ -105,19 +105,19 @@
 
     /// Applies an upstream's record.
     pub(crate) fn on_record(&mut self, record: EntryRecord, now: Millis) -> Option<Change> {
-        let gone = self.gone.get(&record.name).map(|g| g.offset);
+        let gone = self.gone.get(&record.name).map(|g| g.position);
         let known = self.listed.get(&record.name).map(Listed::newest);
-        if gone.max(known).is_some_and(|o| record.offset < o) {
+        if gone.max(known).is_some_and(|p| record.position < p) {
             return None;
         }
         match record.entry {
-            Some(entry) => self.on_entry(record.name, record.offset, entry),
-            None => self.on_removed(&record.name, record.offset, now),
+            Some(entry) => self.on_entry(record.name, record.position, entry),
+            None => self.on_removed(&record.name, record.position, now),
         }
     }
 
     /// Applies an upstream's entry. Most entries repeat the one before.
-    fn on_entry(&mut self, name: Upstream, offset: u64, entry: Entry) -> Option<Change> {
+    fn on_entry(&mut self, name: Upstream, position: Position, entry: Entry) -> Option<Change> {
         let known = self.listed.get(&name).map(|l| l.entry.incarnation);
         let known = known.or_else(|| Some(self.gone.get(&name)?.incarnation));
         let against = known.map(|k| entry.incarnation.compare_to(k));
@@ -128,14 +128,14 @@
         let known = self.listed.get_mut(&name).filter(|_| !restarted);
         let leaving = entry.leaving || known.as_ref().is_some_and(|l| l.leaving);
         if let Some(known) = known.filter(|l| l.entry == entry) {
-            known.offset = offset;
+            known.position = position;
             known.removed = None;
             known.removal_due = None;
             return None;
         }
         let next = Listed {
             entry,
-            offset,
+            position,
             removed: None,
             leaving,
             removal_due: None,
@@ -155,10 +155,10 @@
     }
 
     /// Applies the removal of an upstream's entry.
-    fn on_removed(&mut self, name: &Upstream, offset: u64, now: Millis) -> Option<Change> {
+    fn on_removed(&mut self, name: &Upstream, position: Position, now: Millis) -> Option<Change> {
         let hold = self.hold(now);
         let listed = self.listed.get_mut(name)?;
-        listed.removed = Some(offset);
+        listed.removed = Some(position);
         if let (Some(removal_due), false) = (hold, listed.leaving) {
             listed.removal_due.get_or_insert(removal_due);
             return None;
@@ -169,7 +169,7 @@
     fn forget(&mut self, name: &Upstream, now: Millis) -> Change {
         if let Some(listed) = self.listed.remove(name) {
             let gone = Gone {
-                offset: listed.newest(),
+                position: listed.newest(),
                 at: now,
                 incarnation: listed.entry.incarnation,
             };
@@ -202,19 +202,19 @@
         (back > now).then(|| back.min(now.plus(MAX_HOLD_MS)))
     }
 
-    /// Applies all existing records, read up to the offset `end`; upstreams without one were
+    /// Applies all existing records, read up to `end`; upstreams without one were
     /// removed.
     pub(crate) fn on_snapshot(
         &mut self,
         all: Vec<EntryRecord>,
-        end: u64,
+        end: Position,
         now: Millis,
     ) -> Vec<Change> {
         let missing = |n: &&Upstream| !all.iter().any(|s| s.name == **n);
         let missing: Vec<Upstream> = self.listed.keys().filter(missing).cloned().collect();
         let removed = missing.into_iter().map(|name| EntryRecord {
             name,
-            offset: end,
+            position: end,
             entry: None,
         });
         let records: Vec<EntryRecord> = removed.chain(all).collect();
@@ -233,13 +233,13 @@
         names.iter().map(|n| self.forget(n, now)).collect()
     }
 
-    /// The offset of an upstream's entry, or of its removal where that has taken effect. The offset
-    /// of a held removal would be wrong: a daemon that received the entry with that offset would
-    /// take the entry for new.
-    pub(crate) fn offset(&self, name: &Upstream) -> u64 {
-        let listed = self.listed.get(name).map(|l| l.offset);
-        let gone = self.gone.get(name).map(|g| g.offset);
-        listed.or(gone).unwrap_or(0)
+    /// The position of an upstream's entry, or of its removal where that has taken effect. The
+    /// position of a held removal would be wrong: a daemon that received the entry with that
+    /// position would take the entry for new.
+    pub(crate) fn position(&self, name: &Upstream) -> Position {
+        let listed = self.listed.get(name).map(|l| l.position);
+        let gone = self.gone.get(name).map(|g| g.position);
+        listed.or(gone).unwrap_or_default()
     }
 
     /// An upstream's entry.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -148,6 +148,7 @@
 /// that are due come first: after a stall or a suspension no request may be sent to an upstream
 /// whose removal should have taken effect in the meantime.
 pub(crate) fn run_tick(gw: &Gateway, interval: u64) {
+    gw.check_era();
     gw.stall_detector.borrow_mut().on_tick(interval, gw.now());
     let changes = gw.roster.borrow_mut().tick(gw.now());
     gw.apply_all(changes);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,7 +40,7 @@
     ShareBook, UpstreamInfo,
 };
 use shaleline_types::{
-    ErrorKind, Incarnation, LogEvent, Millis, Model, Org, RequestId, Service, Upstream,
+    ErrorKind, Incarnation, LogEvent, Millis, Model, Org, Position, RequestId, Service, Upstream,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -103,8 +103,10 @@
     pub(crate) stall_detector: RefCell<StallDetector>,
     /// The configuration's record as it was read, for other daemons.
     pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
-    /// The offset up to which the upstreams' entries are known.
-    pub(crate) entries_offset: Cell<u64>,
+    /// The position up to which the upstreams' entries are known.
+    pub(crate) entries_end: Cell<Position>,
+    /// The latest known era of the store.
+    pub(crate) era: Cell<u64>,
     /// When this process started.
     pub(crate) started: Millis,
     /// Whether another daemon has reported who the hubs are.
@@ -270,7 +272,8 @@
             reading: RefCell::new(ReadProgress::default()),
             stall_detector: RefCell::new(StallDetector::new(now)),
             config_record: RefCell::new(None),
-            entries_offset: Cell::new(0),
+            entries_end: Cell::new(Position::default()),
+            era: Cell::new(0),
             started: now,
             hubs_known: Cell::new(false),
             hub_ready: Cell::new(false),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,7 +2,7 @@
 //! of each key.
 
 use futures_util::future::LocalBoxFuture;
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Position};
 use std::fmt;
 
 /// A topic that the gateway reads or writes.
@@ -27,17 +27,17 @@
     pub key: String,
     /// The value.
     pub value: Option<Vec<u8>>,
-    /// Its offset.
-    pub offset: u64,
+    /// Its position.
+    pub position: Position,
 }
 
-/// Records in the order of the log, and the offset to read on from.
+/// Records in the order of the log, and the position to read on from.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
     /// The records.
     pub records: Vec<Record>,
     /// Where the next read starts.
-    pub next: u64,
+    pub next: Position,
 }
 
 /// Why a call to the store failed.
@@ -49,8 +49,8 @@
     Refused(u16),
     /// The records asked for are gone; read the newest ones instead.
     Gap,
-    /// The topic does not end at the expected offset; holds its actual end.
-    Moved(u64),
+    /// The topic does not end at the expected position; holds its actual end.
+    Moved(Position),
     /// The answer can't be parsed.
     Malformed(String),
 }
@@ -77,17 +77,28 @@
     /// Returns the newest record of each key.
     fn newest(&self, topic: Topic) -> LocalBoxFuture<'_, StoreResult<Batch>>;
 
-    /// Returns the records from an offset on; waits up to `wait` for the first one.
-    fn tail(&self, topic: Topic, from: u64, wait: Millis)
-        -> LocalBoxFuture<'_, StoreResult<Batch>>;
+    /// Returns the records from a position on; waits up to `wait` for the first one. A position of
+    /// an earlier era is a [`StoreError::Gap`].
+    fn tail(
+        &self,
+        topic: Topic,
+        from: Position,
+        wait: Millis,
+    ) -> LocalBoxFuture<'_, StoreResult<Batch>>;
 
-    /// Appends a record, and returns its offset. Where `end` is given, the append is made only if
-    /// the topic ends there.
+    /// Appends a record, and returns its position. Where `end` is given, the append counts only if
+    /// the topic ends there. In a later era the same offset may be the end by chance; such an append
+    /// is a [`StoreError::Moved`].
     fn append(
         &self,
         topic: Topic,
         key: &str,
         value: &[u8],
-        end: Option<u64>,
-    ) -> LocalBoxFuture<'_, StoreResult<u64>>;
+        end: Option<Position>,
+    ) -> LocalBoxFuture<'_, StoreResult<Position>>;
+
+    /// The latest era that an answer named, 0 if none did.
+    fn era(&self) -> u64 {
+        0
+    }
 }
--- a/crates/gateway/tests/unit/admission.rs
+++ b/crates/gateway/tests/unit/admission.rs
@@ -6,7 +6,7 @@
 use crate::{CostUnit, Head, OrgRule, Orgs, OrgsError, Repeat, RouteRule};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shaleline_testkit::cases;
-use shaleline_types::{ErrorKind, KeyHash, Millis, Org};
+use shaleline_types::{ErrorKind, KeyHash, Millis, Org, Position};
 
 const REVOCATION_BOUND: Millis = Millis(5_000);
 const APPLY_BOUND: Millis = Millis(3_000);
@@ -157,7 +157,7 @@
             Step::Report => report = Some((now, hub_clock(now))),
             Step::Read(ms) => {
                 let requested = hub_clock(now);
-                let next = version;
+                let next = Position::new(0, version);
                 now = now.plus(u64::from(ms));
                 hub.on_config(next, hub_clock(now));
                 hub.on_confirmed(next, requested);
@@ -194,7 +194,7 @@
             within: REVOCATION_BOUND,
         };
         let age = follower.confirmed_at().map(|at| Millis(now.since(at)));
-        let revoked_at = accepted.get(known as usize - 1);
+        let revoked_at = accepted.get(known.offset() as usize - 1);
         if revocation.holds(age)
             && revoked_at.is_some_and(|at| now.since(*at) >= REVOCATION_BOUND.0)
         {
@@ -205,7 +205,7 @@
 }
 
 /// The hub's read position in the configuration: its end, and the time since it was confirmed.
-fn confirmed_position(hub: &ReadProgress, now: Millis) -> Option<(u64, u32)> {
+fn confirmed_position(hub: &ReadProgress, now: Millis) -> Option<(Position, u32)> {
     let (next, _) = hub.config_known()?;
     let at = hub.confirmed_at()?;
     Some((next, now.since(at) as u32))
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 use shaleline_edge::tunnel::TunnelError;
 use shaleline_edge::{open_connection, Clock, LocalFuture, Target, TimeSource};
-use shaleline_types::{DataCentre, Incarnation, Service, SoftwareVersion, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Position, Service, SoftwareVersion, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::pending;
@@ -180,7 +180,7 @@
     };
     let record = |number| EntryRecord {
         name: upstream(number),
-        offset: 1,
+        position: Position::new(0, 1),
         entry: Some(entry(number)),
     };
     (0..UPSTREAMS).map(record).collect()
--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -24,7 +24,7 @@
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, TimeSource};
 use shaleline_fleet::{Order, OrderReply};
-use shaleline_types::{DataCentre, Millis, Service, Upstream};
+use shaleline_types::{DataCentre, Millis, Position, Service, Upstream};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -293,7 +293,7 @@
         let entry =
             |(number, (name, e)): (usize, (&Upstream, &super::engines::Engine))| EntryRecord {
                 name: name.clone(),
-                offset,
+                position: Position::new(0, offset),
                 entry: e.up.then(|| Entry {
                     service: service(),
                     address: SocketAddr::from((
--- a/crates/gateway/tests/unit/catalogue/records.rs
+++ b/crates/gateway/tests/unit/catalogue/records.rs
@@ -3,7 +3,7 @@
 use crate::{Batch, Record, Store, StoreError, StoreResult, Topic};
 use futures_util::future::LocalBoxFuture;
 use futures_util::FutureExt;
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Position};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -26,25 +26,31 @@
         let all = self.0.all.borrow();
         Ok(Batch {
             records: all.last().cloned().into_iter().collect(),
-            next: all.len() as u64,
+            next: Position::new(0, all.len() as u64),
         })
     }
 
-    fn write(&self, topic: Topic, key: &str, value: &[u8], end: Option<u64>) -> StoreResult<u64> {
+    fn write(
+        &self,
+        topic: Topic,
+        key: &str,
+        value: &[u8],
+        end: Option<Position>,
+    ) -> StoreResult<Position> {
         if self.0.unavailable.get() || topic != Topic::Planner {
             return Err(StoreError::Lost);
         }
         let mut all = self.0.all.borrow_mut();
-        let offset = all.len() as u64;
-        if end.is_some_and(|e| e != offset) {
-            return Err(StoreError::Moved(offset));
+        let position = Position::new(0, all.len() as u64);
+        if end.is_some_and(|e| e != position) {
+            return Err(StoreError::Moved(position));
         }
         all.push(Record {
             key: key.to_owned(),
             value: Some(value.to_vec()),
-            offset,
+            position,
         });
-        Ok(offset)
+        Ok(position)
     }
 }
 
@@ -53,7 +59,7 @@
         std::future::ready(self.read(topic)).boxed_local()
     }
 
-    fn tail(&self, topic: Topic, _: u64, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
+    fn tail(&self, topic: Topic, _: Position, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
         std::future::ready(self.read(topic)).boxed_local()
     }
 
@@ -62,8 +68,8 @@
         topic: Topic,
         key: &str,
         value: &[u8],
-        end: Option<u64>,
-    ) -> LocalBoxFuture<'_, StoreResult<u64>> {
+        end: Option<Position>,
+    ) -> LocalBoxFuture<'_, StoreResult<Position>> {
         std::future::ready(self.write(topic, key, value, end)).boxed_local()
     }
 }
--- a/crates/gateway/tests/unit/crashes/cluster/servers.rs
+++ b/crates/gateway/tests/unit/crashes/cluster/servers.rs
@@ -5,7 +5,7 @@
 use crate::roster::EntryRecord;
 use crate::Entry;
 use shaleline_route::AttemptEnd;
-use shaleline_types::{DataCentre, Incarnation, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Position, Service, Upstream};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -44,7 +44,7 @@
         };
         EntryRecord {
             name: name.clone(),
-            offset: self.event_count,
+            position: Position::new(0, self.event_count),
             entry: listed.then_some(entry),
         }
     }
--- a/crates/gateway/tests/unit/crashes/null_platform.rs
+++ b/crates/gateway/tests/unit/crashes/null_platform.rs
@@ -8,7 +8,7 @@
 use futures_util::FutureExt;
 use hyper::{HeaderMap, StatusCode};
 use shaleline_fleet::{Held, Order, OrderReply};
-use shaleline_types::{Millis, Upstream};
+use shaleline_types::{Millis, Position, Upstream};
 
 pub struct StubCodec;
 
@@ -73,7 +73,7 @@
         async { Err(StoreError::Lost) }.boxed_local()
     }
 
-    fn tail(&self, _: Topic, _: u64, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
+    fn tail(&self, _: Topic, _: Position, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
         async { Err(StoreError::Lost) }.boxed_local()
     }
 
@@ -82,8 +82,8 @@
         _: Topic,
         _: &str,
         _: &[u8],
-        _: Option<u64>,
-    ) -> LocalBoxFuture<'_, StoreResult<u64>> {
+        _: Option<Position>,
+    ) -> LocalBoxFuture<'_, StoreResult<Position>> {
         async { Err(StoreError::Lost) }.boxed_local()
     }
 }
--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -25,7 +25,7 @@
 use shaleline_edge::{Clock, TimeSource};
 use shaleline_fleet::Held;
 use shaleline_route::{AttemptEnd, RouteAction};
-use shaleline_types::{DataCentre, Incarnation, Millis, Model, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Millis, Model, Position, Service, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -287,7 +287,7 @@
             };
             EntryRecord {
                 name: engine.name.clone(),
-                offset: 1,
+                position: Position::new(0, 1),
                 entry: Some(entry),
             }
         };
--- a/crates/gateway/tests/unit/read_progress.rs
+++ b/crates/gateway/tests/unit/read_progress.rs
@@ -6,12 +6,16 @@
 use shaleline_types::Millis;
 
 const NOW: Millis = Millis(1_000_000);
+
+fn at(offset: u64) -> shaleline_types::Position {
+    shaleline_types::Position::new(0, offset)
+}
 const HUB: u64 = 7;
 
 fn position(changes: u64, age: u32) -> ReadPosition {
     ReadPosition {
         confirmed_age: None,
-        config: 5,
+        config: at(5),
         config_age: age,
         changes,
         changes_age: age,
@@ -25,14 +29,14 @@
 #[test]
 fn a_confirmed_configuration_has_the_age_of_its_confirmation() {
     let mut reading = ReadProgress::default();
-    reading.on_config_copied(5, NOW);
+    reading.on_config_copied(at(5), NOW);
     reading.on_position(HUB, position(0, 200), NOW.plus(30_000));
     let newer = ReadPosition {
-        config: 6,
+        config: at(6),
         ..position(0, 0)
     };
     reading.on_position(HUB, newer, NOW.plus(30_100));
-    assert_eq!(reading.config_known(), Some((5, NOW.plus(29_800))));
+    assert_eq!(reading.config_known(), Some((at(5), NOW.plus(29_800))));
 }
 
 /// Guards against rejected API keys: a daemon that learned of a newer configuration stopped
@@ -40,13 +44,13 @@
 #[test]
 fn a_reported_newer_configuration_does_not_void_the_confirmation_of_the_known_one() {
     let mut reading = ReadProgress::default();
-    reading.on_config(5, NOW);
-    reading.on_confirmed(5, NOW);
-    reading.on_confirmed(6, NOW.plus(300));
+    reading.on_config(at(5), NOW);
+    reading.on_confirmed(at(5), NOW);
+    reading.on_confirmed(at(6), NOW.plus(300));
     assert_eq!(reading.confirmed_at(), Some(NOW));
-    reading.on_config(6, NOW.plus(400));
+    reading.on_config(at(6), NOW.plus(400));
     assert_eq!(reading.confirmed_at(), Some(NOW));
-    reading.on_confirmed(6, NOW.plus(300));
+    reading.on_confirmed(at(6), NOW.plus(300));
     assert_eq!(reading.confirmed_at(), Some(NOW.plus(300)));
 }
 
@@ -95,8 +99,8 @@
     let fresh = Freshness::from_bounds(Millis(2_000), Millis(800), Millis(120));
     let mut reading = ReadProgress::default();
     assert_eq!(reading.followed_config(fresh, NOW), None);
-    reading.on_config_copied(5, Millis(NOW.0 - 100));
-    assert_eq!(reading.followed_config(fresh, NOW), Some(5));
+    reading.on_config_copied(at(5), Millis(NOW.0 - 100));
+    assert_eq!(reading.followed_config(fresh, NOW), Some(at(5)));
     assert_eq!(reading.followed_config(fresh, NOW.plus(2_000)), None);
 }
 
--- a/crates/gateway/tests/unit/ready.rs
+++ b/crates/gateway/tests/unit/ready.rs
@@ -13,7 +13,7 @@
 use crate::stall::StallDetector;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shaleline_testkit::cases;
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Position};
 use Step::{Read, Run, Stall};
 
 const START_MS: u64 = 1_000_000;
@@ -48,7 +48,7 @@
                 now = now.plus(ms);
                 detector.on_tick(TICK_MS, now);
             }
-            Read => reading.on_config(7, now),
+            Read => reading.on_config(Position::new(0, 7), now),
         }
     }
     is_behind(&reading, &detector, APPLY_BOUND, now)
@@ -127,7 +127,7 @@
     let mut now = Millis(START_MS);
     let mut detector = StallDetector::new(now);
     let mut reading = ReadProgress::default();
-    reading.on_config(0, now);
+    reading.on_config(Position::default(), now);
     let accepted = pauses.into_iter().scan(now, |last, pause| {
         *last = last.plus(u64::from(pause) % 6_000 + 1);
         Some(*last)
@@ -144,7 +144,7 @@
         if answered <= now {
             known = accepted.iter().filter(|a| **a <= answered).count();
             let received = Millis(now.0 - detector.lag(now)).max(requested);
-            reading.on_config(known as u64, received);
+            reading.on_config(Position::new(0, known as u64), received);
             requested = now;
         }
         if !round.detector_first {
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -2,7 +2,7 @@
 
 use crate::roster::{Change, EntryRecord, Roster};
 use crate::Entry;
-use shaleline_types::{DataCentre, Incarnation, Millis, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Millis, Position, Service, Upstream};
 use std::net::SocketAddr;
 
 const NOW: Millis = Millis(1_000_000);
@@ -24,10 +24,14 @@
     }
 }
 
+fn at(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
 fn present(offset: u64, leaving: bool) -> EntryRecord {
     EntryRecord {
         name: upstream(),
-        offset,
+        position: at(offset),
         entry: Some(entry(leaving)),
     }
 }
@@ -110,10 +114,10 @@
     let change = roster.on_record(changed.clone(), NOW);
     assert_eq!(change, Some(Change::Present(upstream())));
     assert_eq!(roster.on_record(removed(5), NOW), None);
-    assert_eq!(roster.offset(&upstream()), 4);
+    assert_eq!(roster.position(&upstream()), at(4));
     assert_eq!(roster.on_record(changed, NOW), None);
     assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(upstream())]);
-    assert_eq!(roster.offset(&upstream()), 5);
+    assert_eq!(roster.position(&upstream()), at(5));
 }
 
 #[test]
@@ -134,7 +138,7 @@
         name: name.clone(),
         ..present(7, false)
     };
-    let changes = listed_roster().on_snapshot(vec![other], 8, NOW);
+    let changes = listed_roster().on_snapshot(vec![other], at(8), NOW);
     assert_eq!(changes, [Change::Gone(upstream()), Change::Present(name)]);
 }
 
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -23,7 +23,7 @@
     RouterSettings, ShareBook, UpstreamInfo,
 };
 use shaleline_types::{
-    DataCentre, ErrorKind, Incarnation, Instance, Millis, RequestId, Service, Upstream,
+    DataCentre, ErrorKind, Incarnation, Instance, Millis, Position, RequestId, Service, Upstream,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -597,7 +597,7 @@
         };
         let record = |number| EntryRecord {
             name: upstream(number),
-            offset: number as u64,
+            position: Position::new(0, number as u64),
             entry: Some(entry.clone()),
         };
         gw.apply_entries((0..2).map(record).collect(), gw.now());
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -14,7 +14,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, TimeSource};
-use shaleline_types::{DataCentre, Incarnation, Millis, Service, SoftwareVersion, Upstream};
+use shaleline_types::{
+    DataCentre, Incarnation, Millis, Position, Service, SoftwareVersion, Upstream,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -220,7 +222,7 @@
         };
         EntryRecord {
             name,
-            offset: self.now(),
+            position: Position::new(0, self.now()),
             entry: version.map(entry),
         }
     }
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -15,7 +15,7 @@
 use shaleline_edge::{Clock, TimeSource};
 use shaleline_fleet::{PlannerLeaseAction, PlannerLeaseView};
 use shaleline_route::{Limits, RequestPolicy, Route, RouteEvent, RouteRequest};
-use shaleline_types::{DataCentre, Incarnation, Org, RequestId, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Org, Position, RequestId, Service, Upstream};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -76,7 +76,7 @@
         };
         let record = EntryRecord {
             name: self.upstream(),
-            offset,
+            position: Position::new(0, offset),
             entry: listed.then_some(entry),
         };
         self.gw.apply_entries(vec![record], self.gw.now());
@@ -155,7 +155,11 @@
     let daemon = Daemon::start();
     daemon.run(100);
     let now = daemon.gw.now();
-    daemon.gw.reading.borrow_mut().on_config(7, now);
+    daemon
+        .gw
+        .reading
+        .borrow_mut()
+        .on_config(Position::new(0, 7), now);
     daemon.run(100);
     assert!(!daemon.gw.is_behind());
     daemon.suspend();
--- a/crates/gateway/tests/unit/tunnels/pair.rs
+++ b/crates/gateway/tests/unit/tunnels/pair.rs
@@ -20,7 +20,7 @@
     Handler, Listener, ListenerControl, Pool, PoolSettings, Reply, ReplyBody, Target,
 };
 use shaleline_fleet::{Held, Order, OrderReply};
-use shaleline_types::{DataCentre, Incarnation, Millis, Service, Upstream};
+use shaleline_types::{DataCentre, Incarnation, Millis, Position, Service, Upstream};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -243,7 +243,7 @@
     gw.set_table(table());
     let record = |(number, address): (usize, &SocketAddr)| EntryRecord {
         name: Upstream::from_text(&format!("i-{number}")).expect("a valid name"),
-        offset: 1,
+        position: Position::new(0, 1),
         entry: Some(Entry {
             service: service(),
             address: *address,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 //!   without coordination.
 //! * [`Incarnation`] distinguishes the starts of one upstream, and [`SoftwareVersion`] the software
 //!   of several.
+//! * [`Position`] is a position in a topic of a store that may come back from an older copy.
 //! * [`Fingerprint`] identifies equal requests, and [`IncarnationTag`] identifies one incarnation
 //!   of an upstream.
 //! * [`TokenHash`] and [`KeyHash`] are the only forms in which secrets are stored.
@@ -20,6 +21,7 @@
 mod hash;
 mod id;
 mod incarnation;
+mod position;
 mod safeguard;
 mod secret;
 mod software;
@@ -34,6 +36,7 @@
     TemplateName, Upstream, WriterId,
 };
 pub use incarnation::Incarnation;
+pub use position::Position;
 pub use safeguard::Safeguard;
 pub use secret::{KeyHash, TokenHash};
 pub use software::SoftwareVersion;
