Keep upstreams whose entries were lost, and those that are gone away

Cause: presence and absence in the store were taken for acts of the upstream. After a loss they are neither, until the upstream writes again.

Change: missing entries are held for the time in which the platform restores them (2 s from the first read of the new era); a gone upstream returns only by a new incarnation or by an entry behind the end of that first read; what an older entry says does not undo that an upstream leaves, here and in what other daemons are told.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -301,7 +301,13 @@
         return;
     }
     let listed = records.filter(|r| r.entry.is_some()).collect();
-    let changes = gw.roster.borrow_mut().on_snapshot(listed, batch.next, now);
+    let known = gw.entries_end.get();
+    let mut roster = gw.roster.borrow_mut();
+    if known != Position::default() && batch.next.era() > known.era() {
+        roster.on_loss(batch.next, now);
+    }
+    let changes = roster.on_snapshot(listed, batch.next, now);
+    drop(roster);
     gw.apply_all(changes);
 }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,6 +3,8 @@
 //! The removal of an entry means that the upstream is gone or soon will be. While the store itself
 //! is unavailable, entries also lapse although their upstreams are alive; those return within
 //! seconds. Removals that coincide with a disturbance of the store therefore take effect late.
+//! A store that comes back from an older copy lacks the newest entries, which their upstreams write
+//! again, and has entries of upstreams that are gone.
 //! Records arrive by several ways, some of them late; their positions show which are newer.
 
 use crate::Entry;
@@ -92,6 +94,9 @@
 pub(crate) struct Roster {
     listed: BTreeMap<Upstream, Listed>,
     gone: BTreeMap<Upstream, Gone>,
+    /// The end of the topic at the first read since the store came back from an older copy, and when
+    /// that was.
+    loss: Option<(Position, Millis)>,
     unstable_at: Option<Millis>,
     /// When the store last served another daemon, as far as is known.
     peer_served: Option<Millis>,
@@ -105,28 +110,53 @@
 
     /// Applies an upstream's record.
     pub(crate) fn on_record(&mut self, record: EntryRecord, now: Millis) -> Option<Change> {
-        let gone = self.gone.get(&record.name).map(|g| g.position);
-        let known = self.listed.get(&record.name).map(Listed::newest);
-        if gone.max(known).is_some_and(|p| record.position < p) {
+        if self.is_old(&record.name, record.position) {
             return None;
         }
         match record.entry {
             Some(entry) => self.on_entry(record.name, record.position, entry),
-            None => self.on_removed(&record.name, record.position, now),
+            None => self.on_removed(&record.name, record.position, self.hold(now), now),
         }
     }
 
+    /// Whether a newer record of the upstream is known.
+    fn is_old(&self, name: &Upstream, position: Position) -> bool {
+        let gone = self.gone.get(name).map(|g| g.position);
+        let known = self.listed.get(name).map(Listed::newest);
+        gone.max(known).is_some_and(|p| position < p)
+    }
+
+    /// Records that the topic ended at `end` when it was first read after the store came back from an
+    /// older copy.
+    pub(crate) fn on_loss(&mut self, end: Position, now: Millis) {
+        self.loss = Some((end, now));
+    }
+
+    /// Whether a record may be of before the last loss, so that it does not show that an upstream
+    /// which is gone is back.
+    fn may_be_copied(&self, position: Position) -> bool {
+        let loss = self.loss.map(|(end, _)| end);
+        loss.is_some_and(|end| position.era() == end.era() && position < end)
+    }
+
     /// Applies an upstream's entry. Most entries repeat the one before.
     fn on_entry(&mut self, name: Upstream, position: Position, entry: Entry) -> Option<Change> {
         let known = self.listed.get(&name).map(|l| l.entry.incarnation);
         let known = known.or_else(|| Some(self.gone.get(&name)?.incarnation));
         let against = known.map(|k| entry.incarnation.compare_to(k));
-        if against == Some(Ordering::Less) {
+        let is_gone = self.gone.contains_key(&name) && !self.listed.contains_key(&name);
+        let is_copied = is_gone && self.may_be_copied(position);
+        if against == Some(Ordering::Less) || (against == Some(Ordering::Equal) && is_copied) {
             return None;
         }
         let restarted = against == Some(Ordering::Greater);
         let known = self.listed.get_mut(&name).filter(|_| !restarted);
         let leaving = entry.leaving || known.as_ref().is_some_and(|l| l.leaving);
+        // An older entry that the store has again must not reach other daemons either.
+        let entry = Entry {
+            leaving: entry.leaving || known.as_ref().is_some_and(|l| l.entry.leaving),
+            ..entry
+        };
         if let Some(known) = known.filter(|l| l.entry == entry) {
             known.position = position;
             known.removed = None;
@@ -155,8 +185,13 @@
     }
 
     /// Applies the removal of an upstream's entry.
-    fn on_removed(&mut self, name: &Upstream, position: Position, now: Millis) -> Option<Change> {
-        let hold = self.hold(now);
+    fn on_removed(
+        &mut self,
+        name: &Upstream,
+        position: Position,
+        hold: Option<Millis>,
+        now: Millis,
+    ) -> Option<Change> {
         let listed = self.listed.get_mut(name)?;
         listed.removed = Some(position);
         if let (Some(removal_due), false) = (hold, listed.leaving) {
@@ -202,6 +237,12 @@
         (back > now).then(|| back.min(now.plus(MAX_HOLD_MS)))
     }
 
+    /// Until when upstreams are used whose entries are missing: after a loss they write them again.
+    fn hold_missing(&self, now: Millis) -> Option<Millis> {
+        let back = self.loss.map(|(_, at)| at.plus(STORE_RECOVERY_MS));
+        back.filter(|back| *back > now).or_else(|| self.hold(now))
+    }
+
     /// Applies all existing records, read up to `end`; upstreams without one were
     /// removed.
     pub(crate) fn on_snapshot(
@@ -212,16 +253,16 @@
     ) -> Vec<Change> {
         let missing = |n: &&Upstream| !all.iter().any(|s| s.name == **n);
         let missing: Vec<Upstream> = self.listed.keys().filter(missing).cloned().collect();
-        let removed = missing.into_iter().map(|name| EntryRecord {
-            name,
-            position: end,
-            entry: None,
-        });
-        let records: Vec<EntryRecord> = removed.chain(all).collect();
-        records
-            .into_iter()
-            .filter_map(|r| self.on_record(r, now))
-            .collect()
+        let hold = self.hold_missing(now);
+        let missing = missing.into_iter().filter(|name| !self.is_old(name, end));
+        let missing: Vec<Upstream> = missing.collect();
+        let mut changes: Vec<Change> = missing
+            .iter()
+            .filter_map(|name| self.on_removed(name, end, hold, now))
+            .collect();
+        let present = all.into_iter().filter_map(|r| self.on_record(r, now));
+        changes.extend(present);
+        changes
     }
 
     /// Applies the held removals that are due.
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -213,3 +213,58 @@
     let change = roster.on_record(present(3, false), NOW);
     assert_eq!(change, Some(Change::Present(upstream())));
 }
+
+/// The roster after the store came back from an older copy, in which another upstream is listed;
+/// the first read of it ended at the position 6 of the next era.
+fn roster_after_loss(mut roster: Roster, has_entry: bool) -> Roster {
+    let end = Position::new(1, 6);
+    roster.on_loss(end, NOW);
+    let copied = EntryRecord {
+        position: Position::new(1, 2),
+        ..present(2, false)
+    };
+    let all = has_entry.then_some(copied);
+    roster.on_snapshot(all.into_iter().collect(), end, NOW);
+    roster
+}
+
+#[test]
+fn an_upstream_whose_entry_was_lost_is_removed_if_it_does_not_write_again() {
+    let mut roster = roster_after_loss(listed_roster(), false);
+    assert_eq!(roster.tick(NOW.plus(1_999)), []);
+    assert!(roster.get(&upstream()).is_some());
+    assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(upstream())]);
+}
+
+#[test]
+fn an_upstream_that_is_removed_after_a_loss_is_gone_at_once() {
+    let mut roster = roster_after_loss(listed_roster(), true);
+    let removal = EntryRecord {
+        position: Position::new(1, 7),
+        ..removed(7)
+    };
+    let change = roster.on_record(removal, NOW.plus(100));
+    assert_eq!(change, Some(Change::Gone(upstream())));
+}
+
+#[test]
+fn an_upstream_that_is_gone_comes_back_only_by_an_entry_written_after_a_loss() {
+    let mut roster = listed_roster();
+    assert!(roster.on_record(removed(5), NOW).is_some());
+    let mut roster = roster_after_loss(roster, true);
+    assert!(roster.get(&upstream()).is_none());
+    let written = EntryRecord {
+        position: Position::new(1, 6),
+        ..present(6, false)
+    };
+    let change = roster.on_record(written, NOW.plus(900));
+    assert_eq!(change, Some(Change::Present(upstream())));
+}
+
+#[test]
+fn an_older_entry_does_not_hide_from_others_that_an_upstream_leaves() {
+    let mut roster = listed_roster();
+    roster.on_record(present(5, true), NOW);
+    let roster = roster_after_loss(roster, true);
+    assert!(roster.get(&upstream()).is_some_and(|e| e.leaving));
+}
