Acquire the planner lease anew after the store came back from an older copy

Cause: the lease is a record at a position, and both may be lost. A successor that reads an older release acquires at once while the holder still gives orders; fencing tokens were positions and started again below those that engines had seen; a conditional append could succeed by chance where the lost end was given out again.

Change: tokens are positions with their era. A record carries the era in which it was written; one of an earlier era releases nothing. A holder that is valid when it learns of a new era acquires anew at once, all others wait for the takeover delay from then on.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -10,6 +10,10 @@
 //! holder that releases the lease appends its last orders; its successor then waits only for the
 //! engines that had an order within the lease. Only monotonic clocks of single processes are
 //! compared.
+//!
+//! The topic may lose its newest records, and with them an acquisition. A holder that is valid when
+//! it learns of that acquires the lease anew at once, with a token of the new era; any other daemon
+//! waits first, whatever the newest record left says.
 
 use shaleline_types::Millis;
 
@@ -78,7 +82,7 @@
 /// The end of the topic as it was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannerLeaseView {
-    /// The offset of the end of the topic.
+    /// The end of the topic: a number that rises over all eras of the store.
     pub end: u64,
     /// The writer of the newest record, if there is one.
     pub holder: Option<String>,
@@ -87,6 +91,9 @@
     /// Whether that record has the last orders of its writer, see [`crate::Handover`]: the
     /// successor then waits for each engine on its own, and not before it acquires the lease.
     pub has_handover: bool,
+    /// Whether that record was written since the topic last lost records. If not, a later one may be
+    /// lost.
+    pub is_current: bool,
 }
 
 /// The next step.
@@ -135,6 +142,11 @@
     failures: Option<(u64, Millis)>,
     /// The last renewal of the holder that this daemon succeeds, or a later time.
     succeeded: Millis,
+    /// The first position of the era in which the topic last lost records, and when this daemon
+    /// learned of that.
+    loss: Option<(u64, Millis)>,
+    /// Until when this daemon is known to be the only holder, though the topic has lost records.
+    kept_until: Option<Millis>,
     last_action: Option<Millis>,
     in_flight: bool,
     /// Whether the end of the topic must be read before the next append.
@@ -192,6 +204,8 @@
             silent: false,
             failures: None,
             succeeded: Millis(0),
+            loss: None,
+            kept_until: None,
             last_action: None,
             in_flight: false,
             must_read: false,
@@ -227,11 +241,25 @@
         matches!(self.state, State::Holding { .. })
     }
 
+    /// Learns that the topic has lost its newest records, and that new ones are at `start` or behind.
+    pub fn on_loss(&mut self, start: u64, now: Millis) {
+        self.kept_until = match self.state {
+            State::Holding { valid_from, .. } if self.fence(now).is_some() => {
+                Some(valid_from.plus(self.settings.validity.0))
+            }
+            _ => self.kept_until,
+        };
+        self.loss = Some((start, now));
+        self.state = State::Watching;
+        self.must_read = true;
+    }
+
     /// Records a received renewal, after which the topic ended at `end`, and which began at
     /// `started` or before. A newer renewal makes reading the topic unnecessary; one that is known
     /// already proves nothing.
     pub fn on_renewal(&mut self, end: u64, started: Millis) {
-        if self.last_renewal.is_some_and(|(known, _)| end <= known) {
+        let is_lost = self.loss.is_some_and(|(start, _)| end < start);
+        if is_lost || self.last_renewal.is_some_and(|(known, _)| end <= known) {
             return;
         }
         self.record_succession(started);
@@ -357,6 +385,7 @@
         if self.in_flight {
             return None;
         }
+        self.end_kept(now);
         let due =
             |interval: u64, last: Option<Millis>| last.is_none_or(|l| now.since(l) >= interval);
         let action = match self.state {
@@ -391,6 +420,18 @@
         action
     }
 
+    /// Forgets that this daemon was the only holder, once another one may be.
+    fn end_kept(&mut self, now: Millis) {
+        if self.kept_until.is_none_or(|until| now < until) {
+            return;
+        }
+        self.kept_until = None;
+        if matches!(self.state, State::Waiting { wait: 0, .. }) {
+            self.state = State::Watching;
+            self.must_read = true;
+        }
+    }
+
     /// Handles a read of the topic.
     pub fn on_read(&mut self, view: &PlannerLeaseView, now: Millis) {
         self.in_flight = false;
@@ -418,15 +459,30 @@
                 let last_renewal = self.last_renewal.filter(|(end, _)| *end == view.end);
                 let since = last_renewal.map_or(now, |(_, at)| at);
                 let wait = match (&view.holder, view.released) {
+                    _ if !view.is_current => self.settings.takeover_delay(),
                     (None, _) => 0,
                     (_, true) if view.has_handover => 0,
                     (_, true) => self.settings.cooldown().0,
                     _ => self.settings.takeover_delay(),
                 };
-                self.state = State::Waiting {
-                    end: view.end,
-                    since: if view.released { now } else { since },
-                    wait,
+                let lost_at = self.loss.map(|(_, at)| at);
+                let is_kept = self.kept_until.is_some_and(|until| now < until);
+                self.state = match view.is_current {
+                    false if is_kept => State::Waiting {
+                        end: view.end,
+                        since: now,
+                        wait: 0,
+                    },
+                    false => State::Waiting {
+                        end: view.end,
+                        since: lost_at.unwrap_or(now),
+                        wait,
+                    },
+                    true => State::Waiting {
+                        end: view.end,
+                        since: if view.released { now } else { since },
+                        wait,
+                    },
                 };
             }
         }
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -5,36 +5,53 @@
     PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseSettings, PlannerLeaseView,
 };
 use shaleline_testkit::cases;
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Position};
 use std::collections::VecDeque;
 
 const LEASE: Millis = Millis(3_000);
 const START: u64 = 1_000_000;
 
-/// The topic as the store keeps it.
+/// The topic as the store keeps it: the writer of each record, and the era that it knew. The store
+/// may come back from an older copy, with which an era begins.
 #[derive(Default)]
 struct Topic {
-    end: u64,
-    holder: Option<String>,
+    records: Vec<(String, u64)>,
+    era: u64,
+    /// Until when the store answers nobody.
+    away_until: u64,
 }
 
 impl Topic {
+    fn end(&self) -> u64 {
+        Position::new(self.era, self.records.len() as u64).to_u64()
+    }
+
     fn view(&self) -> PlannerLeaseView {
+        let newest = self.records.last();
         PlannerLeaseView {
-            end: self.end,
-            holder: self.holder.clone(),
+            end: self.end(),
+            holder: newest.map(|(holder, _)| holder.clone()),
             released: false,
             has_handover: false,
+            is_current: newest.map_or(self.era == 0, |(_, era)| *era == self.era),
         }
     }
 
-    fn append(&mut self, daemon: &str, end: u64) -> Result<u64, u64> {
-        if end != self.end {
-            return Err(self.end);
+    /// Appends if the offset is the end, which it may be by chance in a later era.
+    fn append(&mut self, daemon: &str, end: u64) -> bool {
+        let end = Position::from_u64(end);
+        let is_end = end.offset() == self.records.len() as u64;
+        if is_end {
+            self.records.push((daemon.to_owned(), end.era()));
         }
-        self.holder = Some(daemon.to_owned());
-        self.end += 1;
-        Ok(end)
+        is_end
+    }
+
+    fn go_back(&mut self, lost: usize, away_until: u64) {
+        let left = self.records.len().saturating_sub(lost);
+        self.records.truncate(left);
+        self.era += 1;
+        self.away_until = away_until;
     }
 }
 
@@ -43,6 +60,7 @@
     name: String,
     lease: PlannerLease,
     paused_until: u64,
+    era: u64,
     /// Calls in progress: when they are carried out, the action, when they began, and whether their
     /// answer is lost.
     calls: VecDeque<(u64, PlannerLeaseAction, Millis, bool)>,
@@ -53,13 +71,18 @@
 
 /// Simulates the steps and returns the times at which each daemon could send orders, with the
 /// token.
-fn simulate(steps: &[Step], settings: PlannerLeaseSettings) -> Vec<(u64, usize, u64)> {
+fn simulate(
+    steps: &[Step],
+    settings: PlannerLeaseSettings,
+    rollbacks: bool,
+) -> Vec<(u64, usize, u64)> {
     let mut topic = Topic::default();
     let mut daemons: Vec<Daemon> = (0..3)
         .map(|i| Daemon {
             name: format!("d{i}"),
             lease: PlannerLease::new(settings, format!("d{i}")),
             paused_until: 0,
+            era: 0,
             calls: VecDeque::new(),
         })
         .collect();
@@ -73,6 +96,10 @@
             0 => daemons[index].paused_until = now + 4_000,
             1 => lost = true,
             2 => delay = 2_500,
+            3 if rollbacks && i > 40 && topic.away_until + 4_000 < now => {
+                let away = 700 * u64::from(daemon % 4);
+                topic.go_back(usize::from(daemon % 8), now + away);
+            }
             _ => {}
         }
         for (d, daemon) in daemons.iter_mut().enumerate() {
@@ -100,26 +127,45 @@
 fn deliver(daemon: &mut Daemon, topic: &mut Topic, now: u64) {
     let due = daemon.calls.iter().filter(|c| c.0 <= now).count();
     for (_, action, started, lost) in daemon.calls.drain(..due).collect::<Vec<_>>() {
+        let is_away = now < topic.away_until;
+        let appended = match action {
+            PlannerLeaseAction::Append { end, .. } if !is_away => topic.append(&daemon.name, end),
+            _ => false,
+        };
+        if lost || is_away {
+            daemon.lease.on_failed();
+            continue;
+        }
+        if topic.era > daemon.era {
+            daemon.era = topic.era;
+            let start = Position::new(topic.era, 0).to_u64();
+            daemon.lease.on_loss(start, Millis(now));
+        }
         match action {
-            PlannerLeaseAction::Read if lost => daemon.lease.on_failed(),
             PlannerLeaseAction::Read => daemon.lease.on_read(&topic.view(), Millis(now)),
-            PlannerLeaseAction::Append { end, .. } => match topic.append(&daemon.name, end) {
-                _ if lost => daemon.lease.on_failed(),
-                Ok(offset) => daemon.lease.on_appended(offset, started),
-                Err(_) => daemon.lease.on_conflict(),
-            },
+            PlannerLeaseAction::Append { end, .. }
+                if appended && Position::from_u64(end).era() == topic.era =>
+            {
+                daemon.lease.on_appended(end, started);
+            }
+            PlannerLeaseAction::Append { .. } => daemon.lease.on_conflict(),
         }
     }
 }
 
 /// Checks that the orders of two holders are at least this long apart, and that the later one has
 /// the higher token.
-fn are_apart(steps: Vec<Step>, settings: PlannerLeaseSettings, apart: Millis) -> TestResult {
+fn are_apart(
+    steps: Vec<Step>,
+    settings: PlannerLeaseSettings,
+    apart: Millis,
+    rollbacks: bool,
+) -> TestResult {
     let repeated: Vec<Step> = steps.into_iter().cycle().take(900).collect();
-    let orders = simulate(&repeated, settings);
+    let orders = simulate(&repeated, settings, rollbacks);
     for pair in orders.windows(2) {
         let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
-        if a != b && (after - before < apart.0 || next <= fence) {
+        if next < fence || a != b && (after - before < apart.0 || next <= fence) {
             return TestResult::error(format!("{pair:?}"));
         }
     }
@@ -127,13 +173,22 @@
 }
 
 fn is_lease_apart(steps: Vec<Step>) -> TestResult {
-    are_apart(steps, PlannerLeaseSettings::from_lease(LEASE), LEASE)
+    are_apart(steps, PlannerLeaseSettings::from_lease(LEASE), LEASE, false)
+}
+
+fn is_lease_apart_after_losses(steps: Vec<Step>) -> TestResult {
+    are_apart(steps, PlannerLeaseSettings::from_lease(LEASE), LEASE, true)
 }
 
 /// With fencing, the orders of two holders need not be a lease apart, but never overlap.
 fn is_slack_apart(steps: Vec<Step>) -> TestResult {
     let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
-    are_apart(steps, settings, settings.slack)
+    are_apart(steps, settings, settings.slack, false)
+}
+
+fn is_slack_apart_after_losses(steps: Vec<Step>) -> TestResult {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    are_apart(steps, settings, settings.slack, true)
 }
 
 fn holds(property: fn(Vec<Step>) -> TestResult) -> bool {
@@ -148,6 +203,8 @@
 cases! { holds;
     orders_of_two_holders_are_a_lease_apart: is_lease_apart => true,
     orders_of_two_holders_never_overlap_with_fencing: is_slack_apart => true,
+    orders_of_two_holders_are_a_lease_apart_after_the_topic_lost_records: is_lease_apart_after_losses => true,
+    orders_of_two_holders_never_overlap_after_the_topic_lost_records: is_slack_apart_after_losses => true,
 }
 
 /// The topic as it ends after an acquisition or a renewal.
@@ -157,6 +214,7 @@
         holder: holder.map(str::to_owned),
         released: false,
         has_handover: false,
+        is_current: true,
     }
 }
 
@@ -183,13 +241,13 @@
 fn a_daemon_holds_it_at_once_and_again_after_a_pause() {
     let faultless: Vec<Step> = vec![(0, 9); 40];
     let settings = PlannerLeaseSettings::from_lease(LEASE);
-    let orders = simulate(&faultless, settings);
+    let orders = simulate(&faultless, settings, false);
     assert!(orders.iter().any(|(at, ..)| *at < START + 500));
     let holder = orders[0].1 as u8;
     let mut paused_until = faultless;
     paused_until.push((holder, 0));
     paused_until.extend(vec![(0, 9); 200]);
-    let after = simulate(&paused_until, settings);
+    let after = simulate(&paused_until, settings, false);
     let last = after.last().expect("a daemon can send orders");
     assert!(
         last.0 >= START + 230 * 50,
@@ -224,6 +282,7 @@
         holder: Some("other".to_owned()),
         released: false,
         has_handover: false,
+        is_current: true,
     };
     lease.on_renewal(9, Millis(START));
     // The same renewal, received again with an older age.
@@ -273,6 +332,7 @@
         holder: Some("other".to_owned()),
         released: true,
         has_handover,
+        is_current: true,
     };
     lease.on_read(&view, Millis(START));
     let append = PlannerLeaseAction::Append {
@@ -446,3 +506,32 @@
     a_late_successor_has_not_failed: 5_500 => 0,
     a_successor_without_a_received_renewal_has_failed: 9_900 => 4_600,
 }
+
+/// The time without orders after the topic lost its newest records, where nothing else fails; the
+/// store is away for so long before.
+fn gap_after_loss((away, settings): (u64, PlannerLeaseSettings)) -> u64 {
+    let mut steps: Vec<Step> = vec![(0, 9); 60];
+    // The daemon's number gives the records lost and the time away.
+    steps.push(((away / 700) as u8 + 4, 3));
+    steps.extend(vec![(0, 9); 200]);
+    let orders = simulate(&steps, settings, true);
+    let back = START + 60 * 50 + away;
+    let next = orders.iter().find(|(at, ..)| *at > back);
+    let (next, ..) = next.expect("a daemon can send orders again");
+    next - back
+}
+
+fn fenced() -> PlannerLeaseSettings {
+    PlannerLeaseSettings::from_lease(LEASE).with_fencing(true)
+}
+
+fn is_within_a_lease(case: (u64, PlannerLeaseSettings)) -> bool {
+    gap_after_loss(case) <= LEASE.0
+}
+
+cases! {
+    is_within_a_lease;
+    a_holder_keeps_the_lease_if_the_topic_loses_records: (0, PlannerLeaseSettings::from_lease(LEASE)) => true,
+    a_holder_keeps_the_fenced_lease_if_the_topic_loses_records: (0, fenced()) => true,
+    a_lease_is_acquired_soon_after_the_store_was_away: (2_100, fenced()) => true,
+}
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -22,13 +22,17 @@
         }
         self.era.set(era);
         // Where nothing was known of the store before, nothing can have been lost.
-        if !self.reading.borrow_mut().on_era(era) {
+        let known = self.reading.borrow_mut().on_era(era);
+        if before == 0 && !known {
             return;
         }
         emit(
             LogEvent::StoreWentBack,
             &format!("era={era} before={before}"),
         );
+        self.has_lost_records.set(true);
+        let start = self.era_start().to_u64();
+        self.planner_lease.borrow_mut().on_loss(start, self.now());
         self.position_changed.notify_waiters();
     }
 
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -8,7 +8,7 @@
 use shaleline_fleet::{
     LoadWindow, Order, PlanNote, PlanView, Rates, ServicePlanners, UnmetByKey, WarmupPhase,
 };
-use shaleline_types::{LogEvent, Millis, Service, Upstream};
+use shaleline_types::{LogEvent, Millis, Position, Service, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -206,7 +206,7 @@
     let bounds = gw.bounds.borrow();
     let mut window = LoadWindow::new(bounds.load_window, bounds.load_over);
     let now = gw.now();
-    if fence == Some(FIRST_FENCE) {
+    if fence.is_some_and(|f| is_first(gw, f)) {
         let until = |ms| now.plus(ms);
         let lead = (until(SPREAD_BEGIN_MS), until(SPREAD_END_MS));
         state.initial_spread.set(Some(lead));
@@ -238,8 +238,12 @@
     (fence == Some(inherited.end + 1)).then_some(inherited)
 }
 
-/// The fencing token of the first lease of all.
-const FIRST_FENCE: u64 = 1;
+/// Whether a fencing token is that of the first lease of all. The token of a lease is one more than
+/// its position.
+fn is_first(gw: &Gateway, fence: u64) -> bool {
+    let position = Position::from_u64(fence - 1);
+    position.offset() == 0 && !gw.has_lost_records.get()
+}
 
 /// The demand of all callers for the models of a service, and the unmet demand; this daemon's own
 /// demand where nothing else is known.
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -18,6 +18,9 @@
 struct LeaseRecord {
     holder: String,
     released: bool,
+    /// The era of the store in which it was written, as its writer knew it.
+    #[serde(default)]
+    era: u64,
     /// The holder's last orders, where it releases the lease.
     #[serde(default)]
     last: Option<Handover>,
@@ -55,9 +58,11 @@
 async fn read(gw: &Gateway) {
     let newest = gw.store.newest(Topic::Planner).await;
     gw.metrics.count_store("planner", newest.is_ok());
+    gw.check_era();
+    let first = !gw.has_lost_records.get();
     let mut lease = gw.planner_lease.borrow_mut();
     let now = gw.now();
-    match newest.as_ref().map(to_view) {
+    match newest.as_ref().map(|batch| to_view(batch, first)) {
         Ok((view, last)) => {
             lease.on_read(&view, now);
             let inherited = last.map(|last| Inherited {
@@ -81,7 +86,9 @@
     pub(crate) read: Millis,
 }
 
-fn to_view(batch: &Batch) -> (PlannerLeaseView, Option<Handover>) {
+/// The lease as a read shows it. `first` says that no loss of records is known, so that a topic
+/// without any never had one.
+fn to_view(batch: &Batch, first: bool) -> (PlannerLeaseView, Option<Handover>) {
     let newest = batch.records.iter().find(|r| r.key == KEY);
     let value = newest.and_then(|r| r.value.as_deref());
     // A record that can't be parsed still means that some daemon holds the lease.
@@ -89,36 +96,43 @@
         serde_json::from_slice(v).unwrap_or(LeaseRecord {
             holder: "unknown".to_owned(),
             released: false,
+            era: 0,
             last: None,
         })
     });
     let released = record.as_ref().is_some_and(|r| r.released);
+    let is_current = record.as_ref().map_or(first, |r| r.era == batch.next.era());
     let last = record.as_ref().and_then(|r| r.last.clone());
+    let last = last.filter(|_| is_current);
     let view = PlannerLeaseView {
         end: batch.next.to_u64(),
         released,
         has_handover: last.is_some(),
+        is_current,
         holder: record.map(|r| r.holder),
     };
     (view, last.filter(|_| released))
 }
 
-fn record(gw: &Gateway, last: Option<Handover>) -> Vec<u8> {
+fn record(gw: &Gateway, era: u64, last: Option<Handover>) -> Vec<u8> {
     let record = LeaseRecord {
         holder: gw.holder(),
         released: last.is_some(),
+        era,
         last,
     };
     serde_json::to_vec(&record).expect("names and numbers serialize")
 }
 
 async fn append(gw: &Gateway, end: u64, started: Millis) {
-    let value = record(gw, None);
+    let end = Position::from_u64(end);
+    let value = record(gw, end.era(), None);
     let result = gw
         .store
-        .append(Topic::Planner, KEY, &value, Some(Position::from_u64(end)))
+        .append(Topic::Planner, KEY, &value, Some(end))
         .await;
     gw.metrics.count_store("planner", result.is_ok());
+    gw.check_era();
     let mut lease = gw.planner_lease.borrow_mut();
     match result {
         Ok(position) => lease.on_appended(position.to_u64(), started),
@@ -162,7 +176,7 @@
     gw.planner_lease.borrow_mut().step_down();
     if held {
         let last = handover(gw, state);
-        let value = record(gw, Some(last));
+        let value = record(gw, gw.era.get(), Some(last));
         // If this append fails, the successor waits until the lease lapses.
         let released = gw.store.append(Topic::Planner, KEY, &value, None).await;
         gw.metrics.count_store("planner", released.is_ok());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -105,8 +105,9 @@
     pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
     /// The position up to which the upstreams' entries are known.
     pub(crate) entries_end: Cell<Position>,
-    /// The latest known era of the store.
+    /// The latest known era of the store, and whether an earlier one was known.
     pub(crate) era: Cell<u64>,
+    pub(crate) has_lost_records: Cell<bool>,
     /// When this process started.
     pub(crate) started: Millis,
     /// Whether another daemon has reported who the hubs are.
@@ -274,6 +275,7 @@
             config_record: RefCell::new(None),
             entries_end: Cell::new(Position::default()),
             era: Cell::new(0),
+            has_lost_records: Cell::new(false),
             started: now,
             hubs_known: Cell::new(false),
             hub_ready: Cell::new(false),
--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -3,6 +3,7 @@
 //! engine holds the requested model or adapter.
 
 use super::engines::{Engines, Key, Popularity};
+use super::holders::Holders;
 use super::outcomes::{Conditions, Outcomes, Refusal};
 use super::records::{Records, SharedStore};
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
@@ -150,6 +151,7 @@
     due_requests: f64,
     pub orders: usize,
     pub outcomes: Outcomes,
+    pub holders: Holders,
     /// The fraction of the packets between data centres that is lost.
     pub link_loss: f64,
 }
@@ -184,6 +186,7 @@
             due_requests: 0.0,
             orders: 0,
             outcomes: Outcomes::default(),
+            holders: Holders::default(),
             link_loss: 0.0,
         };
         for index in 0..size.daemons {
@@ -232,7 +235,7 @@
         let rng = SmallRng::seed_from_u64(self.rng.random());
         let platform = Platform {
             codec: Box::new(StubCodec),
-            store: Box::new(SharedStore(Rc::clone(&self.records))),
+            store: Box::new(SharedStore::new(Rc::clone(&self.records))),
         };
         let settings = self.settings(index, address);
         let gw = Gateway::with_clock(settings, platform, outbox, self.clock.clone(), rng);
@@ -351,6 +354,7 @@
                     self.tick(index);
                 }
             }
+            self.record_holders();
             if self.now() > TRAFFIC_START_MS {
                 let planner_gap = self.planner().is_none();
                 self.outcomes.planner_gap += if planner_gap { STEP_MS } else { 0 };
@@ -363,6 +367,14 @@
         }
     }
 
+    fn record_holders(&mut self) {
+        let alive = self.daemons.iter().filter(|d| d.alive);
+        let fences = alive.filter_map(|d| d.gw.planner_lease.borrow().fence(d.gw.now()));
+        let fences: Vec<u64> = fences.collect();
+        let now = self.now();
+        self.holders.record(&fences, now);
+    }
+
     fn deliver(&mut self) {
         let now = self.now();
         while let Some(entry) = self.entries.first_entry().filter(|e| e.key().0 <= now) {
--- a/crates/gateway/tests/unit/catalogue/main.rs
+++ b/crates/gateway/tests/unit/catalogue/main.rs
@@ -19,6 +19,7 @@
 
 mod cluster;
 pub mod engines;
+mod holders;
 mod outcomes;
 mod records;
 
@@ -199,11 +200,74 @@
     all_is_served_before_295_daemons_where_engines_end_seed_4004: (LARGE, 4004) => true,
 }
 
+/// The store comes back from older copies, some of them after it was away; every second time the
+/// planner is killed as well.
+fn run_with_losses((size, seed): (Size, u64)) -> Cluster {
+    /// The records that each copy lacks, and the time for which the store was away before.
+    const LOSSES: [(usize, u64); 6] = [(1, 0), (3, 0), (8, 500), (2, 2_500), (6, 1_500), (40, 700)];
+    /// The users' bound: the time for which engines may be without orders, in milliseconds.
+    const LEASE_MS: u64 = 3_000;
+    let mut cluster = Cluster::new(size, seed);
+    let mut longest = 0;
+    for (turn, (lost, away)) in LOSSES.into_iter().enumerate() {
+        cluster.run(2_300);
+        let now = cluster.now();
+        let killed = cluster.planner().filter(|_| turn % 2 == 1);
+        cluster.records.unavailable.set(away > 0);
+        cluster.run(away);
+        cluster.records.go_back(lost);
+        cluster.records.unavailable.set(false);
+        killed.into_iter().for_each(|planner| cluster.kill(planner));
+        cluster.holders.reset_gap(cluster.now());
+        cluster.run(LEASE_MS + 1_000);
+        longest = longest.max(cluster.holders.longest_gap);
+        killed
+            .into_iter()
+            .for_each(|planner| cluster.start_daemon(planner));
+        println!("turn {turn} at {now}: {:?}", cluster.holders);
+    }
+    assert_eq!(
+        (cluster.holders.most, cluster.holders.went_back),
+        (1, false)
+    );
+    assert!(longest <= LEASE_MS, "no holder for {longest} ms");
+    cluster
+}
+
+fn one_daemon_plans(case: (Size, u64)) -> bool {
+    run_with_losses(case);
+    true
+}
+
+fn store_goes_back(case: (Size, u64)) -> bool {
+    let mut cluster = run_with_losses(case);
+    cluster.counted_from = cluster.now();
+    cluster.run(RUN_MS / 2);
+    check(&mut cluster)
+}
+
+const MIDDLE: Size = Size {
+    daemons: 90,
+    ..SMALL
+};
+
+cases! { one_daemon_plans;
+    one_daemon_plans_where_the_store_goes_back_before_9_daemons: (SMALL, 12) => true,
+    one_daemon_plans_where_the_store_goes_back_before_90_daemons: (MIDDLE, 13) => true,
+    one_daemon_plans_where_the_store_goes_back_before_295_daemons: (LARGE, 11) => true,
+}
+
+cases! { store_goes_back;
+    all_is_served_where_the_store_goes_back_before_9_daemons: (SMALL, 9) => true,
+    all_is_served_where_the_store_goes_back_before_90_daemons: (MIDDLE, 10) => true,
+}
+
 /// A scenario, which runs a deployment of a size with a seed.
 type Scenario = fn((Size, u64)) -> bool;
 
 /// The scenarios by name, for seeds from the environment.
-const SCENARIOS: [(&str, Scenario); 4] = [
+const SCENARIOS: [(&str, Scenario); 5] = [
+    ("store_goes_back", store_goes_back),
     ("planner_is_cut_off", planner_is_cut_off),
     ("calm", calm),
     ("replaced_in_turn", replaced_in_turn),
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -126,6 +126,7 @@
         holder: None,
         released: false,
         has_handover: false,
+        is_current: true,
     }
 }
 
--- a/crates/gateway/tests/unit/wanted.rs
+++ b/crates/gateway/tests/unit/wanted.rs
@@ -218,6 +218,7 @@
             holder: None,
             released: false,
             has_handover: false,
+            is_current: true,
         };
         let mut lease = daemon.gw.planner_lease.borrow_mut();
         lease.tick(now);
