--- a/crates/gateway/src/blocked_store.rs
+++ b/crates/gateway/src/blocked_store.rs
@@ -5,7 +5,8 @@
 //! for all therefore writes these requests, and each later reader loads them. This takes two calls
 //! for each such request, and one for each daemon that begins to read. It is not enough to store
 //! the blocked requests alone: when all daemons were killed twice, each time after two upstreams
-//! had crashed, one request crashed seven (soak test, seed 9114).
+//! had crashed, one request crashed seven (soak test, seed 9114). A store that has come back from an
+//! older copy is read again, and gets what it lacks.
 
 use crate::state::Gateway;
 use crate::store::{Record, StoreResult, Topic};
@@ -31,9 +32,14 @@
 pub(crate) async fn run(gw: Rc<Gateway>) {
     let mut health = StoreHealth::new("blocked");
     let mut written = None;
+    let mut era = gw.era.get();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = gw.now();
+        let is_lost = era != std::mem::replace(&mut era, gw.era.get());
+        if is_lost {
+            written = None;
+        }
         if !gw.membership.borrow_mut().is_reader(now) {
             written = None;
             continue;
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,7 +2,8 @@
 //!
 //! A daemon that starts sends [`Message::Hello`] to the few addresses of its settings and receives
 //! the list of hubs; its hub learns of it from its load reports. Where no address answers, it
-//! registers in the store and reads the members there, which include every hub.
+//! registers in the store and reads the members there, which include every hub. Hubs register again
+//! after the store has come back from an older copy, which may lack them.
 
 use crate::journal::emit;
 use crate::message::{Message, Sender};
@@ -61,10 +62,11 @@
 pub(crate) async fn run(gw: Rc<Gateway>) {
     let mut health = StoreHealth::new("members");
     let answered = !gw.settings.seeds.is_empty() && send_hello(&gw).await;
-    let mut registered = false;
+    // The era of the store in which this daemon has registered.
+    let mut registered = None;
     if !answered {
         register(&gw, &mut health).await;
-        registered = true;
+        registered = Some(gw.era.get());
         read_members(&gw, &mut health).await;
     }
     // A daemon that starts later than the others receives its hub's messages at once.
@@ -73,13 +75,14 @@
         wait_for(contacted, SETTLE_LIMIT).await;
     }
     gw.hub_ready.set(true);
-    while !registered {
+    loop {
         tokio::time::sleep(HUB_CHECK_INTERVAL).await;
         let now = gw.now();
-        registered = gw.membership.borrow_mut().is_hub(now);
-    }
-    if answered {
-        register(&gw, &mut health).await;
+        let is_new = registered != Some(gw.era.get());
+        if is_new && gw.membership.borrow_mut().is_hub(now) {
+            register(&gw, &mut health).await;
+            registered = Some(gw.era.get());
+        }
     }
 }
 
@@ -108,6 +111,7 @@
     loop {
         let registered = gw.store.append(Topic::Members, key, &value, None).await;
         health.record(gw, &registered);
+        gw.check_era();
         if registered.is_ok() {
             return;
         }
