--- a/crates/gateway/src/blocked_store.rs
+++ b/crates/gateway/src/blocked_store.rs
@@ -36,8 +36,8 @@
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = gw.now();
-        let is_lost = era != std::mem::replace(&mut era, gw.era.get());
-        if is_lost {
+        let before = std::mem::replace(&mut era, gw.era.get());
+        if before != era {
             written = None;
         }
         if !gw.membership.borrow_mut().is_reader(now) {
