--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -7,6 +7,26 @@
 use crate::journal::emit;
 use crate::state::Gateway;
 use shaleline_types::{LogEvent, Position};
+use std::cell::Cell;
+
+/// What is known of the era of the store.
+#[derive(Debug, Default)]
+pub(crate) struct KnownEra {
+    latest: Cell<u64>,
+    has_ended: Cell<bool>,
+}
+
+impl KnownEra {
+    /// The latest known era.
+    pub(crate) fn get(&self) -> u64 {
+        self.latest.get()
+    }
+
+    /// Whether an earlier era was known, of which records may be lost.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+}
 
 impl Gateway {
     /// Notices the era that the last answers of the store named.
@@ -20,7 +40,7 @@
         if era <= before {
             return;
         }
-        self.era.set(era);
+        self.era.latest.set(era);
         // Where nothing was known of the store before, nothing can have been lost.
         let known = self.reading.borrow_mut().on_era(era);
         if before == 0 && !known {
@@ -30,7 +50,7 @@
             LogEvent::StoreWentBack,
             &format!("era={era} before={before}"),
         );
-        self.has_lost_records.set(true);
+        self.era.has_ended.set(true);
         let start = self.era_start().to_u64();
         self.planner_lease.borrow_mut().on_loss(start, self.now());
         self.position_changed.notify_waiters();
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -242,7 +242,7 @@
 /// its position.
 fn is_first(gw: &Gateway, fence: u64) -> bool {
     let position = Position::from_u64(fence - 1);
-    position.offset() == 0 && !gw.has_lost_records.get()
+    position.offset() == 0 && !gw.era.has_ended()
 }
 
 /// The demand of all callers for the models of a service, and the unmet demand; this daemon's own
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -59,7 +59,7 @@
     let newest = gw.store.newest(Topic::Planner).await;
     gw.metrics.count_store("planner", newest.is_ok());
     gw.check_era();
-    let first = !gw.has_lost_records.get();
+    let first = !gw.era.has_ended();
     let mut lease = gw.planner_lease.borrow_mut();
     let now = gw.now();
     match newest.as_ref().map(|batch| to_view(batch, first)) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
 use crate::eligibility::Announcements;
+use crate::era::KnownEra;
 use crate::gossip::Addressed;
 use crate::isolation::Isolation;
 use crate::journal::{emit, LineLimiter};
@@ -105,9 +106,8 @@
     pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
     /// The position up to which the upstreams' entries are known.
     pub(crate) entries_end: Cell<Position>,
-    /// The latest known era of the store, and whether an earlier one was known.
-    pub(crate) era: Cell<u64>,
-    pub(crate) has_lost_records: Cell<bool>,
+    /// The era of the store.
+    pub(crate) era: KnownEra,
     /// When this process started.
     pub(crate) started: Millis,
     /// Whether another daemon has reported who the hubs are.
@@ -243,16 +243,14 @@
             ..RouterSettings::new(settings.centre.clone())
         };
         let name = settings.instance.as_str();
+        let holder = format!("{name}/{incarnation:016x}");
         let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease)
             .with_fencing(settings.bounds.fencing);
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
-            isolation: RefCell::new(Isolation::default()),
-            planner_watch: RefCell::new(PlannerWatch::default()),
-            planner_lease: RefCell::new(PlannerLease::new(
-                lease_settings,
-                format!("{name}/{incarnation:016x}"),
-            )),
+            isolation: RefCell::default(),
+            planner_watch: RefCell::default(),
+            planner_lease: RefCell::new(PlannerLease::new(lease_settings, holder)),
             last_orders: RefCell::new(LastOrders::default()),
             inherited: RefCell::new(None),
             me,
@@ -274,8 +272,7 @@
             stall_detector: RefCell::new(StallDetector::new(now)),
             config_record: RefCell::new(None),
             entries_end: Cell::new(Position::default()),
-            era: Cell::new(0),
-            has_lost_records: Cell::new(false),
+            era: KnownEra::default(),
             started: now,
             hubs_known: Cell::new(false),
             hub_ready: Cell::new(false),
@@ -293,8 +290,8 @@
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
             network,
-            paths: RefCell::new(Paths::default()),
-            relays: RefCell::new(Relays::default()),
+            paths: RefCell::default(),
+            relays: RefCell::default(),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
