--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
 use crate::eligibility::Announcements;
+use crate::era::KnownEra;
 use crate::gossip::Addressed;
 use crate::isolation::Isolation;
 use crate::journal::{emit, LineLimiter};
@@ -40,7 +41,7 @@
     ShareBook, UpstreamInfo,
 };
 use shaleline_types::{
-    ErrorKind, Incarnation, LogEvent, Millis, Model, Org, RequestId, Service, Upstream,
+    ErrorKind, Incarnation, LogEvent, Millis, Model, Org, Position, RequestId, Service, Upstream,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -103,8 +104,10 @@
     pub(crate) stall_detector: RefCell<StallDetector>,
     /// The configuration's record as it was read, for other daemons.
     pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
-    /// The offset up to which the upstreams' entries are known.
-    pub(crate) entries_offset: Cell<u64>,
+    /// The position up to which the upstreams' entries are known.
+    pub(crate) entries_end: Cell<Position>,
+    /// The era of the store.
+    pub(crate) era: KnownEra,
     /// When this process started.
     pub(crate) started: Millis,
     /// Whether another daemon has reported who the hubs are.
@@ -240,16 +243,14 @@
             ..RouterSettings::new(settings.centre.clone())
         };
         let name = settings.instance.as_str();
+        let holder = format!("{name}/{incarnation:016x}");
         let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease)
             .with_fencing(settings.bounds.fencing);
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
-            isolation: RefCell::new(Isolation::default()),
-            planner_watch: RefCell::new(PlannerWatch::default()),
-            planner_lease: RefCell::new(PlannerLease::new(
-                lease_settings,
-                format!("{name}/{incarnation:016x}"),
-            )),
+            isolation: RefCell::default(),
+            planner_watch: RefCell::default(),
+            planner_lease: RefCell::new(PlannerLease::new(lease_settings, holder)),
             last_orders: RefCell::new(LastOrders::default()),
             inherited: RefCell::new(None),
             me,
@@ -270,7 +271,8 @@
             reading: RefCell::new(ReadProgress::default()),
             stall_detector: RefCell::new(StallDetector::new(now)),
             config_record: RefCell::new(None),
-            entries_offset: Cell::new(0),
+            entries_end: Cell::new(Position::default()),
+            era: KnownEra::default(),
             started: now,
             hubs_known: Cell::new(false),
             hub_ready: Cell::new(false),
@@ -288,8 +290,8 @@
             peer_requests: RefCell::new(PeerRequests::default()),
             crash_probes: RefCell::new(CrashProbes::default()),
             network,
-            paths: RefCell::new(Paths::default()),
-            relays: RefCell::new(Relays::default()),
+            paths: RefCell::default(),
+            relays: RefCell::default(),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
