Tell each other the version of the configuration when the store went back

Cause: daemons compare positions in the store to find out who is behind. Where the store has lost a record, those who have it and those who do not are at the same position.

Change: for 3 s after its start and after a new era each daemon sends the version that it has (the hubs pass it on); one with an older one takes the configuration from the sender, one with a newer one answers.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -70,6 +70,20 @@
     }
 }
 
+/// Takes over newer configurations that other daemons report, for as long as the process runs.
+pub(crate) async fn newer_configs(gw: Rc<Gateway>) {
+    loop {
+        let peer = gw.era.newer_config().await;
+        match handover::config_of(&gw, peer).await {
+            Ok(copy) => copy.record.iter().for_each(|r| apply_config_record(&gw, r)),
+            Err(reason) => {
+                let detail = format!("peer={peer} path=config reason={reason:?}");
+                emit(LogEvent::CopyMissed, &detail);
+            }
+        }
+    }
+}
+
 /// Records a read of the configuration: as of when it is, and when it was requested.
 fn record_read(gw: &Gateway, next: Position, at: Millis, requested: Millis) {
     let mut reading = gw.reading.borrow_mut();
@@ -180,6 +194,9 @@
             if gw.set_table(table) {
                 *gw.config_record.borrow_mut() = Some(value.into());
                 gw.send_read_position();
+                // Their positions are the same where the store lost the record.
+                let offers = gw.config_offers(gw.now());
+                gw.send(offers);
             }
         }
         Err(e) => emit(LogEvent::TableRefused, &format!("reason={:?}", e.0)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -115,6 +115,7 @@
     let requests = requests.into_iter();
     let requests = requests.map(|t| (t, Message::CrashesRequest { all: true }));
     let messages = messages.into_iter().chain(requests);
+    let messages = messages.chain(gw.config_offers(now));
     messages.map(|(t, m)| (t, gw.datagram(m))).collect()
 }
 
@@ -297,6 +298,7 @@
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
         Message::Limits(message) => gw.on_limit_message(&from, message),
+        Message::ConfigHeld { version } => gw.on_config_held(&from, version),
         Message::Relays(message) => gw.on_relay_message(&from, &message),
         Message::Versions(message) => gw.on_version_message(&from, message),
         Message::PlannerUpdate(update) => forward_update(gw, &from, &update, now),
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -214,6 +214,11 @@
     fetch(gw, CONFIG_PATH, gw.freshness().config).await
 }
 
+/// Fetches the configuration of one daemon, however old its knowledge of the store is.
+pub(crate) async fn config_of(gw: &Gateway, peer: SocketAddr) -> Result<ConfigCopy, String> {
+    fetch_from(gw, peer, CONFIG_PATH, Millis(u64::MAX)).await
+}
+
 /// Fetches a fresh copy of the upstreams' entries.
 pub(crate) async fn entries(gw: &Gateway) -> Option<Fetched<EntriesCopy>> {
     fetch(gw, ENTRIES_PATH, gw.freshness().entries).await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -127,6 +127,7 @@
     #[path = "crashes/main.rs"]
     mod crashes;
     mod eligibility;
+    mod era;
     mod events;
     mod identity;
     mod job;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -117,6 +117,9 @@
     AskParts(Box<Ask>),
     /// About daemons that open tunnels for others.
     Relays(RelayMessage),
+    /// The version of the sender's configuration, which the store may have lost. A daemon with a newer
+    /// one answers with its own.
+    ConfigHeld { version: u64 },
 }
 
 /// What daemons exchange about streams that are bound to a software version.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -93,6 +93,7 @@
         emit(LogEvent::SettingsRefused, &format!("reason=\"{e:#}\""));
     }
     actix_rt::spawn(follow::config(Rc::clone(&gw)));
+    actix_rt::spawn(follow::newer_configs(Rc::clone(&gw)));
     actix_rt::spawn(follow::upstreams(Rc::clone(&gw)));
     actix_rt::spawn(discovery::run(Rc::clone(&gw)));
     actix_rt::spawn(gossip::receive(Rc::clone(&gw), Rc::clone(&socket)));
