--- a/crates/gateway/tests/unit/broken_paths/main.rs
+++ b/crates/gateway/tests/unit/broken_paths/main.rs
@@ -95,3 +95,26 @@
     a_data_centre_of_295_daemons_that_get_no_answers_serves_its_callers: (295, Cut::Centre, Path::Silent, 15) => true,
     all_but_one_of_295_daemons_whose_connections_are_reset_serve_their_callers: (295, Cut::AllButOne, Path::Reset, 16) => true,
 }
+
+/// Runs all kinds of cuts with a seed: `DAEMONS` and `SEED` set the size and the seed.
+#[test]
+#[ignore = "takes a size and a seed: DAEMONS=90 SEED=101"]
+fn daemons_without_paths_serve_their_callers_with_the_seed_given() {
+    let given = |key: &str| std::env::var(key).unwrap_or_else(|_| panic!("{key} is not set"));
+    let daemons = given("DAEMONS").parse().expect("DAEMONS is a number");
+    let seed = given("SEED").parse().expect("SEED is a number");
+    let cuts = [
+        Cut::One,
+        Cut::Third,
+        Cut::TwoThirds,
+        Cut::Centre,
+        Cut::Hubs,
+        Cut::KnownAndThird,
+        Cut::AllButOne,
+    ];
+    for cut in cuts {
+        for path in [Path::Silent, Path::Reset] {
+            assert!(serves_like_others((daemons, cut, path, seed)));
+        }
+    }
+}
