--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -17,7 +17,7 @@
 struct Topic {
     records: Vec<(String, u64)>,
     era: u64,
-    /// Until when the store answers nobody.
+    /// The time until which calls to the store get no answer.
     away_until: u64,
 }
 
@@ -508,7 +508,7 @@
 }
 
 /// The time without orders after the topic lost its newest records, where nothing else fails; the
-/// store is away for so long before.
+/// store gives no answers for that long before.
 fn gap_after_loss((away, settings): (u64, PlannerLeaseSettings)) -> u64 {
     let mut steps: Vec<Step> = vec![(0, 9); 60];
     // The daemon's number gives the records lost and the time away.
--- a/crates/gateway/tests/unit/era.rs
+++ b/crates/gateway/tests/unit/era.rs
@@ -72,7 +72,7 @@
     on_datagram(&me.gw, held(21, &other));
     on_datagram(&me.gw, held(17, &other));
     assert_eq!(me.gw.era.newer_config().now_or_never(), None);
-    // The other one is told that its configuration is older.
+    // The other daemon receives the newer version in reply.
     let replies = me.outbox.try_recv().expect("a reply");
     assert!(matches!(
         replies[..],
