--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -1,6 +1,8 @@
 //! Opening connections to upstreams that this instance does not reach itself.
 
+use crate::connection::{boxed, BoxedConnection};
 use crate::pool::Target;
+use std::fmt;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -35,8 +37,8 @@
     fn is_allowed(&self, target: &Target) -> bool;
 
     /// Connects directly.
-    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
-        Box::pin(TcpStream::connect(target.address))
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<BoxedConnection>> {
+        Box::pin(connect_directly(target.address))
     }
 
     /// Connects by a tunnel. Returns the connection and the address of the daemon in between.
@@ -47,23 +49,37 @@
 }
 
 /// A connection through another daemon, and that daemon's address.
-#[derive(Debug)]
 pub struct Tunnel {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: BoxedConnection,
     /// The daemon in between.
     pub relay: SocketAddr,
 }
 
 /// A connection, and the address of the daemon in between if it goes through a tunnel.
-#[derive(Debug)]
 pub struct Opened {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: BoxedConnection,
     /// The daemon in between, if there is one.
     pub relay: Option<SocketAddr>,
 }
 
+impl fmt::Debug for Tunnel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tunnel")
+            .field("relay", &self.relay)
+            .finish_non_exhaustive()
+    }
+}
+
+impl fmt::Debug for Opened {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Opened")
+            .field("relay", &self.relay)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Opened {
     fn by_tunnel(tunnel: Tunnel) -> Self {
         Self {
@@ -73,13 +89,21 @@
     }
 }
 
+/// Connects to an address.
+///
+/// # Errors
+/// If the connection fails.
+pub async fn connect_directly(address: SocketAddr) -> io::Result<BoxedConnection> {
+    TcpStream::connect(address).await.map(boxed)
+}
+
 fn timed_out() -> io::Error {
     io::Error::from(io::ErrorKind::TimedOut)
 }
 
 /// Connects directly, within the limit.
 pub(crate) async fn open_direct(
-    connect: impl Future<Output = io::Result<TcpStream>>,
+    connect: impl Future<Output = io::Result<BoxedConnection>>,
     limit: Duration,
 ) -> io::Result<Opened> {
     let stream = timeout(limit, connect).await.map_err(|_| timed_out())??;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,12 +10,14 @@
 //! * [`Pool`] keeps connections to upstreams; an [`Exchange`] is one request on one of
 //!   them, and dropping it closes the connection, which cancels the request. Its [`Framing`] says
 //!   how the end of the response is found.
+//! * A [`Connection`] is one to an upstream; simulations have their own.
 //! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
 
 mod caller_stream;
 mod clock;
 mod connect;
+mod connection;
 mod control;
 mod exchange;
 mod listener;
@@ -24,7 +26,10 @@
 pub mod tunnel;
 
 pub use clock::{Clock, SuspensionDetector, TimeSource};
-pub use connect::{open as open_connection, LocalFuture, Opened, Tunnel, Tunnels};
+pub use connect::{
+    connect_directly, open as open_connection, LocalFuture, Opened, Tunnel, Tunnels,
+};
+pub use connection::{boxed, BoxedConnection, Connection};
 pub use control::ListenerControl;
 pub use exchange::{Exchange, Framing, SendError};
 pub use listener::{CallerAddress, Handler, Listener};
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of persistent connections to upstreams.
 
-use crate::connect::{self, Opened};
+use crate::connect::{self, connect_directly, Opened};
+use crate::connection::BoxedConnection;
 use crate::{Clock, Exchange, Framing, SendError, Tunnels};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
@@ -263,14 +264,13 @@
 
     /// Connects once and closes the connection, to find out whether a process listens there.
     pub async fn probe(&self, target: &Target, limit: Duration) -> ProbeOutcome {
-        self.probe_by(TcpStream::connect(target.address), limit)
-            .await
+        self.probe_by(connect_directly(target.address), limit).await
     }
 
     /// Probes like [`Pool::probe`] by a given way to connect.
     pub async fn probe_by(
         &self,
-        connect: impl Future<Output = io::Result<TcpStream>>,
+        connect: impl Future<Output = io::Result<BoxedConnection>>,
         limit: Duration,
     ) -> ProbeOutcome {
         self.0.opened.set(self.0.opened.get() + 1);
@@ -299,10 +299,10 @@
         let limit = self.0.settings.connect_timeout;
         let opened = match tunnels {
             Some(tunnels) => connect::open(target, limit, tunnels).await,
-            None => connect::open_direct(TcpStream::connect(target.address), limit).await,
+            None => connect::open_direct(connect_directly(target.address), limit).await,
         };
         let Opened { stream, relay } = opened.map_err(|_| SendError::NotSent)?;
-        set_options(&stream, self.0.settings.unacked_timeout);
+        stream.set_options(self.0.settings.unacked_timeout);
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -1,6 +1,7 @@
 //! Tunnels through another daemon by the method CONNECT (RFC 9110, section 9.3.6).
 
 use crate::caller_stream::{set_reset_on_close, CallerStream};
+use crate::connection::BoxedConnection;
 use crate::pool::{set_options, Target};
 use bytes::Bytes;
 use http_body_util::Empty;
@@ -12,7 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{copy, AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::io::{copy, split, AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 fn other(reason: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
@@ -81,8 +82,8 @@
 /// daemon's connection is therefore reset unless the upstream has ended its side regularly and all
 /// that it sent was passed on. Neither side can end before the other and still receive: daemons
 /// close a tunnel as a whole, which cancels the request at the upstream.
-pub async fn run(upgrade: OnUpgrade, mut upstream: TcpStream, unacked_timeout: Duration) {
-    set_options(&upstream, unacked_timeout);
+pub async fn run(upgrade: OnUpgrade, mut upstream: BoxedConnection, unacked_timeout: Duration) {
+    upstream.set_options(unacked_timeout);
     // The daemon has left already.
     let Ok(upgraded) = upgrade.await else {
         return;
@@ -101,7 +102,7 @@
         Ok(Ended::Upstream) => set_reset_on_close(&caller, false).ok(),
         Ok(Ended::Caller) => None,
         // If this fails, the upstream sees a regular end; its request has a length.
-        Err(_) => set_reset_on_close(&upstream, true).ok(),
+        Err(_) => upstream.reset_on_close().ok(),
     };
 }
 
@@ -113,12 +114,12 @@
 
 async fn forward(
     caller: &mut TcpStream,
-    upstream: &mut TcpStream,
+    upstream: &mut BoxedConnection,
     early: &[u8],
 ) -> io::Result<Ended> {
     upstream.write_all(early).await?;
     let (mut caller_in, mut caller_out) = caller.split();
-    let (mut upstream_in, mut upstream_out) = upstream.split();
+    let (mut upstream_in, mut upstream_out) = split(upstream);
     tokio::select! {
         up = copy(&mut caller_in, &mut upstream_out) => up.map(|_| Ended::Caller),
         down = copy(&mut upstream_in, &mut caller_out) => down.map(|_| Ended::Upstream),
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -130,7 +130,8 @@
             let mut reach = ProbeOutcome::Unreachable;
             for limit in PROBE_TIMEOUTS {
                 if reach == ProbeOutcome::Unreachable {
-                    reach = self.pool.probe(&target, limit).await;
+                    let connect = self.connect_directly(&target);
+                    reach = self.pool.probe_by(connect, limit).await;
                 }
             }
             // The path from this daemon may reset connections while the upstream runs.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -133,6 +133,8 @@
     mod job;
     #[path = "limits/main.rs"]
     mod limits;
+    #[path = "lost_services/main.rs"]
+    mod lost_services;
     mod manual_clock;
     mod membership;
     mod one_daemon;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -285,7 +285,7 @@
 }
 
 /// Sends a request until it is answered or refused, at the latest by its deadline.
-async fn serve(gw: &Rc<Gateway>, job: Job) -> Reply {
+pub(crate) async fn serve(gw: &Rc<Gateway>, job: Job) -> Reply {
     record_demand(gw, &job);
     let job = Rc::new(job);
     let mut permit = Permit::ask(gw, &job);
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -19,7 +19,7 @@
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::tunnel::TunnelError;
 use shaleline_edge::{
-    tunnel, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnel, Tunnels,
+    tunnel, BoxedConnection, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnel, Tunnels,
 };
 use shaleline_types::{LogEvent, Upstream};
 use std::cell::Cell;
@@ -28,7 +28,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 /// Time in which a daemon must open a tunnel. It tries to connect for less than that.
@@ -65,7 +64,7 @@
         gw.paths.borrow().may_tunnel(&target.name, gw.now())
     }
 
-    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<BoxedConnection>> {
         self.0.connect_directly(target)
     }
 
@@ -108,7 +107,7 @@
     network: &dyn Network,
     relay: SocketAddr,
     target: &Target,
-) -> (SocketAddr, Result<TcpStream, Missed>) {
+) -> (SocketAddr, Result<BoxedConnection, Missed>) {
     let connect = network.tunnel(relay, target);
     let answer = match timeout(TUNNEL_TIMEOUT, connect).await {
         Ok(Ok(stream)) => Ok(stream),
@@ -123,7 +122,7 @@
     pub(crate) fn connect_directly<'a>(
         &'a self,
         target: &'a Target,
-    ) -> LocalFuture<'a, io::Result<TcpStream>> {
+    ) -> LocalFuture<'a, io::Result<BoxedConnection>> {
         self.network.direct(target)
     }
 
@@ -358,7 +357,7 @@
     pub(crate) async fn connect_for(
         &self,
         name: &Upstream,
-    ) -> Result<(TcpStream, TunnelGuard), StatusCode> {
+    ) -> Result<(BoxedConnection, TunnelGuard), StatusCode> {
         let target = self.target(name).ok_or(StatusCode::NOT_FOUND)?;
         let broken = !self.paths.borrow().may_relay(name, self.now());
         let full = self.open_tunnels.get() >= MAX_TUNNELS;
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -5,16 +5,20 @@
 use crate::message::{Datagram, Message};
 use crate::network::Network;
 use crate::roster::EntryRecord;
+use crate::selector::Selector;
 use crate::start::run_tick;
 use crate::state::{Gateway, Platform};
 use crate::tunnels::GatewayTunnels;
 use crate::unit::crashes::cluster::settings;
 use crate::unit::crashes::null_platform::{StubCodec, UnavailableStore};
+use crate::unit::lost_services::servers::{Server, TunnelledConnection};
 use crate::Entry;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::tunnel::TunnelError;
-use shaleline_edge::{open_connection, Clock, LocalFuture, Target, TimeSource};
+use shaleline_edge::{
+    boxed, open_connection, BoxedConnection, Clock, LocalFuture, Target, TimeSource,
+};
 use shaleline_types::{DataCentre, Incarnation, Position, Service, SoftwareVersion, Upstream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -24,7 +28,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 const UPSTREAMS: usize = 30;
@@ -67,6 +71,10 @@
     Silent,
     /// Connections are reset.
     Reset,
+    /// What a daemon sends arrives, and nothing comes back.
+    OneWay,
+    /// New connections get no answer, while those that are open work.
+    OldOnly,
 }
 
 struct TokioTime(Instant);
@@ -80,18 +88,47 @@
 struct Daemon {
     gw: Rc<Gateway>,
     address: SocketAddr,
+    /// The paths to all upstreams but those in `lost`.
     path: Cell<Path>,
+    /// The paths to single upstreams.
+    lost: RefCell<BTreeMap<Upstream, Path>>,
     /// When its processor has opened all tunnels that it was asked for.
     idle_at: Cell<Instant>,
 }
 
+impl Daemon {
+    fn path_to(&self, upstream: &Upstream) -> Path {
+        let lost = self.lost.borrow();
+        lost.get(upstream).copied().unwrap_or(self.path.get())
+    }
+
+    /// Whether its paths to all upstreams are whole.
+    fn is_whole(&self) -> bool {
+        self.path.get() == Path::Whole && self.lost.borrow().is_empty()
+    }
+}
+
 /// What all daemons share.
 #[derive(Default)]
 struct World {
     daemons: RefCell<Vec<Rc<Daemon>>>,
+    /// The upstreams that answer requests. Nothing is sent to the others.
+    servers: RefCell<BTreeMap<Upstream, Rc<Server>>>,
+    /// Counts the changes of paths.
+    changes: watch::Sender<u64>,
 }
 
 impl World {
+    /// Opens a connection from a daemon to an upstream.
+    fn connect(self: &Rc<Self>, index: usize, upstream: &Upstream) -> io::Result<BoxedConnection> {
+        let Some(server) = self.servers.borrow().get(upstream).cloned() else {
+            return connection();
+        };
+        let (world, name) = (Rc::clone(self), upstream.clone());
+        let path = move || world.daemon(index).path_to(&name);
+        Ok(server.connect(path, self.changes.subscribe()))
+    }
+
     fn daemon(&self, index: usize) -> Rc<Daemon> {
         Rc::clone(&self.daemons.borrow()[index])
     }
@@ -109,19 +146,22 @@
 }
 
 /// A connection on which nothing is sent.
-fn connection() -> io::Result<TcpStream> {
+fn connection() -> io::Result<BoxedConnection> {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
-    TcpStream::from_std(socket.into())
+    TcpStream::from_std(socket.into()).map(boxed)
 }
 
 impl Network for SimulatedNetwork {
-    fn direct<'a>(&'a self, _: &'a Target) -> LocalFuture<'a, io::Result<TcpStream>> {
+    fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<BoxedConnection>> {
         Box::pin(async {
             sleep(HOP).await;
-            match self.world.daemon(self.index).path.get() {
-                Path::Whole => connection(),
-                Path::Silent => pending().await,
+            match self.world.daemon(self.index).path_to(&target.name) {
+                Path::Whole => {
+                    sleep(HOP).await;
+                    self.world.connect(self.index, &target.name)
+                }
+                Path::Silent | Path::OneWay | Path::OldOnly => pending().await,
                 Path::Reset => Err(io::Error::from(io::ErrorKind::ConnectionReset)),
             }
         })
@@ -131,7 +171,7 @@
         &'a self,
         relay: SocketAddr,
         target: &'a Target,
-    ) -> LocalFuture<'a, Result<TcpStream, TunnelError>> {
+    ) -> LocalFuture<'a, Result<BoxedConnection, TunnelError>> {
         Box::pin(async move {
             sleep(HOP).await;
             let relay = self.world.at(relay).expect("a daemon");
@@ -141,6 +181,9 @@
             let connected = relay.gw.connect_for(&target.name).await;
             sleep(HOP).await;
             let (stream, guard) = connected.map_err(TunnelError::Refused)?;
+            if !self.world.servers.borrow().is_empty() {
+                return Ok(Box::new(TunnelledConnection::new(stream, guard)) as BoxedConnection);
+            }
             actix_rt::spawn(async move {
                 sleep(TUNNEL_USE).await;
                 drop(guard);
@@ -217,8 +260,22 @@
     /// Starts daemons in three data centres, of which each knows only a few, and waits until they
     /// have found their hubs.
     pub async fn start(daemons: usize, seed: u64) -> Self {
+        let set_up = |gw: &Gateway| gw.apply_entries(entries(), gw.now());
+        Self::start_with(daemons, seed, (BTreeMap::new(), &set_up)).await
+    }
+
+    /// Starts daemons like [`Self::start`], before upstreams that answer requests. `set_up` prepares each
+    /// daemon.
+    pub async fn start_with(
+        daemons: usize,
+        seed: u64,
+        (servers, set_up): (BTreeMap<Upstream, Rc<Server>>, &dyn Fn(&Gateway)),
+    ) -> Self {
         let mut cluster = Self {
-            world: Rc::default(),
+            world: Rc::new(World {
+                servers: RefCell::new(servers),
+                ..World::default()
+            }),
             outboxes: Vec::new(),
             start: Instant::now(),
             rng: SmallRng::seed_from_u64(seed),
@@ -226,12 +283,12 @@
             datagrams: 0,
             interval: u64::MAX,
         };
-        (0..daemons).for_each(|index| cluster.add_daemon(index));
+        (0..daemons).for_each(|index| cluster.add_daemon(index, set_up));
         cluster.run(SETTLE_MS, 0).await;
         cluster
     }
 
-    fn add_daemon(&mut self, index: usize) {
+    fn add_daemon(&mut self, index: usize, set_up: &dyn Fn(&Gateway)) {
         let address = SocketAddr::from(([10, 0, (index / 200) as u8, 1 + (index % 200) as u8], 1));
         let (outbox, messages) = mpsc::unbounded_channel();
         let platform = Platform {
@@ -247,11 +304,12 @@
         let settings = settings(index, address);
         let gw = Gateway::with_network(settings, platform, outbox, (clock, network), rng);
         let gw = gw.expect("a gateway");
-        gw.apply_entries(entries(), gw.now());
+        set_up(&gw);
         self.world.daemons.borrow_mut().push(Rc::new(Daemon {
             gw,
             address,
             path: Cell::new(Path::Whole),
+            lost: RefCell::default(),
             idle_at: Cell::new(self.start),
         }));
         self.outboxes.push(messages);
@@ -287,6 +345,53 @@
         for index in daemons {
             self.world.daemon(*index).path.set(path);
         }
+        self.world.changes.send_modify(|c| *c += 1);
+    }
+
+    /// Sets the paths of some daemons to some upstreams.
+    pub fn set_paths_to(&self, daemons: &[usize], upstreams: &[Upstream], path: Path) {
+        for index in daemons {
+            let daemon = self.world.daemon(*index);
+            let paths = upstreams.iter().map(|u| (u.clone(), path));
+            daemon.lost.borrow_mut().extend(paths);
+        }
+        self.world.changes.send_modify(|c| *c += 1);
+    }
+
+    /// Restores the paths of all daemons to all upstreams.
+    pub fn heal(&self) {
+        for daemon in self.world.daemons.borrow().iter() {
+            daemon.path.set(Path::Whole);
+            daemon.lost.borrow_mut().clear();
+        }
+        self.world.changes.send_modify(|c| *c += 1);
+    }
+
+    /// Advances the time by one millisecond; requests are up to the caller.
+    pub async fn step(&mut self) {
+        sleep(Duration::from_millis(1)).await;
+        self.deliver();
+        for index in 0..self.len() {
+            self.tick(index);
+        }
+    }
+
+    pub fn gateway(&self, index: usize) -> Rc<Gateway> {
+        Rc::clone(&self.world.daemon(index).gw)
+    }
+
+    /// The daemon that selects for these upstreams' requests, by the key by which hubs share them.
+    pub fn selector(&self, key: &str) -> usize {
+        let gw = self.gateway(0);
+        let now = gw.now();
+        let selector = gw.membership.borrow_mut().selector(key, |_| true, now);
+        match selector {
+            Selector::Remote(address) => {
+                let is_there = |d: &usize| self.world.daemon(*d).address == address;
+                (0..self.len()).find(is_there).expect("a daemon")
+            }
+            Selector::Local | Selector::NoHub => 0,
+        }
     }
 
     /// Advances the time and returns how the requests were served that arrived meanwhile, leaving
@@ -308,7 +413,7 @@
         served
     }
 
-    fn now(&self) -> u64 {
+    pub fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 
@@ -364,7 +469,7 @@
         let targets: Vec<Target> = targets.collect();
         let served = served.cloned();
         actix_rt::spawn(async move {
-            let is_cut = daemon.path.get() != Path::Whole;
+            let is_cut = !daemon.is_whole();
             let is_served = is_served(&daemon.gw, targets).await;
             let Some(served) = served else {
                 return;
--- a/crates/gateway/tests/unit/broken_paths/main.rs
+++ b/crates/gateway/tests/unit/broken_paths/main.rs
@@ -1,7 +1,7 @@
 //! Tests that callers of daemons which have lost all paths to the upstreams are served like those
 //! of the others, in deployments of any size. The time is simulated.
 
-mod cluster;
+pub mod cluster;
 
 use cluster::{Cluster, Path, Served};
 use shaleline_testkit::cases;
--- a/crates/gateway/tests/unit/crashes/null_platform.rs
+++ b/crates/gateway/tests/unit/crashes/null_platform.rs
@@ -33,8 +33,17 @@
         headers.clone()
     }
 
-    fn answer(&self, _: StatusCode, _: &HeaderMap) -> AnswerHead {
-        AnswerHead::default()
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        let load: Option<Vec<usize>> =
+            text("load").map(|l| l.split(',').flat_map(str::parse).collect());
+        AnswerHead {
+            id: text("request-id").map(str::to_owned),
+            signed: text("request-id").is_some(),
+            not_run: status == StatusCode::SERVICE_UNAVAILABLE,
+            load: load.and_then(|l| <[usize; 3]>::try_from(l).ok().map(|[r, w, s]| (r, w, s))),
+            ..AnswerHead::default()
+        }
     }
 
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap {
