Sends that never reached their upstream hold no slot and open no breaker

What callers saw: daemons that lost nothing refuse 20 to 60 in 100 first attempts for seconds while others have no path to a service (deadline-unmet, no send, within 100 ms). Cause: the hub that selects takes what is true of a pair (daemon, upstream) for a property of the upstream. A send over a path that fell silent held its slot until it timed out, and once all slots were held so, the upstream was silent to all and its breaker opened. Change: the router knows the daemon of each request. A send whose answer is overdue (three mean times) and that a later send of another daemon has overtaken holds no slot. Where all slots are held by sends that are overdue, a quarter more are tried, not by daemons under suspicion. Silence opens a breaker only if a daemon can tell: it has heard another upstream since, or no other daemon sends; likewise of a daemon's failures without an answer in between only the first counts. Logged: event 8001 with cause and daemons when a breaker opens, 8113 with how the upstreams of the route are occupied when the selecting daemon refuses at once.

--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -351,6 +351,7 @@
 fn request(number: u64, route: &Route, now: Millis) -> RouteRequest {
     const UNLIMITED: u64 = 1 << 40;
     RouteRequest {
+        daemon: 0,
         id: RequestId(number),
         org: Org::from_text("org").expect("the name is valid"),
         route: route.clone(),
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -231,6 +231,7 @@
         let now = Millis(self.now);
         self.demand.record(&model(arrival.model), cost as f64, now);
         let request = RouteRequest {
+            daemon: 0,
             id,
             org: org(arrival.org),
             route: Route::Model {
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -176,6 +176,7 @@
         let id = job.id;
         let actions = core.register(id);
         let request = RouteRequest {
+            daemon: 0,
             id,
             org: tenant.org.clone(),
             route: Route::Service(job.service.clone()),
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -92,6 +92,7 @@
         let now = core.now();
         let salt = tenant.org.as_str();
         let request = RouteRequest {
+            daemon: 0,
             id,
             org: tenant.org.clone(),
             route: Route::Model {
--- a/crates/edge/tests/tunnel.rs
+++ b/crates/edge/tests/tunnel.rs
@@ -6,8 +6,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::{
-    tunnel, Exchange, Handler, Listener, ListenerControl, LocalFuture, Pool, PoolSettings, Reply,
-    ReplyBody, SendError, Target, Tunnel, Tunnels,
+    boxed, tunnel, Exchange, Handler, Listener, ListenerControl, LocalFuture, Pool, PoolSettings,
+    Reply, ReplyBody, SendError, Target, Tunnel, Tunnels,
 };
 use shaleline_testkit::cases;
 use shaleline_types::Upstream;
@@ -39,7 +39,7 @@
             match TcpStream::connect(upstream).await {
                 Ok(stream) => {
                     let upgrade = hyper::upgrade::on(request);
-                    let running = actix_rt::spawn(tunnel::run(upgrade, stream, TIMEOUT));
+                    let running = actix_rt::spawn(tunnel::run(upgrade, boxed(stream), TIMEOUT));
                     task.replace(Some(running));
                 }
                 Err(_) => *reply.status_mut() = StatusCode::BAD_GATEWAY,
@@ -72,7 +72,7 @@
         Box::pin(async {
             let stream = tunnel::connect(self.0, target, TIMEOUT).await;
             let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::HostUnreachable))?;
-            let relay = self.0;
+            let (stream, relay) = (boxed(stream), self.0);
             Ok(Tunnel { stream, relay })
         })
     }
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -188,6 +188,7 @@
             },
         );
         RouteEvent::Arrive(Box::new(RouteRequest {
+            daemon: 0,
             id,
             org,
             route: route(rng.random_range(0..ROUTES)),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -132,6 +132,7 @@
         now: Millis,
     ) -> RouteRequest {
         RouteRequest {
+            daemon: 0,
             id,
             org,
             route: self.route.into_route(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -161,6 +161,7 @@
         let (least, most) = STALL_BOUNDS_MS;
         let stall = (self.rule.target.0 * STALL_TARGETS).clamp(least, most);
         RouteRequest {
+            daemon: 0,
             id,
             org: org(),
             route: self.route(),
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,12 +6,13 @@
 
 use crate::dispatch::{Answer, Ask, EndNote, Exclusion, ProgressNote, Step, Ticket};
 use crate::job::{org, LIMITS};
+use crate::journal::emit;
 use crate::message::{Message, Sender, Tag};
 use crate::peer_requests::OPEN_INTERVAL_MS;
 use crate::selector::Selector;
 use crate::state::Gateway;
 use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
-use shaleline_types::{Adapter, ErrorKind, Millis, Model, RequestId, Upstream};
+use shaleline_types::{Adapter, ErrorKind, LogEvent, Millis, Model, RequestId, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -39,10 +40,28 @@
                 let message = self.delegated.borrow_mut().ask(request, to, now);
                 self.send(vec![(to, message)]);
             }
-            Selector::Local | Selector::NoHub => self.route(RouteEvent::Arrive(Box::new(request))),
+            Selector::Local | Selector::NoHub => self.admit_to_router(request),
         }
     }
 
+    /// Passes a request to the local router, and logs if it is refused at once.
+    fn admit_to_router(&self, request: RouteRequest) {
+        let (id, route, daemon) = (request.id, request.route.clone(), request.daemon);
+        let before = self.router.borrow().stats().refused;
+        self.route(RouteEvent::Arrive(Box::new(request)));
+        let router = self.router.borrow();
+        let now = self.now();
+        if router.stats().refused == before || !self.log_budget.take(now) {
+            return;
+        }
+        let state = router.occupancy(&route, now);
+        let detail = format!(
+            "number={} daemon={daemon:016x} route={route} upstreams={} open={} full={} overdue={} lost={} queued={}",
+            id.0, state.upstreams, state.open, state.full, state.overdue, state.lost, state.queued,
+        );
+        emit(LogEvent::SelectionRefused, &detail);
+    }
+
     /// Records the first byte of an answer.
     pub(crate) fn on_first_byte(&self, id: RequestId, attempt: AttemptNumber) {
         if !self.report(id, ProgressNote::FirstByte(attempt)) {
@@ -173,10 +192,11 @@
                 .open(ticket, from.address, id, now);
             self.first_request.notify_one();
             let mut request = ask.note.into_route_request(id, org(), LIMITS, now);
+            request.daemon = ticket.incarnation;
             request.excluded = self.resolve_exclusions(&ask.excluded);
             request.version = ask.version;
             request.parts = ask.parts;
-            self.route(RouteEvent::Arrive(Box::new(request)));
+            self.admit_to_router(request);
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
                 return;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -487,6 +487,26 @@
         let actions = self.router.borrow_mut().step(event, self.now());
         actions.iter().for_each(|a| self.deliver(a));
         self.publish_crashes();
+        self.log_openings();
+    }
+
+    /// Logs the breakers that opened, with the daemons whose sends opened them.
+    fn log_openings(&self) {
+        for opening in self.router.borrow_mut().take_openings() {
+            let daemons = opening.daemons.iter().map(|d| format!("{d:016x}"));
+            let detail = format!(
+                "upstream={} cause={:?} sends={} daemons={}",
+                opening.upstream,
+                opening.cause,
+                opening.daemons.len(),
+                daemons
+                    .collect::<BTreeSet<String>>()
+                    .into_iter()
+                    .collect::<Vec<String>>()
+                    .join(","),
+            );
+            emit(LogEvent::UpstreamOpen, &detail);
+        }
     }
 
     /// Passes an action to a request of this daemon, unless it sends where nothing may be sent now;
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -178,6 +178,7 @@
         self.next += 1;
         let id = RequestId(self.next);
         let request = RouteRequest {
+            daemon: 0,
             identity: None,
             parts: Vec::new(),
             id,
@@ -438,6 +439,7 @@
 
 fn request(id: u64) -> RouteRequest {
     RouteRequest {
+        daemon: 0,
         id: RequestId(id),
         org: org(),
         route: route(),
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -85,6 +85,7 @@
     /// A request with a deadline in two seconds.
     pub(super) fn request(&self, id: u64) -> RouteRequest {
         RouteRequest {
+            daemon: 0,
             id: RequestId(id),
             org: Org::from_text("o").expect("a valid name"),
             route: Route::Service(Service::from_text("svc").expect("a valid name")),
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -1,7 +1,9 @@
 //! How sends end: answers, failures, callers and upstreams that leave, and retries.
 
 use crate::estimate::ratio_of;
-use crate::{AttemptEnd, AttemptNumber, RouteAction, RouteRequest, Router};
+use crate::{
+    AttemptEnd, AttemptNumber, OpeningCause, RouteAction, RouteRequest, Router, UpstreamOpening,
+};
 use shaleline_types::{ErrorKind, Millis, RequestId, Safeguard, Upstream};
 
 /// The most sends of a request, including those that didn't reach an upstream, but not those that
@@ -47,10 +49,19 @@
             return;
         };
         state.last_byte = now;
+        state.on_answer(id);
         let Some(send) = state.in_flight.get_mut(&id) else {
             return;
         };
-        if !std::mem::replace(&mut send.answered, true) && send.prompt_ms > 0.0 {
+        self.reach.on_answer(send.group, send.daemon, now);
+        if send.answered {
+            return;
+        }
+        send.answered = true;
+        let base = open.request.route.to_base();
+        let waited = Millis(now.since(send.sent));
+        self.answer_times.entry(base).or_default().record(waited);
+        if send.prompt_ms > 0.0 {
             let ratio = ratio_of(now.since(send.sent) as f64, send.expected);
             state.slowness.learn(ratio, now);
             let route = &open.request.route;
@@ -127,27 +138,49 @@
         let Some(state) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        state.on_end(id);
+        let send = state.on_end(id);
+        let place = send.map(|s| (s.group, s.daemon));
         if let (AttemptEnd::Refused, Some(open)) = (end, self.open.get(&id)) {
             state.record_refusal(&open.request.route, now);
         }
         match end {
             AttemptEnd::Whole => {
+                if let Some((group, daemon)) = place {
+                    self.reach.on_answer(group, daemon, now);
+                }
                 state.last_byte = now;
                 state.failures.record(0.0, now);
                 state.breaker.on_success();
                 self.budget.on_success();
             }
             AttemptEnd::NotSent | AttemptEnd::Broken | AttemptEnd::UpstreamEnded(_) => {
+                let is_crash = matches!(end, AttemptEnd::UpstreamEnded(_));
+                let counts = place.is_none_or(|(g, d)| self.reach.on_failure(g, d, now));
+                if !counts && !is_crash {
+                    state.breaker.on_inconclusive();
+                    return;
+                }
                 state.failures.record(1.0, now);
-                self.stats.opened += u64::from(state.breaker.on_failure(now));
+                if state.breaker.on_failure(now) {
+                    self.stats.opened += 1;
+                    self.openings.push(UpstreamOpening {
+                        upstream: upstream.clone(),
+                        cause: OpeningCause::Failures,
+                        daemons: place.iter().map(|(_, d)| *d).collect(),
+                    });
+                }
+            }
+            AttemptEnd::Refused => {
+                if let Some((group, daemon)) = place {
+                    self.reach.on_answer(group, daemon, now);
+                }
+                state.breaker.on_inconclusive();
             }
             AttemptEnd::NoPermit(wait) => {
                 state.pace.delay(wait, now);
                 state.breaker.on_inconclusive();
             }
-            AttemptEnd::Refused
-            | AttemptEnd::Cancelled
+            AttemptEnd::Cancelled
             | AttemptEnd::PathBroken
             | AttemptEnd::Leaving
             | AttemptEnd::Resting(_)
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,8 @@
 //!   once.
 //! * An upstream is selected by its reported load, what this daemon has sent it since, and the
 //!   prefixes it may have cached ([`prefix_chain`]).
+//! * A router may select for many daemons. A send that gets no answer while its upstream answers
+//!   others holds no slot, and says nothing about the upstream: its daemon may have lost the path.
 //! * A request during which upstreams crashed is tracked ([`Crashes`]) and not sent any more after
 //!   three crashes; likewise a part of prompts, with all requests whose prompts contain it.
 //! * A request whose answer has begun is bound to the software version of the upstream that began
@@ -25,6 +27,7 @@
 
 mod allocator;
 mod allowance;
+mod answer_times;
 mod breaker;
 mod bucket;
 mod crashes;
@@ -39,6 +42,7 @@
 mod permits;
 mod prefix;
 mod queue;
+mod reach;
 mod request;
 mod retry;
 mod returns;
@@ -55,6 +59,7 @@
 
 pub use allocator::{Allocator, AllocatorShare, GrantResponse};
 pub use allowance::{Allowance, Tolerance};
+pub use answer_times::AnswerTimes;
 pub use crashes::{CrashNote, CrashRecord, Crashes, MAX_CRASHES};
 pub use credit::{Credits, GrantRequest, GrantStep};
 pub use drain::{Drain, DrainAction, Unfinished};
@@ -71,4 +76,4 @@
 pub use select::ChoicePolicy;
 pub use settings::{PeerVisibility, RouterSettings};
 pub use share::{share_of, ShareBook};
-pub use stats::{RouterStats, UpstreamStats};
+pub use stats::{Occupancy, OpeningCause, RouterStats, UpstreamOpening, UpstreamStats};
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -102,6 +102,8 @@
 pub struct RouteRequest {
     /// The request's id.
     pub id: RequestId,
+    /// The incarnation of the daemon that serves its caller; 0 for the router's own.
+    pub daemon: u64,
     /// The organisation of its caller.
     pub org: Org,
     /// The model or service that it is for.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -5,14 +5,16 @@
 use crate::isolation::Copies;
 use crate::limit::Limiter;
 use crate::queue::{QueuedRequest, RouteQueue};
+use crate::reach::{Group, Reach};
 use crate::retry::RetryBudget;
 use crate::select::{sample_by_cost, CostModel};
 use crate::sound_parts::SoundParts;
-use crate::upstream::{InFlight, UpstreamState};
+use crate::upstream::{Hold, InFlight, Slot, UpstreamState};
 use crate::waiting::stall_timeout;
 use crate::{
-    AttemptNumber, CrashNote, Crashes, LimitKind, Limits, PeerVisibility, RetrySettings, Route,
-    RouteAction, RouteEvent, RouteRequest, RouterSettings, RouterStats, ShareBook, UpstreamInfo,
+    AnswerTimes, AttemptNumber, CrashNote, Crashes, LimitKind, Limits, PeerVisibility,
+    RetrySettings, Route, RouteAction, RouteEvent, RouteRequest, RouterSettings, RouterStats,
+    ShareBook, UpstreamInfo, UpstreamOpening,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -58,6 +60,11 @@
     pub(crate) sound_parts: SoundParts,
     /// Crash notes that were not taken yet.
     pub(crate) crash_notes: Vec<CrashNote>,
+    pub(crate) reach: Reach,
+    /// How long answers take, by routes without adapters.
+    pub(crate) answer_times: BTreeMap<Route, AnswerTimes>,
+    /// Breakers that opened and were not taken yet.
+    pub(crate) openings: Vec<UpstreamOpening>,
     /// The time of the last removal of old state.
     pub(crate) last_prune: Millis,
 }
@@ -84,6 +91,9 @@
             copies: Copies::default(),
             sound_parts: SoundParts::default(),
             crash_notes: Vec::new(),
+            reach: Reach::default(),
+            answer_times: BTreeMap::new(),
+            openings: Vec::new(),
             last_prune: Millis(0),
             settings,
         }
@@ -329,6 +339,7 @@
         let fits = |(name, b): &(&Upstream, &UpstreamState)| {
             b.routes.contains(&request.route)
                 && b.has_free_slot_for(&request.org, now)
+                && self.may_take_slot(request, b, now)
                 && !b.is_refusing(&request.route, now)
                 && !self.is_excluded(request, name, b, now)
                 && request.allows(&b.info.version)
@@ -351,6 +362,18 @@
         Some(best.clone())
     }
 
+    /// Whether a request may take a slot that shows whether its upstream works. A daemon that may have
+    /// lost its paths could not tell.
+    pub(crate) fn may_take_slot(
+        &self,
+        request: &RouteRequest,
+        state: &UpstreamState,
+        now: Millis,
+    ) -> bool {
+        let group = Group::of(&request.route);
+        state.slot(now) != Slot::Trial || !self.reach.is_suspect(group, request.daemon, now)
+    }
+
     pub(crate) fn send(
         &mut self,
         id: RequestId,
@@ -374,6 +397,11 @@
             !state.is_leaving() || !Safeguard::LeavingStop.is_active(),
             "a leaving upstream gets no new work"
         );
+        let route = &open.request.route;
+        let times = self.answer_times.get(&route.to_base());
+        let overdue = times.copied().unwrap_or_default().overdue();
+        self.reach
+            .on_send(Group::of(route), open.request.daemon, now);
         self.send_count += 1;
         self.stats.sent += 1;
         self.stats.retried += u64::from(open.attempt > open.given_back);
@@ -384,7 +412,11 @@
         open.tried.push(upstream.clone());
         let send = InFlight {
             org: open.request.org.clone(),
+            daemon: open.request.daemon,
+            group: Group::of(&open.request.route),
             sent: now,
+            overdue_after: overdue.0 + expected as u64,
+            hold: Hold::Expected,
             stall_timeout: open.request.policy.stall_timeout.map_or_else(
                 || stall_timeout(self.settings.stall_timeout, open.request.due, now),
                 |s| s.0,
--- a/crates/route/src/stats.rs
+++ b/crates/route/src/stats.rs
@@ -1,6 +1,7 @@
 //! The router's statistics.
 
 use serde::Serialize;
+use shaleline_types::Upstream;
 
 /// Counters since the start, and current gauges.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
@@ -23,6 +24,43 @@
     pub open: usize,
 }
 
+/// Why a breaker opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpeningCause {
+    /// Sends failed one after the other.
+    Failures,
+    /// Sends hang, and the upstream is silent.
+    Silence,
+}
+
+/// A breaker that opened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamOpening {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Why it opened.
+    pub cause: OpeningCause,
+    /// The daemons of the sends that hang there, or of the one that failed last.
+    pub daemons: Vec<u64>,
+}
+
+/// How the upstreams of a route are occupied.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Occupancy {
+    /// Upstreams that serve the route and are not leaving.
+    pub upstreams: usize,
+    /// Those whose breaker is open.
+    pub open: usize,
+    /// Those whose slots are all taken.
+    pub full: usize,
+    /// Sends that hold a slot and are overdue.
+    pub overdue: usize,
+    /// Sends that hold no slot any more, as the upstream answers others.
+    pub lost: usize,
+    /// Requests in the queue.
+    pub queued: usize,
+}
+
 /// The state of an upstream as known to the router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct UpstreamStats {
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -4,6 +4,7 @@
 use crate::estimate::Slowness;
 use crate::pace::Pace;
 use crate::prefix::PrefixHints;
+use crate::reach::Group;
 use crate::returns::Returns;
 use crate::{Load, PeerLoad, Route, RouteRequest, UpstreamInfo};
 use shaleline_types::{Millis, Org, RequestId};
@@ -15,11 +16,42 @@
 /// The time without sends after which an organisation no longer counts as sharing an upstream.
 const NEIGHBOUR_TIMEOUT_MS: u64 = 30_000;
 
+/// The part of an upstream's slots, one in so many, that is used to find out whether it works where
+/// all of them are held by sends that are overdue.
+const TRIAL_DIVISOR: usize = 4;
+
+/// Whether a send holds a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// It does, as far as is known.
+    Expected,
+    /// It does, but its answer should have begun.
+    Overdue,
+    /// Its answer should have begun, and later sends of other daemons were answered: most likely it
+    /// never reached the upstream.
+    Lost,
+}
+
+/// Whether an upstream has a slot for one more request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Slot {
+    None,
+    /// One that shows whether the upstream works.
+    Trial,
+    Free,
+}
+
 /// A request in flight.
 #[derive(Debug, Clone)]
 pub(crate) struct InFlight {
     pub(crate) org: Org,
+    /// See [`RouteRequest::daemon`].
+    pub(crate) daemon: u64,
+    pub(crate) group: Group,
     pub(crate) sent: Millis,
+    /// The time in milliseconds after which its answer should have begun.
+    pub(crate) overdue_after: u64,
+    pub(crate) hold: Hold,
     /// The time in milliseconds without a first byte after which it counts as hanging.
     pub(crate) stall_timeout: u64,
     pub(crate) answered: bool,
@@ -30,6 +62,36 @@
     pub(crate) expected: f64,
 }
 
+/// The latest sends that were answered, of two daemons.
+#[derive(Debug, Default, Clone, Copy)]
+struct LatestAnswered {
+    first: Option<(Millis, u64)>,
+    second: Option<(Millis, u64)>,
+}
+
+impl LatestAnswered {
+    fn record(&mut self, sent: Millis, daemon: u64) {
+        let same = |known: Option<(Millis, u64)>| known.filter(|(_, d)| *d == daemon);
+        let other = [self.first, self.second]
+            .into_iter()
+            .flatten()
+            .find(|(_, d)| *d != daemon);
+        let known = same(self.first).or(same(self.second));
+        let own = known.map_or(sent, |(at, _)| at.max(sent));
+        let latest = Some((own, daemon));
+        (self.first, self.second) = match other {
+            Some((at, _)) if at > own => (other, latest),
+            _ => (latest, other),
+        };
+    }
+
+    /// Whether a later send of another daemon was answered.
+    fn overtakes(&self, sent: Millis, daemon: u64) -> bool {
+        let mut others = [self.first, self.second].into_iter().flatten();
+        others.any(|(at, d)| d != daemon && at > sent)
+    }
+}
+
 /// The weight of one result in the moving average of failures.
 const FAILURE_STEP: f64 = 0.2;
 
@@ -79,6 +141,10 @@
     /// The requests that other daemons had there when it reported.
     peer_requests: usize,
     pub(crate) in_flight: BTreeMap<RequestId, InFlight>,
+    /// The numbers of sends that are overdue, and that are lost.
+    overdue: usize,
+    lost: usize,
+    answered: LatestAnswered,
     pub(crate) breaker: Breaker,
     pub(crate) failures: Failures,
     pub(crate) slowness: Slowness,
@@ -106,6 +172,9 @@
             load: Load::default(),
             peer_requests: 0,
             in_flight: BTreeMap::new(),
+            overdue: 0,
+            lost: 0,
+            answered: LatestAnswered::default(),
             breaker: Breaker::default(),
             failures: Failures::default(),
             slowness: Slowness::default(),
@@ -130,6 +199,8 @@
         let fair_shares = std::mem::take(&mut self.fair_shares);
         *self = Self {
             in_flight,
+            overdue: self.overdue,
+            lost: self.lost,
             fair_shares,
             virtual_time: self.virtual_time,
             load: Load {
@@ -165,7 +236,7 @@
     /// Records a report. Requests beyond this daemon's own are those of other daemons.
     pub(crate) fn on_report(&mut self, load: Load) {
         let reported = load.running + load.waiting;
-        self.peer_requests = reported.saturating_sub(self.in_flight.len());
+        self.peer_requests = reported.saturating_sub(self.held());
         self.load = load;
     }
 
@@ -198,9 +269,10 @@
 
     /// Returns this daemon's load there.
     pub(crate) fn own_load(&self) -> PeerLoad {
-        let open = self.in_flight.values().filter(|f| !f.answered);
+        let waits = |f: &&InFlight| !f.answered && f.hold != Hold::Lost;
+        let open = self.in_flight.values().filter(waits);
         let mut load = PeerLoad {
-            running: self.in_flight.len(),
+            running: self.held(),
             ..PeerLoad::default()
         };
         for send in open {
@@ -220,7 +292,67 @@
 
     /// Returns the number of requests there, as far as is known.
     pub(crate) fn busy(&self) -> usize {
-        self.in_flight.len() + self.peer_requests
+        self.held() + self.peer_requests
+    }
+
+    /// Returns the number of this router's sends that hold a slot.
+    fn held(&self) -> usize {
+        self.in_flight.len() - self.lost
+    }
+
+    /// Returns the number of sends that hold a slot though their answers should have begun.
+    pub(crate) fn overdue(&self) -> usize {
+        self.overdue
+    }
+
+    /// Returns the number of sends that hold no slot any more.
+    pub(crate) fn lost(&self) -> usize {
+        self.lost
+    }
+
+    /// Records that the answer to a send has begun.
+    pub(crate) fn on_answer(&mut self, id: RequestId) {
+        let Some(send) = self.in_flight.get_mut(&id) else {
+            return;
+        };
+        let hold = std::mem::replace(&mut send.hold, Hold::Expected);
+        self.answered.record(send.sent, send.daemon);
+        self.uncount(hold);
+    }
+
+    fn uncount(&mut self, hold: Hold) {
+        match hold {
+            Hold::Expected => {}
+            Hold::Overdue => self.overdue -= 1,
+            Hold::Lost => self.lost -= 1,
+        }
+    }
+
+    /// Updates which sends hold a slot; returns those that turned out to be lost, and whether the
+    /// others that became overdue include one for which `can_tell` is false.
+    pub(crate) fn update_holds(
+        &mut self,
+        now: Millis,
+        can_tell: impl Fn(&InFlight) -> bool,
+    ) -> (Vec<RequestId>, bool) {
+        let (mut lost, mut inconclusive) = (Vec::new(), false);
+        for (id, send) in &mut self.in_flight {
+            let is_late = !send.answered && now.since(send.sent) >= send.overdue_after;
+            if !is_late || send.hold == Hold::Lost {
+                continue;
+            }
+            if self.answered.overtakes(send.sent, send.daemon) {
+                self.overdue -= usize::from(send.hold == Hold::Overdue);
+                self.lost += 1;
+                send.hold = Hold::Lost;
+                lost.push(*id);
+            } else if send.hold == Hold::Expected {
+                self.overdue += 1;
+                send.hold = Hold::Overdue;
+                inconclusive |= !can_tell(send);
+            }
+        }
+        (lost, inconclusive)
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
@@ -229,16 +361,28 @@
 
     /// Returns whether one more request may be sent.
     pub(crate) fn has_free_slot(&self, now: Millis) -> bool {
+        self.slot(now) != Slot::None
+    }
+
+    /// Returns the slot that one more request would take.
+    pub(crate) fn slot(&self, now: Millis) -> Slot {
         if self.is_leaving() && shaleline_types::Safeguard::LeavingStop.is_active() {
-            return false;
+            return Slot::None;
         }
         if !self.pace.allows(self.busy(), now) {
-            return false;
+            return Slot::None;
         }
+        let fresh = self.held() - self.overdue;
         match self.breaker.state(now) {
-            BreakerState::Open => false,
-            BreakerState::HalfOpen => true,
-            BreakerState::Closed => self.busy() < self.slots(),
+            BreakerState::Open => Slot::None,
+            BreakerState::HalfOpen => Slot::Trial,
+            BreakerState::Closed if self.busy() < self.slots() => Slot::Free,
+            BreakerState::Closed
+                if self.overdue > 0 && fresh < self.slots().div_ceil(TRIAL_DIVISOR) =>
+            {
+                Slot::Trial
+            }
+            BreakerState::Closed => Slot::None,
         }
     }
 
@@ -288,6 +432,7 @@
 
     pub(crate) fn on_end(&mut self, id: RequestId) -> Option<InFlight> {
         let send = self.in_flight.remove(&id)?;
+        self.uncount(send.hold);
         if let Some(fair_share) = self.fair_shares.get_mut(&send.org) {
             fair_share.in_flight = fair_share.in_flight.saturating_sub(1);
         }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -2,8 +2,11 @@
 
 use crate::breaker::BreakerState;
 use crate::queue::RouteQueue;
+use crate::reach::Group;
 use crate::upstream::UpstreamState;
-use crate::{AttemptNumber, PeerLoad, Route, Router, RouterStats, UpstreamStats};
+use crate::{
+    AttemptNumber, Occupancy, PeerLoad, Route, Router, RouterStats, UpstreamOpening, UpstreamStats,
+};
 use shaleline_types::{Millis, RequestId, Upstream};
 
 impl Router {
@@ -33,6 +36,37 @@
         self.upstreams.iter().map(one).collect()
     }
 
+    /// Returns how the upstreams of a route are occupied.
+    #[must_use]
+    pub fn occupancy(&self, route: &Route, now: Millis) -> Occupancy {
+        let mut occupancy = Occupancy {
+            queued: self.queues.get(route).map_or(0, RouteQueue::len),
+            ..Occupancy::default()
+        };
+        let serving = self.upstreams.values();
+        for state in serving.filter(|s| !s.is_leaving() && s.routes.contains(route)) {
+            occupancy.upstreams += 1;
+            occupancy.open += usize::from(state.breaker.state(now) == BreakerState::Open);
+            occupancy.full += usize::from(state.busy() >= state.slots());
+            occupancy.overdue += state.overdue();
+            occupancy.lost += state.lost();
+        }
+        occupancy
+    }
+
+    /// Returns whether daemons that send a request like this one may have lost their paths to its
+    /// upstreams, as several have.
+    #[must_use]
+    pub fn is_doubtful(&self, id: RequestId, now: Millis) -> bool {
+        let open = self.open.get(&id);
+        open.is_some_and(|o| self.reach.is_doubtful(Group::of(&o.request.route), now))
+    }
+
+    /// Takes the breakers that opened since the last call.
+    pub fn take_openings(&mut self) -> Vec<UpstreamOpening> {
+        std::mem::take(&mut self.openings)
+    }
+
     /// Returns whether an upstream gets no new requests, or `None` if it is not known.
     #[must_use]
     pub fn is_leaving(&self, upstream: &Upstream) -> Option<bool> {
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -3,7 +3,7 @@
 use crate::queue::RouteQueue;
 use crate::router::OpenRequest;
 use crate::upstream::InFlight;
-use crate::{RouteAction, RouteRequest, Router};
+use crate::{OpeningCause, RouteAction, RouteRequest, Router, UpstreamOpening};
 use shaleline_types::{ErrorKind, Millis, RequestId, Upstream};
 
 /// The interval between removals of old state, in milliseconds.
@@ -57,6 +57,7 @@
             let open = self.open.get(&id);
             open.is_some_and(|o| {
                 self.is_excluded(&o.request, upstream, state, now)
+                    || !self.may_take_slot(&o.request, state, now)
                     || !o.request.allows(&state.info.version)
             })
         };
@@ -91,6 +92,7 @@
         self.refuse_overdue(now, out);
         self.refuse_versionless(out);
         self.refuse_unplaceable(now, out);
+        self.update_holds(now);
         self.reroute_stalled(now, out);
         self.dispatch_all_queued(now, out);
         if now.since(self.last_prune) >= PRUNE_INTERVAL_MS {
@@ -98,6 +100,7 @@
             self.upstreams.values_mut().for_each(|b| b.prune(now));
             self.limiter.prune(now);
             self.drop_old_crashes(now);
+            self.reach.prune(now);
             self.shares.prune(now);
         }
     }
@@ -137,8 +140,26 @@
         }
     }
 
-    /// Opens the breaker of an upstream that is silent while requests hang, and reroutes those that
-    /// are repeatable.
+    /// Finds the sends that are overdue or lost. The slots of those that are lost are free.
+    fn update_holds(&mut self, now: Millis) {
+        let mut lost = Vec::new();
+        let busy = self.upstreams.values_mut();
+        for state in busy.filter(|b| !b.in_flight.is_empty()) {
+            let reach = &self.reach;
+            let can_tell = |f: &InFlight| reach.can_tell(f.group, f.daemon, f.sent);
+            let (ids, inconclusive) = state.update_holds(now, can_tell);
+            lost.extend(ids.iter().filter_map(|id| state.in_flight.get(id).cloned()));
+            if inconclusive {
+                state.breaker.on_inconclusive();
+            }
+        }
+        for send in lost {
+            self.reach.on_lost(send.group, send.daemon, send.sent, now);
+        }
+    }
+
+    /// Opens the breaker of an upstream that is silent while requests hang, unless all of these may
+    /// hang because of their daemons' paths, and reroutes those that are repeatable.
     pub(crate) fn reroute_stalled(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
         let mut stalled = Vec::new();
         let busy = self
@@ -153,7 +174,19 @@
             if !state.in_flight.values().any(hangs) {
                 continue;
             }
-            self.stats.opened += u64::from(state.breaker.trip(now));
+            let hanging = || state.in_flight.values().filter(|f| hangs(f));
+            let reach = &self.reach;
+            if hanging().any(|f| reach.can_tell(f.group, f.daemon, f.sent)) {
+                let daemons = hanging().map(|f| f.daemon).collect();
+                if state.breaker.trip(now) {
+                    self.stats.opened += 1;
+                    self.openings.push(UpstreamOpening {
+                        upstream: name.clone(),
+                        cause: OpeningCause::Silence,
+                        daemons,
+                    });
+                }
+            }
             let ids = state
                 .in_flight
                 .iter()
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -245,6 +245,7 @@
 
     fn request(id: u64, identity: Identity, parts: Vec<Fingerprint>) -> RouteRequest {
         RouteRequest {
+            daemon: 0,
             id: RequestId(id),
             org: Org::from_text("o").expect("a valid name"),
             route: route(),
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -44,6 +44,7 @@
 
 fn request(id: u64) -> RouteRequest {
     RouteRequest {
+        daemon: 0,
         id: RequestId(id),
         org: Org::from_text("o").expect("a valid name"),
         route: route(),
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -99,6 +99,7 @@
 
 fn arrive(router: &mut Router, id: u64, now: Millis) -> Vec<RouteAction> {
     let request = RouteRequest {
+        daemon: 0,
         id: RequestId(id),
         org: Org::from_text("o").expect("a valid name"),
         route: route(),
--- a/crates/route/tests/rests.rs
+++ b/crates/route/tests/rests.rs
@@ -162,6 +162,7 @@
         let resting = resting.filter(|((d, _), end)| *d == call.daemon && **end > self.now);
         let excluded = resting.map(|((_, upstream), end)| (upstream.clone(), Millis(*end)));
         let request = RouteRequest {
+            daemon: 0,
             id,
             org: Org::from_text(ORGS[call.org]).expect("a valid name"),
             route: route(),
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -57,6 +57,7 @@
 
 fn request(id: u64, name: &str, priority: u8) -> RouteRequest {
     RouteRequest {
+        daemon: 0,
         id: RequestId(id),
         org: org(name),
         route: route(),
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -55,6 +55,7 @@
 
 fn arrive(router: &mut Router, id: u64, bound: Option<&str>) -> Vec<RouteAction> {
     let request = RouteRequest {
+        daemon: 0,
         id: RequestId(id),
         org: Org::from_text("a").expect("a valid name"),
         route: route(),
