Keep paths and relays by service; find out sooner which paths are broken

What callers saw: daemons that lost one service and keep another look for each path anew, are named as relays for what they lost, and send the next request on a connection that was idle. Cause: what is known of paths was kept for all upstreams together, so that an answer of any upstream cleared it; and only silence of 400 ms led to a probe of another 300 ms. Change: paths and relays are kept by service. Once one path is broken, the four used last are checked too. A request that may be repeated and is lost with its path goes back to its hub. A search without a relay that could tell says nothing of the upstream.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -46,6 +46,9 @@
 
     /// Records that a direct connection was opened, or was not.
     fn on_direct(&self, target: &Target, opened: bool);
+
+    /// Records that a request is sent, through the daemon in between if there is one.
+    fn on_send(&self, _target: &Target, _relay: Option<SocketAddr>) {}
 }
 
 /// A connection through another daemon, and that daemon's address.
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -181,6 +181,9 @@
             if channel.sender.ready().await.is_err() {
                 continue;
             }
+            if let Some(tunnels) = tunnels {
+                tunnels.on_send(target, channel.relay);
+            }
             match channel.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(target, channel, response)),
                 Err(mut error) => match error.take_message() {
@@ -190,6 +193,9 @@
             }
         }
         let mut channel = self.open(target, tunnels).await?;
+        if let Some(tunnels) = tunnels {
+            tunnels.on_send(target, channel.relay);
+        }
         match channel.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(target, channel, response)),
             Err(mut error) => Err(match error.take_message() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use shaleline_edge::{Exchange, Framing, Reply, ReplyBody, SendError};
 use shaleline_route::{AttemptEnd, AttemptNumber, Load, RouteAction, RouteEvent};
-use shaleline_types::{Fingerprint, IncarnationTag, LogEvent, Upstream};
+use shaleline_types::{Fingerprint, IncarnationTag, LogEvent, Millis, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -69,6 +69,8 @@
     NotSent,
     /// See [`SendError::Broken`].
     Broken,
+    /// It was sent, and the path to the upstream is broken since.
+    PathLost,
     /// The upstream crashed during the attempt.
     Ended,
     /// The answer belongs to another request, is not signed, or its body is not an upstream's.
@@ -89,6 +91,7 @@
             Self::Ended => Some(AttemptEnd::UpstreamEnded(start)),
             Self::NotSent => Some(AttemptEnd::NotSent),
             Self::Refused(_) => Some(AttemptEnd::Refused),
+            Self::PathLost => Some(AttemptEnd::PathBroken),
             Self::Broken | Self::Garbled | Self::Truncated => Some(AttemptEnd::Broken),
             Self::Moved | Self::Late => None,
         }
@@ -111,7 +114,7 @@
     resume: Option<&str>,
 ) -> Request<Full<Bytes>> {
     let passage = ForwardContext {
-        left: shaleline_types::Millis(job.deadline.since(gw.now()).max(1)),
+        left: Millis(job.deadline.since(gw.now()).max(1)),
         upstream: upstream.clone(),
         org: job.org.clone(),
         rank: job.rank(),
@@ -139,14 +142,21 @@
         return Err(Failure::NotSent);
     };
     let request = to_request(gw, job, upstream, resume);
-    gw.paths.borrow_mut().on_send(upstream, gw.now());
-    let exchange = gw
-        .pool
-        .send_with(&target, request, &GatewayTunnels(gw))
-        .await?;
-    gw.paths.borrow_mut().on_bytes(upstream);
+    let tunnels = GatewayTunnels::new(gw);
+    let exchange = tokio::select! {
+        exchange = gw.pool.send_with(&target, request, &tunnels) => exchange?,
+        // What may not be repeated may still be answered once the path works again.
+        () = tunnels.until_lost(upstream), if job.is_idempotent() => {
+            return Err(Failure::PathLost);
+        }
+    };
     if exchange.relay().is_none() {
-        gw.paths.borrow_mut().on_answer();
+        let waited = tunnels.direct_since().map(|at| Millis(gw.now().since(at)));
+        gw.with_paths(upstream, |p| {
+            p.on_bytes(upstream);
+            p.on_answer();
+            waited.into_iter().for_each(|w| p.on_head(w));
+        });
     }
     let status = exchange.status();
     let headers = exchange.head().headers();
@@ -306,7 +316,7 @@
     if matches!(failure, Failure::Refused(_)) && failure != misdirected {
         gw.report_rejection(upstream);
     }
-    let lost = failure == Failure::NotSent && gw.paths.borrow().is_unable();
+    let lost = failure == Failure::NotSent && gw.with_paths(upstream, |p| p.is_unable());
     if failure == Failure::NotSent && !lost && job.head.model.is_some() {
         gw.with_fleet(upstream, |f| f.record_unreachable(upstream, gw.now()));
     }
@@ -326,7 +336,8 @@
     if failure == Failure::Ended {
         gw.record_crash(job, sent, permit.time_to_first(job).is_some());
     }
-    let path_broken = failure == Failure::Broken && gw.paths.borrow().is_broken(upstream);
+    let path_broken =
+        failure == Failure::Broken && gw.with_paths(upstream, |p| p.is_broken(upstream));
     if let Some(end) = failure.to_end(*start) {
         let end = match (path_broken, lost && permit.sends <= MAX_UNFIT_SENDS) {
             (true, _) => AttemptEnd::PathBroken,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -305,6 +305,12 @@
     Refuse { kind: ErrorKind, retry: Option<u32> },
     /// The hub does not know the request.
     Unknown,
+    /// Like [`Answer::Send`], while several daemons lose their paths to the upstream's service.
+    SendDoubtful {
+        attempt: AttemptNumber,
+        upstream: Upstream,
+        expected: u32,
+    },
 }
 
 impl Answer {
@@ -328,6 +334,22 @@
         }
     }
 
+    /// The same while daemons lose their paths to the upstream's service.
+    pub(crate) fn into_doubtful(self) -> Self {
+        match self {
+            Self::Send {
+                attempt,
+                upstream,
+                expected,
+            } => Self::SendDoubtful {
+                attempt,
+                upstream,
+                expected,
+            },
+            other => other,
+        }
+    }
+
     fn into_action(self, id: RequestId, upstream: Option<Upstream>) -> Option<RouteAction> {
         match self {
             Self::Queued | Self::Unknown => None,
@@ -335,6 +357,11 @@
                 attempt,
                 upstream,
                 expected,
+            }
+            | Self::SendDoubtful {
+                attempt,
+                upstream,
+                expected,
             } => Some(RouteAction::Send {
                 id,
                 attempt,
@@ -493,9 +520,16 @@
                 Vec::new()
             }
             Answer::Queued | Answer::Unknown => Vec::new(),
-            Answer::Send { attempt, .. } if *attempt <= request.attempt => Vec::new(),
+            Answer::Send { attempt, .. } | Answer::SendDoubtful { attempt, .. }
+                if *attempt <= request.attempt =>
+            {
+                Vec::new()
+            }
             Answer::Send {
                 attempt, upstream, ..
+            }
+            | Answer::SendDoubtful {
+                attempt, upstream, ..
             } => {
                 // The request moves to another upstream; the hub's cancellation of the previous
                 // attempt may arrive later.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,8 +26,9 @@
 //!   daemon gives up if `isolation` finds it in contact with too few others; `orders` sends the
 //!   orders, `tag_index` identifies demand that others reported, `wanted` has the adapters that they
 //!   report as wanted by `wanted_reports`, and `announced` has what was announced to them.
-//! * `paths` decides which upstreams this daemon reaches itself, and `tunnels` reaches the others
-//!   through another daemon, which `relays` selects; `network` opens the connections.
+//! * `paths` decides which upstreams of a service this daemon reaches itself, and `tunnels` reaches the
+//!   others through another daemon, which `relays` selects; `path_checks` finds out which paths work, and
+//!   `network` opens the connections. `by_service` keeps such state for each service.
 //! * `crash_probe` finds out whether an upstream crashed when an attempt broke off, `suspects`
 //!   reports to the others during which requests upstreams crashed, and `blocked_store` keeps that
 //!   in the store.
@@ -50,6 +51,7 @@
 mod announced;
 mod attempt;
 mod blocked_store;
+mod by_service;
 mod codec;
 mod control;
 mod crash_probe;
@@ -71,6 +73,7 @@
 mod network;
 mod orders;
 mod orgs;
+mod path_checks;
 mod paths;
 mod peer_requests;
 mod peers;
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -1,9 +1,10 @@
-//! Which upstreams this daemon reaches itself.
+//! Which upstreams of a service this daemon reaches itself.
 //!
 //! A failed connection has two possible causes: the upstream, or the path from this daemon. Another
 //! daemon's attempt tells them apart: where it succeeds, the path is broken and requests go through
 //! a tunnel at such a daemon (`tunnels`); where it fails too, the upstream is down.
 
+use shaleline_route::AnswerTimes;
 use shaleline_types::{Millis, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,7 +19,7 @@
 const UNREACHED_MS: u64 = 500;
 
 /// Time without a byte of an upstream, while requests are sent there, after which the path to it is
-/// probed, and the interval between two such probes. Silence alone is no failure.
+/// checked at the latest, and the interval between two such checks. Silence alone is no failure.
 const SILENCE_MS: u64 = 400;
 const SUSPECT_INTERVAL_MS: u64 = 1_000;
 
@@ -29,6 +30,13 @@
 /// The time after a failed connection for which a daemon that can't help others does not try to.
 const UNABLE_MS: u64 = 500;
 
+/// The time for which a daemon that was told that others lose their paths doubts its own.
+const DOUBT_MS: u64 = 2_000;
+
+/// The number of other paths that are checked when one turns out to be broken. Two broken ones show that
+/// all of them may be.
+const MAX_CHECKS: usize = 4;
+
 /// The number of broken paths from which this daemon takes all its paths for broken, unless one of
 /// them has worked since the first broke.
 const CUT_OFF_PATHS: usize = 2;
@@ -48,7 +56,14 @@
     Restored(Millis),
 }
 
-/// The paths from this daemon to the upstreams.
+/// Since when the paths are in doubt, and when that was last reported.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    since: Millis,
+    reported: Millis,
+}
+
+/// The paths from this daemon to the upstreams of a service.
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
     broken: BTreeMap<Upstream, BrokenPath>,
@@ -66,8 +81,11 @@
     last_failed: Option<Millis>,
     /// Since when an upstream has sent nothing though requests were sent there.
     silent: BTreeMap<Upstream, Millis>,
-    /// When the path to a silent upstream is probed next.
+    /// When the path to a silent upstream is checked next.
     suspect_at: BTreeMap<Upstream, Millis>,
+    /// How long answers on direct connections take to begin.
+    answer_times: AnswerTimes,
+    doubt: Option<Doubt>,
 }
 
 impl Paths {
@@ -76,21 +94,56 @@
         self.broken.contains_key(upstream) || self.is_cut_off()
     }
 
-    /// Whether this daemon reaches no upstream at all, as far as it knows.
+    /// Whether this daemon reaches no upstream of the service, as far as it knows.
     pub(crate) fn is_cut_off(&self) -> bool {
         let first = self.broken.values().map(|b| b.since).min();
         let works = |since| self.last_opened.is_some_and(|at| at > since);
         self.broken.len() >= CUT_OFF_PATHS && !first.is_some_and(works)
     }
 
-    /// Whether the path to the upstream has not worked since others were found to be broken.
+    /// Whether the path to the upstream has not worked since others were found to be broken, or since
+    /// other daemons lose theirs.
     pub(crate) fn is_doubtful(&self, upstream: &Upstream) -> bool {
         let first = self.broken.values().map(|b| b.since).min();
         let opened = self.opened.get(upstream).copied();
-        self.broken.len() >= CUT_OFF_PATHS && opened < first
+        let doubt = self.doubt.map(|d| d.since);
+        self.broken.len() >= CUT_OFF_PATHS && opened < first || doubt.is_some() && opened < doubt
+    }
+
+    /// Records that other daemons lose their paths to the service.
+    pub(crate) fn on_doubt(&mut self, now: Millis) {
+        let known = self.doubt.filter(|d| now.since(d.reported) < DOUBT_MS);
+        let since = known.map_or(now, |d| d.since);
+        self.doubt = Some(Doubt {
+            since,
+            reported: now,
+        });
     }
 
-    /// Whether this daemon may not reach any upstream, and if so can't help others. Unlike
+    /// The time after which a request on a direct connection should have been answered.
+    fn overdue(&self) -> u64 {
+        self.answer_times.overdue().0.min(SILENCE_MS)
+    }
+
+    /// Whether a request that was sent directly has most likely been lost with its path: its answer
+    /// is overdue, nothing of the upstream has arrived since, and no connection opens.
+    pub(crate) fn is_lost(&self, upstream: &Upstream, sent: Millis, now: Millis) -> bool {
+        let silent = self.silent.get(upstream);
+        silent.is_some_and(|since| *since <= sent)
+            && now.since(sent) >= self.overdue()
+            && self.is_broken(upstream)
+    }
+
+    /// The paths to check once another one is broken: those that were used last.
+    pub(crate) fn to_check(&self) -> Vec<Upstream> {
+        let whole = self.opened.iter().filter(|(u, _)| !self.is_broken(u));
+        let mut latest: Vec<(&Upstream, &Millis)> = whole.collect();
+        latest.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
+        let names = latest.into_iter().map(|(u, _)| u.clone());
+        names.take(MAX_CHECKS).collect()
+    }
+
+    /// Whether this daemon may not reach any upstream of the service, and if so can't help others. Unlike
     /// [`Self::is_cut_off`] this needs no daemon that does.
     pub(crate) fn is_unable(&self) -> bool {
         self.is_cut_off() || self.failing.len() >= UNABLE_PATHS
@@ -184,6 +237,11 @@
         self.failing.clear();
     }
 
+    /// Records how long an answer on a direct connection took to begin.
+    pub(crate) fn on_head(&mut self, waited: Millis) {
+        self.answer_times.record(waited);
+    }
+
     /// Records that bytes of the upstream arrived.
     pub(crate) fn on_bytes(&mut self, upstream: &Upstream) {
         self.silent.remove(upstream);
@@ -191,6 +249,7 @@
 
     /// The upstreams whose paths are to be probed now: broken ones, and those that are silent.
     pub(crate) fn due_probes(&mut self, now: Millis) -> Vec<Upstream> {
+        let silence = self.overdue();
         let mut due = Vec::new();
         for (upstream, path) in &mut self.broken {
             if now >= path.probe_at {
@@ -200,7 +259,7 @@
         }
         for (upstream, since) in &self.silent {
             let pause = self.suspect_at.get(upstream);
-            let is_due = now.since(*since) >= SILENCE_MS && pause.is_none_or(|at| now >= *at);
+            let is_due = now.since(*since) >= silence && pause.is_none_or(|at| now >= *at);
             if is_due && !self.broken.contains_key(upstream) {
                 due.push(upstream.clone());
                 let next = now.plus(SUSPECT_INTERVAL_MS);
@@ -217,6 +276,7 @@
         self.tunnelled.retain(|_, at| recent(at));
         self.unreached.retain(|_, until| now < *until);
         self.suspect_at.retain(|_, at| now < *at);
+        self.doubt = self.doubt.filter(|d| now.since(d.reported) < DOUBT_MS);
     }
 
     /// Forgets an upstream that has ended or started again.
--- a/crates/gateway/src/relays.rs
+++ b/crates/gateway/src/relays.rs
@@ -5,7 +5,7 @@
 //! name some daemons of their data centres, and learns from each answer of a relay.
 
 use serde::{Deserialize, Serialize};
-use shaleline_types::Millis;
+use shaleline_types::{Millis, Service};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -39,11 +39,14 @@
 /// The messages about relays.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum RelayMessage {
-    /// To the hubs: asks for relays. `unable` is set if the sender reaches no upstream, so that it
-    /// can't be one.
-    Request { unable: bool },
-    /// From a hub: daemons that may reach the upstreams.
-    List(Vec<SocketAddr>),
+    /// To the hubs: asks for relays to a service. `unable` is set if the sender reaches none of its
+    /// upstreams, so that it can't be one.
+    Request { service: Service, unable: bool },
+    /// From a hub: daemons that may reach the upstreams of a service.
+    List {
+        service: Service,
+        daemons: Vec<SocketAddr>,
+    },
 }
 
 /// What is known of a daemon as a relay.
@@ -87,7 +90,7 @@
     }
 }
 
-/// The daemons as relays.
+/// The daemons as relays to the upstreams of a service.
 #[derive(Debug, Default)]
 pub(crate) struct Relays {
     all: BTreeMap<SocketAddr, Relay>,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -71,7 +71,7 @@
 
     /// Records that more of an answer arrived from an upstream.
     pub(crate) fn on_progress(&self, id: RequestId, attempt: AttemptNumber, from: &Upstream) {
-        self.paths.borrow_mut().on_bytes(from);
+        self.with_paths(from, |p| p.on_bytes(from));
         if self.delegated.borrow().has(id) {
             self.active_upstreams
                 .borrow_mut()
@@ -301,6 +301,9 @@
 
     /// Handles a hub's answer about a request of this daemon.
     pub(crate) fn handle_answer(&self, ticket: Ticket, answer: Answer) {
+        if let Answer::SendDoubtful { upstream, .. } = &answer {
+            self.doubt_paths(upstream);
+        }
         let actions = self
             .delegated
             .borrow_mut()
@@ -314,10 +317,17 @@
         | RouteAction::Cancel { id, .. }
         | RouteAction::Refuse { id, .. }) = action;
         let id = *id;
+        let doubtful = self.router.borrow().is_doubtful(id, self.now());
+        if let (true, RouteAction::Send { upstream, .. }) = (doubtful, action) {
+            self.doubt_own_paths(id, upstream);
+        }
         if self.notify_request(id, action) {
             return;
         }
-        let answer = Answer::of(action);
+        let answer = match doubtful {
+            true => Answer::of(action).into_doubtful(),
+            false => Answer::of(action),
+        };
         let reply = self
             .peer_requests
             .borrow_mut()
@@ -328,6 +338,13 @@
         }
     }
 
+    /// Doubts this daemon's paths if it is its own request that is sent.
+    fn doubt_own_paths(&self, id: RequestId, upstream: &Upstream) {
+        if self.peer_requests.borrow().daemon_of(id).is_none() {
+            self.doubt_paths(upstream);
+        }
+    }
+
     /// Records that an engine does not hold a model or adapter.
     pub(crate) fn handle_missing(
         &self,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -133,8 +133,7 @@
         if now.since(cleaned) >= HOUSEKEEPING_MS {
             cleaned = now;
             gw.pool.prune();
-            gw.paths.borrow_mut().prune(now);
-            gw.relays.borrow_mut().prune(now);
+            gw.prune_paths(now);
             gw.allowances.borrow_mut().prune(now);
             remove_gone(&gw);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::allowance::Allowances;
 use crate::announced::Announced;
+use crate::by_service::ByService;
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
 use crate::eligibility::Announcements;
@@ -150,9 +151,13 @@
     /// Opens connections to upstreams.
     pub(crate) network: Box<dyn Network>,
     /// Which upstreams this daemon reaches itself.
-    pub(crate) paths: RefCell<Paths>,
+    pub(crate) paths: RefCell<ByService<Paths>>,
+    /// Notifies waiters that a path is broken.
+    pub(crate) path_broken: Notify,
+    /// The services of which a path broke, and whose other paths are to be checked.
+    pub(crate) unchecked: RefCell<BTreeSet<Service>>,
     /// The daemons as relays.
-    pub(crate) relays: RefCell<Relays>,
+    pub(crate) relays: RefCell<ByService<Relays>>,
     /// The daemon that opened the last tunnel, and the number of tunnels open for others.
     pub(crate) last_relay: Cell<Option<SocketAddr>>,
     pub(crate) open_tunnels: Rc<Cell<usize>>,
@@ -291,6 +296,8 @@
             crash_probes: RefCell::new(CrashProbes::default()),
             network,
             paths: RefCell::default(),
+            path_broken: Notify::new(),
+            unchecked: RefCell::default(),
             relays: RefCell::default(),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
@@ -369,7 +376,7 @@
                 self.route(RouteEvent::Restarted(name.clone()));
                 self.forget_limits(&name);
                 self.announcements.borrow_mut().on_ended(&name);
-                self.paths.borrow_mut().forget(&name);
+                self.forget_path(&name);
                 self.apply_entry(&name);
             }
             Change::Gone(name) => {
@@ -380,7 +387,7 @@
                 self.announced.borrow_mut().forget(&name);
                 self.forget_limits(&name);
                 self.announcements.borrow_mut().on_ended(&name);
-                self.paths.borrow_mut().forget(&name);
+                self.forget_path(&name);
                 let tag = Tag::of_upstream(&name);
                 self.upstream_tags.borrow_mut().remove(&tag);
                 self.route(RouteEvent::Leaving {
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -6,10 +6,8 @@
 //! one hop at most. Orders to engines never go through a tunnel: engines tell planners apart by the
 //! machine that orders come from. `docs/design/tunnels.md` compares the alternatives.
 
-use crate::journal::emit;
 use crate::message::{Message, Sender};
 use crate::network::Network;
-use crate::paths::PathChange;
 use crate::relays::RelayMessage;
 use crate::state::{Gateway, DEAD_TIMEOUT};
 use bytes::Bytes;
@@ -19,9 +17,9 @@
 use hyper::{Request, Response, StatusCode};
 use shaleline_edge::tunnel::TunnelError;
 use shaleline_edge::{
-    tunnel, BoxedConnection, LocalFuture, ProbeOutcome, Reply, ReplyBody, Target, Tunnel, Tunnels,
+    tunnel, BoxedConnection, LocalFuture, Reply, ReplyBody, Target, Tunnel, Tunnels,
 };
-use shaleline_types::{LogEvent, Upstream};
+use shaleline_types::{Millis, Service, Upstream};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::io;
@@ -34,8 +32,8 @@
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time in which a probe of the direct path must connect.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which it is looked again whether a request on a broken path is lost.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which another daemon is asked too.
 const RELAY_PAUSE: Duration = Duration::from_millis(40);
@@ -47,33 +45,84 @@
 /// The most tunnels that a daemon serves at once, to keep descriptors for its own callers.
 const MAX_TUNNELS: usize = 500;
 
-/// The tunnels of a gateway.
-pub(crate) struct GatewayTunnels<'a>(pub(crate) &'a Gateway);
+/// The tunnels of a gateway, for one request.
+pub(crate) struct GatewayTunnels<'a> {
+    gw: &'a Gateway,
+    /// When the request was sent on a direct connection.
+    direct_since: Cell<Option<Millis>>,
+}
+
+impl<'a> GatewayTunnels<'a> {
+    pub(crate) fn new(gw: &'a Gateway) -> Self {
+        Self {
+            gw,
+            direct_since: Cell::new(None),
+        }
+    }
+
+    /// When the request was sent on a direct connection, if it was.
+    pub(crate) fn direct_since(&self) -> Option<Millis> {
+        self.direct_since.get()
+    }
+
+    fn is_broken(&self, upstream: &Upstream) -> bool {
+        self.gw.with_paths(upstream, |p| p.is_broken(upstream))
+    }
+
+    /// Waits until the request has most likely been lost with its path.
+    pub(crate) async fn until_lost(&self, upstream: &Upstream) {
+        loop {
+            let broken = self.gw.path_broken.notified();
+            let now = self.gw.now();
+            let is_lost = self.direct_since.get().is_some_and(|sent| {
+                self.gw
+                    .with_paths(upstream, |p| p.is_lost(upstream, sent, now))
+            });
+            if is_lost {
+                return;
+            }
+            match self.direct_since.get().is_some() && self.is_broken(upstream) {
+                true => sleep(RECHECK_INTERVAL).await,
+                false => broken.await,
+            }
+        }
+    }
+}
 
 impl Tunnels for GatewayTunnels<'_> {
     fn is_needed(&self, target: &Target) -> bool {
-        self.0.paths.borrow().is_broken(&target.name)
+        self.is_broken(&target.name)
     }
 
     fn is_doubtful(&self, target: &Target) -> bool {
-        self.0.paths.borrow().is_doubtful(&target.name)
+        let name = &target.name;
+        self.gw.with_paths(name, |p| p.is_doubtful(name))
     }
 
     fn is_allowed(&self, target: &Target) -> bool {
-        let gw = self.0;
-        gw.paths.borrow().may_tunnel(&target.name, gw.now())
+        let (name, now) = (&target.name, self.gw.now());
+        self.gw.with_paths(name, |p| p.may_tunnel(name, now))
     }
 
     fn direct<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<BoxedConnection>> {
-        self.0.connect_directly(target)
+        self.gw.connect_directly(target)
     }
 
     fn connect<'a>(&'a self, target: &'a Target) -> LocalFuture<'a, io::Result<Tunnel>> {
-        Box::pin(self.0.connect_by_tunnel(target))
+        Box::pin(self.gw.connect_by_tunnel(target))
     }
 
     fn on_direct(&self, target: &Target, opened: bool) {
-        self.0.record_direct(&target.name, opened);
+        self.gw.record_direct(&target.name, opened);
+    }
+
+    fn on_send(&self, target: &Target, relay: Option<SocketAddr>) {
+        if relay.is_none() {
+            let now = self.gw.now();
+            self.direct_since.set(Some(now));
+            let name = &target.name;
+            self.gw.with_paths(name, |p| p.on_send(name, now));
+        }
     }
 }
 
@@ -95,7 +144,7 @@
 
 /// Why a daemon opened no tunnel, as its answer shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Missed {
+pub(crate) enum Missed {
     /// It gave no answer, or none that makes sense.
     Silent,
     /// It answered with this status.
@@ -127,15 +176,19 @@
     }
 
     /// Connects through the first daemon that reaches the upstream.
-    async fn connect_by_tunnel(&self, target: &Target) -> io::Result<Tunnel> {
-        self.begin_search();
+    pub(crate) async fn connect_by_tunnel(&self, target: &Target) -> io::Result<Tunnel> {
+        let service = self.path_service(&target.name);
+        self.begin_search(&service);
         let mut asked = FuturesUnordered::new();
         let mut tried = BTreeSet::new();
         let mut missed = Vec::new();
         let mut waited = false;
         loop {
             let relay = match tried.len() < MAX_RELAYS {
-                true => self.relays.borrow_mut().next(&tried, self.now()),
+                true => {
+                    let mut relays = self.relays.borrow_mut();
+                    relays.of(&service).next(&tried, self.now())
+                }
                 false => None,
             };
             if let Some(relay) = relay {
@@ -154,13 +207,13 @@
             match timeout(RELAY_PAUSE, asked.next()).await {
                 Ok(Some((relay, Ok(stream)))) => {
                     self.last_relay.set(Some(relay));
-                    self.record_answer_of(relay, true);
+                    self.record_answer_of(&service, relay, true);
                     self.record_tunnel(&target.name, true, true);
                     return Ok(Tunnel { stream, relay });
                 }
                 Ok(Some((relay, Err(reason)))) => {
                     if reason != Missed::Status(StatusCode::NOT_FOUND) {
-                        self.record_answer_of(relay, false);
+                        self.record_answer_of(&service, relay, false);
                     }
                     missed.push(reason);
                 }
@@ -169,56 +222,62 @@
         }
         self.last_relay.set(None);
         let tried_upstream = missed.contains(&Missed::Status(StatusCode::BAD_GATEWAY));
-        let reliable = tried_upstream || !self.paths.borrow().is_unable();
+        // Where nobody can be asked, only this daemon's other paths tell.
+        let unable = self.with_paths(&target.name, |p| p.is_unable());
+        let reliable = tried_upstream || missed.is_empty() && !unable;
         self.record_tunnel(&target.name, false, reliable);
         self.log_missed(target, &missed);
         Err(io::Error::from(io::ErrorKind::HostUnreachable))
     }
 
     /// Collects the daemons that may be asked, and asks the hubs for more.
-    fn begin_search(&self) {
+    fn begin_search(&self, service: &Service) {
         let now = self.now();
         let known = self.membership.borrow().known_addresses();
         let mut relays = self.relays.borrow_mut();
-        relays.on_known(&known, || self.random(), now);
-        relays.on_search();
+        let relays_of = relays.of(service);
+        relays_of.on_known(&known, || self.random(), now);
+        relays_of.on_search();
         drop(relays);
-        self.request_relays();
+        self.request_relays(service);
     }
 
-    /// Asks the hubs for relays, unless that happened just now.
-    pub(crate) fn request_relays(&self) {
+    /// Asks the hubs for relays to a service, unless that happened just now.
+    pub(crate) fn request_relays(&self, service: &Service) {
         let now = self.now();
-        if !self.relays.borrow_mut().take_request(now) {
+        if !self.relays.borrow_mut().of(service).take_request(now) {
             return;
         }
-        let unable = self.paths.borrow().is_unable();
+        let message = RelayMessage::Request {
+            service: service.clone(),
+            unable: self.is_unable_for(service),
+        };
         let hubs = self.membership.borrow_mut().known_hubs(now);
-        let request = |hub| (hub, Message::Relays(RelayMessage::Request { unable }));
+        let request = |hub| (hub, Message::Relays(message.clone()));
         self.send(hubs.into_iter().map(request).collect());
-        if let Some(own) = self.relay_list(self.me.address) {
-            self.learn_relays(&own);
+        if let Some(own) = self.relay_list(service, self.me.address) {
+            self.learn_relays(service, &own);
         }
     }
 
-    /// The daemons that this one names as relays, if it is a hub.
-    fn relay_list(&self, asker: SocketAddr) -> Option<Vec<SocketAddr>> {
+    /// The daemons that this one names as relays to a service, if it is a hub.
+    fn relay_list(&self, service: &Service, asker: SocketAddr) -> Option<Vec<SocketAddr>> {
         let now = self.now();
         let mut membership = self.membership.borrow_mut();
         if !membership.is_hub(now) {
             return None;
         }
-        let unable = self.paths.borrow().is_unable();
-        let me = (!unable).then_some(self.me.address);
+        let me = (!self.is_unable_for(service)).then_some(self.me.address);
         let alive = membership.reporting(now).into_iter().chain(me);
         let alive = alive.filter(|a| *a != asker);
-        let relays = self.relays.borrow();
-        Some(relays.list(alive, || self.random(), now))
+        let mut relays = self.relays.borrow_mut();
+        Some(relays.of(service).list(alive, || self.random(), now))
     }
 
-    fn learn_relays(&self, listed: &[SocketAddr]) {
+    fn learn_relays(&self, service: &Service, listed: &[SocketAddr]) {
         let now = self.now();
         let mut relays = self.relays.borrow_mut();
+        let relays = relays.of(service);
         relays.on_known(listed, || self.random(), now);
         relays.on_listed(listed, now);
     }
@@ -226,112 +285,26 @@
     /// Handles a message about relays.
     pub(crate) fn on_relay_message(&self, from: &Sender, message: &RelayMessage) {
         match message {
-            RelayMessage::Request { unable } => {
+            RelayMessage::Request { service, unable } => {
                 let now = self.now();
-                self.relays
-                    .borrow_mut()
-                    .on_report(from.address, *unable, now);
-                let list = self.relay_list(from.address);
-                let list = list.map(|l| (from.address, Message::Relays(RelayMessage::List(l))));
+                let mut relays = self.relays.borrow_mut();
+                relays.of(service).on_report(from.address, *unable, now);
+                drop(relays);
+                let list = self.relay_list(service, from.address).map(|daemons| {
+                    let service = service.clone();
+                    let list = RelayMessage::List { service, daemons };
+                    (from.address, Message::Relays(list))
+                });
                 self.send(list.into_iter().collect());
             }
-            RelayMessage::List(listed) => self.learn_relays(listed),
+            RelayMessage::List { service, daemons } => self.learn_relays(service, daemons),
         }
     }
 
-    fn record_answer_of(&self, relay: SocketAddr, opened: bool) {
-        let now = self.now();
-        self.relays.borrow_mut().on_answer(relay, opened, now);
-    }
-
-    /// Records whether a direct connection to an upstream was opened.
-    pub(crate) fn record_direct(&self, upstream: &Upstream, opened: bool) {
+    fn record_answer_of(&self, service: &Service, relay: SocketAddr, opened: bool) {
         let now = self.now();
-        let change = self.paths.borrow_mut().on_direct(upstream, opened, now);
-        self.log_path(upstream, change);
-    }
-
-    fn record_tunnel(&self, upstream: &Upstream, opened: bool, reliable: bool) {
-        let now = self.now();
-        let outcome = (opened, reliable);
-        let change = self.paths.borrow_mut().on_tunnel(upstream, outcome, now);
-        self.log_path(upstream, change);
-    }
-
-    fn log_path(&self, upstream: &Upstream, change: Option<PathChange>) {
-        let Some(change) = change else {
-            return;
-        };
-        let paths = self.paths.borrow();
-        let (broken, cut_off) = (paths.broken(), paths.is_cut_off());
-        self.metrics.record_broken_paths(broken);
-        let relay = self.last_relay.get();
-        let relay = relay.map_or("none".to_owned(), |r| r.to_string());
-        let detail = format!("upstream={upstream} broken={broken} cut_off={cut_off} relay={relay}");
-        match change {
-            PathChange::Broken => emit(LogEvent::PathBroken, &detail),
-            PathChange::Restored(after) => {
-                emit(
-                    LogEvent::PathRestored,
-                    &format!("{detail} after_ms={}", after.0),
-                );
-            }
-        }
-    }
-
-    fn log_missed(&self, target: &Target, missed: &[Missed]) {
-        if !self.log_budget.take(self.now()) {
-            return;
-        }
-        let count = |status: StatusCode| {
-            let same = missed.iter().filter(|m| **m == Missed::Status(status));
-            same.count()
-        };
-        let silent = missed.iter().filter(|m| **m == Missed::Silent).count();
-        let paths = self.paths.borrow();
-        let detail = format!(
-            "upstream={} asked={} silent={silent} unavailable={} unreached={} broken={} cut_off={}",
-            target.name,
-            missed.len(),
-            count(StatusCode::SERVICE_UNAVAILABLE),
-            count(StatusCode::BAD_GATEWAY),
-            paths.broken(),
-            paths.is_cut_off(),
-        );
-        emit(LogEvent::TunnelMissed, &detail);
-    }
-
-    /// Probes the paths that are due.
-    pub(crate) fn probe_paths(self: &Rc<Self>) {
-        if self.paths.borrow().is_unable() {
-            self.request_relays();
-        }
-        let due = self.paths.borrow_mut().due_probes(self.now());
-        for upstream in due {
-            let Some(target) = self.target(&upstream) else {
-                self.paths.borrow_mut().forget(&upstream);
-                continue;
-            };
-            let gw = Rc::clone(self);
-            actix_rt::spawn(async move { gw.probe_path(&target).await });
-        }
-    }
-
-    async fn probe_path(&self, target: &Target) {
-        let connect = self.connect_directly(target);
-        let opened = self.pool.probe_by(connect, PROBE_TIMEOUT).await == ProbeOutcome::Accepted;
-        self.record_direct(&target.name, opened);
-        if !opened {
-            // The answer is recorded: it shows whether the upstream or the path has failed.
-            self.is_reached_by_others(target).await;
-        }
-    }
-
-    /// Whether another daemon reaches the upstream.
-    pub(crate) async fn is_reached_by_others(&self, target: &Target) -> bool {
-        self.paths.borrow().is_broken(&target.name)
-            || (GatewayTunnels(self).is_allowed(target)
-                && self.connect_by_tunnel(target).await.is_ok())
+        let mut relays = self.relays.borrow_mut();
+        relays.of(service).on_answer(relay, opened, now);
     }
 
     /// Opens a tunnel for another daemon.
@@ -359,7 +332,8 @@
         name: &Upstream,
     ) -> Result<(BoxedConnection, TunnelGuard), StatusCode> {
         let target = self.target(name).ok_or(StatusCode::NOT_FOUND)?;
-        let broken = !self.paths.borrow().may_relay(name, self.now());
+        let now = self.now();
+        let broken = !self.with_paths(name, |p| p.may_relay(name, now));
         let full = self.open_tunnels.get() >= MAX_TUNNELS;
         if !self.may_tunnel_to(name) || self.stopping.get() || broken || full {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
@@ -370,7 +344,7 @@
         match connected {
             Ok(Ok(stream)) => Ok((stream, guard)),
             // It is not known whether the upstream or this daemon's path to it has failed.
-            Ok(Err(_)) | Err(_) if self.paths.borrow().is_unable() => {
+            Ok(Err(_)) | Err(_) if self.with_paths(name, |p| p.is_unable()) => {
                 Err(StatusCode::SERVICE_UNAVAILABLE)
             }
             Ok(Err(_)) | Err(_) => Err(StatusCode::BAD_GATEWAY),
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -232,7 +232,7 @@
 /// Opens connections for a request until one opens. Returns whether one did in time.
 async fn is_served(gw: &Gateway, targets: Vec<Target>) -> bool {
     let limit = Instant::now() + PATIENCE;
-    let tunnels = GatewayTunnels(gw);
+    let tunnels = GatewayTunnels::new(gw);
     for target in targets {
         let opened = open_connection(&target, CONNECT_TIMEOUT, &tunnels);
         if let Ok(Ok(_)) = timeout_at(limit, opened).await {
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -18,7 +18,7 @@
 
 /// The part of an upstream's slots, one in so many, that is used to find out whether it works where
 /// all of them are held by sends that are overdue.
-const TRIAL_DIVISOR: usize = 4;
+const TRIAL_DIVISOR: usize = 2;
 
 /// Whether a send holds a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
