Judge lost sends sooner, and count sends that daemons failed to deliver for certain

Change: a send is overdue at the hub after two mean times, not three (it must be overtaken as well, and the upstream's next report corrects a slot that was freed too early); NotSent counts always, and Broken unless its daemon is under suspicion.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -23,6 +23,10 @@
 const SILENCE_MS: u64 = 400;
 const SUSPECT_INTERVAL_MS: u64 = 1_000;
 
+/// A request is overdue after this number of mean times to an answer. Each one costs a connection that
+/// checks the path.
+const OVERDUE_FACTOR: f64 = 3.0;
+
 /// The number of upstreams without a connection, while no other one answers, from which this daemon
 /// can't help others.
 const UNABLE_PATHS: usize = 2;
@@ -122,7 +126,7 @@
 
     /// The time after which a request on a direct connection should have been answered.
     fn overdue(&self) -> u64 {
-        self.answer_times.overdue().0.min(SILENCE_MS)
+        self.answer_times.overdue(OVERDUE_FACTOR).0.min(SILENCE_MS)
     }
 
     /// Whether a request that was sent directly has most likely been lost with its path: its answer
--- a/crates/gateway/tests/unit/paths.rs
+++ b/crates/gateway/tests/unit/paths.rs
@@ -143,3 +143,65 @@
     paths.on_direct(&up(3), true, NOW.plus(300));
     assert!(!paths.is_doubtful(&up(3)) && paths.is_doubtful(&up(4)));
 }
+
+/// Whether the path to an upstream that opened before is doubtful, after other daemons lost theirs at
+/// these times.
+fn is_doubtful_after(reported: &[u64]) -> bool {
+    let mut paths = Paths::default();
+    paths.on_direct(&up(1), true, NOW);
+    for at in reported {
+        paths.on_doubt(NOW.plus(*at));
+    }
+    paths.prune(NOW.plus(3_000));
+    paths.is_doubtful(&up(1))
+}
+
+cases! {
+    is_doubtful_after;
+    a_path_that_has_worked_is_not_doubtful: &[] => false,
+    a_path_is_doubtful_while_other_daemons_lose_theirs: &[1_500] => true,
+    a_path_is_not_doubtful_long_after_others_lost_theirs: &[500] => false,
+    reports_that_go_on_keep_a_path_doubtful: &[500, 1_500, 2_500] => true,
+}
+
+#[test]
+fn a_path_that_works_again_is_not_doubted_anew_by_the_same_loss() {
+    let mut paths = Paths::default();
+    paths.on_doubt(NOW);
+    paths.on_direct(&up(1), true, NOW.plus(100));
+    paths.on_doubt(NOW.plus(600));
+    assert!(!paths.is_doubtful(&up(1)) && paths.is_doubtful(&up(2)));
+}
+
+/// Whether a request that was sent directly is lost after this time; its path broke meanwhile, and
+/// bytes of its upstream arrived if `answered` is set.
+fn is_lost_after((wait, broken, answered): (u64, bool, bool)) -> bool {
+    let mut paths = Paths::default();
+    paths.on_head(Millis(60));
+    paths.on_send(&up(1), NOW);
+    if broken {
+        break_path(&mut paths, 1, NOW.plus(50));
+    }
+    if answered {
+        paths.on_bytes(&up(1));
+    }
+    paths.is_lost(&up(1), NOW, NOW.plus(wait))
+}
+
+cases! {
+    is_lost_after;
+    a_request_on_a_broken_path_is_lost_once_it_is_overdue: (200, true, false) => true,
+    a_request_is_not_lost_before_it_is_overdue: (100, true, false) => false,
+    a_request_is_not_lost_while_its_path_works: (1_000, false, false) => false,
+    a_request_is_not_lost_while_its_upstream_still_sends: (200, true, true) => false,
+}
+
+#[test]
+fn the_paths_that_were_used_last_are_checked_once_another_is_broken() {
+    let mut paths = Paths::default();
+    for number in 0..6 {
+        paths.on_direct(&up(number), true, NOW.plus(number as u64));
+    }
+    break_path(&mut paths, 5, NOW.plus(100));
+    assert_eq!(paths.to_check(), [up(4), up(3), up(2), up(1)]);
+}
--- a/crates/route/src/answer_times.rs
+++ b/crates/route/src/answer_times.rs
@@ -5,9 +5,8 @@
 /// The weight of one answer in the moving average.
 const STEP: f64 = 0.05;
 
-/// A send is overdue after this number of mean times, and after no less than this time, which
-/// covers the exchange of datagrams with its daemon.
-const OVERDUE_FACTOR: f64 = 3.0;
+/// A send is overdue after no less than this time, which covers the exchange of datagrams with its
+/// daemon.
 const MIN_OVERDUE_MS: f64 = 100.0;
 
 /// The time after which a send is overdue while nothing is known.
@@ -27,10 +26,10 @@
         self.mean = Some(mean + (waited - mean) * STEP);
     }
 
-    /// Returns the time after which a send without an answer is overdue.
+    /// Returns the time after which a send without an answer is overdue: this many mean times.
     #[must_use]
-    pub fn overdue(&self) -> Millis {
-        let mean = self.mean.map(|m| m * OVERDUE_FACTOR);
+    pub fn overdue(&self, factor: f64) -> Millis {
+        let mean = self.mean.map(|m| m * factor);
         let overdue = mean.map_or(UNKNOWN_OVERDUE_MS, |m| m.max(MIN_OVERDUE_MS));
         Millis(overdue as u64)
     }
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -154,9 +154,9 @@
                 self.budget.on_success();
             }
             AttemptEnd::NotSent | AttemptEnd::Broken | AttemptEnd::UpstreamEnded(_) => {
-                let is_crash = matches!(end, AttemptEnd::UpstreamEnded(_));
-                let counts = place.is_none_or(|(g, d)| self.reach.on_failure(g, d, now));
-                if !counts && !is_crash {
+                let may_be_path = end == AttemptEnd::Broken
+                    && place.is_some_and(|(g, d)| self.reach.is_suspect(g, d, now));
+                if may_be_path {
                     state.breaker.on_inconclusive();
                     return;
                 }
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -37,9 +37,8 @@
 struct Record {
     last_sent: Millis,
     last_answer: Option<Millis>,
-    /// When it last had a send that was lost, and a send that failed, without an answer since.
+    /// When it last had a send that was lost, without an answer since.
     lost: Option<Millis>,
-    failed: Option<Millis>,
 }
 
 /// What is known of the daemons that send.
@@ -66,7 +65,6 @@
         let record = self.record(group, daemon);
         record.last_answer = Some(now);
         record.lost = None;
-        record.failed = None;
     }
 
     /// Records that a send got no answer though its upstream has answered later ones of others.
@@ -77,15 +75,6 @@
         }
     }
 
-    /// Records that a send failed. Returns whether that says anything about its upstream: of
-    /// several failures of a daemon that gets no answers only the first does, unless no other
-    /// daemon sends.
-    pub(crate) fn on_failure(&mut self, group: Group, daemon: u64, now: Millis) -> bool {
-        let others = self.has_others(group, daemon);
-        let failed = self.record(group, daemon).failed.replace(now);
-        !others || failed.is_none()
-    }
-
     /// Whether a send that hangs says anything about its upstream: its daemon has heard another one
     /// since, or no other daemon sends.
     pub(crate) fn can_tell(&self, group: Group, daemon: u64, sent: Millis) -> bool {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -22,6 +22,10 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A send is overdue after this number of mean times to an answer. A slot that is freed too early is
+/// taken again by the upstream's next report.
+const OVERDUE_FACTOR: f64 = 2.0;
+
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
     pub(crate) request: RouteRequest,
@@ -399,7 +403,7 @@
         );
         let route = &open.request.route;
         let times = self.answer_times.get(&route.to_base());
-        let overdue = times.copied().unwrap_or_default().overdue();
+        let overdue = times.copied().unwrap_or_default().overdue(OVERDUE_FACTOR);
         self.reach
             .on_send(Group::of(route), open.request.daemon, now);
         self.send_count += 1;
