--- a/crates/gateway/src/path_checks.rs
+++ b/crates/gateway/src/path_checks.rs
@@ -96,7 +96,6 @@
             PathChange::Broken => {
                 emit(LogEvent::PathBroken, &detail);
                 self.path_broken.notify_waiters();
-                self.unchecked.borrow_mut().insert(service);
             }
             PathChange::Restored(after) => {
                 emit(
@@ -127,24 +126,18 @@
         emit(LogEvent::TunnelMissed, &detail);
     }
 
-    /// Probes the paths that are due, and checks those that may have broken together with another.
+    /// Probes or checks the paths that are due.
     pub(crate) fn probe_paths(self: &Rc<Self>) {
         let now = self.now();
         let services: Vec<Service> = {
             let paths = self.paths.borrow();
             paths.iter().map(|(service, _)| service.clone()).collect()
         };
-        let unchecked = std::mem::take(&mut *self.unchecked.borrow_mut());
         for service in services {
             if self.is_unable_for(&service) {
                 self.request_relays(&service);
             }
-            let mut paths = self.paths.borrow_mut();
-            let paths = paths.of(&service);
-            let mut due = paths.due_probes(now);
-            if unchecked.contains(&service) {
-                due.extend(paths.to_check());
-            }
+            let due = self.paths.borrow_mut().of(&service).due_probes(now);
             for upstream in due {
                 let gw = Rc::clone(self);
                 actix_rt::spawn(async move { gw.check_path(&upstream).await });
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -90,6 +90,8 @@
     /// How long answers on direct connections take to begin.
     answer_times: AnswerTimes,
     doubt: Option<Doubt>,
+    /// Whether a path broke, and the others were not checked since.
+    unchecked: bool,
 }
 
 impl Paths {
@@ -139,7 +141,7 @@
     }
 
     /// The paths to check once another one is broken: those that were used last.
-    pub(crate) fn to_check(&self) -> Vec<Upstream> {
+    fn to_check(&self) -> Vec<Upstream> {
         let whole = self.opened.iter().filter(|(u, _)| !self.is_broken(u));
         let mut latest: Vec<(&Upstream, &Millis)> = whole.collect();
         latest.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
@@ -226,6 +228,7 @@
             probe_at: now.plus(PROBE_INTERVAL_MS),
         };
         self.broken.insert(upstream.clone(), path);
+        self.unchecked = true;
         Some(PathChange::Broken)
     }
 
@@ -251,10 +254,14 @@
         self.silent.remove(upstream);
     }
 
-    /// The upstreams whose paths are to be probed now: broken ones, and those that are silent.
+    /// The upstreams whose paths are to be probed now: broken ones, those that are silent, and some
+    /// others once a path has broken.
     pub(crate) fn due_probes(&mut self, now: Millis) -> Vec<Upstream> {
         let silence = self.overdue();
-        let mut due = Vec::new();
+        let mut due = match std::mem::take(&mut self.unchecked) {
+            true => self.to_check(),
+            false => Vec::new(),
+        };
         for (upstream, path) in &mut self.broken {
             if now >= path.probe_at {
                 path.probe_at = now.plus(PROBE_INTERVAL_MS);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -154,8 +154,6 @@
     pub(crate) paths: RefCell<ByService<Paths>>,
     /// Notifies waiters that a path is broken.
     pub(crate) path_broken: Notify,
-    /// The services of which a path broke, and whose other paths are to be checked.
-    pub(crate) unchecked: RefCell<BTreeSet<Service>>,
     /// The daemons as relays.
     pub(crate) relays: RefCell<ByService<Relays>>,
     /// The daemon that opened the last tunnel, and the number of tunnels open for others.
@@ -297,7 +295,6 @@
             network,
             paths: RefCell::default(),
             path_broken: Notify::new(),
-            unchecked: RefCell::default(),
             relays: RefCell::default(),
             last_relay: Cell::new(None),
             open_tunnels: Rc::default(),
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -113,7 +113,7 @@
 struct World {
     daemons: RefCell<Vec<Rc<Daemon>>>,
     /// The upstreams that answer requests. Nothing is sent to the others.
-    servers: RefCell<BTreeMap<Upstream, Rc<Server>>>,
+    servers: RefCell<Servers>,
     /// Counts the changes of paths.
     changes: watch::Sender<u64>,
 }
@@ -193,6 +193,9 @@
     }
 }
 
+/// The upstreams that answer requests.
+pub type Servers = BTreeMap<Upstream, Rc<Server>>;
+
 type Outbox = mpsc::UnboundedReceiver<Addressed>;
 
 pub struct Cluster {
@@ -269,7 +272,7 @@
     pub async fn start_with(
         daemons: usize,
         seed: u64,
-        (servers, set_up): (BTreeMap<Upstream, Rc<Server>>, &dyn Fn(&Gateway)),
+        (servers, set_up): (Servers, &dyn Fn(&Gateway)),
     ) -> Self {
         let mut cluster = Self {
             world: Rc::new(World {
--- a/crates/gateway/tests/unit/lost_services/play.rs
+++ b/crates/gateway/tests/unit/lost_services/play.rs
@@ -6,7 +6,7 @@
 use crate::request;
 use crate::roster::EntryRecord;
 use crate::state::Gateway;
-use crate::unit::broken_paths::cluster::{Cluster, Path};
+use crate::unit::broken_paths::cluster::{Cluster, Path, Servers};
 use crate::unit::catalogue::engines::catalog;
 use crate::unit::crashes::cluster::{job, rule};
 use crate::{CallerLimits, Entry, Head, Repeat, RouteRule, ServiceRule, Table};
@@ -179,7 +179,7 @@
     gw.apply_entries(records(), gw.now());
 }
 
-fn servers(seed: u64) -> BTreeMap<Upstream, Rc<Server>> {
+fn servers(seed: u64) -> Servers {
     let plains = (0..PLAIN).map(|n| {
         let server = Server::new(PLAIN_ROOM, PLAIN_WORK_MS, seed + n as u64);
         (name("p", n), server)
--- a/crates/gateway/tests/unit/paths.rs
+++ b/crates/gateway/tests/unit/paths.rs
@@ -203,5 +203,7 @@
         paths.on_direct(&up(number), true, NOW.plus(number as u64));
     }
     break_path(&mut paths, 5, NOW.plus(100));
-    assert_eq!(paths.to_check(), [up(4), up(3), up(2), up(1)]);
+    let checked = [up(4), up(3), up(2), up(1)];
+    assert_eq!(paths.due_probes(NOW.plus(110)), checked);
+    assert_eq!(paths.due_probes(NOW.plus(120)), [], "they are checked once");
 }
