--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -83,7 +83,8 @@
         answer.is_some_and(|at| at > sent) || !self.has_others(group, daemon)
     }
 
-    fn has_others(&self, group: Group, daemon: u64) -> bool {
+    /// Whether another daemon sends as well.
+    pub(crate) fn has_others(&self, group: Group, daemon: u64) -> bool {
         let records = self.groups.get(&group);
         records.is_some_and(|r| r.keys().any(|d| *d != daemon))
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -366,16 +366,22 @@
         Some(best.clone())
     }
 
-    /// Whether a request may take a slot that shows whether its upstream works. A daemon that may have
-    /// lost its paths could not tell.
+    /// Whether a request may take the slot that its upstream has. A daemon that may have lost its paths
+    /// can't tell whether an upstream works, and only the answers to another daemon show that sends
+    /// are lost.
     pub(crate) fn may_take_slot(
         &self,
         request: &RouteRequest,
         state: &UpstreamState,
         now: Millis,
     ) -> bool {
-        let group = Group::of(&request.route);
-        state.slot(now) != Slot::Trial || !self.reach.is_suspect(group, request.daemon, now)
+        let slot = state.slot(now);
+        if matches!(slot, Slot::None | Slot::Free) {
+            return slot == Slot::Free;
+        }
+        let (group, daemon) = (Group::of(&request.route), request.daemon);
+        let suspect = self.reach.is_suspect(group, daemon, now);
+        !suspect && (slot == Slot::Probe || self.reach.has_others(group, daemon))
     }
 
     pub(crate) fn send(
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -36,7 +36,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Slot {
     None,
-    /// One that shows whether the upstream works.
+    /// One that shows whether an upstream works whose breaker is open.
+    Probe,
+    /// One that shows whether the sends that hold all slots are lost.
     Trial,
     Free,
 }
@@ -375,7 +377,7 @@
         let fresh = self.held() - self.overdue;
         match self.breaker.state(now) {
             BreakerState::Open => Slot::None,
-            BreakerState::HalfOpen => Slot::Trial,
+            BreakerState::HalfOpen => Slot::Probe,
             BreakerState::Closed if self.busy() < self.slots() => Slot::Free,
             BreakerState::Closed
                 if self.overdue > 0 && fresh < self.slots().div_ceil(TRIAL_DIVISOR) =>
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -179,6 +179,18 @@
     assert_eq!(state.full, 1);
 }
 
+#[test]
+fn slots_hold_where_one_daemon_alone_sends() {
+    let mut play = Play::new(&["a"]);
+    play.wait(4_000);
+    for _ in 0..SLOTS {
+        assert!(play.arrive(CUT).1.is_some());
+    }
+    let (queued, _) = play.arrive(CUT);
+    let actions = play.wait(10 * WORK_MS);
+    assert!(sent_to(&actions, queued).is_none());
+}
+
 #[test]
 fn a_send_that_is_answered_late_holds_its_slot_again() {
     let mut play = Play::new(&["a"]);
