--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -173,12 +173,13 @@
     """A model engine that checks fences, holds models and adapters, and streams events."""
 
     def __init__(self, record, store, name, service, zone, models, adapter_slots=8, room=2,
-                 slots=16, events=5, pause_s=0.03):
+                 slots=16, events=5, pause_s=0.03, framing="chunks"):
         self.record, self.store, self.name = record, store, name
         self.service, self.zone, self.slots = service, zone, slots
         self.models = {m: set() for m in models} if models is not None else None
         self.adapter_slots, self.room = adapter_slots, room
-        self.events, self.pause_s = events, pause_s
+        self.events, self.pause_s, self.framing = events, pause_s, framing
+        self.state, self.notice = "ready", {}
         self.seq = self.fence = self.running = self.beats = 0
         self.busy = False
         self.born = int(time.time() * 1000)
@@ -190,8 +191,8 @@
     def entry(self):
         self.beats += 1
         entry = {"service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
-                 "version": "1", "slots": self.slots, "state": "ready", "cold-left-ms": 0,
-                 "seq": self.beats, "born": self.born}
+                 "version": "1", "slots": self.slots, "state": self.state, "cold-left-ms": 0,
+                 "seq": self.beats, "born": self.born, **self.notice}
         if self.models is not None:
             entry.update({"stage": "colocated", "models": self.held(),
                           "at-hand": {"in-memory": [], "on-disk": sorted(self.models)}})
@@ -288,16 +289,22 @@
             await asyncio.sleep(self.pause_s)
             writer.write(response(200, head, "answer to " + request.headers.get("request-id", "")))
             return True
+        # An answer without length or chunks ends with its channel.
+        chunked = self.framing == "chunks"
+        if self.state != "ready":
+            head = head + [("Server-Leaving", 1)]
+        head = head + [("Transfer-Encoding", "chunked") if chunked else ("Connection", "close")]
         lines = "".join(f"{k}: {v}\r\n" for k, v in head)
-        writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                      f"Transfer-Encoding: chunked\r\n{lines}\r\n").encode())
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{lines}\r\n".encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.pause_s)
             event = f"id: {number}\ndata: {request.headers.get('request-id', '')}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if chunked else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        return True
+        self.record.add("whole", engine=self.name, id=request.headers.get("request-id"))
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+        return chunked
 
 
 class Daemon:
