--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -96,6 +96,7 @@
 
     async def connection(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -105,8 +106,15 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, OSError):
             pass
         finally:
+            self.closed(writer)
             writer.close()
 
+    def open(self, writer):
+        pass
+
+    def closed(self, writer):
+        pass
+
 
 class Store(Server):
     """The platform's store: topics of keyed records."""
@@ -184,6 +192,24 @@
         self.busy = False
         self.born = int(time.time() * 1000)
         self.orders = []
+        self.fatal, self.writers, self.crashes = None, set(), []
+
+    def crash(self, cause):
+        """Ends as a process that crashes: its channels close, and nothing listens at its address."""
+        self.crashes.append(self.record.now())
+        self.record.add("crash", engine=self.name, cause=cause)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        """Starts again under its id, at its address, and knows nothing of before."""
+        self.seq = self.fence = self.running = 0
+        self.busy, self.models = False, {}
+        self.born = int(time.time() * 1000)
+        await self.listen(*self.address)
+        self.record.add("restart", engine=self.name)
+        self.store.put("keyed.servers", self.name, self.entry())
 
     def held(self):
         return [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
@@ -198,9 +224,16 @@
                           "at-hand": {"in-memory": [], "on-disk": sorted(self.models)}})
         return json.dumps(entry).encode()
 
+    def open(self, writer):
+        self.writers.add(writer)
+
+    def closed(self, writer):
+        self.writers.discard(writer)
+
     async def beat(self, every_s=1.2):
         while True:
-            self.store.put("keyed.servers", self.name, self.entry())
+            if self.server.is_serving():
+                self.store.put("keyed.servers", self.name, self.entry())
             await asyncio.sleep(every_s)
 
     async def respond(self, request, writer):
@@ -284,6 +317,11 @@
         finally:
             self.running -= 1
 
+    def is_fatal(self, request):
+        """Whether a part of the prompt, not the last, crashes the engine that begins its answer."""
+        parts = request.headers.get("prompt-prefix", "").split(",")[:-1]
+        return self.fatal is not None and any(p.split(":")[0] == self.fatal for p in parts)
+
     async def serve(self, request, writer, head):
         if self.models is None:
             await asyncio.sleep(self.pause_s)
@@ -295,6 +333,11 @@
             head = head + [("Server-Leaving", 1)]
         head = head + [("Transfer-Encoding", "chunked") if chunked else ("Connection", "close")]
         lines = "".join(f"{k}: {v}\r\n" for k, v in head)
+        if self.is_fatal(request):
+            await asyncio.sleep(self.pause_s)
+            if self.server.is_serving():
+                self.crash(self.fatal)
+            return False
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{lines}\r\n".encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.pause_s)
