--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -24,6 +25,14 @@
            500: "Internal Server Error", 503: "Service Unavailable"}
 
 
+def stop(_number, _frame):
+    sys.exit(2)
+
+
+# A script that is stopped from outside still ends what it started.
+signal.signal(signal.SIGTERM, stop)
+
+
 class Record:
     """Writes what was sent, answered and run, one line each, with the time in seconds."""
 
