--- a/review/3/run.py
+++ b/review/3/run.py
@@ -13,7 +13,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standin"))
-from standins import (BOUNDS, Daemon, Engine, Record, Store, call, free_net, request_id,
+from standins import (BOUNDS, Daemon, Engine, Record, Store, call, free_net, request_id, run,
                       temporary_folder)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -121,9 +121,9 @@
 
 
 def judge(engines):
-    """ONE: orders of two holders to one engine within lease-ms. Engines check fences here, so only
+    """Orders of two holders in a row to one engine within lease-ms. Engines check fences here, so only
     holders in touch count."""
-    broken = []
+    pairs = []
     for engine in engines:
         counted = [o for o in engine.orders if in_touch(o[1].split("/")[0], o[0])]
         for before, after in zip(counted, counted[1:]):
@@ -132,12 +132,13 @@
             # The first holder must still be in touch when the second one orders: the successor of a
             # planner that froze may order at once.
             if names[0] != names[1] and gap < LEASE_MS and in_touch(names[0], after[0]):
-                broken.append((after[0], engine.name, *names, before[2], after[2], round(gap)))
-    return sorted(broken)
+                pairs.append((after[0], engine.name, *names, before[2], after[2], round(gap)))
+    return sorted(pairs)
 
 
 def turns_back(broken):
-    """How often the first of two holders ordered again, at the same engine, within another lease-ms."""
+    """ONE: how often holders took turns, the first one ordering again after the second, at one engine and
+    with less than lease-ms between each two orders."""
     count = 0
     for engine in {b[1] for b in broken}:
         pairs = [b for b in broken if b[1] == engine]
@@ -178,12 +179,12 @@
             task.cancel()
         broken = judge(engines)
         for at, engine, first, second, fence, next_fence, gap in broken:
-            record.add("broken", rule="ONE", at=f"{at:.3f}", engine=engine, first=first, second=second,
+            record.add("pair", rule="ONE", at=f"{at:.3f}", engine=engine, first=first, second=second,
                        fences=f"{fence},{next_fence}", gap_ms=gap)
         back = turns_back(broken)
-        record.add("result", broken=len(broken), turns_back=back)
-        print(f"orders={sum(len(e.orders) for e in engines)} broken={len(broken)} turns_back={back}")
-        return 1 if broken else 0
+        record.add("result", rule="ONE", pairs=len(broken), turns=back)
+        print(f"orders={sum(len(e.orders) for e in engines)} pairs={len(broken)} turns={back}")
+        return 1 if back else 0
     finally:
         for daemon in daemons:
             daemon.end()
@@ -193,4 +194,4 @@
             shutil.rmtree(folder, ignore_errors=True)
 
 
-sys.exit(asyncio.run(main()))
+run(main)
--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -33,6 +33,15 @@
 signal.signal(signal.SIGTERM, stop)
 
 
+BROKEN = 10
+
+
+def run(main):
+    """Ends with `BROKEN` if the rule was broken, 0 if it held, and anything else if the case could not
+    run: an error in a script ends Python with 1, which must not look like a broken rule."""
+    sys.exit({0: 0, 1: BROKEN}.get(asyncio.run(main()), 2))
+
+
 class Record:
     """Writes what was sent, answered and run, one line each, with the time in seconds."""
 
