Planner lease: release only what is held, on the condition that nothing follows it

A planner that was frozen or cut off appended, unconditionally, the release of a lease that it had lost, and its successor's lease ended. The release is now appended only while the lease is valid by the clock that counts suspension, and at the end behind the daemon's own last record; it is announced only if it was appended. A renewal in progress at a planned stop moves the end, so the end is read once more.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -52,8 +52,8 @@
 pub use plan_note::{PlanNote, WaitReason};
 pub use planner::{PlanSettings, PlanView, Planner};
 pub use planner_lease::{
-    PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseRenewal, PlannerLeaseSettings,
-    PlannerLeaseView,
+    PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseRelease, PlannerLeaseRenewal,
+    PlannerLeaseSettings, PlannerLeaseView,
 };
 pub use services::ServicePlanners;
 pub use unmet::{Unmet, UnmetByKey, UnmetDemand};
--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -178,6 +178,17 @@
     pub started: Millis,
 }
 
+/// A release of the lease, see [`PlannerLease::release`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannerLeaseRelease {
+    /// The fencing token of the lease.
+    pub fence: u64,
+    /// The end of the topic after the last record of this daemon; the release counts only there.
+    pub end: u64,
+    /// The time at which the lease lapses, from which on nothing may be appended.
+    pub lapses: Millis,
+}
+
 /// The topic is read if no renewal that began within this time was received.
 const SILENCE_MS: u64 = 1_300;
 
@@ -366,6 +377,24 @@
         }
     }
 
+    /// Gives up the lease. Returns the release to append; none if this daemon does not hold the
+    /// lease or it has lapsed, since the lease may be another daemon's then.
+    #[must_use]
+    pub fn release(&mut self, now: Millis) -> Option<PlannerLeaseRelease> {
+        let release = match self.state {
+            State::Holding {
+                end, valid_from, ..
+            } => self.fence(now).map(|fence| PlannerLeaseRelease {
+                fence,
+                end,
+                lapses: valid_from.plus(self.settings.validity.0),
+            }),
+            _ => None,
+        };
+        self.step_down();
+        release
+    }
+
     /// Gives up the lease.
     pub fn step_down(&mut self) {
         self.state = State::Watching;
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -11,11 +11,19 @@
 const LEASE: Millis = Millis(3_000);
 const START: u64 = 1_000_000;
 
-/// The topic as the store keeps it: the writer of each record, and the era that it knew. The store
-/// may come back from an older copy, with which an era begins.
+/// A record in the topic.
+struct Entry {
+    writer: String,
+    /// The era that the writer knew.
+    era: u64,
+    released: bool,
+}
+
+/// The topic as the store keeps it. The store may come back from an older copy, with which an era
+/// begins.
 #[derive(Default)]
 struct Topic {
-    records: Vec<(String, u64)>,
+    records: Vec<Entry>,
     era: u64,
     /// The time until which calls to the store get no answer.
     away_until: u64,
@@ -30,19 +38,23 @@
         let newest = self.records.last();
         PlannerLeaseView {
             end: self.end(),
-            holder: newest.map(|(holder, _)| holder.clone()),
-            released: false,
-            has_handover: false,
-            is_current: newest.map_or(self.era == 0, |(_, era)| *era == self.era),
+            holder: newest.map(|r| r.writer.clone()),
+            released: newest.is_some_and(|r| r.released),
+            has_handover: newest.is_some_and(|r| r.released),
+            is_current: newest.map_or(self.era == 0, |r| r.era == self.era),
         }
     }
 
     /// Appends if the offset is the end, which it may be by chance in a later era.
-    fn append(&mut self, daemon: &str, end: u64) -> bool {
+    fn append(&mut self, daemon: &str, end: u64, released: bool) -> bool {
         let end = Position::from_u64(end);
         let is_end = end.offset() == self.records.len() as u64;
         if is_end {
-            self.records.push((daemon.to_owned(), end.era()));
+            self.records.push(Entry {
+                writer: daemon.to_owned(),
+                era: end.era(),
+                released,
+            });
         }
         is_end
     }
@@ -64,17 +76,31 @@
     /// Calls in progress: when they are carried out, the action, when they began, and whether their
     /// answer is lost.
     calls: VecDeque<(u64, PlannerLeaseAction, Millis, bool)>,
+    /// Releases in progress: when they are carried out, and the end that they expect.
+    releases: Vec<(u64, u64)>,
+    /// The delay of the release that is due once it runs again.
+    release_delay: Option<u64>,
 }
 
 /// A possible fault in one step of 50 ms: the daemon concerned, and the kind of fault.
 type Step = (u8, u8);
 
+/// What may happen besides pauses and slow or lost calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    None,
+    /// The store comes back from older copies.
+    Rollbacks,
+    /// Daemons release the lease, some of them right after a pause, or by a slow call.
+    Releases,
+}
+
 /// Simulates the steps and returns the times at which each daemon could send orders, with the
 /// token.
 fn simulate(
     steps: &[Step],
     settings: PlannerLeaseSettings,
-    rollbacks: bool,
+    faults: Faults,
 ) -> Vec<(u64, usize, u64)> {
     let mut topic = Topic::default();
     let mut daemons: Vec<Daemon> = (0..3)
@@ -84,6 +110,8 @@
             paused_until: 0,
             era: 0,
             calls: VecDeque::new(),
+            releases: Vec::new(),
+            release_delay: None,
         })
         .collect();
     let mut orders = Vec::new();
@@ -96,7 +124,13 @@
             0 => daemons[index].paused_until = now + 4_000,
             1 => lost = true,
             2 => delay = 2_500,
-            3 if rollbacks && i > 40 && topic.away_until + 4_000 < now => {
+            4 | 5 if faults == Faults::Releases => {
+                daemons[index].paused_until = now + 4_000;
+                daemons[index].release_delay = Some(5);
+            }
+            6 if faults == Faults::Releases => daemons[index].release_delay = Some(5),
+            7 if faults == Faults::Releases => daemons[index].release_delay = Some(2_500),
+            3 if faults == Faults::Rollbacks && i > 40 && topic.away_until + 4_000 < now => {
                 let away = 700 * u64::from(daemon % 4);
                 topic.go_back(usize::from(daemon % 8), now + away);
             }
@@ -107,6 +141,11 @@
             if daemon.paused_until > now {
                 continue;
             }
+            if let Some(delay) = daemon.release_delay.take() {
+                let release = daemon.lease.release(Millis(now));
+                let call = release.map(|r| (now + delay, r.end));
+                daemon.releases.extend(call);
+            }
             if let Some(action) = daemon.lease.tick(Millis(now)) {
                 let (lost, delay) = if d == index {
                     (lost, delay)
@@ -125,11 +164,21 @@
 }
 
 fn deliver(daemon: &mut Daemon, topic: &mut Topic, now: u64) {
+    let name = &daemon.name;
+    daemon.releases.retain(|(at, end)| {
+        let is_due = *at <= now;
+        if is_due {
+            topic.append(name, *end, true);
+        }
+        !is_due
+    });
     let due = daemon.calls.iter().filter(|c| c.0 <= now).count();
     for (_, action, started, lost) in daemon.calls.drain(..due).collect::<Vec<_>>() {
         let is_away = now < topic.away_until;
         let appended = match action {
-            PlannerLeaseAction::Append { end, .. } if !is_away => topic.append(&daemon.name, end),
+            PlannerLeaseAction::Append { end, .. } if !is_away => {
+                topic.append(&daemon.name, end, false)
+            }
             _ => false,
         };
         if lost || is_away {
@@ -159,10 +208,10 @@
     steps: Vec<Step>,
     settings: PlannerLeaseSettings,
     apart: Millis,
-    rollbacks: bool,
+    faults: Faults,
 ) -> TestResult {
     let repeated: Vec<Step> = steps.into_iter().cycle().take(900).collect();
-    let orders = simulate(&repeated, settings, rollbacks);
+    let orders = simulate(&repeated, settings, faults);
     for pair in orders.windows(2) {
         let ((before, a, fence), (after, b, next)) = (pair[0], pair[1]);
         if next < fence || a != b && (after - before < apart.0 || next <= fence) {
@@ -173,22 +222,39 @@
 }
 
 fn is_lease_apart(steps: Vec<Step>) -> TestResult {
-    are_apart(steps, PlannerLeaseSettings::from_lease(LEASE), LEASE, false)
+    are_apart(
+        steps,
+        PlannerLeaseSettings::from_lease(LEASE),
+        LEASE,
+        Faults::None,
+    )
 }
 
 fn is_lease_apart_after_losses(steps: Vec<Step>) -> TestResult {
-    are_apart(steps, PlannerLeaseSettings::from_lease(LEASE), LEASE, true)
+    are_apart(
+        steps,
+        PlannerLeaseSettings::from_lease(LEASE),
+        LEASE,
+        Faults::Rollbacks,
+    )
 }
 
 /// With fencing, the orders of two holders need not be a lease apart, but never overlap.
 fn is_slack_apart(steps: Vec<Step>) -> TestResult {
     let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
-    are_apart(steps, settings, settings.slack, false)
+    are_apart(steps, settings, settings.slack, Faults::None)
 }
 
 fn is_slack_apart_after_losses(steps: Vec<Step>) -> TestResult {
     let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
-    are_apart(steps, settings, settings.slack, true)
+    are_apart(steps, settings, settings.slack, Faults::Rollbacks)
+}
+
+/// A late release ended the lease of another holder, which went on sending orders beside the next.
+/// After a release the successor need not wait, as it knows the orders of its predecessor.
+fn is_never_shared_after_releases(steps: Vec<Step>) -> TestResult {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    are_apart(steps, settings, Millis(0), Faults::Releases)
 }
 
 fn holds(property: fn(Vec<Step>) -> TestResult) -> bool {
@@ -205,6 +271,7 @@
     orders_of_two_holders_never_overlap_with_fencing: is_slack_apart => true,
     orders_of_two_holders_are_a_lease_apart_after_the_topic_lost_records: is_lease_apart_after_losses => true,
     orders_of_two_holders_never_overlap_after_the_topic_lost_records: is_slack_apart_after_losses => true,
+    orders_of_two_holders_never_overlap_after_late_releases: is_never_shared_after_releases => true,
 }
 
 /// The topic as it ends after an acquisition or a renewal.
@@ -218,6 +285,31 @@
     }
 }
 
+/// The release of a holder that last renewed at `START` and gives up its lease this much later: its
+/// token, the end that it expects, and the time until it lapses.
+fn release_after(ms: u64) -> Option<(u64, u64, u64)> {
+    let settings = PlannerLeaseSettings::from_lease(LEASE);
+    let mut lease = PlannerLease::new(settings, "me".to_owned());
+    lease.tick(Millis(START));
+    lease.on_read(&view(0, None), Millis(START));
+    lease.tick(Millis(START));
+    lease.on_appended(0, Millis(START - 500));
+    lease.tick(Millis(START));
+    lease.on_appended(1, Millis(START));
+    let release = lease.release(Millis(START + ms));
+    assert!(!lease.is_holder());
+    assert_eq!(lease.release(Millis(START + ms)), None);
+    release.map(|r| (r.fence, r.end, r.lapses.since(Millis(START))))
+}
+
+cases! { release_after;
+    a_holder_releases_its_lease_at_its_last_record: 500 => Some((1, 2, 1_200)),
+    a_holder_releases_its_lease_until_it_lapses: 1_199 => Some((1, 2, 1_200)),
+    // A planner that had been frozen released the lease of its successor.
+    a_holder_whose_lease_lapsed_releases_nothing: 1_200 => None,
+    a_holder_that_was_cut_off_releases_nothing: 3_400 => None,
+}
+
 /// An acquisition whose answer was lost, and which was found by a read, counted from the read,
 /// while the other daemons counted from the append.
 #[test]
@@ -241,13 +333,13 @@
 fn a_daemon_holds_it_at_once_and_again_after_a_pause() {
     let faultless: Vec<Step> = vec![(0, 9); 40];
     let settings = PlannerLeaseSettings::from_lease(LEASE);
-    let orders = simulate(&faultless, settings, false);
+    let orders = simulate(&faultless, settings, Faults::None);
     assert!(orders.iter().any(|(at, ..)| *at < START + 500));
     let holder = orders[0].1 as u8;
     let mut paused_until = faultless;
     paused_until.push((holder, 0));
     paused_until.extend(vec![(0, 9); 200]);
-    let after = simulate(&paused_until, settings, false);
+    let after = simulate(&paused_until, settings, Faults::None);
     let last = after.last().expect("a daemon can send orders");
     assert!(
         last.0 >= START + 230 * 50,
@@ -514,7 +606,7 @@
     // The daemon's number gives the records lost and the time away.
     steps.push(((away / 700) as u8 + 4, 3));
     steps.extend(vec![(0, 9); 200]);
-    let orders = simulate(&steps, settings, true);
+    let orders = simulate(&steps, settings, Faults::Rollbacks);
     let back = START + 60 * 50 + away;
     let next = orders.iter().find(|(at, ..)| *at > back);
     let (next, ..) = next.expect("a daemon can send orders again");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -134,6 +134,7 @@
     mod events;
     mod identity;
     mod job;
+    mod late_release;
     #[path = "limits/main.rs"]
     mod limits;
     #[path = "lost_services/main.rs"]
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -7,7 +7,7 @@
 use crate::state::Gateway;
 use crate::store::{Batch, StoreError, Topic};
 use serde::{Deserialize, Serialize};
-use shaleline_fleet::{Handover, PlannerLeaseAction, PlannerLeaseView};
+use shaleline_fleet::{Handover, PlannerLeaseAction, PlannerLeaseRelease, PlannerLeaseView};
 use shaleline_types::{LogEvent, Millis, Position};
 
 /// The key of the lease.
@@ -170,19 +170,64 @@
     is_holder && isolation.should_release(now)
 }
 
-/// Releases the lease, so that a successor need not wait until it lapses.
+/// Releases the lease, so that a successor need not wait until it lapses. A lease that has lapsed is
+/// only given up here: it may be another daemon's by now.
 pub(crate) async fn release(gw: &Gateway, state: &PlannerState, reason: &str) {
-    let held = gw.planner_lease.borrow().is_holder();
-    gw.planner_lease.borrow_mut().step_down();
-    if held {
-        let last = handover(gw, state);
-        let value = record(gw, gw.era.get(), Some(last));
-        // If this append fails, the successor waits until the lease lapses.
-        let released = gw.store.append(Topic::Planner, KEY, &value, None).await;
-        gw.metrics.count_store("planner", released.is_ok());
+    let Some(fence) = gw.planner_lease.borrow().token() else {
+        return;
+    };
+    let release = gw.planner_lease.borrow_mut().release(gw.now());
+    let released = match release {
+        Some(release) => append_release(gw, state, release).await,
+        None => false,
+    };
+    if released {
         gw.broadcast(&PlannerUpdate::Released);
-        emit(LogEvent::LeaseLost, &format!("reason={reason}"));
     }
+    emit(
+        LogEvent::LeaseLost,
+        &format!("fence={fence} reason={reason} released={released}"),
+    );
+}
+
+/// Appends a release behind this daemon's own last record. Returns whether it was appended; if not,
+/// the successor waits until the lease lapses.
+async fn append_release(gw: &Gateway, state: &PlannerState, release: PlannerLeaseRelease) -> bool {
+    // A renewal that is in progress, or whose answer was lost, may have moved the end. No other
+    // record of this daemon can follow it, so the end is read again only once.
+    const ATTEMPTS: usize = 2;
+    let mut end = Position::from_u64(release.end);
+    for _ in 0..ATTEMPTS {
+        if gw.now() >= release.lapses {
+            return false;
+        }
+        let value = record(gw, end.era(), Some(handover(gw, state)));
+        let result = gw
+            .store
+            .append(Topic::Planner, KEY, &value, Some(end))
+            .await;
+        gw.metrics.count_store("planner", result.is_ok());
+        end = match result {
+            Ok(_) => return true,
+            Err(StoreError::Moved(_)) => match own_end(gw).await {
+                Some(end) => end,
+                None => return false,
+            },
+            // The append may still take effect. It is not repeated, as its condition would not hold
+            // then.
+            Err(_) => return false,
+        };
+    }
+    false
+}
+
+/// The end of the topic, if its newest record is an acquisition or a renewal of this daemon.
+async fn own_end(gw: &Gateway) -> Option<Position> {
+    let newest = gw.store.newest(Topic::Planner).await;
+    gw.metrics.count_store("planner", newest.is_ok());
+    let (view, _) = to_view(&newest.ok()?, false);
+    let is_own = view.holder == Some(gw.holder()) && !view.released && view.is_current;
+    is_own.then(|| Position::from_u64(view.end))
 }
 
 impl Gateway {
--- /dev/null
+++ b/crates/gateway/tests/unit/late_release.rs
@@ -0,0 +1,278 @@
+//! Tests that a daemon releases the planner lease only while it holds it.
+//!
+//! A planner that was frozen, or cut off from the store, appended the release of a lease that it
+//! had lost. A third daemon took the lease from its holder at once, and two planners sent orders to
+//! the same engines by turns.
+
+use crate::gossip::Addressed;
+use crate::message::Datagram;
+use crate::planner::PlannerState;
+use crate::planner_lease::{perform, release};
+use crate::state::{Gateway, Platform};
+use crate::unit::crashes::{cluster, null_platform};
+use crate::unit::manual_clock::ManualClock;
+use crate::{Batch, Record, Store, StoreError, StoreResult, Topic};
+use futures_util::future::LocalBoxFuture;
+use futures_util::FutureExt;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use shaleline_edge::{Clock, TimeSource};
+use shaleline_testkit::cases;
+use shaleline_types::{Millis, Position};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// The duration of the freeze of the reported fault, longer than the lease.
+const FROZEN_MS: u64 = 4_000;
+
+/// The topic of the lease as the store keeps it.
+#[derive(Default)]
+struct Records {
+    values: RefCell<Vec<Vec<u8>>>,
+    /// Whether calls are carried out and their answers lost.
+    silent: Cell<bool>,
+    /// Whether calls are lost.
+    cut: Cell<bool>,
+    /// The number of appends that were called.
+    appends: Cell<usize>,
+}
+
+impl Records {
+    fn end(&self) -> Position {
+        Position::new(0, self.values.borrow().len() as u64)
+    }
+
+    fn newest(&self) -> StoreResult<Batch> {
+        if self.cut.get() {
+            return Err(StoreError::Lost);
+        }
+        let values = self.values.borrow();
+        let newest = values.last().map(|value| Record {
+            key: "planner".to_owned(),
+            value: Some(value.clone()),
+            position: Position::new(0, values.len() as u64 - 1),
+        });
+        Ok(Batch {
+            records: newest.into_iter().collect(),
+            next: self.end(),
+        })
+    }
+
+    fn append(&self, value: &[u8], end: Option<Position>) -> StoreResult<Position> {
+        self.appends.set(self.appends.get() + 1);
+        if self.cut.get() {
+            return Err(StoreError::Lost);
+        }
+        let position = self.end();
+        if end.is_some_and(|e| e != position) {
+            return Err(StoreError::Moved(position));
+        }
+        self.values.borrow_mut().push(value.to_vec());
+        match self.silent.get() {
+            true => Err(StoreError::Lost),
+            false => Ok(position),
+        }
+    }
+
+    /// Whether the newest record releases the lease.
+    fn is_released(&self) -> bool {
+        let newest = self.values.borrow().last().cloned();
+        let value = newest.map(|v| serde_json::from_slice::<serde_json::Value>(&v));
+        value.is_some_and(|v| v.expect("a record")["released"] == true)
+    }
+}
+
+struct Client(Rc<Records>);
+
+impl Store for Client {
+    fn newest(&self, _: Topic) -> LocalBoxFuture<'_, StoreResult<Batch>> {
+        std::future::ready(self.0.newest()).boxed_local()
+    }
+
+    fn tail(&self, _: Topic, _: Position, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
+        std::future::ready(self.0.newest()).boxed_local()
+    }
+
+    fn append(
+        &self,
+        _: Topic,
+        _: &str,
+        value: &[u8],
+        end: Option<Position>,
+    ) -> LocalBoxFuture<'_, StoreResult<Position>> {
+        std::future::ready(self.0.append(value, end)).boxed_local()
+    }
+}
+
+/// Daemons that share a clock and the topic. Only the calls of the test make them act.
+struct Daemons {
+    manual_clock: Rc<ManualClock>,
+    clock: Clock,
+    records: Rc<Records>,
+}
+
+struct Daemon {
+    gw: Rc<Gateway>,
+    outbox: mpsc::UnboundedReceiver<Addressed>,
+}
+
+impl Daemons {
+    fn new() -> Self {
+        let manual_clock = Rc::new(ManualClock::default());
+        let time: Rc<dyn TimeSource> = manual_clock.clone();
+        Self {
+            manual_clock,
+            clock: Clock::from_time(time),
+            records: Rc::default(),
+        }
+    }
+
+    /// Starts a daemon that knows the ones given.
+    fn start(&self, index: usize, others: &[&Daemon]) -> Daemon {
+        let platform = Platform {
+            codec: Box::new(null_platform::StubCodec),
+            store: Box::new(Client(Rc::clone(&self.records))),
+        };
+        let address = SocketAddr::from(([10, 0, 0, index as u8 + 1], 1));
+        let settings = cluster::settings(index, address);
+        let (sender, outbox) = mpsc::unbounded_channel();
+        let rng = SmallRng::seed_from_u64(index as u64);
+        let gw = Gateway::with_clock(settings, platform, sender, self.clock.clone(), rng);
+        let gw = gw.expect("a gateway");
+        for other in others {
+            let now = gw.now();
+            gw.membership.borrow_mut().learn_member(&other.gw.me, now);
+            other.gw.membership.borrow_mut().learn_member(&gw.me, now);
+        }
+        Daemon { gw, outbox }
+    }
+
+    fn pass(&self, millis: u64) {
+        let clock = &self.manual_clock.0;
+        clock.set(clock.get() + millis);
+    }
+
+    /// Performs what a daemon's lease asks for now.
+    fn tick(&self, daemon: &Daemon) {
+        let now = daemon.gw.now();
+        let action = daemon.gw.planner_lease.borrow_mut().tick(now);
+        if let Some(action) = action {
+            perform(&daemon.gw, action, now)
+                .now_or_never()
+                .expect("the store answers at once");
+        }
+    }
+
+    /// Lets a daemon acquire the lease; returns the time that it took.
+    fn acquire(&self, daemon: &Daemon) -> u64 {
+        const STEP_MS: u64 = 10;
+        let mut waited = 0;
+        while daemon.fence().is_none() {
+            assert!(waited < 10_000, "the lease is not acquired");
+            self.tick(daemon);
+            self.pass(STEP_MS);
+            waited += STEP_MS;
+        }
+        waited
+    }
+}
+
+impl Daemon {
+    fn fence(&self) -> Option<u64> {
+        self.gw.planner_lease.borrow().fence(self.gw.now())
+    }
+
+    fn release(&self, reason: &str) {
+        release(&self.gw, &PlannerState::default(), reason)
+            .now_or_never()
+            .expect("the store answers at once");
+    }
+
+    /// The messages that it has sent and that announce a release.
+    fn announcements(&mut self) -> Vec<Datagram> {
+        let mut all = Vec::new();
+        while let Ok(messages) = self.outbox.try_recv() {
+            all.extend(messages.into_iter().map(|(_, datagram)| datagram));
+        }
+        let is_release = |d: &Datagram| format!("{:?}", d.message).contains("Released");
+        all.retain(is_release);
+        all
+    }
+}
+
+/// What happens between the last renewal of the planner and its release.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    /// The time that passes, in milliseconds.
+    passed: u64,
+    /// Whether another daemon acquires the lease meanwhile.
+    succeeded: bool,
+    /// Why the planner releases the lease.
+    reason: &'static str,
+}
+
+/// Returns whether the release is appended, and whether it is announced.
+fn releases(case: Case) -> (bool, bool) {
+    let daemons = Daemons::new();
+    let mut planner = daemons.start(0, &[]);
+    let successor = daemons.start(1, &[&planner]);
+    daemons.acquire(&planner);
+    daemons.pass(case.passed);
+    if case.succeeded {
+        let end = daemons.records.end();
+        let value = br#"{"holder":"d1/1","released":false}"#;
+        assert!(daemons.records.append(value, Some(end)).is_ok());
+    }
+    drop(successor);
+    planner.release(case.reason);
+    assert!(!planner.gw.planner_lease.borrow().is_holder());
+    (
+        daemons.records.is_released(),
+        !planner.announcements().is_empty(),
+    )
+}
+
+cases! { releases;
+    a_planner_that_stops_releases_its_lease: Case { passed: 500, succeeded: false, reason: "stopping" } => (true, true),
+    a_planner_that_hears_too_few_releases_its_lease: Case { passed: 500, succeeded: false, reason: "hears-too-few" } => (true, true),
+    // A planner froze, was stopped by SIGTERM and resumed: the lease of its successor ended.
+    a_planner_that_froze_does_not_release_the_lease_of_its_successor: Case { passed: FROZEN_MS, succeeded: true, reason: "stopping" } => (false, false),
+    a_planner_whose_lease_lapsed_releases_nothing: Case { passed: FROZEN_MS, succeeded: false, reason: "stopping" } => (false, false),
+    // A planner was cut off, and its link recovered just before it released the lease for want of
+    // reports.
+    a_planner_that_was_cut_off_does_not_release_the_lease_of_its_successor: Case { passed: 3_400, succeeded: true, reason: "hears-too-few" } => (false, false),
+    // Whatever its clock says: the store has a record behind its own.
+    a_valid_planner_does_not_release_the_lease_of_another: Case { passed: 500, succeeded: true, reason: "stopping" } => (false, false),
+}
+
+/// A renewal is in progress when the planner stops, or its answer was lost.
+#[test]
+fn a_planner_whose_renewal_is_not_answered_releases_its_lease() {
+    let daemons = Daemons::new();
+    let mut planner = daemons.start(0, &[]);
+    let _other = daemons.start(1, &[&planner]);
+    daemons.acquire(&planner);
+    daemons.pass(500);
+    daemons.records.silent.set(true);
+    daemons.tick(&planner);
+    daemons.records.silent.set(false);
+    planner.release("stopping");
+    assert!(daemons.records.is_released());
+    assert_eq!(planner.announcements().len(), 1);
+}
+
+/// An append without an answer may still take effect, and a second one would come even later.
+#[test]
+fn a_release_without_an_answer_is_not_repeated() {
+    let daemons = Daemons::new();
+    let mut planner = daemons.start(0, &[]);
+    let _other = daemons.start(1, &[&planner]);
+    daemons.acquire(&planner);
+    let before = daemons.records.appends.get();
+    daemons.records.cut.set(true);
+    planner.release("stopping");
+    assert_eq!(daemons.records.appends.get(), before + 1);
+    assert!(planner.announcements().is_empty());
+}
