Planner lease: an announced release names its token

A release that was announced late made daemons forget the planner that they knew. The new message LeaseReleased has the fencing token, and daemons that know a higher one ignore it. The message without a token is still understood, as daemons of the earlier release send it; it only causes a read of the topic.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -148,6 +148,8 @@
     /// Until when this daemon is known to be the only holder, though the topic has lost records.
     kept_until: Option<Millis>,
     last_action: Option<Millis>,
+    /// The highest fencing token that is known.
+    highest: u64,
     in_flight: bool,
     /// Whether the end of the topic must be read before the next append.
     must_read: bool,
@@ -218,6 +220,7 @@
             loss: None,
             kept_until: None,
             last_action: None,
+            highest: 0,
             in_flight: false,
             must_read: false,
         }
@@ -370,11 +373,22 @@
         })
     }
 
-    /// Records that the holder announced the release of the lease: the topic is read at once.
-    pub fn on_release(&mut self) {
+    /// Records that a daemon holds the lease with this fencing token.
+    pub fn on_token(&mut self, fence: u64) {
+        self.highest = self.highest.max(fence);
+    }
+
+    /// Records that the holder with this fencing token announced the release of the lease: the
+    /// topic is read at once. Daemons of earlier releases don't name the token. Returns false for
+    /// the release of an earlier lease than the latest one known, which changes nothing.
+    pub fn on_release(&mut self, fence: Option<u64>) -> bool {
+        if fence.is_some_and(|f| f < self.highest) {
+            return false;
+        }
         if !self.is_holder() {
             self.must_read = true;
         }
+        true
     }
 
     /// Gives up the lease. Returns the release to append; none if this daemon does not hold the
@@ -534,9 +548,11 @@
     }
 
     fn hold(&mut self, offset: u64, end: u64, started: Millis) {
+        // A token of 0 could be taken for none.
+        let fence = offset + 1;
+        self.on_token(fence);
         self.state = State::Holding {
-            // A token of 0 could be taken for none.
-            fence: offset + 1,
+            fence,
             end,
             valid_from: started,
         };
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -627,3 +627,24 @@
     a_holder_keeps_the_fenced_lease_if_the_topic_loses_records: (0, fenced()) => true,
     a_lease_is_acquired_soon_after_the_store_was_away: (2_100, fenced()) => true,
 }
+
+/// Whether a daemon that knows the holders of tokens up to 7 reads the topic at once after the
+/// release of a lease was announced.
+fn reads_after_release(fence: Option<u64>) -> bool {
+    let mut lease = PlannerLease::new(PlannerLeaseSettings::from_lease(LEASE), "me".to_owned());
+    lease.on_renewal(9, Millis(START));
+    lease.on_token(7);
+    lease.on_token(5);
+    let counts = lease.on_release(fence);
+    let reads = lease.tick(Millis(START)) == Some(PlannerLeaseAction::Read);
+    assert_eq!(counts, reads);
+    reads
+}
+
+cases! { reads_after_release;
+    the_release_of_the_latest_lease_is_looked_up: Some(7) => true,
+    the_release_of_an_unknown_lease_is_looked_up: Some(8) => true,
+    // A message that was sent late made daemons forget the planner that they knew.
+    the_release_of_an_earlier_lease_is_ignored: Some(6) => false,
+    a_release_by_a_daemon_of_an_earlier_release_is_looked_up: None => true,
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -371,9 +371,9 @@
     let mine = gw.membership.borrow().address();
     if let Some(planner) = info.filter(|p| p.address != mine) {
         let began = gw.now().0.saturating_sub(u64::from(planner.age));
-        gw.planner_lease
-            .borrow_mut()
-            .on_renewal(planner.end, Millis(began));
+        let mut lease = gw.planner_lease.borrow_mut();
+        lease.on_token(planner.fence);
+        lease.on_renewal(planner.end, Millis(began));
     }
 }
 
@@ -463,12 +463,8 @@
                 lease.on_silent(*end, silent);
                 Audience::Receiver
             }
-            PlannerUpdate::Released => {
-                self.planner_watch.borrow_mut().on_released();
-                self.planner_lease.borrow_mut().on_release();
-                self.membership.borrow_mut().on_released();
-                Audience::Hubs
-            }
+            PlannerUpdate::Released => self.on_lease_released(None),
+            PlannerUpdate::LeaseReleased { fence } => self.on_lease_released(Some(*fence)),
             PlannerUpdate::Held {
                 engine,
                 held,
@@ -483,6 +479,17 @@
         }
     }
 
+    /// Handles the release of the planner lease, unless a later lease is known. Returns the daemons
+    /// that it concerns.
+    fn on_lease_released(&self, fence: Option<u64>) -> Audience {
+        if !self.planner_lease.borrow_mut().on_release(fence) {
+            return Audience::Receiver;
+        }
+        self.planner_watch.borrow_mut().on_released();
+        self.membership.borrow_mut().on_released();
+        Audience::Hubs
+    }
+
     /// Sends this daemon's read position to its followers ahead of the next tick, as a version of
     /// the configuration has come into force.
     pub(crate) fn send_read_position(&self) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -223,7 +223,7 @@
     /// packets and is lost with any of them, and a daemon that misses the renewals takes longer to
     /// succeed the planner.
     Renewed(PlannerInfo),
-    /// The planner has released its lease.
+    /// A planner of an earlier release has released its lease.
     Released,
     /// The models that an engine reported to hold.
     Held {
@@ -241,6 +241,8 @@
     Silent { end: u64, age: u32 },
     /// From a daemon that has sent [`PlannerUpdate::Silent`]: there are heartbeats again.
     Heard { end: u64, age: u32 },
+    /// The planner has released the lease with this fencing token.
+    LeaseReleased { fence: u64 },
 }
 
 /// The hubs that a daemon knows.
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -182,7 +182,7 @@
         None => false,
     };
     if released {
-        gw.broadcast(&PlannerUpdate::Released);
+        gw.broadcast(&PlannerUpdate::LeaseReleased { fence });
     }
     emit(
         LogEvent::LeaseLost,
--- a/crates/gateway/tests/unit/late_release.rs
+++ b/crates/gateway/tests/unit/late_release.rs
@@ -4,8 +4,9 @@
 //! had lost. A third daemon took the lease from its holder at once, and two planners sent orders to
 //! the same engines by turns.
 
-use crate::gossip::Addressed;
-use crate::message::Datagram;
+use crate::gossip::{on_datagram, Addressed};
+use crate::membership::Audience;
+use crate::message::{Datagram, Message, PlannerInfo, PlannerUpdate};
 use crate::planner::PlannerState;
 use crate::planner_lease::{perform, release};
 use crate::state::{Gateway, Platform};
@@ -17,6 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use shaleline_edge::{Clock, TimeSource};
+use shaleline_fleet::PlannerLeaseAction;
 use shaleline_testkit::cases;
 use shaleline_types::{Millis, Position};
 use std::cell::{Cell, RefCell};
@@ -196,10 +198,29 @@
         while let Ok(messages) = self.outbox.try_recv() {
             all.extend(messages.into_iter().map(|(_, datagram)| datagram));
         }
-        let is_release = |d: &Datagram| format!("{:?}", d.message).contains("Released");
-        all.retain(is_release);
+        all.retain(|d| release_of(d).is_some());
         all
     }
+
+    /// Learns of a lease that another daemon has just renewed.
+    fn learn_lease(&self, fence: u64, end: u64) {
+        self.gw
+            .on_planner_update(&PlannerUpdate::Renewed(PlannerInfo {
+                fence,
+                address: SocketAddr::from(([10, 0, 0, 99], 1)),
+                end,
+                age: 0,
+            }));
+    }
+}
+
+/// The fencing token that a message releases, none where it names none; `None` for other messages.
+fn release_of(datagram: &Datagram) -> Option<Option<u64>> {
+    match datagram.message {
+        Message::PlannerUpdate(PlannerUpdate::LeaseReleased { fence }) => Some(Some(fence)),
+        Message::PlannerUpdate(PlannerUpdate::Released) => Some(None),
+        _ => None,
+    }
 }
 
 /// What happens between the last renewal of the planner and its release.
@@ -276,3 +297,61 @@
     assert_eq!(daemons.records.appends.get(), before + 1);
     assert!(planner.announcements().is_empty());
 }
+
+/// A planner that stops names its token, and its successor acquires the lease without a wait.
+#[test]
+fn a_planned_stop_hands_over_at_once() {
+    let daemons = Daemons::new();
+    let mut planner = daemons.start(0, &[]);
+    let successor = daemons.start(1, &[&planner]);
+    daemons.acquire(&planner);
+    let fence = planner.fence().expect("the planner holds the lease");
+    successor.learn_lease(fence, daemons.records.end().to_u64());
+    daemons.tick(&successor);
+    planner.release("stopping");
+    let messages = planner.announcements();
+    let released: Vec<Option<Option<u64>>> = messages.iter().map(release_of).collect();
+    assert_eq!(released, [Some(Some(fence))]);
+    let message = messages.into_iter().next().expect("one was sent");
+    on_datagram(&successor.gw, message);
+    let waited = daemons.acquire(&successor);
+    assert!(waited <= 50, "acquired after {waited} ms");
+    assert!(successor.fence() > Some(fence));
+}
+
+/// Whether a daemon that knows the lease with token 7 reads the topic for a message, and whether it
+/// still knows the planner.
+fn after_message(update: PlannerUpdate) -> (bool, bool) {
+    let daemons = Daemons::new();
+    let daemon = daemons.start(0, &[]);
+    daemon.learn_lease(7, 12);
+    let now = daemon.gw.now();
+    assert_eq!(daemon.gw.planner_lease.borrow_mut().tick(now), None);
+    daemon.gw.on_planner_update(&update);
+    let action = daemon.gw.planner_lease.borrow_mut().tick(now);
+    let knows_planner = daemon.gw.membership.borrow().planner(now).is_some();
+    (action == Some(PlannerLeaseAction::Read), knows_planner)
+}
+
+cases! { after_message;
+    a_release_of_the_known_lease_is_looked_up: PlannerUpdate::LeaseReleased { fence: 7 } => (true, false),
+    a_release_of_a_later_lease_is_looked_up: PlannerUpdate::LeaseReleased { fence: 9 } => (true, false),
+    // The message of a planner that froze before it sent it, or that was long in transit.
+    a_release_of_an_earlier_lease_is_ignored: PlannerUpdate::LeaseReleased { fence: 6 } => (false, true),
+    // Daemons of the earlier release run alongside during an upgrade.
+    a_release_without_a_token_is_looked_up: PlannerUpdate::Released => (true, false),
+}
+
+/// The release of an earlier lease must not make a holder's own peers look for a successor.
+#[test]
+fn a_holder_ignores_the_release_of_an_earlier_lease() {
+    let daemons = Daemons::new();
+    let daemon = daemons.start(0, &[]);
+    daemons.records.values.borrow_mut().push(b"{}".to_vec());
+    daemons.acquire(&daemon);
+    let fence = daemon.fence().expect("it holds the lease");
+    let update = PlannerUpdate::LeaseReleased { fence: fence - 1 };
+    let audience = daemon.gw.on_planner_update(&update);
+    assert_eq!(audience, Audience::Receiver);
+    assert_eq!(daemon.fence(), Some(fence));
+}
