--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -148,6 +148,8 @@
     /// Until when this daemon is known to be the only holder, though the topic has lost records.
     kept_until: Option<Millis>,
     last_action: Option<Millis>,
+    /// The highest fencing token that is known.
+    highest: u64,
     in_flight: bool,
     /// Whether the end of the topic must be read before the next append.
     must_read: bool,
@@ -178,6 +180,17 @@
     pub started: Millis,
 }
 
+/// A release of the lease, see [`PlannerLease::release`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannerLeaseRelease {
+    /// The fencing token of the lease.
+    pub fence: u64,
+    /// The end of the topic after the last record of this daemon; the release counts only there.
+    pub end: u64,
+    /// The time at which the lease lapses, from which on nothing may be appended.
+    pub lapses: Millis,
+}
+
 /// The topic is read if no renewal that began within this time was received.
 const SILENCE_MS: u64 = 1_300;
 
@@ -207,6 +220,7 @@
             loss: None,
             kept_until: None,
             last_action: None,
+            highest: 0,
             in_flight: false,
             must_read: false,
         }
@@ -359,11 +373,40 @@
         })
     }
 
-    /// Records that the holder announced the release of the lease: the topic is read at once.
-    pub fn on_release(&mut self) {
+    /// Records that a daemon holds the lease with this fencing token.
+    pub fn on_token(&mut self, fence: u64) {
+        self.highest = self.highest.max(fence);
+    }
+
+    /// Records that the holder with this fencing token announced the release of the lease: the
+    /// topic is read at once. Daemons of earlier releases don't name the token. Returns false for
+    /// the release of an earlier lease than the latest one known, which changes nothing.
+    pub fn on_release(&mut self, fence: Option<u64>) -> bool {
+        if fence.is_some_and(|f| f < self.highest) {
+            return false;
+        }
         if !self.is_holder() {
             self.must_read = true;
         }
+        true
+    }
+
+    /// Gives up the lease. Returns the release to append; none if this daemon does not hold the
+    /// lease or it has lapsed, since the lease may be another daemon's then.
+    #[must_use]
+    pub fn release(&mut self, now: Millis) -> Option<PlannerLeaseRelease> {
+        let release = match self.state {
+            State::Holding {
+                end, valid_from, ..
+            } => self.fence(now).map(|fence| PlannerLeaseRelease {
+                fence,
+                end,
+                lapses: valid_from.plus(self.settings.validity.0),
+            }),
+            _ => None,
+        };
+        self.step_down();
+        release
     }
 
     /// Gives up the lease.
@@ -505,9 +548,11 @@
     }
 
     fn hold(&mut self, offset: u64, end: u64, started: Millis) {
+        // A token of 0 could be taken for none.
+        let fence = offset + 1;
+        self.on_token(fence);
         self.state = State::Holding {
-            // A token of 0 could be taken for none.
-            fence: offset + 1,
+            fence,
             end,
             valid_from: started,
         };
