Attempts: an answer without a stamp is a failure, whatever its status

An answer without Server-Stamp was passed on unless it was a success or a server error, such as the 404 of a server that is no upstream, or a 408 or 429, which promise that nothing ran. It has now failed as a garbled one has, unless it says that its request has not run. Its load is not used either.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,12 +162,10 @@
     let headers = exchange.head().headers();
     let answer = gw.codec.answer(status, headers);
     let headers = gw.codec.response_headers(headers);
-    record_load(gw, upstream, &answer);
-    let own = answer.id.as_deref().is_none_or(|id| id == job.head.id);
-    let proven = answer.signed && answer.id.is_some();
-    if !own || answer.encoded || (status.is_success() && !proven) {
+    if !is_from_upstream(&answer, status, &job.head.id) {
         return Err(Failure::Garbled);
     }
+    record_load(gw, upstream, &answer);
     if answer.signed || answer.not_run {
         gw.record_answer(sent, &answer);
         if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -186,9 +184,6 @@
         drain(exchange, &answer).await;
         return Err(Failure::Refused(status.as_u16()));
     }
-    if !answer.signed && status.is_server_error() {
-        return Err(Failure::Garbled);
-    }
     Ok(Opened {
         exchange,
         answer,
@@ -197,6 +192,16 @@
     })
 }
 
+/// Whether an answer is the upstream's to the request with this id. It is stamped, whatever its
+/// status, unless it says that the request has not run; a success also names its request. Anything
+/// else was answered by another server at the address, and must reach no caller.
+fn is_from_upstream(answer: &AnswerHead, status: StatusCode, id: &str) -> bool {
+    let own = answer.id.as_deref().is_none_or(|other| other == id);
+    let stamped = answer.signed || (answer.not_run && !status.is_success());
+    let named = answer.id.is_some() || !status.is_success();
+    own && stamped && named && !answer.encoded
+}
+
 /// Reads the rest of an answer, so that its connection can be reused.
 async fn drain(mut exchange: Exchange, answer: &AnswerHead) {
     const SMALL_BYTES: usize = 16_384;
