--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -148,6 +148,7 @@
     mod relays;
     mod roster;
     mod selection;
+    mod skipped_records;
     mod start;
     #[path = "stream_versions/main.rs"]
     mod stream_versions;
