--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -203,7 +203,9 @@
 
     /// Whether this daemon may send to an upstream now.
     fn eligibility(&self, upstream: &Upstream) -> Eligibility {
-        if self.roster.borrow().get(upstream).is_none() {
+        // A hub of an earlier release may select what this daemon does not use.
+        let unusable = |e| self.unusable_reason(e).is_some();
+        if self.roster.borrow().get(upstream).is_none_or(unusable) {
             return Eligibility::Unlisted;
         }
         if self.is_leaving(upstream) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -363,12 +363,7 @@
 /// Parses an upstream's record. One that can't be parsed names no upstream to use: whether the
 /// upstream of its key is unchanged is then unknown.
 fn parse_record(gw: &Gateway, record: &Record) -> Option<EntryRecord> {
-    let skip = |reason: &str| {
-        if gw.skipped.borrow_mut().is_new(&record.key, reason) {
-            let detail = format!("key={:?} reason={reason:?}", record.key);
-            emit(LogEvent::EntrySkipped, &detail);
-        }
-    };
+    let skip = |reason: &str| gw.log_skipped(&record.key, reason);
     let name = Upstream::from_text(&record.key);
     let name = name.map_err(|e| skip(&e.to_string())).ok()?;
     let entry = record.value.as_ref().map(|v| gw.codec.entry(v));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,7 @@
     suspects: Gauge<u64>,
     rate_limits: Gauge<f64>,
     broken_paths: Gauge<u64>,
+    skipped: Counter<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -83,6 +84,10 @@
                 .u64_gauge("shaleline_broken_paths")
                 .with_description("upstreams that this daemon reaches through another one alone")
                 .build(),
+            skipped: meter
+                .u64_counter("shaleline_skipped_records")
+                .with_description("records of the store that name no upstream, each counted once")
+                .build(),
             _provider: provider,
         })
     }
@@ -121,6 +126,11 @@
         pairs.collect::<Vec<_>>().join(" ")
     }
 
+    /// Counts a record of the store that names no upstream.
+    pub(crate) fn count_skipped(&self) {
+        self.skipped.add(1, &[]);
+    }
+
     /// Counts an order by the engine's reply.
     pub(crate) fn count_order(&self, reply: &'static str) {
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,7 +29,7 @@
 use crate::version_lookup::LookUps;
 use crate::wanted::WantedAdapters;
 use crate::wanted_reports::WantedReports;
-use crate::{Bounds, Codec, GatewaySettings, Store, Table};
+use crate::{Bounds, Codec, Entry, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -400,6 +400,10 @@
         let Some(entry) = self.roster.borrow().get(name).cloned() else {
             return;
         };
+        if let Some(reason) = self.unusable_reason(&entry) {
+            self.withdraw(name, &entry.service, reason);
+            return;
+        }
         let leaving = self.is_leaving(name);
         self.on_version_listed(&entry.service, &entry.version);
         if let Some(held) = entry.held.clone() {
@@ -435,6 +439,39 @@
         });
     }
 
+    /// Why the configuration in force does not let an entry name an upstream. An engine's entry
+    /// lists its models; one that lacks them in a service of engines is of another writer.
+    pub(crate) fn unusable_reason(&self, entry: &Entry) -> Option<&'static str> {
+        let table = self.table()?;
+        if !table.has_service(&entry.service) {
+            return Some("unknown service");
+        }
+        let lacks_models = entry.held.is_none() && table.catalog(&entry.service).is_some();
+        lacks_models.then_some("missing field `models` in a service of engines")
+    }
+
+    /// Takes an upstream out of use that the configuration does not let its entry name. A later
+    /// configuration may let it.
+    fn withdraw(&self, name: &Upstream, service: &Service, reason: &str) {
+        self.log_skipped(name.as_str(), reason);
+        if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
+            fleet.remove(name);
+        }
+        self.route(RouteEvent::Leaving {
+            upstream: name.clone(),
+            on: true,
+        });
+    }
+
+    /// Logs that a record of the store is skipped, unless that was logged before.
+    pub(crate) fn log_skipped(&self, key: &str, reason: &str) {
+        if self.skipped.borrow_mut().is_new(key, reason) {
+            self.metrics.count_skipped();
+            let detail = format!("key={key:?} reason={reason:?}");
+            emit(LogEvent::EntrySkipped, &detail);
+        }
+    }
+
     /// Passes the routes that an upstream serves now to the router.
     pub(crate) fn publish(&self, name: &Upstream) {
         let Some(info) = self.site(name) else {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -130,6 +130,13 @@
         self.orgs.as_ref()?.allowance(org)
     }
 
+    /// Whether the configuration lists the service or routes requests to it.
+    #[must_use]
+    pub fn has_service(&self, service: &Service) -> bool {
+        let mut routed = self.rules.iter().flat_map(|r| &r.services);
+        self.services.contains_key(service) || routed.any(|(s, _)| s == service)
+    }
+
     /// The models that the service's engines may hold.
     #[must_use]
     pub fn catalog(&self, service: &Service) -> Option<&Catalog> {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -65,7 +65,7 @@
     ChangeRefused 3002 Warn "A configuration change was refused.";
     TableInForce 3101 Info "A version of the platform's configuration is in force.";
     TableRefused 3102 Error "A version of the platform's configuration cannot be decoded; the previous version stays in force.";
-    EntrySkipped 3103 Warn "A record of the platform's store cannot be decoded and is skipped.";
+    EntrySkipped 3103 Warn "A record of the platform's store is skipped: it cannot be decoded, or lacks what the configuration requires of it.";
     SettingsChanged 3104 Info "The settings file changed.";
     SettingsRefused 3105 Warn "The settings file is malformed; the previous settings stay in force.";
     KeysStale 3106 Warn "Callers' API keys can no longer be verified: the configuration may have changed.";
