Edge: the head of a response is bounded to 64 KB, informational ones included

A single head was bounded to about 400 KB by the HTTP library's buffer, and any number of informational responses might precede it. The library's own limit is set now, and what is read before the head is complete is counted, as the library skips informational responses one by one. A body beyond the limit of its caller is an error of its own, and one whose length exceeds it is not read.

--- a/crates/dialect/src/service.rs
+++ b/crates/dialect/src/service.rs
@@ -25,7 +25,9 @@
 fn send_error(error: shaleline_edge::SendError) -> SendError {
     match error {
         shaleline_edge::SendError::NotSent => SendError::NotSent,
-        shaleline_edge::SendError::Broken => SendError::Broken,
+        shaleline_edge::SendError::Broken
+        | shaleline_edge::SendError::HeadTooLarge
+        | shaleline_edge::SendError::BodyTooLarge => SendError::Broken,
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -17,6 +17,10 @@
     NotSent,
     /// It was written at least in part, so it may have run.
     Broken,
+    /// It was written, and the head of its response was larger than [`crate::MAX_HEAD_BYTES`].
+    HeadTooLarge,
+    /// It was written, and the body of its response was larger than its limit.
+    BodyTooLarge,
 }
 
 impl fmt::Display for SendError {
@@ -24,6 +28,8 @@
         f.write_str(match self {
             Self::NotSent => "the request was not sent",
             Self::Broken => "the connection failed after the request was sent",
+            Self::HeadTooLarge => "the head of the response is larger than its limit",
+            Self::BodyTooLarge => "the body of the response is larger than its limit",
         })
     }
 }
@@ -133,15 +139,19 @@
     /// Reads the whole body, up to `limit` bytes.
     ///
     /// # Errors
-    /// [`SendError::Broken`] if the body is truncated or longer than `limit`.
+    /// [`SendError::Broken`] if the body is truncated, [`SendError::BodyTooLarge`] if it is longer
+    /// than `limit`.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, SendError> {
+        if self.length().is_some_and(|l| l > limit as u64) {
+            return Err(SendError::BodyTooLarge);
+        }
         let mut whole: Option<Bytes> = None;
         let mut parts = Vec::new();
         let mut total = 0;
         while let Some(part) = self.next().await? {
             total += part.len();
             if total > limit {
-                return Err(SendError::Broken);
+                return Err(SendError::BodyTooLarge);
             }
             if let Some(first) = whole.take() {
                 parts.push(first);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod connection;
 mod control;
 mod exchange;
+mod head_limit;
 mod listener;
 mod pool;
 mod reply;
@@ -32,6 +33,7 @@
 pub use connection::{boxed, BoxedConnection, Connection};
 pub use control::ListenerControl;
 pub use exchange::{Exchange, Framing, SendError};
+pub use head_limit::MAX_HEAD_BYTES;
 pub use listener::{CallerAddress, Handler, Listener};
 pub use pool::{Pool, PoolSettings, ProbeOutcome, Target};
 pub use reply::{Chunk, Reply, ReplyBody, ReplyStream};
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,12 +2,15 @@
 
 use crate::connect::{self, connect_directly, Opened};
 use crate::connection::BoxedConnection;
+use crate::head_limit::{HeadLimited, HeadProgress, MAX_HEAD_BYTES};
 use crate::{Clock, Exchange, Framing, SendError, Tunnels};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::Request;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::TrySendError;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use shaleline_types::{Millis, Upstream};
 use socket2::SockRef;
@@ -62,6 +65,29 @@
     /// The address of the daemon in between, if it goes through a tunnel. Such a connection serves
     /// one request, so that this daemon can stop without cutting off another one.
     pub(crate) relay: Option<SocketAddr>,
+    head: Rc<HeadProgress>,
+}
+
+impl Channel {
+    /// Sends a request and waits for the head of its response. Returns the request if no byte of it
+    /// was written.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head.begin();
+        let response = self.sender.try_send_request(request).await;
+        self.head.end();
+        response
+    }
+
+    /// Why a request that was written has no response.
+    fn failure(&self, error: &hyper::Error) -> SendError {
+        match self.head.is_exceeded() || error.is_parse_too_large() {
+            true => SendError::HeadTooLarge,
+            false => SendError::Broken,
+        }
+    }
 }
 
 impl fmt::Debug for Channel {
@@ -145,7 +171,8 @@
     /// future closes the connection.
     ///
     /// # Errors
-    /// [`SendError::NotSent`] if nothing was written, [`SendError::Broken`] otherwise.
+    /// [`SendError::NotSent`] if nothing was written, [`SendError::HeadTooLarge`] if the head of the
+    /// response exceeds [`MAX_HEAD_BYTES`], [`SendError::Broken`] otherwise.
     pub async fn send(
         &self,
         target: &Target,
@@ -184,11 +211,11 @@
             if let Some(tunnels) = tunnels {
                 tunnels.on_send(target, channel.relay);
             }
-            match channel.sender.try_send_request(request).await {
+            match channel.send(request).await {
                 Ok(response) => return Ok(self.exchange(target, channel, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken),
+                    None => return Err(channel.failure(error.error())),
                 },
             }
         }
@@ -196,11 +223,11 @@
         if let Some(tunnels) = tunnels {
             tunnels.on_send(target, channel.relay);
         }
-        match channel.sender.try_send_request(request).await {
+        match channel.send(request).await {
             Ok(response) => Ok(self.exchange(target, channel, response)),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
-                None => SendError::Broken,
+                None => channel.failure(error.error()),
             }),
         }
     }
@@ -209,7 +236,7 @@
         &self,
         target: &Target,
         channel: Channel,
-        response: hyper::Response<hyper::body::Incoming>,
+        response: Response<Incoming>,
     ) -> Exchange {
         Exchange {
             channel,
@@ -309,7 +336,14 @@
         };
         let Opened { stream, relay } = opened.map_err(|_| SendError::NotSent)?;
         stream.set_options(self.0.settings.unacked_timeout);
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let head = Rc::new(HeadProgress::default());
+        let limited = HeadLimited {
+            connection: stream,
+            progress: Rc::clone(&head),
+        };
+        let (sender, connection) = Builder::new()
+            .max_header_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(|_| SendError::NotSent)?;
         let task = actix_rt::spawn(async move {
@@ -322,6 +356,7 @@
             task,
             count,
             relay,
+            head,
         })
     }
 }
