--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,10 @@
 /// The largest answer that is not a stream, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// The largest body of a failure or a rejection, in bytes: what the text of a failure needs. An
+/// upstream that sends more is sending something else, possibly without end.
+const MAX_ERROR_BODY_BYTES: usize = 65_536;
+
 /// Time for which an idle connection is kept if the upstream names none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -75,6 +79,10 @@
     Ended,
     /// The answer belongs to another request, is not signed, or its body is not an upstream's.
     Garbled,
+    /// The head of the answer, with the informational responses before it, exceeded its limit.
+    HeadTooLarge,
+    /// The body of the answer exceeded its limit.
+    BodyTooLarge,
     /// The answer ended inside an event, or with a connection that was closed too early.
     Truncated,
     /// The upstream reported that it did not run the request.
@@ -92,7 +100,11 @@
             Self::NotSent => Some(AttemptEnd::NotSent),
             Self::Refused(_) => Some(AttemptEnd::Refused),
             Self::PathLost => Some(AttemptEnd::PathBroken),
-            Self::Broken | Self::Garbled | Self::Truncated => Some(AttemptEnd::Broken),
+            Self::Broken
+            | Self::Garbled
+            | Self::HeadTooLarge
+            | Self::BodyTooLarge
+            | Self::Truncated => Some(AttemptEnd::Broken),
             Self::Moved | Self::Late => None,
         }
     }
@@ -103,6 +115,8 @@
         match error {
             SendError::NotSent => Self::NotSent,
             SendError::Broken => Self::Broken,
+            SendError::HeadTooLarge => Self::HeadTooLarge,
+            SendError::BodyTooLarge => Self::BodyTooLarge,
         }
     }
 }
@@ -181,7 +195,7 @@
                 gw.record_missing(upstream, job);
             }
         }
-        drain(exchange, &answer).await;
+        drain(exchange, &answer).await?;
         return Err(Failure::Refused(status.as_u16()));
     }
     Ok(Opened {
@@ -202,12 +216,15 @@
     own && stamped && named && !answer.encoded
 }
 
-/// Reads the rest of an answer, so that its connection can be reused.
-async fn drain(mut exchange: Exchange, answer: &AnswerHead) {
-    const SMALL_BYTES: usize = 16_384;
-    if exchange.collect(SMALL_BYTES).await.is_ok() {
-        exchange.finish(idle_timeout(answer));
+/// Reads the rest of a rejection, so that its connection can be reused.
+async fn drain(mut exchange: Exchange, answer: &AnswerHead) -> Result<(), Failure> {
+    match exchange.collect(MAX_ERROR_BODY_BYTES).await {
+        Ok(_) => exchange.finish(idle_timeout(answer)),
+        Err(SendError::BodyTooLarge) => return Err(Failure::BodyTooLarge),
+        // The rejection is known from its head.
+        Err(_) => {}
     }
+    Ok(())
 }
 
 fn record_load(gw: &Gateway, upstream: &Upstream, answer: &AnswerHead) {
@@ -313,6 +330,10 @@
     if matches!(failure, Failure::NotSent | Failure::Refused(_)) {
         permit.reached -= 1;
     }
+    permit.too_large = matches!(failure, Failure::HeadTooLarge | Failure::BodyTooLarge);
+    if permit.too_large {
+        gw.metrics.count_too_large(failure == Failure::HeadTooLarge);
+    }
     let misdirected = Failure::Refused(StatusCode::MISDIRECTED_REQUEST.as_u16());
     if let (true, Some(model)) = (failure == misdirected, &job.head.model) {
         let adapter = job.head.adapter.as_ref();
@@ -379,7 +400,11 @@
 
 /// Reads an answer to its end.
 async fn collect(mut opened: Opened) -> Result<WholeAnswer, Failure> {
-    let body = opened.exchange.collect(MAX_BODY_BYTES).await?;
+    let limit = match opened.status.is_success() {
+        true => MAX_BODY_BYTES,
+        false => MAX_ERROR_BODY_BYTES,
+    };
+    let body = opened.exchange.collect(limit).await?;
     match body.is_empty() && opened.exchange.framing() == Framing::Close {
         true => Err(Failure::Truncated),
         false => Ok(WholeAnswer { opened, body }),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     rate_limits: Gauge<f64>,
     broken_paths: Gauge<u64>,
     skipped: Counter<u64>,
+    too_large: Counter<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -88,6 +89,10 @@
                 .u64_counter("shaleline_skipped_records")
                 .with_description("records of the store that name no upstream, each counted once")
                 .build(),
+            too_large: meter
+                .u64_counter("shaleline_answers_too_large")
+                .with_description("answers of upstreams that exceeded the limit of a head or body")
+                .build(),
             _provider: provider,
         })
     }
@@ -126,6 +131,12 @@
         pairs.collect::<Vec<_>>().join(" ")
     }
 
+    /// Counts an answer whose head, or else its body, exceeded its limit.
+    pub(crate) fn count_too_large(&self, head: bool) {
+        let part = if head { "head" } else { "body" };
+        self.too_large.add(1, &[KeyValue::new("part", part)]);
+    }
+
     /// Counts a record of the store that names no upstream.
     pub(crate) fn count_skipped(&self) {
         self.skipped.add(1, &[]);
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -92,6 +92,10 @@
         (1.., Outcome::NotRun) => Refusal::new(ErrorKind::UpstreamFailed),
         _ => refusal,
     };
+    let refusal = match refusal.kind == ErrorKind::UpstreamFailed && permit.too_large {
+        true => Refusal::new(ErrorKind::AnswerTooLarge),
+        false => refusal,
+    };
     let event = if refusal.kind.answer().outcome == Outcome::NotRun {
         if let Some(charge) = &job.charge {
             gw.refund(charge);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -61,6 +61,8 @@
     pub(crate) version: Option<SoftwareVersion>,
     /// The upstreams that crashed during its attempts.
     pub(crate) crashed: Vec<IncarnationTag>,
+    /// Whether the latest attempt failed because its answer exceeded a limit.
+    pub(crate) too_large: bool,
 }
 
 impl Permit {
@@ -88,6 +90,7 @@
             in_event: false,
             version: job.bound.clone(),
             crashed: Vec::new(),
+            too_large: false,
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -130,6 +130,7 @@
     Internal "internal" 500 Unknown System None, "An invariant did not hold.";
     UpstreamsLimited "upstreams-limited" 503 NotRun Later Some(1_000), "Every upstream that serves this limits what it takes, and none takes the request in time.";
     VersionUnavailable "version-unavailable" 503 NotRun Later Some(1_000), "No upstream of the software version that began this stream serves it, or that version is not known.";
+    AnswerTooLarge "answer-too-large" 502 Unknown Doubt None, "The answer of the upstream exceeded the limit of its head or body, and its connection was closed.";
 }
 
 /// An error with its kind, a human-readable detail and a retry-after time.
