Abort answers that end with the connection of a removed or leaving upstream

An answer without a length or chunks is complete only if its upstream still accepts connections and its announced removal has not come. So far the check was skipped for upstreams that leave, as their end is not to be held against a request, and streams that a removal cut off looked complete to their callers.

remaining-ms of entries and reports is decoded and kept as an interval on the clock that counts suspensions; daemons tell each other in a message of its own.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -134,6 +134,10 @@
     pub incarnation: Incarnation,
     /// The version of its software.
     pub version: SoftwareVersion,
+    /// The time left until it is removed, as it was when the entry was written. Daemons tell each other
+    /// in a message of its own, which daemons of earlier releases do not know.
+    #[serde(skip)]
+    pub remaining: Option<Millis>,
 }
 
 /// A call to an upstream that is not a caller's request.
@@ -196,6 +200,9 @@
     /// If it can't be parsed.
     fn held(&self, bytes: &[u8]) -> Result<Held, Malformed>;
 
+    /// The time left until an engine is removed, if its report names one.
+    fn remaining(&self, report: &[u8]) -> Option<Millis>;
+
     /// The path at which the platform asks whether this daemon takes work.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -3,11 +3,14 @@
 //! A connection breaks for many reasons: it was reset, the network failed, or the upstream hangs,
 //! sheds connections or breaks off one answer. An upstream counts as crashed only if nothing
 //! listens at its address any more and it was not announced that it would leave.
+//!
+//! An answer that ends with its connection is complete only if its upstream is known to run on: it
+//! listens, and its removal, if one was announced, has not come.
 
 use crate::attempt::Failure;
 use crate::journal::emit;
 use crate::state::Gateway;
-use shaleline_edge::{Exchange, Framing, ProbeOutcome};
+use shaleline_edge::{Exchange, Framing, ProbeOutcome, Target};
 use shaleline_route::AttemptNumber;
 use shaleline_types::{Incarnation, IncarnationTag, LogEvent, Millis, SoftwareVersion, Upstream};
 use std::collections::HashMap;
@@ -58,6 +61,8 @@
     pub(crate) start: IncarnationTag,
     pub(crate) incarnation: Incarnation,
     pub(crate) version: SoftwareVersion,
+    /// The address that it is sent to, which remains known once the upstream's entry is removed.
+    pub(crate) target: Option<Target>,
 }
 
 impl Gateway {
@@ -72,6 +77,7 @@
             incarnation: self.incarnation_of(upstream),
             upstream: upstream.clone(),
             version: self.version_of(upstream),
+            target: self.target(upstream),
         }
     }
 
@@ -100,8 +106,13 @@
         }
     }
 
-    /// Checks that an answer which ended with its connection did not end because the upstream
-    /// crashed: the system closes the connections of a process that ends, which looks the same.
+    /// Checks that an answer which ended with its connection did not end because the upstream crashed
+    /// or was removed: the system closes the connections of a process that ends, which looks the same.
+    /// Where it can't be found out, the answer counts as truncated.
+    ///
+    /// # Errors
+    /// [`Failure::Ended`] if the upstream crashed, [`Failure::Truncated`] if the answer may be
+    /// incomplete for another reason.
     pub(crate) async fn check_end(
         &self,
         sent: &SentAttempt,
@@ -110,9 +121,17 @@
         if exchange.framing() != Framing::Close {
             return Ok(());
         }
-        match self.has_started_again(sent) || self.has_crashed(sent).await {
-            true => Err(Failure::Ended),
-            false => Ok(()),
+        if self.has_started_again(sent) {
+            return Err(Failure::Ended);
+        }
+        if self.may_be_removed(sent) {
+            return Err(Failure::Truncated);
+        }
+        match self.probe_upstream(sent).await {
+            // The removal may have come meanwhile.
+            ProbeOutcome::Accepted if !self.may_be_removed(sent) => Ok(()),
+            ProbeOutcome::Refused if !self.is_leaving(&sent.upstream) => Err(Failure::Ended),
+            _ => Err(Failure::Truncated),
         }
     }
 
@@ -122,32 +141,37 @@
         if self.is_leaving(&sent.upstream) {
             return false;
         }
-        let Some(target) = self.target(&sent.upstream) else {
-            return false;
+        self.probe_upstream(sent).await == ProbeOutcome::Refused
+    }
+
+    /// Whether the upstream of an attempt still listens.
+    async fn probe_upstream(&self, sent: &SentAttempt) -> ProbeOutcome {
+        let Some(target) = &sent.target else {
+            return ProbeOutcome::Unreachable;
         };
         let seen = self.crash_probes.borrow_mut().probe(sent.start, self.now());
         let reach = seen.get_or_init(|| async {
             let mut reach = ProbeOutcome::Unreachable;
             for limit in PROBE_TIMEOUTS {
                 if reach == ProbeOutcome::Unreachable {
-                    let connect = self.connect_directly(&target);
+                    let connect = self.connect_directly(target);
                     reach = self.pool.probe_by(connect, limit).await;
                 }
             }
             // The path from this daemon may reset connections while the upstream runs.
             let accepted = reach == ProbeOutcome::Accepted;
             self.record_direct(&target.name, accepted);
-            if !accepted && self.is_reached_by_others(&target).await {
+            if !accepted && self.is_reached_by_others(target).await {
                 reach = ProbeOutcome::Unreachable;
             }
             self.log_crash(sent, reach);
             reach
         });
-        *reach.await == ProbeOutcome::Refused
+        *reach.await
     }
 
     fn log_crash(&self, sent: &SentAttempt, reach: ProbeOutcome) {
-        if reach != ProbeOutcome::Refused {
+        if reach != ProbeOutcome::Refused || self.is_leaving(&sent.upstream) {
             return;
         }
         let detail = format!("upstream={} start={}", sent.upstream, sent.start);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::handover::{self, ConfigCopy, EntriesCopy, Fetched};
 use crate::journal::emit;
+use crate::removals::RemovalTime;
 use crate::roster::{Change, EntryRecord};
 use crate::state::Gateway;
 use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
@@ -207,6 +208,7 @@
 pub(crate) async fn upstreams(gw: Rc<Gateway>) {
     let mut health = StoreHealth::new("upstreams");
     let mut next = None;
+    let mut read = None;
     wait_until_settled(&gw).await;
     if gw.settings.first_start || !copy_entries(&gw).await {
         wait_for_followed(&gw, || gw.reading.borrow().has_position()).await;
@@ -230,8 +232,9 @@
         gw.check_era();
         match result {
             Ok(batch) => {
-                apply_batch(&gw, &batch, next.is_none());
+                apply_batch(&gw, &batch, read.filter(|_| next.is_some()));
                 next = Some(batch.next);
+                read = Some(requested);
                 gw.entries_end.set(batch.next);
                 gw.upstreams_known.set(true);
                 let at = gw.earliest_arrival().max(requested);
@@ -310,10 +313,13 @@
     }
 }
 
-fn apply_batch(gw: &Gateway, batch: &Batch, all: bool) {
+/// Applies a read. One that follows another begins where that one, requested at `since`, ended; without
+/// it all entries were read.
+fn apply_batch(gw: &Gateway, batch: &Batch, since: Option<Millis>) {
     let now = gw.now();
-    let records = batch.records.iter().filter_map(|r| parse_record(gw, r));
-    if !all {
+    let records = batch.records.iter();
+    let records = records.filter_map(|r| parse_record(gw, r, since));
+    if since.is_some() {
         gw.apply_entries(records.collect(), now);
         return;
     }
@@ -362,7 +368,10 @@
 
 /// Parses an upstream's record. One that can't be parsed names no upstream to use: whether the
 /// upstream of its key is unchanged is then unknown.
-fn parse_record(gw: &Gateway, record: &Record) -> Option<EntryRecord> {
+///
+/// The removal that an entry announces is kept apart from it: the time left differs in each entry, and
+/// says nothing about where requests may go.
+fn parse_record(gw: &Gateway, record: &Record, since: Option<Millis>) -> Option<EntryRecord> {
     let skip = |reason: &str| {
         if gw.skipped.borrow_mut().is_new(&record.key, reason) {
             let detail = format!("key={:?} reason={reason:?}", record.key);
@@ -372,10 +381,16 @@
     let name = Upstream::from_text(&record.key);
     let name = name.map_err(|e| skip(&e.to_string())).ok()?;
     let entry = record.value.as_ref().map(|v| gw.codec.entry(v));
-    let entry = entry.transpose().unwrap_or_else(|e| {
+    let mut entry = entry.transpose().unwrap_or_else(|e| {
         skip(&e.0);
         None
     });
+    if let Some(entry) = &mut entry {
+        if let Some(left) = entry.remaining.take() {
+            let time = RemovalTime::reported(left, since, gw.now());
+            gw.record_removal(&name, entry.incarnation, time);
+        }
+    }
     Some(EntryRecord {
         name,
         position: record.position,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -86,6 +86,7 @@
 mod refuse;
 mod relay;
 mod relays;
+mod removals;
 mod request;
 mod roster;
 mod selection;
@@ -146,6 +147,7 @@
     mod read_progress;
     mod ready;
     mod relays;
+    mod removals;
     mod roster;
     mod selection;
     mod start;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::{Answer, Ask, AskNote, Exclusion, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
 use crate::relays::RelayMessage;
+use crate::removals::RemovalNote;
 use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
@@ -161,6 +162,8 @@
         incarnation: Incarnation,
         millis: u32,
     },
+    /// When upstreams that are removed at short notice will be gone.
+    Removals(Vec<RemovalNote>),
 }
 
 /// The reply to a daemon that needs a permit.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -4,6 +4,7 @@
 use crate::journal::emit;
 use crate::message::PlannerUpdate;
 use crate::planner::PlannerState;
+use crate::removals::RemovalTime;
 use crate::state::Gateway;
 use crate::Call;
 use bytes::Bytes;
@@ -219,6 +220,7 @@
 /// Queries what an engine holds, and announces it. Returns the number of orders that it has
 /// accepted.
 pub(crate) async fn query_engine(gw: &Gateway, engine: &Upstream) -> Option<u64> {
+    let asked = gw.now();
     let (status, body) = call(gw, engine, gw.codec.report(engine)).await?;
     if status != StatusCode::OK {
         return None;
@@ -231,6 +233,10 @@
             return None;
         }
     };
+    if let Some(left) = gw.codec.remaining(&body) {
+        let time = RemovalTime::reported(left, Some(asked), gw.now());
+        gw.record_removal(engine, held.incarnation, time);
+    }
     let seq = held.seq;
     announce_held(gw, engine, held);
     Some(seq)
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -298,6 +298,7 @@
                 incarnation,
                 millis,
             } => self.on_rest(&upstream, incarnation, Millis(u64::from(millis))),
+            LimitMessage::Removals(notes) => self.on_removal_notes(from, notes),
         }
     }
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -157,6 +157,7 @@
     gw.send_wanted_reports();
     gw.repeat_limits();
     gw.repeat_leavings();
+    gw.repeat_removals();
     gw.tick_permits();
     gw.tick_versions();
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
 use crate::relays::Relays;
+use crate::removals::Removals;
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
@@ -163,6 +164,8 @@
     pub(crate) upstream_limits: RefCell<UpstreamLimits>,
     /// What upstreams said in their answers about their end.
     pub(crate) announcements: RefCell<Announcements>,
+    /// When upstreams that are removed at short notice will be gone.
+    pub(crate) removals: RefCell<Removals>,
     /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
     pub(crate) permits: RefCell<Permits>,
     pub(crate) held_sends: RefCell<HeldSends>,
@@ -300,6 +303,7 @@
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
             announcements: RefCell::new(Announcements::default()),
+            removals: RefCell::new(Removals::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
             stream_versions: RefCell::new(StreamVersions::default()),
@@ -373,6 +377,7 @@
                 self.route(RouteEvent::Restarted(name.clone()));
                 self.forget_limits(&name);
                 self.announcements.borrow_mut().on_ended(&name);
+                self.removals.borrow_mut().on_restarted(&name);
                 self.forget_path(&name);
                 self.apply_entry(&name);
             }
--- a/crates/gateway/tests/unit/broken_paths/cluster.rs
+++ b/crates/gateway/tests/unit/broken_paths/cluster.rs
@@ -223,6 +223,7 @@
         held: None,
         incarnation: Incarnation::from_millis(1),
         version: SoftwareVersion::default(),
+        remaining: None,
     };
     let record = |number| EntryRecord {
         name: upstream(number),
--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -310,6 +310,7 @@
                     held: Some(e.held.clone()),
                     incarnation: e.held.incarnation,
                     version: shaleline_types::SoftwareVersion::default(),
+                    remaining: None,
                 }),
             };
         self.engines.all.iter().enumerate().map(entry).collect()
--- a/crates/gateway/tests/unit/crashes/cluster/servers.rs
+++ b/crates/gateway/tests/unit/crashes/cluster/servers.rs
@@ -41,6 +41,7 @@
             held: None,
             incarnation: *incarnation,
             version: shaleline_types::SoftwareVersion::default(),
+            remaining: None,
         };
         EntryRecord {
             name: name.clone(),
--- a/crates/gateway/tests/unit/crashes/null_platform.rs
+++ b/crates/gateway/tests/unit/crashes/null_platform.rs
@@ -70,6 +70,10 @@
         malformed()
     }
 
+    fn remaining(&self, _: &[u8]) -> Option<Millis> {
+        None
+    }
+
     fn ready_path(&self) -> &'static str {
         "/ready"
     }
--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -283,6 +283,7 @@
                 leaving: false,
                 incarnation: held.incarnation,
                 version: shaleline_types::SoftwareVersion::default(),
+                remaining: None,
                 held: Some(held),
             };
             EntryRecord {
--- a/crates/gateway/tests/unit/lost_services/play.rs
+++ b/crates/gateway/tests/unit/lost_services/play.rs
@@ -140,6 +140,7 @@
             held,
             incarnation: Incarnation::from_millis(1),
             version: SoftwareVersion::default(),
+            remaining: None,
         };
         EntryRecord {
             name: name(kind, number),
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -21,6 +21,7 @@
         held: None,
         incarnation: Incarnation::default(),
         version: shaleline_types::SoftwareVersion::default(),
+        remaining: None,
     }
 }
 
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -596,6 +596,7 @@
             held: None,
             incarnation: Incarnation::default(),
             version: shaleline_types::SoftwareVersion::default(),
+            remaining: None,
         };
         let record = |number| EntryRecord {
             name: upstream(number),
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -219,6 +219,7 @@
             held: None,
             incarnation: Incarnation::default(),
             version,
+            remaining: None,
         };
         EntryRecord {
             name,
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -45,7 +45,7 @@
         Self { manual_clock, gw }
     }
 
-    fn run(&self, millis: u64) {
+    pub(super) fn run(&self, millis: u64) {
         const TICK_MS: u64 = 10;
         for _ in 0..millis / TICK_MS {
             self.manual_clock.0.set(self.manual_clock.0.get() + TICK_MS);
@@ -53,7 +53,7 @@
         }
     }
 
-    fn suspend(&self) {
+    pub(super) fn suspend(&self) {
         self.manual_clock
             .0
             .set(self.manual_clock.0.get() + SUSPENDED_MS);
@@ -73,6 +73,7 @@
             held: None,
             incarnation: Incarnation::default(),
             version: shaleline_types::SoftwareVersion::default(),
+            remaining: None,
         };
         let record = EntryRecord {
             name: self.upstream(),
--- a/crates/gateway/tests/unit/tunnels/pair.rs
+++ b/crates/gateway/tests/unit/tunnels/pair.rs
@@ -103,6 +103,10 @@
         StubCodec.held(bytes)
     }
 
+    fn remaining(&self, report: &[u8]) -> Option<Millis> {
+        StubCodec.remaining(report)
+    }
+
     fn ready_path(&self) -> &'static str {
         StubCodec.ready_path()
     }
@@ -253,6 +257,7 @@
             held: None,
             incarnation: Incarnation::from_millis(1),
             version: shaleline_types::SoftwareVersion::default(),
+            remaining: None,
         }),
     };
     gw.apply_entries(addresses.iter().enumerate().map(record).collect(), gw.now());
