shaleline check: what is wrong with a configuration, and what it changes

A configuration that decodes is accepted by the store even if a route is hidden by another one, a model fits no engine, or an allowance never covers a request. The command prints errors and warnings, and with the file in force what differs; it fails if something is an error or the version is not later.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -21,6 +21,8 @@
   members                    the daemons that are alive
   upstreams                  the upstreams
   hash TOKEN                 the hash of a token, for --admin-hash; asks nobody
+  check FILE [IN-FORCE]      what is wrong with a configuration for the platform's store, and what
+                             it changes; asks nobody
   losses LOG...              what callers of each model did not get, from saved logs; asks nobody
   explain ID LOG...          what all daemons wrote about a request, and why its model was away
 
@@ -28,7 +30,7 @@
 ";
 
 /// The commands that run without contacting a daemon.
-const LOCAL_COMMANDS: [&str; 3] = ["hash", "losses", "explain"];
+const LOCAL_COMMANDS: [&str; 4] = ["hash", "check", "losses", "explain"];
 
 /// A command and the daemon that it is sent to.
 #[derive(Debug, Clone)]
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::args::Run;
 use crate::client::Client;
-use crate::{file, saved};
+use crate::{check, file, saved};
 use eyre::{bail, eyre, Result};
 use serde_json::{json, Value};
 use shaleline_config::{Fleet, Op, Operator, Organisation, Role, Template};
@@ -14,6 +14,8 @@
     let client = Client::new(run);
     let page = match words.as_slice() {
         ["hash", token] => return Ok(TokenHash::from_token(token).as_hex().to_owned()),
+        ["check", new] => return check::run(new, None),
+        ["check", new, old] => return check::run(new, Some(old)),
         ["losses", logs @ ..] => return saved::losses(logs),
         ["explain", id, logs @ ..] => return saved::explain(id, logs),
         ["show"] => Some("/admin/config"),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! to repeat a call whose response was lost.
 
 mod args;
+mod check;
 mod client;
 mod command;
 mod file;
@@ -48,5 +49,6 @@
 #[cfg(test)]
 #[path = "../tests/unit"]
 mod unit {
+    mod check;
     mod output;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod blocked_store;
 mod by_service;
 mod codec;
+mod config_check;
 mod control;
 mod crash_probe;
 mod discovery;
@@ -110,6 +111,7 @@
 
 pub use admission::Revocation;
 pub use codec::{AnswerHead, Call, Codec, Entry, ForwardContext, Head, Malformed, RetryAfter};
+pub use config_check::{check_table, compare_tables, Finding, Severity};
 pub use journal::start_journal;
 pub use orgs::{CostUnit, OrgRule, Orgs, OrgsError};
 pub use settings::{Bounds, GatewaySettings, Listen, Policy};
--- a/crates/gateway/src/orgs.rs
+++ b/crates/gateway/src/orgs.rs
@@ -112,6 +112,13 @@
         self.get(name)?.allowance
     }
 
+    /// Whether any key belongs to an organisation.
+    #[must_use]
+    pub fn has_key(&self, name: &Org) -> bool {
+        let index = self.by_name.get(name);
+        index.is_some_and(|i| self.by_key.values().any(|k| k == i))
+    }
+
     /// All organisations, in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &OrgRule> {
         self.rules.iter()
