Count the slots that answers hold as work of a model

The planner counted only the time in which prompts are read.

A request now counts with the resource that runs out first: its prompt, or the time for which its answer holds one of the engine's slots. Where prompts take longer, nothing changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 mod prefetch;
 mod services;
 mod shortage;
+mod slot_times;
 mod snapshot;
 mod unmet;
 mod valuation;
@@ -56,6 +57,7 @@
     PlannerLeaseView,
 };
 pub use services::ServicePlanners;
+pub use slot_times::{engine_work, SlotTimes};
 pub use unmet::{Unmet, UnmetByKey, UnmetDemand};
 pub use warmup::WarmupPhase;
 pub use window::LoadWindow;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -169,6 +169,7 @@
         } = self;
         if matches!(ended, PartEnd::Whole) {
             permit.end(sent.attempt, AttemptEnd::Whole);
+            gw.record_slot_time(&job, permit.time_to_first(&job));
             // A caller that has just left has its complete answer nevertheless.
             sender.send(Chunk::End).await.ok();
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,9 +16,11 @@
 use hyper::header::HOST;
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
+use shaleline_fleet::engine_work;
 use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
 use shaleline_types::{
-    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, SoftwareVersion, Upstream,
+    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, Service, SoftwareVersion,
+    Upstream,
 };
 use std::future::Future;
 use std::pin::Pin;
@@ -406,13 +408,13 @@
     let shared: u64 = job.head.parts.iter().map(|(_, t)| u64::from(*t)).sum();
     let tokens = job.head.prompt.max(shared) as f64;
     let cost = gw.router.borrow().token_cost(&route);
+    let held = gw.slot_times.borrow().expected(model, job.head.output);
+    let work = engine_work(tokens * cost, held, gw.request_slots(&job.service));
     let adapter = job.head.adapter.as_ref();
     // A retry was counted at its first attempt: counting it again would double the apparent demand
     // for a model whose callers are refused.
     if !job.is_retry {
-        gw.demand
-            .borrow_mut()
-            .record(model, adapter, tokens * cost, now);
+        gw.demand.borrow_mut().record(model, adapter, work, now);
     }
     let Some(adapter) = adapter else {
         return;
@@ -429,6 +431,22 @@
 }
 
 impl Gateway {
+    /// The number of requests that an engine of a service runs at once; 0 if it is not declared.
+    fn request_slots(&self, service: &Service) -> usize {
+        let table = self.table();
+        let catalog = table.as_ref().and_then(|t| t.catalog(service));
+        catalog.map_or(0, |c| c.request_slots)
+    }
+
+    /// Records how long the whole answer to a request held its slot, from its first byte on.
+    pub(crate) fn record_slot_time(&self, job: &Job, first: Option<u64>) {
+        if let (Some(model), Some(first)) = (&job.head.model, first) {
+            let held = self.now().since(job.arrived.plus(first));
+            let mut times = self.slot_times.borrow_mut();
+            times.record(model, job.head.output, held);
+        }
+    }
+
     /// Records that a caller was refused with the retry-after time `retry`, if no engine is known
     /// to serve the model or adapter. Only a first attempt is followed by a retry.
     pub(crate) fn record_unmet(&self, job: &Job, retry: Millis) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,7 +35,8 @@
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, ListenerControl, Pool, PoolSettings, Target};
 use shaleline_fleet::{
-    Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, UnmetDemand,
+    Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, SlotTimes,
+    UnmetDemand,
 };
 use shaleline_route::{
     Load, Permits, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings,
@@ -98,6 +99,8 @@
     pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
     pub(crate) allowances: RefCell<Allowances>,
     pub(crate) demand: RefCell<Demand>,
+    /// How long the answers to this daemon's callers hold slots.
+    pub(crate) slot_times: RefCell<SlotTimes>,
     /// The demand of this daemon's callers that was not served.
     pub(crate) unmet: RefCell<UnmetDemand>,
     pub(crate) membership: RefCell<Membership>,
@@ -269,6 +272,7 @@
             fleets: RefCell::new(BTreeMap::new()),
             allowances: RefCell::new(Allowances::new(settings.bounds.tolerance)),
             demand: RefCell::new(Demand::default()),
+            slot_times: RefCell::new(SlotTimes::default()),
             unmet: RefCell::new(UnmetDemand::default()),
             membership: RefCell::new(membership),
             reading: RefCell::new(ReadProgress::default()),
