--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -431,7 +431,7 @@
                 running,
                 waiting,
                 slots: SLOTS,
-                leaving: false,
+                ..Load::default()
             };
             let serves = |r: &shaleline_place::Resident| Route::Model {
                 model: r.item.model.clone(),
--- a/crates/daemon/src/upstream_actor.rs
+++ b/crates/daemon/src/upstream_actor.rs
@@ -153,6 +153,7 @@
         waiting: report.waiting,
         slots: report.slots,
         leaving: report.leaving,
+        ..Load::default()
     };
     let upstream = name.clone();
     core.route(RouteEvent::Report { upstream, load });
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -119,7 +119,7 @@
                     running: rng.random_range(0..SLOTS + 2),
                     waiting: 0,
                     slots: SLOTS,
-                    leaving: false,
+                    ..Load::default()
                 },
             },
             90..93 => {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use shaleline_edge::{Exchange, Framing, Reply, ReplyBody, SendError};
-use shaleline_route::{AttemptEnd, AttemptNumber, Load, RouteAction, RouteEvent};
+use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction, RouteEvent};
 use shaleline_types::{Fingerprint, IncarnationTag, LogEvent, Millis, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -212,15 +212,10 @@
         .borrow()
         .get(upstream)
         .is_some_and(|e| e.held.is_none());
-    if let (true, Some((running, waiting, slots))) = (plain, answer.load) {
+    if let (true, Some(load)) = (plain, answer.load) {
         gw.route(RouteEvent::Report {
             upstream: upstream.clone(),
-            load: Load {
-                running,
-                waiting,
-                slots,
-                leaving: false,
-            },
+            load,
         });
     }
 }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Order, OrderReply};
+use shaleline_route::Load;
 use shaleline_types::{
     Adapter, DataCentre, Incarnation, KeyHash, Millis, Model, Org, Service, SoftwareVersion,
     Upstream,
@@ -85,8 +86,8 @@
     pub signed: bool,
     /// Whether the upstream reports that the request did not run.
     pub not_run: bool,
-    /// The numbers of running and waiting requests, and of slots.
-    pub load: Option<(usize, usize, usize)>,
+    /// The load of the upstream, if it names one.
+    pub load: Option<Load>,
     /// How long the upstream keeps an idle connection; zero if it closes it.
     pub keep_alive: Option<Duration>,
     /// The upstream that answers, if named. It differs from the addressed one if it has taken over
--- a/crates/gateway/tests/unit/crashes/null_platform.rs
+++ b/crates/gateway/tests/unit/crashes/null_platform.rs
@@ -8,6 +8,7 @@
 use futures_util::FutureExt;
 use hyper::{HeaderMap, StatusCode};
 use shaleline_fleet::{Held, Order, OrderReply};
+use shaleline_route::Load;
 use shaleline_types::{Millis, Position, Upstream};
 
 pub struct StubCodec;
@@ -41,7 +42,14 @@
             id: text("request-id").map(str::to_owned),
             signed: text("request-id").is_some(),
             not_run: status == StatusCode::SERVICE_UNAVAILABLE,
-            load: load.and_then(|l| <[usize; 3]>::try_from(l).ok().map(|[r, w, s]| (r, w, s))),
+            load: load.and_then(|l| <[usize; 3]>::try_from(l).ok()).map(
+                |[running, waiting, slots]| Load {
+                    running,
+                    waiting,
+                    slots,
+                    ..Load::default()
+                },
+            ),
             ..AnswerHead::default()
         }
     }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -202,8 +202,13 @@
     pub running: usize,
     /// Requests that wait.
     pub waiting: usize,
-    /// Requests that it can run at once within its target.
+    /// Requests that it can run at once within its target, and those that it may queue.
     pub slots: usize,
+    /// Requests that it runs at once, where `slots` also counts a queue.
+    pub concurrency: Option<usize>,
+    /// How long work takes there at the moment of the report, in percent of the usual time, if it
+    /// says so.
+    pub slowdown: Option<u32>,
     /// Whether it is leaving.
     pub leaving: bool,
 }
