Report measurements of upstreams to the hub that selects

ProgressNote::Measured, a new variant at the end, has the intervals between a stream's events and the slowdown that its upstream named. Daemons of the earlier release drop it. /state and /metrics show the present speed of each upstream, and the predicted and measured time of its latest answer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -397,6 +397,7 @@
 ) -> (Reply, StatusCode) {
     let WholeAnswer { opened, body } = whole;
     permit.first_byte(sent.attempt);
+    permit.slowdown(sent.attempt, &opened.answer);
     permit.framing = Some(opened.exchange.framing());
     opened.exchange.finish(idle_timeout(&opened.answer));
     let mut reply = Response::new(ReplyBody::from_bytes(body));
@@ -503,6 +504,7 @@
 ) -> Outcome {
     permit.first_byte(sent.attempt);
     let opened = &mut started.opened;
+    permit.slowdown(sent.attempt, &opened.answer);
     if job.is_idempotent() {
         permit.version = Some(sent.version.clone());
         gw.record_stream(job, &sent.upstream, &sent.version);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -74,6 +74,8 @@
             false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         }
     } else if path == METRICS {
+        let upstreams = gw.router.borrow().upstreams(gw.now());
+        gw.metrics.record_completions(&upstreams);
         (StatusCode::OK, gw.metrics.to_text())
     } else if path == STATE {
         (StatusCode::OK, dump(gw))
@@ -90,6 +92,8 @@
         json!({
             "name": u.name, "centre": u.centre, "flights": u.in_flight, "busy": u.busy,
             "slots": u.slots, "leaving": u.leaving, "healthy": u.healthy,
+            "speed_percent": u.speed_percent, "uncertainty_percent": u.uncertainty_percent,
+            "predicted_ms": u.predicted_ms, "measured_ms": u.measured_ms,
         })
     };
     let serving = gw.serving();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::message::{Message, Tag, VersionMessage};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{
-    AttemptEnd, AttemptNumber, Limits, RequestPolicy, Route, RouteAction, RouteRequest,
+    AttemptEnd, AttemptNumber, Limits, Measurement, RequestPolicy, Route, RouteAction, RouteRequest,
 };
 use shaleline_types::{
     Adapter, ErrorKind, Fingerprint, Identity, IncarnationTag, Millis, Model, Org, RequestId,
@@ -234,6 +234,34 @@
     Ended(AttemptNumber, EndNote),
     /// Its caller left, or its daemon selected an upstream by itself.
     Gone,
+    /// How fast an attempt's upstream works. Daemons of earlier releases drop it.
+    Measured(AttemptNumber, MeasurementNote),
+}
+
+/// See [`Measurement`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MeasurementNote {
+    intervals: u32,
+    elapsed: u32,
+    slowdown: Option<u32>,
+}
+
+impl MeasurementNote {
+    pub(crate) fn of(measurement: &Measurement) -> Self {
+        Self {
+            intervals: measurement.intervals,
+            elapsed: span(measurement.elapsed),
+            slowdown: measurement.slowdown,
+        }
+    }
+
+    pub(crate) fn to_measurement(self) -> Measurement {
+        Measurement {
+            intervals: self.intervals,
+            elapsed: millis(self.elapsed),
+            slowdown: self.slowdown,
+        }
+    }
 }
 
 /// How an attempt ended, as it is reported; see [`End`].
@@ -571,7 +599,7 @@
         let request = self.requests.get_mut(&id)?;
         let to = request.to;
         match what {
-            ProgressNote::FirstByte(_) => {}
+            ProgressNote::FirstByte(_) | ProgressNote::Measured(..) => {}
             ProgressNote::Ended(_, EndNote::Whole | EndNote::Cancelled) | ProgressNote::Gone => {
                 self.requests.remove(&id);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod dispatch;
 mod eligibility;
 mod era;
+mod event_pace;
 mod events;
 mod follow;
 mod gossip;
@@ -139,6 +140,7 @@
     #[path = "lost_services/main.rs"]
     mod lost_services;
     mod manual_clock;
+    mod measured;
     mod membership;
     mod one_daemon;
     mod paths;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use shaleline_route::UpstreamStats;
 use shaleline_types::{Org, Upstream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +33,8 @@
     suspects: Gauge<u64>,
     rate_limits: Gauge<f64>,
     broken_paths: Gauge<u64>,
+    speeds: Gauge<u64>,
+    completions: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -83,6 +86,14 @@
                 .u64_gauge("shaleline_broken_paths")
                 .with_description("upstreams that this daemon reaches through another one alone")
                 .build(),
+            speeds: meter
+                .u64_gauge("shaleline_upstream_speed_percent")
+                .with_description("how long work takes relative to the others of the service")
+                .build(),
+            completions: meter
+                .u64_gauge("shaleline_upstream_completion_ms")
+                .with_description("time to the latest first event or whole answer")
+                .build(),
             _provider: provider,
         })
     }
@@ -159,6 +170,23 @@
         self.broken_paths.record(count as u64, &[]);
     }
 
+    /// Records the present speed of each upstream that answered, and what was predicted and measured
+    /// of its latest answer.
+    pub(crate) fn record_completions(&self, upstreams: &[UpstreamStats]) {
+        for stats in upstreams {
+            let (Some(predicted), Some(measured)) = (stats.predicted_ms, stats.measured_ms) else {
+                continue;
+            };
+            let label = KeyValue::new("upstream", stats.name.clone());
+            self.speeds
+                .record(stats.speed_percent, std::slice::from_ref(&label));
+            for (kind, millis) in [("predicted", predicted), ("measured", measured)] {
+                let labels = [label.clone(), KeyValue::new("kind", kind)];
+                self.completions.record(millis, &labels);
+            }
+        }
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{self, idle_timeout, Failure, Opened, StartedStream};
 use crate::crash_probe::SentAttempt;
+use crate::event_pace::EventPace;
 use crate::events::{EventSplitter, EventTooLarge};
 use crate::job::Job;
 use crate::refuse::log_end;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use shaleline_edge::{Chunk, Framing};
 use shaleline_route::{AttemptEnd, RouteAction};
-use shaleline_types::LogEvent;
+use shaleline_types::{LogEvent, Millis};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -65,14 +66,18 @@
         events: &mut EventSplitter,
     ) -> PartEnd {
         let mut next = first;
+        let mut pace = EventPace::default();
         let mut has_events = next.is_some();
         let limit = self.job.deadline;
         self.permit.framing = Some(opened.exchange.framing());
         loop {
             if let Some(whole) = next.take() {
+                let arrived = self.gw.now();
+                pace.on_event(arrived);
                 if self.sender.send(Chunk::Data(whole)).await.is_err() {
                     return PartEnd::CallerLeft;
                 }
+                pace.on_accepted(Millis(self.gw.now().since(arrived)));
             }
             let piece = tokio::select! {
                 piece = opened.exchange.next() => piece,
@@ -95,7 +100,10 @@
                 {
                     return PartEnd::Broken(Failure::Truncated);
                 }
-                Ok(None) => return self.close(opened).await,
+                Ok(None) => {
+                    self.permit.event_pace(self.sent.attempt, &pace);
+                    return self.close(opened).await;
+                }
                 Err(e) => return PartEnd::Broken(e.into()),
             }
         }
@@ -145,7 +153,10 @@
             let opened = attempt::open(&gw, &job, &self.sent, last.as_deref());
             let failure = match gw.clock.timeout_at(job.deadline, opened).await? {
                 Ok(_) if gw.has_new_version(&self.sent) => Failure::Garbled,
-                Ok(opened) if opened.status.is_success() => return Some(opened),
+                Ok(opened) if opened.status.is_success() => {
+                    self.permit.slowdown(self.sent.attempt, &opened.answer);
+                    return Some(opened);
+                }
                 Ok(_) => Failure::Broken,
                 Err(failure) => failure,
             };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,19 +4,20 @@
 //! `attempt` sends it, `relay` passes a stream on, and `refuse` answers if no upstream did.
 
 use crate::attempt::{self, Outcome};
+use crate::event_pace::EventPace;
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
-use crate::{Head, Table};
+use crate::{AnswerHead, Head, Table};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
-use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
+use shaleline_route::{AttemptEnd, AttemptNumber, Measurement, RouteAction};
 use shaleline_types::{
     ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, SoftwareVersion, Upstream,
 };
@@ -132,6 +133,25 @@
         }
     }
 
+    /// Reports the slowdown that an upstream named in its answer.
+    pub(crate) fn slowdown(&self, attempt: AttemptNumber, answer: &AnswerHead) {
+        let Some(slowdown) = answer.load.and_then(|l| l.slowdown) else {
+            return;
+        };
+        let measurement = Measurement {
+            slowdown: Some(slowdown),
+            ..Measurement::default()
+        };
+        self.gw.on_measured(self.id, attempt, measurement);
+    }
+
+    /// Reports the time between the events of a complete stream.
+    pub(crate) fn event_pace(&self, attempt: AttemptNumber, pace: &EventPace) {
+        if let Some(measurement) = pace.to_measurement() {
+            self.gw.on_measured(self.id, attempt, measurement);
+        }
+    }
+
     pub(crate) fn end(&mut self, attempt: AttemptNumber, end: AttemptEnd) {
         self.open &= !matches!(end, AttemptEnd::Whole | AttemptEnd::Cancelled);
         self.gw.on_end(self.id, attempt, end);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,14 +4,18 @@
 //! router; requests that other daemons delegate go to the local router. The decisions are in
 //! `dispatch` and `peer_requests`.
 
-use crate::dispatch::{Answer, Ask, EndNote, Exclusion, ProgressNote, Step, Ticket};
+use crate::dispatch::{
+    Answer, Ask, EndNote, Exclusion, MeasurementNote, ProgressNote, Step, Ticket,
+};
 use crate::job::{org, LIMITS};
 use crate::journal::emit;
 use crate::message::{Message, Sender, Tag};
 use crate::peer_requests::OPEN_INTERVAL_MS;
 use crate::selector::Selector;
 use crate::state::Gateway;
-use shaleline_route::{AttemptEnd, AttemptNumber, Route, RouteAction, RouteEvent, RouteRequest};
+use shaleline_route::{
+    AttemptEnd, AttemptNumber, Measurement, Route, RouteAction, RouteEvent, RouteRequest,
+};
 use shaleline_types::{Adapter, ErrorKind, LogEvent, Millis, Model, RequestId, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -69,6 +73,23 @@
         }
     }
 
+    /// Records how fast the upstream of an attempt works.
+    pub(crate) fn on_measured(
+        &self,
+        id: RequestId,
+        attempt: AttemptNumber,
+        measurement: Measurement,
+    ) {
+        let note = MeasurementNote::of(&measurement);
+        if !self.report(id, ProgressNote::Measured(attempt, note)) {
+            self.route(RouteEvent::Measured {
+                id,
+                attempt,
+                measurement,
+            });
+        }
+    }
+
     /// Records that more of an answer arrived from an upstream.
     pub(crate) fn on_progress(&self, id: RequestId, attempt: AttemptNumber, from: &Upstream) {
         self.with_paths(from, |p| p.on_bytes(from));
@@ -230,6 +251,11 @@
         };
         match what {
             ProgressNote::FirstByte(attempt) => self.route(RouteEvent::FirstByte { id, attempt }),
+            ProgressNote::Measured(attempt, note) => self.route(RouteEvent::Measured {
+                id,
+                attempt,
+                measurement: note.to_measurement(),
+            }),
             ProgressNote::Gone => self.close_peer_request(id),
             ProgressNote::Ended(attempt, end) => {
                 let end = self.reconcile_leaving(id, end.to_end());
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -251,7 +251,7 @@
                     return;
                 };
                 match progress {
-                    ProgressNote::FirstByte(_) => {}
+                    ProgressNote::FirstByte(_) | ProgressNote::Measured(..) => {}
                     ProgressNote::Gone => self.route(RouteEvent::CallerGone(id)),
                     ProgressNote::Ended(attempt, end) => {
                         self.selector.set_queued(id);
--- a/crates/route/src/stats.rs
+++ b/crates/route/src/stats.rs
@@ -81,4 +81,13 @@
     pub leaving: bool,
     /// Whether its breaker is closed.
     pub healthy: bool,
+    /// How long work takes there now, in percent of the time at the others of its service.
+    pub speed_percent: u64,
+    /// The part of that which is assumed rather than known, in percent.
+    pub uncertainty_percent: u64,
+    /// The predicted time to the first event or whole answer of the latest request that has one,
+    /// and the measured one, in milliseconds.
+    pub predicted_ms: Option<u64>,
+    /// See [`Self::predicted_ms`].
+    pub measured_ms: Option<u64>,
 }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -32,6 +32,10 @@
             slots: state.slots(),
             leaving: state.is_leaving(),
             healthy: state.breaker.state(now) == BreakerState::Closed,
+            speed_percent: (state.speed.factor(now) * 100.0).round() as u64,
+            uncertainty_percent: (state.speed.uncertainty(now) * 100.0).round() as u64,
+            predicted_ms: state.latest_completion.map(|(p, _)| p.round() as u64),
+            measured_ms: state.latest_completion.map(|(_, m)| m.round() as u64),
         };
         self.upstreams.iter().map(one).collect()
     }
