--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use shaleline_edge::{Exchange, Framing, Reply, ReplyBody, SendError};
-use shaleline_route::{AttemptEnd, AttemptNumber, Load, RouteAction, RouteEvent};
+use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction, RouteEvent};
 use shaleline_types::{Fingerprint, IncarnationTag, LogEvent, Millis, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -234,15 +234,10 @@
         .borrow()
         .get(upstream)
         .is_some_and(|e| e.held.is_none());
-    if let (true, Some((running, waiting, slots))) = (plain, answer.load) {
+    if let (true, Some(load)) = (plain, answer.load) {
         gw.route(RouteEvent::Report {
             upstream: upstream.clone(),
-            load: Load {
-                running,
-                waiting,
-                slots,
-                leaving: false,
-            },
+            load,
         });
     }
 }
@@ -432,6 +427,7 @@
 ) -> (Reply, StatusCode) {
     let WholeAnswer { opened, body } = whole;
     permit.first_byte(sent.attempt);
+    permit.slowdown(sent.attempt, &opened.answer);
     permit.framing = Some(opened.exchange.framing());
     opened.exchange.finish(idle_timeout(&opened.answer));
     let mut reply = Response::new(ReplyBody::from_bytes(body));
@@ -538,6 +534,7 @@
 ) -> Outcome {
     permit.first_byte(sent.attempt);
     let opened = &mut started.opened;
+    permit.slowdown(sent.attempt, &opened.answer);
     if job.is_idempotent() {
         permit.version = Some(sent.version.clone());
         gw.record_stream(job, &sent.upstream, &sent.version);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use shaleline_route::UpstreamStats;
 use shaleline_types::{Org, Upstream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +35,8 @@
     broken_paths: Gauge<u64>,
     skipped: Counter<u64>,
     too_large: Counter<u64>,
+    speeds: Gauge<u64>,
+    completions: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -93,6 +96,14 @@
                 .u64_counter("shaleline_answers_too_large")
                 .with_description("answers of upstreams that exceeded the limit of a head or body")
                 .build(),
+            speeds: meter
+                .u64_gauge("shaleline_upstream_speed_percent")
+                .with_description("how long work takes relative to the others of the service")
+                .build(),
+            completions: meter
+                .u64_gauge("shaleline_upstream_completion_ms")
+                .with_description("time to the latest first event or whole answer")
+                .build(),
             _provider: provider,
         })
     }
@@ -180,6 +191,23 @@
         self.broken_paths.record(count as u64, &[]);
     }
 
+    /// Records the present speed of each upstream that answered, and what was predicted and measured
+    /// of its latest answer.
+    pub(crate) fn record_completions(&self, upstreams: &[UpstreamStats]) {
+        for stats in upstreams {
+            let (Some(predicted), Some(measured)) = (stats.predicted_ms, stats.measured_ms) else {
+                continue;
+            };
+            let label = KeyValue::new("upstream", stats.name.clone());
+            self.speeds
+                .record(stats.speed_percent, std::slice::from_ref(&label));
+            for (kind, millis) in [("predicted", predicted), ("measured", measured)] {
+                let labels = [label.clone(), KeyValue::new("kind", kind)];
+                self.completions.record(millis, &labels);
+            }
+        }
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
