--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -35,6 +35,7 @@
 mod drain;
 mod ending;
 mod estimate;
+mod fair;
 mod isolation;
 mod limit;
 mod limited;
@@ -47,6 +48,7 @@
 mod retry;
 mod returns;
 mod router;
+mod schedule;
 mod select;
 mod settings;
 mod share;
@@ -63,6 +65,7 @@
 pub use crashes::{CrashNote, CrashRecord, Crashes, MAX_CRASHES};
 pub use credit::{Credits, GrantRequest, GrantStep};
 pub use drain::{Drain, DrainAction, Unfinished};
+pub use fair::FairShares;
 pub use limit::{LimitKind, Limits};
 pub use pace::UpstreamLimit;
 pub use permits::{PermitResponse, Permits};
@@ -73,6 +76,10 @@
 };
 pub use retry::RetrySettings;
 pub use router::Router;
+pub use schedule::{
+    choose, is_hopeless, level, size_class, Candidate, Choice, FreeSlot, Reason, Waiting,
+    LATE_INTERVAL, LEAST_URGENT_INTERVAL,
+};
 pub use select::ChoicePolicy;
 pub use settings::{PeerVisibility, RouterSettings};
 pub use share::{share_of, ShareBook};
