Router: queued requests follow the order of the schedule module

Requests carry the end of their target; where it is not known, the order is as before. A request whose predicted wait ends after its caller's deadline is refused on arrival, with a retry-after time that is spread like those of resting upstreams. The reserve of a quarter of the slots against single organisations is a setting, as it keeps slots free that could be used.

--- a/crates/bench/src/costs.rs
+++ b/crates/bench/src/costs.rs
@@ -362,6 +362,7 @@
         block_sizes: Vec::new(),
         due: now.plus(10_000),
         repeatable: true,
+        target: None,
         limits: Limits {
             rate: UNLIMITED,
             concurrency: UNLIMITED,
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -245,6 +245,7 @@
             block_sizes: Vec::new(),
             due: now.plus(MAX_WAIT_MS),
             repeatable: true,
+            target: None,
             limits: self.limits(),
             policy: RequestPolicy::default(),
             identity: None,
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -187,6 +187,7 @@
             block_sizes: Vec::new(),
             due: core.now().plus(tenant.patience),
             repeatable: job.repeatable,
+            target: None,
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -106,6 +106,7 @@
             block_sizes: Vec::new(),
             due: now.plus(tenant.patience),
             repeatable: true,
+            target: None,
             limits: limits(tenant),
             policy: RequestPolicy::default(),
             identity: None,
--- a/crates/faults/src/route_run.rs
+++ b/crates/faults/src/route_run.rs
@@ -199,6 +199,7 @@
             block_sizes: Vec::new(),
             due: now.plus(rng.random_range(100..5_000)),
             repeatable,
+            target: None,
             limits: Limits {
                 rate: 1_000,
                 concurrency: CONCURRENCY,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -143,6 +143,7 @@
             block_sizes: self.sizes,
             due: now.plus(u64::from(self.due)),
             repeatable: self.repeatable,
+            target: None,
             limits,
             policy: RequestPolicy {
                 max_wait: self.wait.map(millis),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -172,6 +172,7 @@
             block_sizes,
             due: self.deadline,
             repeatable: self.is_idempotent(),
+            target: None,
             limits: LIMITS,
             policy: RequestPolicy {
                 max_wait: Some(Millis(self.wait(served))),
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -191,6 +191,7 @@
             block_sizes: Vec::new(),
             due: Millis(self.now + 2_500),
             repeatable: false,
+            target: None,
             limits: LIMITS,
             policy: RequestPolicy {
                 max_wait: Some(Millis(75)),
@@ -450,6 +451,7 @@
         block_sizes: Vec::new(),
         due: Millis(START_MS + 2_500),
         repeatable: true,
+        target: None,
         limits: LIMITS,
         policy: RequestPolicy::default(),
         identity: None,
--- a/crates/gateway/tests/unit/suspended.rs
+++ b/crates/gateway/tests/unit/suspended.rs
@@ -96,6 +96,7 @@
             block_sizes: Vec::new(),
             due: self.gw.now().plus(2_000),
             repeatable: false,
+            target: None,
             limits: Limits {
                 rate: 1_000,
                 concurrency: 1_000,
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -282,7 +282,7 @@
 
     pub(crate) fn dequeue(&mut self, request: &RouteRequest) {
         if let Some(queue) = self.queues.get_mut(&request.route) {
-            queue.remove(request.priority, &request.org, request.id);
+            queue.remove(request.level(), &request.org, request.id);
         }
     }
 
--- a/crates/route/src/isolation.rs
+++ b/crates/route/src/isolation.rs
@@ -319,10 +319,7 @@
     /// Refuses requests at the head of a queue that no upstream with free slots may run, as they
     /// block those behind them.
     pub(crate) fn refuse_unplaceable(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
-        let heads = self
-            .queues
-            .values()
-            .flat_map(crate::queue::RouteQueue::heads);
+        let heads = self.queues.values().flat_map(|queue| queue.heads(now));
         let unplaceable = |id: &RequestId| {
             let request = self.open.get(id).map(|o| &o.request);
             request.is_some_and(|a| self.is_unplaceable(a, now))
@@ -346,7 +343,7 @@
             return false;
         }
         let has_slot = |b: &UpstreamState| {
-            b.routes.contains(&request.route) && b.has_free_slot_for(&request.org, now)
+            b.routes.contains(&request.route) && self.has_room_for(b, request, now)
         };
         let mut with_free_slots = self
             .upstreams
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -120,6 +120,8 @@
     pub block_sizes: Vec<u32>,
     /// When its first token or answer is due.
     pub due: Millis,
+    /// The end of its target, counted from its caller's first attempt; absent if that is not known.
+    pub target: Option<Millis>,
     /// Whether it may be sent again after it may have run.
     pub repeatable: bool,
     /// The limits of its organisation.
@@ -149,6 +151,22 @@
         f64::from(self.block_sizes.get(index).copied().unwrap_or(BLOCK_TOKENS))
     }
 
+    /// Returns its level in the queues, see [`crate::level`].
+    pub(crate) fn level(&self) -> u8 {
+        crate::level(self.priority, self.policy.urgent)
+    }
+
+    /// Returns the tokens of its prompt.
+    pub(crate) fn prompt_tokens(&self) -> f64 {
+        (0..self.prefix.len()).map(|i| self.size(i)).sum()
+    }
+
+    /// Returns its work in tokens if this many of its prompt are not cached.
+    pub(crate) fn work(&self, uncached: f64) -> f64 {
+        let output = (self.cost as f64 - self.prompt_tokens()).max(1.0);
+        uncached + output
+    }
+
     /// Returns for how long its daemon may not send it to an upstream.
     pub(crate) fn excluded_for(&self, upstream: &Upstream, now: Millis) -> Millis {
         let until = self.excluded.get(upstream);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -4,15 +4,16 @@
 use crate::estimate::TokenCosts;
 use crate::isolation::Copies;
 use crate::limit::Limiter;
-use crate::queue::{QueuedRequest, RouteQueue};
+use crate::queue::{Line, QueuedRequest, RouteQueue};
 use crate::reach::{Group, Reach};
 use crate::retry::RetryBudget;
+use crate::schedule::{is_hopeless, size_class};
 use crate::select::{sample_by_cost, CostModel};
 use crate::sound_parts::SoundParts;
 use crate::upstream::{Hold, InFlight, Slot, UpstreamState};
 use crate::waiting::stall_timeout;
 use crate::{
-    AnswerTimes, AttemptNumber, CrashNote, Crashes, LimitKind, Limits, PeerVisibility,
+    AnswerTimes, AttemptNumber, CrashNote, Crashes, FairShares, LimitKind, Limits, PeerVisibility,
     RetrySettings, Route, RouteAction, RouteEvent, RouteRequest, RouterSettings, RouterStats,
     ShareBook, UpstreamInfo, UpstreamOpening,
 };
@@ -26,6 +27,10 @@
 /// taken again by the upstream's next report.
 const OVERDUE_FACTOR: f64 = 2.0;
 
+/// The shortest retry-after time of a request that can't start before its deadline: the queue is
+/// not much shorter before then.
+const MIN_RETRY_MS: u64 = 100;
+
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
     pub(crate) request: RouteRequest,
@@ -69,6 +74,8 @@
     pub(crate) answer_times: BTreeMap<Route, AnswerTimes>,
     /// Breakers that opened and were not taken yet.
     pub(crate) openings: Vec<UpstreamOpening>,
+    /// What organisations ask for and get, by routes without adapters.
+    pub(crate) fair: BTreeMap<Route, FairShares>,
     /// The time of the last removal of old state.
     pub(crate) last_prune: Millis,
 }
@@ -98,6 +105,7 @@
             reach: Reach::default(),
             answer_times: BTreeMap::new(),
             openings: Vec::new(),
+            fair: BTreeMap::new(),
             last_prune: Millis(0),
             settings,
         }
@@ -238,19 +246,24 @@
             self.refuse(id, ErrorKind::RateLimited, Some(wait), out);
             return;
         }
-        let (org, priority) = (request.org.clone(), request.priority);
+        let org = request.org.clone();
+        let fair = self.fair.entry(request.route.to_base()).or_default();
+        fair.on_arrival(&org, request.weight, request.cost, now);
+        let latest = self.latest_start(&request);
         let queue = self.queues.get(&request.route);
         let (queued, expected) = queue.map_or((0, None), |q| {
-            let ahead = q.ahead(priority, &org);
+            let ahead = q.ahead(request.level(), &org, latest, now);
             (q.len(), q.expected_wait(ahead, now).filter(|_| ahead > 0))
         });
         let full = queued >= self.settings.queue_limit;
-        let late = expected
-            .map(|w| now.plus(w.0))
-            .filter(|at| *at > request.due);
-        if let Some(at) = late.filter(|_| self.settings.shed || full) {
+        let end = expected.and_then(|wait| self.hopeless_until(&request, latest, wait, now));
+        if let Some(earliest) = end.filter(|_| self.settings.shed || full) {
             self.limiter.finish(&org, 0);
-            let wait = Millis(at.since(request.due).max(100));
+            self.record_shed(&request, now);
+            self.stats.shed += 1;
+            let queue = self.queues.entry(request.route).or_default();
+            let back = queue.returns.reserve(earliest, now);
+            let wait = Millis(back.since(now));
             self.refuse(id, ErrorKind::DeadlineUnmet, Some(wait), out);
             return;
         }
@@ -292,7 +305,8 @@
         };
         let request = &open.request;
         let queue = self.queues.get(&request.route);
-        let ahead = queue.map_or(0, |q| q.ahead(request.priority, &request.org));
+        let latest = self.latest_start(request);
+        let ahead = queue.map_or(0, |q| q.ahead(request.level(), &request.org, latest, now));
         let repeat = open.attempt > 0;
         if ahead == 0 || repeat {
             if let Some(upstream) = self.select(open, now) {
@@ -316,16 +330,57 @@
             id,
             due: request.start_by(now),
             bound: request.version.is_some(),
+            latest,
+            arrived: now,
+        };
+        let line = Line {
+            level: request.level(),
+            org: request.org.clone(),
+            size: size_class(request.cost as f64),
         };
-        let (route, priority, org) = (request.route.clone(), request.priority, request.org.clone());
+        let route = request.route.clone();
         let eligible = self.select(open, now);
         let queue = self.queues.entry(route).or_default();
-        queue.push(priority, &org, queued, repeat);
+        queue.push(line, queued, repeat);
         if let Some(upstream) = eligible {
             self.dispatch_queued(&upstream, now, out);
         }
     }
 
+    /// Returns when a request may come back that can't be served in its time, if its predicted wait
+    /// shows that it can't. The queue shortens as time passes, so a wait that is too long by some
+    /// time fits after that time.
+    fn hopeless_until(
+        &self,
+        request: &RouteRequest,
+        latest: Option<Millis>,
+        wait: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
+        let left = Millis(request.due.since(now));
+        let excess = match latest {
+            Some(latest) if is_hopeless(wait, Millis(latest.since(now))) => {
+                let queue = self.queues.get(&request.route)?;
+                let late_wait = queue.late_wait(now).filter(|late| *late > left)?;
+                // It will be late, but there is room for it before its deadline unless late requests
+                // take longer than its caller waits.
+                wait.0.min(late_wait.0 - left.0)
+            }
+            _ if wait > left => wait.0 - left.0,
+            _ => return None,
+        };
+        Some(now.plus(excess.max(MIN_RETRY_MS)))
+    }
+
+    /// Returns the latest start with which a request is in time, its own prompt read without a
+    /// cache.
+    fn latest_start(&self, request: &RouteRequest) -> Option<Millis> {
+        let token_ms = self.tokens.get(&request.route, self.settings.token_ms);
+        let prompt_ms = (request.prompt_tokens() * token_ms) as u64;
+        let target = request.target?;
+        Some(Millis(target.0.saturating_sub(prompt_ms)))
+    }
+
     pub(crate) fn cost_model(&self, request: &RouteRequest, now: Millis) -> CostModel<'_> {
         CostModel {
             choice: self.settings.choice,
@@ -342,7 +397,7 @@
         let cost_model = self.cost_model(request, now);
         let fits = |(name, b): &(&Upstream, &UpstreamState)| {
             b.routes.contains(&request.route)
-                && b.has_free_slot_for(&request.org, now)
+                && self.has_room_for(b, request, now)
                 && self.may_take_slot(request, b, now)
                 && !b.is_refusing(&request.route, now)
                 && !self.is_excluded(request, name, b, now)
@@ -437,6 +492,13 @@
             expected,
         };
         let cost = open.request.cost as f64 / open.request.weight.max(1) as f64;
+        let fair = self.fair.entry(route.to_base()).or_default();
+        fair.on_send(
+            &open.request.org,
+            open.request.weight,
+            open.request.cost,
+            now,
+        );
         state.hints.record(&open.request.prefix);
         if open.request.excluded.contains_key(upstream) {
             state.returns.on_send(now);
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -41,6 +41,9 @@
     pub choice: ChoicePolicy,
     /// Whether requests that can't meet their target are refused early.
     pub shed: bool,
+    /// Whether a quarter of an upstream's slots stays free of any one organisation while others use
+    /// it. Without it, an organisation may use all that is free.
+    pub reserve: bool,
     /// The initial estimate of a prompt token's cost to an engine, in milliseconds.
     pub token_ms: f64,
     /// The retry budget.
@@ -60,6 +63,7 @@
             max_attempts: 3,
             choice: ChoicePolicy::Expected,
             shed: true,
+            reserve: true,
             token_ms: 0.5,
             retries: RetrySettings::default(),
             seed: 0,
--- a/crates/route/src/stats.rs
+++ b/crates/route/src/stats.rs
@@ -14,6 +14,14 @@
     pub retried: u64,
     /// Refusals.
     pub refused: u64,
+    /// Requests refused on arrival because their predicted wait ends after their deadline.
+    pub shed: u64,
+    /// Queued requests that were sent before more urgent ones, which stay in time nonetheless.
+    pub slack_used: u64,
+    /// Queued requests that were sent before others as they are shorter.
+    pub short_first: u64,
+    /// Queued requests that were sent because the least urgent ones had their turn.
+    pub turns: u64,
     /// Late answers to earlier attempts, which were dropped.
     pub late: u64,
     /// Breakers that opened.
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -2,17 +2,15 @@
 
 use crate::queue::RouteQueue;
 use crate::router::OpenRequest;
-use crate::upstream::InFlight;
-use crate::{OpeningCause, RouteAction, RouteRequest, Router, UpstreamOpening};
-use shaleline_types::{ErrorKind, Millis, RequestId, Upstream};
+use crate::schedule::{choose, Candidate, Choice, FreeSlot, Reason};
+use crate::upstream::{InFlight, UpstreamState};
+use crate::{OpeningCause, Route, RouteAction, RouteRequest, Router, UpstreamOpening};
+use shaleline_types::{ErrorKind, Millis, Org, RequestId, Upstream};
+use std::collections::BTreeSet;
 
 /// The interval between removals of old state, in milliseconds.
 const PRUNE_INTERVAL_MS: u64 = 1_000;
 
-/// One in this many freed slots goes to the least urgent request that waits. On an upstream with
-/// too many urgent requests, all others would otherwise wait until their deadline.
-const LEAST_URGENT_INTERVAL: u64 = 16;
-
 /// The shortest silence that counts as hanging, however little time a request has left.
 const MIN_STALL_MS: u64 = 200;
 
@@ -24,34 +22,41 @@
         now: Millis,
         out: &mut Vec<RouteAction>,
     ) {
-        while let Some(id) = self.next_for(upstream, now) {
+        while let Some(choice) = self.next_for(upstream, now) {
+            let id = choice.id;
             let Some(open) = self.open.get(&id) else {
                 return;
             };
-            let (route, priority, org) = (
+            let (route, level, org) = (
                 open.request.route.clone(),
-                open.request.priority,
+                open.request.level(),
                 open.request.org.clone(),
             );
             if let Some(queue) = self.queues.get_mut(&route) {
-                queue.remove(priority, &org, id);
+                queue.remove(level, &org, id);
                 queue.on_departure(now);
             }
             if let Some(state) = self.upstreams.get_mut(upstream) {
                 state.departures += 1;
             }
+            self.record_choice(&choice);
             self.send(id, upstream, now, out);
         }
     }
 
-    /// Returns the most urgent request that may be sent there, from the organisation served least;
-    /// at intervals, the least urgent one.
-    pub(crate) fn next_for(&self, upstream: &Upstream, now: Millis) -> Option<RequestId> {
+    /// Returns the request that takes the upstream's next free slot.
+    pub(crate) fn next_for(&self, upstream: &Upstream, now: Millis) -> Option<Choice> {
         let state = self.upstreams.get(upstream)?;
         if !state.has_free_slot(now) {
             return None;
         }
-        let queues = state.routes.iter().filter_map(|r| self.queues.get(r));
+        let queues = || {
+            let queues = state
+                .routes
+                .iter()
+                .filter_map(|r| Some((r, self.queues.get(r)?)));
+            queues.filter(|(_, q)| !q.is_empty())
+        };
         // Requests that may not be sent there don't hold up those behind them.
         let excludes = |id| {
             let open = self.open.get(&id);
@@ -61,31 +66,100 @@
                     || !o.request.allows(&state.info.version)
             })
         };
-        let heads = queues.flat_map(|q| q.heads_where(|id| !excludes(id)));
-        let allowed = heads.filter(|h| {
-            let open = self.open.get(&h.id);
-            let in_time =
-                open.is_none_or(|o| self.cost_model(&o.request, now).allows(state, &o.request));
-            let refusing = open.is_some_and(|o| state.is_refusing(&o.request.route, now));
-            // After a suspension the deadline may have passed before the next tick fails it.
-            let due = open.is_none_or(|o| o.request.due > now);
-            let may_send =
-                due && open.is_none_or(|o| self.may_send_to(&o.request, upstream, state));
-            in_time && !refusing && state.has_free_slot_for(h.org, now) && may_send
-        });
-        let least_urgent = (state.departures + 1) % LEAST_URGENT_INTERVAL == 0;
-        let best = allowed.min_by(|a, b| {
-            let (a, b) = match least_urgent && a.priority != b.priority {
-                true => (b, a),
-                false => (a, b),
-            };
-            let start = |h: &crate::queue::Head<'_>| state.virtual_start(h.org);
-            a.priority
-                .cmp(&b.priority)
-                .then(start(a).total_cmp(&start(b)))
-                .then(a.id.cmp(&b.id))
-        })?;
-        Some(best.id)
+        let mut candidates = Vec::new();
+        for (route, queue) in queues() {
+            let over = self.exceeding(route, now);
+            for head in queue.heads_where(now, |id| !excludes(id)) {
+                let Some(open) = self.open.get(&head.id) else {
+                    continue;
+                };
+                if self.may_start(open, upstream, state, now) {
+                    let work = open.request.work(state.uncached_tokens(&open.request));
+                    candidates.push(Candidate {
+                        id: head.id,
+                        level: head.line.level,
+                        latest: head.latest,
+                        work,
+                        arrived: head.arrived,
+                        over: over.contains(&head.line.org),
+                        turn: state.virtual_start(&head.line.org),
+                    });
+                }
+            }
+        }
+        // Several routes share the upstream: the slowest rate is the safe one.
+        let intervals = queues().filter_map(|(_, q)| q.interval());
+        let slot = FreeSlot {
+            now,
+            interval: intervals.max_by(f64::total_cmp),
+            departures: state.departures,
+            scarce: queues().filter_map(|(_, q)| q.scarce(now)).min(),
+        };
+        let waiting = || {
+            let all = queues().flat_map(|(route, queue)| {
+                let over = self.exceeding(route, now);
+                queue.waiting(move |org| over.contains(org))
+            });
+            all.collect()
+        };
+        choose(&candidates, waiting, &slot)
+    }
+
+    /// Returns whether a queued request may take a free slot of this upstream.
+    fn may_start(
+        &self,
+        open: &OpenRequest,
+        upstream: &Upstream,
+        state: &UpstreamState,
+        now: Millis,
+    ) -> bool {
+        let request = &open.request;
+        // After a suspension the deadline may have passed before the next tick fails it.
+        request.due > now
+            && self.cost_model(request, now).allows(state, request)
+            && !state.is_refusing(&request.route, now)
+            && self.has_room_for(state, request, now)
+            && self.may_send_to(request, upstream, state)
+    }
+
+    /// Returns whether the organisation of a request may take one more slot.
+    pub(crate) fn has_room_for(
+        &self,
+        state: &UpstreamState,
+        request: &RouteRequest,
+        now: Millis,
+    ) -> bool {
+        match self.settings.reserve {
+            true => state.has_free_slot_for(&request.org, now),
+            false => state.has_free_slot(now),
+        }
+    }
+
+    /// Returns the organisations that exceed their shares of a route's upstreams.
+    fn exceeding(&self, route: &Route, now: Millis) -> BTreeSet<&Org> {
+        let shares = self.fair.get(&route.to_base());
+        shares.map_or_else(BTreeSet::new, |s| s.exceeding(now))
+    }
+
+    /// Records that a request was refused for lack of capacity. What an organisation wants beyond
+    /// its share does not count as a lack.
+    pub(crate) fn record_shed(&mut self, request: &RouteRequest, now: Millis) {
+        let passed = request.target.is_some_and(|t| t < now);
+        if passed || self.exceeding(&request.route, now).contains(&request.org) {
+            return;
+        }
+        let queue = self.queues.entry(request.route.clone()).or_default();
+        queue.on_shed(request.level(), now);
+    }
+
+    /// Counts the choices that did not follow the order of classes.
+    fn record_choice(&mut self, choice: &Choice) {
+        match choice.reason {
+            Reason::Urgency => {}
+            Reason::ShortWork => self.stats.short_first += 1,
+            Reason::Slack => self.stats.slack_used += 1,
+            Reason::Turn => self.stats.turns += 1,
+        }
     }
 
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<RouteAction>) {
@@ -102,6 +176,7 @@
             self.drop_old_crashes(now);
             self.reach.prune(now);
             self.shares.prune(now);
+            self.fair.values_mut().for_each(|f| f.prune(now));
         }
     }
 
@@ -131,6 +206,9 @@
                 self.refuse_limited(id, &start, now, out);
                 continue;
             }
+            if served && !started {
+                self.record_shed(&request, now);
+            }
             let kind = match (served, started) {
                 (_, true) => ErrorKind::BrokenStream,
                 (true, false) => ErrorKind::DeadlineUnmet,
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -256,6 +256,7 @@
             block_sizes: Vec::new(),
             due: NOW.plus(5_000),
             repeatable: false,
+            target: None,
             limits: Limits {
                 rate: 10_000,
                 concurrency: 10_000,
--- a/crates/route/tests/given_back.rs
+++ b/crates/route/tests/given_back.rs
@@ -55,6 +55,7 @@
         block_sizes: Vec::new(),
         due: NOW.plus(60_000),
         repeatable: false,
+        target: None,
         limits: Limits {
             rate: 1 << 40,
             concurrency: 1 << 40,
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -110,6 +110,7 @@
         block_sizes: Vec::new(),
         due: now.plus(5_000),
         repeatable: false,
+        target: None,
         limits: Limits {
             rate: 1 << 40,
             concurrency: 1 << 40,
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -98,6 +98,7 @@
             block_sizes: Vec::new(),
             due: self.now.plus(2_000),
             repeatable: false,
+            target: None,
             limits: Limits {
                 rate: 10_000,
                 concurrency: 1_000,
--- a/crates/route/tests/rests.rs
+++ b/crates/route/tests/rests.rs
@@ -173,6 +173,7 @@
             block_sizes: Vec::new(),
             due: Millis(self.now + 2_500),
             repeatable: false,
+            target: None,
             limits: Limits {
                 rate: 1 << 40,
                 concurrency: 1 << 40,
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -68,6 +68,7 @@
         block_sizes: Vec::new(),
         due: NOW.plus(1_000),
         repeatable: true,
+        target: None,
         limits: Limits {
             rate: 1_000,
             concurrency: 100,
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -66,6 +66,7 @@
         block_sizes: Vec::new(),
         due: NOW.plus(1_000),
         repeatable: true,
+        target: None,
         limits: Limits {
             rate: 1_000,
             concurrency: 100,
