--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -37,6 +37,7 @@
 mod drain;
 mod ending;
 mod estimate;
+mod fair;
 mod isolation;
 mod limit;
 mod limited;
@@ -49,6 +50,7 @@
 mod retry;
 mod returns;
 mod router;
+mod schedule;
 mod select;
 mod settings;
 mod share;
@@ -66,6 +68,7 @@
 pub use crashes::{CrashNote, CrashRecord, Crashes, MAX_CRASHES};
 pub use credit::{Credits, GrantRequest, GrantStep};
 pub use drain::{Drain, DrainAction, Unfinished};
+pub use fair::FairShares;
 pub use limit::{LimitKind, Limits};
 pub use pace::UpstreamLimit;
 pub use permits::{PermitResponse, Permits};
@@ -76,6 +79,10 @@
 };
 pub use retry::RetrySettings;
 pub use router::Router;
+pub use schedule::{
+    choose, is_hopeless, level, size_class, Candidate, Choice, FreeSlot, Reason, Waiting,
+    LATE_INTERVAL, LEAST_URGENT_INTERVAL,
+};
 pub use select::ChoicePolicy;
 pub use settings::{PeerVisibility, RouterSettings};
 pub use share::{share_of, ShareBook};
