--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -147,6 +147,90 @@
         &[("", After::Reset)] => texts(&["Broken"]),
 }
 
+/// Writes a response of this size, or one without end, to each request on one connection.
+fn responses_with(
+    part: &'static str,
+    repeats: usize,
+    end: &'static str,
+    requests: usize,
+) -> Vec<String> {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        let server = actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            while read_head(&mut stream).await {
+                for _ in 0..repeats {
+                    if stream.write_all(part.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                stream.write_all(end.as_bytes()).await.ok();
+            }
+        });
+        let pool = pool();
+        let mut out = Vec::new();
+        for _ in 0..requests {
+            out.push(fetch(&pool, &target).await);
+        }
+        server.abort();
+        out
+    })
+}
+
+const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nx-more: of the same\r\n\r\n";
+
+/// Guards against informational responses that arrive without end: each is skipped, so that no buffer
+/// fills.
+#[test]
+fn informational_responses_count_toward_the_head() {
+    let got = responses_with(HINTS, usize::MAX, "", 1);
+    assert_eq!(got, texts(&["HeadTooLarge"]));
+}
+
+/// Guards against a limit that counts the heads of all responses on a connection together.
+#[test]
+fn each_response_on_a_connection_has_its_own_limit() {
+    let got = responses_with(HINTS, 40_000 / HINTS.len(), OK, 4);
+    assert_eq!(got, texts(&["200 ok"; 4]));
+}
+
+#[test]
+fn a_head_without_end_is_too_large() {
+    const LINES: &str = "HTTP/1.1 200 OK\r\n";
+    let got = responses_with("x-more: of the same\r\n", usize::MAX, "", 1);
+    // Without a status line the head is malformed at once.
+    assert_eq!(got, texts(&["Broken"]));
+    let got = actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            read_head(&mut stream).await;
+            stream.write_all(LINES.as_bytes()).await.expect("written");
+            while stream.write_all(b"x-more: of the same\r\n").await.is_ok() {}
+        });
+        fetch(&pool(), &target).await
+    });
+    assert_eq!(got, "HeadTooLarge");
+}
+
+#[test]
+fn a_body_beyond_its_limit_is_too_large() {
+    let by_length = "HTTP/1.1 200 OK\r\ncontent-length: 1001\r\n\r\n";
+    assert_eq!(
+        responses_with("", 0, by_length, 1),
+        texts(&["200 then BodyTooLarge"])
+    );
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n";
+    let body = "x".repeat(1_001);
+    let chunked: &'static str = Box::leak(format!("{head}{body}\r\n").into_boxed_str());
+    assert_eq!(
+        responses_with("", 0, chunked, 1),
+        texts(&["200 then BodyTooLarge"])
+    );
+}
+
 #[test]
 fn a_reset_body_without_length_is_broken() {
     let got = responses(&[("HTTP/1.1 200 OK\r\n\r\npart", After::Reset)]);
