Blame one of several parts that tie, and answered parts last

After a pause in the traffic, a part of prompts that crashes upstreams blocked the sound requests that share its first part: that the first part had been answered was forgotten after a minute, and parts with equally many crashes were all blamed. Parts are now judged one after the other, the rarer first, and a part that was ever answered is blocked only if no other part explains all but one of its crashes.

--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -15,6 +15,7 @@
 //! Daemons need no agreement: the sets in a note only grow, so notes may be lost, duplicated or
 //! late, and daemons that received the same notes have the same state.
 
+use crate::part_history::PartHistory;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{Fingerprint, Identity, IncarnationTag, Millis};
 use std::cmp::Reverse;
@@ -26,6 +27,11 @@
 /// constants".
 pub const MAX_CRASHES: usize = 3;
 
+/// The number of crashes of a part that was ever answered which no other part may explain before it is
+/// blocked. One may have another cause. With three, a part that has become the cause after an answer
+/// could crash six upstreams, and five are allowed.
+const MIN_UNEXPLAINED: usize = 2;
+
 /// The time for which a crash counts; after it the request may be tried at one more upstream. A
 /// request that is repeated for ever costs an engine every ten minutes instead of every few
 /// seconds, and a repaired engine needs no operator.
@@ -101,13 +107,23 @@
     blocked: BTreeSet<Fingerprint>,
     /// The crashes that the blocked causes explain.
     explained: BTreeSet<IncarnationTag>,
+    /// Which parts were seen and answered, by the requests of this daemon and those it selects for.
+    history: PartHistory,
 }
 
 impl Crashes {
     /// Returns the number of crashes that count for a request or part: those that no other blocked
-    /// cause explains.
+    /// cause explains. What is not blocked counts fewer than [`MAX_CRASHES`], also if it has more.
     #[must_use]
     pub fn crash_count(&self, cause: &Fingerprint) -> usize {
+        let count = self.unexplained_count(cause);
+        match self.blocked.contains(cause) {
+            true => count,
+            false => count.min(MAX_CRASHES - 1),
+        }
+    }
+
+    fn unexplained_count(&self, cause: &Fingerprint) -> usize {
         let known = self.known.get(cause);
         known.map_or(0, |k| self.counted(cause, k).count())
     }
@@ -125,26 +141,101 @@
     /// Derives the blocked causes: those with most crashes first, then the next ones with enough
     /// crashes that the first don't explain. Where a request and a part have equally many, the
     /// request goes first, as fewer requests are refused then; if it is the part, the next crash
-    /// shows that.
+    /// shows that. Of parts with equally many, the one that fewest requests had goes first.
+    ///
+    /// A part that was ever answered is blocked only if no other part explains its crashes. Which
+    /// parts were answered is known to the daemons that select for them and that sent the requests, so
+    /// that others may block another part of the same prompts until a hub decides.
     fn update_blocked(&mut self) {
         self.blocked.clear();
         self.explained.clear();
-        let mut ranks: BTreeMap<(Reverse<usize>, bool), Vec<Fingerprint>> = BTreeMap::new();
+        // What unanswered parts explain still counts for answered ones, which weigh it themselves.
+        let mut explained_otherwise = BTreeSet::new();
+        for tied in self.ranked() {
+            let is_cause = |cause: &Fingerprint| match self.history.is_answered(cause) {
+                true => self.is_unexplained_part(cause, &explained_otherwise),
+                false => self.unexplained_count(cause) >= MAX_CRASHES,
+            };
+            let causes: Vec<Fingerprint> = tied.into_iter().filter(is_cause).collect();
+            for cause in causes {
+                let ended = self.known.get(&cause).map(|k| &k.ended);
+                let ended: Vec<IncarnationTag> = ended.into_iter().flatten().copied().collect();
+                if !cause.is_part() || self.history.is_answered(&cause) {
+                    explained_otherwise.extend(ended.iter().copied());
+                }
+                self.explained.extend(ended);
+                self.blocked.insert(cause);
+            }
+        }
+    }
+
+    /// Returns the requests and parts with enough crashes, in the order in which they are considered.
+    /// Requests with equally many are considered together, and do not explain each other's crashes.
+    fn ranked(&self) -> Vec<Vec<Fingerprint>> {
+        let mut requests: BTreeMap<Reverse<usize>, Vec<Fingerprint>> = BTreeMap::new();
+        let mut parts = Vec::new();
         for (cause, known) in &self.known {
             let count = known.crash_count();
-            if count >= MAX_CRASHES {
-                let rank = (Reverse(count), cause.is_part());
-                ranks.entry(rank).or_default().push(*cause);
+            if count < MAX_CRASHES {
+                continue;
             }
-        }
-        for causes in ranks.into_values() {
-            let is_unexplained = |c: &Fingerprint| self.crash_count(c) >= MAX_CRASHES;
-            let blocked: Vec<Fingerprint> = causes.into_iter().filter(is_unexplained).collect();
-            for cause in &blocked {
-                let ended = self.known.get(cause).map(|k| &k.ended);
-                self.explained.extend(ended.into_iter().flatten());
+            if cause.is_part() {
+                let seen = (
+                    self.history.is_answered(cause),
+                    self.history.requests(cause),
+                );
+                parts.push(((Reverse(count), true, seen, *cause), vec![*cause]));
+            } else {
+                requests.entry(Reverse(count)).or_default().push(*cause);
             }
-            self.blocked.extend(blocked);
+        }
+        let requests = requests.into_iter().filter_map(|(count, causes)| {
+            let first = *causes.first()?;
+            Some(((count, false, (false, 0), first), causes))
+        });
+        parts.extend(requests);
+        parts.sort_unstable();
+        parts.into_iter().map(|(_, causes)| causes).collect()
+    }
+
+    /// Returns whether a part that was answered is the cause of its crashes: neither blocked requests
+    /// nor blocked answered parts explain them, and no single part that was never answered does.
+    fn is_unexplained_part(
+        &self,
+        part: &Fingerprint,
+        explained_otherwise: &BTreeSet<IncarnationTag>,
+    ) -> bool {
+        let Some(known) = self.known.get(part) else {
+            return false;
+        };
+        let counted = known.active().filter(|s| !explained_otherwise.contains(*s));
+        let counted: BTreeSet<IncarnationTag> = counted.copied().collect();
+        if counted.len() < MAX_CRASHES {
+            return false;
+        }
+        let others = self
+            .known
+            .iter()
+            .filter(|(cause, _)| cause.is_part() && !self.history.is_answered(cause));
+        let explained = others.map(|(_, k)| k.active().filter(|s| counted.contains(*s)).count());
+        counted.len() - explained.max().unwrap_or(0) >= MIN_UNEXPLAINED
+    }
+
+    /// Records that a request with these parts has arrived.
+    pub fn record_arrival(&mut self, parts: &[Fingerprint]) {
+        for part in parts {
+            self.history.record_arrival(*part);
+        }
+    }
+
+    /// Records that a request with these parts was answered.
+    pub fn record_answer(&mut self, parts: &[Fingerprint]) {
+        let mut is_new = false;
+        for part in parts {
+            is_new |= self.history.record_answer(*part) && self.known.contains_key(part);
+        }
+        if is_new {
+            self.update_blocked();
         }
     }
 
--- a/crates/route/src/isolation.rs
+++ b/crates/route/src/isolation.rs
@@ -194,6 +194,7 @@
     /// Records that a request whose upstream another daemon selected was answered.
     pub fn record_answered(&mut self, parts: &[Fingerprint], now: Millis) {
         self.sound_parts.record(parts, now);
+        self.crashes.record_answer(parts);
     }
 
     /// Records that a request succeeded. A part of its prompt is cleared if the answer began after
@@ -205,6 +206,7 @@
         let (identity, begun) = (open.request.identity, open.first_byte);
         let parts = open.request.parts.clone();
         self.sound_parts.record(&parts, now);
+        self.crashes.record_answer(&parts);
         for part in &parts {
             let last = self.crashes.last_crash(part);
             if last.is_some_and(|last| begun.is_some_and(|begun| begun > last)) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,7 @@
 mod limit;
 mod limited;
 mod pace;
+mod part_history;
 mod permits;
 mod prefix;
 mod queue;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -269,6 +269,7 @@
             first_byte: None,
         };
         self.copies.insert(&open.request);
+        self.crashes.record_arrival(&open.request.parts);
         self.open.insert(id, open);
         self.dispatch(id, now, out);
     }
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -179,6 +179,7 @@
 /// A router with upstreams that have free slots.
 struct RouterFixture {
     router: Router,
+    now: Millis,
     in_flight: BTreeMap<u64, (u32, Upstream)>,
     refused: BTreeMap<u64, ErrorKind>,
 }
@@ -208,13 +209,14 @@
         }
         Self {
             router,
+            now: NOW,
             in_flight: BTreeMap::new(),
             refused: BTreeMap::new(),
         }
     }
 
     fn step(&mut self, event: RouteEvent) {
-        for action in self.router.step(event, NOW) {
+        for action in self.router.step(event, self.now) {
             match action {
                 RouteAction::Send {
                     id,
@@ -239,7 +241,8 @@
     }
 
     fn arrive_with(&mut self, id: u64, identity: Identity, parts: Vec<Fingerprint>) {
-        let request = Self::request(id, identity, parts);
+        let mut request = Self::request(id, identity, parts);
+        request.due = self.now.plus(5_000);
         self.step(RouteEvent::Arrive(Box::new(request)));
     }
 
@@ -545,3 +548,88 @@
     };
     assert!(actions.iter().any(is_refusal), "{actions:?}");
 }
+
+/// Time without any request, longer than a part counts as answered lately.
+const PAUSE_MS: u64 = 62_000;
+
+/// A router at which requests with part 1 were answered, and none were sent for a while since.
+fn after_a_pause() -> RouterFixture {
+    let mut fixture = RouterFixture::new(12, 20);
+    for id in 0..4 {
+        fixture.arrive_with(id, identity("a", id), vec![part(1)]);
+        fixture.answer(id);
+    }
+    fixture.now = NOW.plus(PAUSE_MS);
+    fixture.step(RouteEvent::Tick);
+    fixture
+}
+
+/// Whether a request with these parts is sent.
+fn is_sent(fixture: &mut RouterFixture, id: u64, parts: &[Fingerprint]) -> bool {
+    fixture.arrive_with(id, identity("s", id), parts.to_vec());
+    fixture.in_flight.contains_key(&id)
+}
+
+/// Guards against sound requests that are refused for ten minutes because a part that crashes
+/// upstreams came after a first part that they share, and after a pause in the traffic.
+#[test]
+fn a_part_that_was_ever_answered_is_not_blocked_with_the_cause() {
+    let mut fixture = after_a_pause();
+    (10..13).for_each(|id| fixture.crash(id, &[part(1), part(2)]));
+    assert_eq!(fixture.crash_count(part(2)), MAX_CRASHES);
+    assert!(!is_sent(&mut fixture, 20, &[part(1), part(2)]));
+    assert!(is_sent(&mut fixture, 21, &[part(1)]));
+}
+
+/// Guards against a tie that blames both parts where neither was ever answered.
+#[test]
+fn of_two_parts_that_tie_the_rarer_one_is_blocked() {
+    let mut fixture = RouterFixture::new(12, 20);
+    for id in 0..4 {
+        fixture.arrive_with(id, identity("a", id), vec![part(1)]);
+        fixture.step(RouteEvent::CallerGone(RequestId(id)));
+    }
+    (10..13).for_each(|id| fixture.crash(id, &[part(1), part(2)]));
+    assert!(!is_sent(&mut fixture, 20, &[part(1), part(2)]));
+    assert!(is_sent(&mut fixture, 21, &[part(1)]));
+}
+
+/// Guards against a first part that is blamed for one crash more than the cause, which another cause
+/// explains.
+#[test]
+fn one_crash_of_another_cause_does_not_block_a_part_that_was_answered() {
+    let mut fixture = after_a_pause();
+    fixture.crash(9, &[part(1)]);
+    (10..13).for_each(|id| fixture.crash(id, &[part(1), part(2)]));
+    assert!(!is_sent(&mut fixture, 20, &[part(2)]));
+    assert!(is_sent(&mut fixture, 21, &[part(1)]));
+}
+
+/// The number of crashes after which a part that was answered before is blocked, if upstreams crash
+/// under requests that have it, each with the next of these other parts.
+fn crashes_until_blocked(others: &[u64]) -> Option<u64> {
+    let mut fixture = after_a_pause();
+    let mut crashes = 0;
+    for (id, other) in (10..).zip(others) {
+        if !is_sent(&mut fixture, id, &[part(1), part(*other)]) {
+            continue;
+        }
+        fixture.end(id, AttemptEnd::UpstreamEnded(start(1_000 + id)));
+        crashes += 1;
+        if !is_sent(&mut fixture, 100 + id, &[part(1)]) {
+            return Some(crashes);
+        }
+        fixture.step(RouteEvent::CallerGone(RequestId(100 + id)));
+    }
+    None
+}
+
+// Guards against a part that has become the cause after an answer, and is spared for more crashes than
+// are allowed because other parts were present at some of them.
+cases! { crashes_until_blocked;
+    a_part_that_becomes_the_cause_is_blocked_after_three_crashes: &[2, 3, 4, 5] => Some(3),
+    a_part_that_becomes_the_cause_is_blocked_though_another_one_tied:
+        &[2, 2, 2, 3, 4, 5] => Some(5),
+    a_part_that_becomes_the_cause_is_blocked_though_two_others_tied:
+        &[2, 3, 2, 3, 2, 3, 4] => Some(4),
+}
