--- a/crates/gateway/tests/unit/late_release.rs
+++ b/crates/gateway/tests/unit/late_release.rs
@@ -321,25 +321,25 @@
 
 /// Whether a daemon that knows the lease with token 7 reads the topic for a message, and whether it
 /// still knows the planner.
-fn after_message(update: PlannerUpdate) -> (bool, bool) {
+fn after_message(update: &PlannerUpdate) -> (bool, bool) {
     let daemons = Daemons::new();
     let daemon = daemons.start(0, &[]);
     daemon.learn_lease(7, 12);
     let now = daemon.gw.now();
     assert_eq!(daemon.gw.planner_lease.borrow_mut().tick(now), None);
-    daemon.gw.on_planner_update(&update);
+    daemon.gw.on_planner_update(update);
     let action = daemon.gw.planner_lease.borrow_mut().tick(now);
     let knows_planner = daemon.gw.membership.borrow().planner(now).is_some();
     (action == Some(PlannerLeaseAction::Read), knows_planner)
 }
 
 cases! { after_message;
-    a_release_of_the_known_lease_is_looked_up: PlannerUpdate::LeaseReleased { fence: 7 } => (true, false),
-    a_release_of_a_later_lease_is_looked_up: PlannerUpdate::LeaseReleased { fence: 9 } => (true, false),
+    a_release_of_the_known_lease_is_looked_up: &PlannerUpdate::LeaseReleased { fence: 7 } => (true, false),
+    a_release_of_a_later_lease_is_looked_up: &PlannerUpdate::LeaseReleased { fence: 9 } => (true, false),
     // The message of a planner that froze before it sent it, or that was long in transit.
-    a_release_of_an_earlier_lease_is_ignored: PlannerUpdate::LeaseReleased { fence: 6 } => (false, true),
+    a_release_of_an_earlier_lease_is_ignored: &PlannerUpdate::LeaseReleased { fence: 6 } => (false, true),
     // Daemons of the earlier release run alongside during an upgrade.
-    a_release_without_a_token_is_looked_up: PlannerUpdate::Released => (true, false),
+    a_release_without_a_token_is_looked_up: &PlannerUpdate::Released => (true, false),
 }
 
 /// The release of an earlier lease must not make a holder's own peers look for a successor.
