Memory budget: what is paused and what is shed, decided without a network

MemoryBudget counts the bytes that connections make a daemon hold, by kind and connection: from three quarters on it pauses those that hold most, and names what to shed in the stated order.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,7 +13,10 @@
 //! * A [`Connection`] is one to an upstream; simulations have their own.
 //! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
+//! * [`MemoryBudget`] counts what the daemon holds for its connections, and decides which of them to
+//!   pause and what to shed.
 
+mod budget;
 mod caller_stream;
 mod clock;
 mod connect;
@@ -25,6 +28,7 @@
 mod reply;
 pub mod tunnel;
 
+pub use budget::{Holder, MemoryBudget, MemoryKind, MemoryLevel, Shed};
 pub use clock::{Clock, SuspensionDetector, TimeSource};
 pub use connect::{
     connect_directly, open as open_connection, LocalFuture, Opened, Tunnel, Tunnels,
