--- a/crates/route/tests/completion.rs
+++ b/crates/route/tests/completion.rs
@@ -165,6 +165,21 @@
     engines_near_capacity: (0.95, 0.004) => true,
 }
 
+/// Whether fast engines get more streams than others and slow ones fewer, and each of the slow ones
+/// at least this part of the streams of a fast one.
+fn is_proportional((load, least): (f64, f64)) -> bool {
+    let [slow, usual, fast] = engines(ChoicePolicy::Completion, load).by_speed;
+    println!("slow {slow}, usual {usual}, fast {fast}");
+    slow < usual && usual < fast && slow as f64 >= least * fast as f64
+}
+
+// Slow engines must be neither overloaded nor left unused.
+cases! {
+    is_proportional;
+    speeds_share_the_streams_at_three_quarters: (0.75, 0.1) => true,
+    speeds_share_the_streams_near_capacity: (0.95, 0.25) => true,
+}
+
 /// Returns whether no upstream gets more than this share of the requests that many daemons, or one
 /// hub, select for in one instant after reading the same figures.
 fn is_spread((daemons, requests, most): (usize, usize, f64)) -> bool {
--- a/crates/route/tests/replay/mod.rs
+++ b/crates/route/tests/replay/mod.rs
@@ -40,6 +40,8 @@
     p99_ms: f64,
     arrived: usize,
     refused: usize,
+    /// The streams of the engines of each speed, slow ones first.
+    pub by_speed: [usize; 3],
 }
 
 impl fmt::Display for Share {
@@ -57,13 +59,19 @@
     times: Vec<f64>,
     arrived: usize,
     in_time: usize,
+    /// The streams of the engines of each speed.
+    by_speed: [usize; 3],
 }
 
 /// Adds up the runs with all seeds.
 fn share(run: impl Fn(u64) -> Run) -> Share {
     let (mut times, mut arrived, mut in_time) = (Vec::new(), 0, 0);
+    let mut by_speed = [0; 3];
     for run in SEEDS.map(run) {
         times.extend(run.times);
+        for (sum, count) in by_speed.iter_mut().zip(run.by_speed) {
+            *sum += count;
+        }
         arrived += run.arrived;
         in_time += run.in_time;
     }
@@ -75,6 +83,7 @@
         p99_ms: times.get(count * 99 / 100).copied().unwrap_or(0.0),
         arrived,
         refused: arrived - times.len(),
+        by_speed,
     }
 }
 
@@ -304,6 +313,7 @@
         times,
         arrived,
         in_time,
+        by_speed: [0; 3],
     }
 }
 
@@ -433,6 +443,7 @@
     let mut engines: Vec<Engine> = (0..ENGINE_COUNT).map(|_| Engine::default()).collect();
     let mut arrivals: BTreeMap<u64, u64> = BTreeMap::new();
     let (mut times, mut arrived, mut in_time) = (Vec::new(), 0, 0);
+    let mut by_speed = [0; 3];
     let (mut next, mut next_id) = (START_MS as f64, 1);
     for now in START_MS..END_MS {
         let at = Millis(now);
@@ -458,6 +469,7 @@
                     if began >= START_MS + WARM_UP_MS {
                         let took = stream.first - began as f64;
                         times.push(took);
+                        by_speed[number % SPEEDS.len()] += 1;
                         let on_time = took <= ENGINE_TARGET_MS && stream.pause <= PAUSE_MS;
                         in_time += usize::from(on_time);
                     }
@@ -490,6 +502,7 @@
         times,
         arrived,
         in_time,
+        by_speed,
     }
 }
 
