Speeds of upstreams count only where one names its slowdown

The choice by predicted completion was on for every deployment; the earlier ones are to be served as before. It now needs an upstream of the group that names its slowdown in Server-Load. The replays name it; without it the sends are those of before (without_a_named_slowdown_upstreams_are_chosen_as_before).

--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -32,6 +32,7 @@
         prefix: vec![id % 40, id + 1_000],
         block_sizes: vec![400, 315],
         due: NOW.plus(1_000_000),
+        target: None,
         repeatable: true,
         limits: Limits {
             rate: u64::MAX / 4,
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -1,6 +1,7 @@
 //! How sends end: answers, failures, callers and upstreams that leave, and retries.
 
 use crate::estimate::ratio_of;
+use crate::reach::Group;
 use crate::upstream::InFlight;
 use crate::{
     AttemptEnd, AttemptNumber, Measurement, OpeningCause, Route, RouteAction, RouteRequest, Router,
@@ -90,6 +91,7 @@
         };
         if let Some(percent) = measurement.slowdown {
             state.speed.report(percent, now);
+            self.slowdowns.insert(Group::of(&open.request.route));
         }
         if measurement.intervals > 0 && measurement.elapsed.0 > 0 {
             let interval = measurement.elapsed.0 as f64 / f64::from(measurement.intervals);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -9,7 +9,7 @@
 use crate::reach::{Group, Reach};
 use crate::retry::RetryBudget;
 use crate::schedule::{is_hopeless, size_class};
-use crate::select::{sample_by_cost, CostModel};
+use crate::select::{sample_by_cost, ChoicePolicy, CostModel};
 use crate::sound_parts::SoundParts;
 use crate::upstream::{Hold, InFlight, Slot, UpstreamState};
 use crate::waiting::stall_timeout;
@@ -63,6 +63,8 @@
     pub(crate) tokens: TokenCosts,
     /// How long work usually takes, by model or service.
     pub(crate) times: Times,
+    /// The groups of upstreams of which one has named its slowdown.
+    pub(crate) slowdowns: BTreeSet<Group>,
     send_count: u64,
     visibility: PeerVisibility,
     rng: RefCell<SmallRng>,
@@ -98,6 +100,7 @@
             budget: RetryBudget::new(settings.retries),
             tokens: TokenCosts::default(),
             times: Times::default(),
+            slowdowns: BTreeSet::new(),
             send_count: 0,
             visibility: PeerVisibility::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
@@ -171,6 +174,9 @@
             RouteEvent::Report { upstream, load } => {
                 if let Some(state) = self.upstreams.get_mut(&upstream) {
                     state.on_report(load, now);
+                    if load.slowdown.is_some() {
+                        self.slowdowns.extend(state.routes.iter().map(Group::of));
+                    }
                 }
                 self.dispatch_queued(&upstream, now, &mut out);
             }
@@ -391,9 +397,20 @@
         Some(Millis(target.0.saturating_sub(prompt_ms)))
     }
 
+    /// Returns how upstreams for a route are selected. Their speeds count where they say how long
+    /// work takes at them; elsewhere they are taken for equal, as before.
+    fn choice_for(&self, route: &Route) -> ChoicePolicy {
+        match self.settings.choice {
+            ChoicePolicy::Completion if !self.slowdowns.contains(&Group::of(route)) => {
+                ChoicePolicy::Expected
+            }
+            choice => choice,
+        }
+    }
+
     pub(crate) fn cost_model(&self, request: &RouteRequest, now: Millis) -> CostModel<'_> {
         CostModel {
-            choice: self.settings.choice,
+            choice: self.choice_for(&request.route),
             home: &self.settings.home,
             send_count: self.send_count,
             token_ms: self.tokens.get(&request.route, self.settings.token_ms),
--- a/crates/route/tests/completion.rs
+++ b/crates/route/tests/completion.rs
@@ -2,7 +2,7 @@
 
 mod replay;
 
-use replay::{engines, herd, plain, Figures, Share};
+use replay::{engines, herd, plain, sends, Figures, Share};
 use shaleline_route::{usable_slots, wait_ms, ChoicePolicy, Prediction, Speed};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
@@ -194,3 +194,12 @@
     few_daemons_with_several_requests_spread: (8, 4, 0.6) => true,
     a_hub_with_many_requests_spreads: (1, 20, 0.35) => true,
 }
+
+/// Guards against a change where no upstream says how long work takes at it: the choice there is
+/// that of before.
+#[test]
+fn without_a_named_slowdown_upstreams_are_chosen_as_before() {
+    let before = sends(ChoicePolicy::Expected, None);
+    assert_eq!(sends(ChoicePolicy::Completion, None), before);
+    assert_ne!(sends(ChoicePolicy::Completion, Some(100)), before);
+}
--- a/crates/route/tests/replay/mod.rs
+++ b/crates/route/tests/replay/mod.rs
@@ -128,6 +128,11 @@
         ..RouterSettings::new(centre())
     };
     let mut router = Router::new(settings, ShareBook::alone("me"));
+    // Speeds count only where an upstream names its slowdown.
+    let load = Load {
+        slowdown: load.slowdown.or(Some(100)),
+        ..load
+    };
     for number in 0..count {
         let info = UpstreamInfo {
             centre: centre(),
@@ -156,6 +161,7 @@
         prefix: if is_model { vec![id + 1] } else { Vec::new() },
         block_sizes: if is_model { vec![PROMPT] } else { Vec::new() },
         due: Millis(now + due_ms),
+        target: None,
         repeatable: false,
         limits: Limits {
             concurrency: 100_000,
@@ -546,3 +552,57 @@
     let total = counts.iter().sum::<usize>().max(1) as f64;
     counts.iter().map(|c| *c as f64 / total).collect()
 }
+
+/// Returns the upstreams that requests are sent to, one after the other, where the first upstream
+/// takes ten times as long as the others. `slowdown` is the figure in each answer.
+pub fn sends(choice: ChoicePolicy, slowdown: Option<u32>) -> Vec<usize> {
+    let settings = RouterSettings {
+        choice,
+        seed: 1,
+        ..RouterSettings::new(centre())
+    };
+    let mut router = Router::new(settings, ShareBook::alone("me"));
+    for number in 0..PLAIN_COUNT {
+        let info = UpstreamInfo {
+            centre: centre(),
+            routes: vec![service()],
+            version: shaleline_types::SoftwareVersion::default(),
+        };
+        let upstream = name(number);
+        router.step(RouteEvent::Serves { upstream, info }, Millis(START_MS));
+    }
+    let (mut now, mut sends) = (START_MS, Vec::new());
+    for number in 1..200 {
+        let asked = RouteEvent::Arrive(Box::new(request(number, service(), now, 60_000)));
+        let actions = router.step(asked, Millis(now));
+        let [RouteAction::Send {
+            id,
+            attempt,
+            upstream,
+            ..
+        }] = actions.as_slice()
+        else {
+            panic!("{actions:?}");
+        };
+        let (id, attempt, number) = (*id, *attempt, number_of(upstream));
+        sends.push(number);
+        now += if number == 0 { 300 } else { 30 };
+        let at = Millis(now);
+        router.step(RouteEvent::FirstByte { id, attempt }, at);
+        let measurement = Measurement {
+            slowdown,
+            ..Measurement::default()
+        };
+        router.step(
+            RouteEvent::Measured {
+                id,
+                attempt,
+                measurement,
+            },
+            at,
+        );
+        let end = AttemptEnd::Whole;
+        router.step(RouteEvent::Ended { id, attempt, end }, at);
+    }
+    sends
+}
