Gateway: targets from the first attempt, Length-Hint, and a message that carries the order

A retry has used the route's timeout less what its caller still waits. While its target has not passed, it is served like a first attempt, here and by its rank at the engine.

AskOrdered carries the time left until the target ends, the organisation and its weight. A hub of the earlier release can't decode it, so the repetition has the earlier form.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -46,6 +46,9 @@
     pub prompt: u64,
     /// The most tokens that may be generated.
     pub output: u64,
+    /// The caller's estimate of the tokens that will be generated: right at the median, often far
+    /// off.
+    pub hint: Option<u64>,
     /// The parts of the prompt in order, each with its identity and tokens.
     pub parts: Vec<(u64, u32)>,
     /// The id of the caller's attempt that brought the first event of the stream that it resumes.
@@ -53,6 +56,17 @@
 }
 
 impl Head {
+    /// The tokens that are probably generated: the caller's estimate within the maximum, or else the
+    /// maximum.
+    #[must_use]
+    pub fn expected_output(&self) -> u64 {
+        match self.hint {
+            Some(hint) if self.counted => hint.min(self.output),
+            Some(hint) => hint,
+            None => self.output,
+        }
+    }
+
     /// The most tokens that the request may use, if the headers say so.
     #[must_use]
     pub fn tokens(&self) -> Option<u64> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,6 +10,7 @@
 //! [`DelegatedRequests`] is the asking side; `peer_requests` is the side that selects.
 //! `docs/ROUTING.md` compares the alternatives.
 
+use crate::job::{org, WEIGHT};
 use crate::message::{Message, Tag, VersionMessage};
 use serde::{Deserialize, Serialize};
 use shaleline_route::{
@@ -202,8 +203,62 @@
     }
 }
 
+/// What decides the order of a request among those that compete for its upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OrderNote {
+    /// The time in milliseconds until the end of its target.
+    target: Option<u32>,
+    /// The organisation of its caller, and its weight.
+    org: Org,
+    weight: u64,
+}
+
+impl OrderNote {
+    /// Returns what daemons of the earlier release don't know about a request, if anything.
+    fn of(ask: &RouteRequest, now: Millis) -> Option<Self> {
+        let note = Self {
+            target: ask.target.map(|t| span(Millis(t.since(now)))),
+            org: ask.org.clone(),
+            weight: ask.weight,
+        };
+        (note != Self::unknown()).then_some(note)
+    }
+
+    /// What holds for a request of a daemon of the earlier release.
+    pub(crate) fn unknown() -> Self {
+        Self {
+            target: None,
+            org: org(),
+            weight: WEIGHT,
+        }
+    }
+
+    /// Adds it to a request.
+    pub(crate) fn apply(self, request: &mut RouteRequest, now: Millis) {
+        request.target = self.target.map(|t| now.plus(u64::from(t)));
+        request.org = self.org;
+        request.weight = self.weight;
+    }
+}
+
 /// The message that asks a hub for an upstream.
 fn ask_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
+    let Some(order) = OrderNote::of(ask, now) else {
+        return plain_message(ticket, ask, now);
+    };
+    let ask = Ask {
+        ticket,
+        note: AskNote::of(ask, now),
+        excluded: exclusions(ask, now),
+        version: ask.version.clone(),
+        parts: ask.parts.clone(),
+    };
+    Message::AskOrdered(Box::new((ask, order)))
+}
+
+/// The same in the form that daemons of the earlier release know. It is used for the repetition of a
+/// question, so that such a hub answers after [`RESEND_MS`].
+fn plain_message(ticket: Ticket, ask: &RouteRequest, now: Millis) -> Message {
     let note = Box::new(AskNote::of(ask, now));
     let excluded = exclusions(ask, now);
     if !ask.parts.is_empty() {
@@ -609,7 +664,7 @@
                         lost.push(*id);
                     } else if waited >= RESEND_MS && !*resent {
                         *resent = true;
-                        let message = Box::new(ask_message(ticket, &request.ask, now));
+                        let message = Box::new(plain_message(ticket, &request.ask, now));
                         steps.push(Step::Send(request.to, message));
                     }
                 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -276,6 +276,10 @@
             gw.handle_ask(&from, Ask { excluded, ..plain });
         }
         Message::AskParts(ask) => gw.handle_ask(&from, *ask),
+        Message::AskOrdered(ask) => {
+            let (ask, order) = *ask;
+            gw.handle_ordered_ask(&from, ask, order);
+        }
         Message::Poll(ticket) => gw.handle_poll(&from, ticket),
         Message::Progressed(ticket, what) => gw.handle_progress(ticket, what),
         Message::Open { requests, alive } => gw.handle_open(&from, &requests, &alive),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -33,7 +33,7 @@
 /// stopping other streams, as long as its first event can be in time.
 const FIRST_EVENT_MS: u64 = 100;
 
-/// Upper limit of the wait: a slot frees up every few tens of milliseconds, and a request that
+/// Upper limit of the wait of urgent requests: a slot frees up every few tens of milliseconds, and a request that
 /// waited longer without one has lost the time.
 const MAX_WAIT_MS: u64 = 1_000;
 
@@ -46,8 +46,8 @@
 /// overloaded days; see `docs/CAPACITY.md`, "Values of constants".
 const BACKLOG_PART: (u64, u64) = (1, 2);
 
-/// Added to the priority value of retries, so that first attempts are served before them. Without
-/// it, fewer chats are in time on overloaded days.
+/// Added to the priority value of retries whose target has passed, so that requests that can still
+/// be in time are served before them. Without it, fewer chats are in time on overloaded days.
 const RETRY_PRIORITY: u8 = 16;
 
 /// A caller that retries after a refusal does not retry again: its request waits for this larger
@@ -71,14 +71,17 @@
 /// Prompts of the deployments in force have two to four parts.
 const MAX_SHARED_PARTS: usize = 24;
 
-/// The organisation of all callers in the router, because the platform's routes name none.
+/// The organisation in the router of all callers of whom none is known.
 const CALLERS_ORG: &str = "platform";
 
-/// The organisation of all callers.
+/// The organisation of callers of whom none is known.
 pub(crate) fn org() -> Org {
     Org::from_text(CALLERS_ORG).expect("a valid name")
 }
 
+/// The weight of an organisation in the router: none is preferred.
+pub(crate) const WEIGHT: u64 = 1;
+
 /// The router sets no limits; the platform's limits apply.
 pub(crate) const LIMITS: Limits = Limits {
     rate: 1 << 40,
@@ -117,19 +120,40 @@
         self.rule.repeat.is_idempotent()
     }
 
-    /// The rank at an engine, by the route's priority; requests with a long target come after all
-    /// others.
+    /// The rank at an engine, by the route's priority; requests with a long target, or whose target
+    /// has passed, come after all others.
     pub(crate) fn rank(&self) -> Option<u8> {
         self.head.model.as_ref()?;
-        let relaxed = u8::from(!self.is_urgent() || self.is_retry) * 5;
+        let relaxed = u8::from(!self.is_urgent() || self.has_missed_target()) * 5;
         Some((self.rule.priority + 1 + relaxed).min(9))
     }
 
-    /// The priority in the router. A retry has mostly missed its target, which counts from the
-    /// first attempt, so requests that can still be in time go first.
+    /// The priority in the router. Requests that can still be in time go before retries that have
+    /// missed their target.
     pub(crate) fn priority(&self) -> u8 {
-        let retry = u8::from(self.is_retry) * RETRY_PRIORITY;
-        self.rule.priority.saturating_add(retry)
+        let missed = u8::from(self.has_missed_target()) * RETRY_PRIORITY;
+        self.rule.priority.saturating_add(missed)
+    }
+
+    /// The time in milliseconds for which its caller has waited when it arrived. A retry has used
+    /// the route's time less what its caller still waits.
+    fn elapsed(&self) -> u64 {
+        let left = self.deadline.since(self.arrived);
+        match self.is_retry {
+            true => self.rule.timeout.0.saturating_sub(left),
+            false => 0,
+        }
+    }
+
+    /// The end of its target, which counts from its caller's first attempt.
+    pub(crate) fn target_end(&self) -> Millis {
+        let first = self.arrived.0.saturating_sub(self.elapsed());
+        Millis(first + self.rule.target.0)
+    }
+
+    /// Whether it is a retry that can't be in time any more.
+    fn has_missed_target(&self) -> bool {
+        self.is_retry && self.elapsed() >= self.rule.target.0
     }
 
     fn is_urgent(&self) -> bool {
@@ -166,13 +190,17 @@
             org: org(),
             route: self.route(),
             priority: self.priority(),
-            weight: 1,
-            cost: (self.head.prompt + self.head.output).max(1),
+            weight: WEIGHT,
+            cost: self
+                .head
+                .prompt
+                .saturating_add(self.head.expected_output())
+                .max(1),
             prefix,
             block_sizes,
             due: self.deadline,
             repeatable: self.is_idempotent(),
-            target: None,
+            target: Some(self.target_end()),
             limits: LIMITS,
             policy: RequestPolicy {
                 max_wait: Some(Millis(self.wait(served))),
@@ -208,6 +236,8 @@
         if self.rule.pause.is_some() {
             let slack = target.saturating_sub(FIRST_EVENT_MS);
             return match (served, slack >= LOAD_WAIT_MS) {
+                // Deferrable requests fill the troughs in demand.
+                (true, _) if !self.is_urgent() => slack,
                 (true, _) => slack.clamp(MIN_WAIT_MS, MAX_WAIT_MS),
                 (false, true) => LOAD_WAIT_MS,
                 (false, false) => MIN_WAIT_MS,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages between daemons: small datagrams, any of which may be lost.
 
-use crate::dispatch::{Answer, Ask, AskNote, Exclusion, ProgressNote, Ticket};
+use crate::dispatch::{Answer, Ask, AskNote, Exclusion, OrderNote, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
 use crate::relays::RelayMessage;
 use crate::stream_versions::{Knowledge, Origin, StreamKey};
@@ -120,6 +120,8 @@
     /// The version of the sender's configuration, which the store may have lost. A daemon with a newer
     /// one answers with its own.
     ConfigHeld { version: u64 },
+    /// Like [`Message::AskParts`], with what decides the order among requests that compete.
+    AskOrdered(Box<(Ask, OrderNote)>),
 }
 
 /// What daemons exchange about streams that are bound to a software version.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,7 +4,7 @@
 //! router; requests that other daemons delegate go to the local router. The decisions are in
 //! `dispatch` and `peer_requests`.
 
-use crate::dispatch::{Answer, Ask, EndNote, Exclusion, ProgressNote, Step, Ticket};
+use crate::dispatch::{Answer, Ask, EndNote, Exclusion, OrderNote, ProgressNote, Step, Ticket};
 use crate::job::{org, LIMITS};
 use crate::journal::emit;
 use crate::message::{Message, Sender, Tag};
@@ -182,8 +182,13 @@
         self.send(vec![(to, Message::Answer(ticket, answer))]);
     }
 
-    /// Handles a request that another daemon delegates.
+    /// Handles a request that a daemon of the earlier release delegates.
     pub(crate) fn handle_ask(&self, from: &Sender, ask: Ask) {
+        self.handle_ordered_ask(from, ask, OrderNote::unknown());
+    }
+
+    /// Handles a request that another daemon delegates.
+    pub(crate) fn handle_ordered_ask(&self, from: &Sender, ask: Ask, order: OrderNote) {
         let (now, ticket) = (self.now(), ask.ticket);
         if !self.peer_requests.borrow().contains(ticket) {
             let id = self.next_id();
@@ -196,6 +201,7 @@
             request.excluded = self.resolve_exclusions(&ask.excluded);
             request.version = ask.version;
             request.parts = ask.parts;
+            order.apply(&mut request, now);
             self.admit_to_router(request);
             // The router's decision has been sent as the answer already.
             if self.peer_requests.borrow_mut().answer(ticket, now) != Answer::Queued {
