Fairness between organisations by work; log and count who is overtaken or refused

The organisation of a caller's key goes to the router and the hub with its request. An organisation that was served more than the max-min level of its route waits behind others unless these have slack. The reserve of slots is off in the gateway: it is not work-conserving. Events 8120 and 8121 and shaleline_queue_decisions show who was overtaken or refused, and why.

Whether a queued request may be sent to an upstream is checked only once it is chosen.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -187,7 +187,7 @@
         RouteRequest {
             daemon: 0,
             id,
-            org: org(),
+            org: self.org.clone().unwrap_or_else(org),
             route: self.route(),
             priority: self.priority(),
             weight: WEIGHT,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     /// Calls since the last summary, by topic.
     recent_calls: RefCell<BTreeMap<&'static str, u64>>,
     orders: Counter<u64>,
+    queue_decisions: Counter<u64>,
     first: Histogram<f64>,
     wait: Histogram<f64>,
     unserved: Histogram<f64>,
@@ -66,6 +67,12 @@
             store: meter.u64_counter("shaleline_store_calls").build(),
             recent_calls: RefCell::default(),
             orders: meter.u64_counter("shaleline_orders").build(),
+            queue_decisions: meter
+                .u64_counter("shaleline_queue_decisions")
+                .with_description(
+                    "requests sent before more urgent ones or refused for lack of capacity",
+                )
+                .build(),
             first: first.with_description("arrival to first byte").build(),
             wait: wait.with_description("arrival to first send").build(),
             unserved: away
@@ -126,6 +133,12 @@
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
     }
 
+    /// Counts a request that overtook another or was refused, by the reason.
+    pub(crate) fn count_queue_decision(&self, outcome: &'static str) {
+        self.queue_decisions
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(crate) fn record_first_byte(&self, millis: u64) {
         self.first.record(millis as f64, &[]);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,8 +38,8 @@
     Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, UnmetDemand,
 };
 use shaleline_route::{
-    Load, Permits, RetrySettings, Route, RouteAction, RouteEvent, Router, RouterSettings,
-    ShareBook, UpstreamInfo,
+    Load, Permits, QueueNote, Reason, RetrySettings, Route, RouteAction, RouteEvent, Router,
+    RouterSettings, ShareBook, UpstreamInfo,
 };
 use shaleline_types::{
     ErrorKind, Incarnation, LogEvent, Millis, Model, Org, Position, RequestId, Service, Upstream,
@@ -240,11 +240,7 @@
             unacked_timeout: DEAD_TIMEOUT,
             max_connections: DEFAULT_CONNECTIONS,
         };
-        let router = RouterSettings {
-            token_ms: settings.policy.token_ms,
-            seed: rng.random(),
-            ..RouterSettings::new(settings.centre.clone())
-        };
+        let router = router_settings(&settings, rng.random());
         let name = settings.instance.as_str();
         let holder = format!("{name}/{incarnation:016x}");
         let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease)
@@ -492,6 +488,19 @@
         actions.iter().for_each(|a| self.deliver(a));
         self.publish_crashes();
         self.log_openings();
+        self.log_queue_notes();
+    }
+
+    /// Counts and logs who was overtaken or refused for lack of capacity.
+    fn log_queue_notes(&self) {
+        let notes = self.router.borrow_mut().take_queue_notes();
+        for note in notes {
+            let (event, outcome, detail) = describe_queue_note(&note);
+            self.metrics.count_queue_decision(outcome);
+            if self.log_budget.take(self.now()) {
+                emit(event, &detail);
+            }
+        }
     }
 
     /// Logs the breakers that opened, with the daemons whose sends opened them.
@@ -641,3 +650,59 @@
         all
     }
 }
+
+/// Returns the event, the outcome and the details of a decision about a queued or refused request.
+fn describe_queue_note(note: &QueueNote) -> (LogEvent, &'static str, String) {
+    let millis = |time: &Option<Millis>| time.map_or("unknown".to_owned(), |t| t.0.to_string());
+    match note {
+        QueueNote::Overtaken {
+            route,
+            id,
+            overtaken,
+            reason,
+            left,
+            overtaken_left,
+        } => {
+            let outcome = match reason {
+                Reason::Urgency => "urgency",
+                Reason::ShortWork => "short-work",
+                Reason::Slack => "slack",
+                Reason::Turn => "turn",
+            };
+            let detail = format!(
+                "number={} overtaken={} reason={outcome} route={route} target_left_ms={} \
+                 overtaken_target_left_ms={}",
+                id.0,
+                overtaken.0,
+                millis(left),
+                millis(overtaken_left),
+            );
+            (LogEvent::RequestOvertaken, outcome, detail)
+        }
+        QueueNote::Shed {
+            route,
+            id,
+            queued,
+            wait,
+            left,
+            retry,
+        } => {
+            let detail = format!(
+                "number={} route={route} queued={queued} predicted_wait_ms={} left_ms={} \
+                 retry_ms={}",
+                id.0, wait.0, left.0, retry.0,
+            );
+            (LogEvent::RequestShed, "shed", detail)
+        }
+    }
+}
+
+fn router_settings(settings: &GatewaySettings, seed: u64) -> RouterSettings {
+    RouterSettings {
+        token_ms: settings.policy.token_ms,
+        seed,
+        // Organisations share by the order of the queues; what is free may be used.
+        reserve: false,
+        ..RouterSettings::new(settings.centre.clone())
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -83,4 +83,4 @@
 pub use select::ChoicePolicy;
 pub use settings::{PeerVisibility, RouterSettings};
 pub use share::{share_of, ShareBook};
-pub use stats::{Occupancy, OpeningCause, RouterStats, UpstreamOpening, UpstreamStats};
+pub use stats::{Occupancy, OpeningCause, QueueNote, RouterStats, UpstreamOpening, UpstreamStats};
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -47,6 +47,17 @@
     pub(crate) arrived: Millis,
 }
 
+impl<'a> Head<'a> {
+    fn new(line: &'a Line, first: &QueuedRequest) -> Self {
+        Self {
+            line,
+            id: first.id,
+            latest: first.latest,
+            arrived: first.arrived,
+        }
+    }
+}
+
 /// The queues of one route.
 #[derive(Debug, Default)]
 pub(crate) struct RouteQueue {
@@ -85,30 +96,31 @@
     /// Returns the first request of every subqueue, among those that can be in time and among the
     /// others: where an organisation with urgent requests has no slots left, the others come next.
     pub(crate) fn heads(&self, now: Millis) -> impl Iterator<Item = Head<'_>> {
-        self.heads_where(now, |_| true)
-    }
-
-    /// Returns the same, passing over requests that don't count.
-    pub(crate) fn heads_where<'a>(
-        &'a self,
-        now: Millis,
-        counts: impl Fn(RequestId) -> bool + Copy + 'a,
-    ) -> impl Iterator<Item = Head<'a>> {
         self.subqueues.iter().flat_map(move |(line, queue)| {
             let late = queue.partition_point(|w| w.latest_or_end() < now);
-            let parts = [queue.range(late..), queue.range(..late)];
-            parts.into_iter().filter_map(move |mut part| {
-                let first = part.find(|w| counts(w.id))?;
-                Some(Head {
-                    line,
-                    id: first.id,
-                    latest: first.latest,
-                    arrived: first.arrived,
-                })
-            })
+            let firsts = [queue.get(late), queue.front().filter(|_| late > 0)];
+            let firsts = firsts.into_iter().flatten();
+            firsts.map(move |first| Head::new(line, first))
         })
     }
 
+    /// Returns the first request that counts in the part of a subqueue that begins with a head.
+    pub(crate) fn next_in_line(
+        &self,
+        head: &Head<'_>,
+        now: Millis,
+        counts: impl Fn(RequestId) -> bool,
+    ) -> Option<Head<'_>> {
+        let (line, queue) = self.subqueues.get_key_value(head.line)?;
+        let late = queue.partition_point(|w| w.latest_or_end() < now);
+        let mut part = match head.latest.is_some_and(|latest| latest < now) {
+            true => queue.range(..late),
+            false => queue.range(late..),
+        };
+        let next = part.find(|w| counts(w.id))?;
+        Some(Head::new(line, next))
+    }
+
     /// Returns all queued requests as the order sees them; `over` tells whether an organisation
     /// exceeds its share.
     pub(crate) fn waiting<'a>(
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -14,8 +14,8 @@
 use crate::waiting::stall_timeout;
 use crate::{
     AnswerTimes, AttemptNumber, CrashNote, Crashes, FairShares, LimitKind, Limits, PeerVisibility,
-    RetrySettings, Route, RouteAction, RouteEvent, RouteRequest, RouterSettings, RouterStats,
-    ShareBook, UpstreamInfo, UpstreamOpening,
+    QueueNote, RetrySettings, Route, RouteAction, RouteEvent, RouteRequest, RouterSettings,
+    RouterStats, ShareBook, UpstreamInfo, UpstreamOpening,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -74,6 +74,8 @@
     pub(crate) answer_times: BTreeMap<Route, AnswerTimes>,
     /// Breakers that opened and were not taken yet.
     pub(crate) openings: Vec<UpstreamOpening>,
+    /// See [`Router::take_queue_notes`].
+    pub(crate) queue_notes: Vec<QueueNote>,
     /// What organisations ask for and get, by routes without adapters.
     pub(crate) fair: BTreeMap<Route, FairShares>,
     /// The time of the last removal of old state.
@@ -105,6 +107,7 @@
             reach: Reach::default(),
             answer_times: BTreeMap::new(),
             openings: Vec::new(),
+            queue_notes: Vec::new(),
             fair: BTreeMap::new(),
             last_prune: Millis(0),
             settings,
@@ -261,10 +264,18 @@
             self.limiter.finish(&org, 0);
             self.record_shed(&request, now);
             self.stats.shed += 1;
-            let queue = self.queues.entry(request.route).or_default();
+            let queue = self.queues.entry(request.route.clone()).or_default();
             let back = queue.returns.reserve(earliest, now);
-            let wait = Millis(back.since(now));
-            self.refuse(id, ErrorKind::DeadlineUnmet, Some(wait), out);
+            let retry = Millis(back.since(now));
+            self.push_queue_note(QueueNote::Shed {
+                left: Millis(request.due.since(now)),
+                route: request.route,
+                id,
+                queued,
+                wait: expected.unwrap_or_default(),
+                retry,
+            });
+            self.refuse(id, ErrorKind::DeadlineUnmet, Some(retry), out);
             return;
         }
         if full {
--- a/crates/route/src/schedule.rs
+++ b/crates/route/src/schedule.rs
@@ -271,12 +271,18 @@
     /// Returns whether all of these start in time, the earliest latest start first, after `before`
     /// others. A request without a target may have one that is not known here.
     fn all_in_time(&self, latest: impl Iterator<Item = Option<Millis>>, before: usize) -> bool {
-        let Some(mut latest) = latest.map(|l| l.map(|l| l.0)).collect::<Option<Vec<u64>>>() else {
+        let Some(mut left) = latest
+            .map(|l| l.map(|l| l.since(self.now) as f64))
+            .collect::<Option<Vec<f64>>>()
+        else {
             return false;
         };
-        latest.sort_unstable();
         let start = |i: usize| (i + before) as f64 * self.interval * INTERVAL_MARGIN;
-        let left = latest.iter().map(|l| l.saturating_sub(self.now.0) as f64);
-        left.enumerate().all(|(i, left)| start(i) <= left)
+        // Those that may start last of all need no place.
+        let last = start(left.len());
+        left.retain(|left| *left < last);
+        left.sort_unstable_by(f64::total_cmp);
+        let mut starts = left.iter().enumerate();
+        starts.all(|(i, left)| start(i) <= *left)
     }
 }
--- a/crates/route/src/stats.rs
+++ b/crates/route/src/stats.rs
@@ -1,7 +1,8 @@
 //! The router's statistics.
 
+use crate::{Reason, Route};
 use serde::Serialize;
-use shaleline_types::Upstream;
+use shaleline_types::{Millis, RequestId, Upstream};
 
 /// Counters since the start, and current gauges.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
@@ -90,3 +91,38 @@
     /// Whether its breaker is closed.
     pub healthy: bool,
 }
+
+/// A decision about who waits or is refused for lack of capacity, with its inputs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum QueueNote {
+    /// A request was sent before one that comes first by its class.
+    Overtaken {
+        /// The route of the request that was sent.
+        route: Route,
+        /// The request that was sent.
+        id: RequestId,
+        /// The request that waits on.
+        overtaken: RequestId,
+        /// Why.
+        reason: Reason,
+        /// The time until the target of the request that was sent ends, if that is known.
+        left: Option<Millis>,
+        /// The same of the request that waits on.
+        overtaken_left: Option<Millis>,
+    },
+    /// A request was refused on arrival.
+    Shed {
+        /// Its route.
+        route: Route,
+        /// The request.
+        id: RequestId,
+        /// The number of requests that are queued.
+        queued: usize,
+        /// The predicted time until it would start.
+        wait: Millis,
+        /// The time until its deadline.
+        left: Millis,
+        /// The time after which its caller may return.
+        retry: Millis,
+    },
+}
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -5,10 +5,14 @@
 use crate::reach::Group;
 use crate::upstream::UpstreamState;
 use crate::{
-    AttemptNumber, Occupancy, PeerLoad, Route, Router, RouterStats, UpstreamOpening, UpstreamStats,
+    AttemptNumber, Occupancy, PeerLoad, QueueNote, Route, Router, RouterStats, UpstreamOpening,
+    UpstreamStats,
 };
 use shaleline_types::{Millis, RequestId, Upstream};
 
+/// The most decisions that are kept until they are taken, which bounds memory where none are.
+const MAX_QUEUE_NOTES: usize = 256;
+
 impl Router {
     /// Returns counters and gauges.
     #[must_use]
@@ -67,6 +71,19 @@
         std::mem::take(&mut self.openings)
     }
 
+    /// Takes the decisions about queued and refused requests since the last call, of which the
+    /// oldest are kept if there are many.
+    pub fn take_queue_notes(&mut self) -> Vec<QueueNote> {
+        std::mem::take(&mut self.queue_notes)
+    }
+
+    /// Records a decision about a queued or refused request.
+    pub(crate) fn push_queue_note(&mut self, note: QueueNote) {
+        if self.queue_notes.len() < MAX_QUEUE_NOTES {
+            self.queue_notes.push(note);
+        }
+    }
+
     /// Returns whether an upstream gets no new requests, or `None` if it is not known.
     #[must_use]
     pub fn is_leaving(&self, upstream: &Upstream) -> Option<bool> {
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -4,7 +4,7 @@
 use crate::router::OpenRequest;
 use crate::schedule::{choose, Candidate, Choice, FreeSlot, Reason};
 use crate::upstream::{InFlight, UpstreamState};
-use crate::{OpeningCause, Route, RouteAction, RouteRequest, Router, UpstreamOpening};
+use crate::{OpeningCause, QueueNote, Route, RouteAction, RouteRequest, Router, UpstreamOpening};
 use shaleline_types::{ErrorKind, Millis, Org, RequestId, Upstream};
 use std::collections::BTreeSet;
 
@@ -39,7 +39,7 @@
             if let Some(state) = self.upstreams.get_mut(upstream) {
                 state.departures += 1;
             }
-            self.record_choice(&choice);
+            self.record_choice(&choice, now);
             self.send(id, upstream, now, out);
         }
     }
@@ -67,24 +67,25 @@
             })
         };
         let mut candidates = Vec::new();
-        for (route, queue) in queues() {
-            let over = self.exceeding(route, now);
-            for head in queue.heads_where(now, |id| !excludes(id)) {
+        let mut places = Vec::new();
+        let shares: Vec<(&RouteQueue, BTreeSet<&Org>)> = queues()
+            .map(|(route, queue)| (queue, self.exceeding(route, now)))
+            .collect();
+        for (queue, over) in &shares {
+            for head in queue.heads(now) {
                 let Some(open) = self.open.get(&head.id) else {
                     continue;
                 };
-                if self.may_start(open, upstream, state, now) {
-                    let work = open.request.work(state.uncached_tokens(&open.request));
-                    candidates.push(Candidate {
-                        id: head.id,
-                        level: head.line.level,
-                        latest: head.latest,
-                        work,
-                        arrived: head.arrived,
-                        over: over.contains(&head.line.org),
-                        turn: state.virtual_start(&head.line.org),
-                    });
-                }
+                candidates.push(Candidate {
+                    id: head.id,
+                    level: head.line.level,
+                    latest: head.latest,
+                    work: open.request.work(state.uncached_tokens(&open.request)),
+                    arrived: head.arrived,
+                    over: over.contains(&head.line.org),
+                    turn: state.virtual_start(&head.line.org),
+                });
+                places.push((*queue, head));
             }
         }
         // Several routes share the upstream: the slowest rate is the safe one.
@@ -96,13 +97,40 @@
             scarce: queues().filter_map(|(_, q)| q.scarce(now)).min(),
         };
         let waiting = || {
-            let all = queues().flat_map(|(route, queue)| {
-                let over = self.exceeding(route, now);
-                queue.waiting(move |org| over.contains(org))
-            });
+            let all = shares
+                .iter()
+                .flat_map(|(queue, over)| queue.waiting(|org| over.contains(org)));
             all.collect()
         };
-        choose(&candidates, waiting, &slot)
+        // Whether a request may be sent there takes longer to find out than its place in the order,
+        // so that only those that are chosen are checked.
+        loop {
+            let choice = choose(&candidates, waiting, &slot)?;
+            let index = candidates.iter().position(|c| c.id == choice.id)?;
+            let open = self.open.get(&choice.id)?;
+            if !excludes(choice.id) && self.may_start(open, upstream, state, now) {
+                return Some(choice);
+            }
+            let (queue, head) = places[index];
+            let next = match excludes(choice.id) {
+                true => queue.next_in_line(&head, now, |id| !excludes(id)),
+                false => None,
+            };
+            let next = next.and_then(|head| Some((head, &self.open.get(&head.id)?.request)));
+            let Some((head, request)) = next else {
+                candidates.swap_remove(index);
+                places.swap_remove(index);
+                continue;
+            };
+            places[index] = (queue, head);
+            candidates[index] = Candidate {
+                id: head.id,
+                latest: head.latest,
+                work: request.work(state.uncached_tokens(request)),
+                arrived: head.arrived,
+                ..candidates[index]
+            };
+        }
     }
 
     /// Returns whether a queued request may take a free slot of this upstream.
@@ -153,7 +181,20 @@
     }
 
     /// Counts the choices that did not follow the order of classes.
-    fn record_choice(&mut self, choice: &Choice) {
+    fn record_choice(&mut self, choice: &Choice, now: Millis) {
+        let request = |id| self.open.get(&id).map(|o| &o.request);
+        let left = |r: &RouteRequest| r.target.map(|t| Millis(t.since(now)));
+        if let (Some(sent), Some(overtaken)) = (request(choice.id), choice.overtaken) {
+            let note = QueueNote::Overtaken {
+                route: sent.route.clone(),
+                id: choice.id,
+                overtaken,
+                reason: choice.reason,
+                left: left(sent),
+                overtaken_left: request(overtaken).and_then(left),
+            };
+            self.push_queue_note(note);
+        }
         match choice.reason {
             Reason::Urgency => {}
             Reason::ShortWork => self.stats.short_first += 1,
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -107,6 +107,8 @@
     RestAsked 8111 Info "An upstream that turned a request away asked for rest; the line says how long, and through which daemon the request went.";
     TunnelMissed 8112 Warn "No daemon opened a tunnel to an upstream; the line gives how many were asked and how they answered.";
     SelectionRefused 8113 Info "The daemon that selects refused a request at once; the line gives how the upstreams of its route are occupied.";
+    RequestOvertaken 8120 Info "A queued request was sent before one that comes first by its class; the line gives the reason and the times left.";
+    RequestShed 8121 Info "A request was refused on arrival because its predicted wait is too long; the line gives the wait, the time left and the retry-after time.";
     RequestEnded 8201 Info "A request ended.";
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a complete answer.";
