--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,18 +13,23 @@
 //! * A [`Connection`] is one to an upstream; simulations have their own.
 //! * A [`Tunnels`] connects to upstreams that this instance does not reach itself, by a [`tunnel`]
 //!   through another one.
+//! * [`MemoryBudget`] counts what the daemon holds for its connections, and decides which of them to
+//!   pause and what to shed.
 
+mod budget;
 mod caller_stream;
 mod clock;
 mod connect;
 mod connection;
 mod control;
 mod exchange;
+mod head_limit;
 mod listener;
 mod pool;
 mod reply;
 pub mod tunnel;
 
+pub use budget::{Holder, MemoryBudget, MemoryKind, MemoryLevel, Shed};
 pub use clock::{Clock, SuspensionDetector, TimeSource};
 pub use connect::{
     connect_directly, open as open_connection, LocalFuture, Opened, Tunnel, Tunnels,
@@ -32,6 +37,7 @@
 pub use connection::{boxed, BoxedConnection, Connection};
 pub use control::ListenerControl;
 pub use exchange::{Exchange, Framing, SendError};
+pub use head_limit::MAX_HEAD_BYTES;
 pub use listener::{CallerAddress, Handler, Listener};
 pub use pool::{Pool, PoolSettings, ProbeOutcome, Target};
 pub use reply::{Chunk, Reply, ReplyBody, ReplyStream};
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 mod prefetch;
 mod services;
 mod shortage;
+mod slot_times;
 mod snapshot;
 mod unmet;
 mod valuation;
@@ -52,10 +53,11 @@
 pub use plan_note::{PlanNote, WaitReason};
 pub use planner::{PlanSettings, PlanView, Planner};
 pub use planner_lease::{
-    PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseRenewal, PlannerLeaseSettings,
-    PlannerLeaseView,
+    PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseRelease, PlannerLeaseRenewal,
+    PlannerLeaseSettings, PlannerLeaseView,
 };
 pub use services::ServicePlanners;
+pub use slot_times::{engine_work, SlotTimes};
 pub use unmet::{Unmet, UnmetByKey, UnmetDemand};
 pub use warmup::WarmupPhase;
 pub use window::LoadWindow;
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use shaleline_fleet::{Held, Order, OrderReply};
+use shaleline_route::Load;
 use shaleline_types::{
     Adapter, DataCentre, Incarnation, KeyHash, Millis, Model, Org, Service, SoftwareVersion,
     Upstream,
@@ -99,8 +100,8 @@
     pub signed: bool,
     /// Whether the upstream reports that the request did not run.
     pub not_run: bool,
-    /// The numbers of running and waiting requests, and of slots.
-    pub load: Option<(usize, usize, usize)>,
+    /// The load of the upstream, if it names one.
+    pub load: Option<Load>,
     /// How long the upstream keeps an idle connection; zero if it closes it.
     pub keep_alive: Option<Duration>,
     /// The upstream that answers, if named. It differs from the addressed one if it has taken over
@@ -148,6 +149,10 @@
     pub incarnation: Incarnation,
     /// The version of its software.
     pub version: SoftwareVersion,
+    /// The time left until it is removed, as it was when the entry was written. Daemons tell each other
+    /// in a message of its own, which daemons of earlier releases do not know.
+    #[serde(skip)]
+    pub remaining: Option<Millis>,
 }
 
 /// A call to an upstream that is not a caller's request.
@@ -210,6 +215,9 @@
     /// If it can't be parsed.
     fn held(&self, bytes: &[u8]) -> Result<Held, Malformed>;
 
+    /// The time left until an engine is removed, if its report names one.
+    fn remaining(&self, report: &[u8]) -> Option<Millis>;
+
     /// The path at which the platform asks whether this daemon takes work.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,12 +53,14 @@
 mod blocked_store;
 mod by_service;
 mod codec;
+mod config_check;
 mod control;
 mod crash_probe;
 mod discovery;
 mod dispatch;
 mod eligibility;
 mod era;
+mod event_pace;
 mod events;
 mod follow;
 mod gossip;
@@ -86,6 +88,7 @@
 mod refuse;
 mod relay;
 mod relays;
+mod removals;
 mod request;
 mod roster;
 mod selection;
@@ -110,6 +113,7 @@
 
 pub use admission::Revocation;
 pub use codec::{AnswerHead, Call, Codec, Entry, ForwardContext, Head, Malformed, RetryAfter};
+pub use config_check::{check_table, compare_tables, Finding, Severity};
 pub use journal::start_journal;
 pub use orgs::{CostUnit, OrgRule, Orgs, OrgsError};
 pub use settings::{Bounds, GatewaySettings, Listen, Policy};
@@ -134,11 +138,13 @@
     mod events;
     mod identity;
     mod job;
+    mod late_release;
     #[path = "limits/main.rs"]
     mod limits;
     #[path = "lost_services/main.rs"]
     mod lost_services;
     mod manual_clock;
+    mod measured;
     mod membership;
     mod one_daemon;
     mod paths;
@@ -146,8 +152,10 @@
     mod read_progress;
     mod ready;
     mod relays;
+    mod removals;
     mod roster;
     mod selection;
+    mod skipped_records;
     mod start;
     #[path = "stream_versions/main.rs"]
     mod stream_versions;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::{Answer, Ask, AskNote, Exclusion, OrderNote, ProgressNote, Ticket};
 use crate::eligibility::LeavingNote;
 use crate::relays::RelayMessage;
+use crate::removals::RemovalNote;
 use crate::stream_versions::{Knowledge, Origin, StreamKey};
 use crate::upstream_limits::LimitNote;
 use crate::Entry;
@@ -163,6 +164,8 @@
         incarnation: Incarnation,
         millis: u32,
     },
+    /// When upstreams that are removed at short notice will be gone.
+    Removals(Vec<RemovalNote>),
 }
 
 /// The reply to a daemon that needs a permit.
@@ -225,7 +228,7 @@
     /// packets and is lost with any of them, and a daemon that misses the renewals takes longer to
     /// succeed the planner.
     Renewed(PlannerInfo),
-    /// The planner has released its lease.
+    /// A planner of an earlier release has released its lease.
     Released,
     /// The models that an engine reported to hold.
     Held {
@@ -243,6 +246,8 @@
     Silent { end: u64, age: u32 },
     /// From a daemon that has sent [`PlannerUpdate::Silent`]: there are heartbeats again.
     Heard { end: u64, age: u32 },
+    /// The planner has released the lease with this fencing token.
+    LeaseReleased { fence: u64 },
 }
 
 /// The hubs that a daemon knows.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use shaleline_route::UpstreamStats;
 use shaleline_types::{Org, Upstream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +34,10 @@
     suspects: Gauge<u64>,
     rate_limits: Gauge<f64>,
     broken_paths: Gauge<u64>,
+    skipped: Counter<u64>,
+    too_large: Counter<u64>,
+    speeds: Gauge<u64>,
+    completions: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -90,6 +95,22 @@
                 .u64_gauge("shaleline_broken_paths")
                 .with_description("upstreams that this daemon reaches through another one alone")
                 .build(),
+            skipped: meter
+                .u64_counter("shaleline_skipped_records")
+                .with_description("records of the store that name no upstream, each counted once")
+                .build(),
+            too_large: meter
+                .u64_counter("shaleline_answers_too_large")
+                .with_description("answers of upstreams that exceeded the limit of a head or body")
+                .build(),
+            speeds: meter
+                .u64_gauge("shaleline_upstream_speed_percent")
+                .with_description("how long work takes relative to the others of the service")
+                .build(),
+            completions: meter
+                .u64_gauge("shaleline_upstream_completion_ms")
+                .with_description("time to the latest first event or whole answer")
+                .build(),
             _provider: provider,
         })
     }
@@ -128,6 +149,17 @@
         pairs.collect::<Vec<_>>().join(" ")
     }
 
+    /// Counts an answer whose head, or else its body, exceeded its limit.
+    pub(crate) fn count_too_large(&self, head: bool) {
+        let part = if head { "head" } else { "body" };
+        self.too_large.add(1, &[KeyValue::new("part", part)]);
+    }
+
+    /// Counts a record of the store that names no upstream.
+    pub(crate) fn count_skipped(&self) {
+        self.skipped.add(1, &[]);
+    }
+
     /// Counts an order by the engine's reply.
     pub(crate) fn count_order(&self, reply: &'static str) {
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
@@ -172,6 +204,23 @@
         self.broken_paths.record(count as u64, &[]);
     }
 
+    /// Records the present speed of each upstream that answered, and what was predicted and measured
+    /// of its latest answer.
+    pub(crate) fn record_completions(&self, upstreams: &[UpstreamStats]) {
+        for stats in upstreams {
+            let (Some(predicted), Some(measured)) = (stats.predicted_ms, stats.measured_ms) else {
+                continue;
+            };
+            let label = KeyValue::new("upstream", stats.name.clone());
+            self.speeds
+                .record(stats.speed_percent, std::slice::from_ref(&label));
+            for (kind, millis) in [("predicted", predicted), ("measured", measured)] {
+                let labels = [label.clone(), KeyValue::new("kind", kind)];
+                self.completions.record(millis, &labels);
+            }
+        }
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let families = self.registry.gather();
         TextEncoder::new()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,21 +4,24 @@
 //! `attempt` sends it, `relay` passes a stream on, and `refuse` answers if no upstream did.
 
 use crate::attempt::{self, Outcome};
+use crate::event_pace::EventPace;
 use crate::job::Job;
 use crate::journal::emit;
 use crate::refuse::{self, Refusal};
 use crate::state::Gateway;
 use crate::table::Repeat;
-use crate::{Head, Table};
+use crate::{AnswerHead, Head, Table};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::Request;
 use shaleline_edge::{CallerAddress, Framing, Handler, Reply};
-use shaleline_route::{AttemptEnd, AttemptNumber, RouteAction};
+use shaleline_fleet::engine_work;
+use shaleline_route::{AttemptEnd, AttemptNumber, Measurement, RouteAction};
 use shaleline_types::{
-    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, SoftwareVersion, Upstream,
+    ErrorKind, Identity, IncarnationTag, LogEvent, Millis, RequestId, Service, SoftwareVersion,
+    Upstream,
 };
 use std::future::Future;
 use std::pin::Pin;
@@ -61,6 +64,8 @@
     pub(crate) version: Option<SoftwareVersion>,
     /// The upstreams that crashed during its attempts.
     pub(crate) crashed: Vec<IncarnationTag>,
+    /// Whether the latest attempt failed because its answer exceeded a limit.
+    pub(crate) too_large: bool,
 }
 
 impl Permit {
@@ -88,6 +93,7 @@
             in_event: false,
             version: job.bound.clone(),
             crashed: Vec::new(),
+            too_large: false,
         };
         let base = job.base();
         let served = base.is_none_or(|b| gw.router.borrow().is_served(&b));
@@ -132,6 +138,25 @@
         }
     }
 
+    /// Reports the slowdown that an upstream named in its answer.
+    pub(crate) fn slowdown(&self, attempt: AttemptNumber, answer: &AnswerHead) {
+        let Some(slowdown) = answer.load.and_then(|l| l.slowdown) else {
+            return;
+        };
+        let measurement = Measurement {
+            slowdown: Some(slowdown),
+            ..Measurement::default()
+        };
+        self.gw.on_measured(self.id, attempt, measurement);
+    }
+
+    /// Reports the time between the events of a complete stream.
+    pub(crate) fn event_pace(&self, attempt: AttemptNumber, pace: &EventPace) {
+        if let Some(measurement) = pace.to_measurement() {
+            self.gw.on_measured(self.id, attempt, measurement);
+        }
+    }
+
     pub(crate) fn end(&mut self, attempt: AttemptNumber, end: AttemptEnd) {
         self.open &= !matches!(end, AttemptEnd::Whole | AttemptEnd::Cancelled);
         self.gw.on_end(self.id, attempt, end);
@@ -406,13 +431,13 @@
     let shared: u64 = job.head.parts.iter().map(|(_, t)| u64::from(*t)).sum();
     let tokens = job.head.prompt.max(shared) as f64;
     let cost = gw.router.borrow().token_cost(&route);
+    let held = gw.slot_times.borrow().expected(model, job.head.output);
+    let work = engine_work(tokens * cost, held, gw.request_slots(&job.service));
     let adapter = job.head.adapter.as_ref();
     // A retry was counted at its first attempt: counting it again would double the apparent demand
     // for a model whose callers are refused.
     if !job.is_retry {
-        gw.demand
-            .borrow_mut()
-            .record(model, adapter, tokens * cost, now);
+        gw.demand.borrow_mut().record(model, adapter, work, now);
     }
     let Some(adapter) = adapter else {
         return;
@@ -429,6 +454,22 @@
 }
 
 impl Gateway {
+    /// The number of requests that an engine of a service runs at once; 0 if it is not declared.
+    fn request_slots(&self, service: &Service) -> usize {
+        let table = self.table();
+        let catalog = table.as_ref().and_then(|t| t.catalog(service));
+        catalog.map_or(0, |c| c.request_slots)
+    }
+
+    /// Records how long the whole answer to a request held its slot, from its first byte on.
+    pub(crate) fn record_slot_time(&self, job: &Job, first: Option<u64>) {
+        if let (Some(model), Some(first)) = (&job.head.model, first) {
+            let held = self.now().since(job.arrived.plus(first));
+            let mut times = self.slot_times.borrow_mut();
+            times.record(model, job.head.output, held);
+        }
+    }
+
     /// Records that a caller was refused with the retry-after time `retry`, if no engine is known
     /// to serve the model or adapter. Only a first attempt is followed by a retry.
     pub(crate) fn record_unmet(&self, job: &Job, retry: Millis) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::planner_watch::PlannerWatch;
 use crate::read_progress::ReadProgress;
 use crate::relays::Relays;
+use crate::removals::Removals;
 use crate::roster::{Change, Roster};
 use crate::skipped_records::SkippedRecords;
 use crate::stall::StallDetector;
@@ -29,13 +30,14 @@
 use crate::version_lookup::LookUps;
 use crate::wanted::WantedAdapters;
 use crate::wanted_reports::WantedReports;
-use crate::{Bounds, Codec, GatewaySettings, Store, Table};
+use crate::{Bounds, Codec, Entry, GatewaySettings, Store, Table};
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, ListenerControl, Pool, PoolSettings, Target};
 use shaleline_fleet::{
-    Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, UnmetDemand,
+    Demand, Fleet, HeldSource, LastOrders, PlannerLease, PlannerLeaseSettings, SlotTimes,
+    UnmetDemand,
 };
 use shaleline_route::{
     Load, Permits, QueueNote, Reason, RetrySettings, Route, RouteAction, RouteEvent, Router,
@@ -98,6 +100,8 @@
     pub(crate) fleets: RefCell<BTreeMap<Service, Fleet>>,
     pub(crate) allowances: RefCell<Allowances>,
     pub(crate) demand: RefCell<Demand>,
+    /// How long the answers to this daemon's callers hold slots.
+    pub(crate) slot_times: RefCell<SlotTimes>,
     /// The demand of this daemon's callers that was not served.
     pub(crate) unmet: RefCell<UnmetDemand>,
     pub(crate) membership: RefCell<Membership>,
@@ -163,6 +167,8 @@
     pub(crate) upstream_limits: RefCell<UpstreamLimits>,
     /// What upstreams said in their answers about their end.
     pub(crate) announcements: RefCell<Announcements>,
+    /// When upstreams that are removed at short notice will be gone.
+    pub(crate) removals: RefCell<Removals>,
     /// The permits of this daemon's share of upstreams' rates, and its sends that wait for some.
     pub(crate) permits: RefCell<Permits>,
     pub(crate) held_sends: RefCell<HeldSends>,
@@ -265,6 +271,7 @@
             fleets: RefCell::new(BTreeMap::new()),
             allowances: RefCell::new(Allowances::new(settings.bounds.tolerance)),
             demand: RefCell::new(Demand::default()),
+            slot_times: RefCell::new(SlotTimes::default()),
             unmet: RefCell::new(UnmetDemand::default()),
             membership: RefCell::new(membership),
             reading: RefCell::new(ReadProgress::default()),
@@ -296,6 +303,7 @@
             open_tunnels: Rc::default(),
             upstream_limits: RefCell::new(UpstreamLimits::default()),
             announcements: RefCell::new(Announcements::default()),
+            removals: RefCell::new(Removals::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
             stream_versions: RefCell::new(StreamVersions::default()),
@@ -369,6 +377,7 @@
                 self.route(RouteEvent::Restarted(name.clone()));
                 self.forget_limits(&name);
                 self.announcements.borrow_mut().on_ended(&name);
+                self.removals.borrow_mut().on_restarted(&name);
                 self.forget_path(&name);
                 self.apply_entry(&name);
             }
@@ -396,6 +405,10 @@
         let Some(entry) = self.roster.borrow().get(name).cloned() else {
             return;
         };
+        if let Some(reason) = self.unusable_reason(&entry) {
+            self.withdraw(name, &entry.service, reason);
+            return;
+        }
         let leaving = self.is_leaving(name);
         self.on_version_listed(&entry.service, &entry.version);
         if let Some(held) = entry.held.clone() {
@@ -418,6 +431,7 @@
             };
             let load = Load {
                 slots,
+                concurrency: entry.held.as_ref().map(|_| entry.slots),
                 ..Load::default()
             };
             self.route(RouteEvent::Report {
@@ -431,6 +445,39 @@
         });
     }
 
+    /// Why the configuration in force does not let an entry name an upstream. An engine's entry
+    /// lists its models; one that lacks them in a service of engines is of another writer.
+    pub(crate) fn unusable_reason(&self, entry: &Entry) -> Option<&'static str> {
+        let table = self.table()?;
+        if !table.has_service(&entry.service) {
+            return Some("unknown service");
+        }
+        let lacks_models = entry.held.is_none() && table.catalog(&entry.service).is_some();
+        lacks_models.then_some("missing field `models` in a service of engines")
+    }
+
+    /// Takes an upstream out of use that the configuration does not let its entry name. A later
+    /// configuration may let it.
+    fn withdraw(&self, name: &Upstream, service: &Service, reason: &str) {
+        self.log_skipped(name.as_str(), reason);
+        if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
+            fleet.remove(name);
+        }
+        self.route(RouteEvent::Leaving {
+            upstream: name.clone(),
+            on: true,
+        });
+    }
+
+    /// Logs that a record of the store is skipped, unless that was logged before.
+    pub(crate) fn log_skipped(&self, key: &str, reason: &str) {
+        if self.skipped.borrow_mut().is_new(key, reason) {
+            self.metrics.count_skipped();
+            let detail = format!("key={key:?} reason={reason:?}");
+            emit(LogEvent::EntrySkipped, &detail);
+        }
+    }
+
     /// Passes the routes that an upstream serves now to the router.
     pub(crate) fn publish(&self, name: &Upstream) {
         let Some(info) = self.site(name) else {
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -253,7 +253,7 @@
                     return;
                 };
                 match progress {
-                    ProgressNote::FirstByte(_) => {}
+                    ProgressNote::FirstByte(_) | ProgressNote::Measured(..) => {}
                     ProgressNote::Gone => self.route(RouteEvent::CallerGone(id)),
                     ProgressNote::Ended(attempt, end) => {
                         self.selector.set_queued(id);
@@ -599,6 +599,7 @@
             held: None,
             incarnation: Incarnation::default(),
             version: shaleline_types::SoftwareVersion::default(),
+            remaining: None,
         };
         let record = |number| EntryRecord {
             name: upstream(number),
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -1,6 +1,6 @@
 //! The events that the router takes and the actions it returns.
 
-use crate::{Limits, UpstreamLimit, BLOCK_TOKENS};
+use crate::{Limits, Measurement, UpstreamLimit, BLOCK_TOKENS};
 use shaleline_types::{
     Adapter, DataCentre, ErrorKind, Fingerprint, Identity, IncarnationTag, Millis, Model, Org,
     RequestId, Service, SoftwareVersion, Upstream,
@@ -220,8 +220,13 @@
     pub running: usize,
     /// Requests that wait.
     pub waiting: usize,
-    /// Requests that it can run at once within its target.
+    /// Requests that it can run at once within its target, and those that it may queue.
     pub slots: usize,
+    /// Requests that it runs at once, where `slots` also counts a queue.
+    pub concurrency: Option<usize>,
+    /// How long work takes there at the moment of the report, in percent of the usual time, if it
+    /// says so.
+    pub slowdown: Option<u32>,
     /// Whether it is leaving.
     pub leaving: bool,
 }
@@ -249,6 +254,15 @@
         /// The attempt it answers.
         attempt: AttemptNumber,
     },
+    /// A daemon measured how fast an upstream works, or read it in an answer.
+    Measured {
+        /// The request.
+        id: RequestId,
+        /// The attempt that it answers.
+        attempt: AttemptNumber,
+        /// What was measured.
+        measurement: Measurement,
+    },
     /// More of an answer was received.
     Progress {
         /// The request.
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -65,7 +65,7 @@
     ChangeRefused 3002 Warn "A configuration change was refused.";
     TableInForce 3101 Info "A version of the platform's configuration is in force.";
     TableRefused 3102 Error "A version of the platform's configuration cannot be decoded; the previous version stays in force.";
-    EntrySkipped 3103 Warn "A record of the platform's store cannot be decoded and is skipped.";
+    EntrySkipped 3103 Warn "A record of the platform's store is skipped: it cannot be decoded, or lacks what the configuration requires of it.";
     SettingsChanged 3104 Info "The settings file changed.";
     SettingsRefused 3105 Warn "The settings file is malformed; the previous settings stay in force.";
     KeysStale 3106 Warn "Callers' API keys can no longer be verified: the configuration may have changed.";
@@ -107,6 +107,7 @@
     RestAsked 8111 Info "An upstream that turned a request away asked for rest; the line says how long, and through which daemon the request went.";
     TunnelMissed 8112 Warn "No daemon opened a tunnel to an upstream; the line gives how many were asked and how they answered.";
     SelectionRefused 8113 Info "The daemon that selects refused a request at once; the line gives how the upstreams of its route are occupied.";
+    RemovalKnown 8114 Info "An upstream is removed at short notice; the line gives its earliest time and who reported it.";
     RequestOvertaken 8120 Info "A queued request was sent before one that comes first by its class; the line gives the reason and the times left.";
     RequestShed 8121 Info "A request was refused on arrival because its predicted wait is too long; the line gives the wait, the time left and the retry-after time.";
     RequestEnded 8201 Info "A request ended.";
