--- a/crates/cli/tests/unit/check.rs
+++ b/crates/cli/tests/unit/check.rs
@@ -110,7 +110,9 @@
     let paths = [&old, &new].map(|p| p.to_str().expect("UTF-8").to_owned());
     let text = run(&paths[1], Some(&paths[0])).expect("it may be sent");
     let back = run(&paths[0], Some(&paths[1])).expect_err("the version is lower");
-    [old, new].map(|p| std::fs::remove_file(p).expect("it was written"));
+    for path in [old, new] {
+        std::fs::remove_file(path).expect("it was written");
+    }
     for line in [
         "route book: removed",
         "route order: added",
--- a/crates/edge/tests/budget.rs
+++ b/crates/edge/tests/budget.rs
@@ -178,6 +178,7 @@
 
 /// The sums agree, something is paused from three quarters on, and after shedding what is left fits
 /// or can't be shed.
+#[allow(clippy::needless_pass_by_value)] // quickcheck passes arguments by value
 fn is_consistent(steps: Vec<Step>) -> TestResult {
     let mut budget = MemoryBudget::new(LIMIT);
     for (i, step) in steps.iter().enumerate() {
