--- a/crates/gateway/tests/unit/job.rs
+++ b/crates/gateway/tests/unit/job.rs
@@ -102,7 +102,7 @@
     assert_eq!(request.due, NOW.plus(9_000));
 }
 
-/// A retry of a route with a timeout of 12 s, whose caller still waits for so long: whether it is
+/// A retry of a route with a timeout of 12 s, whose caller still waits for this time: whether it is
 /// served like a first attempt, and the time left until the end of its target.
 fn retry_with((target, left): (u64, u64)) -> (bool, u64) {
     let first = job((target, Some(250)), false);
--- a/crates/route/src/schedule.rs
+++ b/crates/route/src/schedule.rs
@@ -25,8 +25,8 @@
 const INTERVAL_MARGIN: f64 = 2.0;
 
 /// The factor by which a predicted wait must exceed the time left for a request to be refused on
-/// arrival. With 1, requests are refused that would have started in time; with more than 2, more
-/// are held in vain.
+/// arrival. A smaller factor refuses requests that would have started in time; a larger one holds
+/// more that are refused in the end.
 const SHED_MARGIN: f64 = 2.0;
 
 /// A request that may take a free slot.
--- a/crates/route/src/select.rs
+++ b/crates/route/src/select.rs
@@ -25,8 +25,7 @@
 const FULL_LOAD_MS: f64 = 400.0;
 
 /// The cost of an engine whose slots are all taken, before any request waits for one: its prompts
-/// and streams slow each other down. With 150, fewer streams are in time near capacity (0.871
-/// instead of 0.877 in the replay of `tests/completion.rs`), and those at half load start later.
+/// and streams slow each other down. A larger cost keeps streams off fast engines near capacity.
 const FULL_ENGINE_MS: f64 = 50.0;
 
 /// A large prompt may be sent where the prompt backlog is at most this fraction of the limit:
--- a/crates/route/tests/schedule.rs
+++ b/crates/route/tests/schedule.rs
@@ -230,7 +230,7 @@
     Route::Service(Service::from_text("s").expect("a valid name"))
 }
 
-/// A router with one upstream of so many slots.
+/// A router with one upstream that has this number of slots.
 fn router(slots: usize, reserve: bool) -> Router {
     let centre = DataCentre::from_text("dc1").expect("a valid name");
     let settings = RouterSettings {
