--- a/crates/cli/tests/unit/check.rs
+++ b/crates/cli/tests/unit/check.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use shaleline_testkit::cases;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// A configuration without any finding.
 fn sound() -> Value {
