--- a/crates/route/tests/replay/mod.rs
+++ b/crates/route/tests/replay/mod.rs
@@ -562,6 +562,11 @@
         ..RouterSettings::new(centre())
     };
     let mut router = Router::new(settings, ShareBook::alone("me"));
+    // With unseen work of other daemons, sends are spread and all upstreams are measured.
+    router.set_peer_visibility(PeerVisibility {
+        unseen_ms: 100.0,
+        ..PeerVisibility::default()
+    });
     for number in 0..PLAIN_COUNT {
         let info = UpstreamInfo {
             centre: centre(),
