--- a/crates/cli/tests/unit/check.rs
+++ b/crates/cli/tests/unit/check.rs
@@ -26,13 +26,13 @@
     })
 }
 
-/// Writes a configuration to a file of its own, named by the test.
+/// The number of files written so far: tests that change the same field run side by side.
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+/// Writes a configuration to a file of its own.
 fn file(name: &str, config: &Value) -> PathBuf {
-    let dir = std::env::temp_dir();
-    let path = dir.join(format!(
-        "shaleline-check-{}-{name}.json",
-        std::process::id()
-    ));
+    let (process, number) = (std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(format!("shaleline-check-{process}-{number}-{name}.json"));
     std::fs::write(&path, config.to_string()).expect("the temporary folder can be written to");
     path
 }
