--- a/crates/gateway/src/removals.rs
+++ b/crates/gateway/src/removals.rs
@@ -177,7 +177,7 @@
         due.map(|(name, r)| r.note(name, now)).collect()
     }
 
-    /// What another daemon is told about the removal of an upstream.
+    /// The notice of the removal of an upstream that is sent to another daemon.
     pub(crate) fn note(&self, upstream: &Upstream, now: Millis) -> Option<RemovalNote> {
         self.known.get(upstream).map(|r| r.note(upstream, now))
     }
