A release of the planner lease counts only behind its holder's record

Cause: a reader looked at the newest record alone and believed whatever it says. The condition that makes a release safe was the writer's alone.

Change: releases that are appended on a condition name their token. For a release without one, the records before it are read; it counts only if the last record in force is its writer's own. Otherwise, and where the records are gone, the holder before it keeps the lease (last_effective, pure). A holder that hears of a release or of a higher token, or finds another end, sends no orders until it has renewed, as a daemon of the earlier release may have acquired the lease meanwhile.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! * [`PlannerLease`] is the lease of the single planner, kept in the platform's log: the daemon
 //!   that appends a record at the expected end of the topic holds it, and the record's offset is
-//!   the fencing token.
+//!   the fencing token. [`last_effective`] finds the record that counts where daemons of earlier
+//!   releases write to the topic too.
 //! * [`Fleet`] is the known state of every engine; unconfirmed orders count at their worst case.
 //! * [`Planner`] proposes [`Order`]s from the fleet, the [`Catalog`] and the [`Demand`];
 //!   [`ServicePlanners`] keeps one planner for each service.
@@ -26,6 +27,7 @@
 mod fleet;
 mod handover;
 mod holders;
+mod lease_history;
 mod model_absence;
 mod model_index;
 mod moves;
@@ -49,6 +51,7 @@
 pub use engine::{Engine, Held, HeldSource};
 pub use fleet::Fleet;
 pub use handover::{Handover, LastOrders};
+pub use lease_history::{last_effective, LeaseChange, LeaseEntry};
 pub use order::{Order, OrderKind, OrderReply};
 pub use plan_note::{PlanNote, WaitReason};
 pub use planner::{PlanSettings, PlanView, Planner};
--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -84,7 +84,8 @@
 pub struct PlannerLeaseView {
     /// The end of the topic: a number that rises over all eras of the store.
     pub end: u64,
-    /// The writer of the newest record, if there is one.
+    /// The writer of the newest record that took effect, see [`crate::last_effective`]; none if the
+    /// topic has no records.
     pub holder: Option<String>,
     /// Whether that record releases the lease.
     pub released: bool,
@@ -126,6 +127,34 @@
     },
 }
 
+/// Whether a holder may still send orders, as far as it depends on what it learns from others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Confirmation {
+    /// Nothing suggests that another daemon holds the lease.
+    Confirmed,
+    /// Another daemon may hold the lease; it is renewed at once to find out.
+    Doubtful,
+    /// A renewal has begun since, or was tried.
+    Renewing,
+}
+
+impl Confirmation {
+    fn on_renewal_begun(self) -> Self {
+        match self {
+            Self::Doubtful => Self::Renewing,
+            other => other,
+        }
+    }
+
+    /// A renewal that began before the doubt arose does not remove it.
+    fn on_renewed(self) -> Self {
+        match self {
+            Self::Renewing => Self::Confirmed,
+            other => other,
+        }
+    }
+}
+
 /// One daemon's view of the planner lease.
 #[derive(Debug)]
 pub struct PlannerLease {
@@ -153,6 +182,8 @@
     in_flight: bool,
     /// Whether the end of the topic must be read before the next append.
     must_read: bool,
+    /// Whether this daemon still holds the lease, where it does by its own records.
+    confirmation: Confirmation,
 }
 
 /// An interval without a planner, as far as is known.
@@ -223,12 +254,19 @@
             highest: 0,
             in_flight: false,
             must_read: false,
+            confirmation: Confirmation::Confirmed,
         }
     }
 
     /// Returns the fencing token while this daemon may send orders.
     #[must_use]
     pub fn fence(&self, now: Millis) -> Option<u64> {
+        let is_confirmed = self.confirmation == Confirmation::Confirmed;
+        self.valid_token(now).filter(|_| is_confirmed)
+    }
+
+    /// The fencing token of this daemon until its lease lapses.
+    fn valid_token(&self, now: Millis) -> Option<u64> {
         match self.state {
             State::Holding {
                 fence, valid_from, ..
@@ -258,7 +296,7 @@
     /// Learns that the topic has lost its newest records, and that new ones are at `start` or behind.
     pub fn on_loss(&mut self, start: u64, now: Millis) {
         self.kept_until = match self.state {
-            State::Holding { valid_from, .. } if self.fence(now).is_some() => {
+            State::Holding { valid_from, .. } if self.valid_token(now).is_some() => {
                 Some(valid_from.plus(self.settings.validity.0))
             }
             _ => self.kept_until,
@@ -376,19 +414,24 @@
     /// Records that a daemon holds the lease with this fencing token.
     pub fn on_token(&mut self, fence: u64) {
         self.highest = self.highest.max(fence);
+        if self.token().is_some_and(|own| own < fence) {
+            self.confirmation = Confirmation::Doubtful;
+        }
     }
 
     /// Records that the holder with this fencing token announced the release of the lease: the
-    /// topic is read at once. Daemons of earlier releases don't name the token. Returns false for
-    /// the release of an earlier lease than the latest one known, which changes nothing.
+    /// topic is read at once. Daemons of earlier releases don't name the token. Returns false if
+    /// that changes nothing: for the release of an earlier lease than the latest one known, and at
+    /// the holder, which finds out by a renewal whether a daemon took the lease to be free.
     pub fn on_release(&mut self, fence: Option<u64>) -> bool {
         if fence.is_some_and(|f| f < self.highest) {
             return false;
         }
-        if !self.is_holder() {
-            self.must_read = true;
+        match self.is_holder() {
+            true => self.confirmation = Confirmation::Doubtful,
+            false => self.must_read = true,
         }
-        true
+        !self.is_holder()
     }
 
     /// Gives up the lease. Returns the release to append; none if this daemon does not hold the
@@ -398,7 +441,7 @@
         let release = match self.state {
             State::Holding {
                 end, valid_from, ..
-            } => self.fence(now).map(|fence| PlannerLeaseRelease {
+            } => self.valid_token(now).map(|fence| PlannerLeaseRelease {
                 fence,
                 end,
                 lapses: valid_from.plus(self.settings.validity.0),
@@ -415,11 +458,14 @@
         self.last_renewal = None;
     }
 
-    /// Whether the next action is to acquire the lease.
+    /// Whether the next action is to acquire the lease, or to confirm it.
     #[must_use]
-    pub fn may_acquire(&self, now: Millis) -> bool {
-        let is_due =
-            matches!(self.state, State::Waiting { since, wait, .. } if now.since(since) >= wait);
+    pub fn may_append(&self, now: Millis) -> bool {
+        let is_due = match self.state {
+            State::Waiting { since, wait, .. } => now.since(since) >= wait,
+            State::Holding { .. } => self.confirmation == Confirmation::Doubtful,
+            State::Watching | State::Acquiring { .. } => false,
+        };
         is_due && !self.must_read && !self.in_flight
     }
 
@@ -448,14 +494,17 @@
             State::Acquiring { .. } => due(self.settings.read_interval.0, self.last_action)
                 .then_some(PlannerLeaseAction::Read),
             State::Holding { end, fence, .. } => {
-                due(self.settings.renew_interval.0, self.last_action).then_some(
-                    PlannerLeaseAction::Append {
-                        end,
-                        fence: Some(fence),
-                    },
-                )
+                let is_doubtful = self.confirmation == Confirmation::Doubtful;
+                let is_due = due(self.settings.renew_interval.0, self.last_action);
+                (is_due || is_doubtful).then_some(PlannerLeaseAction::Append {
+                    end,
+                    fence: Some(fence),
+                })
             }
         };
+        if let Some(PlannerLeaseAction::Append { .. }) = action {
+            self.confirmation = self.confirmation.on_renewal_begun();
+        }
         if action.is_some() {
             self.in_flight = true;
             self.last_action = Some(now);
@@ -537,6 +586,7 @@
         match self.state {
             State::Acquiring { .. } => self.hold(offset, offset + 1, started),
             State::Holding { fence, .. } => {
+                self.confirmation = self.confirmation.on_renewed();
                 self.state = State::Holding {
                     fence,
                     end: offset + 1,
@@ -551,6 +601,7 @@
         // A token of 0 could be taken for none.
         let fence = offset + 1;
         self.on_token(fence);
+        self.confirmation = Confirmation::Confirmed;
         self.state = State::Holding {
             fence,
             end,
@@ -563,8 +614,9 @@
     pub fn on_conflict(&mut self) {
         self.in_flight = false;
         self.must_read = true;
-        if !self.is_holder() {
-            self.state = State::Watching;
+        match self.is_holder() {
+            true => self.confirmation = Confirmation::Doubtful,
+            false => self.state = State::Watching,
         }
     }
 
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -432,7 +432,7 @@
         fence: None,
     };
     let mut now = START;
-    while !lease.may_acquire(Millis(now)) {
+    while !lease.may_append(Millis(now)) {
         assert_ne!(lease.tick(Millis(now)), Some(append));
         lease.on_read(&view, Millis(now));
         now += 50;
@@ -496,7 +496,7 @@
     let now = Millis(START + ms);
     lease.tick(now);
     lease.on_read(&view(9, Some("other")), now);
-    assert!(lease.may_acquire(now));
+    assert!(lease.may_append(now));
     lease.tick(now);
     lease.on_appended(9, now);
     lease.idle_time(now).0
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -487,6 +487,7 @@
     /// that it concerns.
     fn on_lease_released(&self, fence: Option<u64>) -> Audience {
         if !self.planner_lease.borrow_mut().on_release(fence) {
+            self.plan_now.notify_one();
             return Audience::Receiver;
         }
         self.planner_watch.borrow_mut().on_released();
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -5,14 +5,21 @@
 use crate::message::PlannerUpdate;
 use crate::planner::PlannerState;
 use crate::state::Gateway;
-use crate::store::{Batch, StoreError, Topic};
+use crate::store::{Batch, Record, StoreError, StoreResult, Topic};
 use serde::{Deserialize, Serialize};
-use shaleline_fleet::{Handover, PlannerLeaseAction, PlannerLeaseRelease, PlannerLeaseView};
+use shaleline_fleet::{
+    last_effective, Handover, LeaseChange, LeaseEntry, PlannerLeaseAction, PlannerLeaseRelease,
+    PlannerLeaseView,
+};
 use shaleline_types::{LogEvent, Millis, Position};
 
 /// The key of the lease.
 const KEY: &str = "planner";
 
+/// The number of records before a release that are read to find out whose lease it is: a holder's last
+/// renewal and the releases of three other daemons.
+const HISTORY_LEN: u64 = 4;
+
 /// The record of the lease in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct LeaseRecord {
@@ -24,6 +31,36 @@
     /// The holder's last orders, where it releases the lease.
     #[serde(default)]
     last: Option<Handover>,
+    /// The fencing token of the lease that it releases. Daemons of earlier releases name none and
+    /// append their releases without a condition.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    fence: Option<u64>,
+}
+
+impl LeaseRecord {
+    /// Decodes a record. One that can't be parsed still means that some daemon holds the lease.
+    fn decode(record: &Record) -> Option<Self> {
+        let value = record.value.as_deref().filter(|_| record.key == KEY)?;
+        let unknown = || Self {
+            holder: "unknown".to_owned(),
+            released: false,
+            era: 0,
+            last: None,
+            fence: None,
+        };
+        Some(serde_json::from_slice(value).unwrap_or_else(|_| unknown()))
+    }
+
+    fn entry(&self) -> LeaseEntry<'_> {
+        LeaseEntry {
+            holder: &self.holder,
+            change: match (self.released, self.fence) {
+                (false, _) => LeaseChange::Held,
+                (true, Some(_)) => LeaseChange::Released,
+                (true, None) => LeaseChange::ReleasedUnconditionally,
+            },
+        }
+    }
 }
 
 /// The next action on the lease, where this daemon is a candidate.
@@ -43,10 +80,11 @@
     match action {
         PlannerLeaseAction::Read => {
             read(gw).await;
-            // A lease that was released is acquired without another check.
+            // A lease that was released is acquired, and one that must be confirmed is renewed,
+            // without another check.
             let now = gw.now();
-            let may_acquire = gw.planner_lease.borrow().may_acquire(now);
-            let next = may_acquire.then(|| next_action(gw)).flatten();
+            let may_append = gw.planner_lease.borrow().may_append(now);
+            let next = may_append.then(|| next_action(gw)).flatten();
             if let Some(PlannerLeaseAction::Append { end, .. }) = next {
                 append(gw, end, now).await;
             }
@@ -56,13 +94,10 @@
 }
 
 async fn read(gw: &Gateway) {
-    let newest = gw.store.newest(Topic::Planner).await;
-    gw.metrics.count_store("planner", newest.is_ok());
-    gw.check_era();
-    let first = !gw.era.has_ended();
+    let lease_read = read_lease(gw).await;
     let mut lease = gw.planner_lease.borrow_mut();
     let now = gw.now();
-    match newest.as_ref().map(|batch| to_view(batch, first)) {
+    match lease_read {
         Ok((view, last)) => {
             lease.on_read(&view, now);
             let inherited = last.map(|last| Inherited {
@@ -76,6 +111,46 @@
     }
 }
 
+/// Reads who holds the lease, and the last orders of a holder that has released it.
+async fn read_lease(gw: &Gateway) -> StoreResult<(PlannerLeaseView, Option<Handover>)> {
+    let newest = gw.store.newest(Topic::Planner).await;
+    gw.metrics.count_store("planner", newest.is_ok());
+    gw.check_era();
+    let newest = newest?;
+    let mut records: Vec<LeaseRecord> = newest
+        .records
+        .iter()
+        .filter_map(LeaseRecord::decode)
+        .collect();
+    let unconditional = |r: &LeaseRecord| r.entry().change == LeaseChange::ReleasedUnconditionally;
+    if let Some(release) = newest.records.iter().find(|r| r.key == KEY) {
+        if records.iter().any(unconditional) {
+            records = read_history(gw, release, records).await;
+        }
+    }
+    let first = !gw.era.has_ended();
+    Ok(to_view(&newest, &records, first))
+}
+
+/// Reads the records before a release. If they are gone, returns what was read already: the release
+/// then counts for nothing.
+async fn read_history(
+    gw: &Gateway,
+    release: &Record,
+    newest: Vec<LeaseRecord>,
+) -> Vec<LeaseRecord> {
+    let offset = release.position.offset().saturating_sub(HISTORY_LEN);
+    let from = Position::new(release.position.era(), offset);
+    let history = gw.store.tail(Topic::Planner, from, Millis(0)).await;
+    gw.metrics.count_store("planner", history.is_ok());
+    let Ok(history) = history else {
+        return newest;
+    };
+    let until = |r: &&Record| r.position <= release.position;
+    let records = history.records.iter().filter(until);
+    records.filter_map(LeaseRecord::decode).collect()
+}
+
 /// The state left by a planner that released its lease.
 #[derive(Debug, Clone)]
 pub(crate) struct Inherited {
@@ -86,47 +161,48 @@
     pub(crate) read: Millis,
 }
 
-/// The lease as a read shows it. `first` says that no loss of records is known, so that a topic
-/// without any never had one.
-fn to_view(batch: &Batch, first: bool) -> (PlannerLeaseView, Option<Handover>) {
-    let newest = batch.records.iter().find(|r| r.key == KEY);
-    let value = newest.and_then(|r| r.value.as_deref());
-    // A record that can't be parsed still means that some daemon holds the lease.
-    let record = value.map(|v| {
-        serde_json::from_slice(v).unwrap_or(LeaseRecord {
-            holder: "unknown".to_owned(),
-            released: false,
-            era: 0,
-            last: None,
-        })
-    });
-    let released = record.as_ref().is_some_and(|r| r.released);
-    let is_current = record.as_ref().map_or(first, |r| r.era == batch.next.era());
-    let last = record.as_ref().and_then(|r| r.last.clone());
-    let last = last.filter(|_| is_current);
+/// The lease as a read shows it, given the consecutive records up to the newest one. `first` says
+/// that no loss of records is known, so that a topic without any never had one.
+fn to_view(
+    batch: &Batch,
+    records: &[LeaseRecord],
+    first: bool,
+) -> (PlannerLeaseView, Option<Handover>) {
+    let entries: Vec<LeaseEntry<'_>> = records.iter().map(LeaseRecord::entry).collect();
+    let effective = last_effective(&entries).map(|i| &records[i]);
+    // Without it, the topic has a release that counts for nothing: some daemon holds the lease.
+    let newest = effective.or(records.last());
+    let is_current = newest.map_or(first, |r| r.era == batch.next.era());
+    let released = effective.is_some_and(|r| r.released);
+    let last = effective.and_then(|r| r.last.clone());
+    let last = last.filter(|_| is_current && released);
     let view = PlannerLeaseView {
         end: batch.next.to_u64(),
         released,
         has_handover: last.is_some(),
         is_current,
-        holder: record.map(|r| r.holder),
+        holder: newest.map(|r| r.holder.clone()),
     };
-    (view, last.filter(|_| released))
+    (view, last)
 }
 
-fn record(gw: &Gateway, era: u64, last: Option<Handover>) -> Vec<u8> {
-    let record = LeaseRecord {
+fn record(gw: &Gateway, era: u64) -> LeaseRecord {
+    LeaseRecord {
         holder: gw.holder(),
-        released: last.is_some(),
+        released: false,
         era,
-        last,
-    };
-    serde_json::to_vec(&record).expect("names and numbers serialize")
+        last: None,
+        fence: None,
+    }
+}
+
+fn encode(record: &LeaseRecord) -> Vec<u8> {
+    serde_json::to_vec(record).expect("names and numbers serialize")
 }
 
 async fn append(gw: &Gateway, end: u64, started: Millis) {
     let end = Position::from_u64(end);
-    let value = record(gw, end.era(), None);
+    let value = encode(&record(gw, end.era()));
     let result = gw
         .store
         .append(Topic::Planner, KEY, &value, Some(end))
@@ -136,7 +212,10 @@
     let mut lease = gw.planner_lease.borrow_mut();
     match result {
         Ok(position) => lease.on_appended(position.to_u64(), started),
-        Err(StoreError::Moved(_)) => lease.on_conflict(),
+        Err(StoreError::Moved(_)) => {
+            lease.on_conflict();
+            gw.plan_now.notify_one();
+        }
         Err(_) => lease.on_failed(),
     }
     drop(lease);
@@ -201,7 +280,12 @@
         if gw.now() >= release.lapses {
             return false;
         }
-        let value = record(gw, end.era(), Some(handover(gw, state)));
+        let value = encode(&LeaseRecord {
+            released: true,
+            last: Some(handover(gw, state)),
+            fence: Some(release.fence),
+            ..record(gw, end.era())
+        });
         let result = gw
             .store
             .append(Topic::Planner, KEY, &value, Some(end))
@@ -223,9 +307,7 @@
 
 /// The end of the topic, if its newest record is an acquisition or a renewal of this daemon.
 async fn own_end(gw: &Gateway) -> Option<Position> {
-    let newest = gw.store.newest(Topic::Planner).await;
-    gw.metrics.count_store("planner", newest.is_ok());
-    let (view, _) = to_view(&newest.ok()?, false);
+    let (view, _) = read_lease(gw).await.ok()?;
     let is_own = view.holder == Some(gw.holder()) && !view.released && view.is_current;
     is_own.then(|| Position::from_u64(view.end))
 }
--- a/crates/gateway/tests/unit/late_release.rs
+++ b/crates/gateway/tests/unit/late_release.rs
@@ -37,6 +37,8 @@
     silent: Cell<bool>,
     /// Whether calls are lost.
     cut: Cell<bool>,
+    /// Whether only the newest record is retained.
+    is_trimmed: Cell<bool>,
     /// The number of appends that were called.
     appends: Cell<usize>,
 }
@@ -62,6 +64,25 @@
         })
     }
 
+    fn tail(&self, from: Position) -> StoreResult<Batch> {
+        if self.cut.get() {
+            return Err(StoreError::Lost);
+        }
+        if self.is_trimmed.get() {
+            return Err(StoreError::Gap);
+        }
+        let values = self.values.borrow();
+        let records = values.iter().enumerate().map(|(offset, value)| Record {
+            key: "planner".to_owned(),
+            value: Some(value.clone()),
+            position: Position::new(0, offset as u64),
+        });
+        Ok(Batch {
+            records: records.filter(|r| r.position >= from).collect(),
+            next: self.end(),
+        })
+    }
+
     fn append(&self, value: &[u8], end: Option<Position>) -> StoreResult<Position> {
         self.appends.set(self.appends.get() + 1);
         if self.cut.get() {
@@ -93,8 +114,8 @@
         std::future::ready(self.0.newest()).boxed_local()
     }
 
-    fn tail(&self, _: Topic, _: Position, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
-        std::future::ready(self.0.newest()).boxed_local()
+    fn tail(&self, _: Topic, from: Position, _: Millis) -> LocalBoxFuture<'_, StoreResult<Batch>> {
+        std::future::ready(self.0.tail(from)).boxed_local()
     }
 
     fn append(
@@ -355,3 +376,138 @@
     assert_eq!(audience, Audience::Receiver);
     assert_eq!(daemon.fence(), Some(fence));
 }
+
+/// The earlier release of the daemons appended the release of a lease without a condition, so that a
+/// late one came behind the acquisition of another daemon.
+mod earlier_releases {
+    use super::*;
+
+    const HELD_BY_A: &[u8] = br#"{"holder":"a/1","released":false}"#;
+    const HELD_BY_B: &[u8] = br#"{"holder":"b/1","released":false}"#;
+    const RELEASED_BY_A: &[u8] =
+        br#"{"holder":"a/1","released":true,"last":{"orders":{},"loads":[],"blocked":0}}"#;
+    const RELEASED_BY_C: &[u8] =
+        br#"{"holder":"c/1","released":true,"last":{"orders":{},"loads":[],"blocked":0}}"#;
+    const RELEASED_WITH_TOKEN: &[u8] =
+        br#"{"holder":"a/1","released":true,"last":{"orders":{},"loads":[],"blocked":0},"fence":2}"#;
+
+    /// A successor that acquires the lease of a failed holder waits for at least this long.
+    const TAKEOVER_MS: u64 = 1_600;
+
+    /// Whether a daemon that finds these records acquires the lease at once.
+    fn is_free(records: &[&[u8]]) -> bool {
+        waits_for(records, false) < 100
+    }
+
+    /// The same, if the store retains only the newest one.
+    fn is_free_by_newest(records: &[&[u8]]) -> bool {
+        waits_for(records, true) < 100
+    }
+
+    fn waits_for(records: &[&[u8]], is_trimmed: bool) -> u64 {
+        let daemons = Daemons::new();
+        let daemon = daemons.start(0, &[]);
+        let values = records.iter().map(|r| r.to_vec());
+        daemons.records.values.borrow_mut().extend(values);
+        daemons.records.is_trimmed.set(is_trimmed);
+        let waited = daemons.acquire(&daemon);
+        assert!(
+            waited < 100 || waited >= TAKEOVER_MS,
+            "acquired after {waited} ms"
+        );
+        waited
+    }
+
+    // A frozen planner of the earlier release was stopped and resumed: its release came behind the
+    // acquisition of its successor, and a third daemon acquired the lease.
+    cases! { is_free;
+        a_release_behind_the_record_of_another_daemon_releases_nothing: &[HELD_BY_A, HELD_BY_B, RELEASED_BY_A] => false,
+        two_of_them_release_nothing: &[HELD_BY_A, HELD_BY_B, RELEASED_BY_A, RELEASED_BY_C] => false,
+        a_release_behind_an_unreadable_record_releases_nothing: &[HELD_BY_A, b"?", RELEASED_BY_A] => false,
+        a_release_without_a_record_before_it_releases_nothing: &[RELEASED_BY_A] => false,
+        a_release_behind_its_writers_own_record_counts: &[HELD_BY_B, HELD_BY_A, RELEASED_BY_A] => true,
+        a_lease_that_is_free_stays_free: &[HELD_BY_A, RELEASED_BY_A, RELEASED_BY_C] => true,
+        a_release_with_a_token_counts: &[HELD_BY_B, HELD_BY_A, RELEASED_WITH_TOKEN] => true,
+    }
+
+    cases! { is_free_by_newest;
+        a_lone_release_releases_nothing: &[HELD_BY_A, RELEASED_BY_A] => false,
+        a_lone_release_with_a_token_counts: &[HELD_BY_A, RELEASED_WITH_TOKEN] => true,
+    }
+
+    /// Lets a daemon hold the lease and a late release of another one come behind its record.
+    fn holder_and_late_release(daemons: &Daemons) -> (Daemon, u64) {
+        let holder = daemons.start(0, &[]);
+        daemons.acquire(&holder);
+        let fence = holder.fence().expect("it holds the lease");
+        let late = daemons.records.append(RELEASED_BY_A, None);
+        assert!(late.is_ok());
+        (holder, fence)
+    }
+
+    /// The release of another daemon must not end the lease of its holder.
+    #[test]
+    fn a_holder_keeps_its_lease_after_a_late_release() {
+        let daemons = Daemons::new();
+        let (holder, fence) = holder_and_late_release(&daemons);
+        for _ in 0..200 {
+            daemons.pass(10);
+            daemons.tick(&holder);
+        }
+        assert_eq!(holder.fence(), Some(fence));
+        assert!(!daemons.records.is_released());
+    }
+
+    /// A holder that stops finds a late release behind its own record.
+    #[test]
+    fn a_holder_releases_its_lease_after_a_late_release() {
+        let daemons = Daemons::new();
+        let (holder, _) = holder_and_late_release(&daemons);
+        holder.release("stopping");
+        let successor = daemons.start(1, &[]);
+        assert!(daemons.acquire(&successor) < 100);
+    }
+
+    /// A daemon of the earlier release that hears of a late release acquires the lease within some
+    /// milliseconds, so that the holder sends no orders until it has renewed its own.
+    #[test]
+    fn a_holder_that_hears_of_a_release_renews_before_it_sends_orders() {
+        let daemons = Daemons::new();
+        let (holder, fence) = holder_and_late_release(&daemons);
+        let audience = holder.gw.on_planner_update(&PlannerUpdate::Released);
+        assert_eq!(audience, Audience::Receiver);
+        assert_eq!(holder.fence(), None);
+        // The append finds another end, the topic is read, and the next append confirms the lease.
+        for _ in 0..2 {
+            daemons.tick(&holder);
+            assert_eq!(holder.fence(), None);
+        }
+        daemons.tick(&holder);
+        assert_eq!(holder.fence(), Some(fence));
+    }
+
+    /// The same, where the other daemon was faster.
+    #[test]
+    fn a_holder_that_hears_of_a_release_and_lost_its_lease_sends_no_orders() {
+        let daemons = Daemons::new();
+        let (holder, _) = holder_and_late_release(&daemons);
+        holder.gw.on_planner_update(&PlannerUpdate::Released);
+        assert!(daemons.records.append(HELD_BY_B, None).is_ok());
+        for _ in 0..10 {
+            daemons.tick(&holder);
+            assert_eq!(holder.fence(), None);
+        }
+        assert!(!holder.gw.planner_lease.borrow().is_holder());
+    }
+
+    /// A daemon that plans with a higher token shows that the lease was lost.
+    #[test]
+    fn a_holder_that_hears_of_a_higher_token_sends_no_orders() {
+        let daemons = Daemons::new();
+        let holder = daemons.start(0, &[]);
+        daemons.acquire(&holder);
+        let fence = holder.fence().expect("it holds the lease");
+        holder.learn_lease(fence + 1, daemons.records.end().to_u64());
+        assert_eq!(holder.fence(), None);
+    }
+}
