A late report of an ended attempt concerns no later attempt

What callers saw: a duplicated or late report that a connection was refused marked the upstream that was selected since as down, and made the hub answer the request's daemon that it waits, though it is under way.

Cause: handle_progress looked up the request, not the attempt, before the router compared the attempts.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -263,18 +263,26 @@
                 measurement: note.to_measurement(),
             }),
             ProgressNote::Gone => self.close_peer_request(id),
-            ProgressNote::Ended(attempt, end) => {
-                let end = self.reconcile_leaving(id, end.to_end());
-                if end == AttemptEnd::NotSent {
-                    self.record_refused_connection(id);
-                }
-                self.exclude_upstream(id, attempt, end);
-                self.peer_requests.borrow_mut().set_queued(id);
-                self.route(RouteEvent::Ended { id, attempt, end });
-                if matches!(end, AttemptEnd::Whole | AttemptEnd::Cancelled) {
-                    self.peer_requests.borrow_mut().remove(id);
-                }
-            }
+            ProgressNote::Ended(attempt, end) => self.handle_end(id, attempt, end.to_end()),
+        }
+    }
+
+    /// Handles the end of an attempt of another daemon's request. One that is not the current attempt
+    /// says nothing about the upstream that was selected since: the message was late or duplicated.
+    fn handle_end(&self, id: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
+        let is_over = matches!(end, AttemptEnd::Whole | AttemptEnd::Cancelled);
+        if !is_over && !self.router.borrow().is_latest(id, attempt) {
+            return;
+        }
+        let end = self.reconcile_leaving(id, end);
+        if end == AttemptEnd::NotSent {
+            self.record_refused_connection(id);
+        }
+        self.exclude_upstream(id, attempt, end);
+        self.peer_requests.borrow_mut().set_queued(id);
+        self.route(RouteEvent::Ended { id, attempt, end });
+        if is_over {
+            self.peer_requests.borrow_mut().remove(id);
         }
     }
 
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -18,6 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::Clock;
+use shaleline_fleet::{Held, HeldSource};
 use shaleline_route::{
     AttemptEnd, Load, RequestPolicy, Route, RouteAction, RouteEvent, RouteRequest, Router,
     RouterSettings, ShareBook, UpstreamInfo,
@@ -718,6 +719,57 @@
     assert_eq!(sent, [slots]);
 }
 
+/// A hub that has selected the second upstream for a request, as the connection to the first one was
+/// refused.
+fn hub_after_a_refused_connection() -> (Hub, Ticket, ProgressNote) {
+    let mut hub = Hub::new();
+    for number in 0..2 {
+        let at = upstream(number);
+        let (held, now) = (Held::default(), hub.gw.now());
+        hub.gw.with_fleet(&at, |f| {
+            f.observe(&at, &hub.asking.centre, held, HeldSource::Reported, now);
+        });
+    }
+    hub.ask(1, 5, &[]);
+    let (ticket, first) = hub.answers().pop().expect("an answer");
+    let not_sent = ProgressNote::Ended(1, EndNote::of(AttemptEnd::NotSent));
+    hub.receive(1, Message::Progressed(ticket, not_sent));
+    let (_, second) = hub.answers().pop().expect("an answer");
+    assert!(
+        matches!(first, Answer::Send { attempt: 1, .. }),
+        "{first:?}"
+    );
+    assert!(
+        matches!(second, Answer::Send { attempt: 2, .. }),
+        "{second:?}"
+    );
+    (hub, ticket, not_sent)
+}
+
+/// The network duplicated the report of a refused connection, or delivered it late: the upstream
+/// that was selected since counted as down.
+#[test]
+fn a_late_report_of_a_refused_connection_concerns_no_other_upstream() {
+    let (hub, ticket, not_sent) = hub_after_a_refused_connection();
+    let fleets = || format!("{:?}", hub.gw.fleets.borrow());
+    let before = fleets();
+    hub.receive(1, Message::Progressed(ticket, not_sent));
+    assert_eq!(fleets(), before);
+}
+
+/// The same report made the hub answer that the request waits, though it is at an upstream.
+#[test]
+fn a_late_report_does_not_queue_a_request_that_was_sent_since() {
+    let (mut hub, ticket, not_sent) = hub_after_a_refused_connection();
+    hub.receive(1, Message::Progressed(ticket, not_sent));
+    hub.receive(1, Message::Poll(ticket));
+    let (_, answer) = hub.answers().pop().expect("an answer");
+    assert!(
+        matches!(answer, Answer::Send { attempt: 2, .. }),
+        "{answer:?}"
+    );
+}
+
 /// A request of an organisation whose target ends in 400 ms.
 fn ordered(id: u64) -> RouteRequest {
     RouteRequest {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -101,6 +101,12 @@
         current.upstream.as_ref()
     }
 
+    /// Whether an attempt is the latest one of an open request.
+    #[must_use]
+    pub fn is_latest(&self, id: RequestId, attempt: AttemptNumber) -> bool {
+        self.open.get(&id).is_some_and(|o| o.attempt == attempt)
+    }
+
     /// Returns the upstream that a request is in flight to.
     #[must_use]
     pub fn upstream_of(&self, id: RequestId) -> Option<&Upstream> {
