A grant of an allowance is returned once at most

The network may duplicate a datagram: a duplicated return of a grant was credited twice, and a duplicated grant was returned although its request used it, so that an organisation got more than its allowance.

Cause: the return named no request, and an answer without a waiting request was taken for a late one.

Change: the return names the request's ticket (Message::GrantUnused); the allocator credits what is open, once, and the asker returns only grants of requests that it gave up. Daemons of the earlier release still send the old message, which is credited as before; they can't decode the new one, so that during an upgrade some charges of requests that did not run are kept.

--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -7,6 +7,7 @@
 use crate::dispatch::Ticket;
 use crate::journal::emit;
 use crate::message::{GrantReply, Message, Sender};
+use crate::open_grants::{AbandonedRequests, OpenGrants};
 use crate::refuse::Refusal;
 use crate::state::Gateway;
 use crate::OrgRule;
@@ -40,6 +41,9 @@
     pub(crate) allocator: Allocator,
     credits: Credits,
     pending: HashMap<u64, PendingGrant>,
+    abandoned: AbandonedRequests,
+    /// The grants to other daemons.
+    granted: OpenGrants,
     next_id: u64,
     /// Allocators that did not answer, and until when they are asked last.
     avoided: HashMap<SocketAddr, Millis>,
@@ -53,6 +57,8 @@
             allocator: Allocator::new(tolerance),
             credits: Credits::default(),
             pending: HashMap::new(),
+            abandoned: AbandonedRequests::default(),
+            granted: OpenGrants::default(),
             next_id: 0,
             avoided: HashMap::new(),
             logged: HashMap::new(),
@@ -67,7 +73,15 @@
     /// Drops expired entries, and pending requests whose caller left.
     pub(crate) fn prune(&mut self, now: Millis) {
         self.credits.prune(now);
-        self.pending.retain(|_, a| !a.sender.is_closed());
+        let abandoned = &mut self.abandoned;
+        self.pending.retain(|id, request| {
+            if request.sender.is_closed() {
+                abandoned.record(*id, now);
+            }
+            !request.sender.is_closed()
+        });
+        self.abandoned.prune(now);
+        self.granted.prune(now);
         self.avoided.retain(|_, until| now < *until);
         self.logged.retain(|_, at| now.since(*at) < LOG_INTERVAL_MS);
     }
@@ -97,8 +111,8 @@
 pub(crate) struct Charge {
     org: Org,
     cost: u64,
-    /// The daemon that granted it, if that is another one.
-    allocator: Option<SocketAddr>,
+    /// The daemon that granted it, if that is another one, and the request for the grant.
+    grant: Option<(SocketAddr, Ticket)>,
 }
 
 impl Gateway {
@@ -115,7 +129,7 @@
         let me = self.me.address;
         let mut request = GrantRequest::new(org.clone(), cost, &self.allocators());
         let mut step = self.next_step(&mut request);
-        let mut allocator = None;
+        let mut granted = None;
         loop {
             step = match step {
                 GrantStep::Admit => break,
@@ -133,22 +147,22 @@
                     self.on_grant(&mut request, grant)
                 }
                 GrantStep::Query(at) => match self.request_grant(at, org, cost).await {
-                    Some(GrantReply::Granted(_, amount)) => {
-                        allocator = Some(at);
+                    Some((ticket, GrantReply::Granted(_, amount))) => {
+                        granted = Some((at, ticket));
                         self.on_grant(&mut request, GrantResponse::Granted(amount))
                     }
-                    Some(GrantReply::Denied(wait)) => {
+                    Some((_, GrantReply::Denied(wait))) => {
                         let wait = Millis(u64::from(wait));
                         self.on_grant(&mut request, GrantResponse::Denied(wait))
                     }
-                    Some(GrantReply::Unknown) | None => self.next_step(&mut request),
+                    Some((_, GrantReply::Unknown)) | None => self.next_step(&mut request),
                 },
             };
         }
         Ok(Some(Charge {
             org: org.clone(),
             cost,
-            allocator,
+            grant: granted,
         }))
     }
 
@@ -173,7 +187,12 @@
     }
 
     /// Asks another daemon for a grant; none if it does not answer.
-    async fn request_grant(&self, at: SocketAddr, org: &Org, cost: u64) -> Option<GrantReply> {
+    async fn request_grant(
+        &self,
+        at: SocketAddr,
+        org: &Org,
+        cost: u64,
+    ) -> Option<(Ticket, GrantReply)> {
         let (sender, receiver) = oneshot::channel();
         let (ticket, held) = {
             let mut allowances = self.allowances.borrow_mut();
@@ -200,10 +219,12 @@
             .and_then(Result::ok);
         if reply.is_none() {
             let mut allowances = self.allowances.borrow_mut();
-            allowances.pending.remove(&ticket.id);
+            if allowances.pending.remove(&ticket.id).is_some() {
+                allowances.abandoned.record(ticket.id, self.now());
+            }
             allowances.avoided.insert(at, limit.plus(AVOID_MS));
         }
-        reply
+        reply.map(|r| (ticket, r))
     }
 
     /// Grants from the share that is kept here.
@@ -241,7 +262,12 @@
         let allowance = self.table().and_then(|t| t.allowance(org));
         let grant = allowance.map(|a| self.grant(org, &a, cost, held));
         let reply = match grant {
-            Some(GrantResponse::Granted(amount)) => GrantReply::Granted(org.clone(), amount),
+            Some(GrantResponse::Granted(amount)) => {
+                let now = self.now();
+                let granted = &mut self.allowances.borrow_mut().granted;
+                granted.record(ticket, amount, now);
+                GrantReply::Granted(org.clone(), amount)
+            }
             Some(GrantResponse::Denied(wait)) => {
                 GrantReply::Denied(u32::try_from(wait.0).unwrap_or(u32::MAX))
             }
@@ -250,40 +276,56 @@
         self.send(vec![(from.address, Message::GrantReply(ticket, reply))]);
     }
 
-    /// Handles an allocator's answer. A grant that is too late for its request is returned.
+    /// Handles an allocator's answer. A grant that is too late for its request is returned. A duplicate
+    /// is not: its amount is in use.
     pub(crate) fn handle_grant_reply(&self, from: &Sender, ticket: Ticket, reply: GrantReply) {
-        let pending = match ticket.incarnation == self.me.incarnation {
-            true => self.allowances.borrow_mut().pending.remove(&ticket.id),
-            false => None,
+        // What an earlier incarnation was granted may have been used.
+        if ticket.incarnation != self.me.incarnation {
+            return;
+        }
+        let (pending, is_abandoned) = {
+            let mut allowances = self.allowances.borrow_mut();
+            let pending = allowances.pending.remove(&ticket.id);
+            (pending, allowances.abandoned.remove(ticket.id))
         };
         let late = match pending {
             Some(pending) => pending.sender.send(reply).err(),
-            None => Some(reply),
+            None => Some(reply).filter(|_| is_abandoned),
         };
         if let Some(GrantReply::Granted(org, amount)) = late {
-            self.send(vec![(from.address, Message::GrantReturned { org, amount })]);
+            self.return_grant(from.address, ticket, org, amount);
         }
     }
 
+    fn return_grant(&self, allocator: SocketAddr, ticket: Ticket, org: Org, amount: u64) {
+        let message = Message::GrantUnused {
+            ticket,
+            org,
+            amount,
+        };
+        self.send(vec![(allocator, message)]);
+    }
+
     /// Returns the charge of a request that did not run.
     pub(crate) fn refund(&self, charge: &Charge) {
-        let Charge {
-            org,
-            cost,
-            allocator,
-        } = charge;
-        match allocator {
-            Some(allocator) => {
-                let message = Message::GrantReturned {
-                    org: org.clone(),
-                    amount: *cost,
-                };
-                self.send(vec![(*allocator, message)]);
-            }
+        let Charge { org, cost, grant } = charge;
+        match grant {
+            Some((allocator, ticket)) => self.return_grant(*allocator, *ticket, org.clone(), *cost),
             None => self.handle_refund(org, *cost),
         }
     }
 
+    /// Handles the return of a grant to another daemon, which counts once.
+    pub(crate) fn handle_unused_grant(&self, ticket: Ticket, org: &Org, amount: u64) {
+        let amount = {
+            let granted = &mut self.allowances.borrow_mut().granted;
+            granted.take_back(ticket, amount)
+        };
+        if amount > 0 {
+            self.handle_refund(org, amount);
+        }
+    }
+
     /// Handles the return of a grant made here.
     pub(crate) fn handle_refund(&self, org: &Org, amount: u64) {
         let Some(allowance) = self.table().and_then(|t| t.allowance(org)) else {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -297,6 +297,11 @@
         } => gw.handle_grant_request(&from, ticket, &org, cost, held),
         Message::GrantReply(ticket, reply) => gw.handle_grant_reply(&from, ticket, reply),
         Message::GrantReturned { org, amount } => gw.handle_refund(&org, amount),
+        Message::GrantUnused {
+            ticket,
+            org,
+            amount,
+        } => gw.handle_unused_grant(ticket, &org, amount),
         Message::Resigned => gw.membership.borrow_mut().on_resigned(&from),
         Message::AdapterWanted { model, adapter } => gw.on_adapter_wanted(&model, &adapter),
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -73,6 +73,7 @@
 mod message;
 mod metrics;
 mod network;
+mod open_grants;
 mod orders;
 mod orgs;
 mod path_checks;
@@ -136,6 +137,7 @@
     mod eligibility;
     mod era;
     mod events;
+    mod grants;
     mod identity;
     mod job;
     mod late_release;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -90,7 +90,8 @@
     },
     /// The reply to a [`Message::GrantRequest`].
     GrantReply(Ticket, GrantReply),
-    /// To the allocator: the amount granted for a request that did not run.
+    /// From a daemon of an earlier release to the allocator: the amount granted for a request that
+    /// did not run. It names no request, so a duplicate is not detected.
     GrantReturned { org: Org, amount: u64 },
     /// From a hub that stops: other daemons take its place.
     Resigned,
@@ -123,6 +124,12 @@
     ConfigHeld { version: u64 },
     /// Like [`Message::AskParts`], with what decides the order among requests that compete.
     AskOrdered(Box<(Ask, OrderNote)>),
+    /// To the allocator: the amount granted to a [`Message::GrantRequest`] that did not run.
+    GrantUnused {
+        ticket: Ticket,
+        org: Org,
+        amount: u64,
+    },
 }
 
 /// What daemons exchange about streams that are bound to a software version.
