A daemon that resumes updates its shares before it grants from them

A hub that was suspended for 4 s granted from the share that it held before, with what had accrued meanwhile, until its next tick; the hub that succeeded it grants from the same allowance.

Change: a share that is older than the reports by which it was computed is computed anew before a grant or a permit.

Evidence: unit::grants::a_hub_that_resumes_grants_by_its_present_share failed before (4 requests granted, 0 where the tick comes first), passes here.

--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -229,6 +229,7 @@
 
     /// Grants from the share that is kept here.
     fn grant(&self, org: &Org, allowance: &Allowance, cost: u64, held: u64) -> GrantResponse {
+        self.update_old_shares();
         let now = self.now();
         let mut allowances = self.allowances.borrow_mut();
         let grant = allowances
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -100,9 +100,7 @@
 
 /// The messages to send to the others now.
 pub(crate) fn periodic_messages(gw: &Gateway) -> Addressed {
-    gw.share_budget();
-    gw.share_allowances();
-    gw.share_permits();
+    gw.update_shares();
     let visibility = gw.peer_visibility();
     gw.router.borrow_mut().set_peer_visibility(visibility);
     let now = gw.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -95,6 +95,7 @@
 mod selection;
 mod selector;
 mod settings;
+mod shares;
 mod skipped_records;
 mod stall;
 mod start;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -268,6 +268,7 @@
         let Some(rate) = rate else {
             return PermitReply::NoShare;
         };
+        self.update_old_shares();
         let response = self
             .permits
             .borrow_mut()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -142,6 +142,8 @@
     pub(crate) outbox: mpsc::UnboundedSender<Addressed>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) stopping: Cell<bool>,
+    /// When the shares of what all daemons use together were updated last.
+    pub(crate) shares_updated: Cell<Millis>,
     pub(crate) upstreams_known: Cell<bool>,
     table: RefCell<Option<Rc<Table>>>,
     /// Requests of this daemon for which hubs select, and requests of others for which this daemon
@@ -290,6 +292,7 @@
             outbox,
             rng: RefCell::new(rng),
             stopping: Cell::new(false),
+            shares_updated: Cell::new(Millis(0)),
             upstreams_known: Cell::new(false),
             table: RefCell::new(None),
             delegated: RefCell::new(DelegatedRequests::new(incarnation, now)),
--- a/crates/gateway/tests/unit/grants.rs
+++ b/crates/gateway/tests/unit/grants.rs
@@ -4,7 +4,8 @@
 //! grant was returned although its request used it: the organisation then got more than its
 //! allowance.
 
-use crate::gossip::{on_datagram, Outbox};
+use crate::dispatch::Ticket;
+use crate::gossip::{on_datagram, periodic_messages, Outbox};
 use crate::message::{Datagram, GrantReply, Message, Sender};
 use crate::state::{Gateway, Platform};
 use crate::unit::crashes::{cluster, null_platform};
@@ -126,11 +127,9 @@
 fn allocator_and_asker() -> (Daemon, Daemon) {
     const HELD_MS: u64 = 20_000;
     let allocator = Daemon::start(3);
-    let asker = Daemon::start_asker(&allocator);
-    allocator.gw.share_allowances();
-    let clock = &allocator.manual_clock.0;
-    clock.set(clock.get() + HELD_MS);
-    allocator.gw.share_allowances();
+    let mut asker = Daemon::start_asker(&allocator);
+    exchange([&allocator, &asker], HELD_MS);
+    asker.sent();
     (allocator, asker)
 }
 
@@ -206,3 +205,57 @@
         assert!(asker.sent().is_empty());
     });
 }
+
+/// Lets two daemons of a data centre exchange their periodic messages for this long.
+fn exchange(daemons: [&Daemon; 2], millis: u64) {
+    const INTERVAL_MS: u64 = 100;
+    for _ in 0..millis / INTERVAL_MS {
+        for (this, other) in [(daemons[0], daemons[1]), (daemons[1], daemons[0])] {
+            let clock = &this.manual_clock.0;
+            clock.set(clock.get() + INTERVAL_MS);
+            for (to, datagram) in periodic_messages(&this.gw) {
+                if to == other.gw.me.address {
+                    on_datagram(&other.gw, datagram);
+                }
+            }
+        }
+    }
+}
+
+/// Returns how many requests a hub grants when it resumes after a suspension of 4 s: the other daemon
+/// may report to another hub by then. `is_informed` says whether it updates its share first.
+fn granted_after_suspension(is_informed: bool) -> usize {
+    const SUSPENDED_MS: u64 = 4_000;
+    const REQUESTS: u64 = 50;
+    let (mut hub, other) = allocator_and_asker();
+    assert!(hub.gw.allowances.borrow().allocator.share().fraction > 0.9);
+    let request = |id: u64| Message::GrantRequest {
+        ticket: Ticket {
+            incarnation: other.gw.me.incarnation,
+            id,
+        },
+        org: org(),
+        cost: COST,
+        held: u64::MAX,
+    };
+    (0..REQUESTS).for_each(|id| hub.receive(&other.gw.me, &request(id)));
+    hub.sent();
+    let clock = &hub.manual_clock.0;
+    clock.set(clock.get() + SUSPENDED_MS);
+    if is_informed {
+        hub.gw.share_allowances();
+    }
+    let ids = REQUESTS..2 * REQUESTS;
+    ids.for_each(|id| hub.receive(&other.gw.me, &request(id)));
+    let granted = |m: &Message| matches!(m, Message::GrantReply(_, GrantReply::Granted(..)));
+    hub.sent().iter().filter(|m| granted(m)).count()
+}
+
+/// A hub that was suspended granted by the share that it held before, until its next tick.
+#[test]
+fn a_hub_that_resumes_grants_by_its_present_share() {
+    assert_eq!(
+        granted_after_suspension(false),
+        granted_after_suspension(true)
+    );
+}
