Orders are checked against the lease once they have a connection

The lease was checked before the connection was made; a daemon that was suspended while it connected sent the order after it resumed, for up to the 300 ms that its steady clock still allowed.

Evidence: edge/tests/pool.rs, two cases: nothing is sent on an idle or a new connection once it is forbidden. pool: 19 passed.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -178,7 +178,21 @@
         target: &Target,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
-        self.send_by(target, request, None).await
+        self.send_by(target, request, None, &|| true).await
+    }
+
+    /// Sends a request like [`Pool::send`] if `may_send` holds once there is a connection for it: the
+    /// process may have been suspended while it connected.
+    ///
+    /// # Errors
+    /// As for [`Pool::send`]; [`SendError::NotSent`] also if `may_send` does not hold.
+    pub async fn send_if(
+        &self,
+        target: &Target,
+        request: Request<Full<Bytes>>,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<Exchange, SendError> {
+        self.send_by(target, request, None, may_send).await
     }
 
     /// Sends a request like [`Pool::send`], but connects by a tunnel where the direct path is
@@ -195,7 +209,7 @@
         if tunnels.is_needed(target) || tunnels.is_doubtful(target) {
             self.drop_idle(target);
         }
-        self.send_by(target, request, Some(tunnels)).await
+        self.send_by(target, request, Some(tunnels), &|| true).await
     }
 
     async fn send_by(
@@ -203,11 +217,15 @@
         target: &Target,
         mut request: Request<Full<Bytes>>,
         tunnels: Option<&dyn Tunnels>,
+        may_send: &dyn Fn() -> bool,
     ) -> Result<Exchange, SendError> {
         while let Some(mut channel) = self.take_idle(target) {
             if channel.sender.ready().await.is_err() {
                 continue;
             }
+            if !may_send() {
+                return Err(SendError::NotSent);
+            }
             if let Some(tunnels) = tunnels {
                 tunnels.on_send(target, channel.relay);
             }
@@ -220,6 +238,9 @@
             }
         }
         let mut channel = self.open(target, tunnels).await?;
+        if !may_send() {
+            return Err(SendError::NotSent);
+        }
         if let Some(tunnels) = tunnels {
             tunnels.on_send(target, channel.relay);
         }
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -251,6 +251,32 @@
     });
 }
 
+/// Returns whether a second request is sent that may no longer be sent once it has a connection: an
+/// idle one if the first response is followed by `after`, a new one otherwise.
+fn sends_forbidden(after: After) -> bool {
+    let script: &'static [(&str, After)] = match after {
+        After::Keep => &[(OK, After::Keep), (OK, After::Keep)],
+        _ => &[(OK, After::Close), (OK, After::Keep)],
+    };
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        actix_rt::spawn(serve_script(listener, script));
+        let pool = pool();
+        assert!(fetch(&pool, &target).await.starts_with("200"));
+        let request = Request::get("/").header("host", "h");
+        let request = request.body(Full::new(Bytes::new())).expect("valid");
+        let sent = pool.send_if(&target, request, &|| false).await;
+        !matches!(sent, Err(SendError::NotSent))
+    })
+}
+
+cases! { sends_forbidden;
+    // A process was suspended while it waited for a connection, and sent what it had decided before.
+    nothing_is_sent_on_an_idle_connection_once_it_is_forbidden: After::Keep => false,
+    nothing_is_sent_on_a_new_connection_once_it_is_forbidden: After::Close => false,
+}
+
 #[test]
 fn a_dropped_request_closes_its_connection() {
     actix_rt::System::new().block_on(async {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -189,7 +189,13 @@
     }
 }
 
-async fn call(gw: &Gateway, upstream: &Upstream, call: Call) -> Option<(StatusCode, Bytes)> {
+/// Calls an upstream, if `may_send` holds at the moment of the send.
+async fn call(
+    gw: &Gateway,
+    upstream: &Upstream,
+    call: Call,
+    may_send: &dyn Fn() -> bool,
+) -> Option<(StatusCode, Bytes)> {
     const MAX_BODY_BYTES: usize = 1 << 20;
     let target = gw.target(upstream)?;
     let mut request = Request::new(Full::new(call.body));
@@ -199,7 +205,7 @@
     let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let exchange = async {
-        let mut exchange = gw.pool.send(&target, request).await.ok()?;
+        let mut exchange = gw.pool.send_if(&target, request, may_send).await.ok()?;
         let status = exchange.status();
         let answer = gw.codec.answer(status, exchange.head().headers());
         let body = exchange.collect(MAX_BODY_BYTES).await.ok()?;
@@ -211,7 +217,8 @@
 
 async fn send_order(gw: &Gateway, order: &Order) -> OrderReply {
     gw.last_orders.borrow_mut().record(&order.engine, gw.now());
-    match call(gw, &order.engine, gw.codec.order(order)).await {
+    let may_send = || gw.may_order(order);
+    match call(gw, &order.engine, gw.codec.order(order), &may_send).await {
         Some((status, _)) => gw.codec.order_reply(status),
         None => OrderReply::Lost,
     }
@@ -221,7 +228,7 @@
 /// accepted.
 pub(crate) async fn query_engine(gw: &Gateway, engine: &Upstream) -> Option<u64> {
     let asked = gw.now();
-    let (status, body) = call(gw, engine, gw.codec.report(engine)).await?;
+    let (status, body) = call(gw, engine, gw.codec.report(engine), &|| true).await?;
     if status != StatusCode::OK {
         return None;
     }
