Tests of the lease beside the earlier release, and of renewals across a suspension

The random test of the lease has a variant in which two of three daemons release like: without a condition and after the lease has lapsed.

--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -2,7 +2,8 @@
 
 use quickcheck::{Gen, QuickCheck, TestResult};
 use shaleline_fleet::{
-    PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseSettings, PlannerLeaseView,
+    last_effective, LeaseChange, LeaseEntry, PlannerGap, PlannerLease, PlannerLeaseAction,
+    PlannerLeaseSettings, PlannerLeaseView,
 };
 use shaleline_testkit::cases;
 use shaleline_types::{Millis, Position};
@@ -16,9 +17,21 @@
     writer: String,
     /// The era that the writer knew.
     era: u64,
-    released: bool,
+    change: LeaseChange,
 }
 
+impl Entry {
+    fn to_lease_entry(&self) -> LeaseEntry<'_> {
+        LeaseEntry {
+            holder: &self.writer,
+            change: self.change,
+        }
+    }
+}
+
+/// The number of records that a daemon reads.
+const HISTORY_LEN: usize = 5;
+
 /// The topic as the store keeps it. The store may come back from an older copy, with which an era
 /// begins.
 #[derive(Default)]
@@ -35,25 +48,29 @@
     }
 
     fn view(&self) -> PlannerLeaseView {
-        let newest = self.records.last();
+        let history = &self.records[self.records.len().saturating_sub(HISTORY_LEN)..];
+        let entries: Vec<LeaseEntry<'_>> = history.iter().map(Entry::to_lease_entry).collect();
+        let effective = last_effective(&entries).map(|i| &history[i]);
+        let newest = effective.or(history.last());
+        let released = effective.is_some_and(|r| r.change != LeaseChange::Held);
         PlannerLeaseView {
             end: self.end(),
             holder: newest.map(|r| r.writer.clone()),
-            released: newest.is_some_and(|r| r.released),
-            has_handover: newest.is_some_and(|r| r.released),
+            released,
+            has_handover: released,
             is_current: newest.map_or(self.era == 0, |r| r.era == self.era),
         }
     }
 
     /// Appends if the offset is the end, which it may be by chance in a later era.
-    fn append(&mut self, daemon: &str, end: u64, released: bool) -> bool {
+    fn append(&mut self, daemon: &str, end: u64, change: LeaseChange) -> bool {
         let end = Position::from_u64(end);
         let is_end = end.offset() == self.records.len() as u64;
-        if is_end {
+        if is_end || change == LeaseChange::ReleasedUnconditionally {
             self.records.push(Entry {
                 writer: daemon.to_owned(),
                 era: end.era(),
-                released,
+                change,
             });
         }
         is_end
@@ -78,6 +95,9 @@
     calls: VecDeque<(u64, PlannerLeaseAction, Millis, bool)>,
     /// Releases in progress: when they are carried out, and the end that they expect.
     releases: Vec<(u64, u64)>,
+    /// Whether it releases the lease like a daemon of the earlier release: without a condition, and
+    /// also after the lease has lapsed.
+    is_earlier: bool,
     /// The delay of the release that is due once it runs again.
     release_delay: Option<u64>,
 }
@@ -93,6 +113,23 @@
     Rollbacks,
     /// Daemons release the lease, some of them right after a pause, or by a slow call.
     Releases,
+    /// The same, with two of the three daemons of the earlier release.
+    EarlierReleases,
+}
+
+impl Faults {
+    fn has_releases(self) -> bool {
+        matches!(self, Self::Releases | Self::EarlierReleases)
+    }
+
+    /// The number of which a fault is drawn. With few, all three daemons are paused at most times, and
+    /// a late release finds no holder.
+    fn kinds(self) -> u8 {
+        match self {
+            Self::EarlierReleases => 128,
+            Self::None | Self::Rollbacks | Self::Releases => 16,
+        }
+    }
 }
 
 /// Simulates the steps and returns the times at which each daemon could send orders, with the
@@ -111,6 +148,7 @@
             era: 0,
             calls: VecDeque::new(),
             releases: Vec::new(),
+            is_earlier: faults == Faults::EarlierReleases && i > 0,
             release_delay: None,
         })
         .collect();
@@ -120,16 +158,16 @@
         let index = usize::from(*daemon) % daemons.len();
         let mut lost = false;
         let mut delay = 5;
-        match fault % 16 {
+        match fault % faults.kinds() {
             0 => daemons[index].paused_until = now + 4_000,
             1 => lost = true,
             2 => delay = 2_500,
-            4 | 5 if faults == Faults::Releases => {
+            4 | 5 if faults.has_releases() => {
                 daemons[index].paused_until = now + 4_000;
                 daemons[index].release_delay = Some(5);
             }
-            6 if faults == Faults::Releases => daemons[index].release_delay = Some(5),
-            7 if faults == Faults::Releases => daemons[index].release_delay = Some(2_500),
+            6 if faults.has_releases() => daemons[index].release_delay = Some(5),
+            7 if faults.has_releases() => daemons[index].release_delay = Some(2_500),
             3 if faults == Faults::Rollbacks && i > 40 && topic.away_until + 4_000 < now => {
                 let away = 700 * u64::from(daemon % 4);
                 topic.go_back(usize::from(daemon % 8), now + away);
@@ -142,10 +180,16 @@
                 continue;
             }
             if let Some(delay) = daemon.release_delay.take() {
-                let release = daemon.lease.release(Millis(now));
-                let call = release.map(|r| (now + delay, r.end));
+                let holds = daemon.lease.is_holder();
+                let release = daemon.lease.release(Millis(now)).map(|r| r.end);
+                let release = release.or((holds && daemon.is_earlier).then_some(0));
+                let call = release.map(|end| (now + delay, end));
                 daemon.releases.extend(call);
             }
+            // The planner of a daemon does nothing else until its release is answered.
+            if daemon.is_earlier && !daemon.releases.is_empty() {
+                continue;
+            }
             if let Some(action) = daemon.lease.tick(Millis(now)) {
                 let (lost, delay) = if d == index {
                     (lost, delay)
@@ -165,10 +209,14 @@
 
 fn deliver(daemon: &mut Daemon, topic: &mut Topic, now: u64) {
     let name = &daemon.name;
+    let release = match daemon.is_earlier {
+        true => LeaseChange::ReleasedUnconditionally,
+        false => LeaseChange::Released,
+    };
     daemon.releases.retain(|(at, end)| {
         let is_due = *at <= now;
         if is_due {
-            topic.append(name, *end, true);
+            topic.append(name, *end, release);
         }
         !is_due
     });
@@ -177,7 +225,7 @@
         let is_away = now < topic.away_until;
         let appended = match action {
             PlannerLeaseAction::Append { end, .. } if !is_away => {
-                topic.append(&daemon.name, end, false)
+                topic.append(&daemon.name, end, LeaseChange::Held)
             }
             _ => false,
         };
@@ -257,6 +305,13 @@
     are_apart(steps, settings, Millis(0), Faults::Releases)
 }
 
+/// A release of the earlier release came behind another holder's record, and ended its lease for the
+/// daemons that read it.
+fn is_never_shared_after_earlier_releases(steps: Vec<Step>) -> TestResult {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    are_apart(steps, settings, Millis(0), Faults::EarlierReleases)
+}
+
 fn holds(property: fn(Vec<Step>) -> TestResult) -> bool {
     const SEED: u64 = 20_261_202;
     QuickCheck::new()
@@ -272,6 +327,7 @@
     orders_of_two_holders_are_a_lease_apart_after_the_topic_lost_records: is_lease_apart_after_losses => true,
     orders_of_two_holders_never_overlap_after_the_topic_lost_records: is_slack_apart_after_losses => true,
     orders_of_two_holders_never_overlap_after_late_releases: is_never_shared_after_releases => true,
+    orders_of_two_holders_never_overlap_beside_the_earlier_release: is_never_shared_after_earlier_releases => true,
 }
 
 /// The topic as it ends after an acquisition or a renewal.
@@ -329,6 +385,67 @@
     assert_eq!(lease.fence(Millis(START + 2_000)), None);
 }
 
+/// A holder whose last renewal began at `START`.
+fn holder() -> PlannerLease {
+    let settings = PlannerLeaseSettings::from_lease(LEASE).with_fencing(true);
+    let mut lease = PlannerLease::new(settings, "me".to_owned());
+    lease.tick(Millis(START));
+    lease.on_read(&view(0, None), Millis(START));
+    lease.tick(Millis(START));
+    lease.on_appended(0, Millis(START));
+    lease
+}
+
+/// Returns whether a holder may send orders after a renewal that begins 500 ms after the last one and
+/// is answered this much later, as the process was suspended or the call slow.
+fn holds_after_renewal(answered_after: u64) -> bool {
+    let mut lease = holder();
+    let started = Millis(START + 500);
+    let action = lease.tick(started);
+    assert!(matches!(
+        action,
+        Some(PlannerLeaseAction::Append { end: 1, .. })
+    ));
+    lease.on_appended(1, started);
+    lease.fence(started.plus(answered_after)).is_some()
+}
+
+cases! { holds_after_renewal;
+    a_renewal_that_is_answered_soon_is_valid: 5 => true,
+    // The successor counts from the record, which was appended before the suspension.
+    a_renewal_that_is_answered_after_a_suspension_counts_from_its_start: 4_000 => false,
+    a_renewal_counts_until_its_validity_ends: 1_199 => true,
+    a_renewal_ends_with_its_validity: 1_200 => false,
+}
+
+/// Another daemon's higher token arrives while a renewal is in progress, which may have been carried
+/// out before the other one acquired the lease.
+#[test]
+fn a_renewal_that_began_before_a_doubt_does_not_remove_it() {
+    let mut lease = holder();
+    let at = |ms: u64| Millis(START + ms);
+    assert!(lease.tick(at(500)).is_some());
+    lease.on_token(9);
+    lease.on_appended(1, at(500));
+    assert_eq!(lease.fence(at(510)), None);
+    // The next one begins at once.
+    assert!(lease.tick(at(510)).is_some());
+    lease.on_appended(2, at(510));
+    assert_eq!(lease.fence(at(520)), Some(1));
+}
+
+/// While the store is away, a holder in doubt tries as often as any other.
+#[test]
+fn a_doubt_does_not_repeat_failed_renewals_faster() {
+    let mut lease = holder();
+    let at = |ms: u64| Millis(START + ms);
+    lease.on_token(9);
+    assert!(lease.tick(at(100)).is_some());
+    lease.on_failed();
+    assert_eq!(lease.tick(at(200)), None);
+    assert!(lease.tick(at(600)).is_some());
+}
+
 #[test]
 fn a_daemon_holds_it_at_once_and_again_after_a_pause() {
     let faultless: Vec<Step> = vec![(0, 9); 40];
