Event 4006 tells of a release of the lease that counts for nothing

An ignored release changed what a daemon believes without a line in the log. The line names its writer, the holder and the end of the topic; explain shows it with the other changes of the lease.

--- a/crates/explain/src/trace.rs
+++ b/crates/explain/src/trace.rs
@@ -26,7 +26,10 @@
 fn is_lease_change(line: &Line<'_>) -> bool {
     matches!(
         line.event,
-        LogEvent::LeaseTaken | LogEvent::LeaseLost | LogEvent::LeaseInherited
+        LogEvent::LeaseTaken
+            | LogEvent::LeaseLost
+            | LogEvent::LeaseInherited
+            | LogEvent::LeaseReleaseIgnored
     )
 }
 
--- a/crates/gateway/src/planner_lease.rs
+++ b/crates/gateway/src/planner_lease.rs
@@ -129,7 +129,13 @@
         }
     }
     let first = !gw.era.has_ended();
-    Ok(to_view(&newest, &records, first))
+    let (view, last) = to_view(&newest, &records, first);
+    if let Some(release) = records.last().filter(|r| r.released && !view.released) {
+        let (writer, holder) = (&release.holder, view.holder.as_deref().unwrap_or("none"));
+        let detail = format!("writer={writer} holder={holder} end={}", view.end);
+        emit(LogEvent::LeaseReleaseIgnored, &detail);
+    }
+    Ok((view, last))
 }
 
 /// Reads the records before a release. If they are gone, returns what was read already: the release
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -76,6 +76,7 @@
     LeaseChallenged 4003 Info "An owner that appears to have failed was challenged.";
     LeaseInherited 4004 Info "The previous planner's last orders were taken over from its release of the lease.";
     PlannerSilent 4005 Info "Heartbeats of the planner are missing, or are received again; callers get retry-after times that allow for its successor.";
+    LeaseReleaseIgnored 4006 Warn "The release of a lease is not behind a record of its writer, or nothing shows whether it is: the lease is not free.";
     OrderSent 5001 Info "An order was sent to an engine.";
     OrderSettled 5002 Info "An engine reported how an order ended.";
     OrderDoubt 5003 Warn "An order received no answer; its outcome is in doubt.";
