--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -141,6 +141,87 @@
     a_refused_order_is_forgotten: (OrderReply::Conflict, 200) => first(),
 }
 
+/// What the engine went through after the load of `a`, with the orders that follow.
+struct Aftermath {
+    /// The replies to the attempts to send the order.
+    replies: &'static [OrderReply],
+    /// What the engine is seen to hold, one start after the other.
+    starts: fn(&mut Fleet),
+    /// The time until the plan.
+    later: u64,
+}
+
+/// The orders after attempts to load `a` at an empty engine, which then starts again.
+fn after_attempts(aftermath: Aftermath) -> Vec<String> {
+    let mut fleet = Fleet::default();
+    list(&mut fleet, held(&[], 0, FIRST), NOW);
+    let order = Order {
+        model: model("a"),
+        ..plan(&mut fleet, NOW).remove(0)
+    };
+    fleet.record_sent(&order, NOW);
+    for reply in aftermath.replies {
+        fleet.record_reply(&order, *reply, NOW);
+    }
+    (aftermath.starts)(&mut fleet);
+    texts(&plan(&mut fleet, NOW.plus(aftermath.later)))
+}
+
+fn a_start(fleet: &mut Fleet) {
+    list(fleet, held(&["b"], 0, SECOND), NOW.plus(100));
+}
+
+fn an_absence_and_a_start(fleet: &mut Fleet) {
+    fleet.remove(&engine());
+    a_start(fleet);
+}
+
+fn two_starts(fleet: &mut Fleet) {
+    a_start(fleet);
+    fleet.report(&engine(), held(&["b"], 1, SECOND), NOW.plus(150));
+    list(fleet, held(&["b"], 0, SECOND + 1_000), NOW.plus(180));
+}
+
+fn a_later_report(fleet: &mut Fleet) {
+    fleet.report(&engine(), held(&["b"], 1, FIRST), NOW.plus(100));
+}
+
+const LOST_THEN_REFUSED: &[OrderReply] = &[OrderReply::Lost, OrderReply::Conflict];
+const LOST_THEN_ACCEPTED: &[OrderReply] = &[OrderReply::Lost, OrderReply::Accepted];
+
+cases! { after_attempts;
+    a_refusal_of_a_repeat_does_not_void_the_first_attempt: Aftermath {
+        replies: LOST_THEN_REFUSED,
+        starts: a_start,
+        later: 200,
+    } => none(),
+    an_accepted_repeat_does_not_void_the_first_attempt: Aftermath {
+        replies: LOST_THEN_ACCEPTED,
+        starts: a_start,
+        later: 200,
+    } => none(),
+    an_unanswered_attempt_outlasts_the_absence_of_its_engine: Aftermath {
+        replies: &[OrderReply::Lost],
+        starts: an_absence_and_a_start,
+        later: 200,
+    } => none(),
+    an_unanswered_attempt_outlasts_two_starts: Aftermath {
+        replies: &[OrderReply::Lost],
+        starts: two_starts,
+        later: 200,
+    } => none(),
+    an_unanswered_attempt_lapses: Aftermath {
+        replies: LOST_THEN_REFUSED,
+        starts: a_start,
+        later: 16_000,
+    } => first(),
+    an_unanswered_attempt_is_void_behind_another_order: Aftermath {
+        replies: LOST_THEN_REFUSED,
+        starts: a_later_report,
+        later: 200,
+    } => vec!["load c at e1 expecting 1".to_owned()],
+}
+
 /// Once the engine has accepted an order itself, an earlier one that expects none is void.
 #[test]
 fn an_unconfirmed_order_is_void_once_another_was_accepted() {
