Order lines name the attempts and what is believed of the engine's room

Logs could not tell an order that was sent once from one that was repeated, nor what the planner took to be free. Events 5001 and 5003 name the attempts, the memory and slots that count as taken, the orders that may still be carried out, the number of accepted orders and the age of the last report.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -74,7 +74,7 @@
     pub(crate) last_order: Millis,
     /// The models that it held when it was first seen.
     pub(crate) initial_models: BTreeSet<Model>,
-    last_report: Millis,
+    pub(crate) last_report: Millis,
     /// Recent changes of what it holds.
     changes: Changes,
     /// Its confirmed content, as of the number of orders it had accepted.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 mod planner;
 mod planner_lease;
 mod prefetch;
+mod room_note;
 mod services;
 mod shortage;
 mod slot_times;
@@ -60,6 +61,7 @@
     PlannerGap, PlannerLease, PlannerLeaseAction, PlannerLeaseRelease, PlannerLeaseRenewal,
     PlannerLeaseSettings, PlannerLeaseView,
 };
+pub use room_note::RoomNote;
 pub use services::ServicePlanners;
 pub use slot_times::{engine_work, SlotTimes};
 pub use unmet::{Unmet, UnmetByKey, UnmetDemand};
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -59,17 +59,21 @@
     if announce_retiring(gw, order) {
         tokio::time::sleep(RETIRE_DELAY).await;
     }
+    let room = room_detail(gw, service, order);
     record_sent_order(gw, state, service, order);
     let mut reply = OrderReply::Lost;
-    for _ in 0..MAX_ATTEMPTS {
+    let mut attempts = 0;
+    while attempts < MAX_ATTEMPTS {
         if !gw.may_order(order) {
             return false;
         }
+        attempts += 1;
         reply = send_order(gw, order).await;
         if reply != OrderReply::Lost {
             break;
         }
-        emit(LogEvent::OrderDoubt, &format!("order=\"{order}\""));
+        let detail = format!("order=\"{order}\" attempt={attempts} {room}");
+        emit(LogEvent::OrderDoubt, &detail);
         gw.with_fleet(&order.engine, |f| f.record_reply(order, reply, gw.now()));
         match query_engine(gw, &order.engine).await {
             Some(seq) if seq > order.expect => {
@@ -80,7 +84,10 @@
         }
     }
     gw.metrics.count_order(reply_name(reply));
-    let detail = format!("order=\"{order}\" fence={} reply={reply:?}", order.fence);
+    let detail = format!(
+        "order=\"{order}\" fence={} reply={reply:?} attempts={attempts} {room}",
+        order.fence
+    );
     emit(LogEvent::OrderSent, &detail);
     gw.with_fleet(&order.engine, |f| f.record_reply(order, reply, gw.now()));
     match reply {
@@ -111,6 +118,17 @@
     drops
 }
 
+/// What is believed of the engine's room before an order is sent, for the log.
+fn room_detail(gw: &Gateway, service: &Service, order: &Order) -> String {
+    let fleets = gw.fleets.borrow();
+    let table = gw.table();
+    let room = table.as_ref().and_then(|table| {
+        let catalog = table.catalog(service)?;
+        fleets.get(service)?.room(&order.engine, catalog, gw.now())
+    });
+    room.map_or("room=unknown".to_owned(), |room| room.to_string())
+}
+
 /// Records an order that is sent now.
 pub(crate) fn record_sent_order(
     gw: &Gateway,
