The fencing token of orders rises with each renewal of the planner lease

Cause: an order was told apart from those of before a restart by nothing. Its token was that of the acquisition, the same for minutes, and its condition begins anew.

Change: the token is the end of the lease's topic behind the planner's last record. It rises twice a second and stays below that of any successor. Once an engine has accepted one order, it rejects all from before the last renewal, so their room is free from then on rather than after 15 s. Late orders can only follow each other from the first one of a start on; those that could, without a gap, take room together with the next order.

The random tests of the lease check that tokens of two holders never meet.

--- a/crates/fleet/src/adapters.rs
+++ b/crates/fleet/src/adapters.rs
@@ -134,7 +134,7 @@
         let scored = candidates.filter_map(|index| {
             let engine = snapshot.engines[*index].engine;
             let occupied = engine.worst_adapters();
-            let used = occupied.len();
+            let used = engine.worst_slots();
             let pending = engine.pending.iter().filter(|p| p.order.adapter.is_some());
             if pending.count() >= self.settings.pending_adapters {
                 return None;
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -39,3 +39,20 @@
     /// The disk space of an engine for copies of weights.
     pub disk_space: Megabytes,
 }
+
+impl Catalog {
+    /// The memory that models and adapters take.
+    pub(crate) fn memory_of<'a>(
+        &self,
+        loads: impl Iterator<Item = (&'a Model, Option<&'a Adapter>)>,
+    ) -> Megabytes {
+        let size = |(model, adapter): (&Model, Option<&Adapter>)| {
+            let profile = self.models.get(model)?;
+            Some(match adapter {
+                Some(_) => profile.adapter_size.0,
+                None => profile.weights_size.0,
+            })
+        };
+        Megabytes(loads.filter_map(size).sum())
+    }
+}
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -232,17 +232,27 @@
         self.confirmed.iter().flat_map(Held::adapters)
     }
 
+    /// The slots of adapters that may be in use, in the worst case.
+    pub(crate) fn worst_slots(&self) -> usize {
+        let late: BTreeSet<_> = self.late_loads().filter(|l| l.1.is_some()).collect();
+        self.worst_adapters().len().max(late.len())
+    }
+
     /// The memory that may be in use, in the worst case.
     pub(crate) fn worst_memory(&self, catalog: &Catalog) -> Megabytes {
-        let profile = |m: &Model| catalog.models.get(m);
-        let models = self.worst_models().into_iter();
-        let weights: u64 = models.filter_map(profile).map(|r| r.weights_size.0).sum();
+        let models = self.worst_models().into_iter().map(|m| (m, None));
         let adapters = self.worst_adapters().into_iter();
-        let adapters: u64 = adapters
-            .filter_map(|(m, _)| profile(m))
-            .map(|r| r.adapter_size.0)
-            .sum();
-        Megabytes(weights + adapters)
+        let expected = models.chain(adapters.map(|(m, a)| (m, Some(a))));
+        let late: BTreeSet<_> = self.late_loads().collect();
+        let expected = catalog.memory_of(expected);
+        expected.max(catalog.memory_of(late.into_iter()))
+    }
+
+    /// What a later start of the engine may load by unanswered orders, if the next order is another
+    /// one.
+    fn late_loads(&self) -> impl Iterator<Item = (&Model, Option<&Adapter>)> {
+        let loads = self.unanswered.loads_beside(self.held.seq);
+        loads.map(|o| (&o.model, o.adapter.as_ref()))
     }
 
     /// Resets the state after a restart. Only orders that may still be carried out are kept.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -114,6 +114,19 @@
         }
     }
 
+    /// Learns that every order from now on has this fencing token or a higher one. Only for engines
+    /// that check fencing tokens.
+    pub fn supersede(&mut self, token: u64) {
+        for engine in self.engines.values_mut() {
+            if engine.unanswered.supersede(token) {
+                engine.bump_revision();
+            }
+        }
+        for unanswered in self.absent.values_mut() {
+            unanswered.supersede(token);
+        }
+    }
+
     /// Returns an engine for a change of its state.
     fn engine_mut(&mut self, name: &Upstream) -> Option<&mut Engine> {
         let engine = self.engines.get_mut(name)?;
--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -265,6 +265,23 @@
         self.valid_token(now).filter(|_| is_confirmed)
     }
 
+    /// Returns the fencing token of the orders that are planned now: the end of the topic behind this
+    /// daemon's last record. It rises with each renewal and stays below those of a successor, so
+    /// that an engine which has accepted an order rejects those of before the last renewal.
+    #[must_use]
+    pub fn order_token(&self, now: Millis) -> Option<u64> {
+        self.fence(now)?;
+        self.renewal().map(|renewal| renewal.end)
+    }
+
+    /// Whether an order with this token may be sent: it was planned under the lease that this daemon
+    /// holds.
+    #[must_use]
+    pub fn covers(&self, token: u64, now: Millis) -> bool {
+        let lease = self.fence(now).zip(self.order_token(now));
+        lease.is_some_and(|(first, last)| (first..=last).contains(&token))
+    }
+
     /// The fencing token of this daemon until its lease lapses.
     fn valid_token(&self, now: Millis) -> Option<u64> {
         match self.state {
--- a/crates/fleet/src/prefetch.rs
+++ b/crates/fleet/src/prefetch.rs
@@ -99,7 +99,7 @@
             if !is_idle {
                 return 0;
             }
-            let used = entry.engine.worst_adapters().len() + SPARE_SLOTS;
+            let used = entry.engine.worst_slots() + SPARE_SLOTS;
             snapshot.catalog.adapter_slots.saturating_sub(used)
         };
         (0..snapshot.engines.len()).map(slots).collect()
--- a/crates/fleet/src/room_note.rs
+++ b/crates/fleet/src/room_note.rs
@@ -19,7 +19,7 @@
         let seq = engine.held().seq;
         Self {
             memory: engine.worst_memory(catalog),
-            adapters: engine.worst_adapters().len(),
+            adapters: engine.worst_slots(),
             unanswered: engine.unanswered.open(seq).count(),
             seq,
             age: Millis(now.since(engine.last_report)),
--- a/crates/fleet/tests/late_orders/main.rs
+++ b/crates/fleet/tests/late_orders/main.rs
@@ -30,6 +30,9 @@
 const RETRY_MS: u64 = 450;
 const ATTEMPTS: usize = 3;
 
+/// The interval at which the planner renews its lease.
+const RENEW_MS: u64 = 500;
+
 /// The time without its entry of an engine that starts again, if the entry goes at all.
 const ABSENCE_MS: u64 = 1_000;
 
@@ -60,7 +63,8 @@
     fleet: Fleet,
     planner: Planner,
     window: LoadWindow,
-    fence: u64,
+    /// The fencing token of the orders that are planned now.
+    token: u64,
     sending: BTreeMap<Upstream, Sending>,
     /// Attempts that arrive later.
     late: Vec<(u64, Order)>,
@@ -85,7 +89,7 @@
             fleet: Fleet::default(),
             planner: Planner::new(PlanSettings::default()),
             window: LoadWindow::new(Millis(5_000), 1.1),
-            fence: 1,
+            token: 1,
             sending: BTreeMap::new(),
             late: Vec::new(),
             listings: BTreeMap::new(),
@@ -121,6 +125,9 @@
         if self.is_due(700) {
             self.restart_one();
         }
+        if self.is_due(RENEW_MS) {
+            self.token += 1;
+        }
         if self.play.takeovers.is_some_and(|t| self.is_due(t)) {
             self.take_over();
         }
@@ -199,7 +206,7 @@
 
     /// Another daemon plans from now on, which knows nothing of the orders of this one.
     fn take_over(&mut self) {
-        self.fence += 1;
+        self.token += 1;
         self.sending.clear();
         self.fleet = Fleet::default();
         self.planner = Planner::new(PlanSettings::default());
@@ -218,12 +225,13 @@
     fn plan(&mut self) {
         let now = Millis(self.now);
         self.fleet.prune(now);
+        self.fleet.supersede(self.token);
         let view = PlanView {
             catalog: &self.catalog,
             fleet: &self.fleet,
             rates: &self.rates,
             unmet: &UnmetByKey::new(),
-            fence: self.fence,
+            fence: self.token,
             holder: "me",
             warmup: WarmupPhase::Over,
             cooldowns: &BTreeMap::new(),
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -199,9 +199,10 @@
                 let call = (now + delay, action, Millis(now), lost);
                 daemon.calls.push_back(call);
             }
-            if let Some(fence) = daemon.lease.fence(Millis(now)) {
-                orders.push((now, d, fence));
-            }
+            let fence = daemon.lease.fence(Millis(now));
+            let token = daemon.lease.order_token(Millis(now));
+            assert_eq!(fence.is_some(), token.is_some());
+            orders.extend(token.map(|token| (now, d, token)));
         }
     }
     orders
@@ -418,6 +419,22 @@
     a_renewal_ends_with_its_validity: 1_200 => false,
 }
 
+/// An order of before a renewal may still be sent, but an engine that has accepted one of after it
+/// rejects it.
+#[test]
+fn the_token_of_orders_rises_with_each_renewal() {
+    let mut lease = holder();
+    let at = |ms: u64| Millis(START + ms);
+    assert_eq!(lease.order_token(at(10)), Some(1));
+    assert!(lease.tick(at(500)).is_some());
+    lease.on_appended(1, at(500));
+    assert_eq!(lease.order_token(at(510)), Some(2));
+    let covered = [0, 1, 2, 3].map(|token| lease.covers(token, at(510)));
+    assert_eq!(covered, [false, true, true, false]);
+    assert_eq!(lease.order_token(at(1_700)), None);
+    assert!(!lease.covers(2, at(1_700)));
+}
+
 /// Another daemon's higher token arrives while a renewal is in progress, which may have been carried
 /// out before the other one acquired the lease.
 #[test]
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -43,7 +43,7 @@
     /// Whether an order may be sent now: this daemon holds the lease, and the engine has not
     /// started again since the order was planned.
     fn may_order(&self, order: &Order) -> bool {
-        let leads = self.planner_lease.borrow().fence(self.now()) == Some(order.fence);
+        let leads = self.planner_lease.borrow().covers(order.fence, self.now());
         let same = self.start_of(&order.engine).1 == order.incarnation;
         leads && same && !self.stopping.get()
     }
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -166,9 +166,10 @@
     let since = now.since(state.last_plan.get());
     let due = since >= gw.settings.policy.plan_interval.0;
     let wanted = (woken || !gw.unmet_adapters.borrow().is_empty()) && since >= WANTED_PLAN_MS;
-    let fence = fence.filter(|_| due || wanted)?;
+    let token = gw.planner_lease.borrow().order_token(now);
+    let token = token.filter(|_| due || wanted)?;
     state.last_plan.set(now);
-    Some(plan(gw, state, fence, now))
+    Some(plan(gw, state, token, now))
 }
 
 /// Gives an order, unless its engine is still carrying out another.
@@ -274,7 +275,7 @@
     (rates, unmet)
 }
 
-fn plan(gw: &Gateway, state: &PlannerState, fence: u64, now: Millis) -> Vec<(Service, Order)> {
+fn plan(gw: &Gateway, state: &PlannerState, token: u64, now: Millis) -> Vec<(Service, Order)> {
     let mut orders = Vec::new();
     let Some(table) = gw.table() else {
         return orders;
@@ -296,6 +297,9 @@
         tags.update(table.version, catalog);
         let (rates, unmet) = demand(gw, tags, now);
         fleet.prune(now);
+        if gw.planner_lease.borrow().settings().fencing {
+            fleet.supersede(token);
+        }
         let mut window = state.window.borrow_mut();
         let Some(window) = window.as_mut() else {
             continue;
@@ -305,7 +309,7 @@
             fleet,
             rates: &rates,
             unmet: &unmet,
-            fence,
+            fence: token,
             holder: gw.me.instance.as_str(),
             warmup: state.lead_time(rates.is_empty(), now),
             cooldowns: &cooldowns,
