An adapter is loaded only where its memory is free, too

Only loads ahead of requests asked for both. Where the memory is missing, another adapter is evicted first.

an_adapter_takes_no_slot_without_memory (fleet/tests/adapters.rs) failed before: the load was ordered with 99 MB free beside one adapter of 50.

--- a/crates/fleet/src/adapters.rs
+++ b/crates/fleet/src/adapters.rs
@@ -120,6 +120,7 @@
         let Some(number) = snapshot.model_index.get(model) else {
             return;
         };
+        let size = snapshot.models[number].1.adapter_size;
         let serving = &snapshot.servers[number];
         let has = |e: &Engine| has_adapter(e, model, adapter);
         let holding = serving.iter().filter(|p| has(snapshot.engines[**p].engine));
@@ -139,7 +140,8 @@
             if pending.count() >= self.settings.pending_adapters {
                 return None;
             }
-            let victim = if used < snapshot.catalog.adapter_slots {
+            let has_slot = used < snapshot.catalog.adapter_slots;
+            let victim = if has_slot && size <= snapshot.engines[*index].summary.room {
                 None
             } else {
                 let eviction_scope = match count {
--- a/crates/fleet/tests/adapters.rs
+++ b/crates/fleet/tests/adapters.rs
@@ -92,6 +92,17 @@
 }
 
 fn plan_with(
+    planner: &mut Planner,
+    fleet: &Fleet,
+    demand: (&Rates, &UnmetByKey),
+    after_failure: bool,
+    now: Millis,
+) -> Vec<String> {
+    plan_in(&catalog(), planner, fleet, demand, after_failure, now)
+}
+
+fn plan_in(
+    catalog: &Catalog,
     planner: &mut Planner,
     fleet: &Fleet,
     (rates, unmet): (&Rates, &UnmetByKey),
@@ -100,7 +111,7 @@
 ) -> Vec<String> {
     let view = PlanView {
         warmup: WarmupPhase::Over,
-        catalog: &catalog(),
+        catalog,
         fleet,
         rates,
         unmet,
@@ -198,3 +209,22 @@
     an_adapter_is_evicted_for_a_long_wait: (0, 0, 5_000) => makes_room(),
     an_adapter_with_a_due_retry_stays_despite_a_long_wait: (250, 0, 5_000) => stays(),
 }
+
+/// The orders if a caller of the wanted adapter is about to retry, a slot is free, and the engine has
+/// this much memory beside the weights, in megabytes. Each adapter takes 50.
+fn ordered_in_memory(beside: u64) -> Vec<String> {
+    let catalog = Catalog {
+        memory: Megabytes(70_000 + beside),
+        adapter_slots: 2,
+        ..catalog()
+    };
+    let unmet: UnmetByKey = [(key("wanted"), unmet(100, 250))].into();
+    let rates = [key("held"), key("wanted")].map(|k| (k, RATE)).into();
+    let planner = &mut Planner::new(PlanSettings::default());
+    plan_in(&catalog, planner, &fleet(), (&rates, &unmet), false, NOW)
+}
+
+cases! { ordered_in_memory;
+    an_adapter_takes_a_slot_if_its_memory_is_free: 100 => vec!["load m+wanted at e1 expecting 1".to_owned()],
+    an_adapter_takes_no_slot_without_memory: 99 => vec!["unload m+held at e1 expecting 1".to_owned()],
+}
