A report that counts orders of unknown fate confirms nothing until a later one

Where the planner has seen the order accepted, it knows the adapter. Where the reply was lost and the repeat was refused, it took the slot to be free.

With reports that show a load some milliseconds after they count it, fleet/tests/late_orders failed for seeds 627 and 713 of 1,500 in the first of its four cases (five adapters where four fit). Now a report that counts an order which the planner has not seen accepted confirms nothing; one of 200 ms later does, and such an engine is queried again after 200 ms, not 700.

The first report of an engine is taken as it is: a planner that has just started follows one that sent its last order more than a second before.

fleet/tests/prefetch.rs: its engine replied to a load that it holds the adapter already, which a real one replies only where that is so. It accepts now, as engines do; no expectation has changed.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -75,6 +75,8 @@
     /// The models that it held when it was first seen.
     pub(crate) initial_models: BTreeSet<Model>,
     pub(crate) last_report: Millis,
+    /// When a report last counted an order that was not known to be accepted.
+    last_count: Millis,
     /// Recent changes of what it holds.
     changes: Changes,
     /// Its confirmed content, as of the number of orders it had accepted.
@@ -94,6 +96,10 @@
 /// s, and it is read within another 1.2 s.
 pub(crate) const LIST_LAG_MS: u64 = 2_500;
 
+/// The age of what an engine reports, at most. A report may count an order before it shows its
+/// effect; one of this much later shows it.
+const REPORT_LAG_MS: u64 = 200;
+
 /// A model that is announced to be unloaded gets no new requests for this time; by then the
 /// engine's entry shows whether it was unloaded.
 const RETIRING_MS: u64 = 3_000;
@@ -126,6 +132,7 @@
             retiring: BTreeMap::new(),
             last_order: Millis(0),
             last_report: Millis(0),
+            last_count: Millis(0),
             revision: next_revision(),
         }
     }
@@ -285,9 +292,13 @@
         match from {
             HeldSource::Reported if next.seq < self.held.seq => return,
             HeldSource::Reported => {
-                self.last_report = now;
                 self.changes.on_report(&self.held, &next, now);
-                self.confirmed = (!next.busy).then(|| next.clone());
+                if self.last_report != Millis(0) && next.seq > self.held.seq {
+                    self.last_count = now;
+                }
+                self.last_report = now;
+                let confirms = !next.busy && !self.awaits_report();
+                self.confirmed = confirms.then(|| next.clone());
             }
             HeldSource::Listed => {
                 if now.since(self.last_report.max(self.last_order)) < LIST_LAG_MS {
@@ -306,6 +317,13 @@
         self.settle(now);
     }
 
+    /// Whether its last report may count an order whose effect it does not show yet.
+    #[must_use]
+    pub fn awaits_report(&self) -> bool {
+        let counted = self.last_count != Millis(0);
+        counted && self.last_report.since(self.last_count) < REPORT_LAG_MS
+    }
+
     /// Records that an adapter has been unloaded, or will be in a moment.
     pub(crate) fn remove_adapter(&mut self, model: &Model, adapter: &Adapter, now: Millis) {
         if let Some(adapters) = self.held.models.get_mut(model) {
--- a/crates/fleet/tests/late_orders/engine.rs
+++ b/crates/fleet/tests/late_orders/engine.rs
@@ -17,6 +17,7 @@
 pub struct SimulatedEngine {
     named: bool,
     started: u64,
+    now: u64,
     seq: u64,
     fence: u64,
     models: BTreeMap<Model, BTreeSet<Adapter>>,
@@ -34,6 +35,7 @@
         let mut engine = Self {
             named,
             started: now,
+            now,
             seq: 0,
             fence: 0,
             models: BTreeMap::new(),
@@ -59,7 +61,7 @@
     pub fn held(&self) -> Held {
         Held {
             models: self.models.clone(),
-            loading_adapters: self.loading_adapters.keys().cloned().collect(),
+            loading_adapters: self.reported_loads(),
             seq: self.seq,
             busy: self.loading.is_some(),
             incarnation: match self.named {
@@ -70,6 +72,14 @@
         }
     }
 
+    /// The adapters that it reports as being loaded: an order is counted some milliseconds before its
+    /// effect is shown.
+    fn reported_loads(&self) -> BTreeSet<(Model, Adapter)> {
+        let loads = self.loading_adapters.iter();
+        let shown = loads.filter(|(_, end)| **end < self.now + ADAPTER_LOAD_MS);
+        shown.map(|(key, _)| key.clone()).collect()
+    }
+
     /// What it reports: its state of some time ago.
     pub fn report(&self, now: u64) -> Held {
         let until = now.saturating_sub(REPORT_AGE_MS);
@@ -81,6 +91,7 @@
 
     /// Completes loads that are due.
     pub fn advance(&mut self, now: u64) {
+        self.now = now;
         if let Some((model, _)) = self.loading.take_if(|(_, at)| *at <= now) {
             self.models.insert(model, BTreeSet::new());
         }
@@ -113,6 +124,7 @@
         if matches!(reply, OrderReply::Accepted | OrderReply::Done) {
             self.seq += 1;
             self.check_room(order);
+            self.past.push_back((now.0, self.held()));
         }
         reply
     }
--- a/crates/fleet/tests/late_orders/main.rs
+++ b/crates/fleet/tests/late_orders/main.rs
@@ -287,7 +287,9 @@
 
 /// The orders that exceed the room of an engine, over some seeds.
 fn overloads(play: Play) -> Vec<String> {
-    let seeds = 1..=100;
+    /// Seeds above the range that failed with reports that are ahead of their content.
+    const FAILED: [u64; 2] = [627, 713];
+    let seeds = (1..=100).chain(FAILED);
     let all = seeds.map(|seed| (seed, Simulation::new(seed, play).run()));
     let failed = all.filter(|(_, overloads)| !overloads.is_empty());
     failed
--- a/crates/fleet/tests/prefetch.rs
+++ b/crates/fleet/tests/prefetch.rs
@@ -94,13 +94,19 @@
         held.seq += 1;
         let adapters = held.models.get_mut(&order.model).expect("it is served");
         let adapter = order.adapter.as_ref().expect("no weights are moved");
-        match order.kind {
-            OrderKind::Load => adapters.insert(adapter.clone()),
-            OrderKind::Unload => adapters.remove(adapter),
+        let reply = match order.kind {
+            OrderKind::Load => {
+                adapters.insert(adapter.clone());
+                OrderReply::Accepted
+            }
+            OrderKind::Unload => {
+                adapters.remove(adapter);
+                OrderReply::Done
+            }
         };
         let report = held.clone();
         self.fleet.record_sent(order, self.now);
-        self.fleet.record_reply(order, OrderReply::Done, self.now);
+        self.fleet.record_reply(order, reply, self.now);
         self.fleet.report(&order.engine, report, self.now);
     }
 
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -23,6 +23,9 @@
 /// much as a health check.
 const QUERY_PAUSE: Duration = Duration::from_millis(700);
 
+/// The same if its last report may lack the effect of an order: what it reports is this old.
+const INCOMPLETE_PAUSE: Duration = Duration::from_millis(200);
+
 /// The interval between plans while a request waits for an adapter, in milliseconds.
 const WANTED_PLAN_MS: u64 = 40;
 
@@ -348,6 +351,16 @@
     names.collect()
 }
 
+/// The pause until an engine may be queried again.
+fn query_pause(gw: &Gateway, name: &Upstream) -> Duration {
+    let fleets = gw.fleets.borrow();
+    let engine = fleets.values().find_map(|f| f.get(name));
+    match engine.is_some_and(|e| e.awaits_report()) {
+        true => INCOMPLETE_PAUSE,
+        false => QUERY_PAUSE,
+    }
+}
+
 /// Queries the engines for which it is not confirmed what they hold.
 fn query_unconfirmed(gw: &Rc<Gateway>, state: &Rc<PlannerState>) {
     for name in unconfirmed(gw) {
@@ -356,7 +369,7 @@
             let (gw, state) = (Rc::clone(gw), Rc::clone(state));
             actix_rt::spawn(async move {
                 query_engine(&gw, &name).await;
-                tokio::time::sleep(QUERY_PAUSE).await;
+                tokio::time::sleep(query_pause(&gw, &name)).await;
                 state.end(&start);
             });
         }
