Tests of heads that are cut behind a tunnel

The other place where a head of an upstream's answer is read, beside the direct path: through another daemon, whose tunnel passes bytes on. Six cases (one byte, the last line, inside the digits of the length, without the length, a stream, inside the status line) get 502, and did at once: nothing is changed.

--- a/crates/gateway/tests/unit/tunnels/main.rs
+++ b/crates/gateway/tests/unit/tunnels/main.rs
@@ -1,6 +1,7 @@
 //! Tests that callers of a daemon which does not reach the upstreams are served through another
 //! one that does, with real connections.
 
+mod cut_head;
 mod pair;
 
 use pair::{whole_body, Break, Pair};
@@ -53,6 +54,24 @@
         (Break::Hangs, "/unsafe/x", ALL_BUT_ONE) => Vec::<String>::new(),
 }
 
+/// The status that a caller gets through a tunnel where the head of the answer lacks its last bytes.
+fn status_with_missing((path, missing): (&'static str, usize)) -> String {
+    actix_rt::System::new().block_on(async {
+        let pair = Pair::start_before_cut_heads(Break::Refuses, missing).await;
+        let answer = pair.request(path, "r1").await;
+        answer.split(' ').next().unwrap_or_default().to_owned()
+    })
+}
+
+cases! { status_with_missing;
+    a_head_that_lacks_a_byte_behind_a_tunnel_is_a_failure: ("/unsafe/x", 1) => "502",
+    a_head_that_lacks_its_last_line_behind_a_tunnel_is_a_failure: ("/unsafe/x", 2) => "502",
+    a_length_that_is_cut_behind_a_tunnel_is_a_failure: ("/unsafe/x", 5) => "502",
+    a_head_that_lacks_its_length_behind_a_tunnel_is_a_failure: ("/unsafe/x", 22) => "502",
+    a_head_of_a_stream_that_is_cut_behind_a_tunnel_is_a_failure: ("/stream/x", 2) => "502",
+    a_status_line_that_is_cut_behind_a_tunnel_is_a_failure: ("/unsafe/x", 50) => "502",
+}
+
 #[test]
 fn each_request_runs_once_through_a_tunnel() {
     actix_rt::System::new().block_on(async {
--- a/crates/gateway/tests/unit/tunnels/pair.rs
+++ b/crates/gateway/tests/unit/tunnels/pair.rs
@@ -1,5 +1,6 @@
 //! Daemons that reach each other, of which only the last one reaches the upstreams.
 
+use super::cut_head::listen_cut;
 use crate::gossip::{on_datagram, periodic_messages, Addressed};
 use crate::handover::CopyHandler;
 use crate::request::Callers;
@@ -300,6 +301,23 @@
         let ip = own_ip();
         let serve = |c: &ListenerControl| listen(ip, c.clone(), Rc::new(Server(Rc::clone(&runs))));
         let addresses: Vec<SocketAddr> = controls.iter().map(serve).collect();
+        let pair = Self::start_before(broken, cut, &addresses).await;
+        Self {
+            runs,
+            servers: controls,
+            ..pair
+        }
+    }
+
+    /// Starts the daemons before upstreams whose heads lack their last `missing` bytes.
+    pub async fn start_before_cut_heads(broken: Break, missing: usize) -> Self {
+        let ip = own_ip();
+        let addresses: Vec<SocketAddr> = (0..UPSTREAMS).map(|_| listen_cut(ip, missing)).collect();
+        Self::start_before(broken, 1, &addresses).await
+    }
+
+    async fn start_before(broken: Break, cut: usize, addresses: &[SocketAddr]) -> Self {
+        let ip = own_ip();
         let full: Vec<_> = match broken {
             Break::Refuses => Vec::new(),
             Break::Hangs => (0..UPSTREAMS).map(|_| full_listener(ip)).collect(),
@@ -313,7 +331,7 @@
         };
         let daemons = (0..cut).map(|index| start_daemon(index, &unreachable));
         let mut daemons: Vec<Daemon> = daemons.collect();
-        daemons.push(start_daemon(cut, &addresses));
+        daemons.push(start_daemon(cut, addresses));
         for daemon in &daemons {
             for other in daemons.iter().filter(|d| !Rc::ptr_eq(&d.gw, &daemon.gw)) {
                 let mut membership = daemon.gw.membership.borrow_mut();
@@ -337,8 +355,8 @@
         Self {
             callers,
             other,
-            runs,
-            servers: controls,
+            runs: Rc::default(),
+            servers: Vec::new(),
             pool: Pool::new(PoolSettings {
                 connect_timeout: Duration::from_secs(5),
                 unacked_timeout: Duration::from_secs(5),
