A rejection of an order that was overtaken by the planner's own ends no lease

Since the token of orders rises with each renewal, an engine may reject an order as fenced because it has accepted a later one of the same planner: one that was on its way while the engine started again. That was taken for another holder and gave the lease up for more than a second. Found by reading the change; the planner now steps down only if the rejected token is its latest one. Test: a_rejection_of_an_order_of_before_a_renewal_does_not_end_the_lease.

--- a/crates/fleet/src/planner_lease.rs
+++ b/crates/fleet/src/planner_lease.rs
@@ -282,6 +282,14 @@
         lease.is_some_and(|(first, last)| (first..=last).contains(&token))
     }
 
+    /// Records that an engine has rejected an order with this token, as it has seen a higher one: that
+    /// of another holder, unless this daemon has a higher one itself.
+    pub fn on_fenced(&mut self, token: u64, now: Millis) {
+        if self.order_token(now).is_none_or(|latest| latest <= token) {
+            self.step_down();
+        }
+    }
+
     /// The fencing token of this daemon until its lease lapses.
     fn valid_token(&self, now: Millis) -> Option<u64> {
         match self.state {
--- a/crates/fleet/tests/planner_lease.rs
+++ b/crates/fleet/tests/planner_lease.rs
@@ -435,6 +435,19 @@
     assert!(!lease.covers(2, at(1_700)));
 }
 
+/// An engine rejects an order of before a renewal if it has accepted one of after it.
+#[test]
+fn a_rejection_of_an_order_of_before_a_renewal_does_not_end_the_lease() {
+    let mut lease = holder();
+    let at = |ms: u64| Millis(START + ms);
+    assert!(lease.tick(at(500)).is_some());
+    lease.on_appended(1, at(500));
+    lease.on_fenced(1, at(510));
+    assert!(lease.is_holder());
+    lease.on_fenced(2, at(520));
+    assert!(!lease.is_holder());
+}
+
 /// Another daemon's higher token arrives while a renewal is in progress, which may have been carried
 /// out before the other one acquired the lease.
 #[test]
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -98,7 +98,10 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             query_engine(gw, &order.engine).await;
         }
-        OrderReply::Fenced => gw.planner_lease.borrow_mut().step_down(),
+        OrderReply::Fenced => {
+            let now = gw.now();
+            gw.planner_lease.borrow_mut().on_fenced(order.fence, now);
+        }
         OrderReply::Elsewhere => gw.record_replaced(&order.engine),
         OrderReply::Accepted | OrderReply::Invalid | OrderReply::Lost => {}
     }
