A connection is read once more before it is closed at a planned stop

Cause: a connection without a request in progress was closed as soon as its task learned of the stop. The runtime learns of arrived bytes only after all ready tasks have run, so that a process which stood still for a while found requests and its stop at the same moment and closed first.

Test: 16 requests arrive, then the listener is closed, before its tasks run. 0 of 16 were answered before, 16 now (three runs).

--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -12,11 +12,12 @@
 use shaleline_types::Millis;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -167,18 +168,23 @@
         tokio::select! {
             // The end of a connection is not logged, because each request logs its own end.
             _ = connection.as_mut() => return,
-            _ = phase.wait_for(|p| *p == Phase::Closed), if !shutting_down => {
-                shutting_down = true;
-                connection.as_mut().graceful_shutdown();
-            }
+            _ = phase.wait_for(|p| *p == Phase::Closed), if !shutting_down => {}
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !shutting_down => {
                 let idle = u128::from(control.now().since(activity.last_active.get())) >= control.idle_timeout().as_millis();
-                if activity.busy.get() == 0 && idle {
-                    shutting_down = true;
-                    connection.as_mut().graceful_shutdown();
+                if activity.busy.get() > 0 || !idle {
+                    continue;
                 }
             }
         }
+        // A request that has arrived meanwhile is read first: the runtime learns of it once all other
+        // tasks have run.
+        tokio::task::yield_now().await;
+        let polled = poll_fn(|context| Poll::Ready(connection.as_mut().poll(context))).await;
+        if polled.is_ready() {
+            return;
+        }
+        shutting_down = true;
+        connection.as_mut().graceful_shutdown();
     }
 }
 
--- a/crates/edge/tests/listener.rs
+++ b/crates/edge/tests/listener.rs
@@ -171,6 +171,34 @@
 }
 
 /// Guards against an instance that reads more requests than it has processor time for.
+/// A process that had no processor time for a while finds requests and its own stop at once.
+#[test]
+fn a_closed_listener_answers_requests_that_arrived_before() {
+    const CONNECTIONS: usize = 16;
+    const REQUEST: &[u8] = b"GET /echo HTTP/1.1\r\nhost: a\r\n\r\n";
+    actix_rt::System::new().block_on(async {
+        let server = serve();
+        let mut streams = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let mut stream = TcpStream::connect(server.address).await.expect("connected");
+            stream.write_all(REQUEST).await.expect("written");
+            assert!(stream.read(&mut [0; 1_024]).await.expect("read") > 0);
+            streams.push(stream);
+        }
+        for stream in &streams {
+            assert_eq!(stream.try_write(REQUEST).expect("written"), REQUEST.len());
+        }
+        server.control.close();
+        let mut answered = 0;
+        for stream in &mut streams {
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.ok();
+            answered += usize::from(answer.starts_with(b"HTTP/1.1 200"));
+        }
+        assert_eq!(answered, CONNECTIONS);
+    });
+}
+
 #[test]
 fn an_overloaded_listener_closes_most_new_connections_unread() {
     const CONNECTIONS: usize = 12;
