--- a/crates/gateway/tests/unit/catalogue/cluster.rs
+++ b/crates/gateway/tests/unit/catalogue/cluster.rs
@@ -566,7 +566,7 @@
         let Daemon {
             gw, planner_state, ..
         } = &self.daemons[index];
-        let is_planner = gw.planner_lease.borrow().fence(gw.now()) == Some(order.fence);
+        let is_planner = gw.planner_lease.borrow().covers(order.fence, gw.now());
         if !is_planner {
             planner_state.end(&start);
             return;
@@ -681,11 +681,13 @@
         let mut serving = serving.filter(|(_, e)| e.held.models.contains_key(model));
         let model_away = serving.clone().next().is_none();
         let planner = self.planner().map(|index| &self.daemons[index].gw);
-        let fence = planner.and_then(|gw| gw.planner_lease.borrow().fence(gw.now()));
+        let covers = |token: u64| {
+            planner.is_some_and(|gw| gw.planner_lease.borrow().covers(token, gw.now()))
+        };
         // An engine takes no orders of a new planner until the cooldown has passed.
         let cooling = serving.all(|(name, _)| {
             let last = self.last_orders.get(name);
-            last.is_some_and(|(at, f)| Some(*f) != fence && self.now() - at < COOLDOWN_MS)
+            last.is_some_and(|(at, token)| !covers(*token) && self.now() - at < COOLDOWN_MS)
         });
         let wanted = planner.zip(adapter.as_ref()).is_some_and(|(gw, a)| {
             let wanted = gw.unmet_adapters.borrow();
