--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -139,6 +139,7 @@
     mod era;
     mod events;
     mod grants;
+    mod handover;
     mod identity;
     mod job;
     mod late_release;
--- a/crates/gateway/tests/unit/ready.rs
+++ b/crates/gateway/tests/unit/ready.rs
@@ -8,13 +8,14 @@
 //! round. In another run, that daemon applied the version 3.5 s after it was accepted, and all
 //! other daemons within 1.6 s.
 
+use crate::message::ReadPosition;
 use crate::read_progress::ReadProgress;
 use crate::ready::is_behind;
 use crate::stall::StallDetector;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shaleline_testkit::cases;
 use shaleline_types::{Millis, Position};
-use Step::{Read, Run, Stall};
+use Step::{Newer, Read, Run, Stall};
 
 const START_MS: u64 = 1_000_000;
 const APPLY_BOUND: Millis = Millis(4_000);
@@ -29,6 +30,19 @@
     Stall(u64),
     /// It reads the configuration.
     Read,
+    /// The daemon that it follows reports that it has read a newer configuration.
+    Newer,
+}
+
+fn newer_position() -> ReadPosition {
+    ReadPosition {
+        config: Position::new(0, 8),
+        config_age: 0,
+        confirmed_age: None,
+        changes: 0,
+        changes_age: 0,
+        reads_store: true,
+    }
 }
 
 /// Whether the configuration of a daemon may be outdated after these steps.
@@ -49,6 +63,7 @@
                 detector.on_tick(TICK_MS, now);
             }
             Read => reading.on_config(Position::new(0, 7), now),
+            Newer => reading.on_position(1, newer_position(), now),
         }
     }
     is_behind(&reading, &detector, APPLY_BOUND, now)
@@ -62,7 +77,7 @@
         let (rounds, interval) = match *step {
             Run(ms) => (ms / TICK_MS, TICK_MS),
             Stall(ms) => (1, ms),
-            Read => continue,
+            Read | Newer => continue,
         };
         for _ in 0..rounds {
             now = now.plus(interval);
@@ -91,6 +106,10 @@
     after_a_long_stall: &[Read, Stall(7_000)] => true,
     not_after_another_read: &[Read, Stall(7_000), Run(100), Read, Run(100)] => false,
     not_before_the_first_read: &[Stall(7_000)] => false,
+    not_while_a_newer_configuration_is_copied: &[Read, Run(300), Newer, Run(2_400)] => false,
+    without_a_newer_configuration_that_is_known_near_the_bound:
+        &[Read, Run(300), Newer, Run(3_600)] => true,
+    not_after_a_newer_configuration_is_read: &[Newer, Run(3_000), Read, Run(3_600)] => false,
 }
 
 /// The time for which a read waits for a change.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,8 @@
-//! The test macro shared by the crates of this workspace.
+//! The test macro and the stand-ins shared by the crates of this workspace.
+
+mod link;
+
+pub use link::limit_link;
 
 /// Expands each case of a table test to a test of its own, so that a failure names the case.
 ///
