--- a/crates/dialect/src/service.rs
+++ b/crates/dialect/src/service.rs
@@ -27,7 +27,8 @@
         shaleline_edge::SendError::NotSent => SendError::NotSent,
         shaleline_edge::SendError::Broken
         | shaleline_edge::SendError::HeadTooLarge
-        | shaleline_edge::SendError::BodyTooLarge => SendError::Broken,
+        | shaleline_edge::SendError::BodyTooLarge
+        | shaleline_edge::SendError::Stalled => SendError::Broken,
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -21,6 +21,8 @@
     HeadTooLarge,
     /// It was written, and the body of its response was larger than its limit.
     BodyTooLarge,
+    /// It was written, and the body of its response stopped arriving.
+    Stalled,
 }
 
 impl fmt::Display for SendError {
@@ -30,12 +32,20 @@
             Self::Broken => "the connection failed after the request was sent",
             Self::HeadTooLarge => "the head of the response is larger than its limit",
             Self::BodyTooLarge => "the body of the response is larger than its limit",
+            Self::Stalled => "the body of the response stopped arriving",
         })
     }
 }
 
 impl std::error::Error for SendError {}
 
+/// The longest pause between two parts of a body that is read steadily: several retransmissions, or
+/// a turn of each connection that shares a link.
+pub const MAX_PAUSE: Duration = Duration::from_millis(600);
+
+/// The longest time for a body that is read steadily: 8 MB over 10 Mbit/s.
+pub const MAX_TRANSFER: Duration = Duration::from_secs(7);
+
 /// How the end of a response's body is found (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -142,13 +152,28 @@
     /// [`SendError::Broken`] if the body is truncated, [`SendError::BodyTooLarge`] if it is longer
     /// than `limit`.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, SendError> {
+        self.collect_parts(limit, None).await
+    }
+
+    async fn collect_parts(
+        &mut self,
+        limit: usize,
+        pause: Option<Duration>,
+    ) -> Result<Bytes, SendError> {
         if self.length().is_some_and(|l| l > limit as u64) {
             return Err(SendError::BodyTooLarge);
         }
         let mut whole: Option<Bytes> = None;
         let mut parts = Vec::new();
         let mut total = 0;
-        while let Some(part) = self.next().await? {
+        loop {
+            let part = match pause {
+                Some(pause) => tokio::time::timeout(pause, self.next()).await,
+                None => Ok(self.next().await),
+            };
+            let Some(part) = part.unwrap_or(Err(SendError::Stalled))? else {
+                break;
+            };
             total += part.len();
             if total > limit {
                 return Err(SendError::BodyTooLarge);
@@ -166,6 +191,17 @@
         Ok(parts.concat().into())
     }
 
+    /// Reads the whole body like [`Exchange::collect`], however long that takes while its bytes keep
+    /// arriving: the time that a large body needs depends on the link.
+    ///
+    /// # Errors
+    /// Those of [`Exchange::collect`], and [`SendError::Stalled`] if nothing arrives for
+    /// [`MAX_PAUSE`] or the body has not ended after [`MAX_TRANSFER`].
+    pub async fn collect_steadily(&mut self, limit: usize) -> Result<Bytes, SendError> {
+        let whole = tokio::time::timeout(MAX_TRANSFER, self.collect_parts(limit, Some(MAX_PAUSE)));
+        whole.await.unwrap_or(Err(SendError::Stalled))
+    }
+
     /// Returns the connection to the pool, which keeps it idle for at most `max_idle`. The
     /// connection is closed instead if the response has not ended.
     pub fn finish(self, max_idle: Duration) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,7 +36,7 @@
 };
 pub use connection::{boxed, BoxedConnection, Connection};
 pub use control::ListenerControl;
-pub use exchange::{Exchange, Framing, SendError};
+pub use exchange::{Exchange, Framing, SendError, MAX_PAUSE, MAX_TRANSFER};
 pub use head_limit::MAX_HEAD_BYTES;
 pub use listener::{CallerAddress, Handler, Listener};
 pub use pool::{Pool, PoolSettings, ProbeOutcome, Target};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -114,7 +114,7 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::NotSent => Self::NotSent,
-            SendError::Broken => Self::Broken,
+            SendError::Broken | SendError::Stalled => Self::Broken,
             SendError::HeadTooLarge => Self::HeadTooLarge,
             SendError::BodyTooLarge => Self::BodyTooLarge,
         }
