Copies of the configuration are compressed, and given up only where they stop arriving

Cause: a copy had 600 ms at any size. Change: a copy is sent compressed to daemons that accept it (HTTP content coding, so that both releases understand each other), compressed once for all followers; the timeout is for its head, its body may pause for 600 ms. A daemon says what it knows, and gets no record that it has. A copy older than what is known to exist is passed over for the next source instead of being taken again and again. Event 7103 names source, size, time and tries of a copy, 7102 the time. gateway/tests/unit/handover.rs: three cases failed before and pass, one of them with a hub of the earlier release.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! A daemon without fresh knowledge takes a copy from the daemon that it follows or from another
 //! hub ([`crate::handover`]), and otherwise reads the store.
 
+use crate::config_record::ConfigRecord;
 use crate::handover::{self, ConfigCopy, EntriesCopy, Fetched};
 use crate::journal::emit;
 use crate::removals::RemovalTime;
@@ -133,14 +134,14 @@
 /// The interval at which a starting daemon checks whether it knows the others.
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 
-/// Takes a copy of the configuration from another daemon. Returns whether it is at least as new as
-/// what is known.
+/// Takes a copy of the configuration from another daemon that is at least as new as what is known.
+/// Returns whether there is one.
 async fn copy_config(gw: &Gateway, next: &mut Option<Position>) -> bool {
     let Some(Fetched {
         copy,
         at,
         requested,
-    }) = handover::config(gw).await
+    }) = handover::config(gw, *next).await
     else {
         return false;
     };
@@ -151,9 +152,6 @@
         ..
     } = copy;
     gw.on_era(end.era());
-    if next.is_some_and(|n| n > end) || end < gw.era_start() {
-        return false;
-    }
     *next = Some(end);
     let mut reading = gw.reading.borrow_mut();
     reading.on_config_copied(end, at);
@@ -193,7 +191,7 @@
     match gw.codec.table(value) {
         Ok(table) => {
             if gw.set_table(table) {
-                *gw.config_record.borrow_mut() = Some(value.into());
+                *gw.config_record.borrow_mut() = Some(Rc::new(ConfigRecord::new(value)));
                 gw.send_read_position();
                 // Their positions are the same where the store lost the record.
                 let offers = gw.config_offers(gw.now());
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -5,19 +5,21 @@
 //! reads for itself adds to them. A copy carries its age, so that old knowledge of a hub is not
 //! taken for new. `docs/MEMBERSHIP.md` has the measurements.
 
+use crate::config_record::{compress, expand, ConfigRecord};
 use crate::journal::emit;
 use crate::state::Gateway;
 use crate::Entry;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, HOST};
+use hyper::header::{HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use shaleline_edge::{Handler, Reply, ReplyBody, SendError, Target};
+use shaleline_edge::{Handler, Reply, ReplyBody, Target};
 use shaleline_types::{LogEvent, Millis, Position, Upstream};
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -27,9 +29,18 @@
 const CONFIG_PATH: &str = "/handover/config";
 const ENTRIES_PATH: &str = "/handover/entries";
 
-/// The timeout for a copy: a configuration of some hundred models has 60 KB, and thirty daemons may
-/// ask a hub for it at once.
-const COPY_TIMEOUT: Duration = Duration::from_millis(600);
+/// The time until a copy begins to arrive. How long it takes then depends on its size and on the
+/// links.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The query parameter with the position up to which a daemon knows the configuration already.
+const KNOWN_PARAMETER: &str = "known=";
+
+/// The encoding of copies for daemons that accept it.
+const GZIP: HeaderValue = HeaderValue::from_static("gzip");
+
+/// The size from which a copy is logged.
+const LOGGED_BYTES: usize = 4_096;
 
 /// The largest copy that is accepted.
 const MAX_COPY_BYTES: usize = 8 << 20;
@@ -77,33 +88,73 @@
             return Box::pin(async move { gw.open_tunnel(request).await });
         }
         let gw = &self.0;
-        let copy = match request.uri().path() {
-            CONFIG_PATH => config_copy(gw).and_then(|c| encode(&c)),
-            ENTRIES_PATH => entries_copy(gw).and_then(|c| encode(&c)),
+        let reply = match request.uri().path() {
+            CONFIG_PATH => config_reply(gw, &request),
+            ENTRIES_PATH => entries_copy(gw).and_then(|c| encode(&c)).map(plain_reply),
             _ => None,
         };
-        let status = match copy {
-            Some(_) => StatusCode::OK,
-            None => StatusCode::NOT_FOUND,
-        };
-        let mut reply = Response::new(ReplyBody::from_bytes(copy.unwrap_or_default()));
-        *reply.status_mut() = status;
+        let reply = reply.unwrap_or_else(|| {
+            let mut reply = plain_reply(Vec::new());
+            *reply.status_mut() = StatusCode::NOT_FOUND;
+            reply
+        });
         Box::pin(std::future::ready(reply))
     }
 }
 
-fn encode<T: Serialize>(copy: &T) -> Option<Bytes> {
-    postcard::to_stdvec(copy).ok().map(Bytes::from)
+fn encode<T: Serialize>(copy: &T) -> Option<Vec<u8>> {
+    let encoded = postcard::to_stdvec(copy);
+    let failed = |e| emit(LogEvent::PeerMessageBad, &format!("reason=\"{e}\""));
+    encoded.map_err(failed).ok()
 }
 
-fn config_copy(gw: &Gateway) -> Option<ConfigCopy> {
+fn plain_reply(body: Vec<u8>) -> Reply {
+    Response::new(ReplyBody::from_bytes(Bytes::from(body)))
+}
+
+/// The copy that a daemon asks for. It lacks the record where that daemon knows it already.
+fn config_reply(gw: &Gateway, request: &Request<Incoming>) -> Option<Reply> {
     let (next, at) = gw.reading.borrow().config_known()?;
-    Some(ConfigCopy {
+    let query = request.uri().query().unwrap_or_default();
+    let known = query.strip_prefix(KNOWN_PARAMETER).map(str::parse);
+    let known = known.and_then(Result::ok).map(Position::from_u64);
+    let record = gw.config_record.borrow().clone();
+    let record = record.filter(|_| known.is_none_or(|known| next > known));
+    let mut copy = ConfigCopy {
         next,
         age: gw.now().since(at),
         confirmed: gw.config_age().map(|a| a.0),
-        record: gw.config_record.borrow().as_ref().map(|r| r.to_vec()),
-    })
+        record: None,
+    };
+    let accepts = request.headers().get(ACCEPT_ENCODING) == Some(&GZIP);
+    if let Some(record) = record.as_ref().filter(|_| accepts) {
+        match compress_copy(&copy, record) {
+            Ok(body) => {
+                let mut reply = plain_reply(body);
+                reply.headers_mut().insert(CONTENT_ENCODING, GZIP);
+                return Some(reply);
+            }
+            Err(e) => emit(LogEvent::PeerMessageBad, &format!("reason=\"{e}\"")),
+        }
+    }
+    copy.record = record.map(|r| r.bytes().to_vec());
+    encode(&copy).map(plain_reply)
+}
+
+/// Encodes a copy with its record as a gzip stream of two members, the second of which is compressed
+/// only once.
+fn compress_copy(copy: &ConfigCopy, record: &ConfigRecord) -> io::Result<Vec<u8>> {
+    // The layout of `ConfigCopy`, whose last field is an option of a sequence of bytes.
+    let head = (
+        copy.next,
+        copy.age,
+        copy.confirmed,
+        Some(record.bytes().len()),
+    );
+    let head = postcard::to_stdvec(&head).map_err(io::Error::other)?;
+    let mut body = compress(&head)?;
+    body.extend_from_slice(&record.compressed()?);
+    Ok(body)
 }
 
 fn entries_copy(gw: &Gateway) -> Option<EntriesCopy> {
@@ -122,57 +173,111 @@
     })
 }
 
-/// A copy that carries its age.
+/// A copy that carries its age and the position at which the next read starts.
 trait Aged: DeserializeOwned {
     fn age(&self) -> u64;
+
+    fn next(&self) -> Position;
 }
 
 impl Aged for ConfigCopy {
     fn age(&self) -> u64 {
         self.age
     }
+
+    fn next(&self) -> Position {
+        self.next
+    }
 }
 
 impl Aged for EntriesCopy {
     fn age(&self) -> u64 {
         self.age
     }
+
+    fn next(&self) -> Position {
+        self.next
+    }
 }
 
-/// Requests a copy that is younger than `max_age` from one daemon.
+/// The copy that a daemon asks for.
+struct Wanted {
+    path: &'static str,
+    /// What this daemon has already.
+    known: Option<Position>,
+    /// An older copy is of no use.
+    least: Position,
+    /// A copy must be younger.
+    max_age: Millis,
+}
+
+impl Wanted {
+    fn uri(&self) -> Result<Uri, String> {
+        let Some(known) = self.known else {
+            return Ok(Uri::from_static(self.path));
+        };
+        let text = format!("{}?{KNOWN_PARAMETER}{}", self.path, known.to_u64());
+        Uri::try_from(text).map_err(|e| e.to_string())
+    }
+}
+
+/// A copy as it arrived.
+struct Received<T> {
+    copy: T,
+    /// The earliest time at which its first bytes may have arrived.
+    came: Millis,
+    /// Its size on the link.
+    bytes: usize,
+}
+
+/// Requests a copy from one daemon.
 async fn fetch_from<T: Aged>(
     gw: &Gateway,
     peer: SocketAddr,
-    path: &'static str,
-    max_age: Millis,
-) -> Result<T, String> {
+    wanted: &Wanted,
+) -> Result<Received<T>, String> {
+    let requested = gw.now();
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(path);
+    *request.uri_mut() = wanted.uri()?;
+    request.headers_mut().insert(ACCEPT_ENCODING, GZIP);
     let host = HeaderValue::from_str(&peer.to_string()).map_err(|e| e.to_string())?;
     request.headers_mut().insert(HOST, host);
     let target = Target {
         name: Upstream::from_text("peer").expect("a valid name"),
         address: peer,
     };
-    let exchange = async {
-        let mut exchange = gw.pool.send(&target, request).await?;
-        let status = exchange.status();
-        let body = exchange.collect(MAX_COPY_BYTES).await?;
-        exchange.finish(KEEP_ALIVE);
-        Ok::<_, SendError>((status, body))
-    };
-    let answer = tokio::time::timeout(COPY_TIMEOUT, exchange).await;
-    let (status, body) = answer
+    let exchange = tokio::time::timeout(HEAD_TIMEOUT, gw.pool.send(&target, request)).await;
+    let mut exchange = exchange
         .map_err(|e| e.to_string())?
         .map_err(|e| e.to_string())?;
+    let came = gw.earliest_arrival().max(requested);
+    let body = exchange.collect_steadily(MAX_COPY_BYTES).await;
+    let body = body.map_err(|e| e.to_string())?;
+    let status = exchange.status();
+    let compressed = exchange.head().headers().get(CONTENT_ENCODING) == Some(&GZIP);
+    exchange.finish(KEEP_ALIVE);
     if status != StatusCode::OK {
         return Err("the daemon has no copy yet".to_owned());
     }
+    let bytes = body.len();
+    let body = match compressed {
+        true => expand(&body, MAX_COPY_BYTES)
+            .map_err(|e| e.to_string())?
+            .into(),
+        false => body,
+    };
     let copy: T = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
-    if copy.age() >= max_age.0 {
+    if copy.age() >= wanted.max_age.0 {
         return Err(format!("the copy is {} ms old", copy.age()));
     }
-    Ok(copy)
+    if copy.next() < wanted.least {
+        return Err(format!(
+            "the copy ends at {}, before {}",
+            copy.next(),
+            wanted.least
+        ));
+    }
+    Ok(Received { copy, came, bytes })
 }
 
 /// A copy, as of when it is, and when it was requested.
@@ -182,15 +287,25 @@
     pub(crate) requested: Millis,
 }
 
-/// Returns the first fresh copy of the daemons that may have read the store for this one: a
+/// Returns the first copy that is wanted of the daemons that may have read the store for this one: a
 /// follower asks its hub, a hub the other hubs.
-async fn fetch<T: Aged>(gw: &Gateway, path: &'static str, max_age: Millis) -> Option<Fetched<T>> {
+async fn fetch<T: Aged>(gw: &Gateway, wanted: &Wanted) -> Option<Fetched<T>> {
     let sources = gw.membership.borrow_mut().sources(gw.now());
-    for peer in sources {
+    for (tried, peer) in sources.into_iter().enumerate() {
         let requested = gw.now();
-        match fetch_from::<T>(gw, peer, path, max_age).await {
-            Ok(copy) => {
-                let came = gw.earliest_arrival().max(requested);
+        let received = fetch_from::<T>(gw, peer, wanted).await;
+        let took = gw.now().since(requested);
+        let from = format!(
+            "peer={peer} path={} tries={} ms={took}",
+            wanted.path,
+            tried + 1
+        );
+        match received {
+            Ok(Received { copy, came, bytes }) => {
+                if bytes >= LOGGED_BYTES {
+                    let detail = format!("{from} bytes={bytes} next={}", copy.next());
+                    emit(LogEvent::CopyTaken, &detail);
+                }
                 let at = Millis(came.0.saturating_sub(copy.age()));
                 return Some(Fetched {
                     copy,
@@ -199,8 +314,7 @@
                 });
             }
             Err(reason) if gw.log_budget.take(gw.now()) => {
-                let detail = format!("peer={peer} path={path} reason={reason:?}");
-                emit(LogEvent::CopyMissed, &detail);
+                emit(LogEvent::CopyMissed, &format!("{from} reason={reason:?}"));
             }
             // The budget of log lines is used up; the next lines say the same.
             Err(_) => {}
@@ -209,17 +323,38 @@
     None
 }
 
-/// Fetches a fresh copy of the configuration.
-pub(crate) async fn config(gw: &Gateway) -> Option<Fetched<ConfigCopy>> {
-    fetch(gw, CONFIG_PATH, gw.freshness().config).await
+/// Fetches a fresh copy of the configuration that is no older than what is known of it. `known` is
+/// the position up to which this daemon has read it.
+pub(crate) async fn config(gw: &Gateway, known: Option<Position>) -> Option<Fetched<ConfigCopy>> {
+    let reported = gw.reading.borrow().reported_config();
+    let wanted = Wanted {
+        path: CONFIG_PATH,
+        known,
+        least: known.unwrap_or_default().max(reported).max(gw.era_start()),
+        max_age: gw.freshness().config,
+    };
+    fetch(gw, &wanted).await
 }
 
 /// Fetches the configuration of one daemon, however old its knowledge of the store is.
 pub(crate) async fn config_of(gw: &Gateway, peer: SocketAddr) -> Result<ConfigCopy, String> {
-    fetch_from(gw, peer, CONFIG_PATH, Millis(u64::MAX)).await
+    let wanted = Wanted {
+        path: CONFIG_PATH,
+        known: None,
+        least: Position::default(),
+        max_age: Millis(u64::MAX),
+    };
+    let received = fetch_from(gw, peer, &wanted).await;
+    received.map(|r| r.copy)
 }
 
 /// Fetches a fresh copy of the upstreams' entries.
 pub(crate) async fn entries(gw: &Gateway) -> Option<Fetched<EntriesCopy>> {
-    fetch(gw, ENTRIES_PATH, gw.freshness().entries).await
+    let wanted = Wanted {
+        path: ENTRIES_PATH,
+        known: None,
+        least: Position::default(),
+        max_age: gw.freshness().entries,
+    };
+    fetch(gw, &wanted).await
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod by_service;
 mod codec;
 mod config_check;
+mod config_record;
 mod control;
 mod crash_probe;
 mod discovery;
--- a/crates/gateway/src/read_progress.rs
+++ b/crates/gateway/src/read_progress.rs
@@ -298,6 +298,17 @@
         self.followed.is_complete() && now.since(self.followed.changes_at) < fresh.entries.0
     }
 
+    /// How far the followed daemon last reported to know the configuration.
+    pub(crate) fn reported_config(&self) -> Position {
+        self.followed.config
+    }
+
+    /// Whether the followed daemon has reported a newer configuration than is known here.
+    pub(crate) fn lacks_reported(&self) -> bool {
+        self.config
+            .is_some_and(|(next, _)| next < self.followed.config)
+    }
+
     /// How far the followed daemon knows the configuration, where that is recent enough.
     pub(crate) fn followed_config(&self, fresh: Freshness, now: Millis) -> Option<Position> {
         let fresh = now.since(self.followed.config_at) < fresh.config.0;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use crate::allowance::Allowances;
 use crate::announced::Announced;
 use crate::by_service::ByService;
+use crate::config_record::ConfigRecord;
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
 use crate::eligibility::Announcements;
@@ -108,7 +109,7 @@
     pub(crate) reading: RefCell<ReadProgress>,
     pub(crate) stall_detector: RefCell<StallDetector>,
     /// The configuration's record as it was read, for other daemons.
-    pub(crate) config_record: RefCell<Option<Rc<[u8]>>>,
+    pub(crate) config_record: RefCell<Option<Rc<ConfigRecord>>>,
     /// The position up to which the upstreams' entries are known.
     pub(crate) entries_end: Cell<Position>,
     /// The era of the store.
--- a/crates/gateway/tests/unit/handover.rs
+++ b/crates/gateway/tests/unit/handover.rs
@@ -1,5 +1,6 @@
 //! Tests of copies of a large configuration that daemons take from each other over slow links.
 
+use crate::config_record::ConfigRecord;
 use crate::handover::{self, CopyHandler};
 use crate::state::{Gateway, Platform};
 use crate::unit::crashes::cluster::settings;
@@ -74,7 +75,7 @@
 /// A hub that has this record as its configuration.
 fn hub(record: &[u8], earlier: bool) -> SocketAddr {
     let gw = gateway(0);
-    *gw.config_record.borrow_mut() = Some(record.into());
+    *gw.config_record.borrow_mut() = Some(Rc::new(ConfigRecord::new(record)));
     gw.reading.borrow_mut().on_config(KNOWN.next(), gw.now());
     let copies = CopyHandler(gw);
     let handler: Rc<dyn Handler> = match earlier {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -92,6 +92,7 @@
     MemberLeft 7002 Info "A daemon left or stopped responding.";
     PeerMessageBad 7101 Warn "A datagram between daemons cannot be decoded or encoded.";
     CopyMissed 7102 Info "The records that another daemon has read from the store could not be copied from it.";
+    CopyTaken 7103 Info "The records that another daemon has read from the store were copied from it; the line gives size and time.";
     UpstreamOpen 8001 Warn "A breaker opened for an upstream.";
     UpstreamLeaving 8002 Info "An upstream is leaving and gets no new work.";
     LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
