A daemon that knows of a newer configuration refuses near the bound while it lacks it

A last resort for links that carry no copy in time: before, only a daemon that had stalled counted as behind, and one whose hub had reported a newer position served on. Refusing at once lets callers go to a daemon that has it. gateway/tests/unit/ready.rs: without_a_newer_configuration_that_is_known_near_the_bound failed before and passes; it is not behind while there is time to copy, nor after it has read it.

--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -18,7 +18,8 @@
 /// putting a version in force.
 const IN_TRANSIT_MS: u64 = 150;
 
-/// Whether a version may be in force elsewhere that this daemon missed while it stalled.
+/// Whether a version may be in force elsewhere that this daemon missed while it stalled, or is known
+/// to have been read elsewhere and has not arrived within the bound.
 pub(crate) fn is_behind(
     reading: &ReadProgress,
     stall_detector: &StallDetector,
@@ -29,7 +30,8 @@
         return false;
     };
     let allowed = apply.0.saturating_sub(IN_TRANSIT_MS);
-    now.since(known) >= allowed && stall_detector.stalled_since(known, now)
+    let may_lack = reading.lacks_reported() || stall_detector.stalled_since(known, now);
+    now.since(known) >= allowed && may_lack
 }
 
 impl Gateway {
