Only hubs that are heard are listed to other daemons

Cause: daemons answer one that acts as a hub, or that reports to them as to one, with the hub that they believe in; the receiver then believes in it for 1.2 s and lists it in turn. Now a hub is listed only by a daemon that has itself received a message from it within 1.2 s; otherwise its address is passed on alone. gateway/tests/unit/membership.rs: a_hub_that_is_gone_is_not_listed_as_one failed before (three daemons follow the one that is gone) and passes.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -349,7 +349,13 @@
             let next = ranked.filter(|i| Some(*i) != hub.as_ref()).take(SUCCESSORS);
             let next = next.filter_map(|i| self.sender_of(i));
             list.next.extend(next);
-            list.hubs.extend(hub.and_then(|h| self.sender_of(&h)));
+            if let Some(hub) = hub {
+                let listed = match self.hears(&hub, now) {
+                    true => &mut list.hubs,
+                    false => &mut list.next,
+                };
+                listed.extend(self.sender_of(&hub));
+            }
         }
         list
     }
@@ -358,7 +364,7 @@
     /// role. This happens when both started before they knew of each other.
     pub(crate) fn correct_hub(&mut self, from: &Sender, now: Millis) -> Option<MemberList> {
         let hub = self.hub(&from.centre, now);
-        let hub = hub.filter(|h| *h != from.instance)?;
+        let hub = hub.filter(|h| *h != from.instance && self.hears(h, now))?;
         Some(MemberList {
             hubs: vec![self.sender_of(&hub)?],
             next: Vec::new(),
@@ -368,7 +374,8 @@
     /// The hub to report to a daemon that sends its load to this one although another daemon is its
     /// hub.
     pub(crate) fn correct_follower(&mut self, from: &Sender, now: Millis) -> Option<MemberList> {
-        let hub = self.local_hub(now).filter(|h| *h != self.me.instance)?;
+        let hub = self.local_hub(now);
+        let hub = hub.filter(|h| *h != self.me.instance && self.hears(h, now))?;
         let is_local = from.centre == self.me.centre && hub != from.instance;
         let hub = self.sender_of(&hub).filter(|_| is_local)?;
         Some(MemberList {
@@ -377,6 +384,13 @@
         })
     }
 
+    /// Whether this daemon itself has recently received a message from another one. Only such a hub is
+    /// listed to others: daemons that list a hub because others do would keep one that is gone.
+    fn hears(&self, instance: &Instance, now: Millis) -> bool {
+        let heard = self.peers.get(instance).and_then(|p| p.last_datagram);
+        *instance == self.me.instance || heard.is_some_and(|at| now.since(at) < SILENT_MS)
+    }
+
     fn sender_of(&self, instance: &Instance) -> Option<Sender> {
         if *instance == self.me.instance {
             return Some(self.me.clone());
--- a/crates/gateway/tests/unit/handover.rs
+++ b/crates/gateway/tests/unit/handover.rs
@@ -118,7 +118,8 @@
         let address = listener.local_addr().expect("an address");
         actix_rt::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("accepted");
-            stream.read(&mut [0; 4_096]).await.expect("a request");
+            let count = stream.read(&mut [0; 4_096]).await.expect("a request");
+            assert!(count > 0);
             let part = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nabc";
             stream.write_all(part).await.expect("written");
             std::future::pending::<()>().await;
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -32,6 +32,18 @@
     Tag::of_upstream(&Upstream::from_text("i-1").expect("a valid name"))
 }
 
+/// Reports the current hub to a daemon that sends messages as a hub beside it.
+fn correct_hub(
+    membership: &mut Membership,
+    from: &Sender,
+    now: Millis,
+    sent: &mut Vec<(Sender, SocketAddr, Message)>,
+) {
+    let list = membership.correct_hub(from, now);
+    let me = membership.me.clone();
+    sent.extend(list.map(|l| (me, from.address, Message::Members(l))));
+}
+
 /// A simulated cluster of daemons that exchange messages, except those that are down.
 struct Cluster {
     daemons: BTreeMap<SocketAddr, (Sender, Membership)>,
@@ -94,7 +106,13 @@
             };
             membership.on_datagram(&sender, self.now);
             match message {
-                Message::Load(report) => membership.on_load(&sender, report, self.now),
+                Message::Load(report) => {
+                    let list = membership.correct_follower(&sender, self.now);
+                    membership.on_load(&sender, report, self.now);
+                    let me = membership.me.clone();
+                    sent.extend(list.map(|l| (me, sender.address, Message::Members(l))));
+                }
+                Message::Members(list) => membership.on_member_list(&list, self.now),
                 Message::CentreLoad(load) => {
                     let hub = membership
                         .actual_hub(self.now)
@@ -102,11 +120,16 @@
                     let forwarded =
                         hub.map(|h| (sender.clone(), h, Message::ForwardedLoad(load.clone())));
                     sent.extend(forwarded);
+                    correct_hub(membership, &sender, self.now, &mut sent);
+                    membership.on_centre_load(&sender, load, self.now);
+                }
+                Message::ForwardedLoad(load) => {
+                    correct_hub(membership, &sender, self.now, &mut sent);
                     membership.on_centre_load(&sender, load, self.now);
                 }
-                Message::ForwardedLoad(load) => membership.on_centre_load(&sender, load, self.now),
                 Message::TotalLoad(total) => {
                     membership.on_total_load(&sender, &total, self.now);
+                    correct_hub(membership, &sender, self.now, &mut sent);
                 }
                 _ => {}
             }
@@ -131,6 +154,33 @@
         .collect()
     }
 
+    /// Replaces a daemon by a new process, which knows the others from the store.
+    fn restart(&mut self, index: u8) {
+        let from = address(index);
+        let known: Vec<Sender> = self.daemons.values().map(|(s, _)| s.clone()).collect();
+        let (sender, membership) = self.daemons.get_mut(&from).expect("a daemon");
+        sender.incarnation += 100;
+        *membership = Membership::new(sender.clone());
+        for other in known.iter().filter(|s| s.address != from) {
+            membership.learn_member(other, self.now);
+        }
+    }
+
+    /// The daemons that take the one at this address for their hub.
+    fn followers_of(&mut self, hub: SocketAddr) -> Vec<u8> {
+        let now = self.now;
+        let down = &self.down;
+        let alive = self.daemons.iter_mut().filter(|(a, _)| !down.contains(a));
+        let mut following = Vec::new();
+        for (_, (s, m)) in alive {
+            let near = s.centre == sender(6, 0, 0).centre;
+            if near && m.own_hub(now) == Some(hub) {
+                following.push(s.incarnation as u8);
+            }
+        }
+        following
+    }
+
     /// The distinct loads of the other daemons at the upstream, as each daemon knows them.
     fn known_loads(&self) -> BTreeSet<u32> {
         let alive = self.daemons.iter().filter(|(a, _)| !self.down.contains(a));
@@ -356,6 +406,22 @@
     assert_eq!(cluster.known_loads(), BTreeSet::from([19]));
 }
 
+/// A daemon that is gone for good must not stay the hub of others that list it to each other, also
+/// if they start after it has gone.
+#[test]
+fn a_hub_that_is_gone_is_not_listed_as_one() {
+    let mut cluster = Cluster::new(7);
+    let gone = address(6);
+    cluster.run(2_000);
+    cluster.down.insert(gone);
+    cluster.restart(4);
+    cluster.run(2_000);
+    for _ in 0..100 {
+        cluster.tick();
+        assert_eq!(cluster.followers_of(gone), Vec::<u8>::new());
+    }
+}
+
 #[test]
 fn a_single_daemon_is_its_own_hub() {
     let mut cluster = Cluster::new(1);
