Only a majority of hubs vouches for the only version of a service

Cause: silent hubs had no say as long as one hub answered, and after 1.2 s of silence they were no longer asked, while a stale list of upstreams counts as current for 1.5 s. Change: the only version counts where the hubs of more than half of the known data centres answered.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -16,6 +16,7 @@
 };
 use crate::peers::Peers;
 use crate::selector::Selector;
+use crate::stream_versions::Hubs;
 use shaleline_types::{DataCentre, Instance, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -226,6 +227,14 @@
         hub.is_none_or(|h| h == self.me.instance) && !self.election.has_resigned()
     }
 
+    /// The number of hubs, of which some may not be reached.
+    pub(crate) fn hubs(&mut self, now: Millis) -> Hubs {
+        Hubs {
+            centres: self.peers.centres().count(),
+            own: self.is_hub(now),
+        }
+    }
+
     /// The hubs from which this daemon, where it is a hub, receives reports; itself included.
     pub(crate) fn reachable_hubs(&self, now: Millis) -> Vec<SocketAddr> {
         let fresh = |(_, received): &&(Instance, Received)| now.since(received.at) < SILENT_MS;
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -212,12 +212,30 @@
     }
 }
 
+/// The hubs that may know of a version.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Hubs {
+    /// The number of data centres, each of which has one.
+    pub(crate) centres: usize,
+    /// Whether this daemon is one.
+    pub(crate) own: bool,
+}
+
+impl Hubs {
+    /// Whether so few hubs have answered that they and this daemon may be cut off from the list
+    /// together: then all of them lack the same version.
+    fn is_minority(self, answered: usize) -> bool {
+        2 * (answered + usize::from(self.own)) <= self.centres
+    }
+}
+
 /// A question about a stream to the hubs.
 #[derive(Debug)]
 pub(crate) struct LookUp {
     /// What each hub answered, if it did.
     answers: BTreeMap<SocketAddr, Option<Knowledge>>,
     own: Knowledge,
+    hubs: Hubs,
     since: Millis,
     asked: Millis,
 }
@@ -242,10 +260,11 @@
 }
 
 impl LookUp {
-    pub(crate) fn new(own: Knowledge, hubs: &[SocketAddr], now: Millis) -> Self {
+    pub(crate) fn new(own: Knowledge, asked: &[SocketAddr], hubs: Hubs, now: Millis) -> Self {
         Self {
-            answers: hubs.iter().map(|h| (*h, None)).collect(),
+            answers: asked.iter().map(|h| (*h, None)).collect(),
             own,
+            hubs,
             since: now,
             asked: now,
         }
@@ -273,8 +292,7 @@
         let silent = self.answers.iter().filter(|(_, a)| a.is_none());
         let silent: Vec<SocketAddr> = silent.map(|(hub, _)| *hub).collect();
         if silent.is_empty() || now.since(self.since) >= ANSWER_TIMEOUT_MS {
-            // A daemon that reaches no hub may have missed all of them.
-            let cut_off = !self.answers.is_empty() && silent.len() == self.answers.len();
+            let cut_off = self.hubs.is_minority(self.answers.len() - silent.len());
             return LookUpStep::Done(only(&all).filter(|_| !cut_off));
         }
         if now.since(self.asked) < RESEND_MS {
--- a/crates/gateway/src/version_lookup.rs
+++ b/crates/gateway/src/version_lookup.rs
@@ -159,13 +159,14 @@
         let now = self.now();
         let own = self.knowledge(key, service);
         let targets = self.look_up_targets();
+        let hubs = self.membership.borrow_mut().hubs(now);
         let mut look_ups = self.look_ups.borrow_mut();
         let number = look_ups.next_number;
         look_ups.next_number += 1;
         let pending = Pending {
             key,
             service: service.clone(),
-            look_up: LookUp::new(own, &targets, now),
+            look_up: LookUp::new(own, &targets, hubs, now),
             sender,
         };
         look_ups.pending.insert(number, pending);
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -23,7 +23,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 const DAEMONS: usize = 9;
-const CENTRES: usize = 3;
+pub const CENTRES: usize = 3;
 
 /// The number of upstreams of each version.
 const UPSTREAMS: usize = 2;
@@ -57,6 +57,8 @@
     next_report: u64,
     /// Until when it exchanges no datagrams and reads nothing.
     cut_until: u64,
+    /// Until when it does nothing; what arrives meanwhile waits.
+    paused_until: u64,
 }
 
 enum Stage {
@@ -69,6 +71,10 @@
     Broken {
         until: u64,
     },
+    /// It waits at a daemon that is paused.
+    Held {
+        daemon: usize,
+    },
     /// A daemon finds out its version.
     Asked {
         daemon: usize,
@@ -97,6 +103,8 @@
     changes: BTreeMap<(u64, u64), (usize, EntryRecord)>,
     /// The number of datagrams of which one is lost.
     loss_interval: u32,
+    /// The data centre that is cut off, and until when.
+    island: (usize, u64),
     listed: BTreeMap<Upstream, SoftwareVersion>,
     count: u64,
     /// Streams that are resumed at daemons in touch while two upstreams of their version serve, and
@@ -150,6 +158,7 @@
             in_flight: BTreeMap::new(),
             changes: BTreeMap::new(),
             loss_interval,
+            island: (0, 0),
             listed: BTreeMap::new(),
             count: 0,
             resumed: 0,
@@ -206,6 +215,7 @@
             address,
             next_report: self.now() + (index as u64 * 7) % 100,
             cut_until: 0,
+            paused_until: 0,
         }
     }
 
@@ -269,6 +279,25 @@
         self.daemons[index].cut_until = self.now() + millis;
     }
 
+    /// Cuts the daemons of a data centre off from the others and from the list. They reach each other.
+    pub fn cut_centre(&mut self, number: usize, millis: u64) {
+        self.island = (number, self.now() + millis);
+    }
+
+    /// Stops a daemon for some time. When it goes on, requests come before datagrams.
+    pub fn pause(&mut self, index: usize, millis: u64) {
+        self.daemons[index].paused_until = self.now() + millis;
+    }
+
+    fn is_on_island(&self, index: usize) -> bool {
+        let (number, until) = self.island;
+        self.now() < until && index % CENTRES == number
+    }
+
+    fn is_paused(&self, index: usize) -> bool {
+        self.now() <= self.daemons[index].paused_until
+    }
+
     /// Advances the time.
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis {
@@ -291,26 +320,42 @@
     fn deliver(&mut self) {
         let now = self.now();
         while let Some(entry) = self.in_flight.first_entry().filter(|e| e.key().0 <= now) {
-            let (to, datagram) = entry.remove();
-            if let Some(daemon) = self.daemons.iter().find(|d| d.address == to) {
-                on_datagram(&daemon.gw, datagram);
+            let ((_, number), (to, datagram)) = entry.remove_entry();
+            let Some(index) = self.daemons.iter().position(|d| d.address == to) else {
+                continue;
+            };
+            if self.is_paused(index) {
+                let later = (self.daemons[index].paused_until + 1, number);
+                self.in_flight.insert(later, (to, datagram));
+            } else {
+                on_datagram(&self.daemons[index].gw, datagram);
             }
         }
         while let Some(entry) = self.changes.first_entry().filter(|e| e.key().0 <= now) {
-            let (index, record) = entry.remove();
+            let ((_, number), (index, record)) = entry.remove_entry();
+            if self.is_paused(index) || self.is_on_island(index) {
+                let later = now.max(self.daemons[index].paused_until) + 1;
+                self.changes.insert((later, number), (index, record));
+                continue;
+            }
             let gw = &self.daemons[index].gw;
             gw.apply_entries(vec![record], gw.now());
         }
     }
 
     fn tick_daemon(&mut self, index: usize) {
+        if self.is_paused(index) {
+            return;
+        }
         let now = self.now();
+        let on_island = self.is_on_island(index);
         let daemon = &mut self.daemons[index];
         let gw = &daemon.gw;
-        if (now + index as u64) % READ_MS == 0 && now >= daemon.cut_until {
+        let reads = !on_island && now >= daemon.cut_until;
+        if reads && (now + index as u64) % READ_MS == 0 {
             let mut reading = gw.reading.borrow_mut();
             let position = reading.followed_position();
-            reading.on_entries(position, Millis(now));
+            reading.on_entries(position, gw.now());
         }
         let mut out = Vec::new();
         if (now + index as u64) % TICK_MS == 0 {
@@ -331,8 +376,10 @@
     fn transmit(&mut self, from: usize, to: SocketAddr, datagram: Datagram) {
         let now = self.now();
         let is_cut = |d: &Daemon| now < d.cut_until;
-        let receiver = self.daemons.iter().find(|d| d.address == to);
-        let cut = is_cut(&self.daemons[from]) || receiver.is_none_or(is_cut);
+        let receiver = self.daemons.iter().position(|d| d.address == to);
+        let crosses = |to: usize| self.is_on_island(from) != self.is_on_island(to);
+        let cut = is_cut(&self.daemons[from])
+            || receiver.is_none_or(|r| is_cut(&self.daemons[r]) || crosses(r));
         if cut || self.rng.random_ratio(1, self.loss_interval) {
             return;
         }
@@ -396,8 +443,15 @@
     /// Whether a daemon has not been cut off recently.
     fn is_in_touch(&self, daemon: usize) -> bool {
         const RECOVERY_MS: u64 = 2_000;
-        let cut_until = self.daemons[daemon].cut_until;
-        cut_until == 0 || self.now() >= cut_until + RECOVERY_MS
+        let Daemon {
+            cut_until,
+            paused_until,
+            ..
+        } = self.daemons[daemon];
+        let on_island = self.island.1 > 0 && daemon % CENTRES == self.island.0;
+        let island_until = if on_island { self.island.1 } else { 0 };
+        let until = cut_until.max(paused_until).max(island_until);
+        until == 0 || self.now() >= until + RECOVERY_MS
     }
 
     fn step_stream(&mut self, index: usize) {
@@ -410,7 +464,14 @@
                 stream.counts &= !cut_off;
                 stream.stage = Stage::Broken { until };
             }
-            Stage::Broken { until } if *until <= now => self.resume(index),
+            Stage::Broken { until } if *until <= now => {
+                let daemon = self.draw_daemon();
+                self.resume(index, daemon);
+            }
+            Stage::Held { daemon } => {
+                let daemon = *daemon;
+                self.resume(index, daemon);
+            }
             Stage::Asked { daemon, answer } => {
                 let daemon = *daemon;
                 if let Ok(found) = answer.try_recv() {
@@ -421,10 +482,14 @@
         }
     }
 
-    fn resume(&mut self, index: usize) {
-        let daemon = self.draw_daemon();
+    fn resume(&mut self, index: usize, daemon: usize) {
         let in_touch = self.is_in_touch(daemon);
+        let is_held = self.now() < self.daemons[daemon].paused_until;
         let stream = &mut self.streams[index];
+        if is_held {
+            stream.stage = Stage::Held { daemon };
+            return;
+        }
         if stream.attempts == ATTEMPTS {
             stream.stage = Stage::Ended;
             return;
--- a/crates/gateway/tests/unit/stream_versions/main.rs
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -4,9 +4,9 @@
 mod cluster;
 
 use crate::stream_versions::{
-    Found, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
+    Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
 };
-use cluster::{service, version, Cluster};
+use cluster::{service, version, Cluster, CENTRES};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
 use std::net::SocketAddr;
@@ -90,11 +90,19 @@
     SocketAddr::from(([10, 0, 0, number], 1))
 }
 
+/// The hubs of this many data centres; a daemon that knows no other is the hub of its own.
+fn known_hubs(others: usize) -> Hubs {
+    Hubs {
+        centres: others.max(1),
+        own: others == 0,
+    }
+}
+
 /// The version that a daemon finds where it knows this itself and the hubs answer this, or nothing
 /// at all.
 fn found((own, answers): (Knowledge, &[Option<Knowledge>])) -> Option<Found> {
     let hubs: Vec<SocketAddr> = (0..answers.len()).map(|n| hub(n as u8)).collect();
-    let mut look_up = LookUp::new(own, &hubs, Millis(0));
+    let mut look_up = LookUp::new(own, &hubs, known_hubs(answers.len()), Millis(0));
     for (hub, answer) in hubs.iter().zip(answers) {
         if let Some(answer) = answer {
             look_up.on_answer(*hub, answer.clone());
@@ -138,13 +146,21 @@
     a_hub_that_lists_two_versions_is_believed:
         (Knowledge::Only(version(1)), &[only(1), Some(Knowledge::Several)]) => None,
     a_daemon_that_no_hub_answers_knows_nothing: (Knowledge::Only(version(1)), &[None, None]) => None,
+    a_minority_of_silent_hubs_is_not_waited_for:
+        (Knowledge::Only(version(1)), &[only(1), only(1), None]) => known(false),
+    half_of_the_hubs_may_lack_a_version: (Knowledge::Only(version(1)), &[only(1), None]) => None,
     a_daemon_alone_knows_itself: (Knowledge::Only(version(1)), &[]) => known(false),
     a_daemon_alone_that_just_started_knows_nothing: (Knowledge::Nothing, &[]) => None,
 }
 
 #[test]
 fn hubs_that_do_not_answer_are_asked_again() {
-    let mut look_up = LookUp::new(Knowledge::Several, &[hub(0), hub(1)], Millis(0));
+    let mut look_up = LookUp::new(
+        Knowledge::Several,
+        &[hub(0), hub(1)],
+        known_hubs(2),
+        Millis(0),
+    );
     assert_eq!(look_up.step(Millis(0)), LookUpStep::Wait);
     look_up.on_answer(hub(0), Knowledge::Several);
     let asked: Vec<LookUpStep> = (1..130).map(|now| look_up.step(Millis(now))).collect();
@@ -220,3 +236,50 @@
     streams_go_on_at_their_version_while_daemons_are_cut_off: Trouble::Cuts => (0, 0),
     streams_go_on_at_their_version_in_all_troubles: Trouble::All => (0, 0),
 }
+
+/// Daemons that are out of step while upstreams of a second version are listed.
+#[derive(Debug, Clone, Copy)]
+enum OutOfStep {
+    /// One daemon stands still.
+    Paused,
+    /// One daemon is cut off from all others and from the list.
+    CutOff,
+    /// The daemons of one data centre are cut off from the others and from the list.
+    CentreCutOff,
+}
+
+/// The time for which the only version is known before, and the time that is played after.
+const HISTORY_MS: u64 = 15_000;
+const AFTER_MS: u64 = 7_000;
+
+/// The numbers of streams of two versions where daemons are out of step for this time, in
+/// milliseconds.
+fn mixed_while(out_of_step: OutOfStep) -> Vec<(u64, usize)> {
+    let lengths = [500, 1_000, 1_500, 2_500, 5_000];
+    let mixed = lengths.map(|length| {
+        let play = |seed| {
+            let mut cluster = Cluster::new(seed, 100);
+            cluster.list(1, true);
+            cluster.run(HISTORY_MS);
+            let daemon = cluster.draw_daemon();
+            match out_of_step {
+                OutOfStep::Paused => cluster.pause(daemon, length),
+                OutOfStep::CutOff => cluster.cut(daemon, length),
+                OutOfStep::CentreCutOff => cluster.cut_centre(daemon % CENTRES, length),
+            }
+            let lead = cluster.draw((0, length / 2));
+            cluster.run(lead);
+            cluster.list(2, true);
+            cluster.run(AFTER_MS);
+            cluster.mixed
+        };
+        (length, (0..SEEDS).map(play).sum())
+    });
+    mixed.into_iter().filter(|(_, mixed)| *mixed > 0).collect()
+}
+
+cases! { mixed_while;
+    streams_go_on_at_their_version_at_a_daemon_that_was_paused: OutOfStep::Paused => vec![],
+    streams_go_on_at_their_version_at_a_daemon_that_is_cut_off: OutOfStep::CutOff => vec![],
+    streams_go_on_at_their_version_in_a_data_centre_that_is_cut_off: OutOfStep::CentreCutOff => vec![],
+}
