--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -223,15 +223,24 @@
 
     /// Every adapter that may take a slot, in the worst case.
     pub(crate) fn worst_adapters(&self) -> BTreeSet<(&Model, &Adapter)> {
-        let confirmed = self.confirmed.iter().flat_map(|p| {
+        let reported = self.reported_adapters();
+        reported.chain(self.ordered_adapters()).collect()
+    }
+
+    /// The adapters that it is confirmed to hold or to load.
+    pub(crate) fn reported_adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
+        self.confirmed.iter().flat_map(|p| {
             p.adapters()
                 .chain(p.loading_adapters.iter().map(|(m, a)| (m, a)))
-        });
-        let loads = self.open_orders().filter_map(|o| {
+        })
+    }
+
+    /// The adapters that orders may load which are not known to be done or void.
+    pub(crate) fn ordered_adapters(&self) -> impl Iterator<Item = (&Model, &Adapter)> {
+        self.open_orders().filter_map(|o| {
             let adapter = o.adapter.as_ref()?;
             (o.kind == OrderKind::Load).then_some((&o.model, adapter))
-        });
-        confirmed.chain(loads).collect()
+        })
     }
 
     /// The adapters that it is confirmed to hold.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -266,6 +266,9 @@
         let time = RemovalTime::reported(left, Some(asked), gw.now());
         gw.record_removal(engine, held.incarnation, time);
     }
+    let call = gw.now().since(asked);
+    let detail = format!("upstream={engine} call_ms={call} {}", held.log_detail());
+    emit(LogEvent::EngineReported, &detail);
     let seq = held.seq;
     announce_held(gw, engine, held);
     Some(seq)
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -86,6 +86,7 @@
     ModelBack 5007 Info "A model that callers requested while it was unserved is served again.";
     PlannerKnows 5008 Info "The demand from callers that the planning daemon knows of.";
     AdapterAway 5009 Info "Callers wait for an adapter that no engine has; the line gives why it was not loaded.";
+    EngineReported 5010 Info "An engine reported what it holds; the line says how long the answer took.";
     KeyUnknown 6001 Warn "A keyed request has an unknown outcome.";
     KeyAbandoned 6002 Info "A keyed request was abandoned after its `begun` record and before it was sent.";
     MemberJoined 7001 Info "A daemon joined.";
