--- a/crates/fleet/tests/late_orders/main.rs
+++ b/crates/fleet/tests/late_orders/main.rs
@@ -5,7 +5,7 @@
 #[path = "../shared/mod.rs"]
 mod shared;
 
-use engine::{SimulatedEngine, ADAPTER_SLOTS};
+use engine::{Current, Manner, SimulatedEngine, ADAPTER_SLOTS};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shaleline_fleet::{
@@ -39,8 +39,9 @@
 /// How engines start again, and which daemon plans then.
 #[derive(Clone, Copy)]
 struct Play {
-    /// Whether engines name their start times.
-    named: bool,
+    manner: Manner,
+    /// The share of attempts to send an order that get no reply and arrive late.
+    late: f64,
     /// Whether the entry of an engine goes before it starts again.
     absent: bool,
     /// The interval at which another daemon takes over, in milliseconds, if one does.
@@ -75,8 +76,10 @@
 
 impl Simulation {
     fn new(seed: u64, play: Play) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
         let names = (0..ENGINES).map(|i| Upstream::from_text(&format!("e{i}")).expect("a name"));
-        let engines = names.map(|name| (name, SimulatedEngine::new(play.named, 0)));
+        let engines = names.map(|name| (name, SimulatedEngine::new(play.manner, rng.random(), 0)));
+        let engines = engines.collect();
         Self {
             rng: StdRng::seed_from_u64(seed),
             play,
@@ -85,7 +88,7 @@
                 adapter_slots: ADAPTER_SLOTS,
                 ..catalog(&MODELS, &ADAPTERS)
             },
-            engines: engines.collect(),
+            engines,
             fleet: Fleet::default(),
             planner: Planner::new(PlanSettings::default()),
             window: LoadWindow::new(Millis(5_000), 1.1),
@@ -268,9 +271,9 @@
         if known != Some(sending.order.incarnation) {
             return;
         }
-        let reply = match self.rng.random_bool(0.5) {
-            true => engine.accept(&sending.order, now),
-            false => {
+        let reply = match self.rng.random_bool(self.play.late) {
+            false => engine.accept(&sending.order, now),
+            true => {
                 let arrival = self.now + self.rng.random_range(LATE_MS);
                 self.late.push((arrival, sending.order.clone()));
                 OrderReply::Lost
@@ -285,11 +288,39 @@
     }
 }
 
-/// The orders that exceed the room of an engine, over some seeds.
-fn overloads(play: Play) -> Vec<String> {
-    /// Seeds above the range that failed with reports that are ahead of their content.
-    const FAILED: [u64; 2] = [627, 713];
-    let seeds = (1..=100).chain(FAILED);
+/// How engines start again, and which daemon plans then.
+const RESTARTS: [Play; 4] = [
+    Play {
+        manner: Manner::SIMPLE,
+        late: 0.5,
+        absent: false,
+        takeovers: None,
+    },
+    Play {
+        manner: Manner::SIMPLE,
+        late: 0.5,
+        absent: true,
+        takeovers: None,
+    },
+    Play {
+        manner: Manner {
+            named: false,
+            ..Manner::SIMPLE
+        },
+        late: 0.5,
+        absent: true,
+        takeovers: None,
+    },
+    Play {
+        manner: Manner::SIMPLE,
+        late: 0.5,
+        absent: true,
+        takeovers: Some(4_000),
+    },
+];
+
+/// The orders that exceed the room of an engine, over these seeds.
+fn overloads_of(play: Play, seeds: impl Iterator<Item = u64>) -> Vec<String> {
     let all = seeds.map(|seed| (seed, Simulation::new(seed, play).run()));
     let failed = all.filter(|(_, overloads)| !overloads.is_empty());
     failed
@@ -297,29 +328,71 @@
         .collect()
 }
 
+/// The orders that exceed the room of an engine, over some seeds.
+fn overloads(play: Play) -> Vec<String> {
+    /// Seeds above the range that failed with reports that are ahead of their content.
+    const FAILED: [u64; 2] = [627, 713];
+    overloads_of(play, (1..=100).chain(FAILED))
+}
+
 fn nothing() -> Vec<String> {
     Vec::new()
 }
 
 cases! { overloads;
-    late_orders_exceed_no_room_of_engines_that_start_again: Play {
-        named: true,
-        absent: false,
-        takeovers: None,
-    } => nothing(),
-    late_orders_exceed_no_room_of_engines_that_were_absent: Play {
-        named: true,
-        absent: true,
-        takeovers: None,
-    } => nothing(),
-    late_orders_exceed_no_room_of_engines_without_a_start_time: Play {
-        named: false,
-        absent: true,
-        takeovers: None,
-    } => nothing(),
-    late_orders_exceed_no_room_while_planners_change: Play {
-        named: true,
-        absent: true,
-        takeovers: Some(4_000),
-    } => nothing(),
+    late_orders_exceed_no_room_of_engines_that_start_again: RESTARTS[0] => nothing(),
+    late_orders_exceed_no_room_of_engines_that_were_absent: RESTARTS[1] => nothing(),
+    late_orders_exceed_no_room_of_engines_without_a_start_time: RESTARTS[2] => nothing(),
+    late_orders_exceed_no_room_while_planners_change: RESTARTS[3] => nothing(),
+}
+
+/// The orders that exceed the room of engines of this manner, over some seeds of each case.
+fn overloads_with((manner, late): (Manner, f64)) -> Vec<String> {
+    let plays = RESTARTS.iter().enumerate().flat_map(|(case, play)| {
+        let named = play.manner.named;
+        let play = Play {
+            manner: Manner { named, ..manner },
+            late,
+            ..*play
+        };
+        let overloads = overloads_of(play, 1..=SEEDS);
+        overloads
+            .into_iter()
+            .map(move |o| format!("case {case}, {o}"))
+    });
+    plays.collect()
+}
+
+/// The seeds of each case of engines of one manner.
+const SEEDS: u64 = 60;
+
+/// Six in ten unloads of adapters find them in use.
+const USED: Manner = Manner {
+    in_use: 0.6,
+    ..Manner::SIMPLE
+};
+
+cases! { overloads_with;
+    a_second_unload_frees_no_slot_of_an_adapter_in_use: (USED, 0.5) => nothing(),
+    a_second_unload_that_is_not_counted_frees_no_slot: (Manner {
+        counts_done: false,
+        ..USED
+    }, 0.5) => nothing(),
+    a_report_that_counts_an_order_too_early_frees_no_slot: (Manner {
+        current: Current::Orders,
+        ..Manner::SIMPLE
+    }, 0.5) => nothing(),
+    a_report_behind_an_answered_order_frees_no_slot: (Manner {
+        current: Current::Orders,
+        ..Manner::SIMPLE
+    }, 0.0) => nothing(),
+    a_report_that_is_idle_too_early_frees_no_memory: (Manner {
+        current: Current::OrdersAndBusy,
+        ..Manner::SIMPLE
+    }, 0.5) => nothing(),
+    no_order_exceeds_the_room_of_engines_with_all_of_these: (Manner {
+        counts_done: false,
+        current: Current::OrdersAndBusy,
+        ..USED
+    }, 0.5) => nothing(),
 }
