--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -28,7 +28,7 @@
 pub struct PlanSettings {
     /// The target number of replicas of a requested adapter.
     pub adapter_replicas: usize,
-    /// The maximum number of adapters that may be loading or unloading at one engine.
+    /// The maximum number of adapters that may be loading at one engine.
     pub pending_adapters: usize,
 }
 
