--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,24 +14,25 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib2"))
 from world2 import FRONT, answer, read_body, read_head, run  # noqa: E402
 
-TIMEOUT_MS = 5_000  # The route's timeout.
-LIMIT_S = 20.0  # The requesters' time limit.
+LIMIT_S = 20.0  # The requesters' time limit, and the route's timeout at first.
+TIMEOUT_MS = 5_000  # The route's timeout from the second version on.
 RETRIES = 3
 EVENTS, EVENT_S = 40, 0.1
 STREAMS = 24
 PAUSE_S, PAUSE_STEP_S = 1.0, 0.5  # The requesters come back 1 to 12.5 s after their streams broke off.
 LEAVE_S, KILL_S, DOWN_S = 1.0, 2.0, 0.5
 
-CONFIG = {
-    "version": 1,
-    "routes": [{"name": "r-draft", "host": "a.example", "path-prefix": "/draft/", "kind": "stream",
-                "timeout-ms": TIMEOUT_MS, "target-latency-ms": 800, "priority": 1, "service": "drafts",
-                "max-attempts": 2, "resumable": True, "gap-aim-ms": 400}],
-    "services": [{"name": "drafts", "health-path": "/health", "max-conns": 370, "protocol": "h1",
-                  "tls": False}],
-    "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
-               "idle-timeout-ms": 15000},
-}
+def config(version, timeout_ms):
+    return {
+        "version": version,
+        "routes": [{"name": "r-draft", "host": "a.example", "path-prefix": "/draft/", "kind": "stream",
+                    "timeout-ms": timeout_ms, "target-latency-ms": 800, "priority": 1,
+                    "service": "drafts", "max-attempts": 2, "resumable": True, "gap-aim-ms": 400}],
+        "services": [{"name": "drafts", "health-path": "/health", "max-conns": 370, "protocol": "h1",
+                      "tls": False}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
+                   "idle-timeout-ms": 15000},
+    }
 
 
 class Engine:
@@ -157,10 +158,12 @@
     new = [Engine(world, "v2", 2 + i) for i in range(2)]
     for engine in old:
         await engine.start()
-    await world.start(3, CONFIG)
+    await world.start(3, config(1, int(LIMIT_S * 1000)))
     await asyncio.sleep(2)
     requesters = [Requester(world, n) for n in range(STREAMS)]
     tasks = [world.spawn(r.run()) for r in requesters]
+    await world.store.put("keyed.op", "config", json.dumps(config(2, TIMEOUT_MS)).encode())
+    world.record.write(f"version 2 changes the route's timeout to {TIMEOUT_MS} ms")
     for before, after in zip(old, new):
         await asyncio.sleep(LEAVE_S / 4)
         await after.start()
