--- a/review/lib2/world2.py
+++ b/review/lib2/world2.py
@@ -427,6 +427,7 @@
 def run(folder, case):
     """Runs a case: `case(world, trouble)` returns the broken rule's description, or None."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     world = None
     code = 2
     try:
@@ -441,7 +442,7 @@
         broken = asyncio.run(whole())
         code = 1 if broken else 0
         world.record.write(f"result: {broken or 'the rule held'}")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # An error of the script itself is no broken rule.
         if world:
             world.record.write(f"result: could not run: {error!r}")
     finally:
