A shorter timeout or a caller's own time limit no longer makes daemons forget streams

What callers saw: in a release, streams that broke off and were resumed later than the longest timeout of the configuration in force and 5 s went on at another software version than the one that began them (ORDER). No process has to fail for it: a version of the configuration that lowers the timeout is enough.

Cause: three things hang on the time for which a stream counts as resumable: how long streams are remembered, how long a version that has left is kept, and from when on the only version left is the answer. That time was the longest timeout in force plus 5 s. A shorter timeout took effect for streams that began before it, and callers whose time limit is longer than the timeout were not counted at all.

Change: `stream_lifetime` keeps a longer lifetime for as long as a stream that began under it may be resumed, and learns the time limits that callers name. A daemon tells the hubs its lifetime with the streams that it tells them of, where it is longer than the configuration shows; daemons of earlier releases skip that message. The lifetime is at most 10 minutes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,8 @@
 //!   them.
 //! * `eligibility` decides whether this daemon may send to an upstream now, whoever selected it.
 //! * `version_binding` keeps a stream to the software version that began it. `stream_versions` has
-//!   the versions of streams that callers may resume, and `version_lookup` asks the hubs for them.
+//!   the versions of streams that callers may resume, for as long as `stream_lifetime` says, and
+//!   `version_lookup` asks the hubs for them.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -103,6 +104,7 @@
 mod state;
 mod store;
 mod store_health;
+mod stream_lifetime;
 mod stream_versions;
 mod suspects;
 mod table;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -149,6 +149,9 @@
     },
     /// The reply to a [`VersionMessage::Question`].
     Reply(Ticket, Knowledge),
+    /// To the hubs: the time for which some stream of the sender may be resumed, where that is longer
+    /// than the configuration shows. Daemons of earlier releases skip it.
+    Lifetime(Millis),
 }
 
 /// What daemons exchange about upstreams that limit what they take.
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -9,6 +9,7 @@
 //! A version that is not known stays unknown: a stream whose version was guessed may hold events
 //! that don't fit together. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has the design.
 
+use crate::stream_lifetime::StreamLifetime;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{stable_hash, Millis, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -70,7 +71,7 @@
 }
 
 /// The versions of streams, and the versions that services have had.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct StreamVersions {
     streams: HashMap<StreamKey, Known>,
     /// The streams in the order in which they were recorded.
@@ -80,27 +81,28 @@
     /// Since when the list of upstreams has been known without a gap, and when it last was.
     known_since: Option<Millis>,
     observed: Millis,
-    /// The time for which a caller may resume a stream.
-    lifetime: Millis,
+    lifetime: StreamLifetime,
 }
 
-impl Default for StreamVersions {
-    fn default() -> Self {
-        Self {
-            streams: HashMap::new(),
-            order: VecDeque::new(),
-            listed: BTreeMap::new(),
-            known_since: None,
-            observed: Millis(0),
-            lifetime: Millis(u64::MAX),
-        }
+impl StreamVersions {
+    /// Sets the time for which the configuration in force lets a caller resume a stream.
+    pub(crate) fn set_lifetime(&mut self, lifetime: Millis, now: Millis) {
+        self.lifetime.set(lifetime, now);
     }
-}
 
-impl StreamVersions {
-    /// Sets the time for which a caller may resume a stream.
-    pub(crate) fn set_lifetime(&mut self, lifetime: Millis) {
-        self.lifetime = lifetime;
+    /// Records that a caller may resume a stream for that long, whatever the configuration says.
+    pub(crate) fn extend_lifetime(&mut self, lifetime: Millis, now: Millis) {
+        self.lifetime.extend(lifetime, now);
+    }
+
+    /// The time for which the longest stream that is in progress or broken off may be resumed.
+    pub(crate) fn lifetime(&self, now: Millis) -> Millis {
+        self.lifetime.get(now)
+    }
+
+    /// Whether that is longer than the configuration in force shows to the other daemons.
+    pub(crate) fn is_lifetime_extended(&self, now: Millis) -> bool {
+        self.lifetime.is_extended(now)
     }
 
     /// Records that the list of upstreams is current, and drops versions that were last listed
@@ -110,7 +112,7 @@
             self.known_since = Some(now);
         }
         self.observed = now;
-        let lifetime = self.lifetime.0;
+        let lifetime = self.lifetime(now).0;
         for versions in self.listed.values_mut() {
             versions.retain(|_, at| now.since(*at) < lifetime);
         }
@@ -140,8 +142,9 @@
         };
         self.streams.insert(key, known);
         self.order.push_back((now, key));
+        let lifetime = self.lifetime(now).0;
         while let Some((at, key)) = self.order.front().copied() {
-            if self.order.len() <= MAX_STREAMS && now.since(at) < self.lifetime.0 {
+            if self.order.len() <= MAX_STREAMS && now.since(at) < lifetime {
                 return;
             }
             self.order.pop_front();
@@ -167,7 +170,7 @@
         now: Millis,
     ) -> Knowledge {
         let stream = self.streams.get(&key);
-        if let Some(known) = stream.filter(|k| now.since(k.since) < self.lifetime.0) {
+        if let Some(known) = stream.filter(|k| now.since(k.since) < self.lifetime(now).0) {
             return Knowledge::Began(known.origin.clone());
         }
         let mut versions = self
@@ -187,7 +190,7 @@
 
     fn knows_history(&self, now: Millis) -> bool {
         self.known_since
-            .is_some_and(|at| now.since(at) >= self.lifetime.0)
+            .is_some_and(|at| now.since(at) >= self.lifetime(now).0)
     }
 
     /// Whether the hubs have to be told of the streams of a service.
--- a/crates/gateway/src/version_binding.rs
+++ b/crates/gateway/src/version_binding.rs
@@ -64,6 +64,7 @@
                 service,
             } => self.handle_question(from, ticket, key, &service),
             VersionMessage::Reply(ticket, answer) => self.handle_reply(from, ticket, answer),
+            VersionMessage::Lifetime(lifetime) => self.handle_lifetime(lifetime),
         }
     }
 }
--- a/crates/gateway/src/version_lookup.rs
+++ b/crates/gateway/src/version_lookup.rs
@@ -19,7 +19,8 @@
 /// The interval at which the listed versions are recorded.
 const OBSERVE_MS: u64 = 500;
 
-/// Added to the longest timeout of a route: a caller returns some time after its stream broke off.
+/// Added to the longest timeout of a route, and to a caller's time limit: a caller returns some time
+/// after its stream broke off.
 const RETURN_MS: u64 = 5_000;
 
 /// The most streams in a datagram.
@@ -81,11 +82,19 @@
 
     fn tell_hubs(&self, streams: &[(StreamKey, Origin)]) {
         let targets = self.look_up_targets();
-        let message = |t: &SocketAddr| {
-            let began = VersionMessage::Began(streams.to_vec());
-            (*t, Message::Versions(began))
-        };
-        self.send(targets.iter().map(message).collect());
+        let now = self.now();
+        let versions = self.stream_versions.borrow();
+        let lifetime = versions.is_lifetime_extended(now);
+        let lifetime = lifetime.then(|| VersionMessage::Lifetime(versions.lifetime(now)));
+        drop(versions);
+        // The lifetime goes first, since a stream is remembered for as long as the hub knows then.
+        let began = VersionMessage::Began(streams.to_vec());
+        for message in lifetime.into_iter().chain([began]) {
+            let messages = targets
+                .iter()
+                .map(|t| (*t, Message::Versions(message.clone())));
+            self.send(messages.collect());
+        }
     }
 
     fn look_up_targets(&self) -> Vec<SocketAddr> {
@@ -99,6 +108,7 @@
             return;
         };
         self.on_version_listed(&service, version);
+        self.record_patience(job);
         let now = self.now();
         let origin = Origin {
             service,
@@ -119,6 +129,14 @@
         }
     }
 
+    /// Records for how long the caller of a request may resume its stream.
+    fn record_patience(&self, job: &Job) {
+        if let Some(patience) = job.head.patience {
+            let mut versions = self.stream_versions.borrow_mut();
+            versions.extend_lifetime(patience.plus(RETURN_MS), self.now());
+        }
+    }
+
     /// Records that the stream of a request has ended.
     pub(crate) fn on_stream_ended(&self, job: &Job) {
         let key = StreamKey::of(&job.head.id);
@@ -131,6 +149,7 @@
         let Some(resumed) = resumes.filter(|_| job.rule.repeat.is_stream()) else {
             return Ok(job);
         };
+        self.record_patience(&job);
         let found = self.look_up(StreamKey::of(&resumed), &job.service);
         let found = self.clock.timeout_at(job.deadline, found).await;
         let Some(Found { service, version }) = found.and_then(Result::ok).flatten() else {
@@ -249,6 +268,12 @@
         self.step_look_up(ticket.id);
     }
 
+    /// Records for how long streams of another daemon may be resumed.
+    pub(crate) fn handle_lifetime(&self, lifetime: Millis) {
+        let mut versions = self.stream_versions.borrow_mut();
+        versions.extend_lifetime(lifetime, self.now());
+    }
+
     /// Records where streams of other daemons began.
     pub(crate) fn handle_began(&self, streams: Vec<(StreamKey, Origin)>) {
         let now = self.now();
@@ -272,7 +297,9 @@
         let timeouts = table.iter().flat_map(|t| &t.rules).map(|r| r.timeout);
         if let Some(longest) = timeouts.max() {
             let lifetime = longest.plus(RETURN_MS);
-            self.stream_versions.borrow_mut().set_lifetime(lifetime);
+            self.stream_versions
+                .borrow_mut()
+                .set_lifetime(lifetime, now);
         }
         if !self.is_list_current() {
             return;
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -53,7 +53,7 @@
 const CRASH_DELAY_MS: (u64, u64) = (30, 110);
 
 /// The timeout of a request.
-const TIMEOUT_MS: u64 = 5_000;
+pub const TIMEOUT_MS: u64 = 5_000;
 
 struct Daemon {
     gw: Rc<Gateway>,
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -7,7 +7,7 @@
 use crate::start::run_tick;
 use crate::state::{Gateway, Platform};
 use crate::stream_versions::{Found, StreamKey};
-use crate::unit::crashes::cluster::{job, rule, settings};
+use crate::unit::crashes::cluster::{job, rule, settings, TIMEOUT_MS};
 use crate::unit::crashes::null_platform::{StubCodec, UnavailableStore};
 use crate::unit::manual_clock::ManualClock;
 use crate::{CallerLimits, Entry, GatewaySettings, Head, Repeat, RouteRule, Table};
@@ -40,7 +40,8 @@
 const TRANSIT_MS: (u64, u64) = (1, 4);
 const CHANGE_MS: (u64, u64) = (1, 900);
 
-/// The bounds of the time for which a stream runs, and of the time until its caller resumes it.
+/// The bounds of the time for which a stream runs, and of the time until its caller resumes it where
+/// a play sets no other.
 const RUN_MS: (u64, u64) = (50, 2_500);
 const RETURN_MS: (u64, u64) = (5, 1_000);
 
@@ -107,6 +108,11 @@
     island: (usize, u64),
     listed: BTreeMap<Upstream, SoftwareVersion>,
     count: u64,
+    /// The version of the configuration, and the timeout of its route.
+    config: (u64, Millis),
+    /// The time limit of callers, if they name one, and the bounds of the time until they return.
+    pub patience: Option<Millis>,
+    pub return_ms: (u64, u64),
     /// Streams that are resumed at daemons in touch while two upstreams of their version serve, and
     /// how many of these go on.
     pub resumed: usize,
@@ -127,12 +133,13 @@
     DataCentre::from_text(&format!("dc{}", number % CENTRES)).expect("a valid name")
 }
 
-fn table() -> Table {
+fn table(version: u64, timeout: Millis) -> Table {
     Table {
         orgs: None,
-        version: 1,
+        version,
         rules: vec![RouteRule {
             services: vec![(service(), 1)],
+            timeout,
             ..rule(Repeat::Stream { resumable: true })
         }],
         services: BTreeMap::new(),
@@ -161,6 +168,9 @@
             island: (0, 0),
             listed: BTreeMap::new(),
             count: 0,
+            config: (1, Millis(TIMEOUT_MS)),
+            patience: None,
+            return_ms: RETURN_MS,
             resumed: 0,
             went_on: 0,
             mixed: 0,
@@ -200,7 +210,8 @@
         };
         let gw = Gateway::with_clock(settings, platform, outbox, self.clock.clone(), rng);
         let gw = gw.expect("a gateway");
-        gw.set_table(table());
+        let (version, timeout) = self.config;
+        gw.set_table(table(version, timeout));
         let now = gw.now();
         for other in self.daemons.iter().filter(|d| d.address != address) {
             other.gw.membership.borrow_mut().learn_member(&gw.me, now);
@@ -259,9 +270,17 @@
         }
     }
 
+    /// Puts a version of the configuration into force that changes the timeout of the route.
+    pub fn set_timeout(&mut self, timeout: Millis) {
+        self.config = (self.config.0 + 1, timeout);
+        for daemon in &self.daemons {
+            daemon.gw.set_table(table(self.config.0, timeout));
+        }
+    }
+
     /// Kills a daemon and starts it again.
     pub fn restart(&mut self, index: usize) {
-        let until = self.now() + self.draw(RETURN_MS);
+        let until = self.now() + self.draw(self.return_ms);
         for stream in &mut self.streams {
             match stream.stage {
                 Stage::Runs { daemon, .. } if daemon == index => {
@@ -428,6 +447,7 @@
         let head = Head {
             id: id(stream.attempts),
             resumes: (stream.attempts > 0).then(|| id(0)),
+            patience: self.patience,
             ..Head::default()
         };
         let gw = &self.daemons[daemon].gw;
@@ -459,7 +479,7 @@
         match &mut self.streams[index].stage {
             Stage::Runs { daemon, until } if *until <= now => {
                 let cut_off = now < self.daemons[*daemon].cut_until;
-                let until = now + self.draw(RETURN_MS);
+                let until = now + self.draw(self.return_ms);
                 let stream = &mut self.streams[index];
                 stream.counts &= !cut_off;
                 stream.stage = Stage::Broken { until };
--- a/crates/gateway/tests/unit/stream_versions/main.rs
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 
+use crate::stream_lifetime::StreamLifetime;
 use crate::stream_versions::{
     Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
 };
@@ -23,7 +24,7 @@
 /// What is known of a stream after these versions were listed, each at a time, and at a time.
 fn knowledge((listed, now): (&[(usize, u64)], u64)) -> Knowledge {
     let mut versions = StreamVersions::default();
-    versions.set_lifetime(LIFETIME);
+    versions.set_lifetime(LIFETIME, Millis(0));
     for at in (1_000..=now).step_by(500) {
         for (number, _) in listed.iter().filter(|(_, until)| at <= *until) {
             versions.on_listed(&service(), &version(*number), Millis(at));
@@ -52,7 +53,7 @@
 #[test]
 fn a_gap_in_the_list_ends_what_is_known_of_its_history() {
     let mut versions = StreamVersions::default();
-    versions.set_lifetime(LIFETIME);
+    versions.set_lifetime(LIFETIME, Millis(0));
     for at in [1_000, 2_000, 10_000, 13_000, 16_000, 19_000] {
         versions.on_listed(&service(), &version(1), Millis(at));
         versions.on_current_list(Millis(at));
@@ -65,7 +66,7 @@
 #[test]
 fn a_stream_is_remembered_for_as_long_as_it_may_be_resumed() {
     let mut versions = StreamVersions::default();
-    versions.set_lifetime(LIFETIME);
+    versions.set_lifetime(LIFETIME, Millis(0));
     let key = StreamKey::of("r");
     versions.record(key, origin(1), false, Millis(0));
     let at = |now| versions.knowledge(key, &service(), true, Millis(now));
@@ -76,7 +77,7 @@
 #[test]
 fn the_number_of_remembered_streams_is_limited() {
     let mut versions = StreamVersions::default();
-    versions.set_lifetime(LIFETIME);
+    versions.set_lifetime(LIFETIME, Millis(0));
     let key = |number: u64| StreamKey::of(&number.to_string());
     for number in 0..30_000 {
         versions.record(key(number), origin(1), false, Millis(number / 10));
@@ -283,3 +284,72 @@
     streams_go_on_at_their_version_at_a_daemon_that_is_cut_off: OutOfStep::CutOff => vec![],
     streams_go_on_at_their_version_in_a_data_centre_that_is_cut_off: OutOfStep::CentreCutOff => vec![],
 }
+
+/// What makes the hubs forget when streams may still be resumed.
+#[derive(Debug, Clone, Copy)]
+enum Shortened {
+    /// A configuration shortens the timeout of the route.
+    Timeout,
+    /// The time limit of callers is longer than the timeout of the route.
+    Patience,
+}
+
+/// The number of streams of two versions where a release replaces the only version, and callers resume
+/// their streams after the timeout of the route and the time for which callers may return.
+fn mixed_when(shortened: Shortened) -> usize {
+    const SHORT: Millis = Millis(1_000);
+    let play = |seed| {
+        let mut cluster = Cluster::new(seed, 100);
+        match shortened {
+            Shortened::Timeout => cluster.set_timeout(Millis(20_000)),
+            Shortened::Patience => {
+                cluster.patience = Some(Millis(20_000));
+                cluster.set_timeout(SHORT);
+            }
+        }
+        cluster.list(1, true);
+        cluster.run(HISTORY_MS);
+        cluster.return_ms = (8_000, 12_000);
+        cluster.run(1_000);
+        cluster.set_timeout(SHORT);
+        cluster.list(2, true);
+        cluster.run(1_000);
+        cluster.list(1, false);
+        cluster.run(15_000);
+        cluster.mixed
+    };
+    (0..SEEDS).map(play).sum()
+}
+
+// Guards against streams of two versions after a release beside a shorter timeout.
+cases! { mixed_when;
+    a_shorter_timeout_does_not_shorten_what_is_known_of_streams: Shortened::Timeout => 0,
+    streams_are_known_for_as_long_as_their_callers_may_return: Shortened::Patience => 0,
+}
+
+/// The lifetime of streams at a time after these were recorded: what the configuration gives, or what
+/// a caller may use, each with its time.
+fn lifetime((recorded, now): (&[(bool, u64, u64)], u64)) -> u64 {
+    let mut lifetime = StreamLifetime::default();
+    for (configured, length, at) in recorded {
+        match configured {
+            true => lifetime.set(Millis(*length), Millis(*at)),
+            false => lifetime.extend(Millis(*length), Millis(*at)),
+        }
+    }
+    lifetime.get(Millis(now)).0
+}
+
+cases! { lifetime;
+    without_a_configuration_streams_are_kept: (&[(false, 5_000, 0)], 60_000) => u64::MAX,
+    a_longer_lifetime_counts_at_once: (&[(true, 6_000, 0), (true, 25_000, 10)], 10) => 25_000,
+    a_shorter_one_counts_once_no_stream_of_before_is_left:
+        (&[(true, 25_000, 0), (true, 6_000, 10)], 25_009) => 25_000,
+    and_not_later: (&[(true, 25_000, 0), (true, 6_000, 10)], 25_010) => 6_000,
+    a_caller_with_more_time_extends_it: (&[(true, 6_000, 0), (false, 21_000, 10)], 25_009) => 25_000,
+    a_caller_with_less_time_does_not: (&[(true, 6_000, 0), (false, 5_000, 10)], 10) => 6_000,
+    a_shorter_extension_outlasts_a_longer_one_of_before:
+        (&[(true, 6_000, 0), (false, 25_000, 0), (false, 20_000, 20_000)], 30_000) => 20_000,
+    the_time_limit_of_a_caller_counts_up_to_a_maximum:
+        (&[(true, 6_000, 0), (false, u64::MAX, 0)], 10) => 600_000,
+}
