The software versions of services outlast all daemons in the store

Cause: a daemon that had known the list of upstreams for as long as streams count as resumable took the version listed since its start for the version that began every stream. How long callers may still return is known only to the daemons that have seen them.

Change: the daemon that reads the store for all keeps a record for each service with resumable streams (`keyed.versions`, `version_store`): its versions, the lifetime of their streams, and whether no other version can have begun one. Hubs read the records when they become one, and again after a gap in the list. Only a daemon that has read them says that a service has had one version alone. A record that is complete and names the version that is listed is enough at once, so that streams of a service that has only ever had one version go on after all daemons were killed; they were refused before for as long as a stream may be resumed. Event 2104 shows each read and write.

Calls: one read for each new hub, two writes for a service at its first start, two for a release.

Five new plays of the simulated cluster and six cases of what a hub knows. Where the record is written too late: a version that is listed for less than half a second before all daemons are killed, and gone when they are back.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,8 @@
 //! * `eligibility` decides whether this daemon may send to an upstream now, whoever selected it.
 //! * `version_binding` keeps a stream to the software version that began it. `stream_versions` has
 //!   the versions of streams that callers may resume, for as long as `stream_lifetime` says, and
-//!   `version_lookup` asks the hubs for them.
+//!   `version_lookup` asks the hubs for them; `version_store` keeps the versions of services in the
+//!   store.
 //! * `stall` detects stalls of this process, and `ready` decides whether it should take work.
 //! * `control` answers the balancer and serves metrics and state; `start` starts and stops the
 //!   gateway.
@@ -113,6 +114,7 @@
 mod upstream_limits;
 mod version_binding;
 mod version_lookup;
+mod version_store;
 mod wanted;
 mod wanted_reports;
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,7 +5,7 @@
 use crate::journal::emit;
 use crate::request::Callers;
 use crate::state::{Gateway, Platform};
-use crate::{blocked_store, discovery, follow, gossip, planner, GatewaySettings};
+use crate::{blocked_store, discovery, follow, gossip, planner, version_store, GatewaySettings};
 use eyre::{Result, WrapErr};
 use shaleline_edge::{Handler, Listener, ListenerControl};
 use shaleline_route::{Drain, DrainAction, RouteEvent, Unfinished};
@@ -100,6 +100,7 @@
     actix_rt::spawn(gossip::send(Rc::clone(&gw), socket, messages));
     actix_rt::spawn(planner::run(Rc::clone(&gw)));
     actix_rt::spawn(blocked_store::run(Rc::clone(&gw)));
+    actix_rt::spawn(version_store::run(Rc::clone(&gw)));
     actix_rt::spawn(tick(Rc::clone(&gw)));
     Ok(Running { gw })
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,6 +18,8 @@
     Members,
     /// Requests during which several upstreams crashed.
     Blocked,
+    /// The software versions that services have, or recently had.
+    Versions,
 }
 
 /// One record of a key. A record without a value removes the key.
--- a/crates/gateway/src/stream_lifetime.rs
+++ b/crates/gateway/src/stream_lifetime.rs
@@ -45,12 +45,16 @@
         self.extended.insert(lifetime, now.plus(lifetime));
     }
 
-    /// The longest lifetime of the streams that may still be resumed.
+    /// The longest lifetime of the streams that may still be resumed; without a limit before there is a
+    /// configuration.
     pub(crate) fn get(&self, now: Millis) -> Millis {
-        let Some(configured) = self.configured else {
-            return Millis(u64::MAX);
-        };
-        self.longest_extended(now).max(configured)
+        self.known(now).unwrap_or(Millis(u64::MAX))
+    }
+
+    /// The same, if there is a configuration.
+    pub(crate) fn known(&self, now: Millis) -> Option<Millis> {
+        let configured = self.configured?;
+        Some(self.longest_extended(now).max(configured))
     }
 
     /// Whether that is longer than what the configuration in force gives.
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -6,13 +6,16 @@
 //! doesn't know a stream asks the hubs. While all upstreams of a service have one version, that
 //! version is the answer, and nothing is reported.
 //!
+//! What all daemons would forget when they are killed together is in the store
+//! ([`crate::version_store`]): the versions that each service has or recently had. Hubs read it.
+//!
 //! A version that is not known stays unknown: a stream whose version was guessed may hold events
 //! that don't fit together. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has the design.
 
 use crate::stream_lifetime::StreamLifetime;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{stable_hash, Millis, Service, SoftwareVersion};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// The most streams that are remembered, which takes some megabytes.
@@ -70,6 +73,35 @@
     own: bool,
 }
 
+/// The versions of a service, as the store keeps them while no daemon remembers them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct VersionRecord {
+    /// Versions that may have begun streams that can still be resumed.
+    pub(crate) versions: BTreeSet<SoftwareVersion>,
+    /// The time for which such a stream may be resumed.
+    pub(crate) lifetime: Millis,
+    /// Whether no other version may have begun one.
+    pub(crate) complete: bool,
+}
+
+impl VersionRecord {
+    /// Whether this record has to replace an earlier one. The lifetime matters only as long as streams
+    /// of a version that is gone, or of one that is not known, may be resumed.
+    pub(crate) fn replaces(&self, earlier: &Self) -> bool {
+        let is_settled = self.complete && self.versions.len() == 1;
+        let is_longer = self.lifetime > earlier.lifetime && !is_settled;
+        is_longer || self.complete != earlier.complete || self.versions != earlier.versions
+    }
+}
+
+/// The records of the store that have been read.
+#[derive(Debug)]
+struct ReadRecords {
+    at: Millis,
+    /// The services whose records are complete.
+    complete: BTreeSet<Service>,
+}
+
 /// The versions of streams, and the versions that services have had.
 #[derive(Debug, Default)]
 pub(crate) struct StreamVersions {
@@ -82,6 +114,9 @@
     known_since: Option<Millis>,
     observed: Millis,
     lifetime: StreamLifetime,
+    /// The records of the store; none where they were not read, or where the list of upstreams was not
+    /// known for some time since.
+    records: Option<ReadRecords>,
 }
 
 impl StreamVersions {
@@ -105,11 +140,44 @@
         self.lifetime.is_extended(now)
     }
 
+    /// Adds what the store has of each service. What is read counts as listed now: for how long a
+    /// version was gone when its record was written is not known.
+    pub(crate) fn on_records(&mut self, records: &BTreeMap<Service, VersionRecord>, now: Millis) {
+        for (service, record) in records {
+            for version in &record.versions {
+                self.on_listed(service, version, now);
+            }
+            self.extend_lifetime(record.lifetime, now);
+        }
+        let complete = records.iter().filter(|(_, r)| r.complete);
+        self.records = Some(ReadRecords {
+            at: now,
+            complete: complete.map(|(service, _)| service.clone()).collect(),
+        });
+    }
+
+    /// Whether the records of the store are known.
+    pub(crate) fn has_records(&self) -> bool {
+        self.records.is_some()
+    }
+
+    /// The record of a service that the store should have; none while too little is known for one.
+    pub(crate) fn to_record(&self, service: &Service, now: Millis) -> Option<VersionRecord> {
+        let versions = self.listed.get(service).filter(|v| !v.is_empty())?;
+        Some(VersionRecord {
+            versions: versions.keys().cloned().collect(),
+            lifetime: self.lifetime.known(now)?,
+            complete: self.knows_history(service, now),
+        })
+    }
+
     /// Records that the list of upstreams is current, and drops versions that were last listed
     /// before any stream that may be resumed.
     pub(crate) fn on_current_list(&mut self, now: Millis) {
         if self.known_since.is_none() || now.since(self.observed) > MAX_GAP_MS {
             self.known_since = Some(now);
+            let records = self.records.take();
+            self.records = records.filter(|r| now.since(r.at) <= MAX_GAP_MS);
         }
         self.observed = now;
         let lifetime = self.lifetime(now).0;
@@ -181,14 +249,23 @@
         let (first, second) = (versions.next(), versions.next());
         match (first, second) {
             (Some(_), Some(_)) => Knowledge::Several,
-            (Some(version), None) if fresh && self.knows_history(now) => {
+            (Some(version), None) if fresh && self.knows_history(service, now) => {
                 Knowledge::Only(version.clone())
             }
             _ => Knowledge::Nothing,
         }
     }
 
-    fn knows_history(&self, now: Millis) -> bool {
+    /// Whether all versions are known with which a stream of a service may have begun. The time for
+    /// which this daemon has known the list does not show that alone: it has not seen the time limits
+    /// of callers whose streams began before.
+    fn knows_history(&self, service: &Service, now: Millis) -> bool {
+        let records = self.records.as_ref();
+        records.is_some_and(|r| r.complete.contains(service) || self.has_observed(now))
+    }
+
+    /// Whether the list has been known for as long as a stream may be resumed.
+    fn has_observed(&self, now: Millis) -> bool {
         self.known_since
             .is_some_and(|at| now.since(at) >= self.lifetime(now).0)
     }
@@ -196,7 +273,7 @@
     /// Whether the hubs have to be told of the streams of a service.
     pub(crate) fn is_told(&self, service: &Service, now: Millis) -> bool {
         let count = self.listed.get(service).map_or(0, BTreeMap::len);
-        count != 1 || !self.knows_history(now)
+        count != 1 || !self.has_observed(now)
     }
 
     /// The services of which upstreams are or were listed.
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -10,6 +10,7 @@
 use crate::unit::crashes::cluster::{job, rule, settings, TIMEOUT_MS};
 use crate::unit::crashes::null_platform::{StubCodec, UnavailableStore};
 use crate::unit::manual_clock::ManualClock;
+use crate::version_store::{StoredVersions, VersionCall, VersionRecords};
 use crate::{CallerLimits, Entry, GatewaySettings, Head, Repeat, RouteRule, Table};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -35,6 +36,9 @@
 const TICK_MS: u64 = 10;
 const READ_MS: u64 = 500;
 
+/// The interval at which each daemon checks whether it has to call the store.
+const STORE_CHECK_MS: u64 = 200;
+
 /// The bounds of the time that a datagram takes in transit, and of the time until a daemon has read
 /// a change of the list.
 const TRANSIT_MS: (u64, u64) = (1, 4);
@@ -56,6 +60,7 @@
     outbox: mpsc::UnboundedReceiver<Addressed>,
     address: SocketAddr,
     next_report: u64,
+    stored: StoredVersions,
     /// Until when it exchanges no datagrams and reads nothing.
     cut_until: u64,
     /// Until when it does nothing; what arrives meanwhile waits.
@@ -110,6 +115,12 @@
     count: u64,
     /// The version of the configuration, and the timeout of its route.
     config: (u64, Millis),
+    /// What the store has of the versions of services, and whether it answers.
+    records: VersionRecords,
+    pub is_store_up: bool,
+    /// The calls to the store.
+    pub reads: usize,
+    pub writes: usize,
     /// The time limit of callers, if they name one, and the bounds of the time until they return.
     pub patience: Option<Millis>,
     pub return_ms: (u64, u64),
@@ -169,6 +180,10 @@
             listed: BTreeMap::new(),
             count: 0,
             config: (1, Millis(TIMEOUT_MS)),
+            records: VersionRecords::new(),
+            is_store_up: true,
+            reads: 0,
+            writes: 0,
             patience: None,
             return_ms: RETURN_MS,
             resumed: 0,
@@ -225,6 +240,7 @@
             outbox: messages,
             address,
             next_report: self.now() + (index as u64 * 7) % 100,
+            stored: StoredVersions::default(),
             cut_until: 0,
             paused_until: 0,
         }
@@ -293,6 +309,12 @@
         self.daemons[index] = self.start_daemon(index);
     }
 
+    /// Kills all daemons and starts them again.
+    pub fn restart_all(&mut self) {
+        self.in_flight.clear();
+        (0..DAEMONS).for_each(|index| self.restart(index));
+    }
+
     /// Cuts a daemon off from all others, and from the list, for some time.
     pub fn cut(&mut self, index: usize, millis: u64) {
         self.daemons[index].cut_until = self.now() + millis;
@@ -336,6 +358,12 @@
         }
     }
 
+    /// The streams that count as resumed and whose daemons have not found out the version yet.
+    pub fn unanswered(&self) -> usize {
+        let asked = |s: &&Stream| s.counts && matches!(s.stage, Stage::Asked { .. });
+        self.streams.iter().filter(asked).count()
+    }
+
     fn deliver(&mut self) {
         let now = self.now();
         while let Some(entry) = self.in_flight.first_entry().filter(|e| e.key().0 <= now) {
@@ -362,6 +390,27 @@
         }
     }
 
+    /// Makes the calls of a daemon to the store.
+    fn call_store(&mut self, index: usize) {
+        let Daemon { gw, stored, .. } = &mut self.daemons[index];
+        while let Some(call) = stored.next_call(gw) {
+            if !self.is_store_up {
+                return;
+            }
+            match call {
+                VersionCall::Read => {
+                    self.reads += 1;
+                    stored.on_read(gw, self.records.clone());
+                }
+                VersionCall::Write(service, record) => {
+                    self.writes += 1;
+                    self.records.insert(service.clone(), record.clone());
+                    stored.on_written(service, record);
+                }
+            }
+        }
+    }
+
     fn tick_daemon(&mut self, index: usize) {
         if self.is_paused(index) {
             return;
@@ -375,11 +424,17 @@
             let mut reading = gw.reading.borrow_mut();
             let position = reading.followed_position();
             reading.on_entries(position, gw.now());
+            reading.on_config(Position::default(), gw.now());
         }
         let mut out = Vec::new();
         if (now + index as u64) % TICK_MS == 0 {
             run_tick(gw, TICK_MS);
         }
+        if reads && (now + index as u64) % STORE_CHECK_MS == 0 {
+            self.call_store(index);
+        }
+        let daemon = &mut self.daemons[index];
+        let gw = &daemon.gw;
         if now >= daemon.next_report {
             daemon.next_report = now + gw.report_interval().0;
             out.extend(periodic_messages(gw));
--- a/crates/gateway/tests/unit/stream_versions/main.rs
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -5,11 +5,13 @@
 
 use crate::stream_lifetime::StreamLifetime;
 use crate::stream_versions::{
-    Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
+    Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions, VersionRecord,
 };
+use crate::version_store::VersionRecords;
 use cluster::{service, version, Cluster, CENTRES};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 const LIFETIME: Millis = Millis(10_000);
@@ -21,10 +23,17 @@
     }
 }
 
-/// What is known of a stream after these versions were listed, each at a time, and at a time.
-fn knowledge((listed, now): (&[(usize, u64)], u64)) -> Knowledge {
+/// A hub that has read these records from the store at a time.
+fn hub_with_records(records: &VersionRecords, at: u64) -> StreamVersions {
     let mut versions = StreamVersions::default();
     versions.set_lifetime(LIFETIME, Millis(0));
+    versions.on_records(records, Millis(at));
+    versions
+}
+
+/// What is known of a stream after these versions were listed, each at a time, and at a time.
+fn knowledge((listed, now): (&[(usize, u64)], u64)) -> Knowledge {
+    let mut versions = hub_with_records(&BTreeMap::new(), 1_000);
     for at in (1_000..=now).step_by(500) {
         for (number, _) in listed.iter().filter(|(_, until)| at <= *until) {
             versions.on_listed(&service(), &version(*number), Millis(at));
@@ -52,9 +61,12 @@
 
 #[test]
 fn a_gap_in_the_list_ends_what_is_known_of_its_history() {
-    let mut versions = StreamVersions::default();
-    versions.set_lifetime(LIFETIME, Millis(0));
+    let mut versions = hub_with_records(&BTreeMap::new(), 1_000);
     for at in [1_000, 2_000, 10_000, 13_000, 16_000, 19_000] {
+        if at == 13_000 {
+            assert!(!versions.has_records());
+            versions.on_records(&BTreeMap::new(), Millis(at));
+        }
         versions.on_listed(&service(), &version(1), Millis(at));
         versions.on_current_list(Millis(at));
     }
@@ -353,3 +365,111 @@
     the_time_limit_of_a_caller_counts_up_to_a_maximum:
         (&[(true, 6_000, 0), (false, u64::MAX, 0)], 10) => 600_000,
 }
+
+fn record(versions: &[usize], complete: bool) -> VersionRecords {
+    let record = VersionRecord {
+        versions: versions.iter().map(|v| version(*v)).collect(),
+        lifetime: Millis(30_000),
+        complete,
+    };
+    VersionRecords::from([(service(), record)])
+}
+
+/// What a hub knows at a time of a stream if it has read this record at its start, and the second
+/// version is the only one that has been listed since.
+fn knowledge_after_restart((recorded, now): (Option<VersionRecords>, u64)) -> Knowledge {
+    let mut versions = StreamVersions::default();
+    versions.set_lifetime(LIFETIME, Millis(0));
+    if let Some(recorded) = recorded {
+        versions.on_records(&recorded, Millis(900));
+    }
+    for at in (1_000..=now).step_by(500) {
+        versions.on_listed(&service(), &version(2), Millis(at));
+        versions.on_current_list(Millis(at));
+    }
+    versions.knowledge(StreamKey::of("r"), &service(), true, Millis(now))
+}
+
+cases! { knowledge_after_restart;
+    a_daemon_without_the_records_does_not_know_the_past: (None, 60_000) => Knowledge::Nothing,
+    a_complete_record_of_the_only_version_is_enough:
+        (Some(record(&[2], true)), 1_000) => Knowledge::Only(version(2)),
+    an_incomplete_one_is_not: (Some(record(&[2], false)), 30_500) => Knowledge::Nothing,
+    an_incomplete_one_is_once_no_stream_of_before_is_left:
+        (Some(record(&[2], false)), 31_500) => Knowledge::Only(version(2)),
+    a_recorded_version_counts_while_its_streams_may_be_resumed:
+        (Some(record(&[1], true)), 30_500) => Knowledge::Several,
+    a_recorded_version_does_not_count_longer:
+        (Some(record(&[1], true)), 31_500) => Knowledge::Only(version(2)),
+}
+
+/// When all daemons are killed together.
+#[derive(Debug, Clone, Copy)]
+enum AllKilled {
+    /// After the second version has replaced the first one.
+    AfterRelease,
+    /// As soon as the second version is listed, and the first one goes.
+    DuringRelease,
+    /// Twice, the second time before the records are read again.
+    Twice,
+    /// While the store is away since then.
+    StoreAway,
+}
+
+/// The number of streams of two versions where all daemons are killed beside a release, and callers
+/// return after the time for which the timeout of the route lets them.
+fn mixed_after(killed: AllKilled) -> usize {
+    let play = |seed| {
+        let mut cluster = Cluster::new(seed, 100);
+        cluster.patience = Some(Millis(25_000));
+        cluster.list(1, true);
+        cluster.run(HISTORY_MS);
+        cluster.return_ms = (3_000, 20_000);
+        cluster.run(1_000);
+        cluster.list(2, true);
+        match killed {
+            AllKilled::DuringRelease => cluster.run(10),
+            _ => cluster.run(1_500),
+        }
+        cluster.list(1, false);
+        if !matches!(killed, AllKilled::DuringRelease) {
+            cluster.run(1_500);
+        }
+        cluster.is_store_up = !matches!(killed, AllKilled::StoreAway);
+        cluster.restart_all();
+        if matches!(killed, AllKilled::Twice) {
+            cluster.run(100);
+            cluster.restart_all();
+        }
+        cluster.run(25_000);
+        cluster.mixed
+    };
+    (0..SEEDS).map(play).sum()
+}
+
+// Guards against streams of two versions after all daemons were killed beside a release.
+cases! { mixed_after;
+    streams_are_not_joined_after_all_daemons_were_killed_after_a_release: AllKilled::AfterRelease => 0,
+    streams_are_not_joined_after_all_daemons_were_killed_in_a_release: AllKilled::DuringRelease => 0,
+    streams_are_not_joined_after_all_daemons_were_killed_twice: AllKilled::Twice => 0,
+    streams_are_not_joined_after_all_daemons_were_killed_and_the_store_is_away:
+        AllKilled::StoreAway => 0,
+}
+
+/// A service that has only ever had one version loses no stream when all daemons were killed, once the
+/// daemons know each other again. Few calls are made for that.
+#[test]
+fn streams_of_the_only_version_go_on_after_all_daemons_were_killed() {
+    let mut cluster = Cluster::new(1, 100);
+    cluster.list(1, true);
+    cluster.run(HISTORY_MS);
+    assert_eq!(cluster.writes, 2);
+    cluster.restart_all();
+    cluster.run(2_000);
+    (cluster.resumed, cluster.went_on) = (0, 0);
+    let reads = cluster.reads;
+    cluster.run(3_000);
+    assert!(cluster.resumed > 50, "{}", cluster.resumed);
+    assert_eq!(cluster.went_on + cluster.unanswered(), cluster.resumed);
+    assert_eq!((cluster.reads, cluster.writes), (reads, 2));
+}
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -61,6 +61,7 @@
     StoreCalls 2101 Info "The recent number of calls to each topic of the store.";
     TopicGap 2102 Info "Requested records were dropped from a topic; the newest record of each key is read instead.";
     StoreWentBack 2103 Warn "The store came back from an older copy: positions are given out again, and newer records are lost.";
+    VersionsStored 2104 Info "The software versions that a service has, or recently had, were read from the store or written to it.";
     ChangeAccepted 3001 Info "A configuration change was accepted.";
     ChangeRefused 3002 Warn "A configuration change was refused.";
     TableInForce 3101 Info "A version of the platform's configuration is in force.";
