Followers leave removals that they have read to the daemon that they follow, and compare their lists

Cause, as claimed: while the store is away each hub reads it. After its return they read the removals of the lapsed entries and hold them for a second. Then one hub reads for the others. It sees the entries return within its own hold, which is no change that it would report; the others forget the engines when their own holds end. They count messages alone, so nothing showed the difference.

A held removal that a follower has read itself waits for the followed daemon: once that one's knowledge is later than the read, the hold is dropped, since it either holds the removal too and reports it, or has seen the entry return. A daemon that follows none applies its holds as before, and a removal that was reported by another daemon is applied as before (DRAIN). Besides, each hub sends its followers a digest of its list once a second (name, start, leaving) with the number of its last message of changes. A follower whose list differs twice in a row takes a copy, less and less often while it stays different, and logs both digests (event 7104). Daemons of earlier releases skip the message.

`unit::lists` runs six daemons' own code: 40 plays of entries that lapse and return within 300 ms, and 60 random series of removals, returns, restarts, lost messages and outages.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -214,7 +214,8 @@
     loop {
         let every = gw.settings.policy.read_interval.0;
         let reader = gw.is_reader();
-        if !reader && (gw.follows() || copy_entries(&gw).await) {
+        let follows = gw.follows() && !gw.entries_check.borrow_mut().take_request();
+        if !reader && (follows || copy_entries(&gw).await) {
             // Changes arrive as messages meanwhile; their position in the topic is not known.
             next = None;
             tokio::time::sleep(Duration::from_millis(every / 4)).await;
@@ -261,6 +262,12 @@
     let Some(Fetched { copy, at, .. }) = handover::entries(gw).await else {
         return false;
     };
+    apply_copy(gw, copy, at);
+    true
+}
+
+/// Applies a copy of the upstreams' entries as they were known at a time.
+pub(crate) fn apply_copy(gw: &Gateway, copy: EntriesCopy, at: Millis) {
     let EntriesCopy {
         incarnation,
         number,
@@ -289,19 +296,27 @@
     gw.reading
         .borrow_mut()
         .on_entries_copied(incarnation, number, at);
-    true
 }
 
 impl Gateway {
     /// Whether this daemon reads the store for the others.
-    fn is_reader(&self) -> bool {
+    pub(crate) fn is_reader(&self) -> bool {
         self.membership.borrow_mut().is_reader(self.now())
     }
 
     /// Whether the entries are known recently enough through the followed daemon.
-    fn follows(&self) -> bool {
+    pub(crate) fn follows(&self) -> bool {
+        self.followed_entries_at().is_some()
+    }
+
+    /// As of when the entries are known through the followed daemon, if that is recent enough.
+    pub(crate) fn followed_entries_at(&self) -> Option<Millis> {
+        let known = self.upstreams_known.get();
+        let (fresh, now) = (self.freshness(), self.now());
         let reading = self.reading.borrow();
-        self.upstreams_known.get() && reading.follows_entries(self.freshness(), self.now())
+        known
+            .then(|| reading.followed_entries(fresh, now))
+            .flatten()
     }
 
     /// How far the configuration is known through the followed daemon.
@@ -314,26 +329,33 @@
 /// Applies a read. One that follows another begins where that one, requested at `since`, ended; without
 /// it all entries were read.
 fn apply_batch(gw: &Gateway, batch: &Batch, since: Option<Millis>) {
-    let now = gw.now();
     let records = batch.records.iter();
     let records = records.filter_map(|r| parse_record(gw, r, since));
-    if since.is_some() {
-        gw.apply_entries(records.collect(), now);
-        return;
-    }
-    let listed = records.filter(|r| r.entry.is_some()).collect();
+    apply_read(gw, records.collect(), batch.next, since.is_some());
+}
+
+/// Applies what this daemon itself has read up to a position: what has changed, or all entries.
+pub(crate) fn apply_read(gw: &Gateway, records: Vec<EntryRecord>, end: Position, changed: bool) {
+    let now = gw.now();
     let known = gw.entries_end.get();
     let mut roster = gw.roster.borrow_mut();
-    if known != Position::default() && batch.next.era() > known.era() {
-        roster.on_loss(batch.next, now);
-    }
-    let changes = roster.on_snapshot(listed, batch.next, now);
+    let changes = if changed {
+        let records = records.into_iter();
+        let changes = records.filter_map(|r| roster.on_read_record(r, now));
+        changes.collect()
+    } else {
+        if known != Position::default() && end.era() > known.era() {
+            roster.on_loss(end, now);
+        }
+        let listed = records.into_iter().filter(|r| r.entry.is_some()).collect();
+        roster.on_read_snapshot(listed, end, now)
+    };
     drop(roster);
     gw.apply_all(changes);
 }
 
 impl Gateway {
-    /// Applies records, independent of how they arrived.
+    /// Applies records that another daemon reported.
     pub(crate) fn apply_entries(&self, records: Vec<EntryRecord>, now: Millis) {
         let mut roster = self.roster.borrow_mut();
         let changes = records
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -114,6 +114,7 @@
     let requests = requests.map(|t| (t, Message::CrashesRequest { all: true }));
     let messages = messages.into_iter().chain(requests);
     let messages = messages.chain(gw.config_offers(now));
+    let messages = messages.chain(gw.entries_digests(now));
     messages.map(|(t, m)| (t, gw.datagram(m))).collect()
 }
 
@@ -308,6 +309,7 @@
         Message::ConfigHeld { version } => gw.on_config_held(&from, version),
         Message::Relays(message) => gw.on_relay_message(&from, &message),
         Message::Versions(message) => gw.on_version_message(&from, message),
+        Message::EntriesDigest { number, digest } => gw.on_entries_digest(&from, number, digest),
         Message::PlannerUpdate(update) => forward_update(gw, &from, &update, now),
     }
 }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -157,7 +157,7 @@
     Ok(body)
 }
 
-fn entries_copy(gw: &Gateway) -> Option<EntriesCopy> {
+pub(crate) fn entries_copy(gw: &Gateway) -> Option<EntriesCopy> {
     let reading = gw.reading.borrow();
     let at = reading.entries_known_at()?;
     let roster = gw.roster.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 //! * `membership` decides which daemons exchange which data, in the messages of `message`: `peers`
 //!   lists the daemons, `hub_election` selects the hubs, and `allowance_share` computes the share
 //!   of the allowances that a daemon keeps; `gossip` sends and receives the messages,
-//!   `read_progress` decides which daemon reads the store, `handover` passes on what was read, and
+//!   `read_progress` decides which daemon reads the store, `entries_check` compares what two daemons know, `handover` passes on what was read, and
 //!   `discovery` finds other daemons.
 //! * `planner` plans with `shaleline_fleet` while `planner_lease` holds the planner lease, which a
 //!   daemon gives up if `isolation` finds it in contact with too few others; `orders` sends the
@@ -62,6 +62,7 @@
 mod discovery;
 mod dispatch;
 mod eligibility;
+mod entries_check;
 mod era;
 mod event_pace;
 mod events;
@@ -150,6 +151,8 @@
     mod late_release;
     #[path = "limits/main.rs"]
     mod limits;
+    #[path = "lists/main.rs"]
+    mod lists;
     #[path = "lost_services/main.rs"]
     mod lost_services;
     mod manual_clock;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -130,6 +130,9 @@
         org: Org,
         amount: u64,
     },
+    /// From a hub to its followers: identifies its list of upstreams as it is after this message of
+    /// changes. Daemons of earlier releases skip it.
+    EntriesDigest { number: u64, digest: u64 },
 }
 
 /// What daemons exchange about streams that are bound to a software version.
--- a/crates/gateway/src/read_progress.rs
+++ b/crates/gateway/src/read_progress.rs
@@ -293,9 +293,19 @@
         (self.followed.incarnation, self.followed.last_sent)
     }
 
-    /// Whether the entries are known without a read, and recently enough.
-    pub(crate) fn follows_entries(&self, fresh: Freshness, now: Millis) -> bool {
-        self.followed.is_complete() && now.since(self.followed.changes_at) < fresh.entries.0
+    /// As of when the entries are known without a read, if that is recent enough.
+    pub(crate) fn followed_entries(&self, fresh: Freshness, now: Millis) -> Option<Millis> {
+        let at = self.followed.changes_at;
+        let follows = self.followed.is_complete() && now.since(at) < fresh.entries.0;
+        follows.then_some(at)
+    }
+
+    /// Whether every message of changes up to this one of the followed daemon has arrived, and none
+    /// after it.
+    pub(crate) fn is_at(&self, incarnation: u64, number: u64) -> bool {
+        let followed = &self.followed;
+        let last = followed.covered.map(|c| c.max(followed.run.1));
+        followed.incarnation == incarnation && followed.is_complete() && last == Some(number)
     }
 
     /// How far the followed daemon last reported to know the configuration.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -8,7 +8,7 @@
 //! Records arrive by several ways, some of them late; their positions show which are newer.
 
 use crate::Entry;
-use shaleline_types::{Incarnation, Millis, Position, Upstream};
+use shaleline_types::{stable_hash, Incarnation, Millis, Position, Upstream};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
@@ -26,6 +26,10 @@
 /// addition, removals would exceed the drain bound.
 const PEER_SERVED_MS: u64 = 1_500;
 
+/// The longest time between the moment at which the store makes its answer to a read and the one at
+/// which this is known to be read: the timeout of a call.
+const READ_DELAY_MS: u64 = 1_000;
+
 /// The time for which a removed upstream is remembered, so that an old entry that is read or
 /// received late is ignored, as is one of an earlier start.
 const REMEMBER_MS: u64 = 60_000;
@@ -70,9 +74,18 @@
     leaving: bool,
     /// When its removal takes effect.
     removal_due: Option<Millis>,
+    /// When this daemon itself read the held removal from the store; none if another one reported it.
+    removal_read: Option<Millis>,
 }
 
 impl Listed {
+    /// Drops the held removal.
+    fn keep(&mut self) {
+        self.removed = None;
+        self.removal_due = None;
+        self.removal_read = None;
+    }
+
     /// The position of the newest known record.
     fn newest(&self) -> Position {
         self.removed.unwrap_or(self.position)
@@ -108,7 +121,7 @@
         self.unstable_at = Some(now);
     }
 
-    /// Applies an upstream's record.
+    /// Applies an upstream's record that another daemon reported.
     pub(crate) fn on_record(&mut self, record: EntryRecord, now: Millis) -> Option<Change> {
         if self.is_old(&record.name, record.position) {
             return None;
@@ -119,6 +132,22 @@
         }
     }
 
+    /// Applies an upstream's record that this daemon itself has read.
+    pub(crate) fn on_read_record(&mut self, record: EntryRecord, now: Millis) -> Option<Change> {
+        let name = record.name.clone();
+        let change = self.on_record(record, now);
+        self.record_removal_read(&name, now);
+        change
+    }
+
+    /// Records that this daemon itself has read the removal of an upstream that is held.
+    fn record_removal_read(&mut self, name: &Upstream, now: Millis) {
+        let listed = self.listed.get_mut(name);
+        if let Some(listed) = listed.filter(|l| l.removal_due.is_some()) {
+            listed.removal_read.get_or_insert(now);
+        }
+    }
+
     /// Whether a newer record of the upstream is known.
     fn is_old(&self, name: &Upstream, position: Position) -> bool {
         let gone = self.gone.get(name).map(|g| g.position);
@@ -159,8 +188,7 @@
         };
         if let Some(known) = known.filter(|l| l.entry == entry) {
             known.position = position;
-            known.removed = None;
-            known.removal_due = None;
+            known.keep();
             return None;
         }
         let next = Listed {
@@ -169,6 +197,7 @@
             removed: None,
             leaving,
             removal_due: None,
+            removal_read: None,
         };
         self.listed.insert(name.clone(), next);
         Some(match restarted {
@@ -194,6 +223,7 @@
     ) -> Option<Change> {
         let listed = self.listed.get_mut(name)?;
         listed.removed = Some(position);
+        listed.removal_read = None;
         if let (Some(removal_due), false) = (hold, listed.leaving) {
             listed.removal_due.get_or_insert(removal_due);
             return None;
@@ -243,7 +273,23 @@
         back.filter(|back| *back > now).or_else(|| self.hold(now))
     }
 
-    /// Applies all existing records, read up to `end`; upstreams without one were
+    /// Applies all existing records that this daemon itself has read up to `end`.
+    pub(crate) fn on_read_snapshot(
+        &mut self,
+        all: Vec<EntryRecord>,
+        end: Position,
+        now: Millis,
+    ) -> Vec<Change> {
+        let changes = self.on_snapshot(all, end, now);
+        let held = self.listed.iter().filter(|(_, l)| l.removed == Some(end));
+        let held: Vec<Upstream> = held.map(|(name, _)| name.clone()).collect();
+        for name in &held {
+            self.record_removal_read(name, now);
+        }
+        changes
+    }
+
+    /// Applies all existing records, read up to `end` by another daemon; upstreams without one were
     /// removed.
     pub(crate) fn on_snapshot(
         &mut self,
@@ -265,15 +311,57 @@
         changes
     }
 
-    /// Applies the held removals that are due.
-    pub(crate) fn tick(&mut self, now: Millis) -> Vec<Change> {
-        let due = |l: &Listed| l.removal_due.is_some_and(|u| u <= now);
+    /// Applies the held removals that are due. `followed` is the time as of which the daemon that this
+    /// one follows has told it all, if it follows one.
+    ///
+    /// A removal that only this daemon has read waits for what that daemon makes of it: it holds the
+    /// removal as well and will report it, or has seen the entry return, which is no change to report.
+    pub(crate) fn tick(&mut self, now: Millis, followed: Option<Millis>) -> Vec<Change> {
+        if let Some(followed) = followed {
+            self.drop_holds(followed);
+        }
+        let waits = |l: &Listed| followed.is_some() && l.removal_read.is_some();
+        let due = |l: &Listed| l.removal_due.is_some_and(|u| u <= now) && !waits(l);
         let names = self.listed.iter().filter(|(_, l)| due(l));
         let names: Vec<Upstream> = names.map(|(n, _)| n.clone()).collect();
         self.gone.retain(|_, g| now.since(g.at) < REMEMBER_MS);
         names.iter().map(|n| self.forget(n, now)).collect()
     }
 
+    /// Whether removals are held for their entries to return.
+    pub(crate) fn holds_removals(&self) -> bool {
+        self.listed.values().any(|l| l.removal_due.is_some())
+    }
+
+    /// Drops the held removals that the followed daemon has certainly read by now as well.
+    fn drop_holds(&mut self, followed: Millis) {
+        let known = |l: &&mut Listed| {
+            let read = l.removal_read;
+            read.is_some_and(|at| at.plus(READ_DELAY_MS) <= followed)
+        };
+        self.listed
+            .values_mut()
+            .filter(known)
+            .for_each(Listed::keep);
+    }
+
+    /// Identifies the list: which upstreams it has, which start of each, and whether they leave.
+    pub(crate) fn digest(&self) -> u64 {
+        let parts = self.listed.iter().map(|(name, l)| {
+            let Entry {
+                incarnation,
+                leaving,
+                ..
+            } = &l.entry;
+            stable_hash(&[
+                name.as_str(),
+                &incarnation.to_string(),
+                &leaving.to_string(),
+            ])
+        });
+        parts.fold(0, u64::wrapping_add)
+    }
+
     /// The position of an upstream's entry, or of its removal where that has taken effect. The
     /// position of a held removal would be wrong: a daemon that received the entry with that
     /// position would take the entry for new.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -151,7 +151,14 @@
 pub(crate) fn run_tick(gw: &Gateway, interval: u64) {
     gw.check_era();
     gw.stall_detector.borrow_mut().on_tick(interval, gw.now());
-    let changes = gw.roster.borrow_mut().tick(gw.now());
+    let holds = gw.roster.borrow().holds_removals();
+    let followed = if holds {
+        gw.followed_entries_at()
+    } else {
+        None
+    };
+    let followed = followed.filter(|_| !gw.is_reader());
+    let changes = gw.roster.borrow_mut().tick(gw.now(), followed);
     gw.apply_all(changes);
     gw.route(RouteEvent::Tick);
     gw.tick_selection();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use crate::crash_probe::CrashProbes;
 use crate::dispatch::DelegatedRequests;
 use crate::eligibility::Announcements;
+use crate::entries_check::EntriesCheck;
 use crate::era::KnownEra;
 use crate::gossip::Addressed;
 use crate::isolation::Isolation;
@@ -176,6 +177,7 @@
     pub(crate) permits: RefCell<Permits>,
     pub(crate) held_sends: RefCell<HeldSends>,
     /// The software versions of streams, and the questions about those that others began.
+    pub(crate) entries_check: RefCell<EntriesCheck>,
     pub(crate) stream_versions: RefCell<StreamVersions>,
     pub(crate) look_ups: RefCell<LookUps>,
     /// Upstreams that sent bytes for requests for which hubs selected.
@@ -310,6 +312,7 @@
             removals: RefCell::new(Removals::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
+            entries_check: RefCell::new(EntriesCheck::default()),
             stream_versions: RefCell::new(StreamVersions::default()),
             look_ups: RefCell::new(LookUps::default()),
             crashes_synced: Cell::new(Millis(0)),
--- a/crates/gateway/tests/unit/read_progress.rs
+++ b/crates/gateway/tests/unit/read_progress.rs
@@ -89,7 +89,7 @@
         }
     }
     let fresh = Freshness::from_bounds(Millis(2_000), Millis(800), Millis(120));
-    reading.follows_entries(fresh, NOW)
+    reading.followed_entries(fresh, NOW).is_some()
 }
 
 /// Guards against repeated copies: a follower copied the configuration again and again until the
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -1,7 +1,9 @@
 //! Tests of the roster of upstreams as entries are added, changed and removed.
 
+use crate::entries_check::EntriesCheck;
 use crate::roster::{Change, EntryRecord, Roster};
 use crate::Entry;
+use shaleline_testkit::cases;
 use shaleline_types::{DataCentre, Incarnation, Millis, Position, Service, Upstream};
 use std::net::SocketAddr;
 
@@ -67,9 +69,9 @@
     let mut roster = listed_roster();
     roster.on_store_unstable(NOW);
     assert_eq!(roster.on_record(removed(2), NOW), None);
-    assert_eq!(roster.tick(NOW.plus(900)), []);
+    assert_eq!(roster.tick(NOW.plus(900), None), []);
     roster.on_record(present(3, false), NOW);
-    assert_eq!(roster.tick(NOW.plus(5_000)), []);
+    assert_eq!(roster.tick(NOW.plus(5_000), None), []);
     assert!(roster.get(&upstream()).is_some());
 }
 
@@ -78,7 +80,10 @@
     let mut roster = listed_roster();
     roster.on_store_unstable(NOW);
     roster.on_record(removed(2), NOW);
-    assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(upstream())]);
+    assert_eq!(
+        roster.tick(NOW.plus(2_000), None),
+        [Change::Gone(upstream())]
+    );
 }
 
 /// Guards against requests to an upstream that has left: a removal 3.3 s after the store had
@@ -117,7 +122,10 @@
     assert_eq!(roster.on_record(removed(5), NOW), None);
     assert_eq!(roster.position(&upstream()), at(4));
     assert_eq!(roster.on_record(changed, NOW), None);
-    assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(upstream())]);
+    assert_eq!(
+        roster.tick(NOW.plus(2_000), None),
+        [Change::Gone(upstream())]
+    );
     assert_eq!(roster.position(&upstream()), at(5));
 }
 
@@ -232,9 +240,12 @@
 #[test]
 fn an_upstream_whose_entry_was_lost_is_removed_if_it_does_not_write_again() {
     let mut roster = roster_after_loss(listed_roster(), false);
-    assert_eq!(roster.tick(NOW.plus(1_999)), []);
+    assert_eq!(roster.tick(NOW.plus(1_999), None), []);
     assert!(roster.get(&upstream()).is_some());
-    assert_eq!(roster.tick(NOW.plus(2_000)), [Change::Gone(upstream())]);
+    assert_eq!(
+        roster.tick(NOW.plus(2_000), None),
+        [Change::Gone(upstream())]
+    );
 }
 
 #[test]
@@ -269,3 +280,72 @@
     let roster = roster_after_loss(roster, true);
     assert!(roster.get(&upstream()).is_some_and(|e| e.leaving));
 }
+
+/// What a daemon makes of a removal that is held and due, where it follows another one that has told it
+/// all as of a time after the removal was read, and whether its entry is listed then.
+fn held_removal((read_here, followed): (bool, Option<u64>)) -> (Vec<Change>, bool) {
+    let mut roster = listed_roster();
+    roster.on_store_unstable(NOW);
+    let change = match read_here {
+        true => roster.on_read_record(removed(2), NOW),
+        false => roster.on_record(removed(2), NOW),
+    };
+    assert_eq!(change, None);
+    let changes = roster.tick(NOW.plus(1_500), followed.map(|at| NOW.plus(at)));
+    // Later the daemon follows none, and nothing is held that was dropped before.
+    let later = roster.tick(NOW.plus(1_600), None);
+    let listed = roster.get(&upstream()).is_some();
+    ([changes, later].concat(), listed)
+}
+
+// Guards against daemons that forget upstreams because of what they read alone, before the daemon that
+// they follow saw the entries return.
+cases! { held_removal;
+    a_daemon_that_follows_none_applies_a_removal: (true, None) => (vec![Change::Gone(upstream())], false),
+    a_removal_that_the_followed_daemon_has_read_as_well_is_left_to_it:
+        (true, Some(1_000)) => (vec![], true),
+    a_removal_that_the_followed_daemon_may_not_know_is_applied_without_it:
+        (true, Some(999)) => (vec![Change::Gone(upstream())], false),
+    a_removal_that_another_daemon_reported_is_applied:
+        (false, Some(1_400)) => (vec![Change::Gone(upstream())], false),
+}
+
+#[test]
+fn a_removal_waits_while_the_followed_daemon_may_not_know_it() {
+    let mut roster = listed_roster();
+    roster.on_store_unstable(NOW);
+    roster.on_read_snapshot(vec![], at(3), NOW);
+    assert_eq!(roster.tick(NOW.plus(1_500), Some(NOW.plus(900))), []);
+    assert!(roster.get(&upstream()).is_some());
+    let change = roster.on_record(removed(4), NOW.plus(5_000));
+    assert_eq!(change, Some(Change::Gone(upstream())));
+}
+
+/// Two lists have the same digest if they name the same starts of the same upstreams.
+fn is_same_digest(record: EntryRecord) -> bool {
+    let mut other = Roster::default();
+    other.on_record(record, NOW);
+    other.digest() == listed_roster().digest()
+}
+
+cases! { is_same_digest;
+    the_position_of_an_entry_is_not_part_of_the_digest: present(7, false) => true,
+    an_upstream_that_leaves_is: present(1, true) => false,
+    another_start_is: with_incarnation(present(1, false), 100) => false,
+    a_missing_upstream_is: removed(1) => false,
+}
+
+/// The digests after which a daemon takes a copy: one a second, each equal to its own or not.
+fn copies(same: &[bool]) -> Vec<usize> {
+    let mut check = EntriesCheck::default();
+    let seconds = same.iter().enumerate();
+    let copies = seconds.filter(|(at, same)| check.on_digest(**same, NOW.plus(*at as u64 * 1_000)));
+    copies.map(|(at, _)| at).collect()
+}
+
+cases! { copies;
+    a_list_that_is_the_same_is_not_copied: &[true; 10] => Vec::<usize>::new(),
+    a_list_that_differs_once_is_not_copied: &[true, false, true, false, true] => Vec::<usize>::new(),
+    a_list_that_differs_again_is_copied: &[true, false, false, true] => vec![2],
+    a_list_that_stays_different_is_copied_ever_less_often: &[false; 60] => vec![1, 2, 4, 8, 16, 32],
+}
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -95,6 +95,7 @@
     PeerMessageBad 7101 Warn "A datagram between daemons cannot be decoded or encoded.";
     CopyMissed 7102 Info "The records that another daemon has read from the store could not be copied from it.";
     CopyTaken 7103 Info "The records that another daemon has read from the store were copied from it; the line gives size and time.";
+    ListDiffers 7104 Warn "The list of upstreams differs from that of the daemon that this one follows, of which it takes a copy; the line gives both digests.";
     UpstreamOpen 8001 Warn "A breaker opened for an upstream.";
     UpstreamLeaving 8002 Info "An upstream is leaving and gets no new work.";
     LateAnswer 8003 Warn "A late answer to an old attempt was dropped.";
