--- a/crates/gateway/tests/unit/stream_versions/main.rs
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -436,6 +436,8 @@
             cluster.run(1_500);
         }
         cluster.is_store_up = !matches!(killed, AllKilled::StoreAway);
+        // The daemons learn no time limit from new callers.
+        cluster.patience = None;
         cluster.restart_all();
         if matches!(killed, AllKilled::Twice) {
             cluster.run(100);
