Answers with a status that no final response may have are no answers

Tried here on unsafe, safe and stream routes: 000, 001, 099, 20, 2000 and abc are rejected by the HTTP library; their callers got 502 without a receipt, or a sound answer of a second attempt. 101, 600 and 999 were passed on with the engine's receipt.

No status outside 100 to 599 is valid, and 101 answers a request for another protocol, which nobody made (RFC 9110, section 15). Such a response is no answer: the pool returns `InvalidStatus` and closes the connection, since where its body ends is not certain. That holds for requests, also through tunnels and where a stream is resumed, for orders, reports, copies and the store alike. Safe requests are tried again. A 502 on a route that is no stream said that the answer had broken off and could not be resumed; it says now that the upstream failed.

--- a/crates/dialect/src/service.rs
+++ b/crates/dialect/src/service.rs
@@ -28,7 +28,8 @@
         shaleline_edge::SendError::Broken
         | shaleline_edge::SendError::HeadTooLarge
         | shaleline_edge::SendError::BodyTooLarge
-        | shaleline_edge::SendError::Stalled => SendError::Broken,
+        | shaleline_edge::SendError::Stalled
+        | shaleline_edge::SendError::InvalidStatus => SendError::Broken,
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -23,6 +23,8 @@
     BodyTooLarge,
     /// It was written, and the body of its response stopped arriving.
     Stalled,
+    /// It was written, and its response has no status that a final response may have.
+    InvalidStatus,
 }
 
 impl fmt::Display for SendError {
@@ -33,6 +35,7 @@
             Self::HeadTooLarge => "the head of the response is larger than its limit",
             Self::BodyTooLarge => "the body of the response is larger than its limit",
             Self::Stalled => "the body of the response stopped arriving",
+            Self::InvalidStatus => "the response has an invalid status",
         })
     }
 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::client::conn::TrySendError;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use shaleline_types::{Millis, Upstream};
 use socket2::SockRef;
@@ -172,7 +172,8 @@
     ///
     /// # Errors
     /// [`SendError::NotSent`] if nothing was written, [`SendError::HeadTooLarge`] if the head of the
-    /// response exceeds [`MAX_HEAD_BYTES`], [`SendError::Broken`] otherwise.
+    /// response exceeds [`MAX_HEAD_BYTES`], [`SendError::InvalidStatus`] if its status is not valid,
+    /// [`SendError::Broken`] otherwise.
     pub async fn send(
         &self,
         target: &Target,
@@ -230,7 +231,7 @@
                 tunnels.on_send(target, channel.relay);
             }
             match channel.send(request).await {
-                Ok(response) => return Ok(self.exchange(target, channel, response)),
+                Ok(response) => return self.exchange(target, channel, response),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(channel.failure(error.error())),
@@ -245,7 +246,7 @@
             tunnels.on_send(target, channel.relay);
         }
         match channel.send(request).await {
-            Ok(response) => Ok(self.exchange(target, channel, response)),
+            Ok(response) => self.exchange(target, channel, response),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
                 None => channel.failure(error.error()),
@@ -253,20 +254,25 @@
         }
     }
 
+    /// The exchange of a response. One without a valid status closes its connection: where its body
+    /// ends is not certain.
     fn exchange(
         &self,
         target: &Target,
         channel: Channel,
         response: Response<Incoming>,
-    ) -> Exchange {
-        Exchange {
+    ) -> Result<Exchange, SendError> {
+        if !is_final(response.status()) {
+            return Err(SendError::InvalidStatus);
+        }
+        Ok(Exchange {
             channel,
             framing: Framing::of(&response),
             response,
             target: target.clone(),
             pool: self.clone(),
             ended: false,
-        }
+        })
     }
 
     /// Takes the most recently used idle connection, so that surplus ones expire.
@@ -382,6 +388,13 @@
     }
 }
 
+/// Whether a status is valid for a final response to a request that asks for no other protocol: all
+/// from 200 to 599 (RFC 9110, section 15). Informational responses are skipped before, but for the one
+/// that announces another protocol.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sets the options of a connection. They only reduce latency or detect failures sooner; the
 /// connection works without them.
 pub(crate) fn set_options(stream: &TcpStream, unacked_timeout: Duration) {
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -293,3 +293,31 @@
         assert!(end.is_err() || rest.is_empty());
     });
 }
+
+/// What becomes of a request whose response has this status line.
+fn outcome_of(status: &'static str) -> Result<u16, SendError> {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let target = target(listener.local_addr().expect("an address"));
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            if read_head(&mut stream).await {
+                let head = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+                stream.write_all(head.as_bytes()).await.expect("written");
+            }
+        });
+        let request = Request::get("/").body(Full::new(Bytes::new()));
+        let exchange = pool().send(&target, request.expect("a request")).await;
+        exchange.map(|e| e.status().as_u16())
+    })
+}
+
+// Guards against responses to calls of the store, orders, reports and requests alike.
+cases! { outcome_of;
+    the_lowest_final_status_is_valid: "200 OK" => Ok(200),
+    the_highest_final_status_is_valid: "599 Trouble" => Ok(599),
+    a_switch_of_protocols_is_not_valid: "101 Switching Protocols" => Err(SendError::InvalidStatus),
+    a_status_above_the_highest_is_not_valid: "600 Trouble" => Err(SendError::InvalidStatus),
+    the_highest_three_digits_are_not_valid: "999 Trouble" => Err(SendError::InvalidStatus),
+    a_status_below_the_lowest_is_not_valid: "000 Trouble" => Err(SendError::Broken),
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -77,7 +77,8 @@
     PathLost,
     /// The upstream crashed during the attempt.
     Ended,
-    /// The answer belongs to another request, is not signed, or its body is not an upstream's.
+    /// The answer belongs to another request, is not signed, has no valid status, or its body is not an
+    /// upstream's.
     Garbled,
     /// The head of the answer, with the informational responses before it, exceeded its limit.
     HeadTooLarge,
@@ -117,6 +118,7 @@
             SendError::Broken | SendError::Stalled => Self::Broken,
             SendError::HeadTooLarge => Self::HeadTooLarge,
             SendError::BodyTooLarge => Self::BodyTooLarge,
+            SendError::InvalidStatus => Self::Garbled,
         }
     }
 }
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -92,6 +92,12 @@
         (1.., Outcome::NotRun) => Refusal::new(ErrorKind::UpstreamFailed),
         _ => refusal,
     };
+    // Nothing of an answer that is no stream has reached the caller.
+    let broken = refusal.kind == ErrorKind::BrokenStream && !job.rule.repeat.is_stream();
+    let refusal = match broken {
+        true => Refusal::new(ErrorKind::UpstreamFailed),
+        false => refusal,
+    };
     let refusal = match refusal.kind == ErrorKind::UpstreamFailed && permit.too_large {
         true => Refusal::new(ErrorKind::AnswerTooLarge),
         false => refusal,
