A stopping daemon passes on nothing that it may have to cut off, and ends when its answers are written

Late in the grace: requests on connections that were open at SIGTERM, whose rest arrived after the daemon had begun to refuse new connections, were read, passed on and cut off at the end of the grace, with 502 or without an answer; among them requests that may not be repeated.

Cause: only new connections were refused. A request counted as done when its body was dropped, which is when the library has taken it, not when it is written.

From the moment of refusing on, a request that is not whole is refused at once as not run, whether its head or its body is missing, and so is what waits without having been sent; other daemons serve it. A request stays in progress until the connection has flushed its response (`edge/unwritten.rs`). The process ends when nothing is owed to a caller that reads, or the grace is over. The hubs are told of the daemon's streams again when it begins to refuse, since streams begin until then.

--- a/crates/edge/src/caller_stream.rs
+++ b/crates/edge/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, which is reset unless a response that ends with it is complete.
 
+use crate::unwritten::Flushed;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -41,14 +42,16 @@
     stream: TcpStream,
     incomplete: Incomplete,
     resets: bool,
+    flushed: Flushed,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete) -> Self {
+    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete, flushed: Flushed) -> Self {
         Self {
             stream,
             incomplete,
             resets: false,
+            flushed,
         }
     }
 
@@ -67,6 +70,7 @@
     /// Makes sure that the connection is reset if the response which is written breaks off. This is
     /// undone only by the shutdown, because buffered bytes can still be lost before it.
     fn before_write(&mut self) -> io::Result<()> {
+        self.flushed.set(false);
         match self.incomplete.get() {
             true => self.set_resets(true),
             false => Ok(()),
@@ -108,7 +112,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The library calls this once it has written all that it holds.
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        self.flushed.set(matches!(polled, Poll::Ready(Ok(()))));
+        polled
     }
 
     /// Ends the connection after all bytes were written to it.
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -96,6 +96,21 @@
         self.0.phase.send_replace(Phase::Closed);
     }
 
+    /// Returns whether the listener accepts no connections any more.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        *self.0.phase.borrow() == Phase::Closed
+    }
+
+    /// Waits until the listener accepts no connections any more.
+    pub async fn closed(&self) {
+        // The sender lives as long as the control.
+        self.subscribe()
+            .wait_for(|p| *p == Phase::Closed)
+            .await
+            .ok();
+    }
+
     /// Returns whether responses close their connection.
     #[must_use]
     pub fn is_closing(&self) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod reply;
 pub mod tunnel;
+mod unwritten;
 
 pub use budget::{Holder, MemoryBudget, MemoryKind, MemoryLevel, Shed};
 pub use clock::{Clock, SuspensionDetector, TimeSource};
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_stream::{CallerStream, Incomplete};
 use crate::control::{ListenerControl, Phase};
+use crate::unwritten::{Flushed, Unwritten};
 use crate::Reply;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH};
@@ -130,17 +131,21 @@
         last_active: Cell::new(control.now()),
     });
     let incomplete = Incomplete::default();
+    let flushed = Flushed::default();
+    let unwritten = Unwritten::new(flushed.clone());
+    let written = unwritten.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
         let (method, version) = (request.method().clone(), request.version());
         let incomplete = incomplete.clone();
+        let unwritten = unwritten.clone();
         let activity = Rc::clone(&activity);
         let control = control.clone();
         let response = handler.handle(request);
         async move {
             activity.busy.set(activity.busy.get() + 1);
             let guard = ActivityGuard(Rc::clone(&activity), control.clone());
-            let busy = control.track_request();
+            let busy = unwritten.track(control.track_request());
             let mut reply = response.await;
             if control.is_closing() {
                 let close = HeaderValue::from_static("close");
@@ -155,7 +160,7 @@
             Ok::<_, Infallible>(reply)
         }
     });
-    let stream = CallerStream::new(stream, incomplete.clone());
+    let stream = CallerStream::new(stream, incomplete.clone(), flushed);
     let mut connection = pin!(Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(control.idle_timeout() + IDLE_CHECK_INTERVAL)
@@ -165,9 +170,14 @@
     let mut phase = control.subscribe();
     let mut shutting_down = false;
     loop {
+        let polled = poll_fn(|context| {
+            let polled = connection.as_mut().poll(context);
+            written.on_polled();
+            polled
+        });
         tokio::select! {
             // The end of a connection is not logged, because each request logs its own end.
-            _ = connection.as_mut() => return,
+            _ = polled => return,
             _ = phase.wait_for(|p| *p == Phase::Closed), if !shutting_down => {}
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !shutting_down => {
                 let idle = u128::from(control.now().since(activity.last_active.get())) >= control.idle_timeout().as_millis();
@@ -180,6 +190,7 @@
         // tasks have run.
         tokio::task::yield_now().await;
         let polled = poll_fn(|context| Poll::Ready(connection.as_mut().poll(context))).await;
+        written.on_polled();
         if polled.is_ready() {
             return;
         }
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -1,7 +1,7 @@
 //! Responses to callers: complete, or streamed in chunks.
 
 use crate::caller_stream::Incomplete;
-use crate::control::RequestGuard;
+use crate::unwritten::UnwrittenGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::Response;
@@ -56,7 +56,7 @@
     /// Whether the sender was dropped without [`Chunk::End`].
     broken: bool,
     /// Counts the request as in progress until its body is written.
-    pub(crate) busy: Option<RequestGuard>,
+    pub(crate) busy: Option<UnwrittenGuard>,
     /// Cleared at [`Chunk::End`] if the response ends with its connection.
     pub(crate) incomplete: Option<Incomplete>,
 }
--- a/crates/edge/tests/listener.rs
+++ b/crates/edge/tests/listener.rs
@@ -24,7 +24,11 @@
     }
 }
 
-/// Responds by path: `/echo` with the body, `/wait` never, `/cut` with an incomplete stream.
+/// The length of a response that no socket takes at once.
+const LONG: usize = 16 << 20;
+
+/// Responds by path: `/echo` with the body, `/wait` never, `/cut` with an incomplete stream, `/long` with
+/// [`LONG`] bytes.
 struct PathHandler(mpsc::UnboundedSender<&'static str>);
 
 impl Handler for PathHandler {
@@ -43,6 +47,7 @@
                     sender.send(part).await.expect("taken");
                     Response::new(body)
                 }
+                "/long" => Response::new(ReplyBody::from_bytes(vec![b'x'; LONG].into())),
                 _ => {
                     let body = request.into_body().collect().await;
                     let bytes = body.map(|b| b.to_bytes()).unwrap_or_default();
@@ -242,3 +247,34 @@
         }
     });
 }
+
+/// Guards against a process that ends while its last responses are still being written.
+#[test]
+fn a_request_is_in_progress_until_its_response_is_written() {
+    actix_rt::System::new().block_on(async {
+        let server = serve();
+        let stream = TcpStream::connect(server.address).await;
+        let mut stream = stream.expect("connected");
+        let request = b"GET /long HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(request).await.expect("written");
+        let mut read = vec![0; 1_000];
+        stream.read_exact(&mut read).await.expect("read");
+        assert_eq!(server.control.busy(), 1);
+        let mut all = read.len();
+        let mut part = vec![0; 1 << 20];
+        while all < LONG {
+            all += stream.read(&mut part).await.expect("read");
+        }
+        while server.control.busy() > 0 {
+            tokio::task::yield_now().await;
+        }
+        // A short response is written at once, on the same connection.
+        let request = b"GET /echo HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(request).await.expect("written");
+        let count = stream.read(&mut part).await.expect("read");
+        assert!(count > 0);
+        while server.control.busy() > 0 {
+            tokio::task::yield_now().await;
+        }
+    });
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -192,6 +192,9 @@
             return refuse::before_routing(gw, "", &refusal);
         }
     };
+    if gw.gate.is_closed() {
+        return refuse::before_routing(gw, &head.id, &Refusal::new(ErrorKind::Leaving));
+    }
     let Some(table) = gw.table().filter(|_| !gw.is_behind()) else {
         return refuse::before_routing(gw, &head.id, &Refusal::new(ErrorKind::NotReady));
     };
@@ -249,8 +252,12 @@
     let (parts, body) = request.into_parts();
     let limit = arrived.plus(table.limits.arrival.0.max(patience.0));
     let body = read_body(body, table.limits.body);
-    let body = gw.clock.timeout_at(limit, body).await;
-    let body = body.ok_or_else(|| Refusal::new(ErrorKind::BodyLate))??;
+    let body = gw.clock.timeout_at(limit, body);
+    let body = tokio::select! {
+        biased;
+        body = body => body.ok_or_else(|| Refusal::new(ErrorKind::BodyLate))??,
+        () = gw.gate.closed() => return Err(Refusal::new(ErrorKind::Leaving)),
+    };
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let identity = identity_of(caller, &host, &parts, &body);
     Ok(Job {
@@ -316,7 +323,15 @@
     let mut permit = Permit::ask(gw, &job);
     let mut fallback = None;
     loop {
-        let next = gw.clock.timeout_at(job.deadline, permit.next()).await;
+        let can_leave = permit.reached == 0 && fallback.is_none();
+        let next = tokio::select! {
+            next = gw.clock.timeout_at(job.deadline, permit.next()) => next,
+            // What may still run when this process ends is not begun: others serve it at once.
+            () = gw.gate.closed(), if can_leave => {
+                let refusal = Refusal::new(ErrorKind::Leaving);
+                return refuse::after_routing(gw, &job, &permit, refusal);
+            }
+        };
         let (attempt, upstream) = match next {
             Some(Some(RouteAction::Send {
                 attempt,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -270,7 +270,10 @@
         loop {
             match action {
                 Some(DrainAction::Announce) => gw.gate.begin_closing(),
-                Some(DrainAction::Refuse) => gw.gate.close(),
+                Some(DrainAction::Refuse) => {
+                    gw.tell_streams();
+                    gw.gate.close();
+                }
                 Some(DrainAction::Exit) => {
                     end_remaining(&gw).await;
                     break;
