Long answers are passed on as they arrive, and events without end share a part of the memory

Heads are bounded here; bodies were collected up to 64 MB each.

Change: a success is held until its end is known up to 64 KB, joined as its parts arrive; a longer one is passed on at its caller's pace (`long_answer`). One that breaks off is not tried again and never looks complete: its connection ends without the rest of the length or the last chunk.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,7 +1,8 @@
 //! One request on one connection to an upstream.
 
 use crate::pool::{Channel, Pool, Target};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -98,6 +99,8 @@
     pub(crate) pool: Pool,
     pub(crate) framing: Framing,
     pub(crate) ended: bool,
+    /// Why the body can't be read on.
+    pub(crate) failed: Option<SendError>,
 }
 
 impl Exchange {
@@ -136,12 +139,19 @@
     /// # Errors
     /// [`SendError::Broken`] if the body is truncated.
     pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
+        // After an error the library reports the end of the body.
+        if let Some(error) = self.failed {
+            return Err(error);
+        }
         loop {
             let Some(frame) = self.response.body_mut().frame().await else {
                 self.ended = true;
                 return Ok(None);
             };
-            let frame = frame.map_err(|_| SendError::Broken)?;
+            let Ok(frame) = frame else {
+                self.failed = Some(SendError::Broken);
+                return Err(SendError::Broken);
+            };
             // Trailers are not forwarded.
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
@@ -158,6 +168,56 @@
         self.collect_parts(limit, None).await
     }
 
+    /// Reads the body until it has ended or more than `limit` bytes have arrived. Returns these bytes, and
+    /// whether the body has ended. Small parts are joined as they arrive.
+    ///
+    /// # Errors
+    /// [`SendError::Broken`] if the body is truncated.
+    pub async fn collect_part(&mut self, limit: usize) -> Result<(Bytes, bool), SendError> {
+        let Some(first) = self.next().await? else {
+            return Ok((Bytes::new(), true));
+        };
+        if first.len() > limit {
+            return Ok((first, false));
+        }
+        let Some(second) = self.next().await? else {
+            return Ok((first, true));
+        };
+        let mut joined = BytesMut::from(&first[..]);
+        joined.extend_from_slice(&second);
+        while joined.len() <= limit {
+            let Some(part) = self.next().await? else {
+                return Ok((joined.freeze(), true));
+            };
+            joined.extend_from_slice(&part);
+        }
+        Ok((joined.freeze(), false))
+    }
+
+    /// Returns the next bytes of the body like [`Exchange::next`]. Small parts that have arrived already
+    /// are joined up to `size` bytes: each part that is passed on costs some work.
+    ///
+    /// # Errors
+    /// Those of [`Exchange::next`].
+    pub async fn next_joined(&mut self, size: usize) -> Result<Option<Bytes>, SendError> {
+        let Some(first) = self.next().await? else {
+            return Ok(None);
+        };
+        if first.len() >= size {
+            return Ok(Some(first));
+        }
+        let mut joined: Option<BytesMut> = None;
+        while joined.as_ref().is_none_or(|j| j.len() < size) {
+            // An error or the end of the body is found again by the next call.
+            let Some(Ok(Some(part))) = self.next().now_or_never() else {
+                break;
+            };
+            let joined = joined.get_or_insert_with(|| BytesMut::from(&first[..]));
+            joined.extend_from_slice(&part);
+        }
+        Ok(Some(joined.map_or(first, BytesMut::freeze)))
+    }
+
     async fn collect_parts(
         &mut self,
         limit: usize,
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -272,6 +272,7 @@
             target: target.clone(),
             pool: self.clone(),
             ended: false,
+            failed: None,
         })
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::events::{EventSplitter, EventTooLarge};
 use crate::job::Job;
 use crate::journal::emit;
+use crate::long_answer::LongAnswer;
 use crate::refuse::log_end;
 use crate::request::Permit;
 use crate::state::Gateway;
@@ -18,8 +19,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The largest answer that is not a stream, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 20;
+/// The largest part of an answer that is held until its end is known, in bytes. What is larger is
+/// passed on as it arrives, and can't be retried at another upstream. It is as much as the body of a
+/// failure may have, and far more than most answers have.
+const MAX_HELD_BYTES: usize = 65_536;
 
 /// The largest body of a failure or a rejection, in bytes: what the text of a failure needs. An
 /// upstream that sends more is sending something else, possibly without end.
@@ -34,6 +37,9 @@
 /// Number of stream pieces that are buffered between the upstream and the caller.
 const STREAM_BUFFER: usize = 8;
 
+/// The same for the parts of a long answer, each of which may have some hundred kilobytes.
+const LONG_ANSWER_BUFFER: usize = 1;
+
 /// The sends of a request that count as unfit, and not against their upstreams, if this daemon has
 /// lost its paths and finds no way around them.
 const MAX_UNFIT_SENDS: u32 = 2;
@@ -268,7 +274,13 @@
             Err(failure) => Err(failure),
         }
     } else {
-        send_whole(gw, job, &mut permit, &sent).await
+        match send_plain(gw, job, &mut permit, &sent).await {
+            Ok(PlainAnswer::Long(opened, first)) => {
+                return start_long(gw, job, permit, sent, opened, first);
+            }
+            Ok(PlainAnswer::Whole(whole)) => Ok(receive_whole(&mut permit, &sent, whole)),
+            Err(failure) => Err(failure),
+        }
     };
     match result {
         Ok((reply, status)) => finish(gw, job, permit, attempt, reply, status),
@@ -395,30 +407,51 @@
     body: Bytes,
 }
 
-/// Reads an answer to its end.
+/// An answer that is not a stream.
+enum PlainAnswer {
+    Whole(WholeAnswer),
+    /// A success of more than [`MAX_HELD_BYTES`], with its first part.
+    Long(Opened, Bytes),
+}
+
+/// Reads an answer to its end, unless it is a long one.
+async fn read_plain(mut opened: Opened) -> Result<PlainAnswer, Failure> {
+    if !opened.status.is_success() {
+        return Ok(PlainAnswer::Whole(collect(opened).await?));
+    }
+    let (first, ended) = opened.exchange.collect_part(MAX_HELD_BYTES).await?;
+    match ended {
+        true => Ok(PlainAnswer::Whole(whole(opened, first)?)),
+        false => Ok(PlainAnswer::Long(opened, first)),
+    }
+}
+
+/// Reads a failure to its end.
 async fn collect(mut opened: Opened) -> Result<WholeAnswer, Failure> {
-    let limit = match opened.status.is_success() {
-        true => MAX_BODY_BYTES,
-        false => MAX_ERROR_BODY_BYTES,
-    };
-    let body = opened.exchange.collect(limit).await?;
+    let body = opened.exchange.collect(MAX_ERROR_BODY_BYTES).await?;
+    whole(opened, body)
+}
+
+fn whole(opened: Opened, body: Bytes) -> Result<WholeAnswer, Failure> {
     match body.is_empty() && opened.exchange.framing() == Framing::Close {
         true => Err(Failure::Truncated),
         false => Ok(WholeAnswer { opened, body }),
     }
 }
 
-async fn send_whole(
+async fn send_plain(
     gw: &Gateway,
     job: &Job,
     permit: &mut Permit,
     sent: &SentAttempt,
-) -> Result<(Reply, StatusCode), Failure> {
-    let step = async { collect(open(gw, job, sent, None).await?).await };
-    let whole = run_step(gw, job, permit, step).await?;
-    // Nothing ends the attempt meanwhile: the answer is there.
-    gw.check_end(sent, &whole.opened.exchange).await?;
-    Ok(receive_whole(permit, sent, whole))
+) -> Result<PlainAnswer, Failure> {
+    let step = async { read_plain(open(gw, job, sent, None).await?).await };
+    let answer = run_step(gw, job, permit, step).await?;
+    if let PlainAnswer::Whole(whole) = &answer {
+        // Nothing ends the attempt meanwhile: the answer is there.
+        gw.check_end(sent, &whole.opened.exchange).await?;
+    }
+    Ok(answer)
 }
 
 /// Converts an upstream's answer to that for the caller.
@@ -483,7 +516,7 @@
         if !opened.status.is_success() {
             return Ok(Opening::Failed(Box::new(collect(opened).await?)));
         }
-        let mut events = EventSplitter::default();
+        let mut events = EventSplitter::new(&gw.partial_events);
         let on_bytes = || gw.on_progress(id, sent.attempt, &sent.upstream);
         let first = first_events(&mut opened.exchange, &mut events, on_bytes).await?;
         Ok(Opening::Stream(Box::new(StartedStream {
@@ -556,3 +589,33 @@
     actix_rt::spawn(relay.run(started));
     Outcome::Answered(reply)
 }
+
+/// Begins to pass on a long answer.
+fn start_long(
+    gw: &Rc<Gateway>,
+    job: &Rc<Job>,
+    mut permit: Permit,
+    sent: SentAttempt,
+    mut opened: Opened,
+    first: Bytes,
+) -> Outcome {
+    permit.first_byte(sent.attempt);
+    permit.slowdown(sent.attempt, &opened.answer);
+    permit.framing = Some(opened.exchange.framing());
+    gw.metrics.record_first_byte(gw.now().since(job.arrived));
+    let length = opened.exchange.length();
+    let length = length.map(|rest| rest + first.len() as u64);
+    let (sender, body) = ReplyBody::channel(LONG_ANSWER_BUFFER, length);
+    let mut reply = Response::new(body);
+    *reply.headers_mut() = std::mem::take(&mut opened.headers);
+    *reply.status_mut() = opened.status;
+    let relay = LongAnswer {
+        gw: Rc::clone(gw),
+        job: Rc::clone(job),
+        permit,
+        sent,
+        sender,
+    };
+    actix_rt::spawn(relay.run(opened, first));
+    Outcome::Answered(reply)
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -125,6 +125,7 @@
         "instance": gw.me.instance.as_str(),
         "ready": gw.is_ready(),
         "stopping": gw.stopping.get(),
+        "partial_event_bytes": gw.partial_events.held(),
         "config": gw.table().map(|t| t.version),
         "fence": gw.planner_lease.borrow().fence(now),
         "daemons": gw.membership.borrow().alive(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,6 +2,8 @@
 //! and it can only be resumed after a complete event.
 
 use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use std::rc::Rc;
 
 /// Finds the ends of events. Lines end with LF, CR or CRLF, and an empty line ends an event (HTML
 /// standard, section 9.2.6).
@@ -48,19 +50,81 @@
 /// The largest event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// An event that is larger than what is buffered.
+/// The size of a part of an event that is buffered however much all streams hold, in bytes: events of
+/// a few tokens have some hundred.
+const SMALL_EVENT_BYTES: usize = 16_384;
+
+/// The part of an instance's memory that the parts of events of all streams may take: buffers grow by
+/// doubling, and what else a daemon needs takes more.
+const MEMORY_DIVISOR: usize = 16;
+
+/// The memory of an instance that does not say how much it has, in bytes.
+const DEFAULT_MEMORY: usize = 128 << 20;
+
+/// Counts the buffered bytes of events that have not ended, over all streams of a daemon.
+#[derive(Debug)]
+pub(crate) struct PartialEvents {
+    held: Cell<usize>,
+    limit: usize,
+}
+
+impl PartialEvents {
+    /// The count of an instance with this much memory in bytes, or 0 if that is not known.
+    pub(crate) fn new(memory: usize) -> Self {
+        let memory = if memory == 0 { DEFAULT_MEMORY } else { memory };
+        Self {
+            held: Cell::new(0),
+            limit: memory / MEMORY_DIVISOR,
+        }
+    }
+
+    /// The buffered bytes.
+    pub(crate) fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    fn replace(&self, before: usize, after: usize) {
+        self.held.set(self.held.get() - before + after);
+    }
+
+    /// Whether a part of an event of this size may stay buffered.
+    fn admits(&self, size: usize) -> bool {
+        size <= SMALL_EVENT_BYTES || (size <= MAX_EVENT_BYTES && self.held.get() <= self.limit)
+    }
+}
+
+/// An event that is larger than what may be buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EventTooLarge;
 
 /// Buffers bytes and returns them up to the end of the last complete event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventSplitter {
     scanner: EventScanner,
     rest: BytesMut,
     last: Option<String>,
+    all: Rc<PartialEvents>,
+    /// The bytes that are counted in `all`.
+    counted: usize,
 }
 
 impl EventSplitter {
+    /// A splitter whose buffer is counted together with those of all other streams.
+    pub(crate) fn new(all: &Rc<PartialEvents>) -> Self {
+        Self {
+            scanner: EventScanner::default(),
+            rest: BytesMut::new(),
+            last: None,
+            all: Rc::clone(all),
+            counted: 0,
+        }
+    }
+
+    fn count(&mut self) {
+        let before = std::mem::replace(&mut self.counted, self.rest.len());
+        self.all.replace(before, self.counted);
+    }
+
     /// Adds bytes and returns those that belong to complete events.
     ///
     /// # Errors
@@ -69,12 +133,14 @@
         let buffered = self.rest.len();
         self.rest.extend_from_slice(bytes);
         let Some(end) = self.scanner.scan(bytes) else {
-            return match self.rest.len() > MAX_EVENT_BYTES {
-                true => Err(EventTooLarge),
-                false => Ok(None),
+            self.count();
+            return match self.all.admits(self.counted) {
+                true => Ok(None),
+                false => Err(EventTooLarge),
             };
         };
         let whole = self.rest.split_to(buffered + end).freeze();
+        self.count();
         let text = String::from_utf8_lossy(&whole);
         let mut ids = text.split(['\r', '\n']).filter_map(|l| l.strip_prefix(ID));
         if let Some(id) = ids.next_back() {
@@ -95,7 +161,14 @@
 
     /// Drops the buffered part of an event: the next upstream sends the event again.
     pub(crate) fn drop_partial(&mut self) {
-        self.rest.clear();
+        self.rest = BytesMut::new();
+        self.count();
         self.scanner = EventScanner::default();
     }
 }
+
+impl Drop for EventSplitter {
+    fn drop(&mut self) {
+        self.all.replace(self.counted, 0);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!    `admit` authenticates and charges it: `admission` decides by the keys of `orgs`, and
 //!    `allowance` asks the daemons that keep a share of the allowances.
 //! 2. `attempt` sends it and checks that the answer belongs to it; `relay` passes a stream on and
-//!    resumes it; `refuse` answers if no upstream did.
+//!    resumes it, and `long_answer` passes on an answer that is too long to be held; `refuse` answers if no upstream did.
 //!
 //! Around it:
 //!
@@ -73,6 +73,7 @@
 mod isolation;
 mod job;
 mod journal;
+mod long_answer;
 mod membership;
 mod message;
 mod metrics;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -65,6 +65,8 @@
     pub link_mbps: f64,
     /// Its share of processor cores.
     pub cores: f64,
+    /// The memory that its process may take in bytes, or 0 if that is not known.
+    pub memory: usize,
     /// Whether the whole system starts for the first time, so that no caller waits yet.
     pub first_start: bool,
     /// The platform's bounds.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use crate::eligibility::Announcements;
 use crate::entries_check::EntriesCheck;
 use crate::era::KnownEra;
+use crate::events::PartialEvents;
 use crate::gossip::Addressed;
 use crate::isolation::Isolation;
 use crate::journal::{emit, LineLimiter};
@@ -178,6 +179,7 @@
     pub(crate) held_sends: RefCell<HeldSends>,
     /// The software versions of streams, and the questions about those that others began.
     pub(crate) entries_check: RefCell<EntriesCheck>,
+    pub(crate) partial_events: Rc<PartialEvents>,
     pub(crate) stream_versions: RefCell<StreamVersions>,
     pub(crate) look_ups: RefCell<LookUps>,
     /// Upstreams that sent bytes for requests for which hubs selected.
@@ -254,13 +256,11 @@
         let router = router_settings(&settings, rng.random());
         let name = settings.instance.as_str();
         let holder = format!("{name}/{incarnation:016x}");
-        let lease_settings = PlannerLeaseSettings::from_lease(settings.bounds.lease)
-            .with_fencing(settings.bounds.fencing);
         Ok(Rc::new(Self {
             router: RefCell::new(Router::new(router, ShareBook::alone(name))),
             isolation: RefCell::default(),
             planner_watch: RefCell::default(),
-            planner_lease: RefCell::new(PlannerLease::new(lease_settings, holder)),
+            planner_lease: RefCell::new(PlannerLease::new(lease_settings(&settings), holder)),
             last_orders: RefCell::new(LastOrders::default()),
             inherited: RefCell::new(None),
             me,
@@ -312,9 +312,10 @@
             removals: RefCell::new(Removals::default()),
             permits: RefCell::new(Permits::default()),
             held_sends: RefCell::new(HeldSends::default()),
-            entries_check: RefCell::new(EntriesCheck::default()),
+            entries_check: RefCell::default(),
+            partial_events: Rc::new(PartialEvents::new(settings.memory)),
             stream_versions: RefCell::new(StreamVersions::default()),
-            look_ups: RefCell::new(LookUps::default()),
+            look_ups: RefCell::default(),
             crashes_synced: Cell::new(Millis(0)),
             active_upstreams: RefCell::new(BTreeSet::new()),
             open_reported: Cell::new(now),
@@ -751,6 +752,11 @@
     }
 }
 
+fn lease_settings(settings: &GatewaySettings) -> PlannerLeaseSettings {
+    let Bounds { lease, fencing, .. } = settings.bounds;
+    PlannerLeaseSettings::from_lease(lease).with_fencing(fencing)
+}
+
 fn router_settings(settings: &GatewaySettings, seed: u64) -> RouterSettings {
     RouterSettings {
         token_ms: settings.policy.token_ms,
--- a/crates/gateway/tests/unit/crashes/cluster.rs
+++ b/crates/gateway/tests/unit/crashes/cluster.rs
@@ -163,6 +163,7 @@
         },
         seeds: Vec::new(),
         link_mbps: 1_000.0,
+        memory: 0,
         cores: 0.25,
         first_start: true,
         bounds: Bounds {
--- a/crates/gateway/tests/unit/events.rs
+++ b/crates/gateway/tests/unit/events.rs
@@ -1,7 +1,12 @@
 //! Tests of event streams that are cut at each byte.
 
-use crate::events::{EventSplitter, EventTooLarge};
+use crate::events::{EventSplitter, EventTooLarge, PartialEvents};
 use shaleline_testkit::cases;
+use std::rc::Rc;
+
+fn splitter() -> EventSplitter {
+    EventSplitter::new(&Rc::new(PartialEvents::new(0)))
+}
 
 /// Cuts a stream whose lines end with `ending` at each byte. Returns the cuts at which it is not
 /// forwarded in whole events, or not whole after it is resumed.
@@ -12,7 +17,7 @@
 }
 
 fn is_forwarded_whole(stream: &str, ending: &str, cut: usize) -> bool {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = splitter();
     let before = &stream.as_bytes()[..cut];
     let mut out = splitter
         .push(before)
@@ -46,7 +51,7 @@
 #[test]
 fn a_stream_that_arrives_byte_by_byte_is_forwarded_whole() {
     for stream in ["id: 1\r\n\r\nid: 2\r\n\r\n", "id: 1\r\rid: 2\r\r"] {
-        let mut splitter = EventSplitter::default();
+        let mut splitter = splitter();
         let mut out = Vec::new();
         for byte in stream.as_bytes() {
             let whole = splitter.push(&[*byte]).expect("small events");
@@ -59,8 +64,30 @@
 
 #[test]
 fn an_event_without_an_end_is_not_buffered_forever() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = splitter();
     let part = [b'x'; 1 << 16];
     let refused = (0..32).any(|_| splitter.push(&part) == Err(EventTooLarge));
     assert!(refused);
 }
+
+/// Guards against many events without end, each of which is small enough.
+#[test]
+fn events_without_end_are_not_buffered_beyond_the_share_of_all_streams() {
+    const MEMORY: usize = 120 << 20;
+    let all = Rc::new(PartialEvents::new(MEMORY));
+    let mut splitters: Vec<EventSplitter> = (0..300).map(|_| EventSplitter::new(&all)).collect();
+    let part = [b'x'; 4_096];
+    for _ in 0..256 {
+        // A stream that is refused ends.
+        splitters.retain_mut(|s| s.push(&part).is_ok());
+        assert!(all.held() < MEMORY / 8, "{}", all.held());
+    }
+    // Streams with small events go on beside them.
+    let mut sound = EventSplitter::new(&all);
+    for _ in 0..100 {
+        assert_eq!(sound.push(b"id: 1\ndata: a"), Ok(None));
+        assert!(matches!(sound.push(b"\n\n"), Ok(Some(_))));
+    }
+    drop((splitters, sound));
+    assert_eq!(all.held(), 0);
+}
