--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -311,8 +311,8 @@
         changes
     }
 
-    /// Applies the held removals that are due. `followed` is the time as of which the daemon that this
-    /// one follows has told it all, if it follows one.
+    /// Applies the held removals that are due. `followed` is the time as of which the entries are known
+    /// through the followed daemon, if there is one.
     ///
     /// A removal that only this daemon has read waits for what that daemon makes of it: it holds the
     /// removal as well and will report it, or has seen the entry return, which is no change to report.
--- a/crates/gateway/src/stream_lifetime.rs
+++ b/crates/gateway/src/stream_lifetime.rs
@@ -1,14 +1,14 @@
 //! Decides for how long a stream may be resumed after it began.
 //!
-//! A caller may resume its stream within its own time limit, which may be longer than the timeout of
-//! its route, and a configuration that shortens the timeout does not shorten the time of streams that
+//! A caller may resume its stream until its own deadline, which may be later than the timeout of its
+//! route, and a configuration that shortens the timeout does not shorten the time of streams that
 //! began before it. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has
 //! the design.
 
 use shaleline_types::Millis;
 use std::collections::BTreeMap;
 
-/// The longest lifetime. A caller with a longer time limit would otherwise make all daemons remember
+/// The longest lifetime. A caller with a later deadline would otherwise make all daemons remember
 /// software versions that are long gone.
 const MAX_LIFETIME_MS: u64 = 600_000;
 
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -13,6 +13,7 @@
 //! that don't fit together. [`docs/design/stream-versions.md`](../../../docs/design/stream-versions.md) has the design.
 
 use crate::stream_lifetime::StreamLifetime;
+use crate::version_store::VersionRecord;
 use serde::{Deserialize, Serialize};
 use shaleline_types::{stable_hash, Millis, Service, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -73,27 +74,6 @@
     own: bool,
 }
 
-/// The versions of a service, as the store keeps them while no daemon remembers them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct VersionRecord {
-    /// Versions that may have begun streams that can still be resumed.
-    pub(crate) versions: BTreeSet<SoftwareVersion>,
-    /// The time for which such a stream may be resumed.
-    pub(crate) lifetime: Millis,
-    /// Whether no other version may have begun one.
-    pub(crate) complete: bool,
-}
-
-impl VersionRecord {
-    /// Whether this record has to replace an earlier one. The lifetime matters only as long as streams
-    /// of a version that is gone, or of one that is not known, may be resumed.
-    pub(crate) fn replaces(&self, earlier: &Self) -> bool {
-        let is_settled = self.complete && self.versions.len() == 1;
-        let is_longer = self.lifetime > earlier.lifetime && !is_settled;
-        is_longer || self.complete != earlier.complete || self.versions != earlier.versions
-    }
-}
-
 /// The records of the store that have been read.
 #[derive(Debug)]
 struct ReadRecords {
@@ -257,7 +237,7 @@
     }
 
     /// Whether all versions are known with which a stream of a service may have begun. The time for
-    /// which this daemon has known the list does not show that alone: it has not seen the time limits
+    /// which this daemon has known the list does not show that alone: it has not seen the deadlines
     /// of callers whose streams began before.
     fn knows_history(&self, service: &Service, now: Millis) -> bool {
         let records = self.records.as_ref();
--- a/crates/gateway/src/version_lookup.rs
+++ b/crates/gateway/src/version_lookup.rs
@@ -19,7 +19,7 @@
 /// The interval at which the listed versions are recorded.
 const OBSERVE_MS: u64 = 500;
 
-/// Added to the longest timeout of a route, and to a caller's time limit: a caller returns some time
+/// Added to the longest timeout of a route, and to a caller's own timeout: a caller returns some time
 /// after its stream broke off.
 const RETURN_MS: u64 = 5_000;
 
--- a/crates/gateway/src/version_store.rs
+++ b/crates/gateway/src/version_store.rs
@@ -11,9 +11,9 @@
 use crate::state::Gateway;
 use crate::store::{Record, StoreResult, Topic};
 use crate::store_health::StoreHealth;
-use crate::stream_versions::VersionRecord;
 use crate::table::Repeat;
-use shaleline_types::{LogEvent, Service};
+use serde::{Deserialize, Serialize};
+use shaleline_types::{LogEvent, Millis, Service, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +22,27 @@
 /// that have seen a new version may be gone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The versions of a service, as the store keeps them while no daemon remembers them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct VersionRecord {
+    /// Versions that may have begun streams that can still be resumed.
+    pub(crate) versions: BTreeSet<SoftwareVersion>,
+    /// The time for which such a stream may be resumed.
+    pub(crate) lifetime: Millis,
+    /// Whether no other version may have begun one.
+    pub(crate) complete: bool,
+}
+
+impl VersionRecord {
+    /// Whether this record has to replace an earlier one. The lifetime matters only as long as streams
+    /// of a version that is gone, or of one that is not known, may be resumed.
+    pub(crate) fn replaces(&self, earlier: &Self) -> bool {
+        let is_settled = self.complete && self.versions.len() == 1;
+        let is_longer = self.lifetime > earlier.lifetime && !is_settled;
+        is_longer || self.complete != earlier.complete || self.versions != earlier.versions
+    }
+}
+
 /// The records by service.
 pub(crate) type VersionRecords = BTreeMap<Service, VersionRecord>;
 
--- a/crates/gateway/tests/unit/lists/cluster.rs
+++ b/crates/gateway/tests/unit/lists/cluster.rs
@@ -191,8 +191,8 @@
         self.daemons[index] = self.start_daemon(index);
     }
 
-    /// The store is away for so long that all entries lapse; each returns after a random time, the
-    /// first at most `latest` milliseconds after the store. Returns when all are back.
+    /// Makes the store unavailable until all entries have lapsed. Each entry is listed again at a random
+    /// time, at most `latest` milliseconds after the store is available.
     pub fn lose_store(&mut self, latest: u64) {
         self.is_store_up = false;
         self.run(LAPSE_MS);
--- a/crates/gateway/tests/unit/roster.rs
+++ b/crates/gateway/tests/unit/roster.rs
@@ -281,8 +281,8 @@
     assert!(roster.get(&upstream()).is_some_and(|e| e.leaving));
 }
 
-/// What a daemon makes of a removal that is held and due, where it follows another one that has told it
-/// all as of a time after the removal was read, and whether its entry is listed then.
+/// The changes by a removal that is held and due, where the entries are known through a followed daemon
+/// as of a time after the removal was read, and whether the entry is still listed.
 fn held_removal((read_here, followed): (bool, Option<u64>)) -> (Vec<Change>, bool) {
     let mut roster = listed_roster();
     roster.on_store_unstable(NOW);
--- a/crates/gateway/tests/unit/stream_versions/cluster.rs
+++ b/crates/gateway/tests/unit/stream_versions/cluster.rs
@@ -121,7 +121,7 @@
     /// The calls to the store.
     pub reads: usize,
     pub writes: usize,
-    /// The time limit of callers, if they name one, and the bounds of the time until they return.
+    /// The timeout of callers, if they name one, and the bounds of the time until they return.
     pub patience: Option<Millis>,
     pub return_ms: (u64, u64),
     /// Streams that are resumed at daemons in touch while two upstreams of their version serve, and
--- a/crates/gateway/tests/unit/stream_versions/main.rs
+++ b/crates/gateway/tests/unit/stream_versions/main.rs
@@ -5,9 +5,9 @@
 
 use crate::stream_lifetime::StreamLifetime;
 use crate::stream_versions::{
-    Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions, VersionRecord,
+    Found, Hubs, Knowledge, LookUp, LookUpStep, Origin, StreamKey, StreamVersions,
 };
-use crate::version_store::VersionRecords;
+use crate::version_store::{VersionRecord, VersionRecords};
 use cluster::{service, version, Cluster, CENTRES};
 use shaleline_testkit::cases;
 use shaleline_types::Millis;
@@ -302,7 +302,7 @@
 enum Shortened {
     /// A configuration shortens the timeout of the route.
     Timeout,
-    /// The time limit of callers is longer than the timeout of the route.
+    /// The timeout of callers is longer than the timeout of the route.
     Patience,
 }
 
@@ -362,7 +362,7 @@
     a_caller_with_less_time_does_not: (&[(true, 6_000, 0), (false, 5_000, 10)], 10) => 6_000,
     a_shorter_extension_outlasts_a_longer_one_of_before:
         (&[(true, 6_000, 0), (false, 25_000, 0), (false, 20_000, 20_000)], 30_000) => 20_000,
-    the_time_limit_of_a_caller_counts_up_to_a_maximum:
+    the_timeout_of_a_caller_counts_up_to_a_maximum:
         (&[(true, 6_000, 0), (false, u64::MAX, 0)], 10) => 600_000,
 }
 
@@ -436,7 +436,7 @@
             cluster.run(1_500);
         }
         cluster.is_store_up = !matches!(killed, AllKilled::StoreAway);
-        // The daemons learn no time limit from new callers.
+        // The daemons learn no deadline from new callers.
         cluster.patience = None;
         cluster.restart_all();
         if matches!(killed, AllKilled::Twice) {
