A service's maximum of rejections outlasts the restarts of its upstreams

Cause: the maximum was kept for each upstream from its own answers and forgotten at its restart, so the emptiest engine counted as the sturdiest. The same held for new engines, for those that a daemon had not heard, and for the first rejection of one that had not answered. And each message about an upstream's limits cleared the pause after a rejection.

Change: an upstream that has named nothing since its start is taken to be like its service, the smallest maximum that others of it name; its own answer goes before. A restart forgets the rate, not the maximum. Evidence ends with an answer without a maximum; a sturdy upstream of such a service is held to its slots until its first answer. Metrics: rejections and restarts while fragile, by service.

Evidence: unit/service_limits (not run before: it asks a function that is new; by reading, nothing of the kind was kept).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -168,6 +168,7 @@
     mod removals;
     mod roster;
     mod selection;
+    mod service_limits;
     mod skipped_records;
     mod start;
     #[path = "stream_versions/main.rs"]
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use shaleline_route::UpstreamStats;
-use shaleline_types::{Org, Upstream};
+use shaleline_types::{Org, Service, Upstream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -33,6 +33,9 @@
     unserved: Histogram<f64>,
     suspects: Gauge<u64>,
     rate_limits: Gauge<f64>,
+    /// By service.
+    fragile_rejections: Counter<u64>,
+    fragile_restarts: Counter<u64>,
     broken_paths: Gauge<u64>,
     skipped: Counter<u64>,
     too_large: Counter<u64>,
@@ -46,6 +49,10 @@
     }
 }
 
+fn service_label(service: &Service) -> KeyValue {
+    KeyValue::new("service", service.as_str().to_owned())
+}
+
 impl Metrics {
     pub(crate) fn new() -> Result<Self> {
         let registry = Registry::new();
@@ -99,6 +106,18 @@
                 .u64_counter("shaleline_skipped_records")
                 .with_description("records of the store that name no upstream, each counted once")
                 .build(),
+            fragile_rejections: meter
+                .u64_counter("shaleline_fragile_rejections")
+                .with_description(
+                    "Requests that upstreams rejected while their service named a maximum of rejections",
+                )
+                .build(),
+            fragile_restarts: meter
+                .u64_counter("shaleline_fragile_restarts")
+                .with_description(
+                    "Restarts of upstreams while their service named a maximum of rejections",
+                )
+                .build(),
             too_large: meter
                 .u64_counter("shaleline_answers_too_large")
                 .with_description("answers of upstreams that exceeded the limit of a head or body")
@@ -155,6 +174,16 @@
         self.too_large.add(1, &[KeyValue::new("part", part)]);
     }
 
+    /// Counts a rejection by an upstream whose service names a maximum of rejections.
+    pub(crate) fn count_fragile_rejection(&self, service: &Service) {
+        self.fragile_rejections.add(1, &[service_label(service)]);
+    }
+
+    /// Counts a restart of such an upstream.
+    pub(crate) fn count_fragile_restart(&self, service: &Service) {
+        self.fragile_restarts.add(1, &[service_label(service)]);
+    }
+
     /// Counts a record of the store that names no upstream.
     pub(crate) fn count_skipped(&self) {
         self.skipped.add(1, &[]);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -342,10 +342,10 @@
 
     /// Reports a rejection to the daemons that select, if the upstream may crash from more of them.
     pub(crate) fn report_rejection(&self, upstream: &Upstream) {
-        let limits = self.upstream_limits.borrow().of(upstream);
-        if limits.max_rejections.is_none() {
+        let Some(service) = self.fragile_service(upstream) else {
             return;
-        }
+        };
+        self.metrics.count_fragile_rejection(&service);
         let now = self.now();
         let hubs = self.membership.borrow_mut().known_hubs(now);
         let message = Message::Limits(LimitMessage::Rejected(upstream.clone()));
@@ -355,14 +355,14 @@
 
     /// Passes the limits of an upstream to the router.
     pub(crate) fn apply_limits(&self, upstream: &Upstream) {
-        let limits = self.upstream_limits.borrow().of(upstream);
-        if limits.rate.is_none() {
+        let rate = self.upstream_limits.borrow().of(upstream).rate;
+        if rate.is_none() {
             self.permits.borrow_mut().forget(upstream);
         }
         let slots = self.roster.borrow().get(upstream).map(|e| e.slots);
         let limit = UpstreamLimit {
-            rate: limits.rate,
-            fragile_slots: limits.max_rejections.and(slots),
+            rate,
+            fragile_slots: self.max_rejections(upstream).and(slots),
         };
         self.route(RouteEvent::Limited {
             upstream: upstream.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -378,12 +378,17 @@
         match change {
             Change::Present(name) => self.apply_entry(&name),
             Change::Restarted(name) => {
-                emit(LogEvent::UpstreamRestarted, &format!("upstream={name}"));
+                let fragile = self.fragile_service(&name);
+                let detail = format!("upstream={name} fragile={}", fragile.is_some());
+                emit(LogEvent::UpstreamRestarted, &detail);
+                if let Some(service) = fragile {
+                    self.metrics.count_fragile_restart(&service);
+                }
                 if let Some(target) = self.target(&name) {
                     self.pool.close_idle(&target);
                 }
                 self.route(RouteEvent::Restarted(name.clone()));
-                self.forget_limits(&name);
+                self.forget_rate(&name);
                 self.announcements.borrow_mut().on_ended(&name);
                 self.removals.borrow_mut().on_restarted(&name);
                 self.forget_path(&name);
@@ -446,6 +451,7 @@
                 upstream: name.clone(),
                 load,
             });
+            self.apply_limits(name);
         }
         self.route(RouteEvent::Leaving {
             upstream: name.clone(),
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -11,8 +11,8 @@
 use crate::state::Gateway;
 use crate::AnswerHead;
 use serde::{Deserialize, Serialize};
-use shaleline_types::{LogEvent, Millis, Upstream};
-use std::collections::BTreeMap;
+use shaleline_types::{LogEvent, Millis, Service, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// The interval at which the current limits are sent again.
@@ -66,8 +66,10 @@
     age: u32,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Known {
+    /// The service of the upstream, if it was known.
+    service: Option<Service>,
     limits: NamedLimits,
     /// When the upstream named them.
     named: Millis,
@@ -83,49 +85,79 @@
 }
 
 impl UpstreamLimits {
-    /// The limits of an upstream.
+    /// The limits that an upstream named itself.
     pub(crate) fn of(&self, upstream: &Upstream) -> NamedLimits {
         self.known
             .get(upstream)
             .map_or(NamedLimits::NONE, |k| k.limits)
     }
 
+    /// The maximum of rejections of an upstream of this service. One that has named nothing yet is
+    /// taken to be like the others of its service: it may have started a moment ago.
+    fn max_rejections(&self, upstream: &Upstream, service: Option<&Service>) -> Option<f64> {
+        match self.known.get(upstream) {
+            Some(known) => known.limits.max_rejections,
+            None => self.service_maximum(service?),
+        }
+    }
+
+    /// The smallest maximum of rejections that upstreams of a service name.
+    fn service_maximum(&self, service: &Service) -> Option<f64> {
+        let known = self.known.values();
+        let same = known.filter(|k| k.service.as_ref() == Some(service));
+        let named = same.filter_map(|k| k.limits.max_rejections);
+        named.min_by(f64::total_cmp)
+    }
+
     /// The time since an upstream named its limits, in milliseconds.
     pub(crate) fn age(&self, upstream: &Upstream, now: Millis) -> u64 {
         self.known.get(upstream).map_or(0, |k| now.since(k.named))
     }
 
     /// Records the limits that an upstream named. Returns the previous ones where they differ.
-    fn record(
-        &mut self,
-        upstream: &Upstream,
-        limits: NamedLimits,
-        named: Millis,
-        own: bool,
-    ) -> Option<NamedLimits> {
-        let before = self.known.get(upstream).copied();
-        if before.is_some_and(|k| k.named > named) {
+    fn record(&mut self, upstream: &Upstream, next: Known) -> Option<NamedLimits> {
+        let before = self.known.get(upstream);
+        if before.is_some_and(|k| k.named > next.named) {
             return None;
         }
-        let previous = before.map_or(NamedLimits::NONE, |k| k.limits);
+        let service = next.service.as_ref();
+        let previous = NamedLimits {
+            rate: self.of(upstream).rate,
+            max_rejections: self.max_rejections(upstream, service),
+        };
+        let limits = next.limits;
         // Most upstreams never name a limit and need no state.
-        if before.is_some() || limits != NamedLimits::NONE {
-            let known = Known { limits, named, own };
-            self.known.insert(upstream.clone(), known);
+        if before.is_some() || limits != NamedLimits::NONE || previous != limits {
+            self.known.insert(upstream.clone(), next);
         }
         (previous != limits).then_some(previous)
     }
 
-    /// Forgets an upstream that has ended or started again.
-    pub(crate) fn forget(&mut self, upstream: &Upstream) -> bool {
+    /// Forgets an upstream that is gone. Returns whether it named limits.
+    fn forget(&mut self, upstream: &Upstream) -> bool {
         let known = self.known.remove(upstream);
         known.is_some_and(|k| k.limits != NamedLimits::NONE)
     }
 
-    /// Drops the ends of limits that are old.
+    /// Forgets the rate of an upstream that has started again, which was that of its earlier
+    /// incarnation. The maximum of rejections is the service's and stays until an answer says
+    /// otherwise. Returns whether it named a rate.
+    fn forget_rate(&mut self, upstream: &Upstream) -> bool {
+        let known = self.known.get_mut(upstream);
+        known.is_some_and(|k| k.limits.rate.take().is_some())
+    }
+
+    /// Drops the ends of limits that are old. While others of its service name a maximum of
+    /// rejections, it is kept that an upstream names none.
     fn prune(&mut self, now: Millis) {
-        self.known
-            .retain(|_, k| k.limits != NamedLimits::NONE || now.since(k.named) < ENDED_TTL_MS);
+        let named = self.known.values();
+        let named = named.filter(|k| k.limits.max_rejections.is_some());
+        let fragile: BTreeSet<Service> = named.filter_map(|k| k.service.clone()).collect();
+        self.known.retain(|_, k| {
+            k.limits != NamedLimits::NONE
+                || now.since(k.named) < ENDED_TTL_MS
+                || k.service.as_ref().is_some_and(|s| fragile.contains(s))
+        });
     }
 
     fn note(&self, upstream: &Upstream, now: Millis) -> Option<LimitNote> {
@@ -176,17 +208,46 @@
         limits: NamedLimits,
         named: Millis,
     ) {
+        let service = self.service_of(upstream);
         let mut known = self.upstream_limits.borrow_mut();
-        let before = known.record(upstream, limits, named, from.is_none());
+        let maximum = |known: &UpstreamLimits| known.service_maximum(service.as_ref()?);
+        let maximum_before = maximum(&known);
+        let next = Known {
+            service: service.clone(),
+            limits,
+            named,
+            own: from.is_none(),
+        };
+        let before = known.record(upstream, next);
+        let changed = maximum(&known) != maximum_before;
         drop(known);
         let Some(before) = before else {
             return;
         };
         self.log_limits(from, upstream, before, limits, named);
         self.apply_limits(upstream);
+        if let (true, Some(service)) = (changed, service) {
+            self.apply_service_limits(&service);
+        }
         self.broadcast_limits(from, upstream);
     }
 
+    /// Applies a changed maximum of rejections to the upstreams of a service.
+    fn apply_service_limits(&self, service: &Service) {
+        let roster = self.roster.borrow();
+        let same = roster.iter().filter(|(_, e)| e.service == *service);
+        let names: Vec<Upstream> = same.map(|(name, _)| name.clone()).collect();
+        drop(roster);
+        names.iter().for_each(|name| self.apply_limits(name));
+    }
+
+    /// The maximum of rejections of an upstream, which may be that of its service.
+    pub(crate) fn max_rejections(&self, upstream: &Upstream) -> Option<f64> {
+        let service = self.service_of(upstream);
+        let limits = self.upstream_limits.borrow();
+        limits.max_rejections(upstream, service.as_ref())
+    }
+
     fn log_limits(
         &self,
         from: Option<&Sender>,
@@ -242,11 +303,29 @@
         }
     }
 
-    /// Forgets the limits of an upstream that has ended or started again.
+    /// The service of an upstream that crashes if it has to reject much.
+    pub(crate) fn fragile_service(&self, upstream: &Upstream) -> Option<Service> {
+        self.max_rejections(upstream)?;
+        self.service_of(upstream)
+    }
+
+    /// Forgets the limits of an upstream that has ended.
     pub(crate) fn forget_limits(&self, upstream: &Upstream) {
-        if self.upstream_limits.borrow_mut().forget(upstream) {
+        let forgotten = self.upstream_limits.borrow_mut().forget(upstream);
+        self.end_limits(upstream, forgotten, "ended");
+    }
+
+    /// Forgets those limits of an upstream that has started again which were its own.
+    pub(crate) fn forget_rate(&self, upstream: &Upstream) {
+        let forgotten = self.upstream_limits.borrow_mut().forget_rate(upstream);
+        self.end_limits(upstream, forgotten, "restarted");
+    }
+
+    fn end_limits(&self, upstream: &Upstream, forgotten: bool, reason: &str) {
+        if forgotten {
             self.metrics.record_rate_limit(upstream, 0.0);
-            let detail = format!("upstream={upstream} {} reason=ended", NamedLimits::NONE);
+            let left = self.upstream_limits.borrow().of(upstream);
+            let detail = format!("upstream={upstream} {left} reason={reason}");
             emit(LogEvent::UpstreamLimited, &detail);
             self.apply_limits(upstream);
         }
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -52,7 +52,8 @@
 impl Pace {
     /// Sets the limits that hold from now on.
     pub(crate) fn set(&mut self, limit: UpstreamLimit) {
-        if limit.rate.is_none() {
+        // A pause after a rejection lasts, whatever else changes.
+        if limit.rate.is_none() && self.limit.rate.is_some() {
             self.promised = 0.0;
             self.next = 0.0;
         }
@@ -62,6 +63,19 @@
         self.limit = limit;
     }
 
+    /// Resets what was learned of an upstream that has started again. Whether it is fragile is its
+    /// service's.
+    pub(crate) fn restart(&mut self) {
+        let limit = UpstreamLimit {
+            rate: None,
+            ..self.limit
+        };
+        *self = Self {
+            limit,
+            ..Self::default()
+        };
+    }
+
     /// The time between two sends in milliseconds, if the rate is limited.
     pub(crate) fn interval(&self) -> Option<f64> {
         self.limit.rate.map(|rate| 1_000.0 / rate.max(f64::EPSILON))
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -208,11 +208,14 @@
         let info = self.info.clone();
         let in_flight = std::mem::take(&mut self.in_flight);
         let fair_shares = std::mem::take(&mut self.fair_shares);
+        let mut pace = std::mem::take(&mut self.pace);
+        pace.restart();
         *self = Self {
             in_flight,
             overdue: self.overdue,
             lost: self.lost,
             fair_shares,
+            pace,
             virtual_time: self.virtual_time,
             load: Load {
                 slots: self.load.slots,
