Routers share what is free at a fragile upstream, and begin slowly there

What callers saw: engines that named a small maximum of rejections crashed without any other trouble, when all callers came back after a pause, and when all daemons had started.

Cause: several routers send to one engine (three hubs, and daemons whose hubs are silent). Each knew the others' requests by reports and filled all that looked free; a router that had heard nothing took everything for free. More than three rejections were on their way before the first was known.

Change, for upstreams whose service names a maximum only (route/pace.rs). Between two reports a router takes an equal part of what was free, an indivisible slot by draw, so that the parts add up on average. Without a recent report it keeps to an equal part of the slots, drawn for a second; a new hub has no recent report for 600 ms. Requests without an answer are limited by a window that each first answer widens by one and a second without answers resets to two, as in TCP's slow start: an engine that is back, new or not heard gets two, not what waited.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use crate::membership::{Audience, HubStatus, Outgoing};
 use crate::message::{
     Ack, Datagram, DemandReport, HubReport, LoadReport, Message, PlannerInfo, PlannerUpdate,
-    ReadPosition, Sender, Tag, UpstreamLoad,
+    ReadPosition, Sender, Tag, UpstreamLoad, UpstreamLoads,
 };
 use crate::roster::EntryRecord;
 use crate::state::Gateway;
@@ -77,17 +77,22 @@
         let now = self.now();
         let age = self.report_interval().0 as f64;
         let mut membership = self.membership.borrow_mut();
+        let recent = membership.hears_recent_loads(now);
         if membership.is_hub(now) {
             let hubs = membership.selector_count(now) as f64;
             return PeerVisibility {
                 unseen_ms: age * BUSY_SHARE * OTHER_HUBS_SHARE * (1.0 - 1.0 / hubs),
                 own_share: 1.0,
+                selectors: membership.hubs(now).centres,
+                recent,
             };
         }
         let daemons = membership.alive() as f64;
         PeerVisibility {
             unseen_ms: age * HOPS * BUSY_SHARE * (1.0 - 1.0 / daemons),
             own_share: OWN_SHARE,
+            selectors: membership.known(),
+            recent,
         }
     }
 }
@@ -149,11 +154,12 @@
         let load = router.own_load(n)?;
         (load.running > 0).then(|| (Tag::of_upstream(n), to_load(load)))
     });
+    let loads: UpstreamLoads = loads.collect();
     LoadReport {
         sent: now,
         daemons: 1,
         planner: planner_info(gw, now),
-        upstreams: loads.collect(),
+        upstreams: loads,
         demand: demand_report(gw, now),
     }
 }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -24,6 +24,14 @@
 /// The time for which a load report counts.
 const REPORT_STALE_MS: u64 = 1_500;
 
+/// The age up to which a report of loads is recent: twice the longest interval between reports.
+const LOADS_RECENT_MS: u64 = 600;
+
+/// The time for which the loads of a hub that is gone count, and after which a new hub has heard
+/// all others: the daemons whose requests it sent report them themselves over two hops, each of
+/// which takes an interval between reports.
+const SUCCESSION_MS: u64 = 600;
+
 /// The time for which the last known demand is used where no newer report arrives. A data centre
 /// whose reports are missing has not stopped sending requests: if it counted as idle, its models
 /// would be dropped for others.
@@ -89,6 +97,8 @@
     last_report: Option<Millis>,
     /// Whether this daemon was a hub at the last check.
     was_hub: bool,
+    /// Since when this daemon has been a hub without interruption.
+    hub_since: Option<Millis>,
     /// The loads that this daemon itself reported last.
     own_loads: UpstreamLoads,
     /// The largest recent number of daemons of this data centre that a hub reported, and when.
@@ -136,6 +146,7 @@
             contact: false,
             last_report: None,
             was_hub: false,
+            hub_since: None,
             own_loads: UpstreamLoads::new(),
             reported_size: (Millis(0), 0),
             counted_size: (Millis(0), 0),
@@ -258,15 +269,19 @@
         answers: impl Fn(SocketAddr) -> bool,
         now: Millis,
     ) -> Selector {
-        let is_elected = self.is_elected(now);
-        let hubs = match (is_elected, self.fresh_total(now)) {
+        let hubs = self.selecting_hubs(now);
+        match Selector::of(key, hubs, answers, self.me.address) {
+            Selector::NoHub if self.is_elected(now) => Selector::Local,
+            selector => selector,
+        }
+    }
+
+    /// The hubs that select upstreams for all daemons, as far as this one hears of them.
+    pub(crate) fn selecting_hubs(&mut self, now: Millis) -> Vec<SocketAddr> {
+        match (self.is_elected(now), self.fresh_total(now)) {
             (true, _) => self.reachable_hubs(now),
             (false, Some(_)) => self.hubs.clone(),
             (false, None) => Vec::new(),
-        };
-        match Selector::of(key, hubs, answers, self.me.address) {
-            Selector::NoHub if is_elected => Selector::Local,
-            selector => selector,
         }
     }
 
@@ -512,6 +527,10 @@
         self.record_centre_size(now);
         self.peers.prune(now);
         self.reports.retain(|_, t| now.since(t.at) < DEAD_AFTER_MS);
+        self.hub_since = match self.is_hub(now) {
+            true => self.hub_since.or(Some(now)),
+            false => None,
+        };
         self.own_loads.clone_from(&own.upstreams);
         let hub = self.local_hub(now);
         let mut out = Outgoing::new();
@@ -745,6 +764,27 @@
         without.collect()
     }
 
+    /// Whether the loads of the other daemons are as recent as reports usually are: those of all
+    /// other hubs, or what this daemon's hub sent last. A new hub does not know yet what its
+    /// predecessor sent.
+    pub(crate) fn hears_recent_loads(&mut self, now: Millis) -> bool {
+        if !self.is_hub(now) {
+            let total = self.total.as_ref();
+            return total.is_some_and(|t| now.since(t.at) < LOADS_RECENT_MS);
+        }
+        let since = self.hub_since;
+        if since.is_none_or(|since| now.since(since) < SUCCESSION_MS) {
+            return false;
+        }
+        let others = self.peers.centres().filter(|c| **c != self.me.centre);
+        let age = |c: &DataCentre| self.centre_loads.get(c).map(|(_, t)| now.since(t.at));
+        let ages: Vec<Option<u64>> = others.map(age).collect();
+        let within = |limit: u64| ages.iter().flatten().filter(|a| **a < limit).count();
+        let is_missing = |age: &Option<u64>| age.is_none_or(|a| a < DEAD_AFTER_MS);
+        let missing = ages.iter().filter(|a| is_missing(a)).count() > within(SILENT_MS);
+        !missing && 2 * (1 + within(SILENT_MS)) > ages.len()
+    }
+
     /// The last known total demand and its age; none where it is too old.
     pub(crate) fn total_demand(&self, now: Millis) -> Option<(&DemandReport, Millis)> {
         let (at, demand) = self.latest_demand.as_ref()?;
@@ -758,14 +798,18 @@
     }
 }
 
+fn add_loads(sum: &mut UpstreamLoads, loads: &UpstreamLoads) {
+    for (name, load) in loads {
+        sum.entry(*name).or_default().add(*load);
+    }
+}
+
 /// Adds a load report to a sum.
 fn merge(sum: &mut LoadReport, received: &Received, now: Millis) {
     let report = &received.report;
     let age = now.since(received.at);
     sum.planner = later_renewal(sum.planner, report.planner.map(|p| p.aged(age)));
-    for (name, load) in &report.upstreams {
-        sum.upstreams.entry(*name).or_default().add(*load);
-    }
+    add_loads(&mut sum.upstreams, &report.upstreams);
     sum.demand.add(&report.demand, age);
 }
 
--- a/crates/route/src/ending.rs
+++ b/crates/route/src/ending.rs
@@ -52,7 +52,7 @@
             return;
         };
         state.last_byte = now;
-        state.on_answer(id);
+        state.on_answer(id, now);
         let Some(send) = state.in_flight.get_mut(&id) else {
             return;
         };
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -3,6 +3,9 @@
 //! A router only knows its own sends, so its pace is an estimate that keeps it from selecting an
 //! upstream for requests that would be denied a permit; see [`crate::Permits`].
 
+use crate::PeerVisibility;
+use rand::rngs::SmallRng;
+use rand::Rng;
 use shaleline_types::Millis;
 
 /// The longest retry-after time that is given: callers don't wait longer.
@@ -25,6 +28,16 @@
     pub fragile_slots: Option<usize>,
 }
 
+/// The requests that are at an upstream, as far as is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Present {
+    pub(crate) busy: usize,
+    /// Those of this router.
+    pub(crate) own: usize,
+    /// Those of this router without an answer, where the upstream is fragile.
+    pub(crate) unanswered: usize,
+}
+
 /// The number of requests that fit on an upstream: additive increase, multiplicative decrease.
 #[derive(Debug, Clone, Copy)]
 struct Room {
@@ -38,6 +51,77 @@
     }
 }
 
+/// The number of requests without an answer that a router begins with at a fragile upstream which
+/// has not answered for a while. Each answer allows one more, as in TCP's slow start (RFC 5681) and
+/// its restart after an idle period (RFC 7661).
+const INITIAL_WINDOW: usize = 2;
+const IDLE_MS: u64 = 1_000;
+
+/// The time for which a report of the other routers' requests holds: twice the longest interval
+/// between reports.
+const PEERS_TTL_MS: u64 = 600;
+
+/// The number of requests without an answer that a router may have at a fragile upstream.
+#[derive(Debug, Clone, Copy)]
+struct Window {
+    size: usize,
+    answered: Millis,
+}
+
+impl Window {
+    fn at(&self, now: Millis) -> usize {
+        match now.since(self.answered) < IDLE_MS {
+            true => self.size,
+            false => INITIAL_WINDOW,
+        }
+    }
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        Self {
+            size: INITIAL_WINDOW,
+            answered: Millis(0),
+        }
+    }
+}
+
+/// The time for which a router keeps the equal part of an upstream's slots that it has drawn, so that
+/// others don't draw the same slots while its requests run.
+const EQUAL_PART_MS: u64 = 1_000;
+
+/// The part of a fragile upstream's slots that a router may use. What was free at the last report of
+/// the other routers' requests is divided among them, as each of them may use it.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    slots: usize,
+    reported: Option<Millis>,
+    /// The part that it may use without a recent report, and when that was drawn.
+    equal: usize,
+    drawn: Millis,
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Self {
+            slots: 0,
+            reported: None,
+            equal: 1,
+            drawn: Millis(0),
+        }
+    }
+}
+
+impl Share {
+    /// The most requests that the router may have there.
+    fn at(&self, now: Millis) -> usize {
+        match self.reported {
+            Some(at) if now.since(at) < PEERS_TTL_MS => self.slots,
+            _ => self.equal,
+        }
+    }
+}
+
 /// When requests may be sent to an upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Pace {
@@ -47,6 +131,8 @@
     /// Refused callers are given retry-after times one after the other, up to this time.
     promised: f64,
     room: Option<Room>,
+    window: Window,
+    share: Share,
 }
 
 impl Pace {
@@ -72,6 +158,7 @@
         };
         *self = Self {
             limit,
+            share: self.share,
             ..Self::default()
         };
     }
@@ -81,9 +168,51 @@
         self.limit.rate.map(|rate| 1_000.0 / rate.max(f64::EPSILON))
     }
 
-    /// Returns whether a request may be sent where `busy` ones are.
-    pub(crate) fn allows(&self, busy: usize, now: Millis) -> bool {
-        self.is_due(now) && busy < self.slots(now)
+    /// Returns whether a request may be sent where these are.
+    pub(crate) fn allows(&self, present: Present, now: Millis) -> bool {
+        self.is_due(now)
+            && present.busy < self.slots(now)
+            && (!self.is_fragile()
+                || present.own < self.share.at(now) && present.unanswered < self.window.at(now))
+    }
+
+    pub(crate) fn is_fragile(&self) -> bool {
+        self.limit.fragile_slots.is_some()
+    }
+
+    /// Records the first answer to a request.
+    pub(crate) fn on_answer(&mut self, now: Millis) {
+        self.window = Window {
+            size: self.window.at(now).saturating_add(1),
+            answered: now,
+        };
+    }
+
+    /// Records a report of other routers' requests. Whether this router gets one of the free slots
+    /// that can't be divided is drawn, so that they are shared on average.
+    pub(crate) fn on_peers(
+        &mut self,
+        present: Present,
+        visibility: PeerVisibility,
+        rng: &mut SmallRng,
+        now: Millis,
+    ) {
+        let selectors = visibility.selectors.max(1);
+        let Some(slots) = self.limit.fragile_slots else {
+            return;
+        };
+        let mut part = |of: usize| {
+            let extra = rng.random_range(0..selectors) < of % selectors;
+            of / selectors + usize::from(extra)
+        };
+        if visibility.recent {
+            let free = self.slots(now).saturating_sub(present.busy);
+            self.share.slots = present.own + part(free);
+            self.share.reported = Some(now);
+        } else if now.since(self.share.drawn) >= EQUAL_PART_MS {
+            self.share.equal = part(slots);
+            self.share.drawn = now;
+        }
     }
 
     pub(crate) fn is_due(&self, now: Millis) -> bool {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -184,8 +184,9 @@
                 self.dispatch_queued(&upstream, now, &mut out);
             }
             RouteEvent::PeerReport { upstream, load } => {
+                let rng = self.rng.get_mut();
                 if let Some(state) = self.upstreams.get_mut(&upstream) {
-                    state.on_peers(load, now);
+                    state.on_peers(load, self.visibility, rng, now);
                 }
             }
             RouteEvent::Limited { upstream, limit } => {
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -13,6 +13,10 @@
     /// own prompts may take at an upstream. Where other daemons send as well and their load is
     /// known 200 ms late, a large fraction makes more chats late on overloaded days.
     pub own_share: f64,
+    /// The number of daemons that select the same upstreams, this one included.
+    pub selectors: usize,
+    /// Whether the load of the others is as recent as their reports usually are.
+    pub recent: bool,
 }
 
 impl Default for PeerVisibility {
@@ -21,6 +25,8 @@
         Self {
             unseen_ms: 0.0,
             own_share: 1.0,
+            selectors: 1,
+            recent: true,
         }
     }
 }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -3,11 +3,12 @@
 use crate::breaker::{Breaker, BreakerState};
 use crate::completion::Speed;
 use crate::estimate::Slowness;
-use crate::pace::Pace;
+use crate::pace::{Pace, Present};
 use crate::prefix::PrefixHints;
 use crate::reach::Group;
 use crate::returns::Returns;
-use crate::{Load, PeerLoad, Route, RouteRequest, UpstreamInfo};
+use crate::{Load, PeerLoad, PeerVisibility, Route, RouteRequest, UpstreamInfo};
+use rand::rngs::SmallRng;
 use shaleline_types::{Millis, Org, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -259,10 +260,17 @@
     }
 
     /// Records the load of the other daemons.
-    pub(crate) fn on_peers(&mut self, load: PeerLoad, now: Millis) {
+    pub(crate) fn on_peers(
+        &mut self,
+        load: PeerLoad,
+        visibility: PeerVisibility,
+        rng: &mut SmallRng,
+        now: Millis,
+    ) {
         self.peer_requests = load.running;
         self.peers = load;
         self.peers_at = now;
+        self.pace.on_peers(self.present(), visibility, rng, now);
     }
 
     /// Returns the uncached tokens of a prompt.
@@ -321,6 +329,18 @@
         self.held() + self.peer_requests
     }
 
+    fn present(&self) -> Present {
+        let unanswered = |f: &&InFlight| !f.answered && f.hold != Hold::Lost;
+        Present {
+            busy: self.busy(),
+            own: self.held(),
+            unanswered: match self.pace.is_fragile() {
+                true => self.in_flight.values().filter(unanswered).count(),
+                false => 0,
+            },
+        }
+    }
+
     /// Returns the number of this router's sends that hold a slot.
     fn held(&self) -> usize {
         self.in_flight.len() - self.lost
@@ -337,10 +357,13 @@
     }
 
     /// Records that the answer to a send has begun.
-    pub(crate) fn on_answer(&mut self, id: RequestId) {
+    pub(crate) fn on_answer(&mut self, id: RequestId, now: Millis) {
         let Some(send) = self.in_flight.get_mut(&id) else {
             return;
         };
+        if !send.answered {
+            self.pace.on_answer(now);
+        }
         let hold = std::mem::replace(&mut send.hold, Hold::Expected);
         self.answered.record(send.sent, send.daemon);
         self.uncount(hold);
@@ -395,7 +418,7 @@
         if self.is_leaving() && shaleline_types::Safeguard::LeavingStop.is_active() {
             return Slot::None;
         }
-        if !self.pace.allows(self.busy(), now) {
+        if !self.pace.allows(self.present(), now) {
             return Slot::None;
         }
         let fresh = self.held() - self.overdue;
--- a/crates/route/tests/replay/mod.rs
+++ b/crates/route/tests/replay/mod.rs
@@ -529,6 +529,7 @@
             router.set_peer_visibility(PeerVisibility {
                 unseen_ms: UNSEEN_MS,
                 own_share: 0.1,
+                ..PeerVisibility::default()
             });
         }
         let now = Millis(START_MS + 1_000);
