Requests whose hub is gone are counted by the daemons that sent them

Cause: the router that selects is the only one that counts a request. A hub that starts again reports none, a hub that stops has its loads dropped at once, and what it had selected for others went on running uncounted: the other hubs, and its successor, took those slots for free.

A daemon reports its requests in flight whose hub is not among the hubs any more or has a new incarnation. The last loads of a hub that resigned or started again count for 600 ms more, until those reports have come over two hops. A hub with a new incarnation is asked at once. This holds for all upstreams, not for fragile ones alone.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -486,6 +486,8 @@
     /// The latest attempt for which the hub named an upstream, and that upstream.
     attempt: AttemptNumber,
     upstream: Option<Upstream>,
+    /// Whether the hub has started again and does not know the request any more.
+    forgotten: bool,
     ask: RouteRequest,
 }
 
@@ -544,6 +546,7 @@
             },
             attempt: 0,
             upstream: None,
+            forgotten: false,
             ask,
         };
         self.requests.insert(request.ask.id, request);
@@ -734,6 +737,25 @@
         });
     }
 
+    /// Records that a hub has started again: it answers, but knows nothing of before.
+    pub(crate) fn on_hub_restarted(&mut self, hub: SocketAddr) {
+        self.avoided.remove(&hub);
+        let requests = self.requests.values_mut().filter(|r| r.to == hub);
+        requests.for_each(|r| r.forgotten = true);
+    }
+
+    /// The upstreams of the requests in flight that no hub counts any more, as theirs is not among
+    /// the hubs or has started again.
+    pub(crate) fn uncounted<'a>(
+        &'a self,
+        hubs: &'a [SocketAddr],
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let sent = self.requests.values();
+        let sent = sent.filter(|r| matches!(r.stage, Stage::Sent));
+        let uncounted = sent.filter(|r| r.forgotten || !hubs.contains(&r.to));
+        uncounted.filter_map(|r| r.upstream.as_ref())
+    }
+
     /// The numbers of the delegated requests by hub.
     pub(crate) fn open(&self) -> BTreeMap<SocketAddr, Vec<u64>> {
         let mut open: BTreeMap<SocketAddr, Vec<u64>> = BTreeMap::new();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use shaleline_fleet::Rate;
 use shaleline_route::{PeerLoad, PeerVisibility, RouteEvent};
 use shaleline_types::{LogEvent, Millis, Position, Upstream};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -154,7 +155,10 @@
         let load = router.own_load(n)?;
         (load.running > 0).then(|| (Tag::of_upstream(n), to_load(load)))
     });
-    let loads: UpstreamLoads = loads.collect();
+    let mut loads: UpstreamLoads = loads.collect();
+    for (tag, running) in uncounted_sends(gw) {
+        loads.entry(tag).or_default().running += running;
+    }
     LoadReport {
         sent: now,
         daemons: 1,
@@ -164,6 +168,17 @@
     }
 }
 
+/// The requests of this daemon's callers that are at upstreams and that no router counts: the hub
+/// that selected for them is gone. Its successors would take their slots for free.
+fn uncounted_sends(gw: &Gateway) -> BTreeMap<Tag, u32> {
+    let hubs = gw.membership.borrow_mut().selecting_hubs(gw.now());
+    let mut sends = BTreeMap::new();
+    for upstream in gw.delegated.borrow().uncounted(&hubs) {
+        *sends.entry(Tag::of_upstream(upstream)).or_default() += 1;
+    }
+    sends
+}
+
 /// What this daemon reports of itself as the planner; none where it is not the planner.
 pub(crate) fn planner_info(gw: &Gateway, now: Millis) -> Option<PlannerInfo> {
     gw.planner_lease.borrow().fence(now)?;
@@ -190,14 +205,17 @@
 /// Updates the router with the load of the other daemons.
 fn update_peer_loads(gw: &Gateway) {
     let loads = gw.membership.borrow().other_loads(gw.now());
+    let uncounted = uncounted_sends(gw);
     let names: Vec<Upstream> = gw.router.borrow().upstream_names().cloned().collect();
     for upstream in names {
         let reported = loads
             .get(&Tag::of_upstream(&upstream))
             .copied()
             .unwrap_or_default();
+        let uncounted = uncounted.get(&Tag::of_upstream(&upstream));
+        let running = reported.running + uncounted.copied().unwrap_or_default();
         let load = PeerLoad {
-            running: reported.running as usize,
+            running: running as usize,
             urgent: f64::from(reported.urgent),
             backlog: f64::from(reported.backlog),
         };
@@ -240,8 +258,7 @@
         return;
     }
     if gw.membership.borrow_mut().on_datagram(&from, now) {
-        let detail = format!("instance={} life={:016x}", from.instance, from.incarnation);
-        emit(LogEvent::MemberJoined, &detail);
+        on_joined(gw, &from);
     }
     match message {
         Message::Load(report) => {
@@ -313,7 +330,7 @@
             org,
             amount,
         } => gw.handle_unused_grant(ticket, &org, amount),
-        Message::Resigned => gw.membership.borrow_mut().on_resigned(&from),
+        Message::Resigned => gw.membership.borrow_mut().on_resigned(&from, now),
         Message::AdapterWanted { model, adapter } => gw.on_adapter_wanted(&model, &adapter),
         Message::AdaptersWanted { reports } => gw.on_wanted_reports(&from, &reports),
         Message::AdaptersWantedAck(ack) => gw.on_wanted_ack(&ack),
@@ -381,6 +398,12 @@
 }
 
 /// Sends the hubs to a daemon that starts, once this one knows them.
+fn on_joined(gw: &Gateway, from: &Sender) {
+    let detail = format!("instance={} life={:016x}", from.instance, from.incarnation);
+    emit(LogEvent::MemberJoined, &detail);
+    gw.delegated.borrow_mut().on_hub_restarted(from.address);
+}
+
 fn on_hello(gw: &Gateway, from: &Sender, now: Millis) {
     if gw.knows_others() {
         let members = gw.membership.borrow_mut().member_list(now);
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -99,6 +99,8 @@
     was_hub: bool,
     /// Since when this daemon has been a hub without interruption.
     hub_since: Option<Millis>,
+    /// The last loads of hubs that are gone or have started again.
+    departed: Vec<(Millis, UpstreamLoads)>,
     /// The loads that this daemon itself reported last.
     own_loads: UpstreamLoads,
     /// The largest recent number of daemons of this data centre that a hub reported, and when.
@@ -147,6 +149,7 @@
             last_report: None,
             was_hub: false,
             hub_since: None,
+            departed: Vec::new(),
             own_loads: UpstreamLoads::new(),
             reported_size: (Millis(0), 0),
             counted_size: (Millis(0), 0),
@@ -188,11 +191,13 @@
     }
 
     /// Records that a hub has resigned.
-    pub(crate) fn on_resigned(&mut self, from: &Sender) {
+    pub(crate) fn on_resigned(&mut self, from: &Sender, now: Millis) {
         self.election.on_resigned(from);
         self.readers.remove(&from.centre);
         // The callers of its data centre keep sending requests, so the demand is kept.
         if let Some((_, received)) = self.centre_loads.get_mut(&from.centre) {
+            let loads = std::mem::take(&mut received.report.upstreams);
+            self.departed.push((now, loads));
             received.report = LoadReport {
                 demand: std::mem::take(&mut received.report.demand),
                 ..LoadReport::default()
@@ -453,7 +458,11 @@
             report: report.load,
         };
         let sum = (from.instance.clone(), received);
-        self.centre_loads.insert(from.centre.clone(), sum);
+        let before = self.centre_loads.insert(from.centre.clone(), sum);
+        let before = before.filter(|(_, r)| r.incarnation != from.incarnation);
+        if let Some((_, before)) = before {
+            self.departed.push((now, before.report.upstreams));
+        }
     }
 
     /// The hub to which to forward the load of a data centre that reached this daemon, which is no
@@ -519,6 +528,9 @@
                 sum.demand.add(&received.report.demand, age);
             }
         }
+        for (_, loads) in &self.departed {
+            add_loads(&mut sum.upstreams, loads);
+        }
         sum
     }
 
@@ -527,6 +539,8 @@
         self.record_centre_size(now);
         self.peers.prune(now);
         self.reports.retain(|_, t| now.since(t.at) < DEAD_AFTER_MS);
+        self.departed
+            .retain(|(at, _)| now.since(*at) < SUCCESSION_MS);
         self.hub_since = match self.is_hub(now) {
             true => self.hub_since.or(Some(now)),
             false => None,
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -280,6 +280,113 @@
     );
 }
 
+/// A hub beside one other hub, which last reported requests at an upstream.
+struct TwoHubs {
+    membership: Membership,
+    other: Sender,
+    now: Millis,
+}
+
+impl TwoHubs {
+    fn new() -> Self {
+        let other = sender(2, 0, 0);
+        let mut membership = Membership::new(sender(1, 1, 0));
+        let now = Millis(START_MS);
+        membership.learn_member(&other, now);
+        Self {
+            membership,
+            other,
+            now,
+        }
+    }
+
+    fn report(&mut self, running: u32) {
+        let load = UpstreamLoad {
+            running,
+            ..UpstreamLoad::default()
+        };
+        let load = LoadReport {
+            upstreams: BTreeMap::from([(tag(), load)]),
+            ..LoadReport::default()
+        };
+        let report = HubReport {
+            load,
+            position: None,
+            hubs: Vec::new(),
+            crashes: HubStatus::default().crashes,
+            ack: None,
+            centre_size: 0,
+        };
+        self.membership.on_datagram(&self.other, self.now);
+        self.membership
+            .on_centre_load(&self.other, report, self.now);
+    }
+
+    fn run(&mut self, ms: u64, reports: Option<u32>) {
+        for _ in 0..ms / TICK_MS {
+            self.now = self.now.plus(TICK_MS);
+            reports.into_iter().for_each(|running| self.report(running));
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let own = LoadReport::default();
+        self.membership.tick(&own, HubStatus::default(), self.now);
+    }
+
+    fn other_requests(&self) -> u32 {
+        let loads = self.membership.other_loads(self.now);
+        loads.get(&tag()).map_or(0, |l| l.running)
+    }
+}
+
+/// The requests of others that a hub counts right after the other hub has started again or
+/// resigned, and 700 ms later.
+fn counted_after(happens: impl Fn(&mut TwoHubs)) -> [u32; 2] {
+    let mut hubs = TwoHubs::new();
+    hubs.run(1_000, Some(5));
+    assert_eq!(hubs.other_requests(), 5);
+    happens(&mut hubs);
+    hubs.tick();
+    let after = hubs.other_requests();
+    hubs.run(700, Some(0));
+    [after, hubs.other_requests()]
+}
+
+#[test]
+fn the_requests_of_a_hub_that_is_gone_count_until_others_report_them() {
+    let restart = |hubs: &mut TwoHubs| {
+        hubs.other.incarnation += 1;
+        hubs.report(0);
+    };
+    assert_eq!(counted_after(restart), [5, 0]);
+    let resign = |hubs: &mut TwoHubs| {
+        let other = hubs.other.clone();
+        hubs.membership.on_resigned(&other, hubs.now);
+    };
+    assert_eq!(counted_after(resign), [5, 0]);
+}
+
+/// Whether a hub that has been one for the first time, and whose other hub has been silent for the
+/// second one, takes the loads that it knows for recent.
+fn hears_recent((since, silent): (u64, u64)) -> bool {
+    let mut hubs = TwoHubs::new();
+    hubs.tick();
+    hubs.run(since, Some(1));
+    hubs.run(silent, None);
+    hubs.membership.hears_recent_loads(hubs.now)
+}
+
+cases! {
+    hears_recent;
+    a_new_hub_does_not_know_what_its_predecessor_sent: (300, 0) => false,
+    a_hub_that_hears_the_others_knows_their_loads: (1_000, 0) => true,
+    a_hub_that_misses_some_reports_uses_the_last_one: (1_000, 900) => true,
+    the_loads_of_a_silent_hub_are_unknown: (1_000, 1_500) => false,
+    a_hub_that_stays_silent_is_gone: (1_000, 3_200) => true,
+}
+
 /// After a change of planner, callers' adapters were requested from the previous one until the next
 /// load report.
 #[test]
--- a/crates/gateway/tests/unit/selection.rs
+++ b/crates/gateway/tests/unit/selection.rs
@@ -573,6 +573,43 @@
     assert_eq!(told(message), Some(vec![(tag(1), 2_975)]));
 }
 
+/// The requests in flight that no hub counts, after one was sent by this hub and the given happened.
+fn uncounted(happens: impl Fn(&mut DelegatedRequests)) -> usize {
+    let now = Millis(START_MS);
+    let mut delegated = DelegatedRequests::new(1, now);
+    delegated.ask(request(1), selector_address(), now);
+    delegated.ask(request(2), selector_address(), now);
+    delegated.on_answer(ticket(1), send(1), now);
+    assert_eq!(delegated.uncounted(&[selector_address()]).count(), 0);
+    assert_eq!(delegated.uncounted(&[]).count(), 1, "the hub is gone");
+    happens(&mut delegated);
+    delegated.uncounted(&[selector_address()]).count()
+}
+
+#[test]
+fn requests_that_a_restarted_hub_has_forgotten_are_counted_by_their_daemon() {
+    assert_eq!(uncounted(|_| {}), 0);
+    assert_eq!(uncounted(|d| d.on_hub_restarted(selector_address())), 1);
+    let ended = |d: &mut DelegatedRequests| {
+        d.on_hub_restarted(selector_address());
+        let whole = ProgressNote::Ended(1, EndNote::Whole);
+        d.report(RequestId(1), whole, Millis(START_MS));
+    };
+    assert_eq!(uncounted(ended), 0);
+}
+
+#[test]
+fn a_hub_that_has_started_again_is_asked_at_once() {
+    let now = Millis(START_MS);
+    let mut delegated = DelegatedRequests::new(1, now);
+    delegated.ask(request(1), selector_address(), now);
+    delegated.tick(now.plus(60));
+    let later = now.plus(61);
+    assert!(!delegated.is_available(selector_address(), later));
+    delegated.on_hub_restarted(selector_address());
+    assert!(delegated.is_available(selector_address(), later));
+}
+
 /// A hub with two upstreams, and the daemon that asks it.
 struct Hub {
     gw: Rc<Gateway>,
