Requests of gone hubs are counted for fragile upstreams only

Cause, by reading: a hub whose report is late drops out of the hubs for a moment though it goes on counting its requests, and their daemons counted them once more, so engines looked full. And a hub that has just started was asked before it had read its upstreams.

Change: both counts only where the upstream's service names a maximum of rejections; a hub that did not answer is avoided as before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -737,9 +737,8 @@
         });
     }
 
-    /// Records that a hub has started again: it answers, but knows nothing of before.
+    /// Records that a hub has started again and knows nothing of before.
     pub(crate) fn on_hub_restarted(&mut self, hub: SocketAddr) {
-        self.avoided.remove(&hub);
         let requests = self.requests.values_mut().filter(|r| r.to == hub);
         requests.for_each(|r| r.forgotten = true);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -120,6 +120,8 @@
     let position = gw.reading.borrow().read_position(now);
     let crashes = gw.router.borrow().crashes().digest();
     let status = HubStatus { position, crashes };
+    let fragile = gw.fragile_upstreams();
+    gw.membership.borrow_mut().set_fragile(fragile);
     let messages = gw.membership.borrow_mut().tick(&report, status, now);
     let requests = gw.membership.borrow_mut().new_hub_targets(now);
     let requests = requests.into_iter();
@@ -168,13 +170,21 @@
     }
 }
 
-/// The requests of this daemon's callers that are at upstreams and that no router counts: the hub
-/// that selected for them is gone. Its successors would take their slots for free.
+/// The requests of this daemon's callers that are at fragile upstreams and that no router counts: the
+/// hub that selected for them is gone. Its successors would take their slots for free. A hub that is
+/// only late counts them as well, which costs upstreams that queue more than it saves.
 fn uncounted_sends(gw: &Gateway) -> BTreeMap<Tag, u32> {
-    let hubs = gw.membership.borrow_mut().selecting_hubs(gw.now());
     let mut sends = BTreeMap::new();
+    let fragile = gw.fragile_upstreams();
+    if fragile.is_empty() {
+        return sends;
+    }
+    let hubs = gw.membership.borrow_mut().selecting_hubs(gw.now());
     for upstream in gw.delegated.borrow().uncounted(&hubs) {
-        *sends.entry(Tag::of_upstream(upstream)).or_default() += 1;
+        let tag = Tag::of_upstream(upstream);
+        if fragile.contains(&tag) {
+            *sends.entry(tag).or_default() += 1;
+        }
     }
     sends
 }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -12,13 +12,13 @@
 use crate::hub_election::{HubElection, SILENT_MS};
 use crate::message::{
     Ack, DemandReport, HubReport, LoadReport, MemberList, Message, PlannerInfo, ReadPosition,
-    Sender, UpstreamLoads,
+    Sender, Tag, UpstreamLoad, UpstreamLoads,
 };
 use crate::peers::Peers;
 use crate::selector::Selector;
 use crate::stream_versions::Hubs;
 use shaleline_types::{DataCentre, Instance, Millis};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The time for which a load report counts.
@@ -101,6 +101,8 @@
     hub_since: Option<Millis>,
     /// The last loads of hubs that are gone or have started again.
     departed: Vec<(Millis, UpstreamLoads)>,
+    /// The upstreams for which those count.
+    fragile: BTreeSet<Tag>,
     /// The loads that this daemon itself reported last.
     own_loads: UpstreamLoads,
     /// The largest recent number of daemons of this data centre that a hub reported, and when.
@@ -150,12 +152,18 @@
             was_hub: false,
             hub_since: None,
             departed: Vec::new(),
+            fragile: BTreeSet::new(),
             own_loads: UpstreamLoads::new(),
             reported_size: (Millis(0), 0),
             counted_size: (Millis(0), 0),
         }
     }
 
+    /// Sets the upstreams that crash if they have to reject much.
+    pub(crate) fn set_fragile(&mut self, fragile: BTreeSet<Tag>) {
+        self.fragile = fragile;
+    }
+
     /// Records the sender of a datagram. Returns true where it has a new incarnation.
     pub(crate) fn on_datagram(&mut self, from: &Sender, now: Millis) -> bool {
         self.peers.on_datagram(from, now)
@@ -528,9 +536,9 @@
                 sum.demand.add(&received.report.demand, age);
             }
         }
-        for (_, loads) in &self.departed {
-            add_loads(&mut sum.upstreams, loads);
-        }
+        let departed = self.departed.iter().flat_map(|(_, loads)| loads);
+        let departed = departed.filter(|(tag, _)| self.fragile.contains(tag));
+        add_loads(&mut sum.upstreams, departed);
         sum
     }
 
@@ -812,7 +820,10 @@
     }
 }
 
-fn add_loads(sum: &mut UpstreamLoads, loads: &UpstreamLoads) {
+fn add_loads<'a>(
+    sum: &mut UpstreamLoads,
+    loads: impl Iterator<Item = (&'a Tag, &'a UpstreamLoad)>,
+) {
     for (name, load) in loads {
         sum.entry(*name).or_default().add(*load);
     }
@@ -823,7 +834,7 @@
     let report = &received.report;
     let age = now.since(received.at);
     sum.planner = later_renewal(sum.planner, report.planner.map(|p| p.aged(age)));
-    add_loads(&mut sum.upstreams, &report.upstreams);
+    add_loads(&mut sum.upstreams, report.upstreams.iter());
     sum.demand.add(&report.demand, age);
 }
 
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -7,7 +7,7 @@
 
 use crate::journal::emit;
 use crate::membership::Audience;
-use crate::message::{LimitMessage, Message, Sender};
+use crate::message::{LimitMessage, Message, Sender, Tag};
 use crate::state::Gateway;
 use crate::AnswerHead;
 use serde::{Deserialize, Serialize};
@@ -101,6 +101,13 @@
         }
     }
 
+    /// The services of which upstreams name a maximum of rejections.
+    fn fragile_services(&self) -> BTreeSet<Service> {
+        let named = self.known.values();
+        let named = named.filter(|k| k.limits.max_rejections.is_some());
+        named.filter_map(|k| k.service.clone()).collect()
+    }
+
     /// The smallest maximum of rejections that upstreams of a service name.
     fn service_maximum(&self, service: &Service) -> Option<f64> {
         let known = self.known.values();
@@ -150,9 +157,7 @@
     /// Drops the ends of limits that are old. While others of its service name a maximum of
     /// rejections, it is kept that an upstream names none.
     fn prune(&mut self, now: Millis) {
-        let named = self.known.values();
-        let named = named.filter(|k| k.limits.max_rejections.is_some());
-        let fragile: BTreeSet<Service> = named.filter_map(|k| k.service.clone()).collect();
+        let fragile = self.fragile_services();
         self.known.retain(|_, k| {
             k.limits != NamedLimits::NONE
                 || now.since(k.named) < ENDED_TTL_MS
@@ -303,6 +308,19 @@
         }
     }
 
+    /// The upstreams that crash if they have to reject much.
+    pub(crate) fn fragile_upstreams(&self) -> BTreeSet<Tag> {
+        let limits = self.upstream_limits.borrow();
+        let services = limits.fragile_services();
+        let roster = self.roster.borrow();
+        let of_services = roster.iter().filter(|(_, e)| services.contains(&e.service));
+        let fragile = of_services.filter(|(n, e)| {
+            let maximum = limits.max_rejections(n, Some(&e.service));
+            maximum.is_some()
+        });
+        fragile.map(|(n, _)| Tag::of_upstream(n)).collect()
+    }
+
     /// The service of an upstream that crashes if it has to reject much.
     pub(crate) fn fragile_service(&self, upstream: &Upstream) -> Option<Service> {
         self.max_rejections(upstream)?;
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -293,6 +293,7 @@
         let mut membership = Membership::new(sender(1, 1, 0));
         let now = Millis(START_MS);
         membership.learn_member(&other, now);
+        membership.set_fragile(BTreeSet::from([tag()]));
         Self {
             membership,
             other,
