Event 8115 says what a daemon knows when it first selects

Nothing in the logs said what a daemon knew of the others when it began to select, so the hypotheses (it divides slots by a number of daemons that is too small; it knows no loads; it knows no maximum) could not be told apart.

The line has the selector, the age of the process and of the last total, the numbers of daemons reported and known, and the services with a maximum.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -751,9 +751,13 @@
         .count();
         let demand = self.latest_demand.as_ref();
         let (rates, unmet) = demand.map_or((0, 0), |(_, a)| (a.rates.len(), a.unmet.len()));
-        let age = demand.map_or("none".to_owned(), |(at, _)| now.since(*at).to_string());
+        let text =
+            |at: Option<Millis>| at.map_or("none".to_owned(), |at| now.since(at).to_string());
+        let age = text(demand.map(|(at, _)| *at));
+        let total_age = text(self.total.as_ref().map(|t| t.at));
+        let (hub, recent) = (self.is_hub(now), self.hears_recent_loads(now));
         format!(
-            "daemons={} known={} hubs_heard={reachable} hears_enough={receives} rates={rates} unmet={unmet} age_ms={age}",
+            "daemons={} known={} hub={hub} hubs_heard={reachable} hears_enough={receives} hears_recent={recent} total_age_ms={total_age} rates={rates} unmet={unmet} age_ms={age}",
             self.alive(),
             self.known(),
         )
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -36,6 +36,7 @@
         let available = |hub| self.delegated.borrow().is_available(hub, now);
         let key = sharing_key(&request.route);
         let selector = self.membership.borrow_mut().selector(key, available, now);
+        self.log_first_selection(selector);
         if self.refuse_suspect(&request, selector == Selector::NoHub) {
             return;
         }
@@ -48,6 +49,20 @@
         }
     }
 
+    /// Logs what this daemon knows of the others when it first needs an upstream.
+    fn log_first_selection(&self, selector: Selector) {
+        if self.has_selected.replace(true) {
+            return;
+        }
+        let now = self.now();
+        let members = self.membership.borrow_mut().log_detail(now);
+        let maxima = self.upstream_limits.borrow().fragile_services().len();
+        let uptime = now.since(self.started);
+        let detail =
+            format!("selector={selector} up_ms={uptime} {members} fragile_services={maxima}");
+        emit(LogEvent::FirstSelection, &detail);
+    }
+
     /// Passes a request to the local router, and logs if it is refused at once.
     fn admit_to_router(&self, request: RouteRequest) {
         let (id, route, daemon) = (request.id, request.route.clone(), request.daemon);
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -2,6 +2,7 @@
 
 use shaleline_types::stable_hash;
 use std::cmp::Reverse;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// The daemon that selects the upstream of a request.
@@ -15,6 +16,16 @@
     NoHub,
 }
 
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Local => f.write_str("local"),
+            Self::Remote(hub) => hub.fmt(f),
+            Self::NoHub => f.write_str("none"),
+        }
+    }
+}
+
 /// The number of hubs that are tried: a request that waits for a third one is too late to be
 /// served.
 const MAX_HUBS: usize = 2;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -122,6 +122,8 @@
     pub(crate) hubs_known: Cell<bool>,
     /// Whether this daemon knows enough of the others to act as a hub.
     pub(crate) hub_ready: Cell<bool>,
+    /// Whether this daemon has selected an upstream, or asked a hub to.
+    pub(crate) has_selected: Cell<bool>,
     /// Notifies waiters that a hub reported a new read position.
     pub(crate) position_changed: Notify,
     pub(crate) planner_lease: RefCell<PlannerLease>,
@@ -287,6 +289,7 @@
             started: now,
             hubs_known: Cell::new(false),
             hub_ready: Cell::new(false),
+            has_selected: Cell::new(false),
             position_changed: Notify::new(),
             announced: RefCell::new(Announced::default()),
             unmet_adapters: RefCell::new(WantedAdapters::default()),
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -102,7 +102,7 @@
     }
 
     /// The services of which upstreams name a maximum of rejections.
-    fn fragile_services(&self) -> BTreeSet<Service> {
+    pub(crate) fn fragile_services(&self) -> BTreeSet<Service> {
         let named = self.known.values();
         let named = named.filter(|k| k.limits.max_rejections.is_some());
         named.filter_map(|k| k.service.clone()).collect()
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -113,6 +113,7 @@
     TunnelMissed 8112 Warn "No daemon opened a tunnel to an upstream; the line gives how many were asked and how they answered.";
     SelectionRefused 8113 Info "The daemon that selects refused a request at once; the line gives how the upstreams of its route are occupied.";
     RemovalKnown 8114 Info "An upstream is removed at short notice; the line gives its earliest time and who reported it.";
+    FirstSelection 8115 Info "The daemon selected an upstream for the first time since its start, or asked a hub to; the line gives who selects and what it knows of the others.";
     RequestOvertaken 8120 Info "A queued request was sent before one that comes first by its class; the line gives the reason and the times left.";
     RequestShed 8121 Info "A request was refused on arrival because its predicted wait is too long; the line gives the wait, the time left and the retry-after time.";
     RequestEnded 8201 Info "A request ended.";
