Plays of daemons that know few others, which fail

The plays of fragile engines started each daemon with a whole list of members. Daemons of these plays say hello to the addresses of their settings, learn the hubs from the answer, and fall back on the members in the store, as processes do; a killed one is down for a second, and callers go to the others meanwhile.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -18,7 +18,7 @@
 
 /// The interval between two hello messages: one or its answer may be lost, and the addressee may
 /// still be starting.
-const HELLO_INTERVAL: Duration = Duration::from_millis(150);
+pub(crate) const HELLO_INTERVAL: Duration = Duration::from_millis(150);
 
 /// A daemon that has run for this long knows the hubs: daemons that start together do so within 300
 /// ms of each other, and all of them have sent it a hello by then. If daemons answered before
@@ -27,7 +27,7 @@
 
 /// The time without an answer after which the daemon falls back on the members in the store: twice
 /// what the addressees need to learn of the others where all start together.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const HELLO_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The time after a daemon learned of the others by which it is settled which daemon reads the
 /// store for which: daemons send their load at least every 300 ms.
--- a/crates/gateway/tests/unit/limits/cluster.rs
+++ b/crates/gateway/tests/unit/limits/cluster.rs
@@ -1,6 +1,7 @@
 //! A simulated cluster of daemons and engines that name rate limits in their answers. It runs the
 //! daemons' own code without sockets.
 
+use super::discovery::Discovery;
 use super::engine::{Crashes, Engine, Fragile};
 use super::leavings::Leavings;
 use super::rests::Rests;
@@ -22,6 +23,7 @@
 };
 use futures_util::FutureExt;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use shaleline_edge::{Clock, TimeSource};
 use shaleline_fleet::Held;
@@ -57,6 +59,10 @@
 /// The time from the crash of an engine until it starts again under its name.
 const ENGINE_DOWN_MS: u64 = 300;
 
+/// The time from the end of a daemon's process until it starts again, where it has to find the
+/// others.
+pub(super) const DAEMON_DOWN_MS: u64 = 1_000;
+
 /// The time for which a daemon must have been undisturbed to count as in touch.
 const IN_TOUCH_MS: u64 = 3_000;
 
@@ -70,17 +76,21 @@
     pub slots: usize,
 }
 
-struct Daemon {
-    gw: Rc<Gateway>,
+pub(super) struct Daemon {
+    pub(super) gw: Rc<Gateway>,
     outbox: mpsc::UnboundedReceiver<Addressed>,
     address: SocketAddr,
     next_report: u64,
+    /// Until when its process does not run.
+    pub(super) down_until: u64,
+    /// What it does to find the others, until it has found them.
+    pub(super) discovery: Option<Discovery>,
     /// Until when it exchanges no datagrams.
     cut_until: u64,
     /// Until when it does nothing.
     stalled_until: u64,
     /// When it was last disturbed.
-    disturbed_until: u64,
+    pub(super) disturbed_until: u64,
     /// The number of the entries that it has read.
     entries_read: usize,
     inbox: Vec<Datagram>,
@@ -112,12 +122,16 @@
 }
 
 pub struct Cluster {
-    size: Size,
+    pub(super) size: Size,
     manual_clock: Rc<ManualClock>,
     clock: Clock,
     rng: SmallRng,
-    daemons: Vec<Daemon>,
+    pub(super) daemons: Vec<Daemon>,
     engines: Vec<Engine>,
+    /// Whether daemons that start have to find the others.
+    discovers: bool,
+    /// The members in the store: the daemons that have been hubs.
+    pub(super) registered: BTreeSet<usize>,
     calls: Vec<Call>,
     in_flight: BTreeMap<(u64, u64), (SocketAddr, Datagram)>,
     event_count: u64,
@@ -145,8 +159,41 @@
     DataCentre::from_text(&format!("dc{}", number % CENTRES)).expect("a valid name")
 }
 
+/// The address at which a daemon receives datagrams.
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 200) as u8, 1 + (index % 200) as u8], 1))
+}
+
+/// The addresses that the settings name: the first daemon of each data centre.
+fn seeds(daemons: usize) -> Vec<SocketAddr> {
+    (0..CENTRES.min(daemons)).map(address).collect()
+}
+
 impl Cluster {
+    /// Starts daemons that all know each other.
     pub fn new(size: Size, seed: u64) -> Self {
+        let mut cluster = Self::empty(size, seed);
+        for index in 0..size.daemons {
+            let daemon = cluster.start_daemon(index);
+            cluster.daemons.push(daemon);
+        }
+        cluster.run(SETTLE_MS);
+        cluster
+    }
+
+    /// Starts daemons that find each other as processes do.
+    pub fn discovered(size: Size, seed: u64) -> Self {
+        let mut cluster = Self::empty(size, seed);
+        cluster.discovers = true;
+        for index in 0..size.daemons {
+            let daemon = cluster.start_alone(index);
+            cluster.daemons.push(daemon);
+        }
+        cluster.run(SETTLE_MS);
+        cluster
+    }
+
+    fn empty(size: Size, seed: u64) -> Self {
         let manual_clock = Rc::new(ManualClock::default());
         let time: Rc<dyn TimeSource> = manual_clock.clone();
         let engine = |number: usize| {
@@ -154,12 +201,14 @@
             let models = (0..MODELS_PER_ENGINE).map(|m| model((number + m) % size.engines));
             Engine::new(name, models.collect())
         };
-        let mut cluster = Self {
+        Self {
             size,
             clock: Clock::from_time(time),
             manual_clock,
             rng: SmallRng::seed_from_u64(seed),
             daemons: Vec::new(),
+            discovers: false,
+            registered: BTreeSet::new(),
             engines: (0..size.engines).map(engine).collect(),
             calls: Vec::new(),
             in_flight: BTreeMap::new(),
@@ -172,13 +221,7 @@
             served: 0,
             refused: 0,
             failed: 0,
-        };
-        for index in 0..size.daemons {
-            let daemon = cluster.start_daemon(index);
-            cluster.daemons.push(daemon);
         }
-        cluster.run(SETTLE_MS);
-        cluster
     }
 
     pub fn now(&self) -> u64 {
@@ -199,14 +242,31 @@
 
     /// Starts a daemon that knows all other daemons and the engines.
     fn start_daemon(&mut self, index: usize) -> Daemon {
-        let address = SocketAddr::from(([10, 0, (index / 200) as u8, 1 + (index % 200) as u8], 1));
+        let daemon = self.start_unknown(index);
+        let now = daemon.gw.now();
+        for other in self.daemons.iter().filter(|d| d.address != daemon.address) {
+            let (mine, theirs) = (&daemon.gw, &other.gw);
+            theirs.membership.borrow_mut().learn_member(&mine.me, now);
+            mine.membership.borrow_mut().learn_member(&theirs.me, now);
+        }
+        daemon
+    }
+
+    /// Starts a daemon that knows the engines, but no other daemon.
+    pub(super) fn start_unknown(&mut self, index: usize) -> Daemon {
+        let address = address(index);
         let (outbox, messages) = mpsc::unbounded_channel();
         let rng = SmallRng::seed_from_u64(self.rng.random());
         let platform = Platform {
             codec: Box::new(StubCodec),
             store: Box::new(UnavailableStore),
         };
+        let seeds = match self.discovers {
+            true => seeds(self.size.daemons),
+            false => Vec::new(),
+        };
         let settings = GatewaySettings {
+            seeds,
             centres: CENTRES,
             centre: centre(index),
             ..settings(index, address)
@@ -215,16 +275,14 @@
         let gw = gw.expect("a gateway");
         gw.set_table(self.table());
         let now = gw.now();
-        for other in self.daemons.iter().filter(|d| d.address != address) {
-            other.gw.membership.borrow_mut().learn_member(&gw.me, now);
-            gw.membership.borrow_mut().learn_member(&other.gw.me, now);
-        }
         gw.apply_entries(self.entry_records(), now);
         Daemon {
             gw,
             outbox: messages,
             address,
             next_report: self.now() + (index as u64 * 7) % 100,
+            down_until: 0,
+            discovery: None,
             cut_until: 0,
             stalled_until: 0,
             disturbed_until: self.now(),
@@ -286,18 +344,38 @@
     /// The daemons that act as hubs.
     pub fn hubs(&self) -> Vec<usize> {
         let is_hub = |d: &Daemon| d.gw.membership.borrow_mut().is_hub(d.gw.now());
-        let hubs = (0..self.daemons.len()).filter(|i| is_hub(&self.daemons[*i]));
+        let runs = (0..self.daemons.len()).filter(|i| !self.is_down(*i));
+        let hubs = runs.filter(|i| is_hub(&self.daemons[*i]));
         hubs.collect()
     }
 
     /// Kills a daemon and starts it again.
     pub fn restart(&mut self, index: usize) {
+        match self.discovers {
+            true => self.replace(index, DAEMON_DOWN_MS),
+            false => {
+                self.kill(index);
+                self.daemons[index] = self.start_daemon(index);
+            }
+        }
+    }
+
+    /// Ends the process of a daemon.
+    pub(super) fn kill(&mut self, index: usize) {
         for call in self.calls.iter_mut().filter(|c| c.daemon == index) {
             call.permit = None;
         }
         self.leavings.on_restart(index);
         self.rests.excuse(index);
-        self.daemons[index] = self.start_daemon(index);
+    }
+
+    fn is_down(&self, index: usize) -> bool {
+        self.now() < self.daemons[index].down_until
+    }
+
+    /// Whether callers find a daemon there.
+    fn takes_callers(&self, index: usize) -> bool {
+        !self.is_down(index) && self.daemons[index].discovery.is_none()
     }
 
     /// Cuts a daemon off from all others for some time.
@@ -389,6 +467,7 @@
             self.manual_clock.0.set(self.now() + 1);
             self.deliver();
             for index in 0..self.daemons.len() {
+                self.discover(index);
                 self.tick_daemon(index);
             }
             self.arrive();
@@ -405,7 +484,8 @@
         let now = self.now();
         while let Some(entry) = self.in_flight.first_entry().filter(|e| e.key().0 <= now) {
             let (to, datagram) = entry.remove();
-            if let Some(daemon) = self.daemons.iter_mut().find(|d| d.address == to) {
+            let runs = |d: &&mut Daemon| d.address == to && now >= d.down_until;
+            if let Some(daemon) = self.daemons.iter_mut().find(runs) {
                 daemon.inbox.push(datagram);
             }
         }
@@ -414,7 +494,7 @@
     fn tick_daemon(&mut self, index: usize) {
         let now = self.now();
         let daemon = &mut self.daemons[index];
-        if now < daemon.stalled_until {
+        if now < daemon.stalled_until.max(daemon.down_until) {
             return;
         }
         let unread = self.entries[daemon.entries_read..].to_vec();
@@ -463,7 +543,15 @@
         self.due_requests += self.size.request_rate / 1_000.0;
         while self.due_requests >= 1.0 {
             self.due_requests -= 1.0;
-            let daemon = self.rng.random_range(0..self.daemons.len());
+            let mut daemon = self.rng.random_range(0..self.daemons.len());
+            if !self.takes_callers(daemon) {
+                let others = (0..self.daemons.len()).filter(|i| self.takes_callers(*i));
+                let others: Vec<usize> = others.collect();
+                let Some(other) = others.choose(&mut self.rng) else {
+                    continue;
+                };
+                daemon = *other;
+            }
             let head = Head {
                 model: Some(model(self.rng.random_range(0..self.size.engines))),
                 prompt: 200,
--- a/crates/gateway/tests/unit/limits/discovery.rs
+++ b/crates/gateway/tests/unit/limits/discovery.rs
@@ -1,15 +1,12 @@
 //! How the daemons of a cluster find each other when they start, as `discovery` does between
 //! processes: from the addresses of the settings, and otherwise from the members in the store.
 
-use super::cluster::{Cluster, Daemon};
+use super::cluster::{Cluster, Daemon, DAEMON_DOWN_MS};
 use crate::discovery::{HELLO_INTERVAL, HELLO_TIMEOUT};
 use crate::message::Message;
 use rand::seq::index::sample;
 use rand::Rng;
 
-/// The number of daemons that the settings name: the first one of each data centre.
-const SEEDS: usize = 3;
-
 /// The time from when a daemon has found the others until it has the configuration.
 const COPY_MS: u64 = 50;
 
@@ -45,10 +42,10 @@
     }
 
     /// Replaces a share of the daemons at once.
-    pub fn replace_share(&mut self, share: f64, down_ms: u64, rng: &mut impl Rng) {
+    pub fn replace_share(&mut self, share: f64, rng: &mut impl Rng) {
         let count = (self.daemons() as f64 * share) as usize;
         for index in sample(rng, self.daemons(), count) {
-            self.replace(index, down_ms);
+            self.replace(index, DAEMON_DOWN_MS);
         }
     }
 
@@ -77,8 +74,8 @@
             state.ready = Some(now + COPY_MS);
         } else if now >= state.next_hello {
             state.next_hello = now + HELLO_INTERVAL.as_millis() as u64;
-            let seeds = (0..SEEDS.min(self.daemons.len())).filter(|s| *s != index);
-            let hello = seeds.map(|s| (self.daemons[s].gw.me.address, Message::Hello));
+            let seeds = gw.settings.seeds.iter().filter(|s| **s != gw.me.address);
+            let hello = seeds.map(|s| (*s, Message::Hello));
             gw.send(hello.collect());
         }
         self.daemons[index].discovery = Some(state);
--- a/crates/gateway/tests/unit/limits/fragile.rs
+++ b/crates/gateway/tests/unit/limits/fragile.rs
@@ -50,8 +50,16 @@
 }
 
 fn play(size: Size, fragile: Fragile, seed: u64, trouble: Trouble) -> Cluster {
+    play_from(Cluster::new(size, seed), fragile, seed, trouble)
+}
+
+/// A play with daemons that find each other as processes do.
+fn play_discovered(size: Size, fragile: Fragile, seed: u64, trouble: Trouble) -> Cluster {
+    play_from(Cluster::discovered(size, seed), fragile, seed, trouble)
+}
+
+fn play_from(mut cluster: Cluster, fragile: Fragile, seed: u64, trouble: Trouble) -> Cluster {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut cluster = Cluster::new(size, seed);
     cluster.make_fragile(fragile);
     if trouble == Trouble::Burst {
         cluster.pause_callers(PAUSE_MS);
@@ -130,6 +138,23 @@
     rejections_by_hundred_engines_stay_few_when_all_callers_return: (3.0, Trouble::Burst) => Vec::new(),
 }
 
+/// The same on one seed, with daemons that find each other as processes do: most of them know few
+/// others.
+fn crashes_discovered((trouble, seed): (Trouble, u64)) -> Vec<(u64, usize)> {
+    let cluster = play_discovered(CROWDED_SITE, announced(3.0), seed, trouble);
+    let crashes = cluster.crashes().by_touched;
+    let broken = crashes > allowed(CROWDED_SITE);
+    broken.then_some((seed, crashes)).into_iter().collect()
+}
+
+cases! {
+    crashes_discovered;
+    daemons_that_know_few_others_take_no_more_slots_when_most_are_killed: (Trouble::Herds, 101) => Vec::new(),
+    daemons_that_know_few_others_take_no_more_slots_when_hubs_are_killed: (Trouble::Kills, 101) => Vec::new(),
+    daemons_that_know_few_others_take_no_more_slots_when_hubs_are_cut_off: (Trouble::Cuts, 102) => Vec::new(),
+    daemons_that_know_few_others_take_no_more_slots_when_hubs_stall: (Trouble::Stalls, 102) => Vec::new(),
+}
+
 /// Holding back must not cost callers what the engines could have served: the share of the requests
 /// served before, in hundredths, less one.
 #[test]
@@ -158,9 +183,17 @@
         if number("MAX").is_some_and(|m| m as f64 != max) {
             continue;
         }
+        let only = std::env::var("TROUBLE").ok();
         for trouble in Trouble::AROUND_FRAGILE {
+            if only.as_ref().is_some_and(|o| *o != format!("{trouble:?}")) {
+                continue;
+            }
             let (mut all, mut touched, mut served) = (Vec::new(), Vec::new(), 0.0);
             for seed in first..first + seeds {
+                let play = match number("DISCOVERED") {
+                    Some(_) => play_discovered,
+                    None => play,
+                };
                 let cluster = play(size, announced(max), seed, trouble);
                 all.push(cluster.crashes().all);
                 touched.push(cluster.crashes().by_touched);
--- a/crates/gateway/tests/unit/limits/main.rs
+++ b/crates/gateway/tests/unit/limits/main.rs
@@ -2,6 +2,7 @@
 //! and none after it says that it is leaving or asks for rest.
 
 mod cluster;
+mod discovery;
 mod engine;
 mod fragile;
 mod leaving;
@@ -53,20 +54,29 @@
     StartsAgain,
     /// Callers pause, and then send all at once.
     Burst,
+    /// Most daemons are killed at once and find each other again.
+    Herds,
 }
 
 impl Trouble {
     /// What is played around engines that crash if they reject much.
-    const AROUND_FRAGILE: [Self; 6] = [
+    const AROUND_FRAGILE: [Self; 7] = [
         Self::Nothing,
         Self::Kills,
         Self::Cuts,
         Self::Stalls,
         Self::StartsAgain,
         Self::Burst,
+        Self::Herds,
     ];
 }
 
+/// The share of the daemons that are killed at once.
+const HERD_SHARE: f64 = 0.6;
+
+/// The share of the steps of a play in which most daemons are killed at once: every five seconds.
+const HERD_RATIO: f64 = 0.22;
+
 /// The share of the steps of a play in which all daemons start again.
 const START_AGAIN_RATIO: f64 = 0.2;
 
@@ -89,7 +99,11 @@
         Trouble::All => kinds[rng.random_range(0..kinds.len())],
         other => other,
     };
-    let hub = cluster.hubs()[rng.random_range(0..3)];
+    let hubs = cluster.hubs();
+    let hub = hubs
+        .get(rng.random_range(0..3))
+        .copied()
+        .unwrap_or_default();
     let any = rng.random_range(0..cluster.daemons());
     let daemon = if rng.random_bool(0.5) { hub } else { any };
     match trouble {
@@ -99,6 +113,11 @@
                 cluster.restart_all();
             }
         }
+        Trouble::Herds => {
+            if rng.random_bool(HERD_RATIO) {
+                cluster.replace_share(HERD_SHARE, rng);
+            }
+        }
         Trouble::Kills => cluster.restart(daemon),
         Trouble::Cuts => cluster.cut(daemon, rng.random_range(500..4_000)),
         Trouble::Stalls => cluster.stall(daemon, rng.random_range(300..2_000)),
