Slots are divided by all daemons, also by those that know few of them

Cause: a daemon that selects by itself divided the free slots of a fragile upstream by the number of daemons that it knows. A non-hub knows its hub and a few others (event 8115: one to nine others of 86). While hubs are gone each of them took from a tenth to half of all that was free. A hub divided by the data centres that it knew, and one that had heard of no other took its loads for recent. Class: what is unknown counted as absent.

Change: the divisor is the number of data centres of the settings, times the largest number of daemons that the data centre is known to have had, for each daemon that reports to the selector as its hub. So parts add up to no more than the whole whichever daemons select, as with allowances. A daemon that was never told the number assumes many.

Tried and taken back: to pause an upstream at the end of a rejected send besides the report of the rejection.

--- a/crates/gateway/src/allowance_share.rs
+++ b/crates/gateway/src/allowance_share.rs
@@ -30,6 +30,11 @@
     }
 }
 
+/// Whether a report shows for which hub its sender counts.
+fn is_vote(report: &Received, now: Millis) -> bool {
+    now.since(report.at) < VOTE_MS
+}
+
 impl Membership {
     /// The number of daemons of this data centre that its hub recently reported.
     fn reported_centre_size(&self, now: Millis) -> u32 {
@@ -69,30 +74,54 @@
     /// hub only, so the shares of two daemons that both act as the hub add up to no more than the
     /// data centre's.
     pub(crate) fn allowance_share(&mut self, centres: usize, now: Millis) -> AllocatorShare {
-        let own = usize::from(self.is_elected(now));
-        let fresh = |t: &&Received| now.since(t.at) < VOTE_MS;
-        let votes = own + self.reports.values().filter(fresh).count();
-        let receives = votes > own || self.centre_loads.values().any(|(_, t)| fresh(&t));
-        let informed = receives || self.reported_centre_size(now) > 0 || self.peers.len() == 0;
-        let known = match informed {
-            true => self.known_centre_size(now),
-            false => self.known_centre_size(now).max(CUT_OFF_SIZE),
-        };
-        let centres = centres.max(self.peers.centres().count());
+        let votes = self.votes(now);
+        let known = self.assumed_centre_size(self.peers.len() == 0, now);
         AllocatorShare {
-            fraction: (votes as f64 / f64::from(known)).min(1.0) / centres as f64,
+            fraction: (votes as f64 / f64::from(known)).min(1.0) / self.centres(centres) as f64,
             daemons: self.alive().max(self.known()),
         }
     }
 
+    /// The number of data centres, whether this daemon knows daemons there or not.
+    pub(crate) fn centres(&self, configured: usize) -> usize {
+        configured.max(self.peers.centres().count())
+    }
+
+    /// The number of daemons that report to this one as their hub, and itself where it is elected.
+    fn votes(&mut self, now: Millis) -> usize {
+        let own = usize::from(self.is_elected(now));
+        own + self.reports.values().filter(|t| is_vote(t, now)).count()
+    }
+
+    /// The number of daemons of this data centre to divide by. One that receives nothing from others
+    /// and was never sent their number assumes many, unless it is alone.
+    fn assumed_centre_size(&self, alone: bool, now: Millis) -> u32 {
+        let hubs = self.centre_loads.values().map(|(_, t)| t);
+        let receives = self.reports.values().chain(hubs).any(|t| is_vote(t, now));
+        let known = self.known_centre_size(now);
+        match receives || self.reported_centre_size(now) > 0 || alone {
+            true => known,
+            false => known.max(CUT_OFF_SIZE),
+        }
+    }
+
+    /// The number of selectors like this one among which the slots of upstreams are divided. A daemon
+    /// speaks for those that report to it as their hub, and any other for itself, so the parts add
+    /// up to no more than the whole whichever daemons select. `alone` says that it was started
+    /// without others to join.
+    pub(crate) fn selectors(&mut self, centres: usize, alone: bool, now: Millis) -> usize {
+        let votes = self.votes(now).max(1);
+        let size = self.assumed_centre_size(alone, now) as usize;
+        (self.centres(centres) * size).div_ceil(votes.min(size))
+    }
+
     /// The share of the upstreams' limited rates for which this daemon grants permits. A permit is
     /// a whole request, so a daemon that speaks for less than half of its data centre holds none:
     /// with many small shares, the permits saved up would exceed what upstreams tolerate.
     pub(crate) fn permit_share(&mut self, centres: usize, now: Millis) -> f64 {
         const LEAST_PART: f64 = 0.5;
         let share = self.allowance_share(centres, now).fraction;
-        let centres = centres.max(self.peers.centres().count());
-        match share * centres as f64 >= LEAST_PART {
+        match share * self.centres(centres) as f64 >= LEAST_PART {
             true => share,
             false => 0.0,
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -71,20 +71,34 @@
 const OWN_SHARE: f64 = 0.1;
 
 impl Gateway {
+    /// Whether the settings name no other daemon to join.
+    fn starts_alone(&self) -> bool {
+        self.settings.seeds.iter().all(|s| *s == self.me.address)
+    }
+
+    /// The number of selectors like this one among which the slots of upstreams are divided.
+    pub(crate) fn selectors(&self) -> usize {
+        let (centres, alone) = (self.settings.centres, self.starts_alone());
+        self.membership
+            .borrow_mut()
+            .selectors(centres, alone, self.now())
+    }
+
     /// How well this daemon knows what the others send. Arrivals at an upstream since their last
     /// reports are unknown, except this daemon's own share; a hub itself sends what it selects for
     /// all.
     fn peer_visibility(&self) -> PeerVisibility {
         let now = self.now();
         let age = self.report_interval().0 as f64;
+        let selectors = self.selectors();
         let mut membership = self.membership.borrow_mut();
-        let recent = membership.hears_recent_loads(now);
+        let recent = membership.hears_recent_loads(self.settings.centres, now);
         if membership.is_hub(now) {
             let hubs = membership.selector_count(now) as f64;
             return PeerVisibility {
                 unseen_ms: age * BUSY_SHARE * OTHER_HUBS_SHARE * (1.0 - 1.0 / hubs),
                 own_share: 1.0,
-                selectors: membership.hubs(now).centres,
+                selectors,
                 recent,
             };
         }
@@ -92,7 +106,7 @@
         PeerVisibility {
             unseen_ms: age * HOPS * BUSY_SHARE * (1.0 - 1.0 / daemons),
             own_share: OWN_SHARE,
-            selectors: membership.known(),
+            selectors,
             recent,
         }
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -742,7 +742,7 @@
     }
 
     /// What is known of the daemons and of the demand, for the log.
-    pub(crate) fn log_detail(&mut self, now: Millis) -> String {
+    pub(crate) fn log_detail(&mut self, centres: usize, now: Millis) -> String {
         let receives = self.receives_enough(now);
         let reachable = Self::fresh(
             self.centre_loads.values().map(|(_, received)| received),
@@ -755,7 +755,7 @@
             |at: Option<Millis>| at.map_or("none".to_owned(), |at| now.since(at).to_string());
         let age = text(demand.map(|(at, _)| *at));
         let total_age = text(self.total.as_ref().map(|t| t.at));
-        let (hub, recent) = (self.is_hub(now), self.hears_recent_loads(now));
+        let (hub, recent) = (self.is_hub(now), self.hears_recent_loads(centres, now));
         format!(
             "daemons={} known={} hub={hub} hubs_heard={reachable} hears_enough={receives} hears_recent={recent} total_age_ms={total_age} rates={rates} unmet={unmet} age_ms={age}",
             self.alive(),
@@ -792,23 +792,30 @@
 
     /// Whether the loads of the other daemons are as recent as reports usually are: those of all
     /// other hubs, or what this daemon's hub sent last. A new hub does not know yet what its
-    /// predecessor sent.
-    pub(crate) fn hears_recent_loads(&mut self, now: Millis) -> bool {
+    /// predecessor sent, nor what a hub sends that it has never heard.
+    pub(crate) fn hears_recent_loads(&mut self, centres: usize, now: Millis) -> bool {
         if !self.is_hub(now) {
             let total = self.total.as_ref();
             return total.is_some_and(|t| now.since(t.at) < LOADS_RECENT_MS);
         }
-        let since = self.hub_since;
-        if since.is_none_or(|since| now.since(since) < SUCCESSION_MS) {
+        let Some(tenure) = self.hub_since.map(|since| now.since(since)) else {
+            return false;
+        };
+        if tenure < SUCCESSION_MS {
             return false;
         }
-        let others = self.peers.centres().filter(|c| **c != self.me.centre);
+        let known = self.peers.centres().filter(|c| **c != self.me.centre);
         let age = |c: &DataCentre| self.centre_loads.get(c).map(|(_, t)| now.since(t.at));
-        let ages: Vec<Option<u64>> = others.map(age).collect();
+        let ages: Vec<Option<u64>> = known.map(age).collect();
         let within = |limit: u64| ages.iter().flatten().filter(|a| **a < limit).count();
         let is_missing = |age: &Option<u64>| age.is_none_or(|a| a < DEAD_AFTER_MS);
-        let missing = ages.iter().filter(|a| is_missing(a)).count() > within(SILENT_MS);
-        !missing && 2 * (1 + within(SILENT_MS)) > ages.len()
+        // A data centre of which no daemon is known may have no daemon.
+        let unknown = match tenure < DEAD_AFTER_MS {
+            true => self.centres(centres) - 1 - ages.len(),
+            false => 0,
+        };
+        let missing = unknown + ages.iter().filter(|a| is_missing(a)).count() > within(SILENT_MS);
+        !missing && 2 * (1 + within(SILENT_MS)) >= self.centres(centres)
     }
 
     /// The last known total demand and its age; none where it is too old.
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -163,7 +163,9 @@
         state.last_log.set(now);
         emit(
             LogEvent::PlannerKnows,
-            &gw.membership.borrow_mut().log_detail(now),
+            &gw.membership
+                .borrow_mut()
+                .log_detail(gw.settings.centres, now),
         );
     }
     let since = now.since(state.last_plan.get());
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -55,11 +55,14 @@
             return;
         }
         let now = self.now();
-        let members = self.membership.borrow_mut().log_detail(now);
+        let centres = self.settings.centres;
+        let members = self.membership.borrow_mut().log_detail(centres, now);
         let maxima = self.upstream_limits.borrow().fragile_services().len();
         let uptime = now.since(self.started);
-        let detail =
-            format!("selector={selector} up_ms={uptime} {members} fragile_services={maxima}");
+        let selectors = self.selectors();
+        let detail = format!(
+            "selector={selector} up_ms={uptime} {members} selectors={selectors} fragile_services={maxima}"
+        );
         emit(LogEvent::FirstSelection, &detail);
     }
 
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -376,7 +376,7 @@
     hubs.tick();
     hubs.run(since, Some(1));
     hubs.run(silent, None);
-    hubs.membership.hears_recent_loads(hubs.now)
+    hubs.membership.hears_recent_loads(1, hubs.now)
 }
 
 cases! {
