A daemon that starts is told at once which services have a maximum of rejections

Cause: a hub that starts again is asked to select within milliseconds, and does not know that a service is fragile until the limits are repeated (1 s) or an engine answers it. It then takes engines for ones that queue.

Change: whoever hears a new incarnation sends it one note for each fragile service, in one datagram. A note about an upstream whose entry is not read yet counts once it is. Nothing is sent where no service names a maximum.

Two tests of service_limits fail on the code before.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -426,6 +426,7 @@
     let detail = format!("instance={} life={:016x}", from.instance, from.incarnation);
     emit(LogEvent::MemberJoined, &detail);
     gw.delegated.borrow_mut().on_hub_restarted(from.address);
+    gw.send_maxima(from);
 }
 
 fn on_hello(gw: &Gateway, from: &Sender, now: Millis) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -454,7 +454,7 @@
                 upstream: name.clone(),
                 load,
             });
-            self.apply_limits(name);
+            self.apply_entry_limits(name);
         }
         self.route(RouteEvent::Leaving {
             upstream: name.clone(),
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -174,6 +174,30 @@
         })
     }
 
+    /// A note for each service that has a maximum of rejections: that of the upstream with the
+    /// smallest one, which counts for all that have not answered.
+    fn maxima(&self, now: Millis) -> Vec<LimitNote> {
+        let smallest = |service: &Service| {
+            let same = |(_, k): &(&Upstream, &Known)| k.service.as_ref() == Some(service);
+            let named = self.known.iter().filter(same);
+            let named = named.filter_map(|(n, k)| Some((n, k.limits.max_rejections?)));
+            named.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(n, _)| n)
+        };
+        let services = self.fragile_services();
+        let names = services.iter().filter_map(smallest);
+        names.filter_map(|n| self.note(n, now)).collect()
+    }
+
+    /// Records the service of an upstream of which another daemon told before its entry was known.
+    /// Returns whether that gives the service a maximum of rejections.
+    fn learn_service(&mut self, upstream: &Upstream, service: &Service) -> bool {
+        let Some(known) = self.known.get_mut(upstream) else {
+            return false;
+        };
+        let is_new = known.service.replace(service.clone()).is_none();
+        is_new && known.limits.max_rejections.is_some()
+    }
+
     /// The notes to repeat now: all of a hub, and those of another daemon that it recently received
     /// from the upstream itself.
     fn due(&mut self, is_hub: bool, now: Millis) -> Vec<LimitNote> {
@@ -298,6 +322,27 @@
         self.send(targets.into_iter().map(|t| (t, message.clone())).collect());
     }
 
+    /// Tells a daemon that has started which services have a maximum of rejections: it would send
+    /// more than their upstreams bear until the limits are repeated.
+    pub(crate) fn send_maxima(&self, to: &Sender) {
+        let notes = self.upstream_limits.borrow().maxima(self.now());
+        let parts = notes.chunks(NOTES_PER_DATAGRAM);
+        let message = |part: &[LimitNote]| Message::Limits(LimitMessage::Named(part.to_vec()));
+        self.send(parts.map(|part| (to.address, message(part))).collect());
+    }
+
+    /// Applies what is known of the limits of an upstream whose entry was read.
+    pub(crate) fn apply_entry_limits(&self, upstream: &Upstream) {
+        let service = self.service_of(upstream);
+        let mut limits = self.upstream_limits.borrow_mut();
+        let learned = service.filter(|s| limits.learn_service(upstream, s));
+        drop(limits);
+        self.apply_limits(upstream);
+        if let Some(service) = learned {
+            self.apply_service_limits(&service);
+        }
+    }
+
     /// Repeats the current limits where that is due.
     pub(crate) fn repeat_limits(&self) {
         let now = self.now();
--- a/crates/gateway/tests/unit/service_limits.rs
+++ b/crates/gateway/tests/unit/service_limits.rs
@@ -3,8 +3,8 @@
 
 use super::crashes::{cluster, null_platform};
 use super::manual_clock::ManualClock;
-use crate::gossip::Outbox;
-use crate::message::{LimitMessage, Message, Sender};
+use crate::gossip::{on_datagram, Outbox};
+use crate::message::{Datagram, LimitMessage, Message, Sender};
 use crate::roster::EntryRecord;
 use crate::state::{Gateway, Platform};
 use crate::{AnswerHead, Entry};
@@ -67,6 +67,23 @@
 
 impl Daemon {
     fn start() -> Self {
+        let daemon = Self::start_unlisted();
+        daemon.list_upstreams();
+        daemon
+    }
+
+    /// Lists the three upstreams.
+    fn list_upstreams(&self) {
+        let records = (0..3).map(|number| record(number, 1, true));
+        self.gw.apply_entries(records.collect(), self.gw.now());
+    }
+
+    fn maxima(&self) -> [Option<f64>; 3] {
+        [0, 1, 2].map(|number| self.gw.max_rejections(&upstream(number)))
+    }
+
+    /// Starts a daemon that knows no upstream.
+    fn start_unlisted() -> Self {
         let platform = Platform {
             codec: Box::new(null_platform::StubCodec),
             store: Box::new(null_platform::UnavailableStore),
@@ -78,8 +95,6 @@
         let rng = SmallRng::seed_from_u64(1);
         let time = Clock::from_time(clock.clone());
         let gw = Gateway::with_clock(settings, platform, sender, time, rng).expect("a gateway");
-        let records = (0..3).map(|number| record(number, 1, true));
-        gw.apply_entries(records.collect(), gw.now());
         Self { gw, outbox, clock }
     }
 
@@ -134,7 +149,7 @@
         daemon.apply(*step);
         daemon.apply(Wait(1));
     }
-    [0, 1, 2].map(|number| daemon.gw.max_rejections(&upstream(number)))
+    daemon.maxima()
 }
 
 cases! {
@@ -169,16 +184,53 @@
     assert_eq!(rate(0), None);
 }
 
-#[test]
-fn a_rejection_by_an_upstream_that_has_not_answered_is_reported() {
-    let mut daemon = Daemon::start();
-    let hub = Sender {
+/// Another daemon of the same data centre.
+fn other(daemon: &Daemon) -> Sender {
+    Sender {
         instance: Instance::from_text("m1").expect("a valid name"),
         centre: daemon.gw.me.centre.clone(),
         incarnation: 1,
         address: SocketAddr::from(([10, 0, 0, 2], 7_000)),
         strength: u8::MAX,
+    }
+}
+
+/// What a daemon knows of the maxima that has started and said hello to another one, which knows
+/// a maximum. It reads the entries of the upstreams before it is told or afterwards.
+fn maxima_after_hello(reads_first: bool) -> [Option<f64>; 3] {
+    let mut told = Daemon::start();
+    told.apply(Answer(0, Some(3.0)));
+    while told.outbox.try_recv().is_ok() {}
+    let hello = Datagram {
+        from: other(&told),
+        message: Message::Hello,
+    };
+    on_datagram(&told.gw, hello);
+    let started = match reads_first {
+        true => Daemon::start(),
+        false => Daemon::start_unlisted(),
     };
+    let sent = std::iter::from_fn(|| told.outbox.try_recv().ok()).flatten();
+    let limits = sent.filter(|(_, d)| matches!(d.message, Message::Limits(_)));
+    for (_, datagram) in limits {
+        let from = other(&started);
+        on_datagram(&started.gw, Datagram { from, ..datagram });
+    }
+    started.list_upstreams();
+    started.maxima()
+}
+
+cases! {
+    maxima_after_hello;
+    a_daemon_that_starts_is_told_the_maxima_at_once: true => [Some(3.0), Some(3.0), None],
+    a_daemon_that_is_told_the_maxima_before_it_reads_the_entries_knows_them:
+        false => [Some(3.0), Some(3.0), None],
+}
+
+#[test]
+fn a_rejection_by_an_upstream_that_has_not_answered_is_reported() {
+    let mut daemon = Daemon::start();
+    let hub = other(&daemon);
     let now = daemon.gw.now();
     daemon.gw.membership.borrow_mut().on_datagram(&hub, now);
     daemon.apply(Answer(0, Some(3.0)));
