--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -743,6 +743,22 @@
             );
             (LogEvent::RequestOvertaken, outcome, detail)
         }
+        QueueNote::Expired {
+            route,
+            id,
+            level,
+            over,
+            left,
+            queued,
+        } => {
+            let detail = format!(
+                "number={} route={route} level={level} over_share={over} target_left_ms={} \
+                 queued={queued}",
+                id.0,
+                millis(left),
+            );
+            (LogEvent::RequestExpired, "expired", detail)
+        }
         QueueNote::Shed {
             route,
             id,
--- a/crates/route/src/stats.rs
+++ b/crates/route/src/stats.rs
@@ -119,6 +119,21 @@
         /// The same of the request that waits on.
         overtaken_left: Option<Millis>,
     },
+    /// A request was refused after it had waited for as long as it may.
+    Expired {
+        /// Its route.
+        route: Route,
+        /// The request.
+        id: RequestId,
+        /// The level of its priority, see [`crate::level`].
+        level: u8,
+        /// Whether its organisation exceeded its share.
+        over: bool,
+        /// The time until its target ends, if that is known.
+        left: Option<Millis>,
+        /// The number of requests that are queued for its route.
+        queued: usize,
+    },
     /// A request was refused on arrival.
     Shed {
         /// Its route.
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -249,6 +249,7 @@
             }
             if served && !started {
                 self.record_shed(&request, now);
+                self.record_expired(&request, now);
             }
             let kind = match (served, started) {
                 (_, true) => ErrorKind::BrokenStream,
@@ -259,6 +260,20 @@
         }
     }
 
+    /// Records how a request stood in the order that was refused after its wait.
+    fn record_expired(&mut self, request: &RouteRequest, now: Millis) {
+        let queue = self.queues.get(&request.route);
+        let note = QueueNote::Expired {
+            route: request.route.clone(),
+            id: request.id,
+            level: request.level(),
+            over: self.exceeding(&request.route, now).contains(&request.org),
+            left: request.target.map(|t| Millis(t.since(now))),
+            queued: queue.map_or(0, RouteQueue::len),
+        };
+        self.push_queue_note(note);
+    }
+
     /// Finds the sends that are overdue or lost. The slots of those that are lost are free.
     fn update_holds(&mut self, now: Millis) {
         let mut lost = Vec::new();
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -116,6 +116,7 @@
     FirstSelection 8115 Info "The daemon selected an upstream for the first time since its start, or asked a hub to; the line gives who selects and what it knows of the others.";
     RequestOvertaken 8120 Info "A queued request was sent before one that comes first by its class; the line gives the reason and the times left.";
     RequestShed 8121 Info "A request was refused on arrival because its predicted wait is too long; the line gives the wait, the time left and the retry-after time.";
+    RequestExpired 8122 Info "A queued request was refused after its wait; the line gives what decided its place in the order.";
     RequestEnded 8201 Info "A request ended.";
     RequestRefused 8202 Info "A request was refused without having run.";
     RequestFailed 8203 Warn "A request ended without a complete answer.";
