Tests of the number by which daemons divide slots, at the membership itself

A hub that never heard a data centre of its settings does not take loads for recent, until 3 s have passed. The cases of before have the number of data centres that they had. A comment no longer claims more than holds: hubs and daemons that select at the same time can add up to twice.

--- a/crates/gateway/src/allowance_share.rs
+++ b/crates/gateway/src/allowance_share.rs
@@ -105,10 +105,10 @@
         }
     }
 
-    /// The number of selectors like this one among which the slots of upstreams are divided. A daemon
-    /// speaks for those that report to it as their hub, and any other for itself, so the parts add
-    /// up to no more than the whole whichever daemons select. `alone` says that it was started
-    /// without others to join.
+    /// The number of selectors like this one among which the slots of upstreams are divided. A hub
+    /// speaks for the daemons that report to it, and any other daemon for itself: the parts of all
+    /// hubs, or of all daemons where hubs are silent, add up to no more than the whole. `alone` says
+    /// that this daemon was started without others to join.
     pub(crate) fn selectors(&mut self, centres: usize, alone: bool, now: Millis) -> usize {
         let votes = self.votes(now).max(1);
         let size = self.assumed_centre_size(alone, now) as usize;
--- a/crates/gateway/tests/unit/membership.rs
+++ b/crates/gateway/tests/unit/membership.rs
@@ -256,6 +256,30 @@
     assert!(max <= 1.0 + 1e-9, "the shares add up to {max}");
 }
 
+/// Guards against parts of an upstream's slots that add up to a multiple of them: a daemon divided
+/// by the number of daemons that it knew, which is small at most of them.
+#[test]
+fn slots_are_divided_by_all_daemons_at_those_that_know_few() {
+    const CENTRES: usize = 2;
+    let mut cluster = Cluster::new(20);
+    cluster.run(3_000);
+    let now = cluster.now;
+    let parts = cluster.daemons.values_mut().map(|(_, membership)| {
+        let selectors = membership.selectors(CENTRES, false, now);
+        (membership.is_hub(now), selectors)
+    });
+    let parts: BTreeSet<(bool, usize)> = parts.collect();
+    assert_eq!(parts, BTreeSet::from([(true, CENTRES), (false, 20)]));
+}
+
+#[test]
+fn a_daemon_that_was_never_told_the_number_of_daemons_divides_slots_by_many() {
+    let mut membership = Membership::new(sender(1, 1, 0));
+    let now = Millis(START_MS);
+    assert_eq!(membership.selectors(3, false, now), 300);
+    assert_eq!(membership.selectors(1, true, now), 1);
+}
+
 /// Guards against overloaded upstreams: a daemon that has received nothing from its hub for a while
 /// took the loads of the other daemons for zero, although they go on sending, and sent more
 /// requests to upstreams that seemed idle than these accept.
@@ -369,23 +393,25 @@
     assert_eq!(counted_after(resign), [5, 0]);
 }
 
-/// Whether a hub that has been one for the first time, and whose other hub has been silent for the
-/// second one, takes the loads that it knows for recent.
-fn hears_recent((since, silent): (u64, u64)) -> bool {
+/// Whether a hub takes the loads that it knows for recent: with this number of data centres in its
+/// settings, a hub for the first time and with the other hub silent for the second one.
+fn hears_recent((centres, since, silent): (usize, u64, u64)) -> bool {
     let mut hubs = TwoHubs::new();
     hubs.tick();
     hubs.run(since, Some(1));
     hubs.run(silent, None);
-    hubs.membership.hears_recent_loads(1, hubs.now)
+    hubs.membership.hears_recent_loads(centres, hubs.now)
 }
 
 cases! {
     hears_recent;
-    a_new_hub_does_not_know_what_its_predecessor_sent: (300, 0) => false,
-    a_hub_that_hears_the_others_knows_their_loads: (1_000, 0) => true,
-    a_hub_that_misses_some_reports_uses_the_last_one: (1_000, 900) => true,
-    the_loads_of_a_silent_hub_are_unknown: (1_000, 1_500) => false,
-    a_hub_that_stays_silent_is_gone: (1_000, 3_200) => true,
+    a_new_hub_does_not_know_what_its_predecessor_sent: (2, 300, 0) => false,
+    a_hub_that_hears_the_others_knows_their_loads: (2, 1_000, 0) => true,
+    a_hub_that_misses_some_reports_uses_the_last_one: (2, 1_000, 900) => true,
+    the_loads_of_a_silent_hub_are_unknown: (2, 1_000, 1_500) => false,
+    a_hub_that_stays_silent_is_gone: (2, 1_000, 3_200) => true,
+    a_hub_does_not_know_the_loads_of_a_data_centre_that_it_never_heard: (3, 1_000, 0) => false,
+    a_data_centre_without_daemons_hides_no_loads: (3, 3_200, 0) => true,
 }
 
 /// After a change of planner, callers' adapters were requested from the previous one until the next
